--- /dev/null
+++ b/messenger/pool.go
@@ -0,0 +1,152 @@
+package messenger
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/rpc"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Pool makes calls to peers. It keeps one connection to each address and makes
+// a new one when that breaks. It is safe for use by several goroutines.
+type Pool struct {
+	options options
+	dialer  net.Dialer
+
+	mu sync.Mutex
+	// peers holds the open connections by address. It is nil once the pool is
+	// closed.
+	peers map[string]*peer
+}
+
+// peer is one open connection. It is closed by closing conn, never client:
+// that way rpc.ErrShutdown only ever means that a call was not sent.
+type peer struct {
+	client *rpc.Client
+	conn   net.Conn
+}
+
+// NewPool returns a pool without connections.
+func NewPool(opts ...Option) *Pool {
+	return &Pool{
+		options: newOptions(opts),
+		peers:   make(map[string]*peer),
+	}
+}
+
+// Call calls a method, such as "Member.Heartbeat", of the peer at the address
+// and waits for the reply or the end of the context. After ErrUnknown the
+// method may have run, or still run; reply must then not be used again.
+func (p *Pool) Call(ctx context.Context, address, method string, args, reply any) error {
+	err := p.try(ctx, address, method, args, reply)
+	if errors.Is(err, rpc.ErrShutdown) {
+		// The kept connection had broken before the call was sent.
+		return p.try(ctx, address, method, args, reply)
+	}
+	return err
+}
+
+func (p *Pool) try(ctx context.Context, address, method string, args, reply any) error {
+	to, err := p.peer(ctx, address)
+	if err != nil {
+		return err
+	}
+	call := to.client.Go(method, args, reply, make(chan *rpc.Call, 1))
+	select {
+	case <-call.Done:
+		return p.callError(address, to, call.Error)
+	case <-ctx.Done():
+		return errors.Mark(errors.Wrapf(ctx.Err(), "messenger: %s at %s", method, address), ErrUnknown)
+	}
+}
+
+func (p *Pool) callError(address string, to *peer, err error) error {
+	if err == nil {
+		return nil
+	}
+	var refusal rpc.ServerError
+	if errors.As(err, &refusal) {
+		return errors.Mark(errors.Wrapf(err, "messenger: call to %s", address), ErrRefused)
+	}
+	p.drop(address, to)
+	mark := ErrUnknown
+	if errors.Is(err, rpc.ErrShutdown) {
+		mark = ErrUnreachable
+	}
+	return errors.Mark(errors.Wrapf(err, "messenger: call to %s", address), mark)
+}
+
+// peer returns the open connection to the address or makes one.
+func (p *Pool) peer(ctx context.Context, address string) (*peer, error) {
+	p.mu.Lock()
+	kept := p.peers[address]
+	closed := p.peers == nil
+	p.mu.Unlock()
+	if closed {
+		return nil, errors.Wrap(ErrUnreachable, "the pool is closed")
+	}
+	if kept != nil {
+		return kept, nil
+	}
+	made, err := p.dial(ctx, address)
+	if err != nil {
+		return nil, errors.Mark(errors.Wrapf(err, "messenger: connect to %s", address), ErrUnreachable)
+	}
+	return p.keep(address, made)
+}
+
+// keep stores a new connection, unless another was made meanwhile.
+func (p *Pool) keep(address string, made *peer) (*peer, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.peers == nil {
+		made.conn.Close()
+		return nil, errors.Wrap(ErrUnreachable, "the pool is closed")
+	}
+	if kept := p.peers[address]; kept != nil {
+		made.conn.Close()
+		return kept, nil
+	}
+	p.peers[address] = made
+	return made, nil
+}
+
+func (p *Pool) dial(ctx context.Context, address string) (*peer, error) {
+	conn, err := p.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	if p.options.tls != nil {
+		conn = tls.Client(conn, p.options.tls)
+	}
+	if err := p.options.prove(conn, roleClient, roleServer); err != nil {
+		conn.Close()
+		return nil, err
+	}
+	return &peer{
+		client: rpc.NewClient(conn),
+		conn:   conn,
+	}, nil
+}
+
+func (p *Pool) drop(address string, to *peer) {
+	to.conn.Close()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.peers[address] == to {
+		delete(p.peers, address)
+	}
+}
+
+// Close closes every connection. Calls that still wait end with an error.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, to := range p.peers {
+		to.conn.Close()
+	}
+	p.peers = nil
+}
--- /dev/null
+++ b/messenger/server.go
@@ -0,0 +1,121 @@
+package messenger
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/rpc"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	roleServer = "server"
+	roleClient = "client"
+)
+
+// Server answers the calls of peers.
+type Server struct {
+	options options
+	rpc     *rpc.Server
+
+	mu sync.Mutex
+	// conns are the open connections. It is nil once the server is closed.
+	conns map[net.Conn]struct{}
+}
+
+// NewServer returns a server without methods.
+func NewServer(opts ...Option) *Server {
+	return &Server{
+		options: newOptions(opts),
+		rpc:     rpc.NewServer(),
+		conns:   make(map[net.Conn]struct{}),
+	}
+}
+
+// Register offers the methods of receiver under the given name, as net/rpc
+// does.
+func (s *Server) Register(name string, receiver any) error {
+	return errors.Wrapf(s.rpc.RegisterName(name, receiver), "messenger: register %s", name)
+}
+
+// Serve answers calls on the listener until the context has ended, then closes
+// the listener and every connection.
+func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error {
+		<-ctx.Done()
+		s.close(listener)
+		return nil
+	})
+	group.Go(func() error {
+		return s.accept(ctx, group, listener)
+	})
+	return group.Wait()
+}
+
+func (s *Server) accept(ctx context.Context, group *errgroup.Group, listener net.Listener) error {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return acceptError(ctx, err)
+		}
+		group.Go(func() error {
+			s.serveConn(conn)
+			return nil
+		})
+	}
+}
+
+// acceptError returns nil for the error that closing the listener causes.
+func acceptError(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return nil
+	}
+	return errors.Wrap(err, "messenger: accept")
+}
+
+// serveConn answers one peer. A peer that fails the handshake is hung up on;
+// it is that peer's call that reports the error.
+func (s *Server) serveConn(conn net.Conn) {
+	if s.options.tls != nil {
+		conn = tls.Server(conn, s.options.tls)
+	}
+	defer conn.Close()
+	if !s.add(conn) {
+		return
+	}
+	defer s.remove(conn)
+	if err := s.options.prove(conn, roleServer, roleClient); err != nil {
+		return
+	}
+	s.rpc.ServeConn(conn)
+}
+
+func (s *Server) add(conn net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.conns == nil {
+		return false
+	}
+	s.conns[conn] = struct{}{}
+	return true
+}
+
+func (s *Server) remove(conn net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, conn)
+}
+
+func (s *Server) close(listener net.Listener) {
+	listener.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for conn := range s.conns {
+		conn.Close()
+	}
+	s.conns = nil
+}
