--- a/connector/http.go
+++ b/connector/http.go
@@ -122,7 +122,7 @@
 func call(ctx context.Context, client *http.Client, method, address string, request, answer any) error {
 	req, err := newRequest(ctx, method, address, request)
 	if err != nil {
-		return errors.Mark(errors.Wrap(err, "connector: make the request"), ErrRefused)
+		return errors.WithStack(fmt.Errorf("%w: make the request: %w", ErrRefused, err))
 	}
 	resp, err := client.Do(req)
 	if err != nil {
@@ -131,7 +131,7 @@
 	defer resp.Body.Close()
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
 	if err != nil {
-		return errors.Mark(errors.Wrapf(err, "connector: read the answer of %s", address), ErrUnknown)
+		return errors.WithStack(fmt.Errorf("%w: read the answer of %s: %w", ErrUnknown, address, err))
 	}
 	if resp.StatusCode >= http.StatusBadRequest {
 		return statusError(resp.StatusCode, address, data)
@@ -140,7 +140,7 @@
 		return nil
 	}
 	if err := json.Unmarshal(data, answer); err != nil {
-		return errors.Mark(errors.Wrapf(err, "connector: decode the answer of %s", address), ErrUnknown)
+		return errors.WithStack(fmt.Errorf("%w: decode the answer of %s: %w", ErrUnknown, address, err))
 	}
 	return nil
 }
@@ -168,7 +168,7 @@
 	if errors.As(err, &op) && op.Op == "dial" {
 		mark = ErrUnreachable
 	}
-	return errors.Mark(errors.Wrapf(err, "connector: %s %s", method, address), mark)
+	return errors.WithStack(fmt.Errorf("%w: %s %s: %w", mark, method, address, err))
 }
 
 func statusError(status int, address string, text []byte) error {
--- a/messenger/pool.go
+++ b/messenger/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"fmt"
 	"net"
 	"net/rpc"
 	"sync"
@@ -59,7 +60,7 @@
 	case <-call.Done:
 		return p.callError(address, to, call.Error)
 	case <-ctx.Done():
-		return errors.Mark(errors.Wrapf(ctx.Err(), "messenger: %s at %s", method, address), ErrUnknown)
+		return errors.WithStack(fmt.Errorf("%w: %s at %s: %w", ErrUnknown, method, address, ctx.Err()))
 	}
 }
 
@@ -69,14 +70,14 @@
 	}
 	var refusal rpc.ServerError
 	if errors.As(err, &refusal) {
-		return errors.Mark(errors.Wrapf(err, "messenger: call to %s", address), ErrRefused)
+		return errors.WithStack(fmt.Errorf("%w: call to %s: %w", ErrRefused, address, err))
 	}
 	p.drop(address, to)
 	mark := ErrUnknown
 	if errors.Is(err, rpc.ErrShutdown) {
 		mark = ErrUnreachable
 	}
-	return errors.Mark(errors.Wrapf(err, "messenger: call to %s", address), mark)
+	return errors.WithStack(fmt.Errorf("%w: call to %s: %w", mark, address, err))
 }
 
 // peer returns the open connection to the address or makes one.
@@ -93,7 +94,7 @@
 	}
 	made, err := p.dial(ctx, address)
 	if err != nil {
-		return nil, errors.Mark(errors.Wrapf(err, "messenger: connect to %s", address), ErrUnreachable)
+		return nil, errors.WithStack(fmt.Errorf("%w: connect to %s: %w", ErrUnreachable, address, err))
 	}
 	return p.keep(address, made)
 }
--- a/recorder/record.go
+++ b/recorder/record.go
@@ -9,6 +9,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -89,7 +90,7 @@
 		Body:    body,
 	})
 	if err != nil {
-		return nil, errors.Mark(errors.Wrap(err, "recorder: encode"), ErrEncoding)
+		return nil, errors.WithStack(fmt.Errorf("%w: encode: %w", ErrEncoding, err))
 	}
 	return data, nil
 }
@@ -100,7 +101,7 @@
 	}
 	data, err := json.Marshal(body)
 	if err != nil {
-		return nil, errors.Mark(errors.Wrapf(err, "recorder: encode %s", body.Kind()), ErrEncoding)
+		return nil, errors.WithStack(fmt.Errorf("%w: encode %s: %w", ErrEncoding, body.Kind(), err))
 	}
 	return data, nil
 }
@@ -110,7 +111,7 @@
 func Decode(data []byte) (Record, error) {
 	var e envelope
 	if err := json.Unmarshal(data, &e); err != nil {
-		return Record{}, errors.Mark(errors.Wrap(err, "recorder: decode"), ErrEncoding)
+		return Record{}, errors.WithStack(fmt.Errorf("%w: decode: %w", ErrEncoding, err))
 	}
 	if e.ID == "" || e.Kind == "" {
 		return Record{}, errors.Wrap(ErrEncoding, "a record without identity or kind")
@@ -155,7 +156,7 @@
 func decodeAs[B Body](e envelope) (Body, error) {
 	var body B
 	if err := json.Unmarshal(e.Body, &body); err != nil {
-		return nil, errors.Mark(errors.Wrapf(err, "recorder: decode %s", e.Kind), ErrEncoding)
+		return nil, errors.WithStack(fmt.Errorf("%w: decode %s: %w", ErrEncoding, e.Kind, err))
 	}
 	return body, nil
 }
--- a/sizer/size.go
+++ b/sizer/size.go
@@ -121,7 +121,7 @@
 func (s *Size) UnmarshalJSON(data []byte) error {
 	var w wireSize
 	if err := json.Unmarshal(data, &w); err != nil {
-		return errors.Mark(errors.Wrap(err, "sizer: decode"), ErrEncoding)
+		return errors.WithStack(fmt.Errorf("%w: decode: %w", ErrEncoding, err))
 	}
 	*s = New(w.MilliCores, w.Bytes, w.Accelerators)
 	return nil
