Add the router: the path of a request, first version

Requests need one place that counts the slots of a minion, so each minion has one owner by rendezvous hashing and others forward to it over net/rpc.

--- /dev/null
+++ b/router/header.go
@@ -0,0 +1,137 @@
+package router
+
+import (
+	"net/http"
+	"net/textproto"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// maxSeconds bounds the seconds that a header may carry.
+const maxSeconds = 24 * 60 * 60
+
+// errHeader is returned for a header that is malformed.
+var errHeader = errors.New("router: malformed header")
+
+// hopByHop are the headers that belong to one connection, in canonical form.
+var hopByHop = []string{
+	"Connection",
+	"Expect",
+	"Keep-Alive",
+	"Proxy-Authenticate",
+	"Proxy-Authorization",
+	"Proxy-Connection",
+	"Te",
+	"Trailer",
+	"Transfer-Encoding",
+	"Upgrade",
+}
+
+// removeHopByHop removes the headers that belong to one connection, and those
+// that Connection names.
+func removeHopByHop(h http.Header) {
+	for _, line := range h["Connection"] {
+		for name := range strings.SplitSeq(line, ",") {
+			h.Del(textproto.TrimString(name))
+		}
+	}
+	for _, name := range hopByHop {
+		h.Del(name)
+	}
+}
+
+// formatSeconds writes a duration as decimal seconds.
+func formatSeconds(d time.Duration) string {
+	return strconv.FormatFloat(max(0, d.Seconds()), 'f', 6, 64)
+}
+
+// parseSeconds reads decimal seconds, above 0 and up to a day.
+func parseSeconds(s string) (time.Duration, error) {
+	f, err := strconv.ParseFloat(s, 64)
+	if err != nil || !(f > 0) || f > maxSeconds {
+		return 0, errors.Wrapf(errHeader, "seconds %q", s)
+	}
+	return time.Duration(f * float64(time.Second)), nil
+}
+
+// parseBool reads "true" or "false".
+func parseBool(s string) (bool, error) {
+	switch s {
+	case "true":
+		return true, nil
+	case "false":
+		return false, nil
+	default:
+		return false, errors.Wrapf(errHeader, "neither true nor false: %q", s)
+	}
+}
+
+// single returns the value of a header that may be given once.
+func single(h http.Header, name string) (string, bool, error) {
+	values := h.Values(name)
+	switch len(values) {
+	case 0:
+		return "", false, nil
+	case 1:
+		return values[0], true, nil
+	default:
+		return "", false, errors.Wrapf(errHeader, "%s is given %d times", name, len(values))
+	}
+}
+
+// headerOptions reads the headers of galenacove that a caller's request
+// carries.
+func headerOptions(h http.Header, now time.Time) ([]RequestOption, error) {
+	var opts []RequestOption
+	readers := []struct {
+		name string
+		read func(value string) (RequestOption, error)
+	}{
+		{HeaderIdempotencyKey, readKey},
+		{HeaderTeam, readTeam},
+		{HeaderIdempotent, readIdempotent},
+		{HeaderDeadline, func(value string) (RequestOption, error) {
+			left, err := parseSeconds(value)
+			return Deadline(now.Add(left)), err
+		}},
+	}
+	for _, reader := range readers {
+		value, given, err := single(h, reader.name)
+		if err != nil {
+			return nil, err
+		}
+		if !given {
+			continue
+		}
+		opt, err := reader.read(value)
+		if err != nil {
+			return nil, errors.Wrapf(err, "router: header %s", reader.name)
+		}
+		opts = append(opts, opt)
+	}
+	return opts, nil
+}
+
+// readKey reads the caller's identity, which may be quoted as a structured
+// string.
+func readKey(value string) (RequestOption, error) {
+	if len(value) >= 2 && value[0] == '"' && value[len(value)-1] == '"' {
+		value = value[1 : len(value)-1]
+	}
+	if value == "" {
+		return nil, errors.Wrap(errHeader, "empty")
+	}
+	return Identity(value), nil
+}
+
+func readTeam(value string) (RequestOption, error) {
+	return Team(value), nil
+}
+
+func readIdempotent(value string) (RequestOption, error) {
+	idempotent, err := parseBool(value)
+	return Idempotent(idempotent), err
+}
--- /dev/null
+++ b/router/metrics.go
@@ -0,0 +1,90 @@
+package router
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// metrics are what the router counts. Without a registry they are counted and
+// not shown.
+type metrics struct {
+	requests *prometheus.CounterVec
+	attempts *prometheus.CounterVec
+	retries  *prometheus.CounterVec
+	budget   *prometheus.CounterVec
+	waits    *prometheus.HistogramVec
+}
+
+func newMetrics(registry prometheus.Registerer) *metrics {
+	m := &metrics{
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "galenacove_router_requests_total",
+			Help: "Requests of callers by outcome and reason.",
+		}, []string{"service", "outcome", "reason"}),
+		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "galenacove_router_attempts_total",
+			Help: "Attempts at minions.",
+		}, []string{"service"}),
+		retries: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "galenacove_router_retries_total",
+			Help: "Further attempts taken from the budget.",
+		}, []string{"service"}),
+		budget: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "galenacove_router_budget_empty_total",
+			Help: "Further attempts not made since the budget was empty.",
+		}, []string{"service"}),
+		waits: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name:    "galenacove_router_wait_seconds",
+			Help:    "Time that requests waited for a slot.",
+			Buckets: prometheus.ExponentialBuckets(0.0001, 4, 9),
+		}, []string{"service"}),
+	}
+	if registry != nil {
+		registry.MustRegister(m.requests, m.attempts, m.retries, m.budget, m.waits)
+	}
+	return m
+}
+
+// count books how a request ended and returns the error.
+func (m *metrics) count(service string, err error) error {
+	outcome, reason := classify(err)
+	if reason == ReasonNoService {
+		service = ""
+	}
+	m.requests.WithLabelValues(service, outcome, string(reason)).Inc()
+	return err
+}
+
+// classify returns the names of an outcome and its reason.
+func classify(err error) (string, Reason) {
+	var refused *RefusedError
+	var failed *FailedError
+	var unknown *UnknownError
+	var claimed *ClaimedError
+	switch {
+	case err == nil:
+		return "done", ""
+	case errors.As(err, &refused):
+		return "refused", refused.Reason
+	case errors.As(err, &claimed):
+		return "refused", ReasonClaimed
+	case errors.As(err, &failed):
+		return "failed", ReasonFailed
+	case errors.As(err, &unknown):
+		return "unknown", unknown.Reason
+	default:
+		return "unknown", ReasonLost
+	}
+}
+
+func (m *metrics) attempted(service string) { m.attempts.WithLabelValues(service).Inc() }
+
+func (m *metrics) retried(service string) { m.retries.WithLabelValues(service).Inc() }
+
+func (m *metrics) budgetEmpty(service string) { m.budget.WithLabelValues(service).Inc() }
+
+func (m *metrics) waited(service string, d time.Duration) {
+	m.waits.WithLabelValues(service).Observe(d.Seconds())
+}
--- /dev/null
+++ b/router/path.go
@@ -0,0 +1,245 @@
+package router
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/galenacove/galenacove/recorder"
+)
+
+// maxMoves is how often a request that reached no minion is sent to another
+// owner.
+const maxMoves = 3
+
+// Do has a request run and returns the whole answer. It returns by the
+// request's deadline, with *RefusedError, *FailedError, *UnknownError or
+// *ClaimedError if there is no answer. When the context ends the request is
+// given up.
+func (r *Router) Do(ctx context.Context, q Request) (Answer, error) {
+	now := r.settings.clock.Now()
+	if !r.begin() {
+		return Answer{}, r.metrics.count(q.service, &RefusedError{
+			Reason:     ReasonLeaving,
+			RetryAfter: leaveReturn,
+		})
+	}
+	defer r.end()
+	answer, err := r.do(ctx, q, now)
+	return answer, r.metrics.count(q.service, err)
+}
+
+func (r *Router) do(ctx context.Context, q Request, now time.Time) (Answer, error) {
+	p := r.pool(q.service)
+	if p == nil {
+		return Answer{}, &RefusedError{
+			Reason: ReasonNoService,
+		}
+	}
+	if err := p.check(&q, now); err != nil {
+		return Answer{}, err
+	}
+	if q.idempotent || q.identity == "" {
+		return r.run(ctx, q)
+	}
+	return r.claimAndRun(ctx, q)
+}
+
+// claimAndRun claims a non-idempotent request before it runs it, and books
+// what became of it.
+func (r *Router) claimAndRun(ctx context.Context, q Request) (Answer, error) {
+	if err := r.claim(ctx, q); err != nil {
+		return Answer{}, err
+	}
+	answer, err := r.run(ctx, q)
+	var refused *RefusedError
+	var unknown *UnknownError
+	switch {
+	case err == nil:
+		r.settings.claimer.End(q.identity, recorder.Done)
+	case errors.As(err, &refused):
+		r.settings.claimer.End(q.identity, recorder.NotRun)
+	case errors.As(err, &unknown):
+		// Nothing is known, so nothing is said.
+	default:
+		r.settings.claimer.End(q.identity, recorder.Failed)
+	}
+	return answer, err
+}
+
+func (r *Router) claim(ctx context.Context, q Request) error {
+	if r.settings.claimer == nil {
+		return noClaims()
+	}
+	ctx, stop := r.bound(ctx, q.deadline.Sub(r.settings.clock.Now()), nil)
+	defer stop()
+	verdict, err := r.settings.claimer.Claim(ctx, q.identity)
+	switch {
+	case errors.Is(err, ErrExpired):
+		return &RefusedError{
+			Reason: ReasonExpired,
+		}
+	case err != nil:
+		return noClaims()
+	case !verdict.Won:
+		e := &ClaimedError{
+			Outcome: verdict.Outcome,
+		}
+		if verdict.Outcome == "" {
+			e.RetryAfter = idleReturn
+		}
+		return e
+	default:
+		return nil
+	}
+}
+
+func noClaims() error {
+	return &RefusedError{
+		Reason:     ReasonNoClaims,
+		RetryAfter: idleReturn,
+	}
+}
+
+// path is the way of one request over several hops.
+type path struct {
+	router *Router
+	q      Request
+	// worst is what must be told if no hop is done.
+	worst result
+	// avoid are the minions, owners the entries that it was tried at in vain.
+	avoid  []string
+	owners map[string]bool
+	moves  int
+}
+
+// run takes a request to an owner, and to others while that may help.
+func (r *Router) run(ctx context.Context, q Request) (Answer, error) {
+	p := &path{
+		router: r,
+		q:      q,
+		worst: result{
+			outcome: refused,
+			reason:  ReasonNoMinion,
+			after:   idleReturn,
+		},
+		owners: make(map[string]bool),
+	}
+	for {
+		res, ok := p.hop(ctx)
+		if ok && res.outcome == done {
+			r.budget.earn()
+			return res.answer, nil
+		}
+		if ok {
+			p.worst = worse(p.worst, res)
+		}
+		if !ok || !p.again(ctx, res) {
+			return Answer{}, p.worst.err()
+		}
+	}
+}
+
+// hop makes one hop, and reports false if there is no owner to go to.
+func (p *path) hop(ctx context.Context) (result, bool) {
+	r := p.router
+	to, ok := r.chooseOwner(p.q.service, p.owners)
+	if !ok {
+		return result{}, false
+	}
+	left := p.q.deadline.Sub(r.settings.clock.Now())
+	if left <= 0 {
+		return refusal(&RefusedError{
+			Reason: ReasonDeadline,
+		}), true
+	}
+	args := p.args(left)
+	var res result
+	if to.peer == nil {
+		res = r.serve(ctx, args)
+	} else {
+		res = r.forward(ctx, to, args, left)
+	}
+	if res.minion == "" {
+		p.owners[to.owner] = true
+	} else {
+		p.avoid = append(p.avoid, res.minion)
+	}
+	return res, true
+}
+
+func (p *path) args(left time.Duration) ForwardArgs {
+	return ForwardArgs{
+		ID:         p.router.nextID(),
+		Identity:   p.q.identity,
+		Service:    p.q.service,
+		Method:     p.q.method,
+		Path:       p.q.path,
+		Header:     p.q.header,
+		Body:       p.q.body,
+		Team:       p.q.team,
+		Idempotent: p.q.idempotent,
+		Left:       left,
+		Avoid:      p.avoid,
+	}
+}
+
+// again reports whether another hop is made after one that was not done.
+// Where nothing was sent to a minion that costs nothing, but is bounded.
+// Otherwise it is taken from the budget.
+func (p *path) again(ctx context.Context, last result) bool {
+	r := p.router
+	if ctx.Err() != nil || !r.settings.clock.Now().Before(p.q.deadline) {
+		return false
+	}
+	if last.outcome == refused && last.minion == "" {
+		p.moves++
+		return p.moves <= maxMoves && movable(last.reason)
+	}
+	if last.outcome != refused && !p.q.idempotent {
+		return false
+	}
+	if !r.settings.naive && !r.budget.spend() {
+		r.metrics.budgetEmpty(p.q.service)
+		return false
+	}
+	r.metrics.retried(p.q.service)
+	return true
+}
+
+// movable reports whether another owner may take what one refused.
+func movable(reason Reason) bool {
+	switch reason {
+	case ReasonMoved, ReasonNoOwner, ReasonNoMinion, ReasonLeaving, ReasonOverload, ReasonQueueFull, ReasonNoService:
+		return true
+	default:
+		return false
+	}
+}
+
+// check completes a request by the service's terms, or refuses it.
+func (p *pool) check(q *Request, now time.Time) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if int64(len(q.body)) > p.terms.maxBody {
+		return &RefusedError{
+			Reason: ReasonTooLarge,
+		}
+	}
+	if q.deadline.IsZero() {
+		q.deadline = now.Add(p.terms.deadline)
+	}
+	if latest := now.Add(p.terms.longest); q.deadline.After(latest) {
+		q.deadline = latest
+	}
+	if !now.Before(q.deadline) {
+		return &RefusedError{
+			Reason: ReasonDeadline,
+		}
+	}
+	if p.queue.weights[q.team] == 0 {
+		q.team = ""
+	}
+	return nil
+}
--- /dev/null
+++ b/router/request.go
@@ -0,0 +1,121 @@
+package router
+
+import (
+	"net/http"
+	"time"
+)
+
+// Request is one request of a caller.
+type Request struct {
+	// identity is the caller's, or empty.
+	identity string
+	service  string
+	method   string
+	// path begins with a slash. It may carry a query.
+	path   string
+	header http.Header
+	body   []byte
+	team   string
+	// deadline is zero for the service's default.
+	deadline   time.Time
+	idempotent bool
+}
+
+// RequestOption sets a part of a Request.
+type RequestOption func(*Request)
+
+// NewRequest returns a request to a service. The path begins with a slash and
+// may carry a query. Without Idempotent the request is taken as idempotent if
+// the method is safe.
+func NewRequest(service, method, path string, opts ...RequestOption) Request {
+	q := Request{
+		service:    service,
+		method:     method,
+		path:       path,
+		header:     make(http.Header),
+		idempotent: safeMethod(method),
+	}
+	for _, opt := range opts {
+		opt(&q)
+	}
+	return q
+}
+
+// Identity sets the caller's identity of the request, a UUIDv7. A request that
+// is not idempotent is claimed under it. The default is none.
+func Identity(identity string) RequestOption {
+	return func(q *Request) {
+		q.identity = identity
+	}
+}
+
+// Header sets the header that the minion gets. The default is empty.
+func Header(header http.Header) RequestOption {
+	return func(q *Request) {
+		q.header = header
+	}
+}
+
+// Body sets the body. It must not be changed afterwards. The default is empty.
+func Body(body []byte) RequestOption {
+	return func(q *Request) {
+		q.body = body
+	}
+}
+
+// Team sets the team that the request is counted for. The default is the empty
+// name.
+func Team(team string) RequestOption {
+	return func(q *Request) {
+		q.team = team
+	}
+}
+
+// Deadline sets when the answer must be there. The default is the service's.
+func Deadline(deadline time.Time) RequestOption {
+	return func(q *Request) {
+		q.deadline = deadline
+	}
+}
+
+// Idempotent says whether the request may be tried again.
+func Idempotent(idempotent bool) RequestOption {
+	return func(q *Request) {
+		q.idempotent = idempotent
+	}
+}
+
+// safeMethod reports whether the method is safe as RFC 9110 defines it.
+func safeMethod(method string) bool {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions:
+		return true
+	default:
+		return false
+	}
+}
+
+// Answer is the whole answer of a minion.
+type Answer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// NewAnswer returns an answer.
+func NewAnswer(status int, header http.Header, body []byte) Answer {
+	return Answer{
+		status: status,
+		header: header,
+		body:   body,
+	}
+}
+
+// Status returns the HTTP status.
+func (a Answer) Status() int { return a.status }
+
+// Header returns the header.
+func (a Answer) Header() http.Header { return a.header }
+
+// Body returns the body.
+func (a Answer) Body() []byte { return a.body }
