Add stand-ins for platform, worker and minion

The other packages need outside systems to compile and test against, and none may be started for real. Each stand-in speaks the interface of connector over HTTP, keeps account of what it was given and has faults that can be set.

--- /dev/null
+++ b/cmd/standin/commands.go
@@ -0,0 +1,257 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/urfave/cli/v3"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/galenacove/galenacove/connector"
+	"github.com/galenacove/galenacove/emulator"
+	"github.com/galenacove/galenacove/sizer"
+)
+
+const (
+	milliCoresPerCore = 1000
+	bytesPerMebibyte  = 1 << 20
+)
+
+func listenFlag() cli.Flag {
+	return &cli.StringFlag{
+		Name:  "listen",
+		Usage: "serve on this `HOST:PORT`; port 0 takes a free one",
+		Value: "127.0.0.1:0",
+	}
+}
+
+// hostFlags are the flags of a stand-in that is on the host list.
+func hostFlags() []cli.Flag {
+	return []cli.Flag{
+		listenFlag(),
+		&cli.StringFlag{
+			Name:  "platform",
+			Usage: "register with the platform at this `HOST:PORT`; without it, don't",
+		},
+		&cli.StringFlag{
+			Name:     "name",
+			Usage:    "`NAME` on the host list, unique within the cell",
+			Required: true,
+		},
+		&cli.StringFlag{
+			Name:     "data-centre",
+			Usage:    "`NAME` of the data centre",
+			Required: true,
+		},
+		&cli.StringFlag{
+			Name:  "rack",
+			Usage: "`NAME` of the rack",
+			Value: "rack-1",
+		},
+		&cli.BoolFlag{
+			Name:  "only-echo",
+			Usage: "report the highest epoch, but refuse no lower one",
+		},
+	}
+}
+
+func platformCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "platform",
+		Usage:     "an append-only log with offsets, and a host list that lags",
+		UsageText: "standin platform --listen 127.0.0.1:9000",
+		Flags: []cli.Flag{
+			listenFlag(),
+			&cli.IntFlag{
+				Name:  "keep",
+				Usage: "keep the newest `COUNT` records of each stream",
+				Value: emulator.DefaultKept,
+			},
+			&cli.DurationFlag{
+				Name:  "keep-for",
+				Usage: "keep each record for `TIME`",
+				Value: emulator.DefaultKeptFor,
+			},
+			&cli.FloatFlag{
+				Name:  "append-rate",
+				Usage: "take `COUNT` appends a second",
+				Value: emulator.DefaultAppendRate,
+			},
+			&cli.DurationFlag{
+				Name:  "host-lag",
+				Usage: "show the host list as it was this `TIME` ago",
+				Value: emulator.DefaultHostLag,
+			},
+			&cli.DurationFlag{
+				Name:  "host-expiry",
+				Usage: "drop a host that was silent for `TIME`",
+				Value: emulator.DefaultHostExpiry,
+			},
+		},
+		Action: runPlatform,
+	}
+}
+
+func runPlatform(ctx context.Context, cmd *cli.Command) error {
+	listener, err := listen(cmd)
+	if err != nil {
+		return err
+	}
+	platform := emulator.NewPlatform(
+		emulator.Retention(cmd.Int("keep"), cmd.Duration("keep-for")),
+		emulator.AppendRate(cmd.Float("append-rate")),
+		emulator.HostLag(cmd.Duration("host-lag")),
+		emulator.HostExpiry(cmd.Duration("host-expiry")),
+	)
+	return emulator.Serve(ctx, listener, platform.Handler())
+}
+
+func workerCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "worker",
+		Usage:     "runs tasks as timers under leases",
+		UsageText: "standin worker --platform 127.0.0.1:9000 --name w1 --data-centre klein-hall --cores 16 --memory 65536",
+		Flags: append(hostFlags(),
+			&cli.FloatFlag{
+				Name:  "cores",
+				Usage: "offer `COUNT` processor cores",
+				Value: 16,
+			},
+			&cli.Int64Flag{
+				Name:  "memory",
+				Usage: "offer so many `MEBIBYTES` of memory",
+				Value: 64 << 10,
+			},
+			&cli.Int64Flag{
+				Name:  "accelerators",
+				Usage: "offer `COUNT` accelerators",
+			},
+			&cli.FloatFlag{
+				Name:  "usage-factor",
+				Usage: "let tasks use `FACTOR` of their declared size",
+				Value: 1,
+			},
+			&cli.FloatFlag{
+				Name:  "run-time-factor",
+				Usage: "let tasks run `FACTOR` of their declared time",
+				Value: 1,
+			},
+			&cli.DurationFlag{
+				Name:  "usage-lag",
+				Usage: "report usage as it was this `TIME` ago",
+				Value: emulator.DefaultUsageLag,
+			},
+		),
+		Action: runWorker,
+	}
+}
+
+func runWorker(ctx context.Context, cmd *cli.Command) error {
+	listener, err := listen(cmd)
+	if err != nil {
+		return err
+	}
+	host := newHost(cmd, listener)
+	host.Capacity = sizer.New(
+		int64(cmd.Float("cores")*milliCoresPerCore),
+		cmd.Int64("memory")*bytesPerMebibyte,
+		cmd.Int64("accelerators"),
+	)
+	opts := append(hostOptions(cmd),
+		emulator.UsageFactor(cmd.Float("usage-factor")),
+		emulator.RunTimeFactor(cmd.Float("run-time-factor")),
+		emulator.UsageLag(cmd.Duration("usage-lag")),
+	)
+	worker := emulator.NewWorker(host, opts...)
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return worker.Run(ctx, platformAddress(cmd)) })
+	group.Go(func() error { return emulator.Serve(ctx, listener, worker.Handler()) })
+	return group.Wait()
+}
+
+func minionCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "minion",
+		Usage:     "answers requests with the digest and the bytes of their body",
+		UsageText: "standin minion --platform 127.0.0.1:9000 --name m1 --data-centre klein-hall --service field-desk",
+		Flags: append(hostFlags(),
+			&cli.StringFlag{
+				Name:     "service",
+				Usage:    "answer for the service of this `NAME`",
+				Required: true,
+			},
+			&cli.IntFlag{
+				Name:  "slots",
+				Usage: "run `COUNT` requests at once",
+				Value: emulator.DefaultSlots,
+			},
+			&cli.IntFlag{
+				Name:  "connections",
+				Usage: "take `COUNT` connections at once",
+				Value: emulator.DefaultConnections,
+			},
+			&cli.DurationFlag{
+				Name:  "service-time",
+				Usage: "work for `TIME` on each request",
+				Value: 5 * time.Millisecond,
+			},
+		),
+		Action: runMinion,
+	}
+}
+
+func runMinion(ctx context.Context, cmd *cli.Command) error {
+	listener, err := listen(cmd)
+	if err != nil {
+		return err
+	}
+	host := newHost(cmd, listener)
+	host.Service = cmd.String("service")
+	host.Slots = cmd.Int("slots")
+	host.Connections = cmd.Int("connections")
+	opts := append(hostOptions(cmd), emulator.ServiceTime(cmd.Duration("service-time")))
+	minion := emulator.NewMinion(host, opts...)
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return minion.Run(ctx, platformAddress(cmd)) })
+	group.Go(func() error { return minion.Serve(ctx, listener) })
+	return group.Wait()
+}
+
+// listen opens the address and prints it.
+func listen(cmd *cli.Command) (net.Listener, error) {
+	listener, err := net.Listen("tcp", cmd.String("listen"))
+	if err != nil {
+		return nil, err
+	}
+	fmt.Fprintln(cmd.Root().Writer, listener.Addr())
+	return listener, nil
+}
+
+func newHost(cmd *cli.Command, listener net.Listener) connector.Host {
+	return connector.Host{
+		Name:       cmd.String("name"),
+		State:      connector.HostLive,
+		DataCentre: cmd.String("data-centre"),
+		Rack:       cmd.String("rack"),
+		Address:    listener.Addr().String(),
+	}
+}
+
+func hostOptions(cmd *cli.Command) []emulator.Option {
+	if cmd.Bool("only-echo") {
+		return []emulator.Option{emulator.OnlyEcho()}
+	}
+	return nil
+}
+
+// platformAddress returns the base address of the platform, empty if there is
+// none.
+func platformAddress(cmd *cli.Command) string {
+	address := cmd.String("platform")
+	if address == "" {
+		return ""
+	}
+	return "http://" + address
+}
--- a/connector/http.go
+++ b/connector/http.go
@@ -190,3 +190,9 @@
 		return errors.Wrap(ErrRefused, message)
 	}
 }
+
+// Register tells the platform at the base address that the host is there. A
+// host that does not repeat it drops off the platform's list.
+func Register(ctx context.Context, client *http.Client, platform string, host Host) error {
+	return call(ctx, client, http.MethodPut, platform+"/v1/hosts/"+url.PathEscape(host.Name), host, nil)
+}
