--- a/emulator/hosts.go
+++ b/emulator/hosts.go
@@ -111,11 +111,14 @@
 func (l *hostList) list(now time.Time) []connector.Host {
 	shown := l.shown(now)
 	hosts := make([]connector.Host, 0, len(l.lines))
-	for _, line := range l.lines {
+	for name, line := range l.lines {
 		host, ok := line.at(shown, l.expiry)
 		if ok {
 			hosts = append(hosts, host)
 		}
+		if line.over(shown, l.expiry) {
+			delete(l.lines, name)
+		}
 	}
 	slices.SortFunc(hosts, func(a, b connector.Host) int {
 		return cmp.Compare(a.Name, b.Name)
@@ -138,3 +141,10 @@
 	}
 	return found.host, true
 }
+
+// over reports whether the host is gone in every list to come, unless it
+// comes back.
+func (l *hostLine) over(shown time.Time, expiry time.Duration) bool {
+	last := l.versions[len(l.versions)-1]
+	return shown.Sub(l.seen) > expiry || (last.gone && !last.at.After(shown))
+}
