--- a/emulator/minion.go
+++ b/emulator/minion.go
@@ -100,7 +100,9 @@
 	present     int
 	running     int
 	connections map[net.Conn]struct{}
-	counts      Counts
+	// attempts are the requests that run.
+	attempts map[*attempt]struct{}
+	counts   Counts
 }
 
 // NewMinion returns a minion. The host says its name, place, address and
@@ -117,6 +119,7 @@
 		terms:       newTerms(opts),
 		host:        host,
 		connections: make(map[net.Conn]struct{}),
+		attempts:    make(map[*attempt]struct{}),
 		counts: Counts{
 			Requests: make(map[string]int),
 		},
@@ -208,6 +211,8 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("PUT /v1/faults", m.handleFaults)
 	mux.HandleFunc("GET /v1/counts", m.handleCounts)
+	mux.HandleFunc("GET /v1/probe", m.handleProbe)
+	mux.HandleFunc("DELETE /v1/attempts/{attempt}", m.handleCancel)
 	mux.HandleFunc("/", m.handleRequest)
 	return mux
 }
@@ -234,11 +239,13 @@
 	if faults.Down {
 		drop()
 	}
-	if !m.admit(w, r, faults) {
+	r, a := newAttempt(r)
+	defer a.cancel()
+	if !m.admit(w, r, faults, a) {
 		return
 	}
-	defer m.finish()
-	m.run(w, r, body, faults)
+	defer m.finish(a)
+	m.run(w, r, body, faults, a)
 }
 
 // arrive counts a request, and returns the faults that strike it.
@@ -263,7 +270,7 @@
 }
 
 // admit lets a request run, or answers it.
-func (m *Minion) admit(w http.ResponseWriter, r *http.Request, faults MinionFaults) bool {
+func (m *Minion) admit(w http.ResponseWriter, r *http.Request, faults MinionFaults, a *attempt) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	// A header that is no number counts as none.
@@ -281,6 +288,7 @@
 	case m.running >= m.host.Slots:
 		m.refuse(w, http.StatusServiceUnavailable, RefusedFull)
 	default:
+		m.attempts[a] = struct{}{}
 		m.begin(r.Header.Get(HeaderRequest))
 		return true
 	}
@@ -291,6 +299,7 @@
 func (m *Minion) label(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set(HeaderMinion, m.host.Name)
 	w.Header().Set(HeaderEpoch, fmt.Sprint(m.epoch))
+	w.Header().Set(HeaderOlder, strconv.Itoa(m.older()))
 	for _, name := range []string{HeaderAttempt, HeaderRequest} {
 		if value := r.Header.Get(name); value != "" {
 			w.Header().Set(name, value)
@@ -316,19 +325,29 @@
 	}
 }
 
-func (m *Minion) finish() {
+func (m *Minion) finish(a *attempt) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	delete(m.attempts, a)
 	m.running--
 }
 
 // run works on the request and answers it.
-func (m *Minion) run(w http.ResponseWriter, r *http.Request, body []byte, faults MinionFaults) {
+func (m *Minion) run(w http.ResponseWriter, r *http.Request, body []byte, faults MinionFaults, a *attempt) {
+	takes := m.terms.serviceTime + faults.Slow
 	if faults.Stall {
-		<-r.Context().Done()
-		drop()
+		takes = forever
+	}
+	left := min(takes, allowed(r))
+	if !delay(r.Context(), m.terms.clock, left) {
+		a.giveUp(w)
+		return
+	}
+	if left < takes {
+		http.Error(w, "given up at the deadline", http.StatusGatewayTimeout)
+		return
 	}
-	if !delay(r.Context(), m.terms.clock, m.terms.serviceTime+faults.Slow) || faults.LoseAnswer {
+	if faults.LoseAnswer {
 		drop()
 	}
 	if faults.Fail {
--- a/router/carrier.go
+++ b/router/carrier.go
@@ -119,6 +119,15 @@
 	}
 }
 
+func (c *httpCarrier) close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for address, t := range c.transports {
+		t.CloseIdleConnections()
+		delete(c.transports, address)
+	}
+}
+
 func (c *httpCarrier) exchange(ctx context.Context, a attempt) ending {
 	req, err := newMinionRequest(ctx, a)
 	if err != nil {
--- a/router/exchange.go
+++ b/router/exchange.go
@@ -43,6 +43,8 @@
 	cancel(ctx context.Context, a attempt)
 	// forget closes the idle connections to a minion.
 	forget(address string)
+	// close closes the idle connections to all.
+	close()
 }
 
 // ending is how an attempt ended: answered, declined, unsent, lost or unused.
--- a/router/minion.go
+++ b/router/minion.go
@@ -81,8 +81,9 @@
 	lapse time.Time
 	// released is set once the slot is free again.
 	released bool
-	// stalled is set once the attempt was counted as a failure for its time.
-	stalled bool
+	// abandoned is set once nobody waits for the attempt any more. Its answer
+	// then says nothing about the minion.
+	abandoned bool
 	// cancel ends the exchange.
 	cancel context.CancelFunc
 }
--- a/router/pool.go
+++ b/router/pool.go
@@ -331,7 +331,7 @@
 			p.fail(m, now, true)
 		}
 	case lost:
-		if !r.stalled {
+		if !r.abandoned {
 			p.fail(m, now, false)
 		}
 	case unused:
@@ -341,26 +341,30 @@
 }
 
 func (p *pool) book(r *reservation, e answered, now time.Time) {
+	if r.abandoned {
+		return
+	}
 	service := now.Sub(r.made)
 	p.latency = average(p.latency, service.Seconds())
 	if e.answer.failed() {
 		p.fail(r.minion, now, false)
 		return
 	}
-	if !r.stalled {
-		r.minion.succeeded(service)
-	}
+	r.minion.succeeded(service)
 }
 
-// stall counts an attempt that took too long as a failure, once. Its slot
-// stays reserved.
-func (p *pool) stall(r *reservation) {
+// abandon notes that nobody waits for the attempt any more. Its slot stays
+// reserved. One that took too long counts as a failure of the minion.
+func (p *pool) abandon(r *reservation, stalled bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if r.released || r.stalled {
+	if r.released || r.abandoned {
+		return
+	}
+	r.abandoned = true
+	if !stalled {
 		return
 	}
-	r.stalled = true
 	p.fail(r.minion, p.settings.clock.Now(), false)
 }
 
--- a/router/router.go
+++ b/router/router.go
@@ -203,6 +203,7 @@
 	r.stop()
 	err := r.Leave(context.Background())
 	_ = r.work.Wait()
+	r.carrier.close()
 	return err
 }
 
--- a/router/serve.go
+++ b/router/serve.go
@@ -84,9 +84,9 @@
 		ended <- e
 		return nil
 	})
-	limit, stalls := a.left, false
-	if t := p.attemptTimeout(); args.Idempotent && t < limit {
-		limit, stalls = t, true
+	limit, slow := a.left, p.attemptTimeout()
+	if args.Idempotent {
+		limit = min(limit, slow)
 	}
 	timer := r.settings.clock.NewTimer(limit)
 	defer timer.Stop()
@@ -95,12 +95,11 @@
 	case e := <-ended:
 		return judge(e, name)
 	case <-timer.C():
-		if stalls {
-			p.stall(res)
-		}
+		p.abandon(res, limit >= slow)
 		r.abandon(exchange, a)
 		return uncertainAt(name, ReasonLost, errStalled)
 	case <-ctx.Done():
+		p.abandon(res, false)
 		r.abandon(exchange, a)
 		return uncertainAt(name, ReasonGone, ctx.Err())
 	}
