--- /dev/null
+++ b/follower/follower.go
@@ -0,0 +1,343 @@
+// Package follower tails one stream of the platform's log by offset and hands
+// each record on once, in order, through outages, repeated answers and records
+// that retention drops.
+//
+// The package does not know what the records mean, and keeps none.
+package follower
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/cenkalti/backoff/v5"
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/galenacove/galenacove/connector"
+	"github.com/galenacove/galenacove/namer"
+	"github.com/galenacove/galenacove/recorder"
+	"github.com/galenacove/galenacove/timekeeper"
+)
+
+const (
+	defaultWait    = 10 * time.Second
+	defaultLimit   = 500
+	minBackoff     = 100 * time.Millisecond
+	maxBackoff     = 5 * time.Second
+	attemptTimeout = 5 * time.Second
+	// beyond is an offset that no stream reaches.
+	beyond namer.Offset = 1 << 62
+)
+
+// ErrGap is returned by a recovery that found nothing to go on from.
+var ErrGap = errors.New("follower: records were dropped and no snapshot reaches them")
+
+// Recover brings the state up to a snapshot and returns the next offset to
+// read. It fails if there is none.
+type Recover func(ctx context.Context) (namer.Offset, error)
+
+// Follower tails one stream.
+type Follower struct {
+	log     connector.Log
+	stream  string
+	apply   func(namer.Offset, recorder.Record)
+	recover Recover
+	clock   timekeeper.Clock
+	logger  log.Interface
+	wait    time.Duration
+	limit   int
+	backoff *backoff.ExponentialBackOff
+	metrics *metrics
+
+	mu sync.Mutex
+	// position is the next offset to read. It never falls.
+	position namer.Offset
+	// contact is when the last answered read was sent.
+	contact time.Time
+	// oldest is the oldest offset that the log was last known to keep.
+	oldest namer.Offset
+	// caught is closed once the end of the stream was reached.
+	caught     chan struct{}
+	caughtOnce sync.Once
+	// met is true once a read was answered or a recovery succeeded.
+	met bool
+}
+
+// Option changes how a Follower works.
+type Option func(*Follower)
+
+// From sets the first offset to read. The default is 1.
+func From(offset namer.Offset) Option {
+	return func(f *Follower) {
+		f.position = max(offset, 1)
+	}
+}
+
+// Recovery sets what is done at the start, and where the records that come next
+// are no longer kept. At the start its failure is no fault: the follower then
+// reads from its first offset on. By default the follower goes on with the
+// oldest record that is kept, and counts those it skipped.
+func Recovery(recover Recover) Option {
+	return func(f *Follower) {
+		f.recover = recover
+	}
+}
+
+// Clock sets the clock. The default is the host's.
+func Clock(clock timekeeper.Clock) Option {
+	return func(f *Follower) {
+		f.clock = clock
+	}
+}
+
+// Wait sets how long the log holds a read that has nothing to return yet. The
+// default is 10 s.
+func Wait(wait time.Duration) Option {
+	return func(f *Follower) {
+		f.wait = wait
+	}
+}
+
+// Limit sets the most records of one read. The default is 500.
+func Limit(limit int) Option {
+	return func(f *Follower) {
+		f.limit = limit
+	}
+}
+
+// Backoff sets the first and the longest pause between reads that fail. The
+// default is 100 ms and 5 s; both are randomised by half.
+func Backoff(first, longest time.Duration) Option {
+	return func(f *Follower) {
+		f.backoff.InitialInterval = first
+		f.backoff.MaxInterval = longest
+	}
+}
+
+// Logger sets where the follower logs. By default it does not.
+func Logger(logger log.Interface) Option {
+	return func(f *Follower) {
+		f.logger = logger
+	}
+}
+
+// Metrics sets where the follower registers its metrics. By default it does
+// not.
+func Metrics(registerer prometheus.Registerer) Option {
+	return func(f *Follower) {
+		f.metrics.register(registerer)
+	}
+}
+
+// New returns a follower of the stream that hands its records to apply.
+func New(platform connector.Log, stream string, apply func(namer.Offset, recorder.Record), opts ...Option) *Follower {
+	f := &Follower{
+		log:      platform,
+		stream:   stream,
+		apply:    apply,
+		clock:    timekeeper.System(),
+		logger:   &log.Logger{Handler: discard.Default},
+		wait:     defaultWait,
+		limit:    defaultLimit,
+		backoff:  backoff.NewExponentialBackOff(),
+		metrics:  newMetrics(stream),
+		position: 1,
+		caught:   make(chan struct{}),
+	}
+	f.backoff.InitialInterval = minBackoff
+	f.backoff.MaxInterval = maxBackoff
+	for _, opt := range opts {
+		opt(f)
+	}
+	return f
+}
+
+// Position returns the next offset to read.
+func (f *Follower) Position() namer.Offset {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.position
+}
+
+// Oldest returns the oldest offset that the log was last known to keep, 0 if no
+// read was answered.
+func (f *Follower) Oldest() namer.Offset {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.oldest
+}
+
+// LastContact returns when the last answered read was sent, zero if none was.
+func (f *Follower) LastContact() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.contact
+}
+
+// Caught returns a channel that is closed once the end of the stream was first
+// reached.
+func (f *Follower) Caught() <-chan struct{} {
+	return f.caught
+}
+
+// Run follows the stream until the context has ended, and returns the
+// context's error.
+func (f *Follower) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		f.start(ctx)
+		err := f.step(ctx)
+		if err == nil {
+			f.backoff.Reset()
+			continue
+		}
+		if ctx.Err() != nil {
+			break
+		}
+		f.metrics.failed.Inc()
+		f.logger.WithError(err).Warn("follower: log out of reach")
+		if err := timekeeper.Sleep(ctx, f.clock, f.backoff.NextBackOff()); err != nil {
+			break
+		}
+	}
+	return ctx.Err()
+}
+
+// start recovers until a recovery or a read has succeeded once.
+func (f *Follower) start(ctx context.Context) {
+	if f.recover == nil || f.hasMet() {
+		return
+	}
+	if err := f.recoverNow(ctx); err != nil {
+		f.logger.WithError(err).Info("follower: no snapshot to start from")
+	}
+}
+
+func (f *Follower) hasMet() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.met
+}
+
+// step reads once and applies what came.
+func (f *Follower) step(ctx context.Context) error {
+	sent := f.clock.Now()
+	batch, err := f.read(ctx, f.Position(), f.limit, f.wait)
+	switch {
+	case errors.Is(err, connector.ErrAged):
+		return f.overtaken(ctx)
+	case err != nil:
+		return err
+	}
+	f.touch(sent, batch)
+	return f.take(ctx, batch)
+}
+
+// read bounds one read by the wait that was asked for and a little more.
+func (f *Follower) read(ctx context.Context, from namer.Offset, limit int, wait time.Duration) (connector.Batch, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+attemptTimeout)
+	defer cancel()
+	return f.log.Read(ctx, f.stream, from, limit, wait)
+}
+
+func (f *Follower) touch(sent time.Time, batch connector.Batch) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.oldest = max(f.oldest, batch.First)
+	f.contact = sent
+	f.met = true
+	f.metrics.contact.Set(float64(sent.UnixMilli()) / 1000)
+}
+
+// take applies the entries of a batch that come next. Entries that were
+// applied before are passed over; what follows a gap is left for another read.
+func (f *Follower) take(ctx context.Context, batch connector.Batch) error {
+	if batch.First > f.Position() {
+		return f.overtaken(ctx)
+	}
+	for _, entry := range batch.Entries {
+		if !f.takeEntry(entry) {
+			break
+		}
+	}
+	position := f.Position()
+	switch {
+	case position == batch.Next:
+		f.caughtOnce.Do(func() { close(f.caught) })
+	case position > batch.Next:
+		f.metrics.backwards.Inc()
+		f.logger.Errorf("follower: log ends at %d, before offset %d", batch.Next, position)
+	}
+	f.metrics.observe(position, batch)
+	return nil
+}
+
+// takeEntry reports whether the entries after it may be taken.
+func (f *Follower) takeEntry(entry connector.Entry) bool {
+	position := f.Position()
+	if entry.Offset < position {
+		f.metrics.repeated.Inc()
+		return true
+	}
+	if entry.Offset > position {
+		f.metrics.gaps.Inc()
+		return false
+	}
+	f.hand(entry)
+	f.advance(entry.Offset + 1)
+	return true
+}
+
+func (f *Follower) hand(entry connector.Entry) {
+	record, err := recorder.Decode(entry.Payload)
+	if err != nil {
+		f.metrics.undecodable.Inc()
+		f.logger.WithError(err).Errorf("follower: cannot read the record at %d", entry.Offset)
+		return
+	}
+	if unknown, ok := record.Body().(recorder.Unknown); ok {
+		f.metrics.unknown.Inc()
+		f.logger.Warnf("follower: record at %d is of the unknown kind %q", entry.Offset, unknown.Name)
+	}
+	f.apply(entry.Offset, record)
+}
+
+func (f *Follower) advance(position namer.Offset) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.position = max(f.position, position)
+}
+
+// overtaken goes on where retention dropped the records that come next.
+func (f *Follower) overtaken(ctx context.Context) error {
+	if f.recover != nil {
+		return f.recoverNow(ctx)
+	}
+	batch, err := f.read(ctx, beyond, 1, 0)
+	if err != nil {
+		return err
+	}
+	position := f.Position()
+	if batch.First > position {
+		f.metrics.skipped.Add(float64(batch.First - position))
+		f.logger.Warnf("follower: records from %d to %d are no longer kept", position, batch.First-1)
+		f.advance(batch.First)
+	}
+	return nil
+}
+
+func (f *Follower) recoverNow(ctx context.Context) error {
+	next, err := f.recover(ctx)
+	if err != nil {
+		return errors.Mark(errors.Wrap(err, "follower: recover"), ErrGap)
+	}
+	f.metrics.recovered.Inc()
+	f.logger.Infof("follower: recovered to offset %d", next)
+	f.advance(next)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.met = true
+	return nil
+}
--- a/recorder/bodies.go
+++ b/recorder/bodies.go
@@ -174,8 +174,14 @@
 	Reason string `json:"reason,omitempty"`
 }
 
-// Snapshot is everything in force up to an offset.
+// Snapshot is one part of everything in force up to an offset. The parts of a
+// set hold different entries; together they are the whole.
 type Snapshot struct {
+	// Set is the identity of the snapshot that the part belongs to.
+	Set string `json:"set"`
+	// Part counts the parts of the set from 0; Parts is how many there are.
+	Part  int `json:"part"`
+	Parts int `json:"parts"`
 	// Through is the offset of the last record that the snapshot covers.
 	Through namer.Offset `json:"through"`
 	// State is the replayer's own encoding.
