--- a/emulator/minion.go
+++ b/emulator/minion.go
@@ -299,7 +299,9 @@
 func (m *Minion) label(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set(HeaderMinion, m.host.Name)
 	w.Header().Set(HeaderEpoch, fmt.Sprint(m.epoch))
-	w.Header().Set(HeaderOlder, strconv.Itoa(m.older()))
+	if !m.terms.onlyEcho {
+		w.Header().Set(HeaderOlder, strconv.Itoa(m.older()))
+	}
 	for _, name := range []string{HeaderAttempt, HeaderRequest} {
 		if value := r.Header.Get(name); value != "" {
 			w.Header().Set(name, value)
--- a/recorder/bodies.go
+++ b/recorder/bodies.go
@@ -150,10 +150,13 @@
 	Entry string `json:"entry"`
 }
 
-// ClaimEnd says what became of a claimed request.
+// ClaimEnd says what became of a claimed request. After NotRun the identity
+// may be claimed again.
 type ClaimEnd struct {
 	// Request is the identity of the request.
 	Request string `json:"request"`
+	// Claim is the identity of the record with the claim that ends.
+	Claim string `json:"claim"`
 	// Outcome says how it ended.
 	Outcome Outcome `json:"outcome"`
 }
--- a/router/carrier.go
+++ b/router/carrier.go
@@ -157,9 +157,9 @@
 // send sends the request, which the guard allows to write once at most.
 func (c *httpCarrier) send(req *http.Request, a attempt) ending {
 	g := &guard{
-		clock:   c.settings,
-		lease:   a.lease,
-		writeBy: a.writeBy,
+		settings: c.settings,
+		lease:    a.lease,
+		writeBy:  a.writeBy,
 	}
 	trace := &httptrace.ClientTrace{
 		GotConn: g.gotConn,
@@ -171,7 +171,7 @@
 		return g.ending(err)
 	}
 	defer resp.Body.Close()
-	return readAnswer(resp, a, sent)
+	return c.readAnswer(resp, a, sent)
 }
 
 // newMinionRequest makes a request whose body cannot be read twice, so that
@@ -207,7 +207,7 @@
 }
 
 // readAnswer reads the whole answer and checks that it is this attempt's own.
-func readAnswer(resp *http.Response, a attempt, sent int64) ending {
+func (c *httpCarrier) readAnswer(resp *http.Response, a attempt, sent int64) ending {
 	epoch := parseEpoch(resp.Header.Get(HeaderEpoch))
 	if resp.StatusCode == http.StatusConflict && epoch > a.epoch {
 		return declined{
@@ -219,7 +219,7 @@
 			why: declineReason(why),
 		}
 	}
-	if resp.Header.Get(HeaderAttempt) != a.id {
+	if resp.Header.Get(HeaderAttempt) != a.id && !c.settings.faults.ignoreAttempt {
 		return lost{
 			err: errMismatch,
 		}
@@ -282,9 +282,9 @@
 // guard lets the first byte of one attempt be written only while the right to
 // send lasts, and only on one connection.
 type guard struct {
-	clock   *settings
-	lease   *atomic.Int64
-	writeBy int64
+	settings *settings
+	lease    *atomic.Int64
+	writeBy  int64
 
 	mu sync.Mutex
 	// conn is the connection that the attempt may have been written to, or nil.
@@ -308,8 +308,9 @@
 	if g.conn != nil || g.closed {
 		return g.conn == conn && !g.closed
 	}
-	now := g.clock.since(g.clock.clock.Now())
-	if now >= g.writeBy || (g.lease != nil && now >= g.lease.Load()) {
+	now := g.settings.since(g.settings.clock.Now())
+	lapsed := now >= g.writeBy || (g.lease != nil && now >= g.lease.Load())
+	if lapsed && !g.settings.faults.ignoreLease {
 		return false
 	}
 	g.conn = conn
@@ -333,7 +334,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.closed = true
-	if g.conn != nil {
+	if g.conn != nil && !g.settings.faults.denySent {
 		return lost{
 			err: errors.Wrap(err, "router: exchange with the minion"),
 		}
--- a/router/errors.go
+++ b/router/errors.go
@@ -113,8 +113,10 @@
 
 // The errors of a Claimer.
 var (
-	// ErrExpired is returned for an identity that is malformed, too old or
-	// ahead of the clock.
+	// ErrIdentity is returned for an identity that is no UUIDv7.
+	ErrIdentity = errors.New("router: malformed identity of a request")
+	// ErrExpired is returned for an identity that is too old or ahead of the
+	// clock.
 	ErrExpired = errors.New("router: identity of the request has expired")
 	// ErrNotClaimed is returned where the claim is certainly not won, as with
 	// the log out of reach.
--- /dev/null
+++ b/router/main_test.go
@@ -0,0 +1,21 @@
+package router
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+// TestMain fixes the seed and the number of the property tests, so that every
+// run draws the same cases. The flags of rapid still override them.
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{
+		"rapid.seed":   "1",
+		"rapid.checks": "2000",
+	} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
--- a/router/minion.go
+++ b/router/minion.go
@@ -24,6 +24,9 @@
 	refusalHold = 10 * time.Second
 	// fullHold is how long a minion that said it is full gets nothing.
 	fullHold = 50 * time.Millisecond
+	// takeoverPatience is how long requests wait for the first answer of a
+	// minion that was taken over.
+	takeoverPatience = 500 * time.Millisecond
 	// smoothing is the weight of the newest time of service in the average.
 	smoothing = 0.1
 )
@@ -45,6 +48,10 @@
 	// foreignUntil is when the last of them has certainly ended, zero while
 	// the minion has not accepted the epoch.
 	foreignUntil time.Time
+	// taken is when the minion was taken over.
+	taken time.Time
+	// counts is set once the minion said how many of them run.
+	counts bool
 	// lease is when the right to send lapses, in nanoseconds since the router's
 	// start: one term after the sending of the last accepted contact.
 	lease atomic.Int64
@@ -74,7 +81,12 @@
 // known end, or when the attempt has certainly ended.
 type reservation struct {
 	minion *minion
-	epoch  namer.Epoch
+	// name, address and connections are the minion's when the slot was
+	// reserved.
+	name        string
+	address     string
+	connections int
+	epoch       namer.Epoch
 	// made is when the slot was reserved, lapse when the attempt has certainly
 	// ended at the minion whatever became of its answer.
 	made  time.Time
@@ -84,6 +96,8 @@
 	// abandoned is set once nobody waits for the attempt any more. Its answer
 	// then says nothing about the minion.
 	abandoned bool
+	// lost is set once the answer was lost.
+	lost bool
 	// cancel ends the exchange.
 	cancel context.CancelFunc
 }
@@ -119,7 +133,7 @@
 
 // take makes the process the owner of the minion in an epoch. If it owned the
 // minion in the epoch before, it goes on with what it knows.
-func (m *minion) take(epoch namer.Epoch) {
+func (m *minion) take(epoch namer.Epoch, now time.Time) {
 	held := m.epoch != 0 && m.epoch+1 == epoch
 	m.epoch = epoch
 	if held {
@@ -127,6 +141,8 @@
 	}
 	m.foreign = m.slots
 	m.foreignUntil = time.Time{}
+	m.taken = now
+	m.counts = false
 	m.lease.Store(0)
 	m.probed = time.Time{}
 }
@@ -142,12 +158,40 @@
 	return m.usable(now) && since < m.lease.Load()
 }
 
-// usable reports whether the minion gives slots now, or will once it has
-// accepted the epoch.
+// usable reports whether the minion may get something new, as far as it is not
+// a matter of its lease and its slots.
 func (m *minion) usable(now time.Time) bool {
 	return m.epoch != 0 && !m.drained && !m.leaving && !m.ejected && !now.Before(m.hold)
 }
 
+// prospect returns how many slots the minion can be expected to give, now or
+// soon: those that its own requests hold, and after a takeover those that it
+// will tell of at once.
+func (m *minion) prospect(now time.Time, since int64) int {
+	fresh := m.lease.Load() == 0 && now.Sub(m.taken) < takeoverPatience
+	switch {
+	case !m.usable(now), !fresh && since >= m.lease.Load():
+		return 0
+	case fresh:
+		return m.slots
+	case m.counts:
+		return m.slots - m.stuck()
+	default:
+		return max(0, m.slots-m.foreign-m.stuck())
+	}
+}
+
+// stuck counts the slots of attempts whose answers are lost or not waited for.
+func (m *minion) stuck() int {
+	n := 0
+	for r := range m.reservations {
+		if r.lost || r.abandoned {
+			n++
+		}
+	}
+	return n
+}
+
 // free returns how many slots may be reserved now.
 func (m *minion) free(now time.Time, since int64) int {
 	if !m.open(now, since) {
@@ -159,6 +203,13 @@
 	return max(0, m.slots-len(m.reservations)-m.foreign)
 }
 
+// superseded ends the ownership if the minion was told a later epoch.
+func (m *minion) superseded(sent, echoed namer.Epoch) {
+	if sent == m.epoch && echoed > sent {
+		m.cede()
+	}
+}
+
 // accepted notes that the minion accepted the epoch in an exchange that was
 // sent at a time.
 func (m *minion) accepted(epoch namer.Epoch, lease int64, now time.Time, older int, rest time.Duration) {
@@ -172,6 +223,7 @@
 		m.foreignUntil = now.Add(rest)
 	}
 	if older >= 0 {
+		m.counts = true
 		m.foreign = min(m.foreign, older)
 	}
 }
--- a/router/options.go
+++ b/router/options.go
@@ -29,9 +29,9 @@
 
 // Claimer keeps the claims of non-idempotent requests.
 type Claimer interface {
-	// Claim claims the single attempt of a request. It fails with ErrExpired
-	// for an identity that may not be claimed, and with ErrNotClaimed where
-	// the claim is certainly not won.
+	// Claim claims the single attempt of a request. It fails with ErrIdentity
+	// or ErrExpired for an identity that may not be claimed, and with
+	// ErrNotClaimed where the claim is certainly not won.
 	Claim(ctx context.Context, request string) (Verdict, error)
 	// End says what became of a claimed request. It does not wait.
 	End(request string, outcome recorder.Outcome)
@@ -67,6 +67,26 @@
 	unlimited bool
 	// naive retries every failure at once, without a budget: the same.
 	naive bool
+	// faults are seeded by tests, to show that the properties find them.
+	faults faults
+}
+
+// faults are what a test breaks. The zero value breaks nothing.
+type faults struct {
+	// freeLost frees the slot of an attempt whose answer was lost.
+	freeLost bool
+	// skipRest gives a new owner every slot at once.
+	skipRest bool
+	// ignoreLease sends without the right to.
+	ignoreLease bool
+	// ignoreAttempt takes any answer as the attempt's own.
+	ignoreAttempt bool
+	// retryAll tries every request again.
+	retryAll bool
+	// denySent says of a request that was sent that it did not run.
+	denySent bool
+	// waitLonger lets peers answer after the deadline.
+	waitLonger bool
 }
 
 // Option changes how a Router works.
--- a/router/path.go
+++ b/router/path.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -13,6 +14,14 @@
 // owner.
 const maxMoves = 3
 
+const (
+	// claimTimeout is how long the log may take for a claim.
+	claimTimeout = 2 * time.Second
+	// claimReturn is the least that a caller is told to wait for the log; it
+	// is doubled at random.
+	claimReturn = 2 * time.Second
+)
+
 // Do has a request run and returns the whole answer. It returns by the
 // request's deadline, with *RefusedError, *FailedError, *UnknownError or
 // *ClaimedError if there is no answer. When the context ends the request is
@@ -49,6 +58,9 @@
 // claimAndRun claims a non-idempotent request before it runs it, and books
 // what became of it.
 func (r *Router) claimAndRun(ctx context.Context, q Request) (Answer, error) {
+	if e := r.expect(q); e != nil {
+		return Answer{}, e
+	}
 	if err := r.claim(ctx, q); err != nil {
 		return Answer{}, err
 	}
@@ -68,14 +80,38 @@
 	return answer, err
 }
 
+// expect refuses a request that would wait too long as things are, so that
+// nothing is written to the log for it.
+func (r *Router) expect(q Request) error {
+	to, ok := r.chooseOwner(q.service, nil)
+	if !ok {
+		return &RefusedError{
+			Reason:     ReasonNoOwner,
+			RetryAfter: idleReturn,
+		}
+	}
+	p := r.pool(q.service)
+	if to.load.Free <= 0 && to.load.Wait > p.patience(q.deadline) {
+		return &RefusedError{
+			Reason:     ReasonOverload,
+			RetryAfter: p.comeBack(),
+		}
+	}
+	return nil
+}
+
 func (r *Router) claim(ctx context.Context, q Request) error {
 	if r.settings.claimer == nil {
 		return noClaims()
 	}
-	ctx, stop := r.bound(ctx, q.deadline.Sub(r.settings.clock.Now()), nil)
+	ctx, stop := r.bound(ctx, min(claimTimeout, q.deadline.Sub(r.settings.clock.Now())), nil)
 	defer stop()
 	verdict, err := r.settings.claimer.Claim(ctx, q.identity)
 	switch {
+	case errors.Is(err, ErrIdentity):
+		return &RefusedError{
+			Reason: ReasonBadRequest,
+		}
 	case errors.Is(err, ErrExpired):
 		return &RefusedError{
 			Reason: ReasonExpired,
@@ -98,7 +134,7 @@
 func noClaims() error {
 	return &RefusedError{
 		Reason:     ReasonNoClaims,
-		RetryAfter: idleReturn,
+		RetryAfter: claimReturn + rand.N(claimReturn),
 	}
 }
 
@@ -159,7 +195,7 @@
 	if to.peer == nil {
 		res = r.serve(ctx, args)
 	} else {
-		res = r.forward(ctx, to, args, left)
+		res = r.forward(ctx, to, args, r.patience(left))
 	}
 	if res.minion == "" {
 		p.owners[to.owner] = true
@@ -169,6 +205,14 @@
 	return res, true
 }
 
+// patience returns how long a peer is waited for.
+func (r *Router) patience(left time.Duration) time.Duration {
+	if r.settings.faults.waitLonger {
+		return 2 * left
+	}
+	return left
+}
+
 func (p *path) args(left time.Duration) ForwardArgs {
 	return ForwardArgs{
 		ID:         p.router.nextID(),
@@ -197,7 +241,7 @@
 		p.moves++
 		return p.moves <= maxMoves && movable(last.reason)
 	}
-	if last.outcome != refused && !p.q.idempotent {
+	if last.outcome != refused && !p.q.idempotent && !r.settings.faults.retryAll {
 		return false
 	}
 	if !r.settings.naive && !r.budget.spend() {
@@ -218,6 +262,14 @@
 	}
 }
 
+// patience returns the longest expected wait with which a request is admitted.
+func (p *pool) patience(deadline time.Time) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	left := deadline.Sub(p.settings.clock.Now()) - seconds(p.latency)
+	return min(p.terms.maxWait, left)
+}
+
 // check completes a request by the service's terms, or refuses it.
 func (p *pool) check(q *Request, now time.Time) error {
 	p.mu.Lock()
--- a/router/pool.go
+++ b/router/pool.go
@@ -72,10 +72,11 @@
 func (p *pool) setHosts(hosts []connector.Host, epoch namer.Epoch, drained map[string]bool) []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	now := p.settings.clock.Now()
 	owned := make(map[string]bool, len(hosts))
 	for _, h := range hosts {
 		owned[h.Name] = true
-		p.own(h, epoch)
+		p.own(h, epoch, now)
 	}
 	var ceded []string
 	p.order = p.order[:0]
@@ -97,11 +98,11 @@
 	if len(p.order) == 0 {
 		p.moveAll()
 	}
-	p.assign(p.settings.clock.Now())
+	p.assign(now)
 	return ceded
 }
 
-func (p *pool) own(h connector.Host, epoch namer.Epoch) {
+func (p *pool) own(h connector.Host, epoch namer.Epoch, now time.Time) {
 	m := p.minions[h.Name]
 	if m == nil {
 		m = newMinion(h)
@@ -109,7 +110,10 @@
 	}
 	m.setHost(h)
 	if m.epoch != epoch {
-		m.take(epoch)
+		m.take(epoch, now)
+	}
+	if p.settings.faults.skipRest {
+		m.foreign = 0
 	}
 }
 
@@ -243,13 +247,12 @@
 	return p.refuse(ReasonMinion, p.settings.clock.Now()).RetryAfter
 }
 
-// capacity returns the slots of the minions that may be used now or soon.
+// capacity returns the slots that can be expected to be given, now or soon.
 func (p *pool) capacity(now time.Time) int {
+	since := p.settings.since(now)
 	slots := 0
 	for _, m := range p.order {
-		if m.usable(now) {
-			slots += m.slots
-		}
+		slots += m.prospect(now, since)
 	}
 	return slots
 }
@@ -299,10 +302,13 @@
 func (p *pool) give(w *waiter, m *minion, now time.Time) {
 	left := w.deadline.Sub(now)
 	r := &reservation{
-		minion: m,
-		epoch:  m.epoch,
-		made:   now,
-		lapse:  now.Add(p.settings.lapse(left)),
+		minion:      m,
+		name:        m.host.Name,
+		address:     m.host.Address,
+		connections: m.connections(),
+		epoch:       m.epoch,
+		made:        now,
+		lapse:       now.Add(p.settings.lapse(left)),
 	}
 	m.reservations[r] = struct{}{}
 	p.queue.charge(w.team, max(p.latency, minCost))
@@ -320,6 +326,7 @@
 	switch e := e.(type) {
 	case answered:
 		p.release(r)
+		m.superseded(r.epoch, e.epoch)
 		m.accepted(e.epoch, e.sent+p.settings.term.Nanoseconds(), now, e.older, p.settings.rest(p.terms))
 		p.book(r, e, now)
 	case declined:
@@ -331,6 +338,10 @@
 			p.fail(m, now, true)
 		}
 	case lost:
+		r.lost = true
+		if p.settings.faults.freeLost {
+			p.release(r)
+		}
 		if !r.abandoned {
 			p.fail(m, now, false)
 		}
--- a/router/probe.go
+++ b/router/probe.go
@@ -70,6 +70,7 @@
 	m.probing = false
 	switch e := e.(type) {
 	case answered:
+		m.superseded(pr.epoch, e.epoch)
 		if e.epoch != pr.epoch {
 			break
 		}
--- a/router/problem.go
+++ b/router/problem.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"math"
 	"net/http"
 	"strconv"
@@ -54,7 +55,7 @@
 func ParseProblem(data []byte) (Problem, error) {
 	var p Problem
 	if err := json.Unmarshal(data, &p); err != nil {
-		return Problem{}, errors.Mark(errors.Wrap(err, "router: problem document"), ErrProblem)
+		return Problem{}, errors.WithStack(fmt.Errorf("%w: %w", ErrProblem, err))
 	}
 	switch p.Ran {
 	case RanNo, RanYes, RanUnknown:
--- a/router/serve.go
+++ b/router/serve.go
@@ -90,29 +90,27 @@
 	}
 	timer := r.settings.clock.NewTimer(limit)
 	defer timer.Stop()
-	name := res.minion.host.Name
 	select {
 	case e := <-ended:
-		return judge(e, name)
+		return judge(e, res.name)
 	case <-timer.C():
 		p.abandon(res, limit >= slow)
 		r.abandon(exchange, a)
-		return uncertainAt(name, ReasonLost, errStalled)
+		return uncertainAt(res.name, ReasonLost, errStalled)
 	case <-ctx.Done():
 		p.abandon(res, false)
 		r.abandon(exchange, a)
-		return uncertainAt(name, ReasonGone, ctx.Err())
+		return uncertainAt(res.name, ReasonGone, ctx.Err())
 	}
 }
 
 func (r *Router) newAttempt(p *pool, res *reservation, left time.Duration, args ForwardArgs) attempt {
-	m := res.minion
 	return attempt{
 		id:          r.nextID(),
-		address:     m.host.Address,
-		connections: m.connections(),
+		address:     res.address,
+		connections: res.connections,
 		epoch:       res.epoch,
-		lease:       &m.lease,
+		lease:       &res.minion.lease,
 		writeBy:     r.settings.since(res.made) + dialTimeout.Nanoseconds(),
 		left:        left,
 		identity:    args.Identity,
