Prove the outcomes over HTTP by a table of faults

Found on the way: a request spent the whole budget on itself, so attempts are bounded at three; a retry went back to an owner whose minions had all failed it, so the owners that have others go first.

--- a/router/http_test.go
+++ b/router/http_test.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"strings"
@@ -8,8 +9,11 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"golang.org/x/sync/errgroup"
 
+	"github.com/galenacove/galenacove/connector"
 	"github.com/galenacove/galenacove/emulator"
+	"github.com/galenacove/galenacove/recorder"
 )
 
 // reply is an entry's answer.
@@ -61,3 +65,247 @@
 		c.Assert(got.body, qt.Equals, string(emulator.Answer([]byte(body))))
 	}
 }
+
+// setFaults gives all minions but the first so many the faults.
+func (l *cell) setFaults(faults emulator.MinionFaults, healthy int) {
+	for _, m := range l.minions[healthy:] {
+		m.SetFaults(faults)
+	}
+}
+
+// ran counts the runs at all minions.
+func (l *cell) ran() int {
+	n := 0
+	for _, m := range l.minions {
+		n += m.Counts().Ran
+	}
+	return n
+}
+
+func TestFaultsOfMinions(t *testing.T) {
+	idempotent := []string{HeaderIdempotent, "true", HeaderDeadline, "0.4"}
+	once := []string{HeaderDeadline, "0.4"}
+	tests := []struct {
+		name    string
+		faults  emulator.MinionFaults
+		healthy int
+		headers []string
+		status  int
+		ran     Ran
+		// or is another status that may come.
+		or int
+		// runs is how often the request ran, at most.
+		runs int
+	}{
+		{name: "fails, tried elsewhere", faults: emulator.MinionFaults{Fail: true}, healthy: 2, headers: idempotent, status: 200, runs: maxAttempts},
+		{name: "loses the answer, tried elsewhere", faults: emulator.MinionFaults{LoseAnswer: true}, healthy: 2, headers: idempotent, status: 200, runs: maxAttempts},
+		{name: "cuts the body, tried elsewhere", faults: emulator.MinionFaults{CutBody: true}, healthy: 2, headers: idempotent, status: 200, runs: maxAttempts},
+		{name: "wrong length, tried elsewhere", faults: emulator.MinionFaults{WrongLength: true}, healthy: 2, headers: idempotent, status: 200, runs: maxAttempts},
+		{name: "stalls, tried elsewhere", faults: emulator.MinionFaults{Stall: true}, healthy: 2, headers: idempotent, status: 200, runs: maxAttempts},
+		{name: "refuses, tried elsewhere though not idempotent", faults: emulator.MinionFaults{Refuse: true}, healthy: 2, headers: once, status: 200, runs: 1},
+		{name: "fails", faults: emulator.MinionFaults{Fail: true}, headers: once, status: 502, ran: RanYes, runs: 1},
+		{name: "loses the answer", faults: emulator.MinionFaults{LoseAnswer: true}, headers: once, status: 504, ran: RanUnknown, runs: 1},
+		{name: "cuts the body", faults: emulator.MinionFaults{CutBody: true}, headers: once, status: 504, ran: RanUnknown, runs: 1},
+		{name: "wrong length", faults: emulator.MinionFaults{WrongLength: true}, headers: once, status: 504, ran: RanUnknown, runs: 1},
+		{name: "stalls", faults: emulator.MinionFaults{Stall: true}, headers: once, status: 504, or: 502, ran: RanUnknown, runs: 1},
+		{name: "closes the connection", faults: emulator.MinionFaults{Down: true}, headers: once, status: 504, ran: RanUnknown},
+		{name: "refuses", faults: emulator.MinionFaults{Refuse: true}, headers: once, status: 503, ran: RanNo},
+		{name: "leaves", faults: emulator.MinionFaults{Leaving: true}, headers: idempotent, status: 503, ran: RanNo},
+		{name: "cuts every body", faults: emulator.MinionFaults{CutBody: true}, headers: idempotent, status: 504, ran: RanUnknown, runs: maxAttempts},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			l := newCell(t, 2, 4, 0)
+			for _, r := range l.routers {
+				r.SetService(desk, NewServiceTerms(AttemptTimeout(100*time.Millisecond)))
+			}
+			l.setFaults(test.faults, test.healthy)
+			for i := range 4 {
+				before := l.ran()
+				got, err := l.post(i%2, "meter 4711", test.headers...)
+				c.Assert(err, qt.IsNil)
+				if got.status != test.or {
+					c.Check(got.status, qt.Equals, test.status, qt.Commentf("%s", got.body))
+					c.Check(got.problem.Ran, qt.Equals, test.ran)
+				}
+				c.Check(l.ran()-before <= test.runs, qt.IsTrue, qt.Commentf("ran %d times", l.ran()-before))
+				if got.status == http.StatusOK {
+					c.Check(got.body, qt.Equals, string(emulator.Answer([]byte("meter 4711"))))
+				}
+			}
+		})
+	}
+}
+
+func TestRefusals(t *testing.T) {
+	c := qt.New(t)
+	l := newCell(t, 1, 1, 0)
+	l.routers[0].SetService(desk, NewServiceTerms(MaxBody(100)))
+	tests := []struct {
+		name    string
+		body    string
+		headers []string
+		status  int
+		reason  Reason
+	}{
+		{name: "body too large", body: strings.Repeat("x", 101), status: 413, reason: ReasonTooLarge},
+		{name: "deadline no number", headers: []string{HeaderDeadline, "soon"}, status: 400, reason: ReasonBadRequest},
+		{name: "deadline not a number", headers: []string{HeaderDeadline, "NaN"}, status: 400, reason: ReasonBadRequest},
+		{name: "neither true nor false", headers: []string{HeaderIdempotent, "maybe"}, status: 400, reason: ReasonBadRequest},
+		{name: "no claims kept", headers: []string{HeaderIdempotencyKey, "key"}, status: 503, reason: ReasonNoClaims},
+	}
+	for _, test := range tests {
+		got, err := l.post(0, test.body, test.headers...)
+		c.Assert(err, qt.IsNil)
+		c.Check(got.status, qt.Equals, test.status, qt.Commentf(test.name))
+		c.Check(got.problem.Reason, qt.Equals, test.reason, qt.Commentf(test.name))
+		c.Check(got.problem.Ran, qt.Equals, RanNo)
+	}
+	c.Check(l.ran(), qt.Equals, 0)
+}
+
+// verdicts is a Claimer that answers as it is told.
+type verdicts struct {
+	verdict Verdict
+	err     error
+	ends    chan recorder.Outcome
+}
+
+func (v *verdicts) Claim(context.Context, string) (Verdict, error) { return v.verdict, v.err }
+
+func (v *verdicts) End(_ string, outcome recorder.Outcome) { v.ends <- outcome }
+
+func TestClaimsDecideWhoRuns(t *testing.T) {
+	tests := []struct {
+		name    string
+		verdict Verdict
+		err     error
+		faults  emulator.MinionFaults
+		status  int
+		reason  Reason
+		ran     Ran
+		end     recorder.Outcome
+	}{
+		{name: "won", verdict: Verdict{Won: true}, status: 200, end: recorder.Done},
+		{name: "won, fails", verdict: Verdict{Won: true}, faults: emulator.MinionFaults{Fail: true}, status: 502, reason: ReasonFailed, ran: RanYes, end: recorder.Failed},
+		{name: "won, refused", verdict: Verdict{Won: true}, faults: emulator.MinionFaults{Refuse: true}, status: 503, reason: ReasonMinion, ran: RanNo, end: recorder.NotRun},
+		{name: "won, lost", verdict: Verdict{Won: true}, faults: emulator.MinionFaults{LoseAnswer: true}, status: 504, reason: ReasonLost, ran: RanUnknown},
+		{name: "done before", verdict: Verdict{Outcome: recorder.Done}, status: 409, reason: ReasonClaimed, ran: RanYes},
+		{name: "not known", status: 409, reason: ReasonClaimed, ran: RanUnknown},
+		{name: "expired", err: ErrExpired, status: 400, reason: ReasonExpired, ran: RanNo},
+		{name: "malformed", err: ErrIdentity, status: 400, reason: ReasonBadRequest, ran: RanNo},
+		{name: "log out", err: ErrNotClaimed, status: 503, reason: ReasonNoClaims, ran: RanNo},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			v := &verdicts{
+				verdict: test.verdict,
+				err:     test.err,
+				ends:    make(chan recorder.Outcome, 1),
+			}
+			l := newCell(t, 1, 1, 0, Claims(v))
+			l.setFaults(test.faults, 0)
+			got, err := l.post(0, "payout", HeaderIdempotencyKey, "key")
+			c.Assert(err, qt.IsNil)
+			c.Check(got.status, qt.Equals, test.status)
+			c.Check(got.problem.Reason, qt.Equals, test.reason)
+			c.Check(got.problem.Ran, qt.Equals, test.ran)
+			end := recorder.Outcome("")
+			select {
+			case end = <-v.ends:
+			default:
+			}
+			c.Check(end, qt.Equals, test.end)
+		})
+	}
+}
+
+func TestLeavingEndpointGetsNothing(t *testing.T) {
+	tests := []struct {
+		name  string
+		leave func(l *cell, r *Router)
+	}{
+		{name: "an operator says so", leave: func(l *cell, r *Router) { r.Drain(l.hosts[0].Name, true) }},
+		{name: "the host list says so", leave: func(l *cell, r *Router) {
+			l.hosts[0].State = connector.HostLeaving
+			r.SetHosts(l.hosts)
+		}},
+		{name: "the host list has it no more", leave: func(l *cell, r *Router) { r.SetHosts(l.hosts[1:]) }},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			l := newCell(t, 2, 3, 0)
+			for _, r := range l.routers {
+				test.leave(l, r)
+			}
+			for i := range 30 {
+				got, err := l.post(i%2, "meter")
+				c.Assert(err, qt.IsNil)
+				c.Check(got.status, qt.Equals, http.StatusOK)
+			}
+			c.Check(l.minions[0].Counts().Total, qt.Equals, 0)
+		})
+	}
+}
+
+func TestLeaveFinishesWhatIsInFlight(t *testing.T) {
+	c := qt.New(t)
+	l := newCell(t, 1, 1, 200*time.Millisecond)
+	var group errgroup.Group
+	group.Go(func() error {
+		got, err := l.post(0, "meter")
+		c.Check(got.status, qt.Equals, http.StatusOK)
+		return err
+	})
+	for l.ran() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	group.Go(func() error { return l.routers[0].Leave(t.Context()) })
+	for !l.routers[0].leaving() {
+		time.Sleep(time.Millisecond)
+	}
+	got, err := l.post(0, "late")
+	c.Assert(err, qt.IsNil)
+	c.Check(got.problem.Reason, qt.Equals, ReasonLeaving)
+	c.Check(got.header.Get("Retry-After"), qt.Equals, "0")
+	c.Check(group.Wait(), qt.IsNil)
+}
+
+func TestCallerGoneFreesTheSlot(t *testing.T) {
+	c := qt.New(t)
+	l := newCell(t, 2, 1, 0)
+	l.setFaults(emulator.MinionFaults{
+		Stall: true,
+	}, 0)
+	for entry := range 2 {
+		ctx, cancel := context.WithCancel(t.Context())
+		var group errgroup.Group
+		group.Go(func() error {
+			_, err := l.routers[entry].Do(ctx, NewRequest(desk, http.MethodGet, "/field-desk/"))
+			return err
+		})
+		for l.reserved() == 0 || l.ran() <= entry {
+			time.Sleep(time.Millisecond)
+		}
+		cancel()
+		var unknown *UnknownError
+		c.Check(group.Wait(), qt.ErrorAs, &unknown)
+		// The minion is told, and says that the attempt has ended.
+		for l.reserved() > 0 {
+			time.Sleep(time.Millisecond)
+		}
+	}
+}
+
+func (l *cell) reserved() int {
+	n := 0
+	for _, r := range l.routers {
+		for _, e := range r.Endpoints() {
+			n += e.Reserved()
+		}
+	}
+	return n
+}
--- a/router/path.go
+++ b/router/path.go
@@ -14,6 +14,9 @@
 // owner.
 const maxMoves = 3
 
+// maxAttempts is the most attempts of one request.
+const maxAttempts = 3
+
 const (
 	// claimTimeout is how long the log may take for a claim.
 	claimTimeout = 2 * time.Second
@@ -83,7 +86,7 @@
 // expect refuses a request that would wait too long as things are, so that
 // nothing is written to the log for it.
 func (r *Router) expect(q Request) error {
-	to, ok := r.chooseOwner(q.service, nil)
+	to, ok := r.chooseOwner(q.service, nil, nil)
 	if !ok {
 		return &RefusedError{
 			Reason:     ReasonNoOwner,
@@ -180,7 +183,7 @@
 // hop makes one hop, and reports false if there is no owner to go to.
 func (p *path) hop(ctx context.Context) (result, bool) {
 	r := p.router
-	to, ok := r.chooseOwner(p.q.service, p.owners)
+	to, ok := r.chooseOwner(p.q.service, p.owners, p.avoid)
 	if !ok {
 		return result{}, false
 	}
@@ -244,6 +247,9 @@
 	if last.outcome != refused && !p.q.idempotent && !r.settings.faults.retryAll {
 		return false
 	}
+	if len(p.avoid) >= maxAttempts {
+		return false
+	}
 	if !r.settings.naive && !r.budget.spend() {
 		r.metrics.budgetEmpty(p.q.service)
 		return false
--- a/router/peers.go
+++ b/router/peers.go
@@ -200,13 +200,27 @@
 
 // chooseOwner returns where a request goes: here if a slot is free, else to
 // the better of two peers with free slots, else to where the wait is shortest.
-func (r *Router) chooseOwner(service string, avoid map[string]bool) (target, bool) {
+// Owners to avoid are passed over, and if there are others, those that have
+// only minions to avoid.
+func (r *Router) chooseOwner(service string, owners map[string]bool, minions []string) (target, bool) {
+	if len(minions) > 0 {
+		if to, ok := r.chooseAmong(service, func(s share) bool { return !owners[s.owner] && !s.without(minions) }); ok {
+			return to, true
+		}
+	}
+	return r.chooseAmong(service, func(s share) bool { return !owners[s.owner] })
+}
+
+func (r *Router) chooseAmong(service string, accepts func(share) bool) (target, bool) {
 	var here, waiting []target
 	var free []target
 	for _, s := range r.view.Load().shares[service] {
+		if !accepts(s) {
+			continue
+		}
 		o, ok := r.target(service, s)
 		switch {
-		case !ok || avoid[s.owner]:
+		case !ok:
 		case o.peer == nil:
 			here = append(here, o)
 		case o.load.Free > 0:
--- a/router/result.go
+++ b/router/result.go
@@ -80,9 +80,10 @@
 	return r
 }
 
-// worse returns the one of two results of a request that must be told.
+// worse returns the one of two results of a request, in their order, that must
+// be told. What a minion said goes before what an owner said.
 func worse(a, b result) result {
-	if a.outcome > b.outcome {
+	if a.outcome > b.outcome || (a.outcome == b.outcome && a.minion != "" && b.minion == "") {
 		return a
 	}
 	return b
--- a/router/terms.go
+++ b/router/terms.go
@@ -15,9 +15,6 @@
 	// attempt is how long an attempt may take before the minion is counted as
 	// stalled, and an idempotent request is tried elsewhere.
 	attempt time.Duration
-	// hedge is how long an idempotent attempt may take before a second one is
-	// made beside it, 0 for never.
-	hedge time.Duration
 	// maxBody is in bytes, for requests and for answers.
 	maxBody int64
 }
@@ -83,14 +80,6 @@
 	}
 }
 
-// Hedge sets after which time a second attempt of an idempotent request is
-// made beside the first, within the retry budget. The default is never.
-func Hedge(d time.Duration) TermOption {
-	return func(t *ServiceTerms) {
-		t.hedge = d
-	}
-}
-
 // MaxBody sets the largest body of a request or an answer, in bytes. The
 // default is 8 MiB.
 func MaxBody(bytes int64) TermOption {
--- a/router/view.go
+++ b/router/view.go
@@ -1,6 +1,8 @@
 package router
 
 import (
+	"slices"
+
 	"github.com/galenacove/galenacove/connector"
 	"github.com/galenacove/galenacove/namer"
 	"github.com/galenacove/galenacove/recorder"
@@ -22,6 +24,18 @@
 type share struct {
 	owner string
 	slots int
+	// minions are the names of the owner's minions.
+	minions []string
+}
+
+// without reports whether every minion of the share is among the names.
+func (s share) without(names []string) bool {
+	for _, m := range s.minions {
+		if !slices.Contains(names, m) {
+			return false
+		}
+	}
+	return true
 }
 
 func newView(self, dataCentre string, m recorder.Membership, hosts []connector.Host) *view {
@@ -63,11 +77,13 @@
 	for i := range shares {
 		if shares[i].owner == owner {
 			shares[i].slots += slots
+			shares[i].minions = append(shares[i].minions, h.Name)
 			return
 		}
 	}
 	v.shares[h.Service] = append(shares, share{
-		owner: owner,
-		slots: slots,
+		owner:   owner,
+		slots:   slots,
+		minions: []string{h.Name},
 	})
 }
