--- a/router/carrier.go
+++ b/router/carrier.go
@@ -177,9 +177,13 @@
 // newMinionRequest makes a request whose body cannot be read twice, so that
 // the transport cannot send it again by itself.
 func newMinionRequest(ctx context.Context, a attempt) (*http.Request, error) {
-	body := onceReader{
+	var body io.Reader = onceReader{
 		Reader: bytes.NewReader(a.body),
 	}
+	if len(a.body) == 0 && !safeMethod(a.method) {
+		// An empty reader would be sent as chunks.
+		body = http.NoBody
+	}
 	req, err := http.NewRequestWithContext(ctx, a.method, "http://"+a.address+a.path, body)
 	if err != nil {
 		return nil, err
--- /dev/null
+++ b/router/queue_test.go
@@ -0,0 +1,117 @@
+package router
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/galenacove/galenacove/connector"
+	"github.com/galenacove/galenacove/timekeeper"
+)
+
+var (
+	errUnfair  = errors.New("a team got less than its share")
+	errUnorder = errors.New("a later deadline went first")
+)
+
+// shareSlots gives slots to teams that always wait, and checks that none falls
+// behind by more than one request of each.
+func shareSlots(t *rapid.T, charge bool) error {
+	q := newQueue()
+	weights := make(map[string]float64)
+	for i := range rapid.IntRange(2, 6).Draw(t, "teams") {
+		weights[fmt.Sprint("team-", i)] = float64(rapid.IntRange(1, 8).Draw(t, "weight"))
+	}
+	q.setWeights(weights)
+	served := make(map[string]float64)
+	m := newMinion(connector.Host{})
+	for range rapid.IntRange(1, 200).Draw(t, "slots") {
+		for team := range weights {
+			for l := q.lanes[team]; l == nil || len(l.waiters) < 3; l = q.lanes[team] {
+				q.push(&waiter{
+					team:     team,
+					deadline: testStart.Add(time.Duration(rapid.IntRange(0, 1000).Draw(t, "deadline")) * time.Millisecond),
+				})
+			}
+		}
+		w := q.next(m)
+		for _, other := range q.lanes[w.team].waiters {
+			if other.deadline.Before(w.deadline) {
+				return errUnorder
+			}
+		}
+		served[w.team]++
+		if charge {
+			q.charge(w.team, 1)
+		}
+		for a := range weights {
+			for b := range weights {
+				if served[a]/weights[a]-served[b]/weights[b] > 1/weights[a]+1/weights[b]+1e-9 {
+					return errUnfair
+				}
+			}
+		}
+	}
+	return nil
+}
+
+func TestTeamsGetTheirShares(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		if err := shareSlots(t, true); err != nil {
+			t.Fatal(err)
+		}
+	})
+	search := rapid.Custom(func(t *rapid.T) error { return shareSlots(t, false) })
+	for seed := range 100 {
+		if errors.Is(search.Example(seed), errUnfair) {
+			return
+		}
+	}
+	t.Fatal("the property does not find that nothing is charged")
+}
+
+// A team's flood leaves another team's requests their waiting time, and each
+// refusal has a time to come back, later for each.
+func TestFloodIsRefusedAtOnce(t *testing.T) {
+	c := qt.New(t)
+	clock := timekeeper.NewFake(testStart)
+	p := newPool(newSettings([]Option{Clock(clock)}), desk, NewServiceTerms(MaxWait(500*time.Millisecond)))
+	p.setWeights(map[string]float64{"omuti": 1, "flood": 1})
+	p.setHosts([]connector.Host{{Name: "minion"}}, 1, nil)
+	m := p.minions["minion"]
+	m.accepted(1, int64(time.Hour), testStart, 0, 0)
+	p.latency = 0.1
+	enter := func(team string) *RefusedError {
+		return p.enter(&waiter{
+			team:     team,
+			deadline: testStart.Add(5 * time.Second),
+			granted:  make(chan grant, 1),
+		})
+	}
+	last, refusals, spread := time.Duration(0), 0, 0
+	for range 200 {
+		if e := enter("flood"); e != nil {
+			c.Assert(e.Reason, qt.Equals, ReasonOverload)
+			refusals++
+			if e.RetryAfter > last {
+				spread++
+			}
+			last = e.RetryAfter
+		}
+	}
+	// 8 slots and 100 ms each: 40 wait for 500 ms.
+	c.Check(refusals, qt.Equals, 200-defaultSlots-40)
+	c.Check(spread > refusals/2, qt.IsTrue)
+	c.Check(last > time.Second && last <= 2*longestReturn, qt.IsTrue)
+	c.Check(enter("omuti") == nil, qt.IsTrue)
+	// The other team's request is the next to be served.
+	for r := range m.reservations {
+		p.settle(r, answered{})
+		break
+	}
+	c.Check(len(p.queue.lanes["omuti"].waiters), qt.Equals, 0)
+}
