--- a/router/carrier_test.go
+++ b/router/carrier_test.go
@@ -27,7 +27,7 @@
 		for {
 			conn, err := listener.Accept()
 			if err != nil {
-				return nil
+				return err
 			}
 			group.Go(func() error {
 				defer conn.Close()
--- a/router/main_test.go
+++ b/router/main_test.go
@@ -2,8 +2,9 @@
 
 import (
 	"flag"
-	"os"
 	"testing"
+
+	"go.uber.org/goleak"
 )
 
 // TestMain fixes the seed and the number of the property tests, so that every
@@ -17,5 +18,5 @@
 			panic(err)
 		}
 	}
-	os.Exit(m.Run())
+	goleak.VerifyTestMain(m)
 }
--- a/router/minion.go
+++ b/router/minion.go
@@ -27,8 +27,10 @@
 	// takeoverPatience is how long requests wait for the first answer of a
 	// minion that was taken over.
 	takeoverPatience = 500 * time.Millisecond
-	// smoothing is the weight of the newest time of service in the average.
-	smoothing = 0.1
+	// smoothing and poolSmoothing are the weights of the newest time of service
+	// in the averages of a minion and of a service.
+	smoothing     = 0.1
+	poolSmoothing = 0.02
 )
 
 // minion is a minion as its owner sees it. The pool's lock guards it, save
@@ -245,7 +247,7 @@
 	m.failures = 0
 	m.trial = false
 	m.ejections = 0
-	m.latency = average(m.latency, service.Seconds())
+	m.latency = average(m.latency, service.Seconds(), smoothing)
 }
 
 // failed notes a failure and reports whether the minion has failed often
@@ -270,9 +272,9 @@
 	m.failures = 0
 }
 
-func average(old, x float64) float64 {
+func average(old, x, weight float64) float64 {
 	if old == 0 {
 		return x
 	}
-	return old + smoothing*(x-old)
+	return old + weight*(x-old)
 }
--- a/router/options.go
+++ b/router/options.go
@@ -123,7 +123,7 @@
 	}
 }
 
-// Choice sets how a minion is chosen. The default is RandomPair.
+// Choice sets how a minion is chosen. The default is ExpectedTime.
 func Choice(strategy Strategy) Option {
 	return func(s *settings) {
 		s.strategy = strategy
@@ -165,7 +165,7 @@
 func newSettings(opts []Option) *settings {
 	s := &settings{
 		clock:    timekeeper.System(),
-		strategy: RandomPair{},
+		strategy: ExpectedTime{},
 		logger: &log.Logger{
 			Handler: discard.New(),
 		},
--- a/router/path.go
+++ b/router/path.go
@@ -241,8 +241,8 @@
 		return false
 	}
 	if last.outcome == refused && last.minion == "" {
-		p.moves++
-		return p.moves <= maxMoves && movable(last.reason)
+		p.moves += moveCost(last.reason)
+		return p.moves <= maxMoves
 	}
 	if last.outcome != refused && !p.q.idempotent && !r.settings.faults.retryAll {
 		return false
@@ -258,13 +258,16 @@
 	return true
 }
 
-// movable reports whether another owner may take what one refused.
-func movable(reason Reason) bool {
+// moveCost returns what it costs to try another owner after one refused. One
+// that is overloaded was thought the best, so that only one more is asked.
+func moveCost(reason Reason) int {
 	switch reason {
-	case ReasonMoved, ReasonNoOwner, ReasonNoMinion, ReasonLeaving, ReasonOverload, ReasonQueueFull, ReasonNoService:
-		return true
+	case ReasonMoved, ReasonNoOwner, ReasonNoMinion, ReasonLeaving, ReasonNoService:
+		return 1
+	case ReasonOverload, ReasonQueueFull:
+		return maxMoves/2 + 1
 	default:
-		return false
+		return maxMoves + 1
 	}
 }
 
--- a/router/path_test.go
+++ b/router/path_test.go
@@ -57,6 +57,16 @@
 	found    error
 }
 
+func newPathWorld(seed uint64) *pathWorld {
+	return &pathWorld{
+		rand:   rand.New(rand.NewPCG(seed, 1)),
+		frozen: make(map[string]bool),
+		epochs: make(map[string]namer.Epoch),
+		runs:   make(map[string]int),
+		busy:   make(map[string]map[namer.Epoch]int),
+	}
+}
+
 func (w *pathWorld) chance(share float64) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -251,13 +261,7 @@
 func runPath(t *testing.T, seed uint64, f faults) error {
 	var found error
 	synctest.Test(t, func(t *testing.T) {
-		w := &pathWorld{
-			rand:   rand.New(rand.NewPCG(seed, 1)),
-			frozen: make(map[string]bool),
-			epochs: make(map[string]namer.Epoch),
-			runs:   make(map[string]int),
-			busy:   make(map[string]map[namer.Epoch]int),
-		}
+		w := newPathWorld(seed)
 		w.sick = w.rand.Float64() * 0.3
 		ctx, cancel := context.WithCancel(context.Background())
 		var running errgroup.Group
--- a/router/pool.go
+++ b/router/pool.go
@@ -356,7 +356,7 @@
 		return
 	}
 	service := now.Sub(r.made)
-	p.latency = average(p.latency, service.Seconds())
+	p.latency = average(p.latency, service.Seconds(), poolSmoothing)
 	if e.answer.failed() {
 		p.fail(r.minion, now, false)
 		return
--- a/router/strategy.go
+++ b/router/strategy.go
@@ -46,10 +46,10 @@
 		return candidates[rand.IntN(len(candidates))].minion
 	case RoundRobin:
 		return candidates[turn%len(candidates)].minion
-	case ExpectedTime:
-		return pair(candidates, sooner)
-	default:
+	case RandomPair:
 		return pair(candidates, freer)
+	default:
+		return pair(candidates, sooner)
 	}
 }
 
--- a/router/terms.go
+++ b/router/terms.go
@@ -27,7 +27,7 @@
 func NewServiceTerms(opts ...TermOption) ServiceTerms {
 	t := ServiceTerms{
 		queueLimit: 512,
-		maxWait:    time.Second,
+		maxWait:    250 * time.Millisecond,
 		deadline:   5 * time.Second,
 		longest:    30 * time.Second,
 		attempt:    2 * time.Second,
@@ -48,7 +48,7 @@
 }
 
 // MaxWait sets the longest expected wait with which a request is admitted. The
-// default is 1 s.
+// default is 250 ms.
 func MaxWait(d time.Duration) TermOption {
 	return func(t *ServiceTerms) {
 		t.maxWait = d
