Add loader: settings from TOML, all faults in one run

A process that starts with a wrong term or two clashing addresses fails much later, so the settings are checked whole.

--- /dev/null
+++ b/loader/fields.go
@@ -0,0 +1,218 @@
+package loader
+
+import (
+	"fmt"
+	"net/netip"
+	"net/url"
+	"regexp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// MinSecret is the least length in bytes of a secret or a token.
+	MinSecret = 16
+	// maxName is the greatest length in bytes of a name.
+	maxName = 63
+	// minTime and maxTime limit each of the terms.
+	minTime = time.Millisecond
+	maxTime = time.Hour
+)
+
+// field is one key of a section.
+type field struct {
+	key      string
+	required bool
+	// set checks the value and keeps it. Its error says what is wrong.
+	set func(value any) error
+}
+
+func required(key string, set func(any) error) field {
+	return field{
+		key:      key,
+		required: true,
+		set:      set,
+	}
+}
+
+func optional(key string, set func(any) error) field {
+	return field{
+		key: key,
+		set: set,
+	}
+}
+
+// text keeps a string that is not empty and passes the checks.
+func text(target *string, checks ...func(string) error) func(any) error {
+	return func(value any) error {
+		s, ok := value.(string)
+		if !ok {
+			return typeError(value, "a string")
+		}
+		if s == "" {
+			return errors.New("is empty")
+		}
+		for _, check := range checks {
+			if err := check(s); err != nil {
+				return err
+			}
+		}
+		*target = s
+		return nil
+	}
+}
+
+// texts keeps an array of strings, each as read returns it, and none twice.
+func texts(target *[]string, least int, read func(string) (string, error)) func(any) error {
+	return func(value any) error {
+		values, ok := value.([]any)
+		if !ok {
+			return typeError(value, "an array of strings")
+		}
+		if len(values) < least {
+			return errors.Newf("has %d, and needs at least %d", len(values), least)
+		}
+		var list []string
+		for _, value := range values {
+			s, ok := value.(string)
+			if !ok {
+				return typeError(value, "a string, as each in the array")
+			}
+			s, err := read(s)
+			if err != nil {
+				return err
+			}
+			if slices.Contains(list, s) {
+				return errors.Newf("%q stands twice", s)
+			}
+			list = append(list, s)
+		}
+		*target = list
+		return nil
+	}
+}
+
+// duration keeps a time such as "500ms".
+func duration(target *time.Duration) func(any) error {
+	return func(value any) error {
+		s, ok := value.(string)
+		if !ok {
+			return typeError(value, `a time with a unit, such as "500ms"`)
+		}
+		d, err := time.ParseDuration(s)
+		if err != nil {
+			return errors.Newf(`%q is no time with a unit, such as "500ms"`, s)
+		}
+		if d < minTime || d > maxTime {
+			return errors.Newf("%q is not between %s and %s", s, minTime, maxTime)
+		}
+		*target = d
+		return nil
+	}
+}
+
+// oneOf refuses a string that is not among the names.
+func oneOf(names ...string) func(string) error {
+	return func(s string) error {
+		if slices.Contains(names, s) {
+			return nil
+		}
+		return errors.Newf("%q is none of %s", s, strings.Join(names, ", "))
+	}
+}
+
+var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]*[a-z0-9])?$`)
+
+func isName(s string) error {
+	if len(s) > maxName {
+		return errors.Newf("is longer than %d letters", maxName)
+	}
+	if !namePattern.MatchString(s) {
+		return errors.Newf("%q is not of lower-case letters, digits and inner hyphens", s)
+	}
+	return nil
+}
+
+func isSecret(s string) error {
+	if len(s) < MinSecret {
+		return errors.Newf("is shorter than %d bytes", MinSecret)
+	}
+	return nil
+}
+
+func isAddress(s string) error {
+	if _, err := netip.ParseAddrPort(s); err != nil {
+		return errors.Newf("%q is no IP number with a port, such as 10.0.0.1:9000", s)
+	}
+	return nil
+}
+
+// isReachable refuses an address at which nobody can reach the process.
+func isReachable(s string) error {
+	address, err := netip.ParseAddrPort(s)
+	if err != nil {
+		return isAddress(s)
+	}
+	if address.Addr().IsUnspecified() {
+		return errors.Newf("%q is no address at which others reach the process", s)
+	}
+	return nil
+}
+
+func readAddress(s string) (string, error) {
+	if err := isReachable(s); err != nil {
+		return "", err
+	}
+	if netip.MustParseAddrPort(s).Port() == 0 {
+		return "", errors.Newf("%q has no port", s)
+	}
+	return s, nil
+}
+
+// readURL reads the base address of a server: an IP number with a port, or a
+// URL with the scheme http or https.
+func readURL(s string) (string, error) {
+	if !strings.Contains(s, "://") {
+		address, err := readAddress(s)
+		return "http://" + address, err
+	}
+	u, err := url.Parse(s)
+	if err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" {
+		return "", errors.Newf("%q is no address such as http://10.0.0.1:9000", s)
+	}
+	if strings.Trim(u.Path, "/") != "" || u.RawQuery != "" || u.Fragment != "" || u.User != nil {
+		return "", errors.Newf("%q has more than a scheme, a host and a port", s)
+	}
+	return u.Scheme + "://" + u.Host, nil
+}
+
+func typeError(value any, want string) error {
+	return errors.Newf("is %s, and has to be %s", nameOf(value), want)
+}
+
+// nameOf returns what a TOML value is.
+func nameOf(value any) string {
+	switch value.(type) {
+	case string:
+		return "a string"
+	case int64:
+		return "an integer"
+	case float64:
+		return "a float"
+	case bool:
+		return "a boolean"
+	case time.Time:
+		return "a date or time"
+	case map[string]any:
+		return "a section"
+	case []map[string]any:
+		return "an array of sections"
+	case []any:
+		return "an array"
+	default:
+		return fmt.Sprintf("a %T", value)
+	}
+}
