--- a/emulator/minion.go
+++ b/emulator/minion.go
@@ -44,7 +44,7 @@
 
 // MinionFaults are the faults of a minion. The zero value has none.
 type MinionFaults struct {
-	// Every makes the faults strike only each so-manieth request; 0 and 1 are
+	// Every makes the faults strike only every n-th request; 0 and 1 are
 	// each of them.
 	Every int `json:"every,omitempty"`
 	// Down closes the connection before the request runs.
