Add placer: tables, policies, turns of the teams, and decisions each tick

Cause: the decisions of placement have no home yet, and the part that carries them out needs their interface. Change: dense tables of workers, tasks, classes of like tasks, and teams; one transition table; an index of workers by room; gangs, preemption, back-fill, set-aside workers, retries, reasons. WithFirstFit keeps first-fit over all workers as the baseline. Ruled out: a search of every pending task at every tick, which costs what exists and not what changed.

--- /dev/null
+++ b/placer/firstfit.go
@@ -0,0 +1,32 @@
+package placer
+
+import "time"
+
+// tickFirstFit places by first-fit over all workers: the baseline.
+func (p *Placer) tickFirstFit(now time.Time) {
+	waiting := p.tasks.order
+	p.tasks.order = p.tasks.order[:0]
+	for _, i := range waiting {
+		if p.tasks.rows[i].state != StatePending {
+			continue
+		}
+		worker := p.firstFit(i)
+		if worker == none {
+			p.tasks.order = append(p.tasks.order, i)
+			continue
+		}
+		p.dequeue(i)
+		p.start(i, worker, p.classes.rows[p.tasks.rows[i].class].need, now)
+	}
+}
+
+func (p *Placer) firstFit(i int32) int32 {
+	need := p.classes.rows[p.tasks.rows[i].class].need
+	for w := range p.workers.rows {
+		row := &p.workers.rows[w]
+		if row.takes() && need.Fits(row.free()) {
+			return int32(w)
+		}
+	}
+	return none
+}
--- /dev/null
+++ b/placer/tasks.go
@@ -0,0 +1,460 @@
+package placer
+
+import (
+	"time"
+
+	"github.com/galenacove/galenacove/connector"
+	"github.com/galenacove/galenacove/namer"
+	"github.com/galenacove/galenacove/sizer"
+)
+
+type taskRow struct {
+	Task
+	attempt namer.Attempt
+	state   TaskState
+	class   int32
+	// worker is where the task has or claims room, none if it does not.
+	worker int32
+	// next and prev link the tasks of a worker if the task has room there, and
+	// the pending tasks of a class if the task is one.
+	next int32
+	prev int32
+	// hold is the room that is taken on the worker and from the team's share.
+	hold sizer.Size
+	// claim is the room that is kept for the task in StateClaimed.
+	claim sizer.Size
+	// usage is what the task was last seen to use.
+	usage sizer.Size
+	// timer is the timer that wakes the task, due when it does.
+	timer uint64
+	due   time.Time
+	// since is when the task came to wait, or when it was started.
+	since time.Time
+	// failures and lapses count the starts that ended so.
+	failures int
+	lapses   int
+	// cancelled tasks are forgotten once their end is certain.
+	cancelled bool
+	// external tasks belong to a gang that another owner counts: they are
+	// forgotten once they end.
+	external bool
+	// stray tasks run beside another start of the same task, and are in no
+	// index of identities.
+	stray bool
+	// overflowed says that an Overflow was said since the task came to wait.
+	overflowed bool
+	// throttled says that the task was limited to its hold.
+	throttled bool
+	// probe says that the start probes its worker.
+	probe bool
+}
+
+func (t *taskRow) ref() namer.TaskRef {
+	return namer.TaskRef{
+		Task:    t.id,
+		Attempt: t.attempt,
+	}
+}
+
+// preemptible reports whether urgent work may take the task's room.
+func (t *taskRow) preemptible() bool {
+	if t.urgent {
+		return false
+	}
+	switch t.policy.(type) {
+	case BatchPolicy:
+		return t.state == StateStarting || t.state == StateRunning
+	default:
+		return false
+	}
+}
+
+type taskTable struct {
+	rows   []taskRow
+	unused []int32
+	byID   map[namer.TaskID]int32
+	strays map[namer.TaskRef]int32
+	// order lists pending tasks by submission, for the baseline only.
+	order []int32
+}
+
+func (t *taskTable) init() {
+	t.byID = make(map[namer.TaskID]int32)
+	t.strays = make(map[namer.TaskRef]int32)
+}
+
+func (t *taskTable) add(task Task) int32 {
+	row := taskRow{
+		Task:   task,
+		class:  none,
+		worker: none,
+		next:   none,
+		prev:   none,
+	}
+	if n := len(t.unused); n > 0 {
+		i := t.unused[n-1]
+		t.unused = t.unused[:n-1]
+		t.rows[i] = row
+		return i
+	}
+	t.rows = append(t.rows, row)
+	return int32(len(t.rows) - 1)
+}
+
+// find returns the row of a start, and false if it is not the current one.
+func (t *taskTable) find(ref namer.TaskRef) (int32, bool) {
+	if i, ok := t.byID[ref.Task]; ok && t.rows[i].state.holdsRoom() && t.rows[i].attempt == ref.Attempt {
+		return i, true
+	}
+	i, ok := t.strays[ref]
+	return i, ok
+}
+
+// move is the only place where the state of a task changes. It reports whether
+// the event may happen in the task's state, and keeps the sums of the worker
+// that depend on the state.
+func (p *Placer) move(i int32, e event) bool {
+	row := &p.tasks.rows[i]
+	to, ok := row.state.next(e)
+	if p.settings.fault == faultTransition && row.state == StateStopping && e == eventStarted {
+		to, ok = StateRunning, true
+	}
+	if !ok {
+		return false
+	}
+	if to == row.state {
+		return true
+	}
+	p.uncount(i)
+	row.state = to
+	p.count(i)
+	return true
+}
+
+// count adds the task's room to the sums of its worker that depend on its state.
+func (p *Placer) count(i int32) {
+	row := &p.tasks.rows[i]
+	if row.worker == none || !row.state.holdsRoom() {
+		return
+	}
+	w := &p.workers.rows[row.worker]
+	if row.state == StateStopping {
+		w.leaving = w.leaving.Add(row.hold)
+	}
+	if row.preemptible() {
+		w.preemptible = w.preemptible.Add(row.hold)
+	}
+}
+
+// uncount takes back what count added.
+func (p *Placer) uncount(i int32) {
+	row := &p.tasks.rows[i]
+	if row.worker == none || !row.state.holdsRoom() {
+		return
+	}
+	w := &p.workers.rows[row.worker]
+	if row.state == StateStopping {
+		w.leaving = w.leaving.Sub(row.hold)
+	}
+	if row.preemptible() {
+		w.preemptible = w.preemptible.Sub(row.hold)
+	}
+}
+
+// take gives the task room on a worker and moves it by the event.
+func (p *Placer) take(i, worker int32, size sizer.Size, e event) {
+	row := &p.tasks.rows[i]
+	w := &p.workers.rows[worker]
+	if !p.move(i, e) {
+		return
+	}
+	row.worker = worker
+	row.hold = size
+	row.next = w.first
+	row.prev = none
+	if w.first != none {
+		p.tasks.rows[w.first].prev = i
+	}
+	w.first = i
+	w.used = w.used.Add(size)
+	p.charge(i, size)
+	p.count(i)
+	p.refresh(worker)
+}
+
+// release gives the room of the task back. The task's state is left to the
+// caller, who moves it on at once.
+func (p *Placer) release(i int32) {
+	row := &p.tasks.rows[i]
+	w := &p.workers.rows[row.worker]
+	p.uncount(i)
+	if row.prev == none {
+		w.first = row.next
+	} else {
+		p.tasks.rows[row.prev].next = row.next
+	}
+	if row.next != none {
+		p.tasks.rows[row.next].prev = row.prev
+	}
+	w.used = w.used.Sub(row.hold)
+	w.observed = w.observed.Sub(row.usage)
+	p.discharge(i, row.hold)
+	worker := row.worker
+	row.worker = none
+	row.next = none
+	row.prev = none
+	row.hold = sizer.Size{}
+	row.usage = sizer.Size{}
+	row.throttled = false
+	p.refresh(worker)
+	p.freed(worker)
+}
+
+// Submit adds tasks that wait for room. A task that is known already is left as
+// it is. The tasks of one job under GangPolicy start together.
+func (p *Placer) Submit(tasks ...Task) {
+	now := p.clock.Now()
+	for _, task := range tasks {
+		if _, ok := p.tasks.byID[task.id]; ok {
+			continue
+		}
+		i := p.tasks.add(task)
+		p.tasks.byID[task.id] = i
+		p.classify(i)
+		p.move(i, eventSubmit)
+		p.enqueue(i, now)
+	}
+}
+
+// Cancel ends tasks: those that wait are forgotten, those that may run are asked
+// to stop. The cost is that of the tasks named.
+func (p *Placer) Cancel(ids ...namer.TaskID) {
+	for _, id := range ids {
+		if i, ok := p.tasks.byID[id]; ok {
+			p.cancel(i)
+		}
+	}
+}
+
+func (p *Placer) cancel(i int32) {
+	row := &p.tasks.rows[i]
+	row.cancelled = true
+	switch row.state {
+	case StatePending:
+		p.dequeue(i)
+		p.forget(i)
+	case StateBackoff:
+		p.forget(i)
+	case StateClaimed:
+		p.unclaim(i)
+		p.forget(i)
+	case StateReserved:
+		p.release(i)
+		p.forget(i)
+	case StateStarting, StateRunning, StateUnknown, StateStopping:
+		p.stop(i, false)
+	case StateNone:
+	}
+}
+
+// stop asks a task to end.
+func (p *Placer) stop(i int32, checkpoint bool) {
+	if !p.move(i, eventStop) {
+		return
+	}
+	row := &p.tasks.rows[i]
+	p.decisions = append(p.decisions, Preempt{
+		ref:        row.ref(),
+		worker:     p.workers.rows[row.worker].name,
+		checkpoint: checkpoint,
+	})
+	if checkpoint {
+		p.wakeAt(i, p.clock.Now().Add(p.settings.checkpointTimeout))
+	}
+}
+
+// forget drops a task that has no room.
+func (p *Placer) forget(i int32) {
+	row := &p.tasks.rows[i]
+	p.move(i, eventForget)
+	if row.stray {
+		delete(p.tasks.strays, row.ref())
+	} else {
+		delete(p.tasks.byID, row.id)
+	}
+	p.declassify(i)
+	*row = taskRow{
+		class:  none,
+		worker: none,
+	}
+	p.tasks.unused = append(p.tasks.unused, i)
+}
+
+// Started says that a worker runs the start.
+func (p *Placer) Started(ref namer.TaskRef) {
+	if i, ok := p.tasks.find(ref); ok && p.move(i, eventStarted) {
+		p.drainTask(i)
+	}
+}
+
+// Ended says that a start has certainly ended. Its room is free again. What is
+// said of a start that is not the task's current one is ignored.
+func (p *Placer) Ended(ref namer.TaskRef, outcome Outcome) {
+	i, ok := p.tasks.find(ref)
+	if !ok {
+		return
+	}
+	p.judge(i, outcome)
+	p.release(i)
+	row := &p.tasks.rows[i]
+	if row.cancelled || row.external || row.stray {
+		p.forget(i)
+		return
+	}
+	p.breakGang(i, outcome)
+	switch outcome {
+	case Finished:
+		p.finished(i)
+	case Failed:
+		row.failures++
+		p.classes.rows[row.class].retries++
+		p.retry(i)
+	case Lapsed:
+		row.lapses++
+		p.retry(i)
+	case Refused:
+		p.retryAfter(i, p.jitter(p.settings.backoff))
+	case Stopped, Checkpointed:
+		p.retryAfter(i, 0)
+	}
+}
+
+func (p *Placer) finished(i int32) {
+	row := &p.tasks.rows[i]
+	p.classes.rows[row.class].finished++
+	switch row.policy.(type) {
+	case ServicePolicy:
+		p.retryAfter(i, p.jitter(p.settings.backoff))
+	default:
+		p.forget(i)
+	}
+}
+
+// retry brings a failed task back to wait, unless its budget is spent.
+func (p *Placer) retry(i int32) {
+	row := &p.tasks.rows[i]
+	if p.settings.fault == faultLoseRetry {
+		p.forget(i)
+		return
+	}
+	tries := row.failures + row.lapses
+	if reason, spent := p.spent(i); spent {
+		p.abandon(i, reason)
+		return
+	}
+	wait := p.settings.maxBackoff
+	if shift := tries - 1; shift < maxBackoffShift {
+		wait = min(wait, p.settings.backoff<<shift)
+	}
+	p.retryAfter(i, p.jitter(wait))
+}
+
+// abandon gives a task up, and with it the rest of its gang.
+func (p *Placer) abandon(i int32, reason string) {
+	c := p.tasks.rows[i].class
+	gang := p.classes.rows[c].key.kind == kindGang
+	p.decisions = append(p.decisions, GiveUp{
+		task:   p.tasks.rows[i].Task,
+		reason: reason,
+	})
+	p.forget(i)
+	if gang && p.classes.rows[c].live > 0 {
+		p.giveUpGang(c, reason)
+	}
+}
+
+// retryAfter brings a task whose start has ended back to wait.
+func (p *Placer) retryAfter(i int32, wait time.Duration) {
+	now := p.clock.Now()
+	p.move(i, eventRetry)
+	p.tasks.rows[i].overflowed = false
+	if wait <= 0 {
+		p.enqueue(i, now)
+		return
+	}
+	p.move(i, eventDelay)
+	p.tasks.rows[i].since = now
+	p.wakeAt(i, now.Add(wait))
+}
+
+// jitter returns a random wait between half of d and one and a half.
+func (p *Placer) jitter(d time.Duration) time.Duration {
+	if d <= 0 {
+		return 0
+	}
+	return d/2 + time.Duration(p.random.Int64N(int64(d)))
+}
+
+func (p *Placer) adopt(worker string, task Task, ref namer.TaskRef, running connector.TaskReport) {
+	w, ok := p.workers.byName[worker]
+	if !ok {
+		return
+	}
+	hold := running.Size.Max(task.size)
+	if i, known := p.tasks.byID[ref.Task]; known {
+		row := &p.tasks.rows[i]
+		switch {
+		case !row.state.holdsRoom():
+			p.withdraw(i)
+			p.seat(i, w, ref, hold)
+			return
+		case row.attempt == ref.Attempt:
+			p.move(i, eventAdopt)
+			return
+		default:
+			p.adoptStray(i, w, task, ref, hold)
+			return
+		}
+	}
+	i := p.tasks.add(task)
+	p.tasks.byID[task.id] = i
+	p.tasks.rows[i].external = kindOf(task.policy) == kindGang
+	p.classify(i)
+	p.seat(i, w, ref, hold)
+}
+
+// withdraw takes a task that waits out of whatever it waits in.
+func (p *Placer) withdraw(i int32) {
+	switch p.tasks.rows[i].state {
+	case StatePending:
+		p.dequeue(i)
+	case StateClaimed:
+		p.unclaim(i)
+	default:
+	}
+}
+
+// seat gives an adopted start its room.
+func (p *Placer) seat(i, worker int32, ref namer.TaskRef, hold sizer.Size) {
+	row := &p.tasks.rows[i]
+	row.attempt = ref.Attempt
+	row.since = p.clock.Now()
+	p.take(i, worker, hold, eventAdopt)
+	p.drainTask(i)
+}
+
+// adoptStray takes over a second start of a task and stops it. The first stays,
+// since it is the one that whoever drives the placer renews.
+func (p *Placer) adoptStray(other, worker int32, task Task, ref namer.TaskRef, hold sizer.Size) {
+	if _, known := p.tasks.strays[ref]; known {
+		return
+	}
+	i := p.tasks.add(task)
+	row := &p.tasks.rows[i]
+	row.stray = true
+	row.class = p.tasks.rows[other].class
+	p.classes.rows[row.class].live++
+	p.tasks.strays[ref] = i
+	p.seat(i, worker, ref, hold)
+	p.stop(i, false)
+}
--- /dev/null
+++ b/placer/teams.go
@@ -0,0 +1,303 @@
+package placer
+
+import (
+	"cmp"
+	"math/bits"
+	"slices"
+	"time"
+
+	"github.com/galenacove/galenacove/sizer"
+)
+
+// shareScale is the number of levels by which waiting classes are ordered by
+// size, each twice as large as the one below.
+const shareScale = 1 << 20
+
+// ageStep is the time after which earlier work goes first whatever its size.
+const ageStep = 5 * time.Minute
+
+// band orders the work of a team.
+type band uint8
+
+const (
+	bandUrgent band = iota
+	bandService
+	bandGang
+	bandBatch
+)
+
+// rank is the place of a class in the order of its team: by band, then by age
+// in steps, then the larger first, then by arrival.
+type rank struct {
+	band     band
+	age      int64
+	level    int
+	sequence uint64
+}
+
+func (r rank) compare(other rank) int {
+	return cmp.Or(
+		cmp.Compare(r.band, other.band),
+		cmp.Compare(r.age, other.age),
+		cmp.Compare(other.level, r.level),
+		cmp.Compare(r.sequence, other.sequence),
+	)
+}
+
+// queueEntry is a class with waiting tasks in the order of its team.
+type queueEntry struct {
+	rank  rank
+	need  sizer.Size
+	class int32
+	// blocked says that the class found no room, and needs to be tried only
+	// where some was freed since.
+	blocked bool
+}
+
+type teamRow struct {
+	name string
+	// weight is above 0.
+	weight float64
+	// quota is the most that the team's tasks may hold; a dimension of 0 is not
+	// limited.
+	quota sizer.Size
+	// used is the room that the team's tasks hold.
+	used  sizer.Size
+	queue []queueEntry
+	// share is the dominant share over the weight, valid during a tick.
+	share float64
+	// cursor is the first entry of the queue that this tick has not tried.
+	cursor int
+	// waiting is the place of the team in the table's list of those with a
+	// queue, none if the queue is empty.
+	waiting int32
+	// listed says that the team is in the table's list of those with something
+	// new to try.
+	listed bool
+}
+
+type teamTable struct {
+	rows   []teamRow
+	byName map[string]int32
+	// waiting lists the teams with a queue, fresh those with something new to
+	// try: work that was not tried yet, or room under the quota.
+	waiting []int32
+	fresh   []int32
+	// turn is the heap of the teams that may have something to place.
+	turn turnHeap
+}
+
+func (t *teamTable) init() {
+	t.byName = make(map[string]int32)
+	t.turn.teams = t
+}
+
+// number returns the row of a team, which it makes if there is none.
+func (t *teamTable) number(name string) int32 {
+	if i, ok := t.byName[name]; ok {
+		return i
+	}
+	i := int32(len(t.rows))
+	t.rows = append(t.rows, teamRow{
+		name:    name,
+		weight:  1,
+		waiting: none,
+	})
+	t.byName[name] = i
+	return i
+}
+
+// SetTeam sets the weight of a team, above 0, and the most that its tasks may
+// hold at once. A dimension of the quota that is 0 is not limited. A team that
+// was not set has weight 1 and no quota.
+func (p *Placer) SetTeam(name string, weight float64, quota sizer.Size) {
+	i := p.teams.number(name)
+	row := &p.teams.rows[i]
+	if weight > 0 {
+		row.weight = weight
+	}
+	row.quota = quota
+	p.teams.list(i)
+}
+
+// list notes that a team has something new to try.
+func (t *teamTable) list(i int32) {
+	row := &t.rows[i]
+	if row.listed {
+		return
+	}
+	row.listed = true
+	t.fresh = append(t.fresh, i)
+}
+
+// setWaiting keeps the list of the teams with a queue.
+func (t *teamTable) setWaiting(i int32) {
+	row := &t.rows[i]
+	switch {
+	case len(row.queue) > 0 && row.waiting == none:
+		row.waiting = int32(len(t.waiting))
+		t.waiting = append(t.waiting, i)
+	case len(row.queue) == 0 && row.waiting != none:
+		last := t.waiting[len(t.waiting)-1]
+		t.waiting[row.waiting] = last
+		t.rows[last].waiting = row.waiting
+		t.waiting = t.waiting[:len(t.waiting)-1]
+		row.waiting = none
+	}
+}
+
+// overQuota reports whether a task of this size is beyond the quota of the team.
+func (t *teamRow) overQuota(size sizer.Size) bool {
+	after := t.used.Add(size)
+	return exceeds(after.MilliCores(), t.quota.MilliCores()) ||
+		exceeds(after.Bytes(), t.quota.Bytes()) ||
+		exceeds(after.Accelerators(), t.quota.Accelerators())
+}
+
+func exceeds(amount, limit int64) bool {
+	return limit > 0 && amount > limit
+}
+
+// charge counts room for the team of a task, and where its service runs.
+func (p *Placer) charge(i int32, size sizer.Size) {
+	row := &p.tasks.rows[i]
+	class := &p.classes.rows[row.class]
+	team := &p.teams.rows[class.key.team]
+	team.used = team.used.Add(size)
+	if class.spread != nil {
+		p.spread(class.spread, row.worker, 1)
+	}
+}
+
+// discharge takes back what charge counted.
+func (p *Placer) discharge(i int32, size sizer.Size) {
+	row := &p.tasks.rows[i]
+	class := &p.classes.rows[row.class]
+	team := &p.teams.rows[class.key.team]
+	team.used = team.used.Sub(size)
+	if class.spread != nil {
+		p.spread(class.spread, row.worker, -1)
+	}
+	if !team.quota.IsZero() {
+		p.teams.list(class.key.team)
+	}
+}
+
+func (p *Placer) spread(s *spreadCount, worker int32, by int) {
+	rack := p.workers.rows[worker].rack
+	dataCentre := p.workers.racks.rows[rack].dataCentre
+	add(s.workers, worker, by)
+	add(s.racks, rack, by)
+	add(s.dataCentres, dataCentre, by)
+}
+
+func add(counts map[int32]int, key int32, by int) {
+	counts[key] += by
+	if counts[key] == 0 {
+		delete(counts, key)
+	}
+}
+
+// queue puts a class with waiting tasks into the order of its team.
+func (p *Placer) queue(c int32, now time.Time) {
+	class := &p.classes.rows[c]
+	p.classes.sequence++
+	class.position = rank{
+		band:     class.band(),
+		age:      now.UnixNano() / int64(ageStep),
+		level:    bits.Len64(uint64(class.key.size.DominantShare(p.total) * shareScale)),
+		sequence: p.classes.sequence,
+	}
+	class.queued = true
+	class.blockedSince = time.Time{}
+	team := &p.teams.rows[class.key.team]
+	at, _ := team.find(class.position)
+	team.queue = slices.Insert(team.queue, at, queueEntry{
+		rank:  class.position,
+		need:  class.need,
+		class: c,
+	})
+	if at < team.cursor {
+		team.cursor++
+	}
+	p.teams.setWaiting(class.key.team)
+	p.teams.list(class.key.team)
+}
+
+// unqueue takes a class out of the order of its team.
+func (p *Placer) unqueue(c int32) {
+	class := &p.classes.rows[c]
+	team := &p.teams.rows[class.key.team]
+	at, _ := team.find(class.position)
+	team.queue = slices.Delete(team.queue, at, at+1)
+	if at < team.cursor {
+		team.cursor--
+	}
+	class.queued = false
+	class.blockedSince = time.Time{}
+	p.teams.setWaiting(class.key.team)
+}
+
+// find returns the index of a rank in the order of the team.
+func (t *teamRow) find(position rank) (int, bool) {
+	return slices.BinarySearchFunc(t.queue, position, func(e queueEntry, r rank) int {
+		return e.rank.compare(r)
+	})
+}
+
+// entry returns the entry of a queued class.
+func (p *Placer) entry(c int32) *queueEntry {
+	class := &p.classes.rows[c]
+	team := &p.teams.rows[class.key.team]
+	at, _ := team.find(class.position)
+	return &team.queue[at]
+}
+
+func (c *classRow) band() band {
+	if c.key.urgent {
+		return bandUrgent
+	}
+	switch c.policy.(type) {
+	case ServicePolicy:
+		return bandService
+	case GangPolicy:
+		return bandGang
+	default:
+		return bandBatch
+	}
+}
+
+// turnHeap orders the teams by weighted dominant share, the least first.
+type turnHeap struct {
+	teams   *teamTable
+	numbers []int32
+}
+
+// Len returns the number of teams.
+func (h *turnHeap) Len() int { return len(h.numbers) }
+
+// Less compares two teams by share, then by number.
+func (h *turnHeap) Less(i, j int) bool {
+	a, b := h.numbers[i], h.numbers[j]
+	return cmp.Or(
+		cmp.Compare(h.teams.rows[a].share, h.teams.rows[b].share),
+		cmp.Compare(a, b),
+	) < 0
+}
+
+// Swap exchanges two teams.
+func (h *turnHeap) Swap(i, j int) {
+	h.numbers[i], h.numbers[j] = h.numbers[j], h.numbers[i]
+}
+
+// Push adds a team.
+func (h *turnHeap) Push(x any) {
+	h.numbers = append(h.numbers, x.(int32))
+}
+
+// Pop removes the last team.
+func (h *turnHeap) Pop() any {
+	last := h.numbers[len(h.numbers)-1]
+	h.numbers = h.numbers[:len(h.numbers)-1]
+	return last
+}
--- /dev/null
+++ b/placer/timers.go
@@ -0,0 +1,103 @@
+package placer
+
+import (
+	"container/heap"
+	"time"
+)
+
+// timer wakes a task, a worker, a gang or a team. It is not taken back: whoever is woken
+// checks that it still waits for that time.
+type timer struct {
+	at     time.Time
+	kind   timerKind
+	row    int32
+	gang   string
+	serial uint64
+}
+
+type timerKind uint8
+
+const (
+	timerTask timerKind = iota
+	timerWorker
+	timerGang
+	timerTeam
+)
+
+type timerHeap []timer
+
+// Len returns the number of timers.
+func (h timerHeap) Len() int { return len(h) }
+
+// Less compares two timers by time, then by the order of their making.
+func (h timerHeap) Less(i, j int) bool {
+	if h[i].at.Equal(h[j].at) {
+		return h[i].serial < h[j].serial
+	}
+	return h[i].at.Before(h[j].at)
+}
+
+// Swap exchanges two timers.
+func (h timerHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+
+// Push adds a timer.
+func (h *timerHeap) Push(x any) { *h = append(*h, x.(timer)) }
+
+// Pop removes the last timer.
+func (h *timerHeap) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return last
+}
+
+func (p *Placer) addTimer(t timer) uint64 {
+	p.serial++
+	t.serial = p.serial
+	heap.Push(&p.timers, t)
+	return t.serial
+}
+
+// wakeAt wakes a task at a time, in place of any time asked for before.
+func (p *Placer) wakeAt(i int32, at time.Time) {
+	p.tasks.rows[i].due = at
+	p.tasks.rows[i].timer = p.addTimer(timer{
+		at:   at,
+		kind: timerTask,
+		row:  i,
+	})
+}
+
+// runTimers wakes whatever is due.
+func (p *Placer) runTimers(now time.Time) {
+	for len(p.timers) > 0 && !p.timers[0].at.After(now) {
+		t := heap.Pop(&p.timers).(timer)
+		switch t.kind {
+		case timerTask:
+			p.wakeTask(t, now)
+		case timerWorker:
+			p.wakeWorker(t)
+		case timerGang:
+			p.expireGang(t)
+		case timerTeam:
+			p.teams.list(t.row)
+		}
+	}
+}
+
+func (p *Placer) wakeTask(t timer, now time.Time) {
+	row := &p.tasks.rows[t.row]
+	if row.timer != t.serial {
+		return
+	}
+	switch row.state {
+	case StateBackoff:
+		p.move(t.row, eventWake)
+		p.enqueue(t.row, now)
+	case StateStopping:
+		p.stop(t.row, false)
+	case StateStarting, StateRunning:
+		p.probeHeld(t.row, now)
+	default:
+	}
+}
--- /dev/null
+++ b/placer/views.go
@@ -0,0 +1,218 @@
+package placer
+
+import (
+	"time"
+
+	"github.com/galenacove/galenacove/namer"
+	"github.com/galenacove/galenacove/sizer"
+)
+
+// TaskView is what is known of a task.
+type TaskView struct {
+	task     Task
+	ref      namer.TaskRef
+	state    TaskState
+	worker   string
+	hold     sizer.Size
+	usage    sizer.Size
+	since    time.Time
+	failures int
+	lapses   int
+}
+
+// Task returns the task as it was submitted.
+func (v TaskView) Task() Task { return v.task }
+
+// Ref returns the current start, without an attempt if the task waits for its
+// first.
+func (v TaskView) Ref() namer.TaskRef { return v.ref }
+
+// State returns where the task is.
+func (v TaskView) State() TaskState { return v.state }
+
+// Worker returns the worker that the task has or is kept room on, if any.
+func (v TaskView) Worker() string { return v.worker }
+
+// Hold returns the room that the task holds.
+func (v TaskView) Hold() sizer.Size { return v.hold }
+
+// Usage returns what the task was last seen to use.
+func (v TaskView) Usage() sizer.Size { return v.usage }
+
+// Since returns when the task came to wait, or when it was started.
+func (v TaskView) Since() time.Time { return v.since }
+
+// Failures returns how often the task failed.
+func (v TaskView) Failures() int { return v.failures }
+
+// Lapses returns how often the task lost its worker.
+func (v TaskView) Lapses() int { return v.lapses }
+
+// WorkerView is what is known of a worker.
+type WorkerView struct {
+	worker   Worker
+	state    WorkerState
+	used     sizer.Size
+	claimed  sizer.Size
+	observed sizer.Size
+	failures int
+}
+
+// Worker returns the worker.
+func (v WorkerView) Worker() Worker { return v.worker }
+
+// State returns whether the worker takes tasks.
+func (v WorkerView) State() WorkerState { return v.state }
+
+// Used returns the room that tasks hold.
+func (v WorkerView) Used() sizer.Size { return v.used }
+
+// Claimed returns the room that is kept for tasks that wait for it.
+func (v WorkerView) Claimed() sizer.Size { return v.claimed }
+
+// Observed returns what the tasks were last seen to use.
+func (v WorkerView) Observed() sizer.Size { return v.observed }
+
+// Failures returns how many starts have failed since one finished.
+func (v WorkerView) Failures() int { return v.failures }
+
+// TeamView is what is known of a team.
+type TeamView struct {
+	name   string
+	weight float64
+	quota  sizer.Size
+	used   sizer.Size
+	share  float64
+}
+
+// Name returns the name of the team.
+func (v TeamView) Name() string { return v.name }
+
+// Weight returns the weight of the team.
+func (v TeamView) Weight() float64 { return v.weight }
+
+// Quota returns the most that the team's tasks may hold.
+func (v TeamView) Quota() sizer.Size { return v.quota }
+
+// Used returns the room that the team's tasks hold.
+func (v TeamView) Used() sizer.Size { return v.used }
+
+// DominantShare returns the largest share that the team holds of any resource of
+// all workers.
+func (v TeamView) DominantShare() float64 { return v.share }
+
+// Summary is the sums over all workers.
+type Summary struct {
+	total sizer.Size
+	free  sizer.Size
+	tasks int
+}
+
+// Total returns the capacity of all workers.
+func (s Summary) Total() sizer.Size { return s.total }
+
+// Free returns the room on open workers that is neither taken nor kept.
+func (s Summary) Free() sizer.Size { return s.free }
+
+// Tasks returns the number of tasks that are known.
+func (s Summary) Tasks() int { return s.tasks }
+
+// Summary returns the sums over all workers.
+func (p *Placer) Summary() Summary {
+	return Summary{
+		total: p.total,
+		free:  p.free,
+		tasks: len(p.tasks.byID),
+	}
+}
+
+// Task returns what is known of one task.
+func (p *Placer) Task(id namer.TaskID) (TaskView, bool) {
+	i, ok := p.tasks.byID[id]
+	if !ok {
+		return TaskView{}, false
+	}
+	return p.taskView(i), true
+}
+
+// Tasks yields all tasks, in the order of the table, until yield returns false.
+// The placer must not be changed meanwhile.
+func (p *Placer) Tasks(yield func(TaskView) bool) {
+	for i := range p.tasks.rows {
+		if p.tasks.rows[i].state == StateNone {
+			continue
+		}
+		if !yield(p.taskView(int32(i))) {
+			return
+		}
+	}
+}
+
+func (p *Placer) taskView(i int32) TaskView {
+	row := &p.tasks.rows[i]
+	v := TaskView{
+		task:     row.Task,
+		ref:      row.ref(),
+		state:    row.state,
+		hold:     row.hold,
+		usage:    row.usage,
+		since:    row.since,
+		failures: row.failures,
+		lapses:   row.lapses,
+	}
+	if row.worker != none {
+		v.worker = p.workers.rows[row.worker].name
+	}
+	return v
+}
+
+// Workers yields all workers, in the order of the table, until yield returns
+// false. The placer must not be changed meanwhile.
+func (p *Placer) Workers(yield func(WorkerView) bool) {
+	for i := range p.workers.rows {
+		w := &p.workers.rows[i]
+		if !w.known {
+			continue
+		}
+		if !yield(w.view()) {
+			return
+		}
+	}
+}
+
+func (w *workerRow) view() WorkerView {
+	state := w.state
+	switch {
+	case state != Open:
+	case w.health.phase == phaseAside:
+		state = SetAside
+	case w.health.phase == phaseProbing:
+		state = Probing
+	}
+	return WorkerView{
+		worker:   w.Worker,
+		state:    state,
+		used:     w.used,
+		claimed:  w.claimed,
+		observed: w.observed,
+		failures: w.health.failures,
+	}
+}
+
+// Teams yields all teams, in the order in which they became known, until yield
+// returns false.
+func (p *Placer) Teams(yield func(TeamView) bool) {
+	for i := range p.teams.rows {
+		row := &p.teams.rows[i]
+		v := TeamView{
+			name:   row.name,
+			weight: row.weight,
+			quota:  row.quota,
+			used:   row.used,
+			share:  row.used.DominantShare(p.total),
+		}
+		if !yield(v) {
+			return
+		}
+	}
+}
