Add the dispatcher: ownership, leases, homes and holders, first version

The cause: nothing drove the placer over workers, took workers over from a dead owner, or handed a job's tasks to several owners. Now tables under one lock ask for calls as effects, and the ends come back as events; links to workers, an exchange of numbered items between members, homes, holders and gangs are systems over them.

--- /dev/null
+++ b/dispatcher/effects.go
@@ -0,0 +1,234 @@
+package dispatcher
+
+import (
+	"context"
+	"net/http/httptrace"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/galenacove/galenacove/connector"
+	"github.com/galenacove/galenacove/namer"
+	"github.com/galenacove/galenacove/recorder"
+)
+
+// effect is a call that the tables ask for. It is one of the types of this
+// file; each ends in exactly one event.
+type effect interface {
+	effect()
+}
+
+// renewEffect renews the leases at a worker and asks for its report.
+type renewEffect struct {
+	worker  string
+	client  connector.Worker
+	link    uint64
+	renewal connector.Renewal
+	timeout time.Duration
+}
+
+// startEffect starts a task unless the owner's last contact has lapsed.
+type startEffect struct {
+	worker string
+	client connector.Worker
+	link   uint64
+	start  connector.Start
+	// notAfter is the last moment at which the start may be written.
+	notAfter time.Time
+	timeout  time.Duration
+}
+
+// stopEffect ends tasks.
+type stopEffect struct {
+	client  connector.Worker
+	stop    connector.Stop
+	timeout time.Duration
+}
+
+// throttleEffect limits a task.
+type throttleEffect struct {
+	client   connector.Worker
+	throttle connector.Throttle
+	timeout  time.Duration
+}
+
+// exchangeEffect exchanges messages with a peer.
+type exchangeEffect struct {
+	member  string
+	address string
+	message Message
+	timeout time.Duration
+}
+
+// commitEffect records something in the log.
+type commitEffect struct {
+	body recorder.Body
+}
+
+func (renewEffect) effect()    {}
+func (startEffect) effect()    {}
+func (stopEffect) effect()     {}
+func (throttleEffect) effect() {}
+func (exchangeEffect) effect() {}
+func (commitEffect) effect()   {}
+
+// event is the end of an effect. It is one of the types of this file.
+type event interface {
+	event()
+}
+
+// renewedEvent is the end of a renewEffect.
+type renewedEvent struct {
+	worker string
+	link   uint64
+	// sentAt is a time before, and doneAt one after the renewal was written.
+	sentAt  time.Time
+	doneAt  time.Time
+	renewal connector.Renewal
+	report  connector.Report
+	err     error
+}
+
+// startedEvent is the end of a startEffect.
+type startedEvent struct {
+	worker string
+	link   uint64
+	ref    namer.TaskRef
+	// sentAt is a time before, and doneAt one after the start was written.
+	sentAt time.Time
+	doneAt time.Time
+	err    error
+}
+
+// stoppedEvent is the end of a stopEffect or a throttleEffect. The report tells
+// whether it had an effect.
+type stoppedEvent struct{}
+
+// exchangedEvent is the end of an exchangeEffect.
+type exchangedEvent struct {
+	member string
+	epoch  namer.Epoch
+	reply  Message
+	err    error
+}
+
+// committedEvent is the end of a commitEffect.
+type committedEvent struct {
+	body recorder.Body
+	err  error
+}
+
+func (renewedEvent) event()   {}
+func (startedEvent) event()   {}
+func (stoppedEvent) event()   {}
+func (exchangedEvent) event() {}
+func (committedEvent) event() {}
+
+// errLapsed is the end of a start that was not written, since the owner's last
+// contact with the worker had lapsed.
+var errLapsed = errors.New("dispatcher: the last contact has lapsed")
+
+// perform makes the call of an effect and returns its end.
+func (s *settings) perform(ctx context.Context, e effect) event {
+	switch e := e.(type) {
+	case renewEffect:
+		return s.renew(ctx, e)
+	case startEffect:
+		return s.start(ctx, e)
+	case stopEffect:
+		ctx, cancel := context.WithTimeout(ctx, e.timeout)
+		defer cancel()
+		// What came of it shows in the report.
+		_ = e.client.Stop(ctx, e.stop)
+		return stoppedEvent{}
+	case throttleEffect:
+		ctx, cancel := context.WithTimeout(ctx, e.timeout)
+		defer cancel()
+		_ = e.client.Throttle(ctx, e.throttle)
+		return stoppedEvent{}
+	case exchangeEffect:
+		return s.exchange(ctx, e)
+	case commitEffect:
+		return committedEvent{
+			body: e.body,
+			err:  s.record(ctx, e.body),
+		}
+	default:
+		return stoppedEvent{}
+	}
+}
+
+func (s *settings) renew(ctx context.Context, e renewEffect) event {
+	ctx, cancel := context.WithTimeout(ctx, e.timeout)
+	defer cancel()
+	sentAt := s.clock.Now()
+	report, err := e.client.Renew(ctx, e.renewal)
+	return renewedEvent{
+		worker:  e.worker,
+		link:    e.link,
+		sentAt:  sentAt,
+		doneAt:  s.clock.Now(),
+		renewal: e.renewal,
+		report:  report,
+		err:     err,
+	}
+}
+
+// start writes a start. Whether the owner may still do so is looked at last of
+// all: over HTTP once there is a connection, so that neither a queue of calls
+// nor a slow connection makes it late.
+func (s *settings) start(ctx context.Context, e startEffect) event {
+	ctx, cancel := context.WithTimeout(ctx, e.timeout)
+	defer cancel()
+	ended := startedEvent{
+		worker: e.worker,
+		link:   e.link,
+		ref:    e.start.Ref,
+		sentAt: s.clock.Now(),
+		err:    errLapsed,
+	}
+	if !s.mayStart(e) {
+		ended.doneAt = s.clock.Now()
+		return ended
+	}
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) {
+			if !s.mayStart(e) {
+				cancel()
+			}
+		},
+	})
+	ended.err = e.client.Start(ctx, e.start)
+	ended.doneAt = s.clock.Now()
+	return ended
+}
+
+func (s *settings) mayStart(e startEffect) bool {
+	return s.fault == faultLateStart || s.clock.Now().Before(e.notAfter)
+}
+
+func (s *settings) exchange(ctx context.Context, e exchangeEffect) event {
+	ended := exchangedEvent{
+		member: e.member,
+		epoch:  e.message.Epoch,
+		err:    ErrOff,
+	}
+	if s.caller == nil {
+		return ended
+	}
+	ctx, cancel := context.WithTimeout(ctx, e.timeout)
+	defer cancel()
+	var reply Message
+	ended.err = s.caller.Call(ctx, e.address, methodExchange, &e.message, &reply)
+	if ended.err == nil {
+		ended.reply = reply
+	}
+	return ended
+}
+
+func (s *settings) record(ctx context.Context, body recorder.Body) error {
+	if s.commit == nil {
+		return ErrOff
+	}
+	return s.commit(ctx, body)
+}
--- /dev/null
+++ b/dispatcher/links.go
@@ -0,0 +1,473 @@
+package dispatcher
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/galenacove/galenacove/connector"
+	"github.com/galenacove/galenacove/namer"
+	"github.com/galenacove/galenacove/placer"
+)
+
+// linkState says how this owner stands with a worker.
+//
+//	from        on                                                to
+//	unknown     the worker accepts the epoch                      waiting
+//	waiting     the former owner's contacts have lapsed, and a
+//	            report that was asked for after that is read      owned
+//	owned       no contact for a lease term                       silent
+//	silent      the worker answers                                owned
+//	any         the worker has a later epoch                      superseded
+//	any         the worker's process is a new one                 waiting
+//	superseded  a new epoch                                       unknown
+type linkState uint8
+
+const (
+	// linkUnknown has not accepted the epoch.
+	linkUnknown linkState = iota
+	// linkWaiting has accepted it; a former owner's start may still arrive.
+	linkWaiting
+	// linkOwned is adopted: tasks may be started.
+	linkOwned
+	// linkSilent was owned, and has not answered for a lease term.
+	linkSilent
+	// linkSuperseded has seen a later epoch: nothing is sent to it.
+	linkSuperseded
+)
+
+// String returns the state as one word.
+func (s linkState) String() string {
+	switch s {
+	case linkUnknown:
+		return "unknown"
+	case linkWaiting:
+		return "waiting"
+	case linkOwned:
+		return "owned"
+	case linkSilent:
+		return "silent"
+	case linkSuperseded:
+		return "superseded"
+	default:
+		return "none"
+	}
+}
+
+// startState says what is known of a start.
+type startState uint8
+
+const (
+	// startSending is on its way.
+	startSending startState = iota
+	// startUnknown was sent, and its answer was lost.
+	startUnknown
+	// startRunning was acknowledged or reported.
+	startRunning
+	// startFinished did its work; the log may not have it yet.
+	startFinished
+)
+
+// start is one start of a task at a worker of this owner.
+type start struct {
+	ref   namer.TaskRef
+	state startState
+	// touched is the latest sending that may have lengthened the lease.
+	touched time.Time
+	// settled is when the start had certainly reached the worker or never
+	// will: a report asked for later that does not name it proves its end.
+	settled time.Time
+	// stopping is set once the placer asked for the end.
+	stopping   bool
+	checkpoint bool
+	// stopSent is when the last stop was sent.
+	stopSent time.Time
+}
+
+// link is this owner's side of one worker.
+type link struct {
+	host   connector.Host
+	client connector.Worker
+	state  linkState
+	// number tells this link from an earlier one to the same worker.
+	number uint64
+	// since is when this owner came to own the worker.
+	since time.Time
+	// incarnation is that of the last report.
+	incarnation string
+	// announced is when the answer of the first contact of this ownership was
+	// read.
+	announced time.Time
+	// contact is the sending of the last contact that the worker accepted.
+	contact time.Time
+	// adopted is set once the link was owned.
+	adopted bool
+	// inFlight is set while a renewal is. There is at most one, so that
+	// reports are read in the order in which they were made.
+	inFlight bool
+	// due is when the next renewal is sent.
+	due time.Time
+	// found are the starts of a former owner, which are kept alive meanwhile.
+	found []namer.TaskRef
+	// starts holds what runs, may run, or ended without being recorded.
+	starts map[namer.TaskRef]*start
+	// acks are ended starts that the worker may forget.
+	acks map[namer.TaskRef]struct{}
+	// listed says that the host list has the worker.
+	listed bool
+	// leaving says that the host list or the worker itself lets it go.
+	leaving bool
+	// draining is the operators' wish.
+	draining bool
+	// shown is what the placer was told.
+	shown placer.WorkerState
+}
+
+// mayStartUntil returns the moment at which the right to start tasks ends.
+func (l *link) mayStartUntil(t terms) time.Time {
+	return l.contact.Add(t.lease)
+}
+
+func (t *tables) addLink(host connector.Host) *link {
+	t.links.count++
+	l := &link{
+		host:   host,
+		number: t.links.count,
+		since:  t.now,
+		due:    t.now,
+		starts: make(map[namer.TaskRef]*start),
+		acks:   make(map[namer.TaskRef]struct{}),
+		listed: true,
+	}
+	if t.settings.workers != nil {
+		l.client = t.settings.workers(host.Address)
+	}
+	t.links.byName[host.Name] = l
+	t.putWorker(l)
+	return l
+}
+
+func (t *tables) putWorker(l *link) {
+	h := l.host
+	t.placer.PutWorker(placer.NewWorker(h.Name, h.Rack, h.DataCentre, h.Capacity))
+}
+
+// dropLink forgets a worker and everything on it.
+func (t *tables) dropLink(l *link) {
+	for ref := range l.starts {
+		t.dropHolding(ref)
+		delete(t.finished, ref)
+	}
+	t.placer.RemoveWorker(l.host.Name)
+	delete(t.links.byName, l.host.Name)
+}
+
+// resetLink starts the takeover of a worker from the beginning.
+func (t *tables) resetLink(l *link) {
+	host, listed, draining := l.host, l.listed, l.draining
+	t.dropLink(l)
+	fresh := t.addLink(host)
+	fresh.listed = listed
+	fresh.draining = draining
+}
+
+// setHosts takes the workers of the host list that this entry owns.
+func (t *tables) setHosts(hosts []connector.Host) {
+	t.listed = make(map[string]connector.Host, len(hosts))
+	for _, host := range hosts {
+		if host.Kind == connector.KindWorker && host.DataCentre == t.dataCentre {
+			t.listed[host.Name] = host
+		}
+	}
+	t.hostsKnown = true
+	t.matchHosts()
+}
+
+// matchHosts brings the links in line with the host list and the members.
+func (t *tables) matchHosts() {
+	if !t.member {
+		return
+	}
+	for _, l := range t.links.byName {
+		_, l.listed = t.listed[l.host.Name]
+	}
+	for name, host := range t.listed {
+		if owner, _ := namer.Owner(name, t.members); owner != t.self {
+			continue
+		}
+		t.updateHost(host)
+	}
+}
+
+func (t *tables) updateHost(host connector.Host) {
+	l := t.links.byName[host.Name]
+	if l == nil {
+		l = t.addLink(host)
+	}
+	if l.host != host {
+		if l.host.Address != host.Address && t.settings.workers != nil {
+			l.client = t.settings.workers(host.Address)
+		}
+		l.host = host
+		t.putWorker(l)
+	}
+	l.leaving = host.State == connector.HostLeaving
+	t.show(l)
+}
+
+// show tells the placer whether a worker takes tasks.
+func (t *tables) show(l *link) {
+	state := placer.Closed
+	switch {
+	case l.state != linkOwned || t.leaving:
+	case !l.listed:
+		// The list lags: the worker keeps what it has, and gets nothing new.
+	case l.leaving || l.draining:
+		state = placer.Draining
+	default:
+		state = placer.Open
+	}
+	if state == l.shown {
+		return
+	}
+	l.shown = state
+	t.placer.SetWorkerState(l.host.Name, state)
+}
+
+// tendLinks sends what is due and finds what has lapsed.
+func (t *tables) tendLinks() {
+	for _, l := range t.links.byName {
+		t.tendLink(l)
+	}
+}
+
+func (t *tables) tendLink(l *link) {
+	if l.state == linkOwned && !t.now.Before(l.mayStartUntil(t.settings.terms)) {
+		t.silence(l)
+	}
+	if l.state == linkSilent {
+		t.lapse(l)
+	}
+	if !l.listed && l.resolved(t.now, t.settings.terms) {
+		t.dropLink(l)
+		return
+	}
+	if l.state != linkSuperseded && !l.inFlight && !t.now.Before(l.due) {
+		t.renew(l)
+	}
+	t.resendStops(l)
+	t.show(l)
+}
+
+// resolved reports whether a worker that is gone from the host list certainly
+// runs nothing.
+func (l *link) resolved(now time.Time, terms terms) bool {
+	switch l.state {
+	case linkUnknown:
+		return now.After(l.since.Add(terms.lapse()))
+	case linkSilent:
+		return len(l.starts) == 0
+	default:
+		return false
+	}
+}
+
+func (t *tables) silence(l *link) {
+	l.state = linkSilent
+	t.log.Warnf("dispatcher: worker %s is silent", l.host.Name)
+	t.show(l)
+}
+
+// lapse ends the starts of a silent worker whose leases have certainly run out.
+// Another owner may have renewed them only in a later epoch. So it is also asked
+// that the log was read after the lapse and had no later epoch.
+func (t *tables) lapse(l *link) {
+	terms := t.settings.terms
+	for _, s := range l.starts {
+		if s.state == startFinished || s.state == startSending || l.inFlight {
+			continue
+		}
+		over := s.touched.Add(terms.lapse())
+		if t.settings.fault == faultEarlyLapse {
+			over = over.Add(-terms.lease)
+		}
+		if t.now.Before(over) || t.logContact.Before(over) {
+			continue
+		}
+		t.metrics.lapses.Inc()
+		t.log.Infof("dispatcher: the lease of %s at %s has lapsed", s.ref.Task, l.host.Name)
+		t.endStart(l, s, placer.Lapsed, "its worker was lost")
+	}
+}
+
+// renew sends one renewal. A worker that is silent is asked without naming its
+// tasks, so that their leases run out meanwhile.
+func (t *tables) renew(l *link) {
+	l.due = t.now.Add(t.settings.terms.renewal)
+	if l.client == nil {
+		return
+	}
+	renewal := connector.Renewal{
+		Epoch: t.epoch,
+		Lease: t.settings.terms.lease,
+	}
+	switch l.state {
+	case linkWaiting:
+		renewal.Refs = l.found
+	case linkOwned:
+		renewal.Refs = l.renewable()
+		renewal.Acknowledged = l.acknowledgements()
+	default:
+	}
+	l.inFlight = true
+	t.metrics.renewals.Inc()
+	t.emit(renewEffect{
+		worker:  l.host.Name,
+		client:  l.client,
+		link:    l.number,
+		renewal: renewal,
+		timeout: t.settings.terms.renewal,
+	})
+}
+
+func (l *link) renewable() []namer.TaskRef {
+	refs := make([]namer.TaskRef, 0, len(l.starts))
+	for ref, s := range l.starts {
+		if s.state == startRunning || s.state == startUnknown {
+			refs = append(refs, ref)
+		}
+	}
+	sortRefs(refs)
+	return refs
+}
+
+func (l *link) acknowledgements() []namer.TaskRef {
+	refs := make([]namer.TaskRef, 0, len(l.acks))
+	for ref := range l.acks {
+		refs = append(refs, ref)
+	}
+	sortRefs(refs)
+	return refs
+}
+
+// renewed reads the answer of a renewal.
+func (t *tables) renewed(e renewedEvent) {
+	l := t.links.byName[e.worker]
+	if l == nil || l.number != e.link {
+		return
+	}
+	l.inFlight = false
+	if !errors.Is(e.err, connector.ErrUnreachable) {
+		l.touch(e)
+	}
+	switch {
+	case errors.Is(e.err, connector.ErrFenced), e.err == nil && e.report.Epoch > e.renewal.Epoch:
+		t.supersede(l)
+	case e.err != nil, e.report.Epoch < t.epoch:
+		return
+	default:
+		t.accepted(l, e)
+	}
+}
+
+// touch notes that a renewal may have lengthened leases. It was written at the
+// latest when its call ended.
+func (l *link) touch(e renewedEvent) {
+	for _, ref := range e.renewal.Refs {
+		if s := l.starts[ref]; s != nil {
+			s.touched = maxTime(s.touched, e.doneAt)
+		}
+	}
+}
+
+// supersede stops the use of a worker that another owner has taken over.
+func (t *tables) supersede(l *link) {
+	if l.state == linkSuperseded {
+		return
+	}
+	l.state = linkSuperseded
+	t.log.Warnf("dispatcher: worker %s has a later epoch than %d", l.host.Name, t.epoch)
+	t.show(l)
+}
+
+// accepted reads the report of a worker that accepted the epoch.
+func (t *tables) accepted(l *link, e renewedEvent) {
+	for _, ref := range e.renewal.Acknowledged {
+		delete(l.acks, ref)
+	}
+	l.contact = e.sentAt
+	if t.reportedCapacity(l, e.report) {
+		t.putWorker(l)
+	}
+	l.leaving = e.report.Leaving || t.listed[l.host.Name].State == connector.HostLeaving
+	restarted := l.incarnation != "" && l.incarnation != e.report.Incarnation
+	l.incarnation = e.report.Incarnation
+	if restarted {
+		t.restarted(l)
+	}
+	t.readStarts(l, e)
+	switch l.state {
+	case linkUnknown:
+		l.state = linkWaiting
+		l.announced = t.now
+		l.note(e.report)
+		l.due = t.now
+	case linkWaiting:
+		l.note(e.report)
+		t.tryAdopt(l, e)
+	case linkSilent:
+		l.state = linkOwned
+		l.due = t.now
+		t.log.Infof("dispatcher: worker %s answers again", l.host.Name)
+	case linkOwned, linkSuperseded:
+	}
+	t.show(l)
+}
+
+// reportedCapacity takes the worker's own word for what it offers.
+func (t *tables) reportedCapacity(l *link, report connector.Report) bool {
+	if report.Capacity.IsZero() || report.Capacity == l.host.Capacity {
+		return false
+	}
+	l.host.Capacity = report.Capacity
+	return true
+}
+
+// restarted begins the takeover anew: a new process at the worker does not know
+// the epoch that the former one had accepted.
+func (t *tables) restarted(l *link) {
+	if l.state == linkUnknown {
+		return
+	}
+	t.log.Warnf("dispatcher: worker %s has restarted", l.host.Name)
+	l.state = linkWaiting
+	l.announced = t.now
+	l.found = nil
+	t.show(l)
+}
+
+// note keeps the starts that a former owner left, to keep them alive.
+func (l *link) note(report connector.Report) {
+	l.found = l.found[:0:0]
+	for _, task := range report.Tasks {
+		if task.State == connector.TaskRunning {
+			l.found = append(l.found, task.Ref)
+		}
+	}
+}
+
+// tryAdopt ends the wait of a takeover once every contact of the former owner
+// has lapsed, and the report was asked for after that.
+func (t *tables) tryAdopt(l *link, e renewedEvent) {
+	over := l.announced.Add(t.settings.terms.lapse())
+	if t.settings.fault == faultEarlyTakeover {
+		over = l.announced
+	}
+	if e.sentAt.Before(over) {
+		if t.now.Add(t.settings.terms.renewal).After(over) {
+			l.due = maxTime(over, t.now)
+		}
+		return
+	}
+	t.adopt(l, e)
+}
--- /dev/null
+++ b/dispatcher/starts.go
@@ -0,0 +1,339 @@
+package dispatcher
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/galenacove/galenacove/connector"
+	"github.com/galenacove/galenacove/namer"
+	"github.com/galenacove/galenacove/placer"
+	"github.com/galenacove/galenacove/recorder"
+)
+
+// adopt makes a worker this owner's, with everything that runs there.
+func (t *tables) adopt(l *link, e renewedEvent) {
+	l.state = linkOwned
+	l.adopted = true
+	l.found = nil
+	running := 0
+	for _, report := range e.report.Tasks {
+		if l.starts[report.Ref] != nil {
+			continue
+		}
+		if report.State == connector.TaskRunning {
+			running++
+		}
+		t.adoptStart(l, report, e.sentAt)
+	}
+	t.metrics.takeovers.Inc()
+	t.log.Infof("dispatcher: took over worker %s with %d tasks in epoch %d", l.host.Name, running, t.epoch)
+	t.audit("take over worker "+l.host.Name, "epoch or process of the worker changed")
+}
+
+// adoptStart takes over one start of a former owner. One that ended unfinished
+// needs no trace: once every member has reported, its task is placed again.
+func (t *tables) adoptStart(l *link, report connector.TaskReport, sentAt time.Time) {
+	s := &start{
+		ref:     report.Ref,
+		state:   startRunning,
+		touched: sentAt,
+		settled: sentAt,
+	}
+	id := report.Ref.Task
+	switch report.State {
+	case connector.TaskRunning:
+		l.starts[s.ref] = s
+		t.adoptHolding(id, s, report)
+		t.placer.Adopt(l.host.Name, t.taskOf(id, report), s.ref, report)
+	case connector.TaskFinished:
+		if t.kindOf(id.Job, report.Kind) == recorder.Service {
+			l.acks[s.ref] = struct{}{}
+			return
+		}
+		s.state = startFinished
+		l.starts[s.ref] = s
+		t.finished[s.ref] = l
+		t.send(t.homeOf(id.Job), Finished{
+			Refs: []namer.TaskRef{s.ref},
+		})
+	default:
+		l.acks[s.ref] = struct{}{}
+	}
+}
+
+// readStarts brings the starts of a worker up to date with its report.
+func (t *tables) readStarts(l *link, e renewedEvent) {
+	named := make(map[namer.TaskRef]struct{}, len(e.report.Tasks))
+	for _, report := range e.report.Tasks {
+		named[report.Ref] = struct{}{}
+		if s := l.starts[report.Ref]; s != nil {
+			t.readStart(l, s, report)
+			continue
+		}
+		if l.state == linkOwned || l.state == linkSilent {
+			t.strange(l, report)
+		}
+	}
+	for _, ref := range l.refs() {
+		s := l.starts[ref]
+		if _, ok := named[ref]; ok || !e.sentAt.After(s.settled) || s.state == startSending {
+			continue
+		}
+		t.missing(l, s)
+	}
+}
+
+func (l *link) refs() []namer.TaskRef {
+	refs := make([]namer.TaskRef, 0, len(l.starts))
+	for ref := range l.starts {
+		refs = append(refs, ref)
+	}
+	sortRefs(refs)
+	return refs
+}
+
+// missing ends a start that its worker does not know.
+func (t *tables) missing(l *link, s *start) {
+	switch s.state {
+	case startFinished:
+		// The worker's process is a new one. The log is told all the same.
+	case startUnknown:
+		t.endStart(l, s, placer.Refused, "it did not reach its worker")
+	default:
+		t.endStart(l, s, placer.Lapsed, "its worker does not know it")
+	}
+}
+
+// strange deals with a start that this owner does not have: one that it has
+// ended already, or one that came too late.
+func (t *tables) strange(l *link, report connector.TaskReport) {
+	if report.State != connector.TaskRunning {
+		l.acks[report.Ref] = struct{}{}
+		return
+	}
+	t.log.Errorf("dispatcher: worker %s runs %s, which was not expected", l.host.Name, report.Ref.Task)
+	t.emit(stopEffect{
+		client: l.client,
+		stop: connector.Stop{
+			Epoch: t.epoch,
+			Refs:  []namer.TaskRef{report.Ref},
+		},
+		timeout: t.settings.terms.renewal,
+	})
+}
+
+func (t *tables) readStart(l *link, s *start, report connector.TaskReport) {
+	if s.state == startFinished {
+		return
+	}
+	switch report.State {
+	case connector.TaskRunning:
+		s.state = startRunning
+		t.placer.Started(s.ref)
+		t.placer.Observe(s.ref, report.Usage)
+	case connector.TaskFinished:
+		t.endStart(l, s, placer.Finished, "")
+	case connector.TaskFailed:
+		t.endStart(l, s, placer.Failed, report.Error)
+	case connector.TaskStopped:
+		t.endStart(l, s, placer.Stopped, "it was stopped")
+	case connector.TaskCheckpointed:
+		t.keepCheckpoint(s.ref.Task, report.Checkpoint)
+		t.endStart(l, s, placer.Checkpointed, "it was stopped")
+	case connector.TaskLapsed:
+		t.endStart(l, s, placer.Lapsed, "its lease was not renewed")
+	}
+}
+
+// endStart notes the certain end of a start. A finished one stays until the log
+// has it; of all others the worker may forget at once.
+func (t *tables) endStart(l *link, s *start, outcome placer.Outcome, reason string) {
+	finished := outcome == placer.Finished && t.kindOf(s.ref.Task.Job, "") != recorder.Service
+	if finished {
+		s.state = startFinished
+		t.finished[s.ref] = l
+	} else {
+		delete(l.starts, s.ref)
+	}
+	if !finished || t.settings.fault == faultEarlyAcknowledge {
+		l.acks[s.ref] = struct{}{}
+	}
+	t.placer.Ended(s.ref, outcome)
+	t.endHolding(s, outcome, finished, reason)
+}
+
+// settle lets the worker forget a finished start that the log has.
+func (t *tables) settle(ref namer.TaskRef) {
+	l := t.finished[ref]
+	if l == nil {
+		return
+	}
+	delete(t.finished, ref)
+	delete(l.starts, ref)
+	l.acks[ref] = struct{}{}
+}
+
+// stopReportShare is the part of the renewal interval after which a report is
+// asked for when a stop was sent.
+const stopReportShare = 4
+
+// place sends a start.
+func (t *tables) place(d placer.Place) {
+	ref, worker, task := d.Ref(), d.Worker(), d.Task()
+	l := t.links.byName[worker]
+	if l == nil || l.client == nil {
+		t.placer.Ended(ref, placer.Refused)
+		return
+	}
+	s := &start{
+		ref:     ref,
+		touched: t.now,
+	}
+	l.starts[ref] = s
+	t.startHolding(ref.Task, s)
+	t.metrics.starts.Inc()
+	t.emit(startEffect{
+		worker: worker,
+		client: l.client,
+		link:   l.number,
+		start: connector.Start{
+			Ref:        ref,
+			Team:       task.Team(),
+			Kind:       string(kindOfPolicy(task.Policy())),
+			Size:       d.Size(),
+			Lease:      t.settings.terms.lease,
+			RunTime:    task.RunTime(),
+			Epoch:      t.epoch,
+			Checkpoint: t.checkpointOf(ref.Task),
+		},
+		notAfter: l.mayStartUntil(t.settings.terms),
+		timeout:  t.settings.terms.renewal,
+	})
+}
+
+// started reads the answer of a start.
+func (t *tables) started(e startedEvent) {
+	l := t.links.byName[e.worker]
+	if l == nil || l.number != e.link || l.starts[e.ref] == nil {
+		return
+	}
+	s := l.starts[e.ref]
+	s.touched = maxTime(s.touched, e.doneAt)
+	switch {
+	case e.err == nil:
+		s.settled = e.doneAt
+		if s.state == startSending {
+			s.state = startRunning
+			t.placer.Started(s.ref)
+		}
+	case errors.Is(e.err, errLapsed):
+		t.metrics.lateStarts.Inc()
+		t.log.Warnf("dispatcher: a start at %s was held back, the last contact had lapsed", l.host.Name)
+		t.endStart(l, s, placer.Refused, "the contact with its worker had lapsed")
+	case errors.Is(e.err, connector.ErrFenced):
+		t.metrics.refusals.Inc()
+		t.endStart(l, s, placer.Refused, "its worker has a later epoch")
+		t.supersede(l)
+	case errors.Is(e.err, connector.ErrRefused):
+		t.metrics.refusals.Inc()
+		t.endStart(l, s, placer.Failed, e.err.Error())
+	case errors.IsAny(e.err, connector.ErrNoRoom, connector.ErrUnreachable, connector.ErrBusy):
+		t.metrics.refusals.Inc()
+		t.endStart(l, s, placer.Refused, "its worker refused it")
+	default:
+		t.unknownStart(l, s, e)
+	}
+}
+
+// unknownStart keeps the room of a start whose answer was lost. A report that is
+// asked for once it must have arrived tells what became of it.
+func (t *tables) unknownStart(l *link, s *start, e startedEvent) {
+	if t.settings.fault == faultForgetUnknown {
+		t.endStart(l, s, placer.Refused, "its answer was lost")
+		return
+	}
+	s.settled = e.doneAt.Add(t.settings.terms.delivery)
+	if s.state == startSending {
+		s.state = startUnknown
+	}
+}
+
+// stop sends the placer's wish to end a start.
+func (t *tables) stop(ref namer.TaskRef, worker string, checkpoint bool) {
+	l := t.links.byName[worker]
+	if l == nil || l.starts[ref] == nil {
+		return
+	}
+	s := l.starts[ref]
+	s.stopping = true
+	s.checkpoint = checkpoint
+	s.stopSent = time.Time{}
+}
+
+// resendStops sends stops until the report shows the end.
+func (t *tables) resendStops(l *link) {
+	if l.state != linkOwned || l.client == nil {
+		return
+	}
+	var plain, saved []namer.TaskRef
+	for ref, s := range l.starts {
+		if !s.stopping || s.state == startFinished || t.now.Before(s.stopSent.Add(t.settings.terms.renewal)) {
+			continue
+		}
+		s.stopSent = t.now
+		if s.checkpoint {
+			saved = append(saved, ref)
+		} else {
+			plain = append(plain, ref)
+		}
+	}
+	t.sendStop(l, plain, false)
+	t.sendStop(l, saved, true)
+}
+
+func (t *tables) sendStop(l *link, refs []namer.TaskRef, checkpoint bool) {
+	if len(refs) == 0 {
+		return
+	}
+	sortRefs(refs)
+	t.emit(stopEffect{
+		client: l.client,
+		stop: connector.Stop{
+			Epoch:      t.epoch,
+			Refs:       refs,
+			Checkpoint: checkpoint,
+		},
+		timeout: t.settings.terms.renewal,
+	})
+	// The end shows in the report, so it is asked for soon.
+	l.due = minTime(l.due, t.now.Add(t.settings.terms.renewal/stopReportShare))
+}
+
+func sortRefs(refs []namer.TaskRef) {
+	slices.SortFunc(refs, func(a, b namer.TaskRef) int {
+		return cmp.Or(
+			cmp.Compare(a.Task.Job, b.Task.Job),
+			cmp.Compare(a.Task.Index, b.Task.Index),
+			cmp.Compare(a.Attempt.Epoch, b.Attempt.Epoch),
+			cmp.Compare(a.Attempt.Sequence, b.Attempt.Sequence),
+			cmp.Compare(a.Attempt.Owner, b.Attempt.Owner),
+		)
+	})
+}
+
+func maxTime(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+func minTime(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/dispatcher/views.go
@@ -0,0 +1,284 @@
+package dispatcher
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/galenacove/galenacove/namer"
+	"github.com/galenacove/galenacove/placer"
+	"github.com/galenacove/galenacove/recorder"
+	"github.com/galenacove/galenacove/sizer"
+)
+
+// TaskView is what is known of one task.
+type TaskView struct {
+	id      namer.TaskID
+	team    string
+	kind    recorder.JobKind
+	state   string
+	worker  string
+	member  string
+	size    sizer.Size
+	usage   sizer.Size
+	attempt namer.Attempt
+	since   time.Time
+}
+
+// ID returns the identity of the task.
+func (v TaskView) ID() namer.TaskID { return v.id }
+
+// Team returns the team that pays for the task.
+func (v TaskView) Team() string { return v.team }
+
+// Kind returns the kind of the task's job.
+func (v TaskView) Kind() recorder.JobKind { return v.kind }
+
+// State returns the state of the task as one word.
+func (v TaskView) State() string { return v.state }
+
+// Worker returns the worker of the task, empty if it has none.
+func (v TaskView) Worker() string { return v.worker }
+
+// Member returns the member that has the task.
+func (v TaskView) Member() string { return v.member }
+
+// Size returns the room that the task holds, or what it was declared to need.
+func (v TaskView) Size() sizer.Size { return v.size }
+
+// Usage returns what the task was last seen to use.
+func (v TaskView) Usage() sizer.Size { return v.usage }
+
+// Attempt returns the task's last start.
+func (v TaskView) Attempt() namer.Attempt { return v.attempt }
+
+// Since returns when the task came to wait, or when it was started. It is zero
+// where that is not known.
+func (v TaskView) Since() time.Time { return v.since }
+
+// WorkerView is what is known of one worker of this owner.
+type WorkerView struct {
+	name        string
+	rack        string
+	state       string
+	owner       string
+	epoch       namer.Epoch
+	capacity    sizer.Size
+	used        sizer.Size
+	tasks       int
+	lastContact time.Time
+}
+
+// Name returns the name of the worker.
+func (v WorkerView) Name() string { return v.name }
+
+// Rack returns the rack of the worker.
+func (v WorkerView) Rack() string { return v.rack }
+
+// State returns the state of the worker as one word: that of the link to it
+// unless it is owned, and else whether it takes tasks.
+func (v WorkerView) State() string { return v.state }
+
+// Owner returns the member that owns the worker.
+func (v WorkerView) Owner() string { return v.owner }
+
+// Epoch returns the epoch of the owner.
+func (v WorkerView) Epoch() namer.Epoch { return v.epoch }
+
+// Capacity returns what the worker offers.
+func (v WorkerView) Capacity() sizer.Size { return v.capacity }
+
+// Used returns the room that tasks hold.
+func (v WorkerView) Used() sizer.Size { return v.used }
+
+// Tasks returns the number of starts that run or may run.
+func (v WorkerView) Tasks() int { return v.tasks }
+
+// LastContact returns when the last contact that the worker accepted was sent.
+func (v WorkerView) LastContact() time.Time { return v.lastContact }
+
+// TeamView is what is known of one team at this owner.
+type TeamView = placer.TeamView
+
+// Tasks returns the tasks that this entry holds and those that wait at it as
+// their home, by identity.
+func (d *Dispatcher) Tasks() []TaskView {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	t := d.tables
+	views := make([]TaskView, 0, len(t.held))
+	for task := range t.placer.Tasks {
+		views = append(views, t.heldView(task))
+	}
+	for _, j := range t.homes {
+		views = t.homeViews(views, j)
+	}
+	slices.SortFunc(views, func(a, b TaskView) int {
+		if c := strings.Compare(a.id.Job, b.id.Job); c != 0 {
+			return c
+		}
+		return a.id.Index - b.id.Index
+	})
+	return views
+}
+
+func (t *tables) heldView(task placer.TaskView) TaskView {
+	v := TaskView{
+		id:      task.Task().ID(),
+		team:    task.Task().Team(),
+		kind:    kindOfPolicy(task.Task().Policy()),
+		state:   task.State().String(),
+		worker:  task.Worker(),
+		member:  t.self,
+		size:    task.Hold(),
+		usage:   task.Usage(),
+		attempt: task.Ref().Attempt,
+		since:   task.Since(),
+	}
+	if v.size.IsZero() {
+		v.size = task.Task().Size()
+	}
+	return v
+}
+
+// homeViews adds the tasks of a job that are with no holder.
+func (t *tables) homeViews(views []TaskView, j *homeJob) []TaskView {
+	if j.counts[taskIdle]+j.counts[taskUncertain] == 0 {
+		return views
+	}
+	for index := range j.tasks {
+		state := "pending"
+		switch j.tasks[index].state {
+		case taskIdle:
+		case taskUncertain:
+			state = "uncertain"
+		default:
+			continue
+		}
+		views = append(views, TaskView{
+			id: namer.TaskID{
+				Job:   j.job.ID,
+				Index: index,
+			},
+			team:   j.job.Team,
+			kind:   j.job.Policy,
+			state:  state,
+			member: t.self,
+			size:   j.job.Size,
+		})
+	}
+	return views
+}
+
+// Workers returns the workers that this entry owns, by name.
+func (d *Dispatcher) Workers() []WorkerView {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	t := d.tables
+	views := make([]WorkerView, 0, len(t.links.byName))
+	for worker := range t.placer.Workers {
+		l := t.links.byName[worker.Worker().Name()]
+		if l == nil {
+			continue
+		}
+		state := l.state.String()
+		if l.state == linkOwned {
+			state = worker.State().String()
+		}
+		views = append(views, WorkerView{
+			name:        l.host.Name,
+			rack:        l.host.Rack,
+			state:       state,
+			owner:       t.self,
+			epoch:       t.epoch,
+			capacity:    l.host.Capacity,
+			used:        worker.Used(),
+			tasks:       len(l.starts),
+			lastContact: l.contact,
+		})
+	}
+	slices.SortFunc(views, func(a, b WorkerView) int {
+		return strings.Compare(a.name, b.name)
+	})
+	return views
+}
+
+// Teams returns the teams of which this entry knows.
+func (d *Dispatcher) Teams() []TeamView {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.Collect(d.tables.placer.Teams)
+}
+
+// Why says why a task does not run, as far as this entry knows. It returns false
+// for a task of which this entry knows nothing.
+func (d *Dispatcher) Why(id namer.TaskID) (string, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.tables.why(id)
+}
+
+func (t *tables) why(id namer.TaskID) (string, bool) {
+	if reason, ok := t.placer.Why(id); ok {
+		return reason.String(), true
+	}
+	j := t.homes[id.Job]
+	if j == nil || id.Index < 0 || id.Index >= len(j.tasks) {
+		return "", false
+	}
+	task := j.tasks[id.Index]
+	switch task.state {
+	case taskUncertain:
+		return "it may still run: " + t.doubtReason(), true
+	case taskIdle:
+		return t.idleReason(j), true
+	case taskHeld:
+		return "it is with member " + task.holder, true
+	case taskRecording:
+		return "it has finished, and the log does not have that yet", true
+	default:
+		return "it has finished", true
+	}
+}
+
+// doubtReason says whose report is missing.
+func (t *tables) doubtReason() string {
+	if waits := t.surveyed(); waits != "" {
+		return fmt.Sprintf("epoch %d waits for %s", t.epoch, waits)
+	}
+	for _, ch := range t.everyChannel() {
+		if !ch.census {
+			return fmt.Sprintf("member %s has not reported in epoch %d", ch.member, t.epoch)
+		}
+	}
+	return fmt.Sprintf("the leases from before epoch %d have not lapsed", t.epoch)
+}
+
+func (t *tables) idleReason(j *homeJob) string {
+	switch {
+	case j.verdict != nil:
+		return "its job is ended"
+	case !t.summed():
+		return "not every member has said how it stands"
+	case !j.unfit.IsZero():
+		return fmt.Sprintf("no worker is large enough for %s", j.job.Size)
+	case j.gang != nil && j.gang.reason != "":
+		return "its gang waits: " + j.gang.reason
+	case j.gang != nil:
+		return "its gang waits for room for all its tasks"
+	default:
+		return "no member has workers that take tasks"
+	}
+}
+
+// drain marks a worker of this owner.
+func (t *tables) drain(worker string, on bool) bool {
+	l := t.links.byName[worker]
+	if l == nil {
+		return false
+	}
+	l.draining = on
+	t.show(l)
+	return true
+}
