--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -173,7 +173,9 @@
 	})
 }
 
-// SetJobs tells of jobs that are new or have changed, ended ones among them.
+// SetJobs tells of jobs that are new or have changed, ended ones among them. A
+// membership that was accepted before one of the jobs must be set before it:
+// what was submitted after the epoch began needs no report of the members.
 func (d *Dispatcher) SetJobs(states []replayer.JobState) {
 	d.update(func(t *tables) {
 		t.setJobs(states)
--- /dev/null
+++ b/dispatcher/rig_test.go
@@ -0,0 +1,642 @@
+package dispatcher
+
+import (
+	"container/heap"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/galenacove/galenacove/connector"
+	"github.com/galenacove/galenacove/namer"
+	"github.com/galenacove/galenacove/recorder"
+	"github.com/galenacove/galenacove/replayer"
+	"github.com/galenacove/galenacove/sizer"
+	"github.com/galenacove/galenacove/timekeeper"
+)
+
+const hall = "klein-hall"
+
+// rig runs entries, workers and the log in virtual time, in one goroutine. It
+// delays, loses and repeats messages, within the terms.
+type rig struct {
+	clock   *timekeeper.Fake
+	start   time.Time
+	random  *rand.Rand
+	queue   rigQueue
+	serial  int
+	entries map[string]*rigEntry
+	workers map[string]*rigWorker
+	truth   *replayer.State
+	records int
+	// listed are the workers in the host list.
+	listed map[string]bool
+	// loss is the chance that a message is lost, and the same that it is
+	// delivered twice.
+	loss  float64
+	terms terms
+	fault fault
+	// runs says where each task runs, finished where it has finished.
+	runs       map[namer.TaskID]map[namer.TaskRef]*rigWorker
+	finished   map[namer.TaskID]*rigWorker
+	violations []string
+	// cut holds pairs that do not reach each other.
+	cut map[[2]string]bool
+	// messages and bytes count what was sent, by kind of effect.
+	messages map[string]int
+	trace    func(format string, args ...any)
+}
+
+type rigEvent struct {
+	at     time.Time
+	serial int
+	run    func()
+}
+
+type rigQueue []rigEvent
+
+func (q rigQueue) Len() int { return len(q) }
+func (q rigQueue) Less(i, j int) bool {
+	if q[i].at.Equal(q[j].at) {
+		return q[i].serial < q[j].serial
+	}
+	return q[i].at.Before(q[j].at)
+}
+func (q rigQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *rigQueue) Push(x any)   { *q = append(*q, x.(rigEvent)) }
+func (q *rigQueue) Pop() any {
+	old := *q
+	last := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return last
+}
+
+func newRig(seed uint64) *rig {
+	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	return &rig{
+		clock:    timekeeper.NewFake(start),
+		start:    start,
+		random:   rand.New(rand.NewPCG(seed, seed)),
+		entries:  make(map[string]*rigEntry),
+		workers:  make(map[string]*rigWorker),
+		truth:    replayer.New(),
+		listed:   make(map[string]bool),
+		runs:     make(map[namer.TaskID]map[namer.TaskRef]*rigWorker),
+		finished: make(map[namer.TaskID]*rigWorker),
+		cut:      make(map[[2]string]bool),
+		messages: make(map[string]int),
+		trace:    func(string, ...any) {},
+		terms: terms{
+			lease:      4 * time.Second,
+			renewal:    time.Second,
+			clockError: 0.01,
+			delivery:   500 * time.Millisecond,
+		},
+	}
+}
+
+func (r *rig) after(d time.Duration, run func()) {
+	r.serial++
+	heap.Push(&r.queue, rigEvent{
+		at:     r.clock.Now().Add(d),
+		serial: r.serial,
+		run:    run,
+	})
+}
+
+// run moves the time on by d.
+func (r *rig) run(d time.Duration) {
+	end := r.clock.Now().Add(d)
+	for len(r.queue) > 0 && !r.queue[0].at.After(end) {
+		next := heap.Pop(&r.queue).(rigEvent)
+		r.clock.Advance(next.at.Sub(r.clock.Now()))
+		next.run()
+	}
+	r.clock.Advance(end.Sub(r.clock.Now()))
+}
+
+// until runs until the condition holds, for d at most.
+func (r *rig) until(d time.Duration, done func() bool) bool {
+	for end := r.clock.Now().Add(d); r.clock.Now().Before(end); {
+		if done() {
+			return true
+		}
+		r.run(100 * time.Millisecond)
+	}
+	return done()
+}
+
+func (r *rig) violate(format string, args ...any) {
+	text := fmt.Sprintf(format, args...)
+	r.trace("%v VIOLATION %s", r.clock.Now().Sub(r.start), text)
+	r.violations = append(r.violations, text)
+}
+
+func (r *rig) chance(p float64) bool { return r.random.Float64() < p }
+
+// delay is what a message takes: mostly little, sometimes nearly the longest.
+func (r *rig) delay() time.Duration {
+	if r.chance(0.05) {
+		return time.Duration(r.random.Int64N(int64(r.terms.delivery)))
+	}
+	return time.Duration(r.random.Int64N(int64(2 * time.Millisecond)))
+}
+
+func (r *rig) reaches(a, b string) bool {
+	return !r.cut[[2]string{a, b}] && !r.cut[[2]string{b, a}]
+}
+
+// deliver calls read once, twice or not at all, within the longest delivery.
+func (r *rig) deliver(from, to string, read func()) {
+	if !r.reaches(from, to) || r.chance(r.loss) {
+		return
+	}
+	r.after(r.delay(), read)
+	if r.chance(r.loss) {
+		r.after(r.delay(), read)
+	}
+}
+
+// append puts a record into the log.
+func (r *rig) append(body recorder.Body) {
+	r.records++
+	offset := namer.Offset(r.records)
+	r.truth.Apply(offset, recorder.New(fmt.Sprintf("record-%d", offset), "rig", r.clock.Now(), body))
+}
+
+// epoch proposes a membership; it is accepted.
+func (r *rig) epoch(names ...string) namer.Epoch {
+	last, _, _ := r.truth.Membership(hall)
+	m := recorder.Membership{
+		DataCentre: hall,
+		Epoch:      last.Epoch + 1,
+		Cause:      "test",
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		m.Members = append(m.Members, recorder.Member{
+			Name:  name,
+			Peers: name,
+		})
+	}
+	r.trace("%v epoch %d %v", r.clock.Now().Sub(r.start), m.Epoch, names)
+	r.append(m)
+	return m.Epoch
+}
+
+// rigEntry is one entry process.
+type rigEntry struct {
+	rig    *rig
+	name   string
+	tables *tables
+	dead   bool
+	// frozen is until when the process is paused.
+	frozen time.Time
+	// cutOff entries do not reach the log.
+	cutOff   bool
+	position namer.Offset
+}
+
+func (r *rig) addEntry(name string) *rigEntry {
+	e := &rigEntry{
+		rig:  r,
+		name: name,
+	}
+	s := defaultSettings()
+	s.clock = r.clock
+	s.terms = r.terms
+	s.fault = r.fault
+	s.gangTerm = 2 * time.Second
+	s.seed = r.random.Uint64()
+	s.workers = func(address string) connector.Worker { return rigAddress(address) }
+	e.tables = newTables(name, hall, &s, newMetrics(nil))
+	r.entries[name] = e
+	r.after(0, e.tick)
+	r.after(0, e.poll)
+	return e
+}
+
+// awake runs f in the process: at once, or when it wakes, or never.
+func (e *rigEntry) awake(f func()) {
+	if e.dead {
+		return
+	}
+	if pause := e.frozen.Sub(e.rig.clock.Now()); pause > 0 {
+		e.rig.after(pause, func() { e.awake(f) })
+		return
+	}
+	f()
+}
+
+func (e *rigEntry) tick() {
+	e.awake(func() {
+		e.step()
+		e.rig.after(100*time.Millisecond, e.tick)
+	})
+}
+
+func (e *rigEntry) step() {
+	e.tables.tick(e.rig.clock.Now())
+	e.launch()
+}
+
+func (e *rigEntry) launch() {
+	for _, effect := range e.tables.takeEffects() {
+		e.perform(effect)
+	}
+}
+
+func (e *rigEntry) handle(ev event) {
+	e.awake(func() {
+		e.tables.handle(e.rig.clock.Now(), ev)
+		e.step()
+	})
+}
+
+// poll reads the log and the host list, which lag.
+func (e *rigEntry) poll() {
+	e.awake(func() {
+		e.rig.after(200*time.Millisecond, e.poll)
+		if e.cutOff {
+			return
+		}
+		sentAt := e.rig.clock.Now()
+		m, at, known := e.rig.truth.Membership(hall)
+		jobs := e.rig.truth.JobsChanged(e.position)
+		e.position = e.rig.truth.Offset()
+		hosts := e.rig.hosts()
+		e.rig.after(e.rig.delay(), func() {
+			e.awake(func() {
+				e.tables.now = e.rig.clock.Now()
+				if known {
+					e.tables.setMembership(m, at)
+				}
+				e.tables.setJobs(jobs)
+				e.tables.setHosts(hosts)
+				e.tables.settleLocal()
+				e.tables.logContact = maxTime(e.tables.logContact, sentAt)
+				e.step()
+			})
+		})
+	})
+}
+
+func (r *rig) hosts() []connector.Host {
+	hosts := make([]connector.Host, 0, len(r.listed))
+	for name, listed := range r.listed {
+		if listed {
+			hosts = append(hosts, r.workers[name].host)
+		}
+	}
+	slices.SortFunc(hosts, func(a, b connector.Host) int {
+		if a.Name < b.Name {
+			return -1
+		}
+		return 1
+	})
+	return hosts
+}
+
+// perform makes a call: a frozen process makes it when it wakes.
+func (e *rigEntry) perform(ef effect) {
+	r := e.rig
+	r.after(time.Duration(r.random.Int64N(int64(time.Millisecond))), func() {
+		e.awake(func() { e.call(ef) })
+	})
+}
+
+func (e *rigEntry) call(ef effect) {
+	r := e.rig
+	sentAt := r.clock.Now()
+	r.messages[fmt.Sprintf("%T", ef)]++
+	switch ef := ef.(type) {
+	case renewEffect:
+		ev := renewedEvent{
+			worker:  ef.worker,
+			link:    ef.link,
+			sentAt:  sentAt,
+			renewal: ef.renewal,
+		}
+		e.roundTrip(ef.worker, ef.timeout, func(w *rigWorker) (err error) {
+			ev.report, err = w.renew(ef.renewal)
+			return err
+		}, func(err error) {
+			ev.err = err
+			ev.doneAt = r.clock.Now()
+			e.handle(ev)
+		})
+	case startEffect:
+		ev := startedEvent{
+			worker: ef.worker,
+			link:   ef.link,
+			ref:    ef.start.Ref,
+			sentAt: sentAt,
+			doneAt: sentAt,
+			err:    errLapsed,
+		}
+		if !e.tables.settings.mayStart(ef) {
+			e.handle(ev)
+			return
+		}
+		e.roundTrip(ef.worker, ef.timeout, func(w *rigWorker) error { return w.startTask(ef.start) }, func(err error) {
+			ev.err = err
+			ev.doneAt = r.clock.Now()
+			e.handle(ev)
+		})
+	case stopEffect:
+		e.roundTrip(string(ef.client.(rigAddress)), ef.timeout, func(w *rigWorker) error { return w.stop(ef.stop) }, func(error) {})
+	case exchangeEffect:
+		e.exchange(ef)
+	case commitEffect:
+		e.commit(ef)
+	default:
+	}
+}
+
+// roundTrip calls a worker; done is called once, with ErrUnknown where the
+// answer does not come in time.
+func (e *rigEntry) roundTrip(worker string, timeout time.Duration, call func(*rigWorker) error, done func(error)) {
+	r := e.rig
+	over := false
+	end := func(err error) {
+		if !over {
+			over = true
+			done(err)
+		}
+	}
+	w := r.workers[worker]
+	r.deliver(e.name, worker, func() {
+		if w.dead {
+			return
+		}
+		err := call(w)
+		r.deliver(worker, e.name, func() { end(err) })
+	})
+	r.after(timeout, func() { end(connector.ErrUnknown) })
+}
+
+func (e *rigEntry) exchange(ef exchangeEffect) {
+	r := e.rig
+	peer := r.entries[ef.member]
+	over := false
+	end := func(ev exchangedEvent) {
+		if !over {
+			over = true
+			e.handle(ev)
+		}
+	}
+	ev := exchangedEvent{
+		member: ef.member,
+		epoch:  ef.message.Epoch,
+	}
+	r.deliver(e.name, ef.member, func() {
+		peer.awake(func() {
+			peer.tables.now = r.clock.Now()
+			answer := ev
+			answer.reply, answer.err = peer.tables.receive(&ef.message)
+			peer.step()
+			r.deliver(ef.member, e.name, func() { end(answer) })
+		})
+	})
+	r.after(ef.timeout, func() {
+		ev.err = context.DeadlineExceeded
+		end(ev)
+	})
+}
+
+func (e *rigEntry) commit(ef commitEffect) {
+	r := e.rig
+	ev := committedEvent{
+		body: ef.body,
+	}
+	if e.cutOff {
+		ev.err = errors.New("no log")
+		r.after(time.Second, func() { e.handle(ev) })
+		return
+	}
+	r.after(20*time.Millisecond+r.delay(), func() {
+		if e.dead {
+			return
+		}
+		r.append(ef.body)
+		if r.chance(r.loss) {
+			ev.err = errors.New("outcome unknown")
+		}
+		r.after(20*time.Millisecond+r.delay(), func() { e.handle(ev) })
+	})
+}
+
+// rigAddress stands for the client of a worker.
+type rigAddress string
+
+func (rigAddress) Start(context.Context, connector.Start) error { return nil }
+
+func (rigAddress) Renew(context.Context, connector.Renewal) (connector.Report, error) {
+	return connector.Report{}, nil
+}
+
+func (rigAddress) Stop(context.Context, connector.Stop) error { return nil }
+
+func (rigAddress) Throttle(context.Context, connector.Throttle) error { return nil }
+
+// rigWorker runs tasks, and keeps account of them.
+type rigWorker struct {
+	rig  *rig
+	host connector.Host
+	// checks says whether lower epochs and tasks without room are refused.
+	// A worker that does not check still says the highest epoch.
+	checks bool
+	// rate is how much faster its clock runs.
+	rate        float64
+	dead        bool
+	incarnation int
+	epoch       namer.Epoch
+	tasks       map[namer.TaskRef]*rigTask
+	used        sizer.Size
+	// failing makes each task fail.
+	failing bool
+}
+
+type rigTask struct {
+	report connector.TaskReport
+	lease  time.Time
+}
+
+func (r *rig) addWorker(name string, capacity sizer.Size, checks bool) *rigWorker {
+	w := &rigWorker{
+		rig: r,
+		host: connector.Host{
+			Name:       name,
+			Kind:       connector.KindWorker,
+			State:      connector.HostLive,
+			DataCentre: hall,
+			Rack:       name[:1],
+			Address:    name,
+			Capacity:   capacity,
+		},
+		checks: checks,
+		rate:   r.terms.clockError * (2*r.random.Float64() - 1) * 0.9,
+		tasks:  make(map[namer.TaskRef]*rigTask),
+	}
+	r.workers[name] = w
+	r.listed[name] = true
+	return w
+}
+
+func (w *rigWorker) fenced(epoch namer.Epoch) bool {
+	if epoch < w.epoch {
+		return w.checks
+	}
+	w.epoch = epoch
+	return false
+}
+
+func (w *rigWorker) lease(d time.Duration) time.Time {
+	return w.rig.clock.Now().Add(time.Duration(float64(d) * (1 + w.rate)))
+}
+
+func (w *rigWorker) startTask(s connector.Start) error {
+	if w.fenced(s.Epoch) {
+		return connector.ErrFenced
+	}
+	if w.tasks[s.Ref] != nil {
+		return nil
+	}
+	r := w.rig
+	if used := w.used.Add(s.Size); !used.Fits(w.host.Capacity) {
+		if w.checks {
+			return connector.ErrNoRoom
+		}
+		r.violate("worker %s holds %s of %s", w.host.Name, used, w.host.Capacity)
+	}
+	id := s.Ref.Task
+	if r.runs[id] == nil {
+		r.runs[id] = make(map[namer.TaskRef]*rigWorker)
+	}
+	for other, at := range r.runs[id] {
+		r.violate("task %s started at %s by %v, runs at %s by %v", id, w.host.Name, s.Ref.Attempt, at.host.Name, other.Attempt)
+	}
+	if at := r.finished[id]; at != nil && s.Kind != string(recorder.Service) {
+		r.violate("task %s started at %s, finished at %s", id, w.host.Name, at.host.Name)
+	}
+	r.trace("%v start %s %v at %s", r.clock.Now().Sub(r.start), id, s.Ref.Attempt, w.host.Name)
+	r.runs[id][s.Ref] = w
+	w.used = w.used.Add(s.Size)
+	task := &rigTask{
+		report: connector.TaskReport{
+			Ref:   s.Ref,
+			State: connector.TaskRunning,
+			Team:  s.Team,
+			Kind:  s.Kind,
+			Size:  s.Size,
+			Usage: s.Size,
+		},
+		lease: w.lease(s.Lease),
+	}
+	w.tasks[s.Ref] = task
+	w.watch(task, w.incarnation)
+	if s.RunTime > 0 {
+		incarnation := w.incarnation
+		state := connector.TaskFinished
+		if w.failing {
+			state = connector.TaskFailed
+		}
+		r.after(s.RunTime, func() {
+			if w.incarnation == incarnation {
+				w.end(task, state)
+			}
+		})
+	}
+	return nil
+}
+
+// watch ends the task when its lease runs out.
+func (w *rigWorker) watch(task *rigTask, incarnation int) {
+	w.rig.after(task.lease.Sub(w.rig.clock.Now()), func() {
+		switch {
+		case w.incarnation != incarnation || task.report.State != connector.TaskRunning:
+		case w.rig.clock.Now().Before(task.lease):
+			w.watch(task, incarnation)
+		default:
+			w.end(task, connector.TaskLapsed)
+		}
+	})
+}
+
+func (w *rigWorker) end(task *rigTask, state connector.TaskState) {
+	if task.report.State != connector.TaskRunning {
+		return
+	}
+	id := task.report.Ref.Task
+	w.rig.trace("%v %s %s at %s", w.rig.clock.Now().Sub(w.rig.start), state, id, w.host.Name)
+	task.report.State = state
+	w.used = w.used.Sub(task.report.Size)
+	delete(w.rig.runs[id], task.report.Ref)
+	if state == connector.TaskFinished {
+		w.rig.finished[id] = w
+	}
+}
+
+func (w *rigWorker) renew(renewal connector.Renewal) (connector.Report, error) {
+	if w.fenced(renewal.Epoch) {
+		return connector.Report{}, connector.ErrFenced
+	}
+	for _, ref := range renewal.Refs {
+		if task := w.tasks[ref]; task != nil && task.report.State == connector.TaskRunning {
+			task.lease = maxTime(task.lease, w.lease(renewal.Lease))
+		}
+	}
+	for _, ref := range renewal.Acknowledged {
+		if task := w.tasks[ref]; task != nil && task.report.State != connector.TaskRunning {
+			delete(w.tasks, ref)
+		}
+	}
+	report := connector.Report{
+		Worker:      w.host.Name,
+		Incarnation: fmt.Sprint(w.incarnation),
+		Epoch:       w.epoch,
+		Capacity:    w.host.Capacity,
+	}
+	for _, task := range w.tasks {
+		report.Tasks = append(report.Tasks, task.report)
+	}
+	slices.SortFunc(report.Tasks, func(a, b connector.TaskReport) int {
+		return slices.Compare([]uint64{uint64(a.Ref.Attempt.Epoch), a.Ref.Attempt.Sequence}, []uint64{uint64(b.Ref.Attempt.Epoch), b.Ref.Attempt.Sequence})
+	})
+	return report, nil
+}
+
+func (w *rigWorker) stop(s connector.Stop) error {
+	if w.fenced(s.Epoch) {
+		return connector.ErrFenced
+	}
+	for _, ref := range s.Refs {
+		if task := w.tasks[ref]; task != nil {
+			state := connector.TaskStopped
+			if s.Checkpoint {
+				state = connector.TaskCheckpointed
+				task.report.Checkpoint = "saved"
+			}
+			w.end(task, state)
+		}
+	}
+	return nil
+}
+
+// restart loses everything at the worker, which comes back after d.
+func (w *rigWorker) restart(d time.Duration) {
+	for _, task := range w.tasks {
+		w.end(task, connector.TaskStopped)
+		if w.rig.finished[task.report.Ref.Task] == w {
+			delete(w.rig.finished, task.report.Ref.Task)
+		}
+	}
+	w.incarnation++
+	w.dead = true
+	w.epoch = 0
+	w.tasks = make(map[namer.TaskRef]*rigTask)
+	w.rig.after(d, func() { w.dead = false })
+}
