Check a peer's certificate against the host of its address

Cause: with TLS the client of the peers' connections named no server, so every handshake would have failed. Ruled out: skipping the check. Found by reading; not yet run with certificates. Also the prefix of drained hosts' keys.

--- a/messenger/pool.go
+++ b/messenger/pool.go
@@ -121,7 +121,7 @@
 		return nil, err
 	}
 	if p.options.tls != nil {
-		conn = tls.Client(conn, p.options.tls)
+		conn = tls.Client(conn, p.tlsFor(address))
 	}
 	if err := p.options.prove(conn, roleClient, roleServer); err != nil {
 		conn.Close()
@@ -133,6 +133,16 @@
 	}, nil
 }
 
+// tlsFor returns the configuration by which the peer's certificate is checked
+// against the host of its address, unless it names another.
+func (p *Pool) tlsFor(address string) *tls.Config {
+	config := p.options.tls.Clone()
+	if host, _, err := net.SplitHostPort(address); err == nil && config.ServerName == "" {
+		config.ServerName = host
+	}
+	return config
+}
+
 func (p *Pool) drop(address string, to *peer) {
 	to.conn.Close()
 	p.mu.Lock()
--- a/replayer/settings.go
+++ b/replayer/settings.go
@@ -17,6 +17,9 @@
 	TeamPrefix = "team/"
 	// ServicePrefix begins the keys of services; the service's name follows.
 	ServicePrefix = "service/"
+	// DrainPrefix begins the keys of hosts that get nothing new; the kind of
+	// the host, a slash and its name follow.
+	DrainPrefix = "drain/"
 
 	// maxKey and maxValue are in bytes.
 	maxKey     = 200
