--- a/appender/appender.go
+++ b/appender/appender.go
@@ -223,7 +223,7 @@
 	for _, r := range records {
 		data, err := recorder.Encode(r)
 		if err != nil {
-			return nil, errors.Mark(errors.Wrap(err, "appender: encode"), ErrRecord)
+			return nil, errors.WithStack(fmt.Errorf("%w: encode: %w", ErrRecord, err))
 		}
 		if len(data) > maxRecord {
 			return nil, errors.Wrapf(ErrRecord, "record %s has %d bytes", r.ID(), len(data))
@@ -243,7 +243,7 @@
 	case touched:
 		return errors.WithStack(&UnknownError{ID: e.id})
 	default:
-		return errors.Mark(errors.Wrap(cause, "appender: log out of reach"), ErrUnavailable)
+		return errors.WithStack(fmt.Errorf("%w: log out of reach: %w", ErrUnavailable, cause))
 	}
 }
 
@@ -345,7 +345,7 @@
 		}
 		a.queue.settle(batch, nil)
 	case errors.Is(err, connector.ErrRefused):
-		a.queue.settle(batch, errors.Mark(errors.Wrap(err, "appender: refused by the log"), ErrUnavailable))
+		a.queue.settle(batch, errors.WithStack(fmt.Errorf("%w: refused by the log: %w", ErrUnavailable, err)))
 	case errors.Is(err, connector.ErrUnreachable), errors.Is(err, connector.ErrBusy):
 		a.queue.putBack(batch, false)
 	default:
--- a/compactor/compactor.go
+++ b/compactor/compactor.go
@@ -206,7 +206,7 @@
 	defer cancel()
 	if err := c.append(ctx, records...); err != nil {
 		c.metrics.failed.Inc()
-		return false, errors.Mark(errors.Wrap(err, "compactor: publish"), ErrPublish)
+		return false, errors.WithStack(fmt.Errorf("%w: publish: %w", ErrPublish, err))
 	}
 	c.metrics.published.Inc()
 	c.logger.Infof("compactor: published a snapshot of %d parts", len(records))
@@ -218,7 +218,7 @@
 func (c *Compactor) snapshot() ([]recorder.Record, error) {
 	parts, err := c.state.Snapshot()
 	if err != nil {
-		return nil, errors.Mark(errors.Wrap(err, "compactor: encode"), ErrPublish)
+		return nil, errors.WithStack(fmt.Errorf("%w: encode: %w", ErrPublish, err))
 	}
 	records := make([]recorder.Record, 0, len(parts))
 	for _, part := range parts {
--- a/compactor/recovery.go
+++ b/compactor/recovery.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -16,8 +17,6 @@
 	window      = 500
 	readTimeout = 5 * time.Second
 	callTimeout = 10 * time.Second
-	// beyond is an offset that no stream reaches.
-	beyond namer.Offset = 1 << 62
 	// enoughPeers is how many peers' snapshots are taken; the latest stays.
 	enoughPeers = 2
 )
@@ -36,13 +35,13 @@
 		c.metrics.recovered.Inc()
 		return after + 1, nil
 	}
-	return 0, errors.Mark(errors.Wrap(err, "compactor: recover"), ErrNoSnapshot)
+	return 0, errors.WithStack(fmt.Errorf("%w: recover: %w", ErrNoSnapshot, err))
 }
 
 // recoverFromLog goes back through the control stream to its latest whole
 // snapshot.
 func (c *Compactor) recoverFromLog(ctx context.Context) error {
-	ends, err := c.read(ctx, beyond, 1)
+	ends, err := c.read(ctx, 0, 0)
 	if err != nil {
 		return err
 	}
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -42,7 +42,8 @@
 	// offset of the first. After ErrUnknown they may be there.
 	Append(ctx context.Context, stream string, payloads [][]byte) (namer.Offset, error)
 	// Read returns records from the given offset on, at most limit of them.
-	// If there are none yet it waits for up to wait.
+	// If there are none yet it waits for up to wait. A limit of 0 asks for the
+	// ends of the stream only, and never fails with ErrAged.
 	Read(ctx context.Context, stream string, from namer.Offset, limit int, wait time.Duration) (Batch, error)
 }
 
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
@@ -28,8 +29,6 @@
 	minBackoff     = 100 * time.Millisecond
 	maxBackoff     = 5 * time.Second
 	attemptTimeout = 5 * time.Second
-	// beyond is an offset that no stream reaches.
-	beyond namer.Offset = 1 << 62
 )
 
 // ErrGap is returned by a recovery that found nothing to go on from.
@@ -187,8 +186,7 @@
 // context's error.
 func (f *Follower) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		f.start(ctx)
-		err := f.step(ctx)
+		err := f.Step(ctx)
 		if err == nil {
 			f.backoff.Reset()
 			continue
@@ -221,8 +219,10 @@
 	return f.met
 }
 
-// step reads once and applies what came.
-func (f *Follower) step(ctx context.Context) error {
+// Step reads once and applies what came. Run calls it over and over; whoever
+// calls it instead does not call Run too.
+func (f *Follower) Step(ctx context.Context) error {
+	f.start(ctx)
 	sent := f.clock.Now()
 	batch, err := f.read(ctx, f.Position(), f.limit, f.wait)
 	switch {
@@ -293,9 +293,9 @@
 func (f *Follower) hand(entry connector.Entry) {
 	record, err := recorder.Decode(entry.Payload)
 	if err != nil {
-		f.metrics.undecodable.Inc()
+		f.metrics.unreadable.Inc()
 		f.logger.WithError(err).Errorf("follower: cannot read the record at %d", entry.Offset)
-		return
+		record = recorder.Unreadable(fmt.Sprintf("unreadable@%d", entry.Offset), entry.Payload)
 	}
 	if unknown, ok := record.Body().(recorder.Unknown); ok {
 		f.metrics.unknown.Inc()
@@ -315,7 +315,7 @@
 	if f.recover != nil {
 		return f.recoverNow(ctx)
 	}
-	batch, err := f.read(ctx, beyond, 1, 0)
+	batch, err := f.read(ctx, 0, 0, 0)
 	if err != nil {
 		return err
 	}
@@ -331,7 +331,7 @@
 func (f *Follower) recoverNow(ctx context.Context) error {
 	next, err := f.recover(ctx)
 	if err != nil {
-		return errors.Mark(errors.Wrap(err, "follower: recover"), ErrGap)
+		return errors.WithStack(fmt.Errorf("%w: recover: %w", ErrGap, err))
 	}
 	f.metrics.recovered.Inc()
 	f.logger.Infof("follower: recovered to offset %d", next)
--- a/recorder/record.go
+++ b/recorder/record.go
@@ -167,3 +167,21 @@
 		Raw:  e.Body,
 	}
 }
+
+// KindUnreadable is the kind of the record that stands for bytes that are none.
+const KindUnreadable Kind = "unreadable"
+
+// maxUnreadable is the most bytes that Unreadable keeps.
+const maxUnreadable = 256
+
+// Unreadable returns a record that stands for bytes that Decode refused, so
+// that their place in the log is not skipped. Its identity is the given one,
+// its body the beginning of the bytes.
+func Unreadable(id string, data []byte) Record {
+	// Bytes can always be encoded.
+	raw, _ := json.Marshal(data[:min(len(data), maxUnreadable)])
+	return New(id, "", time.Time{}, Unknown{
+		Name: KindUnreadable,
+		Raw:  raw,
+	})
+}
--- a/replayer/rules.go
+++ b/replayer/rules.go
@@ -78,7 +78,7 @@
 		s.notes.put(r.ID(), accept(offset))
 		s.snapshots.note(offset, r.At(), body)
 	case recorder.Unknown:
-		s.keepUnknown(offset, r)
+		s.keepUnknown(offset, r, body)
 	case recorder.Claim, recorder.ClaimEnd, recorder.Audit:
 		s.notes.put(r.ID(), refuse(offset, "a %s record has no place in the control stream", body.Kind()))
 	}
@@ -178,8 +178,13 @@
 	return ""
 }
 
-func (s *State) keepUnknown(offset namer.Offset, r recorder.Record) {
+// keepUnknown keeps the record as it was, but for one that is too long.
+func (s *State) keepUnknown(offset namer.Offset, r recorder.Record, body recorder.Unknown) {
 	s.unknownCount++
+	if len(body.Raw) > maxValue {
+		body.Raw = nil
+		r = recorder.New(r.ID(), r.Writer(), r.At(), body)
+	}
 	s.unknown.put(r.ID(), unknownRecord{
 		offset: offset,
 		record: r,
--- a/replayer/settings.go
+++ b/replayer/settings.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"strings"
 	"time"
 
@@ -134,7 +135,7 @@
 	}
 	d, err := time.ParseDuration(text)
 	if err != nil {
-		return 0, errors.Mark(errors.Wrap(err, "replayer: duration"), ErrValue)
+		return 0, errors.WithStack(fmt.Errorf("%w: duration: %w", ErrValue, err))
 	}
 	if d < 0 {
 		return 0, errors.Wrapf(ErrValue, "%s is below zero", text)
@@ -148,7 +149,7 @@
 	decoder := json.NewDecoder(bytes.NewReader(data))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(value); err != nil {
-		return errors.Mark(errors.Wrap(err, "replayer: decode a value"), ErrValue)
+		return errors.WithStack(fmt.Errorf("%w: decode a value: %w", ErrValue, err))
 	}
 	return nil
 }
@@ -212,7 +213,7 @@
 func decodeService(value json.RawMessage) (Service, error) {
 	var service Service
 	if err := json.Unmarshal(value, &service); err != nil {
-		return Service{}, errors.Mark(err, ErrValue)
+		return Service{}, errors.WithStack(fmt.Errorf("%w: %w", ErrValue, err))
 	}
 	if service.Team == "" {
 		return Service{}, errors.Wrap(ErrValue, "a service needs a team")
--- a/replayer/snapshot.go
+++ b/replayer/snapshot.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"slices"
 	"strings"
 	"time"
@@ -271,7 +272,7 @@
 func (s *State) thaw(data json.RawMessage) error {
 	var c content
 	if err := json.Unmarshal(data, &c); err != nil {
-		return errors.Mark(errors.Wrap(err, "replayer: decode a snapshot"), ErrSnapshot)
+		return errors.WithStack(fmt.Errorf("%w: decode a snapshot: %w", ErrSnapshot, err))
 	}
 	for _, w := range c.Settings {
 		s.settings[w.Key] = Setting{
@@ -343,7 +344,7 @@
 	for _, w := range unknown {
 		r, err := recorder.Decode(w.Record)
 		if err != nil {
-			return errors.Mark(errors.Wrap(err, "replayer: decode a kept record"), ErrSnapshot)
+			return errors.WithStack(fmt.Errorf("%w: decode a kept record: %w", ErrSnapshot, err))
 		}
 		s.unknown.put(w.ID, unknownRecord{
 			offset: w.Offset,
--- a/replayer/state.go
+++ b/replayer/state.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"strings"
 	"sync"
@@ -102,6 +103,14 @@
 // Option changes how a State works.
 type Option func(*State)
 
+// PartSize sets about how many bytes one part of a snapshot has. The default is
+// 256 KiB.
+func PartSize(bytes int) Option {
+	return func(s *State) {
+		s.limits.part = bytes
+	}
+}
+
 // New returns the state before the first record.
 func New(opts ...Option) *State {
 	s := &State{
@@ -186,7 +195,7 @@
 		select {
 		case <-changed:
 		case <-ctx.Done():
-			return Verdict{}, errors.Mark(errors.Wrapf(ctx.Err(), "replayer: await %s", id), ErrAwait)
+			return Verdict{}, errors.WithStack(fmt.Errorf("%w: await %s: %w", ErrAwait, id, ctx.Err()))
 		}
 	}
 }
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -394,7 +395,7 @@
 			return nil
 		}
 		if err := timekeeper.Sleep(ctx, w.clock, w.terms.Interval); err != nil {
-			return errors.Mark(errors.Wrap(err, "watcher: leave"), ErrLeave)
+			return errors.WithStack(fmt.Errorf("%w: leave: %w", ErrLeave, err))
 		}
 	}
 }
@@ -404,7 +405,7 @@
 func (w *Watcher) SetLoad(load any) error {
 	data, err := json.Marshal(load)
 	if err != nil {
-		return errors.Mark(errors.Wrap(err, "watcher: encode the load"), ErrLoad)
+		return errors.WithStack(fmt.Errorf("%w: encode the load: %w", ErrLoad, err))
 	}
 	if len(data) > maxLoad {
 		return errors.Wrapf(ErrLoad, "%d bytes", len(data))
