Test placer with random calls, and show that each seeded fault is found

Found by the property: a class that found no room and was over its quota (or a gang that waited for its next try) while room was freed was not tried again when the wait was over. Change: such a class counts as not tried. Ruled out: trying all classes of a team at each freed quota, which costs the length of its queue.

--- a/placer/claims.go
+++ b/placer/claims.go
@@ -247,7 +247,7 @@
 		team := &p.teams.rows[t]
 		for _, entry := range team.queue {
 			class := &p.classes.rows[entry.class]
-			if !entry.blocked || class.claims > 0 || entry.rank.band == bandGang {
+			if !entry.blocked || class.claims > 0 || class.key.kind == kindGang {
 				continue
 			}
 			if now.Sub(class.blockedSince) < p.settings.starvation || team.overQuota(entry.need) {
--- a/placer/gangs.go
+++ b/placer/gangs.go
@@ -61,19 +61,23 @@
 	p.refresh(worker)
 }
 
+// gangWaits reports whether a class is a gang that cannot be tried now: one that
+// waits for its other tasks, for the quota, or for its next try.
+func (p *Placer) gangWaits(entry *queueEntry, now time.Time) bool {
+	class := &p.classes.rows[entry.class]
+	if class.key.kind != kindGang {
+		return false
+	}
+	if class.pending < class.live || now.Before(class.retryAt) {
+		return true
+	}
+	return p.teams.rows[class.key.team].overQuota(class.whole())
+}
+
 // placeGang starts all the tasks of a gang, or none.
 func (p *Placer) placeGang(entry *queueEntry, now time.Time) bool {
 	c := entry.class
 	class := &p.classes.rows[c]
-	team := &p.teams.rows[class.key.team]
-	if class.pending < class.live {
-		team.cursor++
-		return false
-	}
-	if team.overQuota(class.need.Times(int64(class.pending))) {
-		team.cursor++
-		return false
-	}
 	sizes := make([]sizer.Size, class.pending)
 	for at := range sizes {
 		sizes[at] = class.need
--- /dev/null
+++ b/placer/placer_test.go
@@ -0,0 +1,101 @@
+package placer
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+)
+
+const longestRun = 300
+
+// TestInvariants drives a placer with random calls: no worker is over any of its
+// resources, no task is in two places, a gang starts whole, every task that was
+// submitted ends or has a reason to wait, and no task waits beside room for it.
+func TestInvariants(t *testing.T) {
+	list := steps(longestRun)
+	rapid.Check(t, func(t *rapid.T) {
+		if err := execute(list.Draw(t, "steps"), 0); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+// TestFaultsAreFound shows that TestInvariants fails where the placer is wrong.
+func TestFaultsAreFound(t *testing.T) {
+	faults := map[string]struct {
+		fault fault
+		want  string
+	}{
+		"forgets memory":         {fault: faultOverCommit, want: "holds"},
+		"starts part of a gang":  {fault: faultPartialGang, want: "gang"},
+		"loses a failed task":    {fault: faultLoseRetry, want: "is lost"},
+		"leaves freed room idle": {fault: faultIdleRoom, want: "although there is room"},
+		"revives a stopped task": {fault: faultTransition, want: "counts as running"},
+	}
+	for name, test := range faults {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			list := steps(longestRun)
+			for seed := range 500 {
+				if err := execute(list.Example(seed), test.fault); err != nil {
+					c.Assert(err, qt.ErrorMatches, "(?s).*"+test.want+".*")
+					return
+				}
+			}
+			c.Fatal("the fault was not found")
+		})
+	}
+}
+
+// TestTransitions checks the table of states against the rules that the rest
+// relies on.
+func TestTransitions(t *testing.T) {
+	c := qt.New(t)
+	for s := range TaskState(stateCount) {
+		for e := range event(eventCount) {
+			to, ok := s.next(e)
+			if !ok {
+				c.Assert(to, qt.Equals, s)
+				continue
+			}
+			if !s.holdsRoom() && to.holdsRoom() {
+				c.Check(e == eventReserve || e == eventPlace || e == eventAdopt, qt.IsTrue, qt.Commentf("%v %d", s, e))
+			}
+			if s.holdsRoom() && !to.holdsRoom() {
+				c.Check(e == eventRetry || e == eventForget, qt.IsTrue, qt.Commentf("%v %d", s, e))
+			}
+			if s == StateStopping {
+				c.Check(to == StateStopping || !to.holdsRoom(), qt.IsTrue, qt.Commentf("%v %d", s, e))
+			}
+		}
+	}
+}
+
+// TestTransitionsAreDocumented compares the table with the comment above it.
+func TestTransitionsAreDocumented(t *testing.T) {
+	c := qt.New(t)
+	source, err := os.ReadFile("state.go")
+	c.Assert(err, qt.IsNil)
+	rows := 0
+	for _, line := range strings.Split(string(source), "\n") {
+		fields := strings.Fields(strings.TrimPrefix(line, "//"))
+		if !strings.HasPrefix(line, "//\t") || fields[0] == "from" {
+			continue
+		}
+		s := TaskState(rows)
+		c.Assert(fields[0], qt.Equals, s.String())
+		for e, want := range fields[1:] {
+			to, ok := s.next(event(e))
+			got := to.String()
+			if !ok {
+				got = "-"
+			}
+			c.Check(got, qt.Equals, want, qt.Commentf("%v, event %d", s, e))
+		}
+		rows++
+	}
+	c.Assert(rows, qt.Equals, stateCount)
+}
--- a/placer/tick.go
+++ b/placer/tick.go
@@ -132,10 +132,9 @@
 		if entry.blocked && !entry.need.Fits(p.freedRoom) {
 			continue
 		}
-		if team.overQuota(entry.need) {
-			continue
-		}
-		if entry.rank.band == bandGang && now.Before(p.classes.rows[entry.class].retryAt) {
+		if team.overQuota(entry.need) || p.gangWaits(entry, now) {
+			// The room may still be there when the wait is over.
+			entry.blocked = false
 			continue
 		}
 		return entry
