Serve requests and run jobs from end to end, as separate processes

Cause: nothing yet went the whole way. Ruled out on the way, each seen in a trial run: requests answered 503 noMinion, since the stand-ins in one process were given a platform address without its scheme and never registered; the router kept its own default term beside the entry's lease.

Change: the operators' port and its client, queries that ask every member of every data centre, commands with an identity and an audit line, the command line, and a rehearsed cell for dev.

Not yet: claims of non-idempotent requests, outages, kills.

--- /dev/null
+++ b/cmd/galenacove/entry.go
@@ -0,0 +1,173 @@
+package main
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"fmt"
+	"io"
+	"net"
+	"os"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/json"
+	"github.com/apex/log/handlers/logfmt"
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/galenacove/galenacove/loader"
+	"github.com/galenacove/galenacove/server"
+)
+
+var errTLS = errors.New("cannot use the TLS files")
+
+func configFlag() cli.Flag {
+	return &cli.StringFlag{
+		Name:     "config",
+		Usage:    "read the settings from `FILE`",
+		Required: true,
+	}
+}
+
+func entryCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "entry",
+		Usage:     "run the process of an entry host",
+		UsageText: "galenacove entry --config /etc/galenacove.toml",
+		Description: "Serves callers, peers and operators until Ctrl-C or SIGTERM, then hands over\n" +
+			"and finishes what is in flight. A second signal ends the process at once.",
+		Flags: []cli.Flag{
+			configFlag(),
+		},
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			settings, err := loader.Load(cmd.String("config"))
+			if err != nil {
+				return err
+			}
+			return runEntry(ctx, cmd.Root().Writer, settings)
+		},
+	}
+}
+
+func checkCommand() *cli.Command {
+	return &cli.Command{
+		Name:        "check",
+		Usage:       "check the settings without starting anything",
+		UsageText:   "galenacove check --config /etc/galenacove.toml",
+		Description: "Prints every fault with its file, line and key, and exits 1 if there is one.",
+		Flags: []cli.Flag{
+			configFlag(),
+		},
+		Action: func(_ context.Context, cmd *cli.Command) error {
+			settings, err := loader.Load(cmd.String("config"))
+			if err != nil {
+				return err
+			}
+			_, err = fmt.Fprintf(cmd.Root().Writer, "%s: entry %q in %q, no faults\n",
+				cmd.String("config"), settings.Entry().Name(), settings.Entry().DataCentre())
+			return err
+		},
+	}
+}
+
+// runEntry runs the process, and prints its addresses once they are open.
+func runEntry(ctx context.Context, out io.Writer, settings loader.Settings) error {
+	entry := settings.Entry()
+	var listeners [3]net.Listener
+	for i, address := range []string{entry.Callers(), entry.Peers(), entry.Operators()} {
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			return errors.Wrapf(err, "listen on %s", address)
+		}
+		listeners[i] = listener
+	}
+	options, err := entryOptions(settings)
+	if err != nil {
+		return err
+	}
+	process, err := server.New(entry.Name(), entry.DataCentre(),
+		append(options, server.Listeners(listeners[0], listeners[1], listeners[2]))...)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "callers %s, peers %s, operators %s\n", listeners[0].Addr(), listeners[1].Addr(), listeners[2].Addr())
+	return process.Run(ctx)
+}
+
+func entryOptions(settings loader.Settings) ([]server.Option, error) {
+	logger, err := newLogger(settings.Log())
+	if err != nil {
+		return nil, err
+	}
+	tokens := make(map[string]string)
+	for _, operator := range settings.Operators() {
+		tokens[operator.Token()] = operator.Name()
+	}
+	terms := settings.Terms()
+	options := []server.Option{
+		server.Logger(logger),
+		server.Platform(settings.Platform().Addresses()...),
+		server.Secret(settings.Peers().Secret()),
+		server.Seeds(settings.Peers().Seeds()...),
+		server.Operators(tokens),
+		server.Leases(terms.Lease(), terms.Renewal()),
+		server.Bounds(terms.Delivery(), float64(terms.ClockRateError())/float64(terms.Lease())),
+		server.Heartbeats(terms.Heartbeat(), terms.Suspect()),
+	}
+	files, found := settings.TLS()
+	if !found {
+		return options, nil
+	}
+	ports, peers, err := loadTLS(files)
+	if err != nil {
+		return nil, err
+	}
+	return append(options, server.TLS(ports, peers)), nil
+}
+
+func newLogger(settings loader.Log) (log.Interface, error) {
+	level, err := log.ParseLevel(settings.Level())
+	if err != nil {
+		return nil, errors.Wrapf(err, "log level %q", settings.Level())
+	}
+	var handler log.Handler
+	switch settings.Format() {
+	case loader.FormatJSON:
+		handler = json.New(os.Stderr)
+	case loader.FormatText:
+		handler = logfmt.New(os.Stderr)
+	}
+	return &log.Logger{
+		Handler: handler,
+		Level:   level,
+	}, nil
+}
+
+// loadTLS returns the configuration of the callers' and operators' ports, and
+// that of the connections between peers, which prove themselves to each other.
+func loadTLS(files loader.TLS) (ports, peers *tls.Config, err error) {
+	certificate, err := tls.LoadX509KeyPair(files.Certificate(), files.Key())
+	if err != nil {
+		return nil, nil, errors.WithStack(fmt.Errorf("%w: %w", errTLS, err))
+	}
+	authority, err := os.ReadFile(files.Authority())
+	if err != nil {
+		return nil, nil, errors.WithStack(fmt.Errorf("%w: %w", errTLS, err))
+	}
+	roots := x509.NewCertPool()
+	if !roots.AppendCertsFromPEM(authority) {
+		return nil, nil, errors.Wrapf(errTLS, "no certificate in %s", files.Authority())
+	}
+	ports = &tls.Config{
+		Certificates: []tls.Certificate{certificate},
+		MinVersion:   tls.VersionTLS12,
+	}
+	peers = &tls.Config{
+		Certificates: []tls.Certificate{certificate},
+		ClientCAs:    roots,
+		RootCAs:      roots,
+		ClientAuth:   tls.RequireAndVerifyClientCert,
+		MinVersion:   tls.VersionTLS13,
+	}
+	return ports, peers, nil
+}
--- /dev/null
+++ b/cmd/galenacove/main.go
@@ -0,0 +1,89 @@
+// Command galenacove is the cluster scheduler: the process on an entry host,
+// the operators' command, and a whole cell in one process to try it out.
+//
+// Exit codes: 0 after success, 1 after a failure or a refusal, 2 for a command
+// line that cannot be understood, 3 if the outcome of a command is unknown.
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+)
+
+// The exit codes.
+const (
+	exitOK      = 0
+	exitFailure = 1
+	exitUsage   = 2
+	exitUnknown = 3
+)
+
+// version is set by the linker for a release.
+var version = "devel"
+
+func main() {
+	os.Exit(run())
+}
+
+// run runs the command line and returns the exit code.
+func run() int {
+	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer cancel()
+	// After the first signal the next one ends the process at once.
+	context.AfterFunc(ctx, cancel)
+	return exitCode(os.Stderr, command().Run(ctx, os.Args))
+}
+
+// exitCode prints the error, if there is one, and returns what to exit with.
+func exitCode(out io.Writer, err error) int {
+	if err == nil {
+		return exitOK
+	}
+	fmt.Fprintln(out, "galenacove:", err)
+	var coder cli.ExitCoder
+	if errors.As(err, &coder) {
+		return coder.ExitCode()
+	}
+	return exitFailure
+}
+
+func command() *cli.Command {
+	return &cli.Command{
+		Name:    "galenacove",
+		Usage:   "a cluster scheduler for services, batch runs, gangs and requests",
+		Version: version,
+		Commands: []*cli.Command{
+			entryCommand(),
+			checkCommand(),
+			doCommand(),
+			devCommand(),
+			versionCommand(),
+		},
+		OnUsageError: usageError,
+		// The exit code is decided in one place, above.
+		ExitErrHandler: func(context.Context, *cli.Command, error) {},
+	}
+}
+
+func usageError(_ context.Context, _ *cli.Command, err error, _ bool) error {
+	return cli.Exit(err, exitUsage)
+}
+
+func versionCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "version",
+		Usage:     "print the version",
+		UsageText: "galenacove version",
+		Action: func(_ context.Context, cmd *cli.Command) error {
+			_, err := fmt.Fprintln(cmd.Root().Writer, "galenacove", version)
+			return err
+		},
+	}
+}
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -179,6 +179,14 @@
 	return f.contact
 }
 
+// Skip moves the position on to the offset, never back. It is for a state that
+// came from elsewhere, and must be called before Run.
+func (f *Follower) Skip(next namer.Offset) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.position = max(f.position, next)
+}
+
 // LastEnd returns when the last read was sent that reached the end of the
 // stream, zero if none has. Everything that was in the stream at that time has
 // been applied.
--- a/rehearser/cell.go
+++ b/rehearser/cell.go
@@ -253,7 +253,7 @@
 		return emulator.Serve(ctx, listener, worker.Handler())
 	})
 	c.standing.Go(func() error {
-		return worker.Run(ctx, c.platform)
+		return worker.Run(ctx, "http://"+c.platform)
 	})
 	return nil
 }
@@ -278,7 +278,7 @@
 		return minion.Serve(ctx, listener)
 	})
 	c.standing.Go(func() error {
-		return minion.Run(ctx, c.platform)
+		return minion.Run(ctx, "http://"+c.platform)
 	})
 	return nil
 }
--- /dev/null
+++ b/rehearser/sample.go
@@ -0,0 +1,260 @@
+package rehearser
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/galenacove/galenacove/commander"
+	"github.com/galenacove/galenacove/emulator"
+	"github.com/galenacove/galenacove/timekeeper"
+)
+
+// Step is one step of the sample and what became of it.
+type Step struct {
+	name   string
+	detail string
+	took   time.Duration
+	// err is nil if the step ended well.
+	err error
+}
+
+// Name returns what the step does.
+func (s Step) Name() string { return s.name }
+
+// Done reports whether the step ended well.
+func (s Step) Done() bool { return s.err == nil }
+
+// Result returns "done" or "failed".
+func (s Step) Result() string {
+	if s.err != nil {
+		return "failed"
+	}
+	return "done"
+}
+
+// Took returns how long the step took.
+func (s Step) Took() time.Duration { return s.took }
+
+// Detail returns what was seen, or why the step failed.
+func (s Step) Detail() string {
+	if s.err != nil {
+		return s.err.Error()
+	}
+	return s.detail
+}
+
+// errSample is returned by a step that saw something else than it expects.
+var errSample = errors.New("rehearser: the sample went wrong")
+
+const (
+	sampleTeam     = "demo"
+	sampleRequests = 200
+	samplePause    = 50 * time.Millisecond
+	sampleTasks    = 3
+)
+
+// sample runs the steps one after the other.
+type sample struct {
+	cell     *Cell
+	clock    timekeeper.Clock
+	operator *commander.Client
+	steps    []Step
+}
+
+// Sample uses the started cell as its operators and callers would: it sets a
+// team and a service, sends requests through every entry, and runs a service,
+// a batch job and a gang. After a step that failed the next ones are still
+// tried, until the context ends.
+func (c *Cell) Sample(ctx context.Context) []Step {
+	s := &sample{
+		cell:     c,
+		clock:    timekeeper.System(),
+		operator: commander.New("http://"+c.running[0].operators, Token),
+	}
+	s.step(ctx, "entries are ready", s.awaitEntries)
+	s.step(ctx, "team and service set", s.configure)
+	s.step(ctx, "requests answered", s.request)
+	s.step(ctx, "service runs, then stops", s.runService)
+	s.step(ctx, "batch job finishes", func(ctx context.Context) (string, error) {
+		return s.runJob(ctx, "batch", "cpu 500m memory 256MiB")
+	})
+	s.step(ctx, "gang finishes", func(ctx context.Context) (string, error) {
+		return s.runJob(ctx, "gang", "cpu 2 memory 1GiB")
+	})
+	return s.steps
+}
+
+func (s *sample) step(ctx context.Context, name string, run func(context.Context) (string, error)) {
+	began := s.clock.Now()
+	detail, err := run(ctx)
+	s.steps = append(s.steps, Step{
+		name:   name,
+		detail: detail,
+		took:   s.clock.Now().Sub(began),
+		err:    err,
+	})
+}
+
+// await asks until the check holds or the context ends.
+func (s *sample) await(ctx context.Context, check func(context.Context) (bool, error)) error {
+	for {
+		done, err := check(ctx)
+		if done {
+			return nil
+		}
+		if sleepErr := timekeeper.Sleep(ctx, s.clock, samplePause); sleepErr != nil {
+			return errors.CombineErrors(err, errors.WithStack(fmt.Errorf("%w: %w", errSample, sleepErr)))
+		}
+	}
+}
+
+func (s *sample) awaitEntries(ctx context.Context) (string, error) {
+	for _, entry := range s.cell.running {
+		err := s.await(ctx, func(ctx context.Context) (bool, error) {
+			status, _, err := exchange(ctx, http.MethodGet, "http://"+entry.operators+"/healthz", nil)
+			return status == http.StatusOK, err
+		})
+		if err != nil {
+			return "", err
+		}
+	}
+	return fmt.Sprintf("%d entries, %d workers, %d minions", s.cell.entries, s.cell.workers, s.cell.minions), nil
+}
+
+// exchange sends one request and reads the whole answer.
+func exchange(ctx context.Context, method, address string, body []byte) (status int, answer []byte, err error) {
+	req, err := http.NewRequestWithContext(ctx, method, address, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, err
+	}
+	req.Header.Set("Galenacove-Team", sampleTeam)
+	req.Header.Set("Galenacove-Idempotent", "true")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer resp.Body.Close()
+	answer, err = io.ReadAll(resp.Body)
+	return resp.StatusCode, answer, err
+}
+
+// command gives a command and expects it to be accepted.
+func (s *sample) command(ctx context.Context, statement string) (commander.Result, error) {
+	answer, err := s.operator.Do(ctx, statement)
+	switch {
+	case err != nil:
+		return commander.Result{}, err
+	case answer.Command == nil:
+		return commander.Result{}, errors.Wrapf(errSample, "%s gave no outcome", statement)
+	case answer.Command.Outcome != commander.Accepted:
+		return *answer.Command, errors.Wrapf(errSample, "%s was %s: %s", statement, answer.Command.Outcome, answer.Command.Reason)
+	default:
+		return *answer.Command, nil
+	}
+}
+
+func (s *sample) configure(ctx context.Context) (string, error) {
+	if _, err := s.command(ctx, "set team "+sampleTeam+" weight 1"); err != nil {
+		return "", err
+	}
+	result, err := s.command(ctx, "set service "+Service+" team "+sampleTeam)
+	if err != nil {
+		return "", err
+	}
+	return fmt.Sprintf("in force from offset %d", result.Offset), nil
+}
+
+// request sends requests through each entry in turn, and checks that each
+// answer belongs to its request.
+func (s *sample) request(ctx context.Context) (string, error) {
+	if err := s.await(ctx, s.probeAll); err != nil {
+		return "", err
+	}
+	for i := range sampleRequests {
+		entry := s.cell.running[i%len(s.cell.running)]
+		if err := s.requestOne(ctx, entry, fmt.Sprintf("reading %d", i)); err != nil {
+			return "", err
+		}
+	}
+	return fmt.Sprintf("%d of %d, each with its own bytes", sampleRequests, sampleRequests), nil
+}
+
+// probeAll reports whether every entry answers a request.
+func (s *sample) probeAll(ctx context.Context) (bool, error) {
+	for _, entry := range s.cell.running {
+		if err := s.requestOne(ctx, entry, "probe"); err != nil {
+			return false, err
+		}
+	}
+	return true, nil
+}
+
+func (s *sample) requestOne(ctx context.Context, entry Entry, body string) error {
+	address := "http://" + entry.callers + "/services/" + Service + "/check"
+	status, answer, err := exchange(ctx, http.MethodPost, address, []byte(body))
+	if err != nil {
+		return err
+	}
+	if status != http.StatusOK {
+		return errors.Wrapf(errSample, "%s answered %d: %s", entry.name, status, answer)
+	}
+	if !bytes.Equal(answer, emulator.Answer([]byte(body))) {
+		return errors.Wrapf(errSample, "%s gave another answer: %s", entry.name, answer)
+	}
+	return nil
+}
+
+func (s *sample) submit(ctx context.Context, policy, size string) (string, error) {
+	statement := fmt.Sprintf("submit %s \"sample-%s\" team %s tasks %d %s", policy, policy, sampleTeam, sampleTasks, size)
+	if policy != "service" {
+		statement += " for 1s"
+	}
+	result, err := s.command(ctx, statement)
+	return result.Identity, err
+}
+
+// awaitJob waits until the job has the state and as many running tasks.
+func (s *sample) awaitJob(ctx context.Context, id, state, running string) error {
+	return s.await(ctx, func(ctx context.Context) (bool, error) {
+		answer, err := s.operator.Do(ctx, fmt.Sprintf("show jobs where id = %q and state = %s and running = %s", id, state, running))
+		if err != nil || answer.Table == nil {
+			return false, err
+		}
+		return len(answer.Table.Rows()) == 1, errors.Wrapf(errSample, "job %s is not yet %s", id, state)
+	})
+}
+
+func (s *sample) runService(ctx context.Context) (string, error) {
+	id, err := s.submit(ctx, "service", "cpu 1 memory 512MiB")
+	if err != nil {
+		return "", err
+	}
+	if err := s.awaitJob(ctx, id, "active", fmt.Sprint(sampleTasks)); err != nil {
+		return "", err
+	}
+	if _, err := s.command(ctx, fmt.Sprintf("stop job %q", id)); err != nil {
+		return "", err
+	}
+	if err := s.awaitJob(ctx, id, "cancelled", "0"); err != nil {
+		return "", err
+	}
+	return fmt.Sprintf("%d tasks ran", sampleTasks), nil
+}
+
+func (s *sample) runJob(ctx context.Context, policy, size string) (string, error) {
+	id, err := s.submit(ctx, policy, size)
+	if err != nil {
+		return "", err
+	}
+	if err := s.awaitJob(ctx, id, "done", "0"); err != nil {
+		return "", err
+	}
+	return fmt.Sprintf("%d tasks of %s", sampleTasks, strings.ReplaceAll(size, "memory ", "")), nil
+}
--- a/server/feeds.go
+++ b/server/feeds.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
+	"github.com/galenacove/galenacove/connector"
 	"github.com/galenacove/galenacove/namer"
 	"github.com/galenacove/galenacove/replayer"
 	"github.com/galenacove/galenacove/router"
@@ -65,6 +67,7 @@
 			s.router.SetService(name, serviceTerms(service))
 		}
 	}
+	s.feedDrains()
 	if m, at, found := s.state.Membership(s.dataCentre); found {
 		s.dispatcher.SetMembership(m, at)
 		s.router.SetMembership(m)
@@ -73,6 +76,37 @@
 	return reached
 }
 
+// feedDrains tells the parts which hosts get nothing new, and which do again.
+func (s *Server) feedDrains() {
+	drained := make(map[string]bool)
+	for _, setting := range s.state.ConfigUnder(replayer.DrainPrefix) {
+		drained[strings.TrimPrefix(setting.Key(), replayer.DrainPrefix)] = true
+	}
+	for host := range s.drained {
+		if !drained[host] {
+			s.drainHost(host, false)
+		}
+	}
+	for host := range drained {
+		if !s.drained[host] {
+			s.drainHost(host, true)
+		}
+	}
+	s.drained = drained
+}
+
+// drainHost hands one drain to the part that it concerns. The host is given as
+// kind, slash and name.
+func (s *Server) drainHost(host string, on bool) {
+	kind, name, _ := strings.Cut(host, "/")
+	switch connector.HostKind(kind) {
+	case connector.KindWorker:
+		s.dispatcher.Drain(name, on)
+	case connector.KindMinion:
+		s.router.Drain(name, on)
+	}
+}
+
 // jobsHere returns the jobs of this data centre that changed after the offset.
 func (s *Server) jobsHere(since namer.Offset) []replayer.JobState {
 	var here []replayer.JobState
--- a/server/ports.go
+++ b/server/ports.go
@@ -12,6 +12,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/galenacove/galenacove/commander"
 	"github.com/galenacove/galenacove/router"
 	"github.com/galenacove/galenacove/timekeeper"
 )
@@ -69,6 +70,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", promhttp.HandlerFor(s.registry, promhttp.HandlerOpts{}))
 	mux.HandleFunc("GET /healthz", s.health)
+	mux.HandleFunc("POST "+commander.Path, s.authorized(s.do))
 	return mux
 }
 
@@ -84,18 +86,11 @@
 	}
 }
 
-// ready reports whether the process knows a membership that it is part of.
+// ready reports whether the process knows its data centre's membership. It can
+// then serve: what others own it forwards.
 func (s *Server) ready() bool {
-	m, found := s.membership()
-	if !found {
-		return false
-	}
-	for _, member := range m.Members {
-		if member.Name == s.self.Name {
-			return true
-		}
-	}
-	return false
+	_, found := s.membership()
+	return found
 }
 
 // handOver gives what this process owns to its peers: the watcher proposes a
--- /dev/null
+++ b/server/query.go
@@ -0,0 +1,247 @@
+package server
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/galenacove/galenacove/answerer"
+	"github.com/galenacove/galenacove/namer"
+	"github.com/galenacove/galenacove/parser"
+	"github.com/galenacove/galenacove/recorder"
+)
+
+const (
+	// queryFanOut is the most members that are asked at once.
+	queryFanOut = 16
+	// auditReads is the most reads of the log for one query of the trail, and
+	// auditBatch the records of each.
+	auditReads = 20
+	auditBatch = 1000
+)
+
+// errQuery is returned for a query that cannot be answered.
+var errQuery = errors.New("server: the query cannot be answered")
+
+// QueryArgs asks a member for the rows that only it knows.
+type QueryArgs struct {
+	// Table is a table of the language, or one that members ask each other
+	// for.
+	Table string
+}
+
+// QueryReply has the rows.
+type QueryReply struct {
+	// Table is an answerer.Table in JSON.
+	Table []byte
+}
+
+// WhyArgs asks a member why a task does not run.
+type WhyArgs struct {
+	Task namer.TaskID
+}
+
+// WhyReply has the reason, if the member knows one.
+type WhyReply struct {
+	Known  bool
+	Reason string
+}
+
+// receiver answers the queries of peers.
+type receiver struct {
+	server *Server
+}
+
+// Rows returns the rows of one table.
+func (r *receiver) Rows(args QueryArgs, reply *QueryReply) error {
+	data, err := json.Marshal(r.server.local(parser.Table(args.Table)))
+	reply.Table = data
+	return err
+}
+
+// Why returns why a task does not run.
+func (r *receiver) Why(args WhyArgs, reply *WhyReply) error {
+	reply.Reason, reply.Known = r.server.dispatcher.Why(args.Task)
+	return nil
+}
+
+// query answers a statement that changes nothing.
+func (s *Server) query(ctx context.Context, statement parser.Statement) (answerer.Table, error) {
+	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
+	defer cancel()
+	switch q := statement.(type) {
+	case parser.Show:
+		table, err := s.rows(ctx, q)
+		if err != nil {
+			return answerer.Table{}, err
+		}
+		return answerer.Select(q, table)
+	case parser.Why:
+		return s.why(ctx, q.Task()), nil
+	default:
+		return answerer.Table{}, errors.Wrapf(errQuery, "%T is not known", statement)
+	}
+}
+
+// rows returns all rows of the table that is asked for.
+func (s *Server) rows(ctx context.Context, q parser.Show) (answerer.Table, error) {
+	switch q.Table() {
+	case parser.Jobs:
+		return s.jobRows(s.everywhere(ctx, jobLoads)), nil
+	case parser.Teams:
+		return s.teamRows(s.everywhere(ctx, teamLoads)), nil
+	case parser.Members:
+		return s.memberRows(), nil
+	case parser.Config:
+		if at := q.At(); at != 0 && at != s.state.Offset() {
+			return s.configAt(ctx, at)
+		}
+		return s.configRows(), nil
+	case parser.Audit:
+		return s.auditRows(ctx, q.Since())
+	default:
+		return s.everywhere(ctx, q.Table()), nil
+	}
+}
+
+// everywhere puts the local rows of all members of all data centres together.
+// A member that does not answer is named as missing.
+func (s *Server) everywhere(ctx context.Context, table parser.Table) answerer.Table {
+	all := answerer.NewTable(columnsOf[table])
+	var mu sync.Mutex
+	s.askMembers(ctx, func(ctx context.Context, dataCentre string, member recorder.Member) {
+		part, err := s.ask(ctx, member, table)
+		mu.Lock()
+		defer mu.Unlock()
+		if err != nil {
+			s.settings.logger.WithError(err).WithField("member", member.Name).Warn("server: a member did not answer a query")
+			all = all.WithMissing(dataCentre + "/" + member.Name)
+			return
+		}
+		all = all.Merge(part)
+	})
+	return all
+}
+
+// askMembers calls f for each member of each data centre, several at once.
+func (s *Server) askMembers(ctx context.Context, f func(ctx context.Context, dataCentre string, member recorder.Member)) {
+	var group errgroup.Group
+	group.SetLimit(queryFanOut)
+	for _, dataCentre := range s.state.DataCentres() {
+		m, _, _ := s.state.Membership(dataCentre)
+		for _, member := range m.Members {
+			group.Go(func() error {
+				f(ctx, dataCentre, member)
+				return nil
+			})
+		}
+	}
+	// No call returns an error.
+	_ = group.Wait()
+}
+
+func (s *Server) ask(ctx context.Context, member recorder.Member, table parser.Table) (answerer.Table, error) {
+	if member.Name == s.self.Name {
+		return s.local(table), nil
+	}
+	var reply QueryReply
+	args := QueryArgs{
+		Table: string(table),
+	}
+	if err := s.pool.Call(ctx, member.Peers, "Query.Rows", args, &reply); err != nil {
+		return answerer.Table{}, err
+	}
+	var part answerer.Table
+	err := json.Unmarshal(reply.Table, &part)
+	return part, err
+}
+
+// why asks all members for the reason, since a task's home and its holder each
+// know a part.
+func (s *Server) why(ctx context.Context, task namer.TaskID) answerer.Table {
+	whole := answerer.NewTable([]answerer.Column{text("task"), text("member"), text("reason")})
+	var mu sync.Mutex
+	s.askMembers(ctx, func(ctx context.Context, dataCentre string, member recorder.Member) {
+		reply, err := s.askWhy(ctx, member, task)
+		mu.Lock()
+		defer mu.Unlock()
+		switch {
+		case err != nil:
+			whole = whole.WithMissing(dataCentre + "/" + member.Name)
+		case reply.Known:
+			whole = whole.Merge(answerer.NewTable(whole.Columns(), answerer.Row{task.String(), member.Name, reply.Reason}))
+		}
+	})
+	return whole
+}
+
+func (s *Server) askWhy(ctx context.Context, member recorder.Member, task namer.TaskID) (WhyReply, error) {
+	var reply WhyReply
+	if member.Name == s.self.Name {
+		reply.Reason, reply.Known = s.dispatcher.Why(task)
+		return reply, nil
+	}
+	err := s.pool.Call(ctx, member.Peers, "Query.Why", WhyArgs{
+		Task: task,
+	}, &reply)
+	return reply, err
+}
+
+// configAt answers for an offset that is not the last one, which only the log
+// could tell.
+func (s *Server) configAt(_ context.Context, at namer.Offset) (answerer.Table, error) {
+	return answerer.Table{}, errors.Wrapf(errQuery, "the configuration is known at offset %d, not at %d", s.state.Offset(), at)
+}
+
+// auditRows reads the audit trail from the log. It reads a bounded part, and
+// says so if there is more.
+func (s *Server) auditRows(ctx context.Context, since parser.Since) (answerer.Table, error) {
+	next := max(since.Offset(), 1)
+	var after time.Time
+	if since.Ago() > 0 {
+		after = s.settings.clock.Now().Add(-since.Ago())
+	}
+	var rows []answerer.Row
+	for range auditReads {
+		batch, err := s.platform.Read(ctx, recorder.StreamAudit, next, auditBatch, 0)
+		if batch.First > next {
+			next = batch.First
+			continue
+		}
+		if err != nil {
+			return answerer.Table{}, errors.WithStack(fmt.Errorf("%w: the log does not answer: %w", errQuery, err))
+		}
+		for _, entry := range batch.Entries {
+			if row, ok := auditRow(entry.Offset, entry.Payload, after); ok {
+				rows = append(rows, row)
+			}
+		}
+		next += namer.Offset(len(batch.Entries))
+		if len(batch.Entries) == 0 || next >= batch.Next {
+			return answerer.NewTable(columnsOf[parser.Audit], rows...), nil
+		}
+	}
+	return answerer.NewTable(columnsOf[parser.Audit], rows...).WithMissing(fmt.Sprintf("the trail from offset %d on", next)), nil
+}
+
+// auditRow returns the row of one record, unless it is too old or no line of
+// the trail.
+func auditRow(offset namer.Offset, payload []byte, after time.Time) (answerer.Row, bool) {
+	record, err := recorder.Decode(payload)
+	if err != nil || record.At().Before(after) {
+		return nil, false
+	}
+	line, ok := record.Body().(recorder.Audit)
+	if !ok {
+		return nil, false
+	}
+	return answerer.Row{
+		formatOffset(offset), formatTime(record.At()), line.Who, line.What, line.From,
+		formatOffset(line.Base), fmt.Sprint(line.Accepted), line.Reason,
+	}, true
+}
--- a/server/server.go
+++ b/server/server.go
@@ -8,7 +8,9 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -19,6 +21,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/galenacove/galenacove/appender"
+	"github.com/galenacove/galenacove/compactor"
 	"github.com/galenacove/galenacove/connector"
 	"github.com/galenacove/galenacove/dispatcher"
 	"github.com/galenacove/galenacove/follower"
@@ -58,6 +61,7 @@
 	state      *replayer.State
 	follower   *follower.Follower
 	appender   *appender.Appender
+	compactor  *compactor.Compactor
 	pool       *messenger.Pool
 	peers      *messenger.Server
 	watcher    *watcher.Watcher
@@ -65,6 +69,9 @@
 	router     *router.Router
 	trail      *trail
 
+	// drained are the hosts that get nothing new, as kind/name. Only feedState
+	// uses it.
+	drained map[string]bool
 	// leaving is set once the process has begun to stop.
 	leaving atomic.Bool
 }
@@ -152,6 +159,9 @@
 	s.follower = follower.New(s.platform, recorder.StreamControl, s.state.Apply,
 		follower.Clock(clock),
 		follower.Wait(logWait),
+		follower.Recovery(func(ctx context.Context) (namer.Offset, error) {
+			return s.compactor.Recover(ctx)
+		}),
 		follower.Logger(logger),
 		follower.Metrics(metrics),
 	)
@@ -160,17 +170,33 @@
 		appender.Logger(logger),
 		appender.Metrics(metrics),
 	)
+	s.compactor = s.newCompactor()
 	s.watcher = s.newWatcher()
 	s.router = router.New(s.self.Name,
 		router.Clock(clock),
 		router.Peers(s.pool),
 		router.DataCentre(s.dataCentre),
+		router.Terms(s.settings.lease, s.settings.delivery),
 		router.Logger(logger),
 		router.Metrics(metrics),
 	)
 	s.trail = newTrail(s)
 }
 
+func (s *Server) newCompactor() *compactor.Compactor {
+	return compactor.New(s.self.Name, s.platform, s.state,
+		compactor.Clock(s.settings.clock),
+		compactor.Members(s.allMembers),
+		compactor.Oldest(func() namer.Offset { return s.follower.Oldest() }),
+		compactor.Peers(s.peerAddresses, s.pool),
+		compactor.Append(func(ctx context.Context, records ...recorder.Record) error {
+			return s.appender.AppendAll(ctx, appender.PriorityConfig, recorder.StreamControl, records...)
+		}),
+		compactor.Logger(s.settings.logger),
+		compactor.Metrics(s.registry),
+	)
+}
+
 func (s *Server) newWatcher() *watcher.Watcher {
 	terms := watcher.DefaultTerms()
 	terms.Interval = s.settings.heartbeat
@@ -205,13 +231,21 @@
 
 // register offers the parts to the peers, each under its own name.
 func (s *Server) register() error {
-	return errors.CombineErrors(
-		s.peers.Register("Member", s.watcher.Receiver()),
-		errors.CombineErrors(
-			s.peers.Register("Placing", s.dispatcher.Receiver()),
-			s.peers.Register("Routing", s.router.Receiver()),
-		),
-	)
+	receivers := map[string]any{
+		"Member":  s.watcher.Receiver(),
+		"Placing": s.dispatcher.Receiver(),
+		"Routing": s.router.Receiver(),
+		"Log":     s.compactor.Receiver(),
+		"Query": &receiver{
+			server: s,
+		},
+	}
+	for name, receiver := range receivers {
+		if err := s.peers.Register(name, receiver); err != nil {
+			return errors.WithStack(fmt.Errorf("%w: %w", ErrServe, err))
+		}
+	}
+	return nil
 }
 
 // Run serves until the context has ended, then stops without cutting off what
@@ -245,7 +279,8 @@
 func (s *Server) runParts(ctx context.Context, group *errgroup.Group) {
 	loops := []func(context.Context) error{
 		s.appender.Run,
-		s.follower.Run,
+		s.follow,
+		s.compactor.Run,
 		s.dispatcher.Run,
 		s.router.Run,
 		s.trail.run,
@@ -263,6 +298,50 @@
 	})
 }
 
+// follow tails the control stream. If the log is out of reach at the start, a
+// peer is asked for what is in force.
+func (s *Server) follow(ctx context.Context) error {
+	if !s.logAnswers(ctx) {
+		s.settings.logger.Warn("server: the log is out of reach, peers are asked")
+		if next, err := s.compactor.Recover(ctx); err == nil {
+			s.follower.Skip(next)
+		}
+	}
+	return s.follower.Run(ctx)
+}
+
+// logAnswers reports whether the log can be read now.
+func (s *Server) logAnswers(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, logWait)
+	defer cancel()
+	_, err := s.platform.Read(ctx, recorder.StreamControl, 1, 1, 0)
+	return err == nil || errors.Is(err, connector.ErrAged)
+}
+
+// allMembers returns the names of the cell's members.
+func (s *Server) allMembers() []string {
+	var names []string
+	for _, dataCentre := range s.state.DataCentres() {
+		m, _, _ := s.state.Membership(dataCentre)
+		for _, member := range m.Members {
+			names = append(names, member.Name)
+		}
+	}
+	return names
+}
+
+// peerAddresses returns the seeds and the other members of this data centre.
+func (s *Server) peerAddresses() []string {
+	addresses := slices.Clone(s.settings.seeds)
+	m, _ := s.membership()
+	for _, member := range m.Members {
+		if member.Name != s.self.Name {
+			addresses = append(addresses, member.Peers)
+		}
+	}
+	return addresses
+}
+
 // join takes part in the membership once the configuration is known.
 func (s *Server) join(ctx context.Context) error {
 	select {
