--- a/parser/errors.go
+++ b/parser/errors.go
@@ -5,6 +5,7 @@
 	"io"
 	"slices"
 	"strings"
+	"unicode"
 
 	"github.com/alecthomas/participle/v2"
 	"github.com/alecthomas/participle/v2/lexer"
@@ -109,16 +110,42 @@
 	if offset >= len(text) {
 		return "the statement ends too early"
 	}
-	word := strings.Fields(text[offset:])[0]
 	const longest = 24
-	if runes := []rune(word); len(runes) > longest {
-		word = string(runes[:longest])
+	word := []rune(text[offset:])
+	// The first character is never a blank of the language.
+	if end := slices.IndexFunc(word[1:], unicode.IsSpace); end >= 0 {
+		word = word[:end+1]
 	}
-	return fmt.Sprintf("unexpected %q", word)
+	return fmt.Sprintf("unexpected %q", string(word[:min(len(word), longest)]))
 }
 
-// expectedAt returns what can follow the text.
+// maxExplained is the greatest length in bytes of a statement for which it is
+// worked out what was expected.
+const maxExplained = 4 << 10
+
+// lastStatement returns the statement that the text ends in.
+func lastStatement(text string) string {
+	// The text was read before, up to its end.
+	tokens, _ := grammar.Lex("", stringReader(text))
+	start := 0
+	for _, token := range tokens {
+		if token.Value == ";" {
+			start = token.Pos.Offset
+		}
+	}
+	if start == 0 {
+		return text
+	}
+	return "show jobs" + text[start:]
+}
+
+// expectedAt returns what can follow the text, none if that takes too long to
+// find.
 func expectedAt(prefix string) []string {
+	prefix = lastStatement(prefix)
+	if len(prefix) > maxExplained {
+		return nil
+	}
 	var expected []string
 	anyName := false
 	for _, kind := range kinds {
--- a/rehearser/cell_test.go
+++ b/rehearser/cell_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -11,7 +12,6 @@
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/text"
 	qt "github.com/frankban/quicktest"
-	"os"
 
 	"github.com/galenacove/galenacove/rehearser"
 )
