--- a/emulator/attempt.go
+++ b/emulator/attempt.go
@@ -32,16 +32,20 @@
 // early if the attempt is cancelled.
 func newAttempt(r *http.Request) (*http.Request, *attempt) {
 	ctx, cancel := context.WithCancel(r.Context())
-	// A header that is no number counts as none.
-	epoch, _ := strconv.ParseUint(r.Header.Get(HeaderEpoch), 10, 64)
 	return r.WithContext(ctx), &attempt{
 		id:     r.Header.Get(HeaderAttempt),
-		epoch:  namer.Epoch(epoch),
+		epoch:  epochOf(r),
 		sender: r.Context(),
 		cancel: cancel,
 	}
 }
 
+// epochOf returns the sender's epoch. A header that is no number counts as none.
+func epochOf(r *http.Request) namer.Epoch {
+	epoch, _ := strconv.ParseUint(r.Header.Get(HeaderEpoch), 10, 64)
+	return namer.Epoch(epoch)
+}
+
 // giveUp answers that the attempt was cancelled, unless the sender has gone.
 func (a *attempt) giveUp(w http.ResponseWriter) {
 	if a.sender.Err() != nil {
@@ -78,10 +82,7 @@
 	if m.faults.Down {
 		drop()
 	}
-	// A header that is no number counts as none.
-	epoch, _ := strconv.ParseUint(r.Header.Get(HeaderEpoch), 10, 64)
-	lower := namer.Epoch(epoch) < m.epoch && !m.terms.onlyEcho
-	m.epoch = max(m.epoch, namer.Epoch(epoch))
+	lower := m.fence(epochOf(r))
 	m.label(w, r)
 	switch {
 	case lower:
--- a/emulator/minion.go
+++ b/emulator/minion.go
@@ -273,10 +273,7 @@
 func (m *Minion) admit(w http.ResponseWriter, r *http.Request, faults MinionFaults, a *attempt) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	// A header that is no number counts as none.
-	epoch, _ := strconv.ParseUint(r.Header.Get(HeaderEpoch), 10, 64)
-	lower := namer.Epoch(epoch) < m.epoch && !m.terms.onlyEcho
-	m.epoch = max(m.epoch, namer.Epoch(epoch))
+	lower := m.fence(a.epoch)
 	m.label(w, r)
 	switch {
 	case lower:
@@ -295,6 +292,14 @@
 	return false
 }
 
+// fence remembers the highest epoch, and reports whether a lower one is to be
+// refused. The caller holds mu.
+func (m *Minion) fence(epoch namer.Epoch) bool {
+	lower := epoch < m.epoch && !m.terms.onlyEcho
+	m.epoch = max(m.epoch, epoch)
+	return lower
+}
+
 // label sets the headers of every answer.
 func (m *Minion) label(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set(HeaderMinion, m.host.Name)
--- a/emulator/minion_test.go
+++ b/emulator/minion_test.go
@@ -33,6 +33,7 @@
 	req.Header.Set(HeaderRequest, "r1")
 	req.Header.Set(HeaderAttempt, "r1/1")
 	req.Header.Set(HeaderEpoch, epoch)
+	req.Header.Set(HeaderDeadline, "1.5")
 	resp, err := client.Do(req)
 	if err != nil {
 		return reply{}, err
@@ -139,22 +140,49 @@
 	c.Check([]int{counts.Total, counts.Ran, counts.Refused}, qt.DeepEquals, []int{DefaultSlots + 1, DefaultSlots, 1})
 }
 
-func TestMinionStallsUntilTheSenderGivesUp(t *testing.T) {
-	c := qt.New(t)
-	minion := NewMinion(testHost("m1"))
-	client, url := connect(t, minion.Handler())
-	setFaults(t, client, url, `{"stall": true}`)
-	ctx, cancel := context.WithCancel(t.Context())
-	var group errgroup.Group
-	group.Go(func() error {
-		_, err := ask(ctx, client, url, "1", "meter")
-		return err
-	})
-	for minion.Counts().Ran == 0 {
-		time.Sleep(time.Millisecond)
+// TestMinionEndsStalledRequests ends a stalled request in each of the ways that
+// there are, and looks at what its sender gets.
+func TestMinionEndsStalledRequests(t *testing.T) {
+	ends := map[string]func(cancel context.CancelFunc, clock *timekeeper.Fake, client *http.Client, url string){
+		"broken": func(cancel context.CancelFunc, _ *timekeeper.Fake, _ *http.Client, _ string) {
+			cancel()
+		},
+		"504": func(_ context.CancelFunc, clock *timekeeper.Fake, _ *http.Client, _ string) {
+			clock.Advance(1500 * time.Millisecond)
+		},
+		"408": func(_ context.CancelFunc, _ *timekeeper.Fake, client *http.Client, url string) {
+			send(client, http.MethodDelete, url+"/v1/attempts/r1%2F1", "")
+		},
+	}
+	for want, end := range ends {
+		t.Run(want, func(t *testing.T) {
+			c := qt.New(t)
+			clock := timekeeper.NewFake(epoch0)
+			minion := NewMinion(testHost("m1"), Clock(clock))
+			client, url := connect(t, minion.Handler())
+			setFaults(t, client, url, `{"stall": true}`)
+			ctx, cancel := context.WithCancel(t.Context())
+			var group errgroup.Group
+			group.Go(func() error {
+				got, err := ask(ctx, client, url, "1", "meter")
+				c.Check(describe(got, err), qt.Equals, want)
+				return nil
+			})
+			waitFor(t, clock, 1)
+			// A probe with a higher epoch sees the request of the lower one.
+			req, err := http.NewRequest(http.MethodGet, url+"/v1/probe", http.NoBody)
+			c.Assert(err, qt.IsNil)
+			req.Header.Set(HeaderEpoch, "2")
+			resp, err := client.Do(req)
+			c.Assert(err, qt.IsNil)
+			c.Assert(resp.Body.Close(), qt.IsNil)
+			c.Check(resp.StatusCode, qt.Equals, http.StatusNoContent)
+			c.Check(resp.Header.Get(HeaderOlder), qt.Equals, "1")
+			end(cancel, clock, client, url)
+			c.Assert(group.Wait(), qt.IsNil)
+			c.Check(minion.Counts().Total, qt.Equals, 1)
+		})
 	}
-	cancel()
-	c.Check(group.Wait(), qt.ErrorIs, context.Canceled)
 }
 
 func TestMinionClosesConnectionsOverItsNumber(t *testing.T) {
