Add the load tool: an open load that checks every answer

Waiting time is what the users weigh most, and a closed loop hides it: it sends less as answers slow down. The load is open, and a latency counts from when the request was due. Bodies differ, and each answer is compared byte by byte with the one to its own request. Only loopback addresses are taken.

Tested against handlers for each outcome, one of which swaps answers, with a held clock for the bound; commands by testscript, and the stand-ins together in one process. go test -race -count=5 ./requester: ok, 2.7 s; go test -race ./cmd/standin: ok, 2.4 s

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -1,6 +1,6 @@
-// Command standin runs one stand-in of an outside system: the platform, a
-// worker or a minion. It prints its address on the first line once it serves,
-// and stops on Ctrl-C.
+// Command standin runs one stand-in of an outside system (the platform, a
+// worker or a minion), or puts load on callers' addresses. A stand-in prints its
+// address on the first line once it serves, and stops on Ctrl-C.
 package main
 
 import (
@@ -32,11 +32,12 @@
 func command() *cli.Command {
 	return &cli.Command{
 		Name:  "standin",
-		Usage: "stand-ins for the platform, workers and minions, for tests and trials",
+		Usage: "stand-ins for the platform, workers and minions, and load, for tests and trials",
 		Commands: []*cli.Command{
 			platformCommand(),
 			workerCommand(),
 			minionCommand(),
+			loadCommand(),
 		},
 	}
 }
--- /dev/null
+++ b/requester/options.go
@@ -0,0 +1,128 @@
+package requester
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/galenacove/galenacove/namer"
+	"github.com/galenacove/galenacove/timekeeper"
+)
+
+// The defaults of the options.
+const (
+	DefaultRate     = 100
+	DefaultDuration = 10 * time.Second
+	DefaultInFlight = 512
+	DefaultBody     = 256
+	DefaultDeadline = 2 * time.Second
+)
+
+// Option changes the load.
+type Option func(*settings)
+
+type settings struct {
+	clock timekeeper.Clock
+	// identity is in the body of each request.
+	identity string
+	// rate is in requests a second.
+	rate     float64
+	duration time.Duration
+	inFlight int
+	// bodySize is in bytes.
+	bodySize   int
+	deadline   time.Duration
+	team       string
+	idempotent bool
+}
+
+func newSettings(opts []Option) settings {
+	s := settings{
+		clock:      timekeeper.System(),
+		identity:   namer.NewIdentity(),
+		rate:       DefaultRate,
+		duration:   DefaultDuration,
+		inFlight:   DefaultInFlight,
+		bodySize:   DefaultBody,
+		deadline:   DefaultDeadline,
+		idempotent: true,
+	}
+	for _, opt := range opts {
+		opt(&s)
+	}
+	return s
+}
+
+func (s settings) check() error {
+	switch {
+	case s.rate <= 0 || s.rate > MaxRate:
+		return errors.Wrapf(ErrRange, "a rate of %g a second, at most %d", s.rate, MaxRate)
+	case s.duration <= 0 || s.duration > MaxDuration:
+		return errors.Wrapf(ErrRange, "a load of %s, at most %s", s.duration, MaxDuration)
+	case s.inFlight < 1 || s.inFlight > MaxInFlight:
+		return errors.Wrapf(ErrRange, "%d in flight, at most %d", s.inFlight, MaxInFlight)
+	case s.bodySize < 0 || s.bodySize > MaxBody:
+		return errors.Wrapf(ErrRange, "a body of %d bytes, at most %d", s.bodySize, MaxBody)
+	case s.deadline <= 0 || s.deadline > MaxDuration:
+		return errors.Wrapf(ErrRange, "a deadline of %s, at most %s", s.deadline, MaxDuration)
+	default:
+		return nil
+	}
+}
+
+// total returns the number of requests of the load.
+func (s settings) total() int {
+	return int(s.rate * s.duration.Seconds())
+}
+
+// dueAfter returns when a request is due, after the start.
+func (s settings) dueAfter(i int) time.Duration {
+	return time.Duration(float64(i) / s.rate * float64(time.Second))
+}
+
+// Clock sets the clock. The default is the host's.
+func Clock(clock timekeeper.Clock) Option {
+	return func(s *settings) { s.clock = clock }
+}
+
+// Rate sets how many requests are sent a second, at most MaxRate. The default
+// is DefaultRate.
+func Rate(perSecond float64) Option {
+	return func(s *settings) { s.rate = perSecond }
+}
+
+// Duration sets for how long requests are sent, at most MaxDuration. The
+// default is DefaultDuration.
+func Duration(d time.Duration) Option {
+	return func(s *settings) { s.duration = d }
+}
+
+// InFlight sets the most requests that are on their way at once, at most
+// MaxInFlight. A request that is due over that is counted as not sent. The
+// default is DefaultInFlight.
+func InFlight(most int) Option {
+	return func(s *settings) { s.inFlight = most }
+}
+
+// BodySize sets the least length of a body in bytes, at most MaxBody. The
+// default is DefaultBody.
+func BodySize(bytes int) Option {
+	return func(s *settings) { s.bodySize = bytes }
+}
+
+// Deadline sets the deadline that each request carries. The requester itself
+// waits twice as long. The default is DefaultDeadline.
+func Deadline(d time.Duration) Option {
+	return func(s *settings) { s.deadline = d }
+}
+
+// Team sets the team that the requests are for. The default is none.
+func Team(name string) Option {
+	return func(s *settings) { s.team = name }
+}
+
+// NonIdempotent marks the requests as non-idempotent, each with an identity of
+// its own. The default is idempotent ones without.
+func NonIdempotent() Option {
+	return func(s *settings) { s.idempotent = false }
+}
