--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -37,6 +37,8 @@
 	nonceLength = 32
 	// handshakeTimeout bounds the proof of the secret.
 	handshakeTimeout = 2 * time.Second
+	// writeTimeout bounds each write of a call or a reply.
+	writeTimeout = 5 * time.Second
 )
 
 // Options of both ends.
@@ -64,7 +66,8 @@
 	}
 }
 
-// Clock sets the clock that bounds the handshake. The default is the host's.
+// Clock sets the clock that bounds the handshake and the writes. It must agree
+// with the host's, by which the network reckons. The default is the host's.
 func Clock(clock timekeeper.Clock) Option {
 	return func(o *options) {
 		o.clock = clock
@@ -124,3 +127,18 @@
 	mac.Write(nonce)
 	return mac.Sum(nil)
 }
+
+// boundedConn bounds the time that a write may take, so that a peer that does
+// not read cannot hold up its callers for ever.
+type boundedConn struct {
+	net.Conn
+	clock timekeeper.Clock
+}
+
+// Write implements net.Conn.
+func (c *boundedConn) Write(data []byte) (int, error) {
+	if err := c.SetWriteDeadline(c.clock.Now().Add(writeTimeout)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(data)
+}
--- a/messenger/pool.go
+++ b/messenger/pool.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/rpc"
 	"sync"
+	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
 )
@@ -23,11 +24,17 @@
 	peers map[string]*peer
 }
 
+// maxSilences is how many calls in a row may end without an answer before the
+// connection is given up: the peer may be gone without a word.
+const maxSilences = 3
+
 // peer is one open connection. It is closed by closing conn, never client:
 // that way rpc.ErrShutdown only ever means that a call was not sent.
 type peer struct {
 	client *rpc.Client
 	conn   net.Conn
+	// silences counts the calls that timed out since the last answer.
+	silences atomic.Int32
 }
 
 // NewPool returns a pool without connections.
@@ -58,8 +65,12 @@
 	call := to.client.Go(method, args, reply, make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
+		to.silences.Store(0)
 		return p.callError(address, to, call.Error)
 	case <-ctx.Done():
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) && to.silences.Add(1) >= maxSilences {
+			p.drop(address, to)
+		}
 		return errors.WithStack(fmt.Errorf("%w: %s at %s: %w", ErrUnknown, method, address, ctx.Err()))
 	}
 }
@@ -123,9 +134,18 @@
 	if p.options.tls != nil {
 		conn = tls.Client(conn, p.options.tls)
 	}
-	if err := p.options.prove(conn, roleClient, roleServer); err != nil {
+	// The handshake waits for a peer that may be paused.
+	hangUp := context.AfterFunc(ctx, func() {
 		conn.Close()
-		return nil, err
+	})
+	err = p.options.prove(conn, roleClient, roleServer)
+	if !hangUp() || err != nil {
+		conn.Close()
+		return nil, errors.CombineErrors(err, ctx.Err())
+	}
+	conn = &boundedConn{
+		Conn:  conn,
+		clock: p.options.clock,
 	}
 	return &peer{
 		client: rpc.NewClient(conn),
--- a/messenger/server.go
+++ b/messenger/server.go
@@ -93,7 +93,10 @@
 	if err := s.options.prove(conn, roleServer, roleClient); err != nil {
 		return
 	}
-	s.rpc.ServeConn(conn)
+	s.rpc.ServeConn(&boundedConn{
+		Conn:  conn,
+		clock: s.options.clock,
+	})
 }
 
 func (s *Server) add(conn net.Conn) bool {
