Prove what writers are told against what the log holds

Properties: an append answered means held, unavailable means absent; racing commits have one winner and the others learn who, under outages, lost requests, lost answers and writers that give up. Each finds its seeded fault (a lost answer taken for a refusal; the last of a race wins). 1,000 records at a budget of 10 appends a second on a fake clock took 15 appends (TestAppendsAreShared).

--- /dev/null
+++ b/appender/appender_test.go
@@ -0,0 +1,356 @@
+package appender_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/goleak"
+	"golang.org/x/sync/errgroup"
+	"pgregory.net/rapid"
+
+	"github.com/galenacove/galenacove/appender"
+	"github.com/galenacove/galenacove/connector"
+	"github.com/galenacove/galenacove/follower"
+	"github.com/galenacove/galenacove/namer"
+	"github.com/galenacove/galenacove/recorder"
+	"github.com/galenacove/galenacove/replayer"
+	"github.com/galenacove/galenacove/timekeeper"
+)
+
+// TestMain fixes the seed of the property tests, so that every run draws the
+// same cases. The flag -rapid.seed still overrides it.
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	code := m.Run()
+	if err := goleak.Find(); err != nil && code == 0 {
+		os.Stderr.WriteString(err.Error())
+		code = 1
+	}
+	os.Exit(code)
+}
+
+// fakeLog is one stream. Each append meets the next of its faults.
+type fakeLog struct {
+	mu       sync.Mutex
+	payloads [][]byte
+	appends  int
+	faults   []string
+	// changed is closed at the next append.
+	changed chan struct{}
+	// strike is called during an append that meets the fault "abandon" or
+	// "lost for good". After the latter the log is gone.
+	strike func()
+	gone   bool
+	// hide seeds a fault: a lost answer looks like a log out of reach.
+	hide bool
+}
+
+func newFakeLog(faults ...string) *fakeLog {
+	return &fakeLog{
+		faults:  faults,
+		changed: make(chan struct{}),
+		strike:  func() {},
+	}
+}
+
+func (l *fakeLog) Append(_ context.Context, _ string, payloads [][]byte) (namer.Offset, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.appends++
+	fault := ""
+	if len(l.faults) > 0 {
+		fault = l.faults[0]
+		l.faults = l.faults[1:]
+	}
+	if l.gone {
+		return 0, connector.ErrUnreachable
+	}
+	switch fault {
+	case "down":
+		return 0, connector.ErrUnreachable
+	case "busy":
+		return 0, connector.ErrBusy
+	case "lost request":
+		return 0, connector.ErrUnknown
+	case "abandon":
+		l.strike()
+	case "lost for good":
+		l.strike()
+		l.gone = true
+	}
+	first := namer.Offset(len(l.payloads)) + 1
+	l.payloads = append(l.payloads, payloads...)
+	close(l.changed)
+	l.changed = make(chan struct{})
+	switch {
+	case !strings.HasPrefix(fault, "lost"):
+		return first, nil
+	case l.hide:
+		return 0, connector.ErrUnreachable
+	default:
+		return 0, connector.ErrUnknown
+	}
+}
+
+func (l *fakeLog) Read(ctx context.Context, _ string, from namer.Offset, limit int, _ time.Duration) (connector.Batch, error) {
+	for {
+		l.mu.Lock()
+		batch := connector.Batch{
+			First: 1,
+			Next:  namer.Offset(len(l.payloads)) + 1,
+		}
+		for offset := from; offset < batch.Next && len(batch.Entries) < limit; offset++ {
+			batch.Entries = append(batch.Entries, connector.Entry{
+				Offset:  offset,
+				Payload: l.payloads[offset-1],
+			})
+		}
+		changed := l.changed
+		l.mu.Unlock()
+		if len(batch.Entries) > 0 {
+			return batch, nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return connector.Batch{}, ctx.Err()
+		}
+	}
+}
+
+// ids returns the identities of the records in the log.
+func (l *fakeLog) ids() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var ids []string
+	for _, payload := range l.payloads {
+		record, err := recorder.Decode(payload)
+		if err != nil {
+			panic(err)
+		}
+		ids = append(ids, record.ID())
+	}
+	return ids
+}
+
+// run runs f while the appender runs.
+func run(a *appender.Appender, f func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var group errgroup.Group
+	group.Go(func() error {
+		return a.Run(ctx)
+	})
+	f()
+	cancel()
+	_ = group.Wait()
+}
+
+func newAppender(l connector.Log, opts ...appender.Option) *appender.Appender {
+	opts = append([]appender.Option{
+		appender.Budget(1e6),
+		appender.Backoff(time.Microsecond, 10*time.Microsecond),
+	}, opts...)
+	return appender.New(l, opts...)
+}
+
+func note(id string) recorder.Record {
+	return recorder.New(id, "writer", time.Unix(0, 0), recorder.Audit{
+		Who: "anna",
+	})
+}
+
+// passing are the faults after which the log works again.
+var passing = []string{"", "", "down", "busy", "lost request", "lost answer"}
+
+// appendUnderFaults lets several writers append under faults, some of which
+// give up, and returns how what they were told differs from what the log holds.
+func appendUnderFaults(t *rapid.T, hide bool) error {
+	l := newFakeLog(rapid.SliceOfN(rapid.SampledFrom(append(passing, "abandon", "lost for good")), 0, 12).Draw(t, "faults")...)
+	l.hide = hide
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	l.strike = cancel
+	a := newAppender(l)
+	writers := rapid.IntRange(1, 8).Draw(t, "writers")
+	told := make([]error, writers)
+	run(a, func() {
+		var group errgroup.Group
+		for i := range writers {
+			group.Go(func() error {
+				told[i] = a.Append(ctx, appender.Priority(i%5), recorder.StreamControl, note(fmt.Sprint(i)))
+				return nil
+			})
+		}
+		_ = group.Wait()
+	})
+	ids := l.ids()
+	for i, err := range told {
+		held := slices.Contains(ids, fmt.Sprint(i))
+		switch {
+		case err == nil && !held:
+			return fmt.Errorf("record %d was lost", i)
+		case errors.Is(err, appender.ErrUnavailable) && held:
+			return fmt.Errorf("record %d is there", i)
+		case err != nil && !errors.Is(err, appender.ErrUnavailable) && !errors.Is(err, appender.ErrUnknown):
+			return err
+		}
+	}
+	return nil
+}
+
+func TestAppendTellsWhatTheLogHolds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		if err := appendUnderFaults(t, false); err != nil {
+			t.Fatal(err)
+		}
+	})
+	found := 0
+	rapid.Check(t, func(t *rapid.T) {
+		if appendUnderFaults(t, true) != nil {
+			found++
+		}
+	})
+	qt.Assert(t, found > 0, qt.IsTrue)
+}
+
+// commitRace lets several operators change one entry from the same base, each
+// asking again until it is told, and returns what is wrong with the outcome.
+func commitRace(t *rapid.T, lastWins bool) error {
+	l := newFakeLog(rapid.SliceOfN(rapid.SampledFrom(passing), 0, 8).Draw(t, "faults")...)
+	state := replayer.New()
+	f := follower.New(l, recorder.StreamControl, func(offset namer.Offset, r recorder.Record) {
+		if change, ok := r.Body().(recorder.ConfigChange); ok && lastWins {
+			change.Base = state.Base(change.Key)
+			r = recorder.New(r.ID(), r.Writer(), r.At(), change)
+		}
+		state.Apply(offset, r)
+	})
+	a := newAppender(l)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var follow errgroup.Group
+	follow.Go(func() error {
+		return f.Run(ctx)
+	})
+	operators := rapid.IntRange(2, 6).Draw(t, "operators")
+	verdicts := make([]replayer.Verdict, operators)
+	var err error
+	run(a, func() {
+		var group errgroup.Group
+		for i := range operators {
+			group.Go(func() error {
+				record := recorder.New(fmt.Sprint("set", i), "entry", time.Unix(0, 0), recorder.ConfigChange{
+					Key:      "k",
+					Value:    []byte(fmt.Sprint(i)),
+					Operator: fmt.Sprint(i),
+				})
+				var err error
+				verdicts[i], err = a.Commit(ctx, appender.PriorityConfig, record, state)
+				return err
+			})
+		}
+		err = group.Wait()
+	})
+	cancel()
+	_ = follow.Wait()
+	if err != nil {
+		return err
+	}
+	return checkRace(state, verdicts)
+}
+
+// checkRace checks that one operator won and the others were told who did.
+func checkRace(state *replayer.State, verdicts []replayer.Verdict) error {
+	setting, _ := state.Config("k")
+	for i, verdict := range verdicts {
+		id, who, at := verdict.Winner()
+		switch {
+		case verdict.Accepted() != (setting.Operator() == fmt.Sprint(i)):
+			return fmt.Errorf("operator %d: accepted is %v, but %s is in force", i, verdict.Accepted(), setting.Value())
+		case verdict.Accepted():
+		case who != setting.Operator() || id != "set"+who || at != setting.Offset() || verdict.Reason() == "":
+			return fmt.Errorf("operator %d was told that %q of %q won at %d", i, id, who, at)
+		}
+	}
+	return nil
+}
+
+func TestCommitHasOneWinner(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		if err := commitRace(t, false); err != nil {
+			t.Fatal(err)
+		}
+	})
+	found := 0
+	rapid.Check(t, func(t *rapid.T) {
+		if commitRace(t, true) != nil {
+			found++
+		}
+	})
+	qt.Assert(t, found > 0, qt.IsTrue)
+}
+
+// A commit whose record is not read back in time names the record, so that the
+// operator can ask again.
+func TestCommitNamesTheUnknownRecord(t *testing.T) {
+	c := qt.New(t)
+	l := newFakeLog()
+	a := newAppender(l)
+	ctx, cancel := context.WithCancel(context.Background())
+	l.faults = []string{"abandon"}
+	l.strike = cancel
+	run(a, func() {
+		_, err := a.Commit(ctx, appender.PriorityConfig, note("n"), replayer.New())
+		var unknown *appender.UnknownError
+		c.Assert(errors.As(err, &unknown), qt.IsTrue)
+		c.Assert(unknown.ID, qt.Equals, "n")
+		c.Assert(err, qt.ErrorIs, appender.ErrUnknown)
+	})
+}
+
+// What waits for the budget shares the next append. The figures go to
+// docs/measures/agreement.md.
+func TestAppendsAreShared(t *testing.T) {
+	c := qt.New(t)
+	l := newFakeLog()
+	clock := timekeeper.NewFake(time.Unix(0, 0))
+	a := appender.New(l, appender.Budget(10), appender.Clock(clock))
+	const records = 1000
+	run(a, func() {
+		var group errgroup.Group
+		for i := range records {
+			group.Go(func() error {
+				return a.Append(context.Background(), appender.PriorityJob, recorder.StreamControl, note(fmt.Sprint(i)))
+			})
+		}
+		done := make(chan struct{})
+		var ticker errgroup.Group
+		ticker.Go(func() error {
+			for {
+				select {
+				case <-done:
+					return nil
+				default:
+					clock.Advance(time.Millisecond)
+				}
+			}
+		})
+		c.Assert(group.Wait(), qt.IsNil)
+		close(done)
+		_ = ticker.Wait()
+	})
+	c.Assert(l.ids(), qt.HasLen, records)
+	t.Logf("%d records in %d appends", records, l.appends)
+	c.Assert(l.appends < records/10, qt.IsTrue)
+}
--- /dev/null
+++ b/appender/queue_test.go
@@ -0,0 +1,68 @@
+package appender
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func newTestEntry(p Priority, stream string, since time.Time) *entry {
+	return &entry{
+		priority: p,
+		stream:   stream,
+		payloads: [][]byte{nil},
+		since:    since,
+		done:     make(chan struct{}),
+	}
+}
+
+func TestQueueTakesTheMostUrgentOfOneStream(t *testing.T) {
+	c := qt.New(t)
+	q := newQueue(100, time.Second)
+	now := time.Unix(100, 0)
+	for _, p := range []Priority{PriorityAudit, PriorityJob, PriorityConfig, PriorityMembership} {
+		stream := "control"
+		if p == PriorityAudit {
+			stream = "audit"
+		}
+		c.Assert(q.put(newTestEntry(p, stream, now)), qt.IsTrue)
+	}
+	batch := q.next(now)
+	c.Assert(batch, qt.HasLen, 3)
+	c.Assert(batch[0].priority, qt.Equals, PriorityMembership)
+	c.Assert(batch[2].priority, qt.Equals, PriorityJob)
+	c.Assert(q.next(now), qt.HasLen, 1)
+	c.Assert(q.next(now), qt.HasLen, 0)
+}
+
+// An overdue record is taken although more urgent ones keep coming.
+func TestQueueStarvesNobody(t *testing.T) {
+	c := qt.New(t)
+	q := newQueue(100, time.Second)
+	now := time.Unix(100, 0)
+	c.Assert(q.put(newTestEntry(PriorityAudit, "audit", now)), qt.IsTrue)
+	now = now.Add(time.Minute)
+	taken := 0
+	for range oldestTurn {
+		c.Assert(q.put(newTestEntry(PriorityClaim, "claims", now)), qt.IsTrue)
+		if q.next(now)[0].stream == "audit" {
+			taken++
+		}
+	}
+	c.Assert(taken, qt.Equals, 1)
+}
+
+// A flood of one priority leaves room to those above it.
+func TestQueueKeepsRoomForTheUrgent(t *testing.T) {
+	c := qt.New(t)
+	q := newQueue(100, time.Second)
+	now := time.Unix(100, 0)
+	for p := PriorityAudit; p >= PriorityMembership; p-- {
+		for q.put(newTestEntry(p, "control", now)) {
+		}
+		c.Assert(q.length(), qt.Equals, 100-10*int(p))
+	}
+	q.close()
+	c.Assert(q.length(), qt.Equals, 0)
+}
