--- a/replayer/jobs.go
+++ b/replayer/jobs.go
@@ -3,6 +3,7 @@
 import (
 	"container/list"
 	"math/bits"
+	"unique"
 
 	"github.com/galenacove/galenacove/namer"
 	"github.com/galenacove/galenacove/recorder"
@@ -186,13 +187,22 @@
 		return refuse(offset, "the cell is full at %d jobs", s.limits.jobs)
 	}
 	s.jobs.put(JobState{
-		job:       job,
+		job:       intern(job),
 		submitted: offset,
 		changed:   offset,
 	})
 	return accept(offset)
 }
 
+// intern lets the job share the names that many jobs have.
+func intern(job recorder.Job) recorder.Job {
+	job.Name = unique.Make(job.Name).Value()
+	job.Team = unique.Make(job.Team).Value()
+	job.DataCentre = unique.Make(job.DataCentre).Value()
+	job.Operator = unique.Make(job.Operator).Value()
+	return job
+}
+
 // jobFault returns what is wrong with the job, or nothing.
 func jobFault(job recorder.Job) string {
 	switch {
--- /dev/null
+++ b/replayer/replayer_test.go
@@ -0,0 +1,278 @@
+package replayer
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"runtime"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/galenacove/galenacove/namer"
+	"github.com/galenacove/galenacove/recorder"
+	"github.com/galenacove/galenacove/sizer"
+)
+
+// applier applies records at rising offsets.
+type applier struct {
+	state *State
+	next  namer.Offset
+}
+
+func newApplier(state *State) *applier {
+	return &applier{
+		state: state,
+		next:  state.Offset() + 1,
+	}
+}
+
+// apply returns what becomes of a record whose identity is its offset.
+func (a *applier) apply(body recorder.Body) Verdict {
+	id := fmt.Sprintf("%036d", a.next)
+	a.state.Apply(a.next, recorder.New(id, "entry1", time.Unix(0, 0), body))
+	a.next++
+	verdict, _ := a.state.Verdict(id)
+	return verdict
+}
+
+func set(key, value string, base namer.Offset) recorder.ConfigChange {
+	return recorder.ConfigChange{
+		Key:      key,
+		Base:     base,
+		Value:    json.RawMessage(value),
+		Operator: "anna",
+	}
+}
+
+func members(epoch namer.Epoch, names ...string) recorder.Membership {
+	m := recorder.Membership{
+		DataCentre: "here",
+		Epoch:      epoch,
+	}
+	for _, name := range names {
+		m.Members = append(m.Members, recorder.Member{
+			Name:  name,
+			Peers: name,
+		})
+	}
+	return m
+}
+
+func job(id string, tasks int) recorder.Job {
+	return recorder.Job{
+		ID:         id,
+		Name:       "night report",
+		Team:       "omuti",
+		Policy:     recorder.Batch,
+		Tasks:      tasks,
+		Size:       sizer.New(1000, 1<<30, 0),
+		RunTime:    time.Hour,
+		DataCentre: "here",
+		Operator:   "anna",
+	}
+}
+
+func progress(id string, finished ...int) recorder.JobProgress {
+	return recorder.JobProgress{
+		Job:      id,
+		Finished: finished,
+	}
+}
+
+// Each record meets those before it. An empty reason stands for accepted.
+func TestRules(t *testing.T) {
+	c := qt.New(t)
+	a := newApplier(New())
+	for i, step := range []struct {
+		body   recorder.Body
+		reason string
+	}{
+		{set("team/omuti", `{"weight":2}`, 0), ""},
+		{set("team/omuti", `{"weight":3}`, 0), `based on offset 0, but team/omuti was set at offset 1 by anna`},
+		{set("team/omuti", `{"weight":3}`, 1), ""},
+		{set("team/omuti", `{"weight":0}`, 3), `.*weight is above 0.*`},
+		{set("team/omuti", `{"wieght":1}`, 3), `.*unknown field.*`},
+		{set("team/", `{"weight":1}`, 0), `.*lacks a name.*`},
+		{set("a b", `1`, 0), `.*space.*`},
+		{set("service/desk", `{"team":"omuti","deadline":"2s"}`, 0), ""},
+		{set("service/scan", `{"team":"omuti","deadline":"soon"}`, 0), `.*invalid duration.*`},
+		{set("team/omuti", ``, 3), ""},
+		{set("team/omuti", `{"weight":1}`, 0), `based on offset 0, but team/omuti is absent since offset 10`},
+		{set("team/omuti", `{"weight":1}`, 10), ""},
+		{set("none", ``, 0), "there is no entry none to remove"},
+		{members(1, "a", "b"), ""},
+		{members(1, "a"), "epoch 1 does not follow 1"},
+		{members(3, "a"), "epoch 3 does not follow 1"},
+		{members(2, "b", "a"), "the members are not sorted.*"},
+		{members(2, "a"), ""},
+		{job("j", 2), ""},
+		{job("j", 2), "job j was submitted at offset 19"},
+		{job("k", 0), "the number of tasks is out of range"},
+		{progress("j", 2), "job j has no task 2"},
+		{progress("j", 0), ""},
+		{recorder.JobCancel{Job: "j"}, ""},
+		{progress("j", 0, 1), ""},
+		{recorder.JobCancel{Job: "j"}, "job j has ended"},
+		{recorder.JobEnd{Job: "k"}, "there is no job k"},
+		{recorder.Audit{}, "audit records have no place.*"},
+	} {
+		verdict := a.apply(step.body)
+		c.Check(verdict.Reason(), qt.Matches, step.reason, qt.Commentf("step %d", i+1))
+		c.Check(verdict.Accepted(), qt.Equals, step.reason == "", qt.Commentf("step %d", i+1))
+	}
+	service, ok := a.state.Service("desk")
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(service.Deadline, qt.Equals, 2*time.Second)
+	c.Assert(a.state.Teams()["omuti"].Weight, qt.Equals, 1.0)
+	j, _ := a.state.Job("j")
+	end, ended := j.Ended()
+	c.Assert(ended && j.Cancelled() && j.Finished().Has(1), qt.IsTrue)
+	c.Assert(end.Outcome, qt.Equals, recorder.Done)
+	c.Assert(a.state.JobsChanged(24), qt.HasLen, 1)
+	c.Assert(a.state.JobsChanged(25), qt.HasLen, 0)
+}
+
+func TestAwaitEndsWithItsContext(t *testing.T) {
+	c := qt.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_, err := New().Await(ctx, "never")
+	c.Assert(err, qt.ErrorIs, ErrAwait)
+}
+
+// What is kept is bounded, and what is forgotten is the oldest.
+func TestEndedJobsAndVerdictsAreForgotten(t *testing.T) {
+	c := qt.New(t)
+	a := newApplier(New(func(s *State) {
+		s.limits.ended = 2
+		s.limits.decisions = 3
+		s.limits.jobs = 1
+	}))
+	for i := range 4 {
+		id := fmt.Sprint(i)
+		c.Assert(a.apply(job(id, 1)).Accepted(), qt.IsTrue)
+		c.Assert(a.apply(job("another", 1)).Reason(), qt.Equals, "the cell is full at 1 jobs")
+		c.Assert(a.apply(progress(id, 0)).Accepted(), qt.IsTrue)
+	}
+	_, known := a.state.Job("1")
+	c.Assert(known, qt.IsFalse)
+	c.Assert(a.state.Jobs(), qt.HasLen, 2)
+	_, known = a.state.Verdict(fmt.Sprintf("%036d", 1))
+	c.Assert(known, qt.IsFalse)
+}
+
+func TestRestoreRefusesWhatIsNotWholeOrNotAhead(t *testing.T) {
+	c := qt.New(t)
+	a := newApplier(New(PartSize(10)))
+	a.apply(set("a", "1", 0))
+	a.apply(set("b", "2", 0))
+	parts, err := a.state.Snapshot()
+	c.Assert(err, qt.IsNil)
+	c.Assert(len(parts) > 1, qt.IsTrue)
+
+	c.Assert(a.state.Restore(parts...), qt.ErrorIs, ErrOlder)
+	fresh := New()
+	c.Assert(fresh.Restore(), qt.ErrorIs, ErrSnapshot)
+	c.Assert(fresh.Restore(parts[1:]...), qt.ErrorIs, ErrSnapshot)
+	c.Assert(fresh.Restore(append(parts[1:], parts[1])...), qt.ErrorIs, ErrSnapshot)
+	spoilt := slices.Clone(parts)
+	spoilt[0].State = json.RawMessage(`[]`)
+	c.Assert(fresh.Restore(spoilt...), qt.ErrorIs, ErrSnapshot)
+	c.Assert(fresh.Offset(), qt.Equals, namer.Offset(0))
+
+	slices.Reverse(parts)
+	c.Assert(fresh.Restore(parts...), qt.IsNil)
+	c.Assert(fresh.Offset(), qt.Equals, namer.Offset(2))
+	setting, _ := fresh.Config("b")
+	c.Assert(string(setting.Value()), qt.Equals, "2")
+}
+
+// FuzzRestore checks that bytes that are no snapshot are refused, and that what
+// is taken can be taken again.
+func FuzzRestore(f *testing.F) {
+	a := newApplier(New())
+	a.apply(set("a", "1", 0))
+	a.apply(members(1, "a"))
+	a.apply(job("j", 2))
+	a.apply(progress("j", 0, 1))
+	a.apply(recorder.Unknown{
+		Name: "novelty",
+		Raw:  json.RawMessage("1"),
+	})
+	parts, err := a.state.Snapshot()
+	qt.Assert(f, err, qt.IsNil)
+	f.Add([]byte(parts[0].State))
+	f.Add([]byte(`{"jobs":[{"job":{"id":"a"}},{"job":{"id":"a"}}],"ended":["b"]}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		part := recorder.Snapshot{
+			Parts:   1,
+			Through: 10,
+			State:   data,
+		}
+		state := New()
+		if state.Restore(part) != nil {
+			return
+		}
+		a := newApplier(state)
+		a.apply(progress("j", 0))
+		a.apply(job("new", 1))
+		a.apply(progress("new", 0))
+		again, err := state.Snapshot()
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, New().Restore(again...), qt.IsNil)
+	})
+}
+
+// letterState returns a state with the letter's configuration and members, and
+// so many live jobs.
+func letterState(jobs int) *State {
+	state := New()
+	a := newApplier(state)
+	for i := range 1000 {
+		a.apply(set(fmt.Sprintf("team/team%04d", i), `{"weight":1,"quota":{"milliCores":400000,"bytes":1000000000000}}`, 0))
+	}
+	for i := range 25 {
+		m := members(1, "entry-1-0123456789ab", "entry-2-0123456789ab", "entry-3-0123456789ab", "entry-4-0123456789ab")
+		m.DataCentre = fmt.Sprintf("dc%02d", i)
+		a.apply(m)
+	}
+	for i := range jobs {
+		j := job(fmt.Sprintf("%036d", i), 25)
+		j.Team = fmt.Sprintf("team%04d", i%1000)
+		j.DataCentre = fmt.Sprintf("dc%02d", i%25)
+		a.apply(j)
+	}
+	return state
+}
+
+// TestLetterSize logs what the state of the letter's size costs, with a tenth,
+// a half and the whole of a day's jobs live at once.
+func TestLetterSize(t *testing.T) {
+	if testing.Short() {
+		t.Skip("measures memory, which the race detector multiplies")
+	}
+	heap := func() uint64 {
+		var m runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&m)
+		return m.HeapAlloc
+	}
+	for _, jobs := range []int{0, 9_200, 46_000, 92_000} {
+		before := heap()
+		state := letterState(jobs)
+		held := heap() - before
+		parts, err := state.Snapshot()
+		qt.Assert(t, err, qt.IsNil)
+		total, longest := 0, 0
+		for _, part := range parts {
+			total += len(part.State)
+			longest = max(longest, len(part.State))
+		}
+		t.Logf("%d jobs: %.1f MB held, snapshot of %d parts, %.2f MB, longest %d bytes",
+			jobs, float64(held)/1e6, len(parts), float64(total)/1e6, longest)
+		qt.Assert(t, longest < 300<<10, qt.IsTrue)
+	}
+}
--- a/replayer/rules.go
+++ b/replayer/rules.go
@@ -80,7 +80,7 @@
 	case recorder.Unknown:
 		s.keepUnknown(offset, r, body)
 	case recorder.Claim, recorder.ClaimEnd, recorder.Audit:
-		s.notes.put(r.ID(), refuse(offset, "a %s record has no place in the control stream", body.Kind()))
+		s.notes.put(r.ID(), refuse(offset, "%s records have no place in the control stream", body.Kind()))
 	}
 }
 
--- a/replayer/snapshot.go
+++ b/replayer/snapshot.go
@@ -315,7 +315,7 @@
 // thaw adds a job whose end, if it has one, is in t.ended.
 func (t *jobTable) thaw(w wireJob) {
 	j := JobState{
-		job:       w.Job,
+		job:       intern(w.Job),
 		submitted: w.Submitted,
 		changed:   w.Changed,
 		cancelled: w.Cancelled,
