Pass over teams whose waiting work does not fit the freed room

Cause: with 2,000 waiting tasks of 1,000 teams on 680 workers a tick looked at every team with a queue for each freed worker. Change: the room left on freed workers is reckoned anew after each placement, and each team keeps the least memory that it waits for by level of processors. Services that found no room look at freed workers only.

--- /dev/null
+++ b/placer/bench_test.go
@@ -0,0 +1,205 @@
+package placer
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/galenacove/galenacove/namer"
+	"github.com/galenacove/galenacove/sizer"
+	"github.com/galenacove/galenacove/timekeeper"
+)
+
+const (
+	gigabyte = 1 << 30
+	// tasksPerWorker is 9,200 tasks over 680 workers.
+	tasksPerWorker = 9200.0 / 680
+)
+
+// shape is the workers of one user: 35 general ones for 13 with accelerators.
+type shape struct {
+	name    string
+	general sizer.Size
+	special sizer.Size
+}
+
+var shapes = []shape{
+	{
+		name:    "omuti",
+		general: sizer.New(16_000, 64*gigabyte, 0),
+		special: sizer.New(128_000, 512*gigabyte, 8),
+	},
+	{
+		name:    "parcelguard",
+		general: sizer.New(64_000, 128*gigabyte, 0),
+		special: sizer.New(32_000, 128*gigabyte, 8),
+	},
+}
+
+// bench makes work for a placer, the same for the same seed.
+type bench struct {
+	p       *Placer
+	clock   *timekeeper.Fake
+	random  *rand.Rand
+	teams   int
+	jobs    int
+	running []namer.TaskRef
+	// scale is the mean number of cores of a task, about.
+	scale float64
+}
+
+func newBench(workers, teams int, s shape, scale float64, opts ...Option) *bench {
+	clock := timekeeper.NewFake(time.Unix(1_000_000, 0))
+	b := &bench{
+		p:      New(clock, opts...),
+		clock:  clock,
+		random: rand.New(rand.NewPCG(1, 2)),
+		teams:  teams,
+		scale:  scale,
+	}
+	for i := range workers {
+		rack, size := fmt.Sprint("general-", i/48*7+i%48/5), s.general
+		if i%48 >= 35 {
+			rack, size = fmt.Sprint("special-", i/48*5+(i%48-35)/3), s.special
+		}
+		b.p.PutWorker(NewWorker(fmt.Sprint("worker-", i), rack, fmt.Sprint("dc-", i%3), size))
+		b.p.SetWorkerState(fmt.Sprint("worker-", i), Open)
+	}
+	for t := range teams {
+		b.p.SetTeam(fmt.Sprint("team-", t), float64(1+t%4), sizer.Size{})
+	}
+	return b
+}
+
+// size returns a size with a heavy tail; one task in twenty needs accelerators.
+func (b *bench) size() sizer.Size {
+	cores := min(14, b.scale*0.45*math.Pow(1-b.random.Float64(), -1/1.5))
+	memory := cores * (1 + 5*b.random.Float64())
+	accelerators := 0
+	if b.random.IntN(20) == 0 {
+		accelerators = 1 << b.random.IntN(3)
+	}
+	return sizer.New(int64(cores*1000), int64(memory*gigabyte), int64(accelerators))
+}
+
+// submit adds one job of mixed kind: a fifth are services, some are gangs.
+func (b *bench) submit() {
+	b.jobs++
+	count, policy := 1, Policy(BatchPolicy{})
+	size := b.size()
+	switch kind := b.random.IntN(20); {
+	case kind < 4:
+		policy = ServicePolicy{}
+	case kind == 4:
+		count, policy = 4, GangPolicy{}
+		size = sizer.New(1000, gigabyte, 0)
+	}
+	team := fmt.Sprint("team-", b.random.IntN(b.teams))
+	for i := range count {
+		b.p.Submit(NewTask(namer.TaskID{
+			Job:   fmt.Sprint("job-", b.jobs),
+			Index: i,
+		}, team, policy, size, RunTime(time.Minute)))
+	}
+}
+
+func (b *bench) tick() int {
+	placed := 0
+	for _, decision := range b.p.Tick() {
+		if d, ok := decision.(Place); ok {
+			b.running = append(b.running, d.ref)
+			b.p.Started(d.ref)
+			placed++
+		}
+	}
+	return placed
+}
+
+// fill starts tasks until so many run.
+func (b *bench) fill(tasks int) {
+	for len(b.running) < tasks {
+		before := len(b.running)
+		for range max(1, (tasks-len(b.running))/5) {
+			b.submit()
+		}
+		b.tick()
+		if len(b.running) == before {
+			return
+		}
+	}
+}
+
+// end ends one of the running tasks; a service moves on.
+func (b *bench) end() {
+	at := b.random.IntN(len(b.running))
+	ref := b.running[at]
+	b.running[at] = b.running[len(b.running)-1]
+	b.running = b.running[:len(b.running)-1]
+	if v, ok := b.p.Task(ref.Task); ok && kindOf(v.task.policy) == kindService {
+		b.p.Cancel(ref.Task)
+	}
+	b.p.Ended(ref, Finished)
+}
+
+// useFirstFit makes a filled placer go on by first-fit.
+func (b *bench) useFirstFit() {
+	b.p.settings.firstFit = true
+	for i := range b.p.tasks.rows {
+		if b.p.tasks.rows[i].state == StatePending {
+			b.p.tasks.order = append(b.p.tasks.order, int32(i))
+		}
+	}
+}
+
+// BenchmarkDecision ends one task, submits one job and ticks, in a cell that is
+// filled to the letter's number of tasks for each worker, without and with a
+// backlog of tasks that wait.
+func BenchmarkDecision(b *testing.B) {
+	for _, workers := range []int{48, 680, 17_000} {
+		for _, waiting := range []int{0, 2000} {
+			for _, strategy := range []string{"firstFit", "indexed"} {
+				b.Run(fmt.Sprintf("workers=%d/waiting=%d/%s", workers, waiting, strategy), func(b *testing.B) {
+					benchmarkDecision(b, workers, waiting, strategy == "firstFit")
+				})
+			}
+		}
+	}
+}
+
+func benchmarkDecision(b *testing.B, workers, waiting int, firstFit bool) {
+	scale := 2.3
+	if waiting > 0 {
+		scale = 5
+	}
+	cell := newBench(workers, min(1000, workers), shapes[0], scale)
+	cell.fill(int(float64(workers) * tasksPerWorker))
+	for waiting > 0 && len(cell.p.tasks.byID)-len(cell.running) < waiting {
+		cell.submit()
+	}
+	cell.tick()
+	full := len(cell.p.tasks.byID)
+	if firstFit {
+		cell.useFirstFit()
+	}
+	took := make([]time.Duration, 0, 1<<16)
+	placed := 0
+	b.ReportAllocs()
+	for b.Loop() {
+		cell.clock.Advance(time.Millisecond)
+		start := time.Now()
+		cell.end()
+		if len(cell.p.tasks.byID) < full {
+			cell.submit()
+		}
+		placed += cell.tick()
+		took = append(took, time.Since(start))
+	}
+	slices.Sort(took)
+	b.ReportMetric(float64(placed)/b.Elapsed().Seconds(), "decisions/s")
+	b.ReportMetric(float64(took[len(took)*99/100].Nanoseconds())/1000, "p99-us")
+	b.ReportMetric(float64(len(cell.running)), "running")
+	b.ReportMetric(float64(len(cell.p.tasks.byID)-len(cell.running)), "waiting")
+}
--- a/placer/policies.go
+++ b/placer/policies.go
@@ -15,6 +15,9 @@
 func (p *Placer) search(class *classRow, blocked bool, now time.Time) int32 {
 	switch class.policy.(type) {
 	case ServicePolicy:
+		if blocked && len(p.workers.dirty) <= shortList {
+			return p.tightestFreed(class.need)
+		}
 		return p.searchService(class)
 	default:
 		return p.searchBatch(class, blocked, now)
--- a/placer/teams.go
+++ b/placer/teams.go
@@ -64,6 +64,9 @@
 	// used is the room that the team's tasks hold.
 	used  sizer.Size
 	queue []queueEntry
+	// needs sums the queue up; loose says that it counts a class that left.
+	needs leastNeeds
+	loose bool
 	// share is the dominant share over the weight, valid during a tick.
 	share float64
 	// cursor is the first entry of the queue that this tick has not tried.
@@ -220,6 +223,11 @@
 	if at < team.cursor {
 		team.cursor++
 	}
+	if len(team.queue) == 1 {
+		team.needs.clear()
+		team.loose = false
+	}
+	team.needs.add(class.need)
 	p.teams.setWaiting(class.key.team)
 	p.teams.list(class.key.team)
 }
@@ -233,6 +241,7 @@
 	if at < team.cursor {
 		team.cursor--
 	}
+	team.loose = true
 	class.queued = false
 	class.blockedSince = time.Time{}
 	p.teams.setWaiting(class.key.team)
--- a/placer/tick.go
+++ b/placer/tick.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"slices"
 	"time"
 
 	"github.com/galenacove/galenacove/sizer"
@@ -46,7 +47,7 @@
 
 // fill places waiting work, urgent work first, by turns of the teams.
 func (p *Placer) fill(now time.Time) {
-	p.freedRoom = p.mostFreed()
+	p.freedRoom = p.mostFreed(now)
 	for _, t := range p.tried() {
 		p.teams.rows[t].cursor = 0
 	}
@@ -64,12 +65,16 @@
 
 // mostFreed returns the most room, in each resource, of the workers on which
 // room was freed.
-func (p *Placer) mostFreed() sizer.Size {
+func (p *Placer) mostFreed(now time.Time) sizer.Size {
 	most := sizer.Size{}
 	for _, i := range p.workers.dirty {
 		w := &p.workers.rows[i]
-		if w.takes() {
+		switch {
+		case !w.takes():
+		case len(w.claims) == 0 || w.claimUntil.After(now):
 			most = most.Max(w.free())
+		default:
+			most = most.Max(w.room)
 		}
 	}
 	return most
@@ -82,7 +87,7 @@
 	turn.numbers = turn.numbers[:0]
 	for _, t := range p.tried() {
 		team := &p.teams.rows[t]
-		if len(team.queue) == 0 || (last == bandUrgent && team.queue[0].rank.band > last) {
+		if !team.mayPlace(last, p.freedRoom) {
 			continue
 		}
 		team.share = p.shareOf(t)
@@ -101,7 +106,25 @@
 		}
 		p.teams.rows[t].share = p.shareOf(t)
 		heap.Fix(turn, 0)
+		if len(p.workers.dirty) <= shortList {
+			p.narrow(last, now)
+		}
+	}
+}
+
+// narrow takes the teams out of the heap whose work does not fit in the room
+// that is left on the workers on which room was freed.
+func (p *Placer) narrow(last band, now time.Time) {
+	room := p.mostFreed(now)
+	if room == p.freedRoom {
+		return
 	}
+	p.freedRoom = room
+	turn := &p.teams.turn
+	turn.numbers = slices.DeleteFunc(turn.numbers, func(t int32) bool {
+		return !p.teams.rows[t].mayPlace(last, room)
+	})
+	heap.Init(turn)
 }
 
 // endTurn takes the first team out of the heap.
