Prove the dispatcher by properties in virtual time, each with its seeded fault

A rig runs entries, workers and the log in one goroutine, delays, loses and repeats messages within the terms, and keeps account at the workers. It found and this mends: a job that was started again from an older reading of the log, a start that was held to have lapsed by an owner that had just woken, a finished start that was acknowledged after it was held to have lapsed, a worker that never counted as gone when it died during its takeover, and an entry that went on after a peer knew of a later epoch. Ruled out: taking the epoch from the peer, since only the log says who the members are.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -221,8 +221,9 @@
 	dispatcher *Dispatcher
 }
 
-// Exchange applies the items of a peer and returns this entry's. It fails with
-// ErrEpoch or ErrStranger, and has then done nothing.
+// Exchange applies the items of a peer and returns this entry's. A peer at
+// another epoch gets only this one's. It fails with ErrStranger, and has then
+// done nothing.
 func (r *Receiver) Exchange(args, reply *Message) error {
 	var err error
 	r.dispatcher.update(func(t *tables) {
--- a/dispatcher/epochs.go
+++ b/dispatcher/epochs.go
@@ -46,13 +46,13 @@
 
 // forget drops everything once this entry is no member: others take it over.
 func (t *tables) forget() {
-	for _, l := range t.links.byName {
-		t.dropLink(l)
+	for _, name := range sorted(t.links.byName) {
+		t.dropLink(t.links.byName[name])
 	}
-	for name := range t.reservations {
+	for _, name := range sorted(t.reservations) {
 		t.releaseGang(name)
 	}
-	for id := range t.held {
+	for _, id := range sortedTasks(t.held) {
 		t.placer.Cancel(id)
 		t.unhold(id)
 	}
@@ -65,7 +65,8 @@
 
 // moveLinks lets go of the workers that others own now, and tells those of them.
 func (t *tables) moveLinks(follows bool) {
-	for name, l := range t.links.byName {
+	for _, name := range sorted(t.links.byName) {
+		l := t.links.byName[name]
 		owner, _ := namer.Owner(name, t.members)
 		switch {
 		case owner != t.self:
@@ -86,15 +87,15 @@
 // moveHoldings tells each job's home what this member has of it. Tasks that
 // only wait are dropped if their home is another one now.
 func (t *tables) moveHoldings(follows bool, before []string) {
-	for name := range t.reservations {
+	for _, name := range sorted(t.reservations) {
 		t.releaseGang(name)
 	}
-	for job, byIndex := range t.heldOf {
+	for _, job := range sorted(t.heldOf) {
 		home := t.homeOf(job)
 		former, _ := namer.Owner(job, before)
 		moved := !follows || home != former
-		kept := make([]int, 0, len(byIndex))
-		for index := range byIndex {
+		kept := make([]int, 0, len(t.heldOf[job]))
+		for _, index := range t.indexesOf(job) {
 			id := namer.TaskID{
 				Job:   job,
 				Index: index,
@@ -109,14 +110,13 @@
 			kept = append(kept, index)
 		}
 		if len(kept) > 0 {
-			slices.Sort(kept)
 			t.send(home, Held{
 				Job:     job,
 				Indexes: kept,
 			})
 		}
 	}
-	for ref := range t.finished {
+	for _, ref := range sortedRefs(t.finished) {
 		t.send(t.homeOf(ref.Task.Job), Finished{
 			Refs: []namer.TaskRef{ref},
 		})
@@ -127,7 +127,8 @@
 // uncertain until they have said so in this epoch.
 func (t *tables) moveHomes(follows bool, before []string) {
 	clear(t.strays.byJob)
-	for id, j := range t.homes {
+	for _, id := range sorted(t.homes) {
+		j := t.homes[id]
 		former, _ := namer.Owner(id, before)
 		if !follows || former != t.self || t.homeOf(id) != t.self {
 			delete(t.homes, id)
@@ -136,9 +137,9 @@
 		}
 		t.doubt(j)
 	}
-	for id, state := range t.jobs {
+	for _, id := range sorted(t.jobs) {
 		if t.homeOf(id) == t.self && t.homes[id] == nil {
-			t.updateHome(state, false)
+			t.updateHome(t.jobs[id], false)
 		}
 	}
 }
@@ -189,13 +190,13 @@
 	if !t.hostsKnown {
 		return "the host list"
 	}
-	for name, ch := range t.channels {
-		if !ch.ready {
+	for _, name := range sorted(t.channels) {
+		if !t.channels[name].ready {
 			return "member " + name
 		}
 	}
-	for name, l := range t.links.byName {
-		if !l.adopted {
+	for _, name := range sorted(t.links.byName) {
+		if l := t.links.byName[name]; !l.adopted {
 			return "worker " + name + ", which is " + l.state.String()
 		}
 	}
--- a/dispatcher/exchange.go
+++ b/dispatcher/exchange.go
@@ -106,7 +106,8 @@
 
 // tendChannels sends what is due.
 func (t *tables) tendChannels() {
-	for _, ch := range t.channels {
+	for _, name := range sorted(t.channels) {
+		ch := t.channels[name]
 		news := ch.base+uint64(len(ch.out)) > ch.sent
 		if ch.inFlight || t.now.Before(ch.retryAt) || (!news && t.now.Before(ch.due)) {
 			continue
@@ -139,10 +140,15 @@
 	}
 }
 
-// receive answers a message of a member.
+// receive answers a message of a member. One at another epoch is told this one's
+// and nothing else.
 func (t *tables) receive(args *Message) (Message, error) {
-	if !t.member || args.Epoch != t.epoch {
-		return Message{}, errors.Wrapf(ErrEpoch, "%d here, %d there", t.epoch, args.Epoch)
+	if args.Epoch != t.epoch {
+		t.hearEpoch(args.Epoch)
+		return Message{
+			From:  t.self,
+			Epoch: t.epoch,
+		}, nil
 	}
 	ch := t.channels[args.From]
 	if ch == nil {
@@ -153,6 +159,24 @@
 	return t.message(ch), nil
 }
 
+// hearEpoch stops this entry once a peer knows of a later epoch: until it has
+// read that epoch itself, it starts and renews nothing.
+func (t *tables) hearEpoch(epoch namer.Epoch) {
+	if epoch <= max(t.epoch, t.heardEpoch) {
+		return
+	}
+	t.heardEpoch = epoch
+	t.log.Warnf("dispatcher: a peer has epoch %d, this entry %d", epoch, t.epoch)
+	for _, name := range sorted(t.links.byName) {
+		t.show(t.links.byName[name])
+	}
+}
+
+// behind reports whether a later epoch is known to be in force.
+func (t *tables) behind() bool {
+	return t.heardEpoch > t.epoch
+}
+
 // exchanged reads the answer of a member.
 func (t *tables) exchanged(e exchangedEvent) {
 	ch := t.channels[e.member]
@@ -166,6 +190,9 @@
 		return
 	}
 	if e.reply.Epoch != t.epoch {
+		t.hearEpoch(e.reply.Epoch)
+		ch.sent = ch.base
+		ch.retryAt = t.now.Add(exchangeRetry)
 		return
 	}
 	t.read(ch, &e.reply)
--- a/dispatcher/holder.go
+++ b/dispatcher/holder.go
@@ -1,7 +1,6 @@
 package dispatcher
 
 import (
-	"slices"
 	"time"
 
 	"github.com/galenacove/galenacove/connector"
@@ -136,12 +135,7 @@
 }
 
 func (t *tables) indexesOf(job string) []int {
-	indexes := make([]int, 0, len(t.heldOf[job]))
-	for index := range t.heldOf[job] {
-		indexes = append(indexes, index)
-	}
-	slices.Sort(indexes)
-	return indexes
+	return sorted(t.heldOf[job])
 }
 
 // adoptHolding notes that this member has a task that it found on a worker.
@@ -280,7 +274,7 @@
 	}
 	t.overflowDue = t.now.Add(overflowInterval)
 	given := 0
-	for id := range t.overflowed {
+	for _, id := range sortedTasks(t.overflowed) {
 		h := t.held[id]
 		if h == nil || h.start != nil || h.gang != "" {
 			delete(t.overflowed, id)
@@ -421,8 +415,8 @@
 
 // expireReservations releases what no home has confirmed in time.
 func (t *tables) expireReservations() {
-	for name, r := range t.reservations {
-		if !t.now.Before(r.expiry) {
+	for _, name := range sorted(t.reservations) {
+		if !t.now.Before(t.reservations[name].expiry) {
 			t.releaseGang(name)
 		}
 	}
--- a/dispatcher/homes.go
+++ b/dispatcher/homes.go
@@ -2,13 +2,11 @@
 
 import (
 	"fmt"
-	"slices"
 	"time"
 
 	"github.com/galenacove/galenacove/namer"
 	"github.com/galenacove/galenacove/recorder"
 	"github.com/galenacove/galenacove/replayer"
-	"github.com/galenacove/galenacove/sizer"
 )
 
 // taskState says what a home knows of one of its tasks.
@@ -104,7 +102,7 @@
 func (t *tables) setJobs(states []replayer.JobState) {
 	for _, state := range states {
 		job := state.Job()
-		if job.DataCentre != t.dataCentre {
+		if job.DataCentre != t.dataCentre || t.outdated(state) {
 			continue
 		}
 		_, ended := state.Ended()
@@ -121,6 +119,14 @@
 	}
 }
 
+// outdated reports whether something later is known of a job: the end of an own
+// record may be heard of before what was read of the log.
+func (t *tables) outdated(state replayer.JobState) bool {
+	id := state.Job().ID
+	_, ended := t.strays.ended[id]
+	return ended || state.Changed() < t.jobs[id].Changed()
+}
+
 // updateHome brings a job of this home in line with the log.
 func (t *tables) updateHome(state replayer.JobState, ended bool) {
 	id := state.Job().ID
@@ -200,8 +206,8 @@
 
 // tendHomes looks at the jobs that something happened to.
 func (t *tables) tendHomes() {
-	for id, j := range t.active {
-		if t.tendHome(j) {
+	for _, id := range sorted(t.active) {
+		if t.tendHome(t.active[id]) {
 			delete(t.active, id)
 		}
 	}
@@ -242,121 +248,6 @@
 	}
 }
 
-// tendEnding records the end of a job once nothing of it runs.
-func (t *tables) tendEnding(j *homeJob) bool {
-	if j.counts[taskHeld] > 0 || j.counts[taskUncertain] > 0 {
-		return false
-	}
-	if j.ended {
-		t.settleAll(j)
-		delete(t.homes, j.job.ID)
-		return true
-	}
-	if j.recording || t.now.Before(j.recordDue) || len(j.progress) > 0 {
-		return false
-	}
-	j.recording = true
-	t.emit(commitEffect{
-		body: *j.verdict,
-	})
-	return false
-}
-
-// settleAll lets go of finished starts of a job that has ended otherwise.
-func (t *tables) settleAll(j *homeJob) {
-	for _, index := range j.indexes(taskRecording) {
-		t.recorded(j, index)
-	}
-}
-
-// record sends the progress of a job to the log.
-func (t *tables) record(j *homeJob) {
-	if len(j.progress) == 0 || j.recording || j.ended || t.now.Before(j.recordDue) {
-		return
-	}
-	slices.Sort(j.progress)
-	j.recording = true
-	j.recordDue = t.now.Add(recordInterval)
-	t.emit(commitEffect{
-		body: recorder.JobProgress{
-			Job:      j.job.ID,
-			Finished: slices.Compact(j.progress),
-		},
-	})
-	j.progress = nil
-}
-
-// committed reads the end of a record.
-func (t *tables) committed(e committedEvent) {
-	switch body := e.body.(type) {
-	case recorder.JobProgress:
-		t.committedProgress(body, e.err)
-	case recorder.JobEnd:
-		t.committedEnd(body, e.err)
-	default:
-	}
-}
-
-func (t *tables) committedProgress(body recorder.JobProgress, err error) {
-	j := t.homes[body.Job]
-	if j == nil {
-		return
-	}
-	t.touchHome(j)
-	j.recording = false
-	if err == nil {
-		for _, index := range body.Finished {
-			t.recorded(j, index)
-		}
-		return
-	}
-	t.log.Warnf("dispatcher: the progress of job %s is not recorded: %v", body.Job, err)
-	j.recordDue = t.now.Add(recordRetry)
-	for _, index := range body.Finished {
-		if j.tasks[index].state == taskRecording {
-			j.progress = append(j.progress, index)
-		}
-	}
-}
-
-func (t *tables) committedEnd(body recorder.JobEnd, err error) {
-	j := t.homes[body.Job]
-	if j == nil {
-		return
-	}
-	t.touchHome(j)
-	j.recording = false
-	if err != nil {
-		t.log.Warnf("dispatcher: the end of job %s is not recorded: %v", body.Job, err)
-		j.recordDue = t.now.Add(recordRetry)
-		return
-	}
-	j.ended = true
-	t.audit("end job "+body.Job, string(body.Outcome)+": "+body.Reason)
-}
-
-// recorded notes that the log has the end of a task.
-func (t *tables) recorded(j *homeJob, index int) {
-	task := &j.tasks[index]
-	switch task.state {
-	case taskRecording:
-		t.send(task.holder, Settle{
-			Refs: []namer.TaskRef{task.ref},
-		})
-	case taskHeld:
-		// Another home recorded it before the holder's report came here.
-		t.send(task.holder, Withdraw{
-			Job:     j.job.ID,
-			Indexes: []int{index},
-		})
-	default:
-	}
-	j.move(index, taskDone)
-	if len(j.tasks) == j.counts[taskDone] && j.job.Policy != recorder.Service {
-		j.ended = true
-	}
-}
-
 // withdrawAll takes every task back from its holder.
 func (t *tables) withdrawAll(j *homeJob) {
 	if j.withdrawn {
@@ -376,7 +267,7 @@
 			holders[j.tasks[index].holder] = struct{}{}
 		}
 	}
-	for holder := range holders {
+	for _, holder := range sorted(holders) {
 		t.send(holder, Withdraw{
 			Job: j.job.ID,
 		})
@@ -398,88 +289,6 @@
 	t.touchHome(j)
 }
 
-// assign hands idle tasks to the members with the most room.
-func (t *tables) assign(j *homeJob) {
-	if !t.fits(j, 1) {
-		return
-	}
-	given := make(map[string][]int)
-	for _, index := range j.indexes(taskIdle) {
-		holder := t.roomiest(j.job.Size)
-		if holder == "" {
-			return
-		}
-		given[holder] = append(given[holder], index)
-		t.promise(holder, j.job.Size)
-		j.move(index, taskHeld)
-		j.tasks[index].holder = holder
-	}
-	for holder, indexes := range given {
-		t.send(holder, Assign{
-			Job:         j.job,
-			Indexes:     indexes,
-			Checkpoints: j.checkpointsOf(indexes),
-		})
-	}
-}
-
-func (j *homeJob) checkpointsOf(indexes []int) map[int]string {
-	var found map[int]string
-	for _, index := range indexes {
-		if checkpoint, ok := j.checkpoints[index]; ok {
-			if found == nil {
-				found = make(map[int]string)
-			}
-			found[index] = checkpoint
-		}
-	}
-	return found
-}
-
-// fits ends a job for which no worker of any member is large enough, once that
-// has lasted. It reports whether there is one.
-func (t *tables) fits(j *homeJob, tasks int) bool {
-	var nearest sizer.Size
-	var total sizer.Size
-	known := false
-	for _, summary := range t.summaries() {
-		total = total.Add(summary.Capacity)
-		for _, shape := range summary.Shapes {
-			if j.job.Size.Fits(shape) && (tasks == 1 || j.job.Size.Times(int64(tasks)).Fits(total)) {
-				j.unfit = time.Time{}
-				return true
-			}
-			known = true
-			nearest = nearer(j.job.Size, nearest, shape)
-		}
-	}
-	if !known || !t.certain {
-		return false
-	}
-	if j.unfit.IsZero() {
-		j.unfit = t.now
-	}
-	if t.now.Sub(j.unfit) >= t.settings.settle {
-		t.fail(j, unfitReason(j.job, nearest, total))
-	}
-	return false
-}
-
-// nearer returns the one of two shapes that lacks less of the size.
-func nearer(size, a, b sizer.Size) sizer.Size {
-	if a.IsZero() || size.DominantShare(b) < size.DominantShare(a) {
-		return b
-	}
-	return a
-}
-
-func unfitReason(job recorder.Job, nearest, total sizer.Size) string {
-	if !job.Size.Fits(nearest) {
-		return fmt.Sprintf("no worker has %s; the nearest has %s", job.Size, nearest)
-	}
-	return fmt.Sprintf("%d tasks of %s at once are more than all workers have: %s", job.Tasks, job.Size, total)
-}
-
 // applyHeld notes where a task is.
 func (t *tables) applyHeld(holder string, item Held) {
 	if t.homeOf(item.Job) != t.self {
@@ -581,6 +390,13 @@
 		}
 		return
 	}
+	if task.state == taskHeld && task.holder != holder {
+		// It was held to have lapsed, and was assigned anew.
+		t.send(task.holder, Withdraw{
+			Job:     j.job.ID,
+			Indexes: []int{index},
+		})
+	}
 	if task.state != taskRecording {
 		j.move(index, taskRecording)
 		j.progress = append(j.progress, index)
--- a/dispatcher/links.go
+++ b/dispatcher/links.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -100,6 +101,10 @@
 	announced time.Time
 	// contact is the sending of the last contact that the worker accepted.
 	contact time.Time
+	// kept is the latest sending of a renewal that may have lengthened a lease.
+	kept time.Time
+	// missed is the sending of the last renewal that was not answered.
+	missed time.Time
 	// adopted is set once the link was owned.
 	adopted bool
 	// inFlight is set while a renewal is. There is at most one, so that
@@ -191,11 +196,11 @@
 	for _, l := range t.links.byName {
 		_, l.listed = t.listed[l.host.Name]
 	}
-	for name, host := range t.listed {
+	for _, name := range sorted(t.listed) {
 		if owner, _ := namer.Owner(name, t.members); owner != t.self {
 			continue
 		}
-		t.updateHost(host)
+		t.updateHost(t.listed[name])
 	}
 }
 
@@ -219,7 +224,7 @@
 func (t *tables) show(l *link) {
 	state := placer.Closed
 	switch {
-	case l.state != linkOwned || t.leaving:
+	case l.state != linkOwned || t.leaving || t.behind():
 	case !l.listed:
 		// The list lags: the worker keeps what it has, and gets nothing new.
 	case l.leaving || l.draining:
@@ -236,8 +241,8 @@
 
 // tendLinks sends what is due and finds what has lapsed.
 func (t *tables) tendLinks() {
-	for _, l := range t.links.byName {
-		t.tendLink(l)
+	for _, name := range sorted(t.links.byName) {
+		t.tendLink(t.links.byName[name])
 	}
 }
 
@@ -248,11 +253,11 @@
 	if l.state == linkSilent {
 		t.lapse(l)
 	}
-	if !l.listed && l.resolved(t.now, t.settings.terms) {
+	if !l.listed && l.resolved(t.settings.terms) {
 		t.dropLink(l)
 		return
 	}
-	if l.state != linkSuperseded && !l.inFlight && !t.now.Before(l.due) {
+	if l.state != linkSuperseded && !l.inFlight && !t.behind() && !t.now.Before(l.due) {
 		t.renew(l)
 	}
 	t.resendStops(l)
@@ -261,10 +266,10 @@
 
 // resolved reports whether a worker that is gone from the host list certainly
 // runs nothing.
-func (l *link) resolved(now time.Time, terms terms) bool {
+func (l *link) resolved(terms terms) bool {
 	switch l.state {
-	case linkUnknown:
-		return now.After(l.since.Add(terms.lapse()))
+	case linkUnknown, linkWaiting:
+		return l.missed.After(maxTime(l.since, l.kept).Add(terms.lapse()))
 	case linkSilent:
 		return len(l.starts) == 0
 	default:
@@ -280,10 +285,13 @@
 
 // lapse ends the starts of a silent worker whose leases have certainly run out.
 // Another owner may have renewed them only in a later epoch. So it is also asked
-// that the log was read after the lapse and had no later epoch.
+// that the log was read after the lapse and had no later epoch. And the worker
+// must have been asked in vain after it: an owner that wakes from a pause may
+// find that its tasks have finished.
 func (t *tables) lapse(l *link) {
 	terms := t.settings.terms
-	for _, s := range l.starts {
+	for _, ref := range sortedRefs(l.starts) {
+		s := l.starts[ref]
 		if s.state == startFinished || s.state == startSending || l.inFlight {
 			continue
 		}
@@ -291,7 +299,7 @@
 		if t.settings.fault == faultEarlyLapse {
 			over = over.Add(-terms.lease)
 		}
-		if t.now.Before(over) || t.logContact.Before(over) {
+		if l.missed.Before(over) || t.logContact.Before(over) {
 			continue
 		}
 		t.metrics.lapses.Inc()
@@ -313,10 +321,12 @@
 	}
 	switch l.state {
 	case linkWaiting:
-		renewal.Refs = l.found
+		if t.now.Before(l.mayStartUntil(t.settings.terms)) {
+			renewal.Refs = l.found
+		}
 	case linkOwned:
 		renewal.Refs = l.renewable()
-		renewal.Acknowledged = l.acknowledgements()
+		renewal.Acknowledged = sortedRefs(l.acks)
 	default:
 	}
 	l.inFlight = true
@@ -337,16 +347,7 @@
 			refs = append(refs, ref)
 		}
 	}
-	sortRefs(refs)
-	return refs
-}
-
-func (l *link) acknowledgements() []namer.TaskRef {
-	refs := make([]namer.TaskRef, 0, len(l.acks))
-	for ref := range l.acks {
-		refs = append(refs, ref)
-	}
-	sortRefs(refs)
+	slices.SortFunc(refs, compareRefs)
 	return refs
 }
 
@@ -363,8 +364,10 @@
 	switch {
 	case errors.Is(e.err, connector.ErrFenced), e.err == nil && e.report.Epoch > e.renewal.Epoch:
 		t.supersede(l)
-	case e.err != nil, e.report.Epoch < t.epoch:
-		return
+	case e.err != nil, e.report.Epoch < e.renewal.Epoch:
+		l.missed = e.sentAt
+	case e.renewal.Epoch < t.epoch:
+		// It says nothing of the epoch that has begun meanwhile.
 	default:
 		t.accepted(l, e)
 	}
@@ -373,6 +376,9 @@
 // touch notes that a renewal may have lengthened leases. It was written at the
 // latest when its call ended.
 func (l *link) touch(e renewedEvent) {
+	if len(e.renewal.Refs) > 0 {
+		l.kept = maxTime(l.kept, e.doneAt)
+	}
 	for _, ref := range e.renewal.Refs {
 		if s := l.starts[ref]; s != nil {
 			s.touched = maxTime(s.touched, e.doneAt)
--- a/dispatcher/options.go
+++ b/dispatcher/options.go
@@ -29,8 +29,6 @@
 
 // The errors of the package.
 var (
-	// ErrEpoch is returned to a peer that is at another epoch than this entry.
-	ErrEpoch = errors.New("dispatcher: the epochs differ")
 	// ErrStranger is returned to a peer that is no member.
 	ErrStranger = errors.New("dispatcher: not a member")
 	// ErrOff is returned where no option gave the means for a call.
--- a/dispatcher/rig_test.go
+++ b/dispatcher/rig_test.go
@@ -14,7 +14,6 @@
 	"github.com/galenacove/galenacove/namer"
 	"github.com/galenacove/galenacove/recorder"
 	"github.com/galenacove/galenacove/replayer"
-	"github.com/galenacove/galenacove/sizer"
 	"github.com/galenacove/galenacove/timekeeper"
 )
 
@@ -39,11 +38,13 @@
 	loss  float64
 	terms terms
 	fault fault
+	// wholeGangs asks that a gang has room for every task before one starts.
+	wholeGangs bool
 	// runs says where each task runs, finished where it has finished.
 	runs       map[namer.TaskID]map[namer.TaskRef]*rigWorker
 	finished   map[namer.TaskID]*rigWorker
 	violations []string
-	// cut holds pairs that do not reach each other.
+	// cut holds pairs of which the first does not reach the second.
 	cut map[[2]string]bool
 	// messages and bytes count what was sent, by kind of effect.
 	messages map[string]int
@@ -145,8 +146,14 @@
 	return time.Duration(r.random.Int64N(int64(2 * time.Millisecond)))
 }
 
-func (r *rig) reaches(a, b string) bool {
-	return !r.cut[[2]string{a, b}] && !r.cut[[2]string{b, a}]
+func (r *rig) reaches(from, to string) bool {
+	return !r.cut[[2]string{from, to}]
+}
+
+// part cuts two hosts off from each other.
+func (r *rig) part(a, b string) {
+	r.cut[[2]string{a, b}] = true
+	r.cut[[2]string{b, a}] = true
 }
 
 // deliver calls read once, twice or not at all, within the longest delivery.
@@ -256,11 +263,11 @@
 	})
 }
 
-// poll reads the log and the host list, which lag.
+// poll reads the log and the host list, which lag. One read follows another.
 func (e *rigEntry) poll() {
 	e.awake(func() {
-		e.rig.after(200*time.Millisecond, e.poll)
 		if e.cutOff {
+			e.rig.after(200*time.Millisecond, e.poll)
 			return
 		}
 		sentAt := e.rig.clock.Now()
@@ -279,6 +286,7 @@
 				e.tables.settleLocal()
 				e.tables.logContact = maxTime(e.tables.logContact, sentAt)
 				e.step()
+				e.rig.after(200*time.Millisecond, e.poll)
 			})
 		})
 	})
@@ -303,7 +311,11 @@
 // perform makes a call: a frozen process makes it when it wakes.
 func (e *rigEntry) perform(ef effect) {
 	r := e.rig
-	r.after(time.Duration(r.random.Int64N(int64(time.Millisecond))), func() {
+	queued := time.Duration(r.random.Int64N(int64(time.Millisecond)))
+	if r.chance(0.05) {
+		queued = time.Duration(r.random.Int64N(int64(300 * time.Millisecond)))
+	}
+	r.after(queued, func() {
 		e.awake(func() { e.call(ef) })
 	})
 }
@@ -428,215 +440,3 @@
 		r.after(20*time.Millisecond+r.delay(), func() { e.handle(ev) })
 	})
 }
-
-// rigAddress stands for the client of a worker.
-type rigAddress string
-
-func (rigAddress) Start(context.Context, connector.Start) error { return nil }
-
-func (rigAddress) Renew(context.Context, connector.Renewal) (connector.Report, error) {
-	return connector.Report{}, nil
-}
-
-func (rigAddress) Stop(context.Context, connector.Stop) error { return nil }
-
-func (rigAddress) Throttle(context.Context, connector.Throttle) error { return nil }
-
-// rigWorker runs tasks, and keeps account of them.
-type rigWorker struct {
-	rig  *rig
-	host connector.Host
-	// checks says whether lower epochs and tasks without room are refused.
-	// A worker that does not check still says the highest epoch.
-	checks bool
-	// rate is how much faster its clock runs.
-	rate        float64
-	dead        bool
-	incarnation int
-	epoch       namer.Epoch
-	tasks       map[namer.TaskRef]*rigTask
-	used        sizer.Size
-	// failing makes each task fail.
-	failing bool
-}
-
-type rigTask struct {
-	report connector.TaskReport
-	lease  time.Time
-}
-
-func (r *rig) addWorker(name string, capacity sizer.Size, checks bool) *rigWorker {
-	w := &rigWorker{
-		rig: r,
-		host: connector.Host{
-			Name:       name,
-			Kind:       connector.KindWorker,
-			State:      connector.HostLive,
-			DataCentre: hall,
-			Rack:       name[:1],
-			Address:    name,
-			Capacity:   capacity,
-		},
-		checks: checks,
-		rate:   r.terms.clockError * (2*r.random.Float64() - 1) * 0.9,
-		tasks:  make(map[namer.TaskRef]*rigTask),
-	}
-	r.workers[name] = w
-	r.listed[name] = true
-	return w
-}
-
-func (w *rigWorker) fenced(epoch namer.Epoch) bool {
-	if epoch < w.epoch {
-		return w.checks
-	}
-	w.epoch = epoch
-	return false
-}
-
-func (w *rigWorker) lease(d time.Duration) time.Time {
-	return w.rig.clock.Now().Add(time.Duration(float64(d) * (1 + w.rate)))
-}
-
-func (w *rigWorker) startTask(s connector.Start) error {
-	if w.fenced(s.Epoch) {
-		return connector.ErrFenced
-	}
-	if w.tasks[s.Ref] != nil {
-		return nil
-	}
-	r := w.rig
-	if used := w.used.Add(s.Size); !used.Fits(w.host.Capacity) {
-		if w.checks {
-			return connector.ErrNoRoom
-		}
-		r.violate("worker %s holds %s of %s", w.host.Name, used, w.host.Capacity)
-	}
-	id := s.Ref.Task
-	if r.runs[id] == nil {
-		r.runs[id] = make(map[namer.TaskRef]*rigWorker)
-	}
-	for other, at := range r.runs[id] {
-		r.violate("task %s started at %s by %v, runs at %s by %v", id, w.host.Name, s.Ref.Attempt, at.host.Name, other.Attempt)
-	}
-	if at := r.finished[id]; at != nil && s.Kind != string(recorder.Service) {
-		r.violate("task %s started at %s, finished at %s", id, w.host.Name, at.host.Name)
-	}
-	r.trace("%v start %s %v at %s", r.clock.Now().Sub(r.start), id, s.Ref.Attempt, w.host.Name)
-	r.runs[id][s.Ref] = w
-	w.used = w.used.Add(s.Size)
-	task := &rigTask{
-		report: connector.TaskReport{
-			Ref:   s.Ref,
-			State: connector.TaskRunning,
-			Team:  s.Team,
-			Kind:  s.Kind,
-			Size:  s.Size,
-			Usage: s.Size,
-		},
-		lease: w.lease(s.Lease),
-	}
-	w.tasks[s.Ref] = task
-	w.watch(task, w.incarnation)
-	if s.RunTime > 0 {
-		incarnation := w.incarnation
-		state := connector.TaskFinished
-		if w.failing {
-			state = connector.TaskFailed
-		}
-		r.after(s.RunTime, func() {
-			if w.incarnation == incarnation {
-				w.end(task, state)
-			}
-		})
-	}
-	return nil
-}
-
-// watch ends the task when its lease runs out.
-func (w *rigWorker) watch(task *rigTask, incarnation int) {
-	w.rig.after(task.lease.Sub(w.rig.clock.Now()), func() {
-		switch {
-		case w.incarnation != incarnation || task.report.State != connector.TaskRunning:
-		case w.rig.clock.Now().Before(task.lease):
-			w.watch(task, incarnation)
-		default:
-			w.end(task, connector.TaskLapsed)
-		}
-	})
-}
-
-func (w *rigWorker) end(task *rigTask, state connector.TaskState) {
-	if task.report.State != connector.TaskRunning {
-		return
-	}
-	id := task.report.Ref.Task
-	w.rig.trace("%v %s %s at %s", w.rig.clock.Now().Sub(w.rig.start), state, id, w.host.Name)
-	task.report.State = state
-	w.used = w.used.Sub(task.report.Size)
-	delete(w.rig.runs[id], task.report.Ref)
-	if state == connector.TaskFinished {
-		w.rig.finished[id] = w
-	}
-}
-
-func (w *rigWorker) renew(renewal connector.Renewal) (connector.Report, error) {
-	if w.fenced(renewal.Epoch) {
-		return connector.Report{}, connector.ErrFenced
-	}
-	for _, ref := range renewal.Refs {
-		if task := w.tasks[ref]; task != nil && task.report.State == connector.TaskRunning {
-			task.lease = maxTime(task.lease, w.lease(renewal.Lease))
-		}
-	}
-	for _, ref := range renewal.Acknowledged {
-		if task := w.tasks[ref]; task != nil && task.report.State != connector.TaskRunning {
-			delete(w.tasks, ref)
-		}
-	}
-	report := connector.Report{
-		Worker:      w.host.Name,
-		Incarnation: fmt.Sprint(w.incarnation),
-		Epoch:       w.epoch,
-		Capacity:    w.host.Capacity,
-	}
-	for _, task := range w.tasks {
-		report.Tasks = append(report.Tasks, task.report)
-	}
-	slices.SortFunc(report.Tasks, func(a, b connector.TaskReport) int {
-		return slices.Compare([]uint64{uint64(a.Ref.Attempt.Epoch), a.Ref.Attempt.Sequence}, []uint64{uint64(b.Ref.Attempt.Epoch), b.Ref.Attempt.Sequence})
-	})
-	return report, nil
-}
-
-func (w *rigWorker) stop(s connector.Stop) error {
-	if w.fenced(s.Epoch) {
-		return connector.ErrFenced
-	}
-	for _, ref := range s.Refs {
-		if task := w.tasks[ref]; task != nil {
-			state := connector.TaskStopped
-			if s.Checkpoint {
-				state = connector.TaskCheckpointed
-				task.report.Checkpoint = "saved"
-			}
-			w.end(task, state)
-		}
-	}
-	return nil
-}
-
-// restart loses everything at the worker, which comes back after d.
-func (w *rigWorker) restart(d time.Duration) {
-	for _, task := range w.tasks {
-		w.end(task, connector.TaskStopped)
-		if w.rig.finished[task.report.Ref.Task] == w {
-			delete(w.rig.finished, task.report.Ref.Task)
-		}
-	}
-	w.incarnation++
-	w.dead = true
-	w.epoch = 0
-	w.tasks = make(map[namer.TaskRef]*rigTask)
-	w.rig.after(d, func() { w.dead = false })
-}
--- a/dispatcher/starts.go
+++ b/dispatcher/starts.go
@@ -1,8 +1,6 @@
 package dispatcher
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -53,17 +51,31 @@
 			l.acks[s.ref] = struct{}{}
 			return
 		}
-		s.state = startFinished
 		l.starts[s.ref] = s
-		t.finished[s.ref] = l
-		t.send(t.homeOf(id.Job), Finished{
-			Refs: []namer.TaskRef{s.ref},
-		})
+		t.foundFinished(l, s)
 	default:
 		l.acks[s.ref] = struct{}{}
 	}
 }
 
+// foundFinished takes the word of a worker that a start has done its work, of
+// which this owner did not know, or which it held to have lapsed.
+func (t *tables) foundFinished(l *link, s *start) {
+	id := s.ref.Task
+	s.state = startFinished
+	t.finished[s.ref] = l
+	if h := t.held[id]; h != nil {
+		t.placer.Cancel(id)
+		h.withdrawn = true
+		if h.start == nil {
+			t.unhold(id)
+		}
+	}
+	t.send(t.homeOf(id.Job), Finished{
+		Refs: []namer.TaskRef{s.ref},
+	})
+}
+
 // readStarts brings the starts of a worker up to date with its report.
 func (t *tables) readStarts(l *link, e renewedEvent) {
 	named := make(map[namer.TaskRef]struct{}, len(e.report.Tasks))
@@ -77,7 +89,7 @@
 			t.strange(l, report)
 		}
 	}
-	for _, ref := range l.refs() {
+	for _, ref := range sortedRefs(l.starts) {
 		s := l.starts[ref]
 		if _, ok := named[ref]; ok || !e.sentAt.After(s.settled) || s.state == startSending {
 			continue
@@ -86,15 +98,6 @@
 	}
 }
 
-func (l *link) refs() []namer.TaskRef {
-	refs := make([]namer.TaskRef, 0, len(l.starts))
-	for ref := range l.starts {
-		refs = append(refs, ref)
-	}
-	sortRefs(refs)
-	return refs
-}
-
 // missing ends a start that its worker does not know.
 func (t *tables) missing(l *link, s *start) {
 	switch s.state {
@@ -108,8 +111,20 @@
 }
 
 // strange deals with a start that this owner does not have: one that it has
-// ended already, or one that came too late.
+// ended already, one that finished before its lease was held to have lapsed, or
+// one that came too late.
 func (t *tables) strange(l *link, report connector.TaskReport) {
+	if _, acknowledged := l.acks[report.Ref]; acknowledged {
+		return
+	}
+	if report.State == connector.TaskFinished && t.kindOf(report.Ref.Task.Job, report.Kind) != recorder.Service {
+		s := &start{
+			ref: report.Ref,
+		}
+		l.starts[s.ref] = s
+		t.foundFinished(l, s)
+		return
+	}
 	if report.State != connector.TaskRunning {
 		l.acks[report.Ref] = struct{}{}
 		return
@@ -146,10 +161,13 @@
 	case connector.TaskLapsed:
 		t.endStart(l, s, placer.Lapsed, "its lease was not renewed")
 	}
+	if report.State != connector.TaskRunning && (s.state != startFinished || t.settings.fault == faultEarlyAcknowledge) {
+		l.acks[s.ref] = struct{}{}
+	}
 }
 
 // endStart notes the certain end of a start. A finished one stays until the log
-// has it; of all others the worker may forget at once.
+// has it.
 func (t *tables) endStart(l *link, s *start, outcome placer.Outcome, reason string) {
 	finished := outcome == placer.Finished && t.kindOf(s.ref.Task.Job, "") != recorder.Service
 	if finished {
@@ -158,9 +176,6 @@
 	} else {
 		delete(l.starts, s.ref)
 	}
-	if !finished || t.settings.fault == faultEarlyAcknowledge {
-		l.acks[s.ref] = struct{}{}
-	}
 	t.placer.Ended(s.ref, outcome)
 	t.endHolding(s, outcome, finished, reason)
 }
@@ -279,7 +294,8 @@
 		return
 	}
 	var plain, saved []namer.TaskRef
-	for ref, s := range l.starts {
+	for _, ref := range sortedRefs(l.starts) {
+		s := l.starts[ref]
 		if !s.stopping || s.state == startFinished || t.now.Before(s.stopSent.Add(t.settings.terms.renewal)) {
 			continue
 		}
@@ -298,7 +314,6 @@
 	if len(refs) == 0 {
 		return
 	}
-	sortRefs(refs)
 	t.emit(stopEffect{
 		client: l.client,
 		stop: connector.Stop{
@@ -311,29 +326,3 @@
 	// The end shows in the report, so it is asked for soon.
 	l.due = minTime(l.due, t.now.Add(t.settings.terms.renewal/stopReportShare))
 }
-
-func sortRefs(refs []namer.TaskRef) {
-	slices.SortFunc(refs, func(a, b namer.TaskRef) int {
-		return cmp.Or(
-			cmp.Compare(a.Task.Job, b.Task.Job),
-			cmp.Compare(a.Task.Index, b.Task.Index),
-			cmp.Compare(a.Attempt.Epoch, b.Attempt.Epoch),
-			cmp.Compare(a.Attempt.Sequence, b.Attempt.Sequence),
-			cmp.Compare(a.Attempt.Owner, b.Attempt.Owner),
-		)
-	})
-}
-
-func maxTime(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
-func minTime(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
-}
--- a/dispatcher/strays.go
+++ b/dispatcher/strays.go
@@ -75,11 +75,11 @@
 		return
 	}
 	delete(t.strays.byJob, j.job.ID)
-	for index, holder := range s.held {
-		t.heldBy(j, index, holder)
+	for _, index := range sorted(s.held) {
+		t.heldBy(j, index, s.held[index])
 	}
-	for ref, holder := range s.finished {
-		t.finish(j, holder, ref)
+	for _, ref := range sortedRefs(s.finished) {
+		t.finish(j, s.finished[ref], ref)
 	}
 	if j.gang != nil {
 		t.gangChanged(j)
@@ -93,14 +93,14 @@
 		return
 	}
 	delete(t.strays.byJob, job)
-	for index, holder := range s.held {
-		t.send(holder, Withdraw{
+	for _, index := range sorted(s.held) {
+		t.send(s.held[index], Withdraw{
 			Job:     job,
 			Indexes: []int{index},
 		})
 	}
-	for ref, holder := range s.finished {
-		t.send(holder, Settle{
+	for _, ref := range sortedRefs(s.finished) {
+		t.send(s.finished[ref], Settle{
 			Refs: []namer.TaskRef{ref},
 		})
 	}
@@ -110,7 +110,8 @@
 // was submitted: so a job that is not known although the log was read since has
 // ended.
 func (t *tables) tendStrays() {
-	for job, s := range t.strays.byJob {
+	for _, job := range sorted(t.strays.byJob) {
+		s := t.strays.byJob[job]
 		_, ended := t.strays.ended[job]
 		if ended || t.logContact.After(s.since) {
 			t.dropStrays(job)
--- a/dispatcher/summaries.go
+++ b/dispatcher/summaries.go
@@ -37,7 +37,8 @@
 // shapes returns the different capacities of the workers that are here to stay.
 func (t *tables) shapes() []sizer.Size {
 	var shapes []sizer.Size
-	for _, l := range t.links.byName {
+	for _, name := range sorted(t.links.byName) {
+		l := t.links.byName[name]
 		if len(shapes) >= maxShapes {
 			break
 		}
--- a/dispatcher/tables.go
+++ b/dispatcher/tables.go
@@ -46,6 +46,8 @@
 	// logContact is the sending of the last read of the log that showed no
 	// later epoch.
 	logContact time.Time
+	// heardEpoch is the latest epoch that a peer has spoken of.
+	heardEpoch namer.Epoch
 	// leaving is set once the entry hands over.
 	leaving bool
 	// sequence counts this entry's starts.
@@ -261,7 +263,8 @@
 // shareQuotas lets this member give each team what of its quota the peers have
 // not given.
 func (t *tables) shareQuotas() {
-	for name, team := range t.quotas {
+	for _, name := range sorted(t.quotas) {
+		team := t.quotas[name]
 		quota := team.Quota
 		if !quota.IsZero() {
 			quota = t.quotaLeft(name, quota)
