--- a/emulator/minion.go
+++ b/emulator/minion.go
@@ -44,7 +44,7 @@
 
 // MinionFaults are the faults of a minion. The zero value has none.
 type MinionFaults struct {
-	// Every makes the faults strike only each so-manieth request; 0 and 1 are
+	// Every makes the faults strike only every n-th request; 0 and 1 are
 	// each of them.
 	Every int `json:"every,omitempty"`
 	// Down closes the connection before the request runs.
@@ -100,7 +100,9 @@
 	present     int
 	running     int
 	connections map[net.Conn]struct{}
-	counts      Counts
+	// attempts are the requests that run.
+	attempts map[*attempt]struct{}
+	counts   Counts
 }
 
 // NewMinion returns a minion. The host says its name, place, address and
@@ -117,6 +119,7 @@
 		terms:       newTerms(opts),
 		host:        host,
 		connections: make(map[net.Conn]struct{}),
+		attempts:    make(map[*attempt]struct{}),
 		counts: Counts{
 			Requests: make(map[string]int),
 		},
@@ -208,6 +211,8 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("PUT /v1/faults", m.handleFaults)
 	mux.HandleFunc("GET /v1/counts", m.handleCounts)
+	mux.HandleFunc("GET /v1/probe", m.handleProbe)
+	mux.HandleFunc("DELETE /v1/attempts/{attempt}", m.handleCancel)
 	mux.HandleFunc("/", m.handleRequest)
 	return mux
 }
@@ -234,11 +239,13 @@
 	if faults.Down {
 		drop()
 	}
-	if !m.admit(w, r, faults) {
+	r, a := newAttempt(r)
+	defer a.cancel()
+	if !m.admit(w, r, faults, a) {
 		return
 	}
-	defer m.finish()
-	m.run(w, r, body, faults)
+	defer m.finish(a)
+	m.run(w, r, body, faults, a)
 }
 
 // arrive counts a request, and returns the faults that strike it.
@@ -263,13 +270,10 @@
 }
 
 // admit lets a request run, or answers it.
-func (m *Minion) admit(w http.ResponseWriter, r *http.Request, faults MinionFaults) bool {
+func (m *Minion) admit(w http.ResponseWriter, r *http.Request, faults MinionFaults, a *attempt) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	// A header that is no number counts as none.
-	epoch, _ := strconv.ParseUint(r.Header.Get(HeaderEpoch), 10, 64)
-	lower := namer.Epoch(epoch) < m.epoch && !m.terms.onlyEcho
-	m.epoch = max(m.epoch, namer.Epoch(epoch))
+	lower := m.fence(a.epoch)
 	m.label(w, r)
 	switch {
 	case lower:
@@ -281,16 +285,28 @@
 	case m.running >= m.host.Slots:
 		m.refuse(w, http.StatusServiceUnavailable, RefusedFull)
 	default:
+		m.attempts[a] = struct{}{}
 		m.begin(r.Header.Get(HeaderRequest))
 		return true
 	}
 	return false
 }
 
+// fence remembers the highest epoch, and reports whether a lower one is to be
+// refused. The caller holds mu.
+func (m *Minion) fence(epoch namer.Epoch) bool {
+	lower := epoch < m.epoch && !m.terms.onlyEcho
+	m.epoch = max(m.epoch, epoch)
+	return lower
+}
+
 // label sets the headers of every answer.
 func (m *Minion) label(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set(HeaderMinion, m.host.Name)
 	w.Header().Set(HeaderEpoch, fmt.Sprint(m.epoch))
+	if !m.terms.onlyEcho {
+		w.Header().Set(HeaderOlder, strconv.Itoa(m.older()))
+	}
 	for _, name := range []string{HeaderAttempt, HeaderRequest} {
 		if value := r.Header.Get(name); value != "" {
 			w.Header().Set(name, value)
@@ -316,19 +332,29 @@
 	}
 }
 
-func (m *Minion) finish() {
+func (m *Minion) finish(a *attempt) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	delete(m.attempts, a)
 	m.running--
 }
 
 // run works on the request and answers it.
-func (m *Minion) run(w http.ResponseWriter, r *http.Request, body []byte, faults MinionFaults) {
+func (m *Minion) run(w http.ResponseWriter, r *http.Request, body []byte, faults MinionFaults, a *attempt) {
+	takes := m.terms.serviceTime + faults.Slow
 	if faults.Stall {
-		<-r.Context().Done()
-		drop()
+		takes = forever
+	}
+	left := min(takes, allowed(r))
+	if !delay(r.Context(), m.terms.clock, left) {
+		a.giveUp(w)
+		return
+	}
+	if left < takes {
+		http.Error(w, "given up at the deadline", http.StatusGatewayTimeout)
+		return
 	}
-	if !delay(r.Context(), m.terms.clock, m.terms.serviceTime+faults.Slow) || faults.LoseAnswer {
+	if faults.LoseAnswer {
 		drop()
 	}
 	if faults.Fail {
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
@@ -28,8 +29,6 @@
 	minBackoff     = 100 * time.Millisecond
 	maxBackoff     = 5 * time.Second
 	attemptTimeout = 5 * time.Second
-	// beyond is an offset that no stream reaches.
-	beyond namer.Offset = 1 << 62
 )
 
 // ErrGap is returned by a recovery that found nothing to go on from.
@@ -59,6 +58,9 @@
 	contact time.Time
 	// oldest is the oldest offset that the log was last known to keep.
 	oldest namer.Offset
+	// ended is when the last read was sent that reached the end of the stream.
+	// Everything before that end was applied.
+	ended time.Time
 	// caught is closed once the end of the stream was reached.
 	caught     chan struct{}
 	caughtOnce sync.Once
@@ -177,6 +179,30 @@
 	return f.contact
 }
 
+// Skip moves the position on to the offset, never back. It is for a state that
+// came from elsewhere, and must be called before Run.
+func (f *Follower) Skip(next namer.Offset) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.position = max(f.position, next)
+}
+
+// LastEnd returns when the last read was sent that reached the end of the
+// stream, zero if none has. Everything that was in the stream at that time has
+// been applied.
+func (f *Follower) LastEnd() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.ended
+}
+
+func (f *Follower) reachEnd(sent time.Time) {
+	f.caughtOnce.Do(func() { close(f.caught) })
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.ended = sent
+}
+
 // Caught returns a channel that is closed once the end of the stream was first
 // reached.
 func (f *Follower) Caught() <-chan struct{} {
@@ -187,8 +213,7 @@
 // context's error.
 func (f *Follower) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		f.start(ctx)
-		err := f.step(ctx)
+		err := f.Step(ctx)
 		if err == nil {
 			f.backoff.Reset()
 			continue
@@ -221,8 +246,10 @@
 	return f.met
 }
 
-// step reads once and applies what came.
-func (f *Follower) step(ctx context.Context) error {
+// Step reads once and applies what came. Run calls it over and over; whoever
+// calls it instead does not call Run too.
+func (f *Follower) Step(ctx context.Context) error {
+	f.start(ctx)
 	sent := f.clock.Now()
 	batch, err := f.read(ctx, f.Position(), f.limit, f.wait)
 	switch {
@@ -232,7 +259,7 @@
 		return err
 	}
 	f.touch(sent, batch)
-	return f.take(ctx, batch)
+	return f.take(ctx, sent, batch)
 }
 
 // read bounds one read by the wait that was asked for and a little more.
@@ -253,7 +280,7 @@
 
 // take applies the entries of a batch that come next. Entries that were
 // applied before are passed over; what follows a gap is left for another read.
-func (f *Follower) take(ctx context.Context, batch connector.Batch) error {
+func (f *Follower) take(ctx context.Context, sent time.Time, batch connector.Batch) error {
 	if batch.First > f.Position() {
 		return f.overtaken(ctx)
 	}
@@ -265,7 +292,7 @@
 	position := f.Position()
 	switch {
 	case position == batch.Next:
-		f.caughtOnce.Do(func() { close(f.caught) })
+		f.reachEnd(sent)
 	case position > batch.Next:
 		f.metrics.backwards.Inc()
 		f.logger.Errorf("follower: log ends at %d, before offset %d", batch.Next, position)
@@ -293,9 +320,9 @@
 func (f *Follower) hand(entry connector.Entry) {
 	record, err := recorder.Decode(entry.Payload)
 	if err != nil {
-		f.metrics.undecodable.Inc()
+		f.metrics.unreadable.Inc()
 		f.logger.WithError(err).Errorf("follower: cannot read the record at %d", entry.Offset)
-		return
+		record = recorder.Unreadable(fmt.Sprintf("unreadable@%d", entry.Offset), entry.Payload)
 	}
 	if unknown, ok := record.Body().(recorder.Unknown); ok {
 		f.metrics.unknown.Inc()
@@ -315,7 +342,7 @@
 	if f.recover != nil {
 		return f.recoverNow(ctx)
 	}
-	batch, err := f.read(ctx, beyond, 1, 0)
+	batch, err := f.read(ctx, 0, 0, 0)
 	if err != nil {
 		return err
 	}
@@ -331,7 +358,7 @@
 func (f *Follower) recoverNow(ctx context.Context) error {
 	next, err := f.recover(ctx)
 	if err != nil {
-		return errors.Mark(errors.Wrap(err, "follower: recover"), ErrGap)
+		return errors.WithStack(fmt.Errorf("%w: recover: %w", ErrGap, err))
 	}
 	f.metrics.recovered.Inc()
 	f.logger.Infof("follower: recovered to offset %d", next)
