Run many workers or minions in one process

A data centre at the size to come has 680 workers, and a few hundred processes are the most that a machine is to carry.

The loop that ended tasks every 50 ms is gone: every call settles what is due first, each task at its own time, so it only cost wake-ups. Tests start goroutines through groups, as the rest does.

--- a/cmd/standin/commands.go
+++ b/cmd/standin/commands.go
@@ -4,8 +4,10 @@
 	"context"
 	"fmt"
 	"net"
+	"net/netip"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v3"
 	"golang.org/x/sync/errgroup"
 
@@ -17,6 +19,8 @@
 const (
 	milliCoresPerCore = 1000
 	bytesPerMebibyte  = 1 << 20
+	// maxCount is the most stand-ins in one process.
+	maxCount = 1000
 )
 
 func listenFlag() cli.Flag {
@@ -48,12 +52,32 @@
 		&cli.StringFlag{
 			Name:  "rack",
 			Usage: "`NAME` of the rack",
-			Value: "rack-1",
+			Value: "rack",
 		},
 		&cli.BoolFlag{
 			Name:  "only-echo",
 			Usage: "report the highest epoch, but refuse no lower one",
 		},
+		&cli.IntFlag{
+			Name:  "count",
+			Usage: "run `COUNT` of them, named NAME-1 and so on, on ports of their own; each prints its address",
+			Value: 1,
+			Validator: func(count int) error {
+				if count >= 1 && count <= maxCount {
+					return nil
+				}
+				return errors.Newf("a count of %d, at most %d", count, maxCount)
+			},
+		},
+		&cli.IntFlag{
+			Name:  "per-rack",
+			Usage: "put `COUNT` into each rack, named RACK-1 and so on; 0 puts all into one",
+		},
+		&cli.DurationFlag{
+			Name:  "heartbeat",
+			Usage: "register every `TIME`",
+			Value: emulator.DefaultHeartbeat,
+		},
 	}
 }
 
@@ -95,7 +119,7 @@
 }
 
 func runPlatform(ctx context.Context, cmd *cli.Command) error {
-	listener, err := listen(cmd)
+	listener, err := listen(cmd, 0)
 	if err != nil {
 		return err
 	}
@@ -149,26 +173,21 @@
 }
 
 func runWorker(ctx context.Context, cmd *cli.Command) error {
-	listener, err := listen(cmd)
-	if err != nil {
-		return err
-	}
-	host := newHost(cmd, listener)
-	host.Capacity = sizer.New(
-		int64(cmd.Float("cores")*milliCoresPerCore),
-		cmd.Int64("memory")*bytesPerMebibyte,
-		cmd.Int64("accelerators"),
-	)
 	opts := append(hostOptions(cmd),
 		emulator.UsageFactor(cmd.Float("usage-factor")),
 		emulator.RunTimeFactor(cmd.Float("run-time-factor")),
 		emulator.UsageLag(cmd.Duration("usage-lag")),
 	)
-	worker := emulator.NewWorker(host, opts...)
-	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return worker.Run(ctx, platformAddress(cmd)) })
-	group.Go(func() error { return emulator.Serve(ctx, listener, worker.Handler()) })
-	return group.Wait()
+	return runEach(ctx, cmd, func(ctx context.Context, group *errgroup.Group, host connector.Host, listener net.Listener) {
+		host.Capacity = sizer.New(
+			int64(cmd.Float("cores")*milliCoresPerCore),
+			cmd.Int64("memory")*bytesPerMebibyte,
+			cmd.Int64("accelerators"),
+		)
+		worker := emulator.NewWorker(host, opts...)
+		group.Go(func() error { return worker.Run(ctx, platformAddress(cmd)) })
+		group.Go(func() error { return emulator.Serve(ctx, listener, worker.Handler()) })
+	})
 }
 
 func minionCommand() *cli.Command {
@@ -203,25 +222,44 @@
 }
 
 func runMinion(ctx context.Context, cmd *cli.Command) error {
-	listener, err := listen(cmd)
-	if err != nil {
-		return err
-	}
-	host := newHost(cmd, listener)
-	host.Service = cmd.String("service")
-	host.Slots = cmd.Int("slots")
-	host.Connections = cmd.Int("connections")
 	opts := append(hostOptions(cmd), emulator.ServiceTime(cmd.Duration("service-time")))
-	minion := emulator.NewMinion(host, opts...)
+	return runEach(ctx, cmd, func(ctx context.Context, group *errgroup.Group, host connector.Host, listener net.Listener) {
+		host.Service = cmd.String("service")
+		host.Slots = cmd.Int("slots")
+		host.Connections = cmd.Int("connections")
+		minion := emulator.NewMinion(host, opts...)
+		group.Go(func() error { return minion.Run(ctx, platformAddress(cmd)) })
+		group.Go(func() error { return minion.Serve(ctx, listener) })
+	})
+}
+
+// runEach opens an address for each stand-in of the command, and has them
+// started in a group. It returns when all have ended.
+func runEach(ctx context.Context, cmd *cli.Command, start func(context.Context, *errgroup.Group, connector.Host, net.Listener)) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return minion.Run(ctx, platformAddress(cmd)) })
-	group.Go(func() error { return minion.Serve(ctx, listener) })
+	for i := range cmd.Int("count") {
+		listener, err := listen(cmd, i)
+		if err != nil {
+			cancel()
+			return errors.CombineErrors(err, group.Wait())
+		}
+		start(ctx, group, newHost(cmd, listener, i), listener)
+	}
 	return group.Wait()
 }
 
-// listen opens the address and prints it.
-func listen(cmd *cli.Command) (net.Listener, error) {
-	listener, err := net.Listen("tcp", cmd.String("listen"))
+// listen opens the address, so many ports on, and prints it.
+func listen(cmd *cli.Command, on int) (net.Listener, error) {
+	address, err := netip.ParseAddrPort(cmd.String("listen"))
+	if err != nil {
+		return nil, errors.Wrapf(err, "the address to listen on")
+	}
+	if port := address.Port(); port != 0 {
+		address = netip.AddrPortFrom(address.Addr(), port+uint16(on))
+	}
+	listener, err := net.Listen("tcp", address.String())
 	if err != nil {
 		return nil, err
 	}
@@ -229,21 +267,30 @@
 	return listener, nil
 }
 
-func newHost(cmd *cli.Command, listener net.Listener) connector.Host {
-	return connector.Host{
+// newHost returns the line of the i-th stand-in for the host list.
+func newHost(cmd *cli.Command, listener net.Listener, i int) connector.Host {
+	host := connector.Host{
 		Name:       cmd.String("name"),
 		State:      connector.HostLive,
 		DataCentre: cmd.String("data-centre"),
 		Rack:       cmd.String("rack"),
 		Address:    listener.Addr().String(),
 	}
+	if cmd.Int("count") > 1 {
+		host.Name += fmt.Sprintf("-%d", i+1)
+	}
+	if perRack := cmd.Int("per-rack"); perRack > 0 {
+		host.Rack += fmt.Sprintf("-%d", i/perRack+1)
+	}
+	return host
 }
 
 func hostOptions(cmd *cli.Command) []emulator.Option {
+	opts := []emulator.Option{emulator.Heartbeat(cmd.Duration("heartbeat"))}
 	if cmd.Bool("only-echo") {
-		return []emulator.Option{emulator.OnlyEcho()}
+		opts = append(opts, emulator.OnlyEcho())
 	}
-	return nil
+	return opts
 }
 
 // platformAddress returns the base address of the platform, empty if there is
--- a/cmd/standin/main_test.go
+++ b/cmd/standin/main_test.go
@@ -34,9 +34,17 @@
 	reader, writer := io.Pipe()
 	cmd := command()
 	cmd.Writer = writer
-	group.Go(func() error { return cmd.Run(ctx, append([]string{"standin"}, args...)) })
-	address, err := bufio.NewReader(reader).ReadString('\n')
+	group.Go(func() error {
+		defer writer.Close()
+		return cmd.Run(ctx, append([]string{"standin"}, args...))
+	})
+	lines := bufio.NewReader(reader)
+	address, err := lines.ReadString('\n')
 	qt.Assert(t, err, qt.IsNil)
+	group.Go(func() error {
+		_, err := io.Copy(io.Discard, lines)
+		return err
+	})
 	return strings.TrimSpace(address)
 }
 
@@ -47,16 +55,17 @@
 	var group errgroup.Group
 	platform := start(ctx, t, &group, "platform", "--host-lag", "0s")
 	minion := start(ctx, t, &group, "minion", "--platform", platform, "--name", "m1", "--data-centre", "a", "--service", "field-desk")
-	worker := start(ctx, t, &group, "worker", "--platform", platform, "--name", "w1", "--data-centre", "a", "--cores", "1.5", "--memory", "3")
+	start(ctx, t, &group, "worker", "--platform", platform, "--name", "w", "--data-centre", "a", "--cores", "1.5", "--memory", "3", "--count", "4", "--per-rack", "3")
 	client := &http.Client{}
 	defer client.CloseIdleConnections()
 	var hosts []connector.Host
-	for len(hosts) < 2 {
+	for len(hosts) < 5 {
 		var err error
 		hosts, err = connector.NewPlatform(client, "http://"+platform).List(t.Context())
 		c.Assert(err, qt.IsNil)
 	}
-	c.Check([]string{hosts[0].Address, hosts[1].Address}, qt.DeepEquals, []string{minion, worker})
+	c.Check(hosts[0].Address, qt.Equals, minion)
+	c.Check([]string{hosts[1].Name, hosts[4].Name, hosts[4].Rack}, qt.DeepEquals, []string{"w-1", "w-4", "rack-2"})
 	c.Check(hosts[0].Slots, qt.Equals, 8)
 	c.Check(hosts[1].Capacity.MilliCores(), qt.Equals, int64(1500))
 	c.Check(hosts[1].Capacity.Bytes(), qt.Equals, int64(3<<20))
--- a/emulator/emulator.go
+++ b/emulator/emulator.go
@@ -26,9 +26,6 @@
 const (
 	// maxBody is the most bytes of a request that are read.
 	maxBody = 32 << 20
-	// heartbeatInterval is how often a worker or minion tells the platform
-	// that it lives.
-	heartbeatInterval = 500 * time.Millisecond
 	// heartbeatTimeout bounds one such call.
 	heartbeatTimeout = 2 * time.Second
 	// closeTimeout is how long a server waits for requests in flight.
@@ -74,14 +71,19 @@
 }
 
 // register tells the platform of the host until the context has ended. A
-// platform that is out of reach is asked again at the next heartbeat.
-func register(ctx context.Context, clock timekeeper.Clock, platform string, host func() connector.Host, silent func() bool) error {
+// platform that is out of reach is asked again at the next heartbeat. Without an
+// address it only waits.
+func register(ctx context.Context, t terms, platform string, host func() connector.Host, silent func() bool) error {
+	if platform == "" {
+		<-ctx.Done()
+		return nil
+	}
 	client := &http.Client{
 		Timeout:   heartbeatTimeout,
 		Transport: &http.Transport{},
 	}
 	defer client.CloseIdleConnections()
-	err := timekeeper.Every(ctx, clock, heartbeatInterval, func(ctx context.Context) {
+	err := timekeeper.Every(ctx, t.clock, t.heartbeat, func(ctx context.Context) {
 		if silent() {
 			return
 		}
--- a/emulator/minion.go
+++ b/emulator/minion.go
@@ -166,11 +166,7 @@
 // Run registers the minion with the platform at the base address until the
 // context has ended. Without an address it only waits.
 func (m *Minion) Run(ctx context.Context, platform string) error {
-	if platform == "" {
-		<-ctx.Done()
-		return nil
-	}
-	return register(ctx, m.terms.clock, platform, m.Host, m.silent)
+	return register(ctx, m.terms, platform, m.Host, m.silent)
 }
 
 func (m *Minion) silent() bool {
--- a/emulator/options.go
+++ b/emulator/options.go
@@ -18,6 +18,8 @@
 	DefaultHostLag = time.Second
 	// DefaultHostExpiry is how long a silent host stays on the list.
 	DefaultHostExpiry = 5 * time.Second
+	// DefaultHeartbeat is how often a host tells the platform that it lives.
+	DefaultHeartbeat = 500 * time.Millisecond
 	// DefaultUsageLag is how far a worker's usage reports are behind.
 	DefaultUsageLag = 2 * time.Second
 	// DefaultSlots is the number of requests that a minion runs at once.
@@ -39,6 +41,7 @@
 	appendRate float64
 	hostLag    time.Duration
 	hostExpiry time.Duration
+	heartbeat  time.Duration
 	// usageFactor and runTimeFactor are above 0.
 	usageFactor   float64
 	runTimeFactor float64
@@ -55,6 +58,7 @@
 		appendRate:    DefaultAppendRate,
 		hostLag:       DefaultHostLag,
 		hostExpiry:    DefaultHostExpiry,
+		heartbeat:     DefaultHeartbeat,
 		usageFactor:   1,
 		runTimeFactor: 1,
 		usageLag:      DefaultUsageLag,
@@ -98,6 +102,12 @@
 	return func(t *terms) { t.hostExpiry = after }
 }
 
+// Heartbeat sets how often a worker or a minion tells the platform that it
+// lives. The default is DefaultHeartbeat.
+func Heartbeat(interval time.Duration) Option {
+	return func(t *terms) { t.heartbeat = interval }
+}
+
 // UsageFactor sets how much of its declared size a worker's task uses. The
 // default is 1.
 func UsageFactor(factor float64) Option {
--- a/emulator/platform_test.go
+++ b/emulator/platform_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 	qt "github.com/frankban/quicktest"
+	"golang.org/x/sync/errgroup"
 	"pgregory.net/rapid"
 
 	"github.com/galenacove/galenacove/connector"
@@ -117,12 +118,13 @@
 			clock := timekeeper.NewFake(epoch0)
 			client, url := connect(t, NewPlatform(Clock(clock)).Handler())
 			log := connector.NewPlatform(client, url)
-			done := make(chan connector.Batch, 1)
-			go func() {
-				batch, err := log.Read(context.Background(), "s", 1, 10, time.Minute)
-				c.Check(err, qt.IsNil)
-				done <- batch
-			}()
+			var batch connector.Batch
+			var group errgroup.Group
+			group.Go(func() error {
+				var err error
+				batch, err = log.Read(context.Background(), "s", 1, 10, time.Minute)
+				return err
+			})
 			waitFor(t, clock, 1)
 			want := 0
 			if wakes {
@@ -132,7 +134,8 @@
 			} else {
 				clock.Advance(time.Minute)
 			}
-			c.Check((<-done).Entries, qt.HasLen, want)
+			c.Assert(group.Wait(), qt.IsNil)
+			c.Check(batch.Entries, qt.HasLen, want)
 		})
 	}
 }
--- a/emulator/worker.go
+++ b/emulator/worker.go
@@ -6,16 +6,10 @@
 	"sync"
 	"time"
 
-	"golang.org/x/sync/errgroup"
-
 	"github.com/galenacove/galenacove/connector"
 	"github.com/galenacove/galenacove/namer"
-	"github.com/galenacove/galenacove/timekeeper"
 )
 
-// reapInterval is how often a worker looks for tasks that have ended.
-const reapInterval = 50 * time.Millisecond
-
 // WorkerFaults are the faults of a worker. The zero value has none.
 type WorkerFaults struct {
 	// Down closes the connection of each request before it takes effect.
@@ -90,21 +84,10 @@
 }
 
 // Run registers the worker with the platform at the base address, such as
-// "http://127.0.0.1:9000", and ends tasks in time, until the context has
-// ended. Without an address it only ends tasks.
+// "http://127.0.0.1:9000", until the context has ended. Without an address it
+// only waits. Tasks end in time whether it runs or not.
 func (w *Worker) Run(ctx context.Context, platform string) error {
-	group, ctx := errgroup.WithContext(ctx)
-	if platform != "" {
-		group.Go(func() error {
-			return register(ctx, w.terms.clock, platform, w.Host, w.silent)
-		})
-	}
-	group.Go(func() error {
-		// The error is the context's end.
-		_ = timekeeper.Every(ctx, w.terms.clock, reapInterval, w.reap)
-		return nil
-	})
-	return group.Wait()
+	return register(ctx, w.terms, platform, w.Host, w.silent)
 }
 
 func (w *Worker) silent() bool {
@@ -113,12 +96,6 @@
 	return w.faults.Silent || w.faults.Down
 }
 
-func (w *Worker) reap(context.Context) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.tasks.settle(w.terms.clock.Now())
-}
-
 // Handler returns the worker's HTTP interface.
 func (w *Worker) Handler() http.Handler {
 	mux := http.NewServeMux()
--- a/emulator/worker_test.go
+++ b/emulator/worker_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"golang.org/x/sync/errgroup"
 	"pgregory.net/rapid"
 
 	"github.com/galenacove/galenacove/connector"
@@ -197,8 +198,8 @@
 	client, url := connect(t, platform.Handler())
 	worker := NewWorker(testHost("w1"))
 	ctx, cancel := context.WithCancel(t.Context())
-	ended := make(chan error, 1)
-	go func() { ended <- worker.Run(ctx, url) }()
+	var group errgroup.Group
+	group.Go(func() error { return worker.Run(ctx, url) })
 	var list []connector.Host
 	for len(list) == 0 {
 		var err error
@@ -207,7 +208,7 @@
 	}
 	c.Check(list[0], qt.Equals, testHost("w1"))
 	cancel()
-	c.Check(<-ended, qt.IsNil)
+	c.Check(group.Wait(), qt.IsNil)
 }
 
 // workerHistory drives two workers at random, careful of nothing, and returns
