--- a/answerer/select.go
+++ b/answerer/select.go
@@ -8,13 +8,16 @@
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/galenacove/galenacove/parser"
 )
 
 // Select returns what the statement asks of the rows of its table: those that
-// meet its condition, counted, sorted and limited. A column that the table
-// does not have, and a value that the column cannot have, give a *parser.Error
-// at its place.
+// meet its condition, counted, sorted and limited. Rows that the statement
+// leaves equal are in the order of their cells, so that the answer does not
+// depend on who answered first. A column that the table does not have, and a
+// value that the column cannot have, give a *parser.Error at its place.
 func Select(show parser.Show, table Table) (Table, error) {
 	keep, err := compile(table.columns, show.Where())
 	if err != nil {
@@ -34,6 +37,7 @@
 			return Table{}, err
 		}
 	}
+	sortByCells(chosen)
 	if err := sortBy(chosen, show.OrderBy()); err != nil {
 		return Table{}, err
 	}
@@ -107,7 +111,7 @@
 		part := plain(e.Value())
 		return func(row Row) bool { return strings.Contains(row[i], part) }, nil
 	}
-	want, err := kind.value(e.Column(), e.Value())
+	want, err := kind.value(e.Value())
 	if err != nil {
 		return nil, err
 	}
@@ -122,7 +126,7 @@
 	kind := columns[i].Kind
 	var wants []string
 	for _, value := range e.Values() {
-		want, err := kind.value(e.Column(), value)
+		want, err := kind.value(value)
 		if err != nil {
 			return nil, err
 		}
@@ -165,31 +169,40 @@
 }
 
 // value brings a written value to the form of the column's cells.
-func (k Kind) value(column parser.Column, value parser.Value) (string, error) {
+func (k Kind) value(value parser.Value) (string, error) {
 	text := plain(value)
-	var number int64
-	var err error
+	cell, err := k.cell(text)
+	var unit *parser.UnitError
+	if errors.As(err, &unit) {
+		return "", value.Errorf(fmt.Sprintf("unexpected %q", text), unit.Want())
+	}
+	if err != nil {
+		return "", value.Errorf(fmt.Sprintf("unexpected %q", text), `a time, such as "2026-01-31T12:00:00Z"`)
+	}
+	return cell, nil
+}
+
+// cell returns the cell that a text stands for.
+func (k Kind) cell(text string) (string, error) {
 	switch k {
 	case KindCores:
-		number, err = parser.ParseCores(text)
+		n, err := parser.ParseCores(text)
+		return strconv.FormatInt(n, 10), err
 	case KindBytes:
-		number, err = parser.ParseBytes(text)
+		n, err := parser.ParseBytes(text)
+		return strconv.FormatInt(n, 10), err
 	case KindDuration:
-		var d time.Duration
-		d, err = parser.ParseDuration(text)
-		number = int64(d)
+		d, err := parser.ParseDuration(text)
+		return strconv.FormatInt(int64(d), 10), err
 	case KindNumber:
-		_, err = parser.ParseNumber(text)
-		if err == nil {
-			return text, nil
-		}
+		_, err := parser.ParseNumber(text)
+		return text, err
+	case KindTime:
+		at, err := time.Parse(time.RFC3339Nano, text)
+		return FormatTime(at), err
 	default:
 		return text, nil
 	}
-	if err != nil {
-		return "", column.Errorf(err.Error())
-	}
-	return strconv.FormatInt(number, 10), nil
 }
 
 // compare orders two cells. A cell that is no number in a column of numbers
@@ -246,6 +259,19 @@
 	return counted, nil
 }
 
+// sortByCells sorts the rows in place by their cells from the first on.
+func sortByCells(table Table) {
+	slices.SortFunc(table.rows, func(a, b Row) int {
+		for i, column := range table.columns {
+			if c := column.Kind.compare(a[i], b[i]); c != 0 {
+				return c
+			}
+		}
+		// Cells may compare as equal and differ, as 1 and 1.0 do.
+		return slices.Compare(a, b)
+	})
+}
+
 // sortBy sorts the rows in place. Rows that the order leaves equal stay in
 // theirs.
 func sortBy(table Table, orders []parser.Order) error {
--- a/answerer/table.go
+++ b/answerer/table.go
@@ -33,7 +33,7 @@
 	KindBytes Kind = "bytes"
 	// KindDuration is a number of nanoseconds.
 	KindDuration Kind = "duration"
-	// KindTime is a time in RFC 3339 with nanoseconds, in UTC.
+	// KindTime is a time as FormatTime writes it.
 	KindTime Kind = "time"
 )
 
@@ -46,6 +46,17 @@
 // Row has one cell for each column.
 type Row []string
 
+// FormatTime returns the cell for a time, in RFC 3339 with nanoseconds in UTC,
+// so that cells compare as the times do. A time that is zero gives an empty
+// cell.
+func FormatTime(at time.Time) string {
+	const sortable = "2006-01-02T15:04:05.000000000Z"
+	if at.IsZero() {
+		return ""
+	}
+	return at.UTC().Format(sortable)
+}
+
 // Table is an answer.
 type Table struct {
 	columns []Column
--- a/parser/builder.go
+++ b/parser/builder.go
@@ -29,11 +29,7 @@
 	if b.err != nil {
 		return
 	}
-	b.err = &Error{
-		pos:      positionOf(pos),
-		message:  message,
-		expected: expected,
-	}
+	b.err = newError(positionOf(pos), message, expected)
 }
 
 func (b *builder) statement(raw *rawStatement) Statement {
@@ -259,10 +255,12 @@
 	if raw.Number != nil {
 		return Quantity{
 			literal: raw.Number.Text,
+			pos:     positionOf(raw.Number.Pos),
 		}
 	}
 	return Text{
 		text: b.unquote(raw.Text.Pos, raw.Text.Text),
+		pos:  positionOf(raw.Text.Pos),
 	}
 }
 
--- a/parser/errors.go
+++ b/parser/errors.go
@@ -43,6 +43,14 @@
 	expected []string
 }
 
+func newError(pos Position, message string, expected []string) *Error {
+	return &Error{
+		pos:      pos,
+		message:  message,
+		expected: expected,
+	}
+}
+
 // Pos returns the place of the fault.
 func (e *Error) Pos() Position { return e.pos }
 
--- a/parser/nodes.go
+++ b/parser/nodes.go
@@ -103,11 +103,7 @@
 
 // Errorf returns an error at the place of the column.
 func (c Column) Errorf(message string, expected ...string) *Error {
-	return &Error{
-		pos:      c.pos,
-		message:  message,
-		expected: expected,
-	}
+	return newError(c.pos, message, expected)
 }
 
 // Order is one column to sort by.
@@ -199,26 +195,40 @@
 
 // Value is a value in a condition: a Text or a Quantity.
 type Value interface {
+	// Errorf returns an error at the place of the value.
+	Errorf(message string, expected ...string) *Error
 	value()
 }
 
 // Text is a value in quotes, or a bare name.
 type Text struct {
 	text string
+	pos  Position
 }
 
 // Text returns the text, without quotes.
 func (t Text) Text() string { return t.text }
 
+// Errorf returns an error at the place of the value.
+func (t Text) Errorf(message string, expected ...string) *Error {
+	return newError(t.pos, message, expected)
+}
+
 // Quantity is a number, with or without a unit. What the unit means depends on
 // the column: 500m are half a core, or 500 minutes.
 type Quantity struct {
 	literal string
+	pos     Position
 }
 
 // Literal returns the quantity as it was written.
 func (q Quantity) Literal() string { return q.literal }
 
+// Errorf returns an error at the place of the value.
+func (q Quantity) Errorf(message string, expected ...string) *Error {
+	return newError(q.pos, message, expected)
+}
+
 // Why asks why a task is where it is.
 type Why struct {
 	task namer.TaskID
--- a/parser/parser_test.go
+++ b/parser/parser_test.go
@@ -137,7 +137,7 @@
 	qt.Check(t, vocabulary(), qt.DeepEquals, slices.Compact(words))
 }
 
-// same compares statements, save the places of columns.
+// same compares statements, save the places of columns and values.
 var same = []cmp.Option{
 	cmp.Exporter(func(reflect.Type) bool { return true }),
 	cmpopts.IgnoreTypes(Position{}),
--- a/parser/printer.go
+++ b/parser/printer.go
@@ -12,7 +12,7 @@
 )
 
 // Print returns the canonical text of a statement, in one line. Parsed again
-// it gives the same statement, save the places of columns.
+// it gives the same statement, save the places of columns and values.
 func Print(s Statement) string {
 	var p printer
 	switch s := s.(type) {
--- a/server/columns.go
+++ b/server/columns.go
@@ -2,7 +2,6 @@
 
 import (
 	"strconv"
-	"time"
 
 	"github.com/galenacove/galenacove/answerer"
 	"github.com/galenacove/galenacove/namer"
@@ -73,16 +72,6 @@
 
 func formatOffset[N ~uint64](n N) string { return strconv.FormatUint(uint64(n), 10) }
 
-// formatTime returns a time so that texts compare as times do. An unknown time
-// is empty.
-func formatTime(at time.Time) string {
-	if at.IsZero() {
-		return ""
-	}
-	const sortable = "2006-01-02T15:04:05.000000000Z"
-	return at.UTC().Format(sortable)
-}
-
 // formatSize returns the three cells of a size.
 func formatSize(size sizer.Size) []string {
 	return []string{
--- a/server/query.go
+++ b/server/query.go
@@ -241,7 +241,7 @@
 		return nil, false
 	}
 	return answerer.Row{
-		formatOffset(offset), formatTime(record.At()), line.Who, line.What, line.From,
+		formatOffset(offset), answerer.FormatTime(record.At()), line.Who, line.What, line.From,
 		formatOffset(line.Base), fmt.Sprint(line.Accepted), line.Reason,
 	}, true
 }
--- a/server/rows.go
+++ b/server/rows.go
@@ -49,7 +49,7 @@
 			task.ID().String(), task.ID().Job, task.Team(), string(task.Kind()), task.State(), task.Worker(), task.Member(),
 		}
 		row = append(row, formatSize(task.Size())...)
-		row = append(row, formatInt(task.Usage().MilliCores()), formatInt(task.Usage().Bytes()), formatTime(task.Since()))
+		row = append(row, formatInt(task.Usage().MilliCores()), formatInt(task.Usage().Bytes()), answerer.FormatTime(task.Since()))
 		rows = append(rows, row)
 	}
 	return rows
