--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -184,8 +184,8 @@
 }
 
 // Drain asks for a worker's tasks to be moved elsewhere, or takes that back. It
-// reports whether this entry owns the worker; it is up to the caller to tell the
-// other members.
+// is remembered for the time when this entry comes to own the worker, and
+// reports whether that is now. The caller tells every member.
 func (d *Dispatcher) Drain(worker string, on bool) bool {
 	owned := false
 	d.update(func(t *tables) {
--- a/dispatcher/links.go
+++ b/dispatcher/links.go
@@ -122,8 +122,6 @@
 	listed bool
 	// leaving says that the host list or the worker itself lets it go.
 	leaving bool
-	// draining is the operators' wish.
-	draining bool
 	// shown is what the placer was told.
 	shown placer.WorkerState
 }
@@ -169,11 +167,10 @@
 
 // resetLink starts the takeover of a worker from the beginning.
 func (t *tables) resetLink(l *link) {
-	host, listed, draining := l.host, l.listed, l.draining
+	host, listed := l.host, l.listed
 	t.dropLink(l)
 	fresh := t.addLink(host)
 	fresh.listed = listed
-	fresh.draining = draining
 }
 
 // setHosts takes the workers of the host list that this entry owns.
@@ -227,7 +224,7 @@
 	case l.state != linkOwned || t.leaving || t.behind():
 	case !l.listed:
 		// The list lags: the worker keeps what it has, and gets nothing new.
-	case l.leaving || l.draining:
+	case t.isDrained(l):
 		state = placer.Draining
 	default:
 		state = placer.Open
@@ -239,6 +236,27 @@
 	t.placer.SetWorkerState(l.host.Name, state)
 }
 
+// drain marks a worker, also for the time when this entry comes to own it. It
+// reports whether that is now.
+func (t *tables) drain(worker string, on bool) bool {
+	if on {
+		t.drained[worker] = struct{}{}
+	} else {
+		delete(t.drained, worker)
+	}
+	l := t.links.byName[worker]
+	if l == nil {
+		return false
+	}
+	t.show(l)
+	return true
+}
+
+func (t *tables) isDrained(l *link) bool {
+	_, drained := t.drained[l.host.Name]
+	return l.leaving || drained
+}
+
 // tendLinks sends what is due and finds what has lapsed.
 func (t *tables) tendLinks() {
 	for _, name := range sorted(t.links.byName) {
--- a/dispatcher/tables.go
+++ b/dispatcher/tables.go
@@ -57,6 +57,8 @@
 	listed     map[string]connector.Host
 	hostsKnown bool
 	links      linkTable
+	// drained are the workers whose tasks operators want moved.
+	drained map[string]struct{}
 	// finished says on which worker a finished start waits to be recorded.
 	finished map[namer.TaskRef]*link
 
@@ -99,6 +101,7 @@
 		metrics:      m,
 		random:       rand.New(rand.NewPCG(s.seed, s.seed)),
 		links:        linkTable{byName: make(map[string]*link)},
+		drained:      make(map[string]struct{}),
 		finished:     make(map[namer.TaskRef]*link),
 		jobs:         make(map[string]replayer.JobState),
 		homes:        make(map[string]*homeJob),
--- a/dispatcher/views.go
+++ b/dispatcher/views.go
@@ -271,14 +271,3 @@
 		return "no member has workers that take tasks"
 	}
 }
-
-// drain marks a worker of this owner.
-func (t *tables) drain(worker string, on bool) bool {
-	l := t.links.byName[worker]
-	if l == nil {
-		return false
-	}
-	l.draining = on
-	t.show(l)
-	return true
-}
--- a/server/feeds.go
+++ b/server/feeds.go
@@ -68,11 +68,14 @@
 		}
 	}
 	s.feedDrains()
+	// The jobs are read first, so that no membership is missing that was
+	// accepted before one of them.
+	jobs := s.jobsHere(since)
 	if m, at, found := s.state.Membership(s.dataCentre); found {
 		s.dispatcher.SetMembership(m, at)
 		s.router.SetMembership(m)
 	}
-	s.dispatcher.SetJobs(s.jobsHere(since))
+	s.dispatcher.SetJobs(jobs)
 	return reached
 }
 
