--- a/cmd/galenacove/cell_test.go
+++ b/cmd/galenacove/cell_test.go
@@ -51,12 +51,6 @@
 	}, nil
 })
 
-func TestMain(m *testing.M) {
-	code := m.Run()
-	os.RemoveAll(builtDir)
-	os.Exit(code)
-}
-
 func buildPrograms(c *qt.C) programs {
 	if testing.Short() {
 		c.Skip("the programs are built without the race detector")
--- a/cmd/galenacove/dev.go
+++ b/cmd/galenacove/dev.go
@@ -24,6 +24,7 @@
 		Description: "Starts a stand-in platform, workers, minions and entries over loopback and\n" +
 			"prints their addresses. With --for it runs the built-in sample through the\n" +
 			"cell, prints what happened, and exits 0 only if all of it ended well.",
+		Before: noArguments,
 		Flags: []cli.Flag{
 			&cli.DurationFlag{
 				Name:  "for",
--- a/cmd/galenacove/entry.go
+++ b/cmd/galenacove/entry.go
@@ -36,6 +36,7 @@
 		UsageText: "galenacove entry --config /etc/galenacove.toml",
 		Description: "Serves callers, peers and operators until Ctrl-C or SIGTERM, then hands over\n" +
 			"and finishes what is in flight. A second signal ends the process at once.",
+		Before: noArguments,
 		Flags: []cli.Flag{
 			configFlag(),
 		},
@@ -55,6 +56,7 @@
 		Usage:       "check the settings without starting anything",
 		UsageText:   "galenacove check --config /etc/galenacove.toml",
 		Description: "Prints every fault with its file, line and key, and exits 1 if there is one.",
+		Before:      noArguments,
 		Flags: []cli.Flag{
 			configFlag(),
 		},
--- a/cmd/galenacove/main.go
+++ b/cmd/galenacove/main.go
@@ -55,7 +55,7 @@
 }
 
 func command() *cli.Command {
-	return &cli.Command{
+	root := &cli.Command{
 		Name:    "galenacove",
 		Usage:   "a cluster scheduler for services, batch runs, gangs and requests",
 		Version: version,
@@ -66,10 +66,28 @@
 			devCommand(),
 			versionCommand(),
 		},
+		Action: func(_ context.Context, cmd *cli.Command) error {
+			if cmd.Args().Present() {
+				return cli.Exit(fmt.Sprintf("there is no command %q", cmd.Args().First()), exitUsage)
+			}
+			return cli.ShowRootCommandHelp(cmd)
+		},
 		OnUsageError: usageError,
 		// The exit code is decided in one place, above.
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 	}
+	for _, sub := range root.Commands {
+		sub.OnUsageError = usageError
+	}
+	return root
+}
+
+// noArguments refuses arguments that a command would pass over.
+func noArguments(ctx context.Context, cmd *cli.Command) (context.Context, error) {
+	if cmd.Args().Present() {
+		return ctx, cli.Exit(fmt.Sprintf("%s takes no argument, such as %q", cmd.Name, cmd.Args().First()), exitUsage)
+	}
+	return ctx, nil
 }
 
 func usageError(_ context.Context, _ *cli.Command, err error, _ bool) error {
@@ -81,6 +99,7 @@
 		Name:      "version",
 		Usage:     "print the version",
 		UsageText: "galenacove version",
+		Before:    noArguments,
 		Action: func(_ context.Context, cmd *cli.Command) error {
 			_, err := fmt.Fprintln(cmd.Root().Writer, "galenacove", version)
 			return err
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -39,5 +39,7 @@
 			minionCommand(),
 			loadCommand(),
 		},
+		// The exit code is decided in one place, above.
+		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 	}
 }
--- a/emulator/emulator.go
+++ b/emulator/emulator.go
@@ -11,6 +11,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -56,7 +57,7 @@
 		if errors.Is(err, http.ErrServerClosed) {
 			return nil
 		}
-		return errors.Mark(errors.Wrap(err, "emulator: serve"), ErrServe)
+		return errors.WithStack(fmt.Errorf("%w: %w", ErrServe, err))
 	})
 	group.Go(func() error {
 		<-ctx.Done()
