--- a/cmd/galenacove/do.go
+++ b/cmd/galenacove/do.go
@@ -12,6 +12,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/galenacove/galenacove/commander"
+	"github.com/galenacove/galenacove/namer"
 	"github.com/galenacove/galenacove/parser"
 )
 
@@ -77,9 +78,12 @@
 	}
 	client := commander.New(base, cmd.String("token"))
 	for _, statement := range parsed {
+		if command, ok := statement.(parser.Command); ok {
+			statement = parser.WithIdentity(command, namer.NewIdentity())
+		}
 		answer, err := client.Do(ctx, parser.Print(statement))
 		if err != nil {
-			return doError(err)
+			return doError(err, statement)
 		}
 		if err := show(cmd.Root().Writer, output, answer); err != nil {
 			return err
@@ -100,11 +104,13 @@
 	return string(data), errors.Wrap(err, "read the statements")
 }
 
-func doError(err error) error {
-	if errors.Is(err, commander.ErrUnknown) {
-		return cli.Exit(err, exitUnknown)
+// doError says of a command whose outcome is unknown how to give it again.
+func doError(err error, statement parser.Statement) error {
+	command, ok := statement.(parser.Command)
+	if !ok || !errors.Is(err, commander.ErrUnknown) {
+		return err
 	}
-	return err
+	return cli.Exit(fmt.Sprintf("%s; give it again as it is, it takes effect once: %s", err, parser.Print(command)), exitUnknown)
 }
 
 // show prints an answer. It fails if a command was not accepted, or if the
--- /dev/null
+++ b/cmd/galenacove/do_test.go
@@ -0,0 +1,44 @@
+package main
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/galenacove/galenacove/commander"
+	"github.com/galenacove/galenacove/parser"
+)
+
+// TestDoSaysHowToRepeat loses the answer to each statement. The command that
+// was sent has to be the one that the operator is told to give again.
+func TestDoSaysHowToRepeat(t *testing.T) {
+	c := qt.New(t)
+	var sent commander.Ask
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		c.Check(json.NewDecoder(r.Body).Decode(&sent), qt.IsNil)
+		panic(http.ErrAbortHandler)
+	}))
+	defer server.Close()
+	run := func(statement string) (code int, message string) {
+		var out strings.Builder
+		err := command().Run(t.Context(), []string{"galenacove", "do", statement, "--entry", server.URL})
+		return exitCode(&out, err), out.String()
+	}
+	code, message := run(`submit batch "nightly" team omuti cpu 1`)
+	c.Check(code, qt.Equals, exitUnknown)
+	c.Check(message, qt.Contains, sent.Statement)
+	statement, err := parser.Parse(sent.Statement)
+	c.Assert(err, qt.IsNil)
+	c.Check(statement.(parser.Command).Terms().Identity(), qt.Not(qt.Equals), "")
+
+	again := sent.Statement
+	_, _ = run(again)
+	c.Check(sent.Statement, qt.Equals, again)
+
+	code, _ = run("show jobs")
+	c.Check(code, qt.Equals, exitFailure)
+}
--- a/parser/nodes.go
+++ b/parser/nodes.go
@@ -436,3 +436,36 @@
 func (TeamSetting) setting()    {}
 func (ServiceSetting) setting() {}
 func (EntrySetting) setting()   {}
+
+// WithIdentity returns the command with the identity, unless it has one.
+// Whoever sends a command chooses its identity first, so that one whose answer
+// is lost can be given again and takes effect once.
+func WithIdentity(c Command, identity string) Command {
+	terms := c.Terms()
+	if terms.identity != "" {
+		return c
+	}
+	terms.identity = identity
+	switch c := c.(type) {
+	case Submit:
+		c.terms = terms
+		return c
+	case Stop:
+		c.terms = terms
+		return c
+	case Drain:
+		c.terms = terms
+		return c
+	case Resume:
+		c.terms = terms
+		return c
+	case Set:
+		c.terms = terms
+		return c
+	case Unset:
+		c.terms = terms
+		return c
+	default:
+		return c
+	}
+}
--- a/parser/parser_test.go
+++ b/parser/parser_test.go
@@ -161,6 +161,23 @@
 	})
 }
 
+func TestWithIdentity(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		command, ok := statements.Draw(t, "statement").(Command)
+		if !ok {
+			return
+		}
+		got := WithIdentity(command, "new")
+		want := command.Terms()
+		if want.identity == "" {
+			want.identity = "new"
+		}
+		if got.Terms() != want || roundTrip(got, Print) != "" {
+			t.Fatalf("%s became %s", Print(command), Print(got))
+		}
+	})
+}
+
 func TestRoundTripFindsBadPrinters(t *testing.T) {
 	printers := map[string]func(Statement) string{
 		"loses brackets": func(s Statement) string { return strings.NewReplacer("(", "", ")", "").Replace(Print(s)) },
