--- a/cmd/galenacove/cell_test.go
+++ b/cmd/galenacove/cell_test.go
@@ -128,8 +128,7 @@
 			"--name", fmt.Sprintf("worker-%d", i), "--data-centre", "klein-hall", "--rack", fmt.Sprintf("rack-%d", i)))
 	}
 	for i := range minions {
-		s.minions = append(s.minions, start(c, s.programs.standin, "minion", "--platform", s.platform,
-			"--name", fmt.Sprintf("minion-%d", i), "--data-centre", "klein-hall", "--service", "field-desk"))
+		s.minions = append(s.minions, s.startMinion(c, fmt.Sprintf("minion-%d", i)))
 	}
 	for i := range entries {
 		s.entries = append(s.entries, s.startEntry(c, fmt.Sprintf("entry-%d", i)))
@@ -137,6 +136,11 @@
 	return s
 }
 
+func (s *cell) startMinion(c *qt.C, name string) *process {
+	return start(c, s.programs.standin, "minion", "--platform", s.platform,
+		"--name", name, "--data-centre", "klein-hall", "--service", "field-desk")
+}
+
 const entrySettings = `
 [entry]
 name = %q
