--- a/emulator/minion.go
+++ b/emulator/minion.go
@@ -44,7 +44,7 @@
 
 // MinionFaults are the faults of a minion. The zero value has none.
 type MinionFaults struct {
-	// Every makes the faults strike only each so-manieth request; 0 and 1 are
+	// Every makes the faults strike only every n-th request; 0 and 1 are
 	// each of them.
 	Every int `json:"every,omitempty"`
 	// Down closes the connection before the request runs.
@@ -166,11 +166,7 @@
 // Run registers the minion with the platform at the base address until the
 // context has ended. Without an address it only waits.
 func (m *Minion) Run(ctx context.Context, platform string) error {
-	if platform == "" {
-		<-ctx.Done()
-		return nil
-	}
-	return register(ctx, m.terms.clock, platform, m.Host, m.silent)
+	return register(ctx, m.terms, platform, m.Host, m.silent)
 }
 
 func (m *Minion) silent() bool {
@@ -273,10 +269,7 @@
 func (m *Minion) admit(w http.ResponseWriter, r *http.Request, faults MinionFaults, a *attempt) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	// A header that is no number counts as none.
-	epoch, _ := strconv.ParseUint(r.Header.Get(HeaderEpoch), 10, 64)
-	lower := namer.Epoch(epoch) < m.epoch && !m.terms.onlyEcho
-	m.epoch = max(m.epoch, namer.Epoch(epoch))
+	lower := m.fence(a.epoch)
 	m.label(w, r)
 	switch {
 	case lower:
@@ -295,6 +288,14 @@
 	return false
 }
 
+// fence remembers the highest epoch, and reports whether a lower one is to be
+// refused. The caller holds mu.
+func (m *Minion) fence(epoch namer.Epoch) bool {
+	lower := epoch < m.epoch && !m.terms.onlyEcho
+	m.epoch = max(m.epoch, epoch)
+	return lower
+}
+
 // label sets the headers of every answer.
 func (m *Minion) label(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set(HeaderMinion, m.host.Name)
--- a/replayer/settings.go
+++ b/replayer/settings.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"strings"
 	"time"
 
@@ -17,6 +18,9 @@
 	TeamPrefix = "team/"
 	// ServicePrefix begins the keys of services; the service's name follows.
 	ServicePrefix = "service/"
+	// DrainPrefix begins the keys of hosts that get nothing new; the kind of
+	// the host, a slash and its name follow.
+	DrainPrefix = "drain/"
 
 	// maxKey and maxValue are in bytes.
 	maxKey     = 200
@@ -134,7 +138,7 @@
 	}
 	d, err := time.ParseDuration(text)
 	if err != nil {
-		return 0, errors.Mark(errors.Wrap(err, "replayer: duration"), ErrValue)
+		return 0, errors.WithStack(fmt.Errorf("%w: duration: %w", ErrValue, err))
 	}
 	if d < 0 {
 		return 0, errors.Wrapf(ErrValue, "%s is below zero", text)
@@ -148,7 +152,7 @@
 	decoder := json.NewDecoder(bytes.NewReader(data))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(value); err != nil {
-		return errors.Mark(errors.Wrap(err, "replayer: decode a value"), ErrValue)
+		return errors.WithStack(fmt.Errorf("%w: decode a value: %w", ErrValue, err))
 	}
 	return nil
 }
@@ -212,7 +216,7 @@
 func decodeService(value json.RawMessage) (Service, error) {
 	var service Service
 	if err := json.Unmarshal(value, &service); err != nil {
-		return Service{}, errors.Mark(err, ErrValue)
+		return Service{}, errors.WithStack(fmt.Errorf("%w: %w", ErrValue, err))
 	}
 	if service.Team == "" {
 		return Service{}, errors.Wrap(ErrValue, "a service needs a team")
