Show the router's tables as metrics, log ejections

A probe that a minion answers now ends its own refusal, so that one that stays after all is used again at once. Minions that do not count the requests of lower epochs are probed at the pace of the term, not ten times a second.

--- a/router/http_test.go
+++ b/router/http_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/prometheus/client_golang/prometheus"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/galenacove/galenacove/connector"
@@ -56,7 +57,14 @@
 
 func TestRequestsComeBackWhole(t *testing.T) {
 	c := qt.New(t)
-	l := newCell(t, 2, 4, time.Millisecond)
+	registry := prometheus.NewRegistry()
+	registered := false
+	l := newCell(t, 2, 4, time.Millisecond, func(s *settings) {
+		if !registered {
+			s.registry = registry
+		}
+		registered = true
+	})
 	for i := range 40 {
 		body := strings.Repeat("reading ", i)
 		got, err := l.post(i%2, body)
@@ -64,6 +72,25 @@
 		c.Assert(got.status, qt.Equals, http.StatusOK, qt.Commentf("%s", got.body))
 		c.Assert(got.body, qt.Equals, string(emulator.Answer([]byte(body))))
 	}
+	c.Check(registryNames(c, registry), qt.DeepEquals, []string{
+		"galenacove_router_attempts_total",
+		"galenacove_router_minions",
+		"galenacove_router_queued",
+		"galenacove_router_requests_total",
+		"galenacove_router_reserved",
+		"galenacove_router_wait_seconds",
+	})
+}
+
+// registryNames returns the names of the metrics that have values.
+func registryNames(c *qt.C, registry *prometheus.Registry) []string {
+	families, err := registry.Gather()
+	c.Assert(err, qt.IsNil)
+	var names []string
+	for _, f := range families {
+		names = append(names, f.GetName())
+	}
+	return names
 }
 
 // setFaults gives all minions but the first so many the faults.
--- a/router/metrics.go
+++ b/router/metrics.go
@@ -47,6 +47,50 @@
 	return m
 }
 
+// collector shows how the router's tables stand.
+type collector struct {
+	router *Router
+	// queued and reserved are by service, minions by service and state.
+	queued   *prometheus.Desc
+	reserved *prometheus.Desc
+	minions  *prometheus.Desc
+}
+
+func newCollector(r *Router) *collector {
+	return &collector{
+		router:   r,
+		queued:   prometheus.NewDesc("galenacove_router_queued", "Requests that wait for a slot here.", []string{"service"}, nil),
+		reserved: prometheus.NewDesc("galenacove_router_reserved", "Slots held by this entry's requests.", []string{"service"}, nil),
+		minions:  prometheus.NewDesc("galenacove_router_minions", "Minions that this entry owns, by state.", []string{"service", "state"}, nil),
+	}
+}
+
+// Describe implements prometheus.Collector.
+func (c *collector) Describe(out chan<- *prometheus.Desc) {
+	out <- c.queued
+	out <- c.reserved
+	out <- c.minions
+}
+
+// Collect implements prometheus.Collector.
+func (c *collector) Collect(out chan<- prometheus.Metric) {
+	for _, s := range c.router.Services() {
+		out <- prometheus.MustNewConstMetric(c.queued, prometheus.GaugeValue, float64(s.Load().Queued), s.Name())
+	}
+	reserved := make(map[string]int)
+	minions := make(map[[2]string]int)
+	for _, e := range c.router.Endpoints() {
+		reserved[e.Service()] += e.Reserved()
+		minions[[2]string{e.Service(), e.State()}]++
+	}
+	for service, n := range reserved {
+		out <- prometheus.MustNewConstMetric(c.reserved, prometheus.GaugeValue, float64(n), service)
+	}
+	for key, n := range minions {
+		out <- prometheus.MustNewConstMetric(c.minions, prometheus.GaugeValue, float64(n), key[0], key[1])
+	}
+}
+
 // count books how a request ended and returns the error.
 func (m *metrics) count(service string, err error) error {
 	outcome, reason := classify(err)
--- a/router/path.go
+++ b/router/path.go
@@ -155,6 +155,9 @@
 
 // run takes a request to an owner, and to others while that may help.
 func (r *Router) run(ctx context.Context, q Request) (Answer, error) {
+	if q.identity == "" {
+		q.identity = r.nextID()
+	}
 	p := &path{
 		router: r,
 		q:      q,
--- a/router/pool.go
+++ b/router/pool.go
@@ -395,10 +395,15 @@
 		return
 	}
 	if unreachable || p.mayEject() {
-		m.eject(now)
+		p.eject(m, now)
 	}
 }
 
+func (p *pool) eject(m *minion, now time.Time) {
+	m.eject(now)
+	p.settings.logger.Warnf("router: minion %s ejected for %s", m.host.Name, m.ejectedTo.Sub(now))
+}
+
 func (p *pool) mayEject() bool {
 	out := 0
 	for _, m := range p.order {
--- a/router/probe.go
+++ b/router/probe.go
@@ -53,7 +53,8 @@
 	if m.ejected {
 		return !now.Before(m.ejectedTo) && quiet >= quickProbe
 	}
-	if m.foreign > 0 || m.lease.Load() == 0 {
+	waits := m.lease.Load() == 0 || (m.foreign > 0 && m.counts)
+	if waits {
 		return quiet >= quickProbe
 	}
 	third := p.settings.term / 3
@@ -75,15 +76,17 @@
 			break
 		}
 		m.accepted(e.epoch, e.sent+p.settings.term.Nanoseconds(), now, e.older, p.settings.rest(p.terms))
+		m.hold = time.Time{}
 		if m.ejected && !now.Before(m.ejectedTo) {
 			m.readmit()
+			p.settings.logger.Infof("router: minion %s on trial", m.host.Name)
 		}
 	case declined:
 		m.decline(e, now)
 	default:
 		p.fail(m, now, true)
 		if m.ejected && !now.Before(m.ejectedTo) {
-			m.eject(now)
+			p.eject(m, now)
 		}
 	}
 	p.assign(now)
--- a/router/router.go
+++ b/router/router.go
@@ -92,6 +92,9 @@
 	}
 	r.base, r.stop = context.WithCancel(context.Background())
 	r.view.Store(&view{})
+	if s.registry != nil {
+		s.registry.MustRegister(newCollector(r))
+	}
 	return r
 }
 
