--- a/router/carrier.go
+++ b/router/carrier.go
@@ -213,14 +213,11 @@
 // readAnswer reads the whole answer and checks that it is this attempt's own.
 func (c *httpCarrier) readAnswer(resp *http.Response, a attempt, sent int64) ending {
 	epoch := parseEpoch(resp.Header.Get(HeaderEpoch))
-	if resp.StatusCode == http.StatusConflict && epoch > a.epoch {
+	switch why := declineReason(resp.Header.Get(HeaderRefused)); {
+	case resp.StatusCode == http.StatusConflict && why == declinedFenced && epoch > a.epoch,
+		resp.StatusCode == http.StatusServiceUnavailable && why != "":
 		return declined{
-			why: declinedFenced,
-		}
-	}
-	if why := resp.Header.Get(HeaderRefused); resp.StatusCode == http.StatusServiceUnavailable && why != "" {
-		return declined{
-			why: declineReason(why),
+			why: why,
 		}
 	}
 	if resp.Header.Get(HeaderAttempt) != a.id && !c.settings.faults.ignoreAttempt {
--- a/router/entry_bench_test.go
+++ b/router/entry_bench_test.go
@@ -1,8 +1,10 @@
 package router
 
 import (
+	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -14,7 +16,9 @@
 	qt "github.com/frankban/quicktest"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/galenacove/galenacove/connector"
 	"github.com/galenacove/galenacove/namer"
+	"github.com/galenacove/galenacove/recorder"
 )
 
 // processorTime returns what the process has used so far.
@@ -121,3 +125,69 @@
 	_, err = io.Copy(io.Discard, resp.Body)
 	return err
 }
+
+// instantCarrier answers at once.
+type instantCarrier struct {
+	pathCarrier
+}
+
+func (c *instantCarrier) exchange(_ context.Context, a attempt) ending {
+	return answered{
+		answer: NewAnswer(http.StatusOK, nil, a.body),
+		epoch:  a.epoch,
+		sent:   c.settings.since(c.settings.clock.Now()),
+	}
+}
+
+// BenchmarkDo is the router's own part of a request, without HTTP, at an owner
+// of so many minions.
+func BenchmarkDo(b *testing.B) {
+	for _, minions := range []int{5, 35, 170} {
+		b.Run(strconv.Itoa(minions), func(b *testing.B) {
+			w := newPathWorld(1)
+			r := New("entry-0")
+			r.carrier = &instantCarrier{
+				pathCarrier: pathCarrier{
+					world:    w,
+					settings: r.settings,
+				},
+			}
+			var hosts []connector.Host
+			for i := range minions {
+				hosts = append(hosts, connector.Host{
+					Name:    strconv.Itoa(i),
+					Kind:    connector.KindMinion,
+					Address: strconv.Itoa(i),
+					Service: desk,
+				})
+			}
+			r.SetService(desk, NewServiceTerms())
+			r.SetHosts(hosts)
+			r.SetMembership(recorder.Membership{
+				Epoch: 1,
+				Members: []recorder.Member{{
+					Name: "entry-0",
+				}},
+			})
+			ctx, cancel := context.WithCancel(context.Background())
+			var group errgroup.Group
+			group.Go(func() error { return r.Run(ctx) })
+			q := NewRequest(desk, http.MethodGet, "/", Body([]byte("meter")))
+			for r.Endpoints()[0].State() != "open" {
+				time.Sleep(time.Millisecond)
+			}
+			b.ReportAllocs()
+			used := processorTime()
+			for b.Loop() {
+				if _, err := r.Do(ctx, q); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64((processorTime()-used).Microseconds())/float64(b.N), "cpu-µs/op")
+			cancel()
+			if err := group.Wait(); err != nil {
+				b.Fatal(err)
+			}
+		})
+	}
+}
--- a/router/exchange.go
+++ b/router/exchange.go
@@ -74,7 +74,7 @@
 const (
 	declinedLeaving declineReason = "leaving"
 	declinedFull    declineReason = "full"
-	declinedFenced  declineReason = "fenced"
+	declinedFenced  declineReason = "epoch"
 )
 
 // unsent says that no byte of the request can have reached the minion.
--- a/router/options.go
+++ b/router/options.go
@@ -63,10 +63,6 @@
 	delivery time.Duration
 	// retries is the share of successes that may be attempted again.
 	retries float64
-	// unlimited admits everything: the baseline of the measurements.
-	unlimited bool
-	// naive retries every failure at once, without a budget: the same.
-	naive bool
 	// faults are seeded by tests, to show that the properties find them.
 	faults faults
 }
@@ -81,7 +77,7 @@
 	ignoreLease bool
 	// ignoreAttempt takes any answer as the attempt's own.
 	ignoreAttempt bool
-	// retryAll tries every request again.
+	// retryAll tries every request again, without a budget.
 	retryAll bool
 	// denySent says of a request that was sent that it did not run.
 	denySent bool
--- a/router/path.go
+++ b/router/path.go
@@ -253,7 +253,7 @@
 	if len(p.avoid) >= maxAttempts {
 		return false
 	}
-	if !r.settings.naive && !r.budget.spend() {
+	if !r.settings.faults.retryAll && !r.budget.spend() {
 		r.metrics.budgetEmpty(p.q.service)
 		return false
 	}
--- a/router/pool.go
+++ b/router/pool.go
@@ -178,9 +178,6 @@
 
 // admit refuses a waiter that would not be served in time.
 func (p *pool) admit(w *waiter, now time.Time) *RefusedError {
-	if p.settings.unlimited {
-		return nil
-	}
 	slots := p.capacity(now)
 	if slots == 0 {
 		return p.refuse(ReasonNoMinion, now)
