Let go of waiters when an owner is superseded or has no slots

Cause: a change of owners under load, which the entries learn one after the other, held all callers until their deadlines: an owner whose minions had been told a later epoch kept its queue, and nothing came to serve it. Ruled out: the exchanges, of which none was under way in the dump. Change: the last minion that is ceded moves the queue to another owner, and a queue that can expect no slot for the longest wait is refused.

--- a/router/minion.go
+++ b/router/minion.go
@@ -205,13 +205,6 @@
 	return max(0, m.slots-len(m.reservations)-m.foreign)
 }
 
-// superseded ends the ownership if the minion was told a later epoch.
-func (m *minion) superseded(sent, echoed namer.Epoch) {
-	if sent == m.epoch && echoed > sent {
-		m.cede()
-	}
-}
-
 // accepted notes that the minion accepted the epoch in an exchange that was
 // sent at a time.
 func (m *minion) accepted(epoch namer.Epoch, lease int64, now time.Time, older int, rest time.Duration) {
@@ -233,8 +226,6 @@
 // decline notes that the minion refused a request.
 func (m *minion) decline(e declined, now time.Time) {
 	switch e.why {
-	case declinedFenced:
-		m.cede()
 	case declinedLeaving:
 		m.hold = now.Add(refusalHold)
 	default:
--- a/router/pool.go
+++ b/router/pool.go
@@ -41,6 +41,8 @@
 	turn int
 	// returns is when the caller that was refused last was told to come back.
 	returns time.Time
+	// dry is since when waiters could expect no slot, zero if they can.
+	dry     time.Time
 	scratch []candidate
 }
 
@@ -323,12 +325,12 @@
 	switch e := e.(type) {
 	case answered:
 		p.release(r)
-		m.superseded(r.epoch, e.epoch)
+		p.superseded(m, r.epoch, e.epoch)
 		m.accepted(e.epoch, e.sent+p.settings.term.Nanoseconds(), now, e.older, p.settings.rest(p.terms))
 		p.book(r, e, now)
 	case declined:
 		p.release(r)
-		m.decline(e, now)
+		p.decline(m, r.epoch, e, now)
 	case unsent:
 		p.release(r)
 		if e.unreachable {
@@ -348,6 +350,28 @@
 	p.assign(now)
 }
 
+// decline notes that the minion refused a request.
+func (p *pool) decline(m *minion, sent namer.Epoch, e declined, now time.Time) {
+	if e.why == declinedFenced {
+		p.superseded(m, sent, sent+1)
+		return
+	}
+	m.decline(e, now)
+}
+
+// superseded ends the ownership if the minion was told a later epoch than the
+// one sent. Waiters that no minion is left for are told so.
+func (p *pool) superseded(m *minion, sent, echoed namer.Epoch) {
+	if sent != m.epoch || echoed <= sent {
+		return
+	}
+	m.cede()
+	p.order = slices.DeleteFunc(p.order, func(other *minion) bool { return other == m })
+	if len(p.order) == 0 {
+		p.moveAll()
+	}
+}
+
 func (p *pool) book(r *reservation, e answered, now time.Time) {
 	if r.abandoned {
 		return
@@ -426,6 +450,27 @@
 		}
 	}
 	p.assign(now)
+	p.clear(now)
+}
+
+// clear refuses the waiters when for the longest wait no slot could be
+// expected.
+func (p *pool) clear(now time.Time) {
+	if p.queue.size == 0 || p.capacity(now) > 0 {
+		p.dry = time.Time{}
+		return
+	}
+	if p.dry.IsZero() {
+		p.dry = now
+	}
+	if now.Sub(p.dry) < p.terms.maxWait {
+		return
+	}
+	for _, w := range p.queue.drain() {
+		w.granted <- grant{
+			refusal: p.refuse(ReasonNoMinion, now),
+		}
+	}
 }
 
 func (p *pool) reap(m *minion, now time.Time) {
--- a/router/probe.go
+++ b/router/probe.go
@@ -71,7 +71,7 @@
 	m.probing = false
 	switch e := e.(type) {
 	case answered:
-		m.superseded(pr.epoch, e.epoch)
+		p.superseded(m, pr.epoch, e.epoch)
 		if e.epoch != pr.epoch {
 			break
 		}
@@ -82,7 +82,7 @@
 			p.settings.logger.Infof("router: minion %s on trial", m.host.Name)
 		}
 	case declined:
-		m.decline(e, now)
+		p.decline(m, pr.epoch, e, now)
 	default:
 		p.fail(m, now, true)
 		if m.ejected && !now.Before(m.ejectedTo) {
