Measure what an entry costs for control

Cause: the limits of 1.1% of a core, 32 MB and 20 kB/s had no measure. Bytes count both directions, reads and writes, by the kernel's account.

--- a/cmd/galenacove/cell_test.go
+++ b/cmd/galenacove/cell_test.go
@@ -103,6 +103,7 @@
 
 // cell is a cell of separate processes.
 type cell struct {
+	terms    string
 	programs programs
 	platform string
 	workers  []*process
@@ -118,8 +119,27 @@
 	operators string
 }
 
+// The terms of the tests are short, so that takeovers are soon.
+const (
+	shortTerms = `
+[terms]
+lease = "3s"
+renewal = "500ms"
+delivery = "200ms"
+heartbeat = "200ms"
+suspect = "1s"
+clockRateError = "30ms"
+`
+	defaultTerms = ""
+)
+
 func startCell(c *qt.C, entries, workers, minions int) *cell {
+	return startCellWith(c, shortTerms, entries, workers, minions)
+}
+
+func startCellWith(c *qt.C, terms string, entries, workers, minions int) *cell {
 	s := &cell{
+		terms:    terms,
 		programs: buildPrograms(c),
 	}
 	s.platform = start(c, s.programs.standin, "platform", "--listen", "127.0.0.1:0", "--host-lag", "200ms").first
@@ -155,15 +175,7 @@
 [peers]
 secret = "a secret of the whole cell"
 seeds = [%s]
-
-[terms]
-lease = "3s"
-renewal = "500ms"
-delivery = "200ms"
-heartbeat = "200ms"
-suspect = "1s"
-clockRateError = "30ms"
-
+%s
 [log]
 level = "info"
 format = "json"
@@ -180,7 +192,7 @@
 		seeds = append(seeds, fmt.Sprintf("%q", entry.peers))
 	}
 	file := filepath.Join(c.TempDir(), name+".toml")
-	settings := fmt.Appendf(nil, entrySettings, name, s.platform, strings.Join(seeds, ", "))
+	settings := fmt.Appendf(nil, entrySettings, name, s.platform, strings.Join(seeds, ", "), s.terms)
 	c.Assert(os.WriteFile(file, settings, 0o600), qt.IsNil)
 	p := &entryProcess{
 		process: start(c, s.programs.galenacove, "entry", "--config", file),
@@ -248,12 +260,18 @@
 	return resp.StatusCode == http.StatusOK
 }
 
-// configure makes the team and the service known, and waits until requests are
-// answered by every entry.
-func (s *cell) configure(c *qt.C) {
+// await waits until all entries are healthy members.
+func (s *cell) await(c *qt.C) {
 	for _, entry := range s.entries {
 		await(c, "entries are healthy", entry.healthy)
 	}
+	s.entries[0].awaitRows(c, "show members", len(s.entries))
+}
+
+// configure makes the team and the service known, and waits until requests are
+// answered by every entry.
+func (s *cell) configure(c *qt.C) {
+	s.await(c)
 	s.entries[0].command(c, "set team omuti weight 1")
 	s.entries[0].command(c, "set service field-desk team omuti")
 	for _, entry := range s.entries {
--- /dev/null
+++ b/cmd/galenacove/cost_test.go
@@ -0,0 +1,112 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// usage is what a process has used so far.
+type usage struct {
+	at time.Time
+	// processor is the time on a core.
+	processor time.Duration
+	// resident is in bytes.
+	resident int64
+	// carried is the bytes read and written, nearly all of them on sockets.
+	carried int64
+}
+
+// readUsage reads the kernel's account of the process.
+func readUsage(c *qt.C, p *process) usage {
+	const ticksPerSecond = 100
+	dir := fmt.Sprintf("/proc/%d/", p.cmd.Process.Pid)
+	stat, err := os.ReadFile(dir + "stat")
+	c.Assert(err, qt.IsNil)
+	// The fields follow the command's name, which is in brackets.
+	fields := strings.Fields(string(stat[strings.LastIndexByte(string(stat), ')')+2:]))
+	const userTime, systemTime, residentPages = 11, 12, 21
+	number := func(text string) int64 {
+		n, err := strconv.ParseInt(text, 10, 64)
+		c.Assert(err, qt.IsNil)
+		return n
+	}
+	u := usage{
+		at:        time.Now(),
+		processor: time.Duration(number(fields[userTime])+number(fields[systemTime])) * time.Second / ticksPerSecond,
+		resident:  number(fields[residentPages]) * int64(os.Getpagesize()),
+	}
+	account, err := os.ReadFile(dir + "io")
+	c.Assert(err, qt.IsNil)
+	for _, line := range strings.Split(string(account), "\n") {
+		name, value, _ := strings.Cut(line, ": ")
+		if name == "rchar" || name == "wchar" {
+			u.carried += number(value)
+		}
+	}
+	return u
+}
+
+// BenchmarkEntryCost tells what an entry of a data centre of four uses, with the
+// terms of the defaults, for control alone: no requests.
+func BenchmarkEntryCost(b *testing.B) {
+	const entries = 4
+	cases := []struct {
+		workers int
+		tasks   int
+	}{
+		{workers: 0, tasks: 0},
+		{workers: 48, tasks: 0},
+		{workers: 48, tasks: 650},
+		{workers: 680, tasks: 0},
+		{workers: 680, tasks: 1000},
+		{workers: 680, tasks: 9200},
+	}
+	for _, test := range cases {
+		b.Run(fmt.Sprintf("workers=%d/tasks=%d", test.workers, test.tasks), func(b *testing.B) {
+			c := qt.New(b)
+			s := startCellWith(c, defaultTerms, entries, 0, 0)
+			if test.workers > 0 {
+				start(c, s.programs.standin, "worker", "--platform", s.platform, "--name", "worker", "--data-centre", "klein-hall",
+					"--count", strconv.Itoa(test.workers), "--per-rack", "5", "--heartbeat", "10s")
+			}
+			s.await(c)
+			s.entries[0].command(c, "set team omuti weight 1")
+			s.entries[0].awaitRows(c, `show workers where state = open`, test.workers)
+			if test.tasks > 0 {
+				id := s.entries[0].command(c, fmt.Sprintf(`submit service "load" team omuti tasks %d cpu 500m memory 512MiB`, test.tasks))
+				s.entries[0].awaitRows(c, fmt.Sprintf("show jobs where id = %q and running = %d", id, test.tasks), 1)
+			}
+			s.measure(c, b)
+		})
+	}
+}
+
+// measure reports what one entry uses on average over half a minute.
+func (s *cell) measure(c *qt.C, b *testing.B) {
+	const settle, span = 5 * time.Second, 30 * time.Second
+	time.Sleep(settle)
+	var before []usage
+	for _, entry := range s.entries {
+		before = append(before, readUsage(c, entry.process))
+	}
+	time.Sleep(span)
+	var percent, resident, carried float64
+	for i, entry := range s.entries {
+		now := readUsage(c, entry.process)
+		passed := now.at.Sub(before[i].at)
+		percent += 100 * float64(now.processor-before[i].processor) / float64(passed)
+		resident += float64(now.resident) / (1 << 20)
+		carried += float64(now.carried-before[i].carried) / 1000 / passed.Seconds()
+	}
+	n := float64(len(s.entries))
+	b.ReportMetric(percent/n, "core%")
+	b.ReportMetric(resident/n, "MiB")
+	b.ReportMetric(carried/n, "kB/s")
+	b.ReportMetric(0, "ns/op")
+}
