Keep room for starving gangs, and measure packing, fairness and waiting

Cause: at 95% load a gang of four waited 261 s at p99, since it got none of the room that single tasks found meanwhile. Change: a gang keeps room task by task after a tenth of the wait of other work, from a share of its own; all is given back after 2 min. No two gangs keep room on one worker, so that none waits for the other.

--- a/placer/claims.go
+++ b/placer/claims.go
@@ -1,7 +1,6 @@
 package placer
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -13,13 +12,6 @@
 	victimSample = 16
 	// preemptionsPerTick bounds what one tick preempts.
 	preemptionsPerTick = 256
-	// keepInterval is the time between two looks for starving work.
-	keepInterval = time.Second
-	// keptShare is the part of the workers, as its inverse, on which room may be
-	// kept for starving work.
-	keptShare = 16
-	// readySample is how many workers are compared to keep room on one.
-	readySample = 32
 )
 
 // claim keeps room on a worker for a waiting task.
@@ -67,6 +59,10 @@
 	now := p.clock.Now()
 	for len(p.workers.rows[worker].claims) > 0 {
 		i := p.workers.rows[worker].claims[0]
+		if c := p.tasks.rows[i].class; p.classes.rows[c].kept {
+			p.giveBack(c)
+			continue
+		}
 		p.unclaim(i)
 		p.tasks.rows[i].overflowed = false
 		p.enqueue(i, now)
@@ -95,6 +91,10 @@
 			continue
 		}
 		p.dropClaim(i)
+		if c := p.tasks.rows[i].class; p.classes.rows[c].kept {
+			p.reserveKept(i, worker, size, now)
+			continue
+		}
 		p.start(i, worker, size, now)
 	}
 }
@@ -219,132 +219,3 @@
 		(need.Bytes() > room.Bytes() && hold.Bytes() > 0) ||
 		(need.Accelerators() > room.Accelerators() && hold.Accelerators() > 0)
 }
-
-// keepRoom keeps room for work that has found none for long, the largest first,
-// so that smaller work does not overtake it for ever. On such a worker only work
-// that ends in time is started.
-func (p *Placer) keepRoom(now time.Time) {
-	if now.Before(p.keepAt) {
-		return
-	}
-	p.keepAt = now.Add(keepInterval)
-	limit := max(1, len(p.workers.byName)/keptShare)
-	if len(p.kept) >= limit {
-		return
-	}
-	starving := p.starving(now)
-	for _, c := range starving {
-		if len(p.kept) >= limit {
-			return
-		}
-		p.keepRoomFor(c, now)
-	}
-}
-
-func (p *Placer) starving(now time.Time) []int32 {
-	var starving []int32
-	for _, t := range p.teams.waiting {
-		team := &p.teams.rows[t]
-		for _, entry := range team.queue {
-			class := &p.classes.rows[entry.class]
-			if !entry.blocked || class.claims > 0 || class.key.kind == kindGang {
-				continue
-			}
-			if now.Sub(class.blockedSince) < p.settings.starvation || team.overQuota(entry.need) {
-				continue
-			}
-			starving = append(starving, entry.class)
-		}
-	}
-	slices.SortFunc(starving, func(a, b int32) int {
-		return cmp.Or(
-			-cmp.Compare(p.classes.rows[a].need.DominantShare(p.total), p.classes.rows[b].need.DominantShare(p.total)),
-			p.classes.rows[a].position.compare(p.classes.rows[b].position),
-		)
-	})
-	return starving
-}
-
-func (p *Placer) keepRoomFor(c int32, now time.Time) {
-	class := &p.classes.rows[c]
-	worker, ready := p.readiest(class.need, now)
-	if worker == none {
-		return
-	}
-	p.claim(class.first, worker)
-	p.workers.rows[worker].claimUntil = ready
-	p.kept = append(p.kept, worker)
-}
-
-// readiest returns the worker that is likely to have room first, and when.
-func (p *Placer) readiest(need sizer.Size, now time.Time) (int32, time.Time) {
-	rows := p.workers.rows
-	best := none
-	var bestReady time.Time
-	if len(rows) == 0 {
-		return best, bestReady
-	}
-	seen := 0
-	at := p.random.IntN(len(rows))
-	for range rows {
-		i := int32(at)
-		at++
-		if at == len(rows) {
-			at = 0
-		}
-		w := &rows[i]
-		if !w.takes() || len(w.claims) > 0 || !need.Fits(w.capacity) {
-			continue
-		}
-		ready, ok := p.readyAt(i, need, now)
-		if ok && (best == none || ready.Before(bestReady)) {
-			best = i
-			bestReady = ready
-		}
-		seen++
-		if seen == readySample {
-			break
-		}
-	}
-	return best, bestReady
-}
-
-// readyAt returns when a worker is likely to have room for a task of this size,
-// and false if it never is.
-func (p *Placer) readyAt(worker int32, need sizer.Size, now time.Time) (time.Time, bool) {
-	w := &p.workers.rows[worker]
-	p.victims = p.victims[:0]
-	for i := w.first; i != none; i = p.tasks.rows[i].next {
-		if p.tasks.rows[i].state == StateStopping || p.expectedLeft(i, now) > 0 {
-			p.victims = append(p.victims, i)
-		}
-	}
-	slices.SortFunc(p.victims, func(a, b int32) int {
-		return cmp.Or(cmp.Compare(p.expectedLeft(a, now), p.expectedLeft(b, now)), cmp.Compare(a, b))
-	})
-	room := w.free()
-	ready := now
-	for _, i := range p.victims {
-		if need.Fits(room) {
-			break
-		}
-		room = room.Add(p.tasks.rows[i].hold)
-		ready = now.Add(p.expectedLeft(i, now))
-	}
-	return ready, need.Fits(room)
-}
-
-// expectedLeft returns how long a task is likely to run on, 0 if it has no end.
-// A task that is over its time is taken to run as long again.
-func (p *Placer) expectedLeft(i int32, now time.Time) time.Duration {
-	row := &p.tasks.rows[i]
-	run := p.classes.rows[row.class].expectedRun()
-	if run <= 0 {
-		return 0
-	}
-	ran := now.Sub(row.since)
-	if ran < run {
-		return run - ran
-	}
-	return max(ran, time.Millisecond)
-}
--- a/placer/classes.go
+++ b/placer/classes.go
@@ -74,6 +74,12 @@
 	blockedSince time.Time
 	// claims counts the tasks in StateClaimed.
 	claims int
+	// kept says that room is kept for all tasks of a gang: each is in StateClaimed
+	// or StateReserved.
+	kept      bool
+	keptUntil time.Time
+	// keptSince is when the gang came to find no room before that.
+	keptSince time.Time
 	// position is the class's place in the order of its team. It is valid while
 	// queued is true.
 	position rank
@@ -212,7 +218,13 @@
 // regroup makes a gang that has lost a task be tried again.
 func (p *Placer) regroup(c int32) {
 	class := &p.classes.rows[c]
-	if class.key.kind != kindGang || !class.queued {
+	if class.key.kind != kindGang {
+		return
+	}
+	if class.kept {
+		p.giveBack(c)
+	}
+	if !class.queued {
 		return
 	}
 	p.entry(c).blocked = false
--- /dev/null
+++ b/placer/driver_test.go
@@ -0,0 +1,157 @@
+package placer
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/galenacove/galenacove/namer"
+	"github.com/galenacove/galenacove/sizer"
+)
+
+// tickInterval is how often a driver ticks.
+const tickInterval = 50 * time.Millisecond
+
+// due is the end of a start, or of a checkpoint, at a time.
+type due struct {
+	at      time.Time
+	ref     namer.TaskRef
+	outcome Outcome
+}
+
+type dueHeap []due
+
+func (h dueHeap) Len() int           { return len(h) }
+func (h dueHeap) Less(i, j int) bool { return h[i].at.Before(h[j].at) }
+func (h dueHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *dueHeap) Push(x any)        { *h = append(*h, x.(due)) }
+func (h *dueHeap) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return last
+}
+
+// driver carries out the decisions of a placer: a start runs for the time that
+// was drawn for its task, and a checkpoint takes up to a second and a half.
+type driver struct {
+	*bench
+	ends    dueHeap
+	current map[namer.TaskRef]time.Time
+	// left is how long each task still has to run, submitted when it came.
+	left      map[namer.TaskID]time.Duration
+	submitted map[namer.TaskID]time.Time
+	// waits are the times from submission to the first start, by kind.
+	waits    map[string][]time.Duration
+	preempts int
+	// saving draws the times of checkpoints, so that the work is the same
+	// whatever is preempted.
+	saving *rand.Rand
+}
+
+func newDriver(workers, teams int, s shape, scale float64, opts ...Option) *driver {
+	return &driver{
+		bench:     newBench(workers, teams, s, scale, opts...),
+		current:   make(map[namer.TaskRef]time.Time),
+		left:      make(map[namer.TaskID]time.Duration),
+		submitted: make(map[namer.TaskID]time.Time),
+		waits:     make(map[string][]time.Duration),
+		saving:    rand.New(rand.NewPCG(3, 4)),
+	}
+}
+
+func (d *driver) add(team string, policy Policy, size sizer.Size, run time.Duration, count int, opts ...TaskOption) {
+	d.jobs++
+	var tasks []Task
+	for i := range count {
+		id := namer.TaskID{
+			Job:   fmt.Sprint("job-", d.jobs),
+			Index: i,
+		}
+		d.left[id] = run
+		d.submitted[id] = d.clock.Now()
+		tasks = append(tasks, NewTask(id, team, policy, size, opts...))
+	}
+	d.p.Submit(tasks...)
+}
+
+// step moves on by one tick.
+func (d *driver) step() {
+	d.clock.Advance(tickInterval)
+	now := d.clock.Now()
+	for len(d.ends) > 0 && !d.ends[0].at.After(now) {
+		d.end(heap.Pop(&d.ends).(due))
+	}
+	d.tick()
+}
+
+func (d *driver) end(e due) {
+	started, ok := d.current[e.ref]
+	if !ok {
+		return
+	}
+	delete(d.current, e.ref)
+	d.left[e.ref.Task] -= e.at.Sub(started)
+	if v, known := d.p.Task(e.ref.Task); known && kindOf(v.task.policy) == kindService {
+		d.p.Cancel(e.ref.Task)
+	}
+	d.p.Ended(e.ref, e.outcome)
+}
+
+func (d *driver) tick() {
+	now := d.clock.Now()
+	for _, decision := range d.p.Tick() {
+		switch made := decision.(type) {
+		case Place:
+			d.start(made, now)
+		case Preempt:
+			if _, ok := d.current[made.ref]; ok && made.checkpoint {
+				d.preempts++
+				heap.Push(&d.ends, due{
+					at:      now.Add(200*time.Millisecond + time.Duration(d.saving.Int64N(int64(1300*time.Millisecond)))),
+					ref:     made.ref,
+					outcome: Checkpointed,
+				})
+			}
+		}
+	}
+}
+
+func (d *driver) start(made Place, now time.Time) {
+	d.p.Started(made.ref)
+	d.current[made.ref] = now
+	heap.Push(&d.ends, due{
+		at:      now.Add(d.left[made.ref.Task]),
+		ref:     made.ref,
+		outcome: Finished,
+	})
+	if came, first := d.submitted[made.ref.Task]; first {
+		delete(d.submitted, made.ref.Task)
+		d.waits[kindName(made.task)] = append(d.waits[kindName(made.task)], now.Sub(came))
+	}
+}
+
+func kindName(t Task) string {
+	switch t.policy.(type) {
+	case ServicePolicy:
+		return "service"
+	case GangPolicy:
+		return "gang"
+	default:
+	}
+	if t.urgent {
+		return "urgent"
+	}
+	return "batch"
+}
+
+// quantile returns the wait that so many of a hundred are not above.
+func quantile(waits []time.Duration, of int) time.Duration {
+	if len(waits) == 0 {
+		return 0
+	}
+	slices.Sort(waits)
+	return waits[(len(waits)-1)*of/100]
+}
--- a/placer/firstfit.go
+++ b/placer/firstfit.go
@@ -22,7 +22,13 @@
 
 func (p *Placer) firstFit(i int32) int32 {
 	need := p.classes.rows[p.tasks.rows[i].class].need
-	for w := range p.workers.rows {
+	count := len(p.workers.rows)
+	begin := 0
+	if p.settings.randomFit && count > 0 {
+		begin = p.random.IntN(count)
+	}
+	for at := range count {
+		w := (begin + at) % count
 		row := &p.workers.rows[w]
 		if row.takes() && need.Fits(row.free()) {
 			return int32(w)
--- a/placer/options.go
+++ b/placer/options.go
@@ -23,9 +23,11 @@
 type Option func(*settings)
 
 type settings struct {
-	attempts          func() namer.Attempt
-	seed              uint64
-	firstFit          bool
+	attempts func() namer.Attempt
+	seed     uint64
+	firstFit bool
+	// randomFit makes first-fit begin at a random worker, as a second baseline.
+	randomFit         bool
 	checkpointTimeout time.Duration
 	backoff           time.Duration
 	maxBackoff        time.Duration
--- a/placer/state.go
+++ b/placer/state.go
@@ -68,7 +68,7 @@
 //	none      pending  -        -        -        -        reserved  -         -        running  -        -         -        -
 //	pending   -        backoff  -        claimed  -        reserved  starting  -        running  -        -         -        none
 //	backoff   -        -        pending  -        -        -         -         -        running  -        -         -        none
-//	claimed   -        -        -        -        pending  -         starting  -        running  -        -         -        none
+//	claimed   -        -        -        -        pending  reserved  starting  -        running  -        -         -        none
 //	reserved  -        -        -        -        -        -         starting  -        running  -        -         pending  none
 //	starting  -        -        -        -        -        -         -         running  running  unknown  stopping  pending  none
 //	running   -        -        -        -        -        -         -         running  running  unknown  stopping  pending  none
@@ -95,6 +95,7 @@
 	},
 	StateClaimed: {
 		eventUnclaim: StatePending,
+		eventReserve: StateReserved,
 		eventPlace:   StateStarting,
 		eventAdopt:   StateRunning,
 		eventForget:  StateNone,
--- a/placer/tasks.go
+++ b/placer/tasks.go
@@ -425,6 +425,9 @@
 
 // withdraw takes a task that waits out of whatever it waits in.
 func (p *Placer) withdraw(i int32) {
+	if c := p.tasks.rows[i].class; p.classes.rows[c].kept {
+		p.giveBack(c)
+	}
 	switch p.tasks.rows[i].state {
 	case StatePending:
 		p.dequeue(i)
--- a/placer/tick.go
+++ b/placer/tick.go
@@ -203,11 +203,17 @@
 	row.attempt = p.nextAttempt()
 	row.since = now
 	p.take(i, worker, size, eventPlace)
+	p.say(i)
+	p.watchProbe(i, worker, now)
+}
+
+// say adds the decision that a task starts.
+func (p *Placer) say(i int32) {
+	row := &p.tasks.rows[i]
 	p.decisions = append(p.decisions, Place{
 		ref:    row.ref(),
-		worker: p.workers.rows[worker].name,
+		worker: p.workers.rows[row.worker].name,
 		task:   row.Task,
-		size:   size,
+		size:   row.hold,
 	})
-	p.watchProbe(i, worker, now)
 }
--- a/placer/timers.go
+++ b/placer/timers.go
@@ -22,6 +22,7 @@
 	timerWorker
 	timerGang
 	timerTeam
+	timerKept
 )
 
 type timerHeap []timer
@@ -79,6 +80,8 @@
 			p.wakeWorker(t)
 		case timerGang:
 			p.expireGang(t)
+		case timerKept:
+			p.expireKept(t)
 		case timerTeam:
 			p.teams.list(t.row)
 		}
