--- a/placer/bench_test.go
+++ b/placer/bench_test.go
@@ -49,6 +49,9 @@
 	running []namer.TaskRef
 	// scale is the mean number of cores of a task, about.
 	scale float64
+	// shape is the workers; wide tasks may fill one, others have at most 14 cores.
+	shape shape
+	wide  bool
 }
 
 func newBench(workers, teams int, s shape, scale float64, opts ...Option) *bench {
@@ -59,6 +62,7 @@
 		random: rand.New(rand.NewPCG(1, 2)),
 		teams:  teams,
 		scale:  scale,
+		shape:  s,
 	}
 	for i := range workers {
 		rack, size := fmt.Sprint("general-", i/48*7+i%48/5), s.general
@@ -76,13 +80,32 @@
 
 // size returns a size with a heavy tail; one task in twenty needs accelerators.
 func (b *bench) size() sizer.Size {
-	cores := min(14, b.scale*0.45*math.Pow(1-b.random.Float64(), -1/1.5))
+	widest := 14.0
+	if b.wide {
+		widest = 1000
+	}
+	cores := min(widest, b.scale*0.45*math.Pow(1-b.random.Float64(), -1/1.5))
 	memory := cores * (1 + 5*b.random.Float64())
 	accelerators := 0
 	if b.random.IntN(20) == 0 {
 		accelerators = 1 << b.random.IntN(3)
 	}
-	return sizer.New(int64(cores*1000), int64(memory*gigabyte), int64(accelerators))
+	size := sizer.New(int64(cores*1000), int64(memory*gigabyte), int64(accelerators))
+	if b.wide && accelerators == 0 {
+		return least(size, largest(b.shape))
+	}
+	if accelerators == 0 {
+		return size
+	}
+	return least(size, b.shape.special)
+}
+
+// largest returns the worker with the most cores.
+func largest(s shape) sizer.Size {
+	if s.general.MilliCores() > s.special.MilliCores() {
+		return s.general
+	}
+	return s.special
 }
 
 // submit adds one job of mixed kind: a fifth are services, some are gangs.
--- a/placer/classes.go
+++ b/placer/classes.go
@@ -263,6 +263,9 @@
 	if !class.queued {
 		p.queue(row.class, now)
 	}
+	if class.key.kind == kindGang {
+		p.teams.list(class.key.team)
+	}
 	p.noteOverflow(row.class)
 }
 
--- a/placer/measure_test.go
+++ b/placer/measure_test.go
@@ -21,26 +21,33 @@
 
 // BenchmarkPacking submits a backlog of batch work with a heavy tail at once and
 // compares the time until all of it has run with the lower bound: the largest
-// sum of one resource, times the run time, over what the workers have of it.
+// sum of one resource, times the run time, over what the workers have of it. Wide
+// tasks may need a whole worker.
 func BenchmarkPacking(b *testing.B) {
 	for _, s := range shapes {
-		for _, name := range strategyNames {
-			b.Run(fmt.Sprintf("%s/%s", s.name, name), func(b *testing.B) {
-				for b.Loop() {
-					took, bound := pack(s, strategies[name])
-					b.ReportMetric(took.Seconds(), "makespan-s")
-					b.ReportMetric(bound.Seconds(), "bound-s")
-					b.ReportMetric(took.Seconds()/bound.Seconds(), "of-bound")
-				}
-			})
+		for _, wide := range []bool{false, true} {
+			for _, name := range strategyNames {
+				b.Run(fmt.Sprintf("%s/wide=%v/%s", s.name, wide, name), func(b *testing.B) {
+					for b.Loop() {
+						took, bound := pack(s, wide, strategies[name])
+						b.ReportMetric(took.Seconds(), "makespan-s")
+						b.ReportMetric(bound.Seconds(), "bound-s")
+						b.ReportMetric(took.Seconds()/bound.Seconds(), "of-bound")
+					}
+				})
+			}
 		}
 	}
 }
 
 // pack returns how long a backlog took, and the least it could take.
-func pack(s shape, opts []Option) (time.Duration, time.Duration) {
-	const tasks = 24_000
-	d := newDriver(48, 3, s, 3, opts...)
+func pack(s shape, wide bool, opts []Option) (time.Duration, time.Duration) {
+	tasks, scale := 16_000, 3.0
+	if wide {
+		tasks, scale = 6000, 8
+	}
+	d := newDriver(48, 3, s, scale, opts...)
+	d.wide = wide
 	var cores, memory, accelerators float64
 	longest := time.Duration(0)
 	for range tasks {
--- a/placer/model_test.go
+++ b/placer/model_test.go
@@ -408,6 +408,24 @@
 			return fmt.Errorf("%v waits although there is room: %v", id, why)
 		}
 	}
+	return m.checkGangs()
+}
+
+// checkGangs checks that no complete gang waits beside room for all of it.
+func (m *model) checkGangs() error {
+	now := m.clock.Now()
+	for i := range m.p.classes.rows {
+		class := &m.p.classes.rows[i]
+		if class.live == 0 || !class.queued || class.key.kind != kindGang || class.pending < class.live || now.Before(class.retryAt) {
+			continue
+		}
+		if m.p.teams.rows[class.key.team].overQuota(class.whole()) {
+			continue
+		}
+		if _, ok := m.p.plan(slices.Repeat([]sizer.Size{class.need}, class.pending)); ok {
+			return fmt.Errorf("gang %s waits although there is room", class.key.job)
+		}
+	}
 	return nil
 }
 
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -49,6 +49,8 @@
 	free sizer.Size
 	// freedRoom is the most room on a worker with freed room, valid in fill.
 	freedRoom sizer.Size
+	// freedLevel is the level of that room: no larger class fits.
+	freedLevel int
 	// kept lists the workers on which room is kept for starving work.
 	kept []int32
 	// keepAt is when starving work is looked for next.
--- a/placer/teams.go
+++ b/placer/teams.go
@@ -9,9 +9,17 @@
 	"github.com/galenacove/galenacove/sizer"
 )
 
-// shareScale is the number of levels by which waiting classes are ordered by
-// size, each twice as large as the one below.
-const shareScale = 1 << 20
+// levelScale is the part of sizeUnit, as its inverse, that has level 1.
+const levelScale = 1 << 16
+
+// sizeUnit is what sizes are compared with: 64 cores, 256 GiB, 8 accelerators.
+var sizeUnit = sizer.New(64_000, 256<<30, 8)
+
+// sizeLevel returns the level of a size, each twice as large as the one below. A
+// size fits in no room of a lower level.
+func sizeLevel(size sizer.Size) int {
+	return bits.Len64(uint64(size.DominantShare(sizeUnit) * levelScale))
+}
 
 // ageStep is the time after which earlier work goes first whatever its size.
 const ageStep = 5 * time.Minute
@@ -149,6 +157,15 @@
 	}
 }
 
+// firstAt returns the first entry of the band and age of a rank, or after them,
+// that is on a level or below.
+func (t *teamRow) firstAt(position rank, level int) int {
+	position.level = level
+	position.sequence = 0
+	at, _ := t.find(position)
+	return at
+}
+
 // overQuota reports whether a task of this size is beyond the quota of the team.
 func (t *teamRow) overQuota(size sizer.Size) bool {
 	after := t.used.Add(size)
@@ -208,7 +225,7 @@
 	class.position = rank{
 		band:     class.band(),
 		age:      now.UnixNano() / int64(ageStep),
-		level:    bits.Len64(uint64(class.key.size.DominantShare(p.total) * shareScale)),
+		level:    sizeLevel(class.key.size),
 		sequence: p.classes.sequence,
 	}
 	class.queued = true
--- a/placer/tick.go
+++ b/placer/tick.go
@@ -47,7 +47,7 @@
 
 // fill places waiting work, urgent work first, by turns of the teams.
 func (p *Placer) fill(now time.Time) {
-	p.freedRoom = p.mostFreed(now)
+	p.setFreedRoom(p.mostFreed(now))
 	for _, t := range p.tried() {
 		p.teams.rows[t].cursor = 0
 	}
@@ -63,6 +63,11 @@
 	return p.teams.fresh
 }
 
+func (p *Placer) setFreedRoom(room sizer.Size) {
+	p.freedRoom = room
+	p.freedLevel = sizeLevel(room)
+}
+
 // mostFreed returns the most room, in each resource, of the workers on which
 // room was freed.
 func (p *Placer) mostFreed(now time.Time) sizer.Size {
@@ -119,7 +124,7 @@
 	if room == p.freedRoom {
 		return
 	}
-	p.freedRoom = room
+	p.setFreedRoom(room)
 	turn := &p.teams.turn
 	turn.numbers = slices.DeleteFunc(turn.numbers, func(t int32) bool {
 		return !p.teams.rows[t].mayPlace(last, room)
@@ -153,6 +158,9 @@
 			return nil
 		}
 		if entry.blocked && !entry.need.Fits(p.freedRoom) {
+			if entry.rank.level > p.freedLevel && !team.listed {
+				team.cursor = team.firstAt(entry.rank, p.freedLevel) - 1
+			}
 			continue
 		}
 		if team.overQuota(entry.need) || p.gangWaits(entry, now) {
