Allow a worker more refusals than failures before it is set aside

Cause: a start that did not reach its worker counts as refused, so that three lost connections set a worker aside. Change: ten refusals in a row do; a start that runs ends the row.

--- a/placer/health.go
+++ b/placer/health.go
@@ -8,6 +8,8 @@
 const (
 	// maxBackoffShift bounds how often a wait is doubled.
 	maxBackoffShift = 16
+	// refusalLimit is after how many refusals in a row a worker is set aside.
+	refusalLimit = 10
 	// lapseLimit is how often a task is started again after its lease lapsed.
 	lapseLimit = 10
 	// jobRetries and jobRetryShare are the budget of a job: so many retries, and
@@ -30,6 +32,8 @@
 	phase phase
 	// failures counts the starts that failed since one finished.
 	failures int
+	// refusals counts the starts that the worker refused since one ran.
+	refusals int
 	// lastJob is the class of the last start that failed, none if there is none.
 	lastJob int32
 	// interval is the wait before the next probe.
@@ -63,8 +67,10 @@
 		if row.probe {
 			p.trust(row.worker)
 		}
-	case Failed, Refused:
-		p.blame(i, outcome)
+	case Failed:
+		p.blame(i)
+	case Refused:
+		p.refused(row.worker, row.probe)
 	case Stopped, Checkpointed, Lapsed:
 		if row.probe {
 			w.health.probing = false
@@ -82,21 +88,40 @@
 	c.usual += (took - c.usual) / 4
 }
 
+// refused counts a refusal, of which a worker is allowed more than of failures:
+// it may be that it was not reached, or that it is about to change its owner.
+func (p *Placer) refused(worker int32, probe bool) {
+	h := &p.workers.rows[worker].health
+	h.refusals++
+	if probe {
+		p.failedProbe(worker)
+		return
+	}
+	if h.refusals >= refusalLimit && !h.aside() {
+		h.interval = p.settings.probeInterval
+		p.setAside(worker)
+	}
+}
+
+// failedProbe sets a worker aside for twice as long as before.
+func (p *Placer) failedProbe(worker int32) {
+	h := &p.workers.rows[worker].health
+	h.interval = min(2*h.interval, p.settings.maxProbeInterval)
+	p.setAside(worker)
+}
+
 // blame counts a failure against the worker, unless the job fails everywhere.
-func (p *Placer) blame(i int32, outcome Outcome) {
+func (p *Placer) blame(i int32) {
 	row := &p.tasks.rows[i]
 	class := &p.classes.rows[row.class]
-	if outcome == Failed {
-		class.failedApart = class.failedApart || (class.failedOn != none && class.failedOn != row.worker)
-		class.failedOn = row.worker
-	}
+	class.failedApart = class.failedApart || (class.failedOn != none && class.failedOn != row.worker)
+	class.failedOn = row.worker
 	w := &p.workers.rows[row.worker]
 	if row.probe {
-		w.health.interval = min(2*w.health.interval, p.settings.maxProbeInterval)
-		p.setAside(row.worker)
+		p.failedProbe(row.worker)
 		return
 	}
-	if outcome == Failed && class.failedApart && class.finished == 0 && w.health.lastJob == row.class {
+	if class.failedApart && class.finished == 0 && w.health.lastJob == row.class {
 		return
 	}
 	w.health.lastJob = row.class
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -10,7 +10,8 @@
 //
 // The package does no input or output, starts no goroutine, holds no leases and
 // talks to no worker: whoever drives it carries the decisions out and says what
-// became of them. It knows neither epochs nor other owners. A Placer is used by
+// became of them. It knows neither epochs nor other owners: shares and quotas are
+// of the workers that it was given. A Placer is used by
 // one goroutine at a time. The same calls with the same clock and seed give the
 // same decisions.
 package placer
--- a/placer/tasks.go
+++ b/placer/tasks.go
@@ -293,6 +293,7 @@
 // Started says that a worker runs the start.
 func (p *Placer) Started(ref namer.TaskRef) {
 	if i, ok := p.tasks.find(ref); ok && p.move(i, eventStarted) {
+		p.workers.rows[p.tasks.rows[i].worker].health.refusals = 0
 		p.drainTask(i)
 	}
 }
--- a/placer/why.go
+++ b/placer/why.go
@@ -132,17 +132,24 @@
 	text  string
 }
 
+func newPart(count int, text string) reasonPart {
+	return reasonPart{
+		count: count,
+		text:  text,
+	}
+}
+
 func (r Reason) parts() []reasonPart {
 	return []reasonPart{
-		{count: r.closed, text: "are closed"},
-		{count: r.draining, text: "are draining"},
-		{count: r.setAside, text: "are set aside"},
-		{count: r.tooSmall, text: "are too small"},
-		{count: r.claimed, text: "keep their room for others"},
-		{count: r.cores, text: "lack cores"},
-		{count: r.memory, text: "lack memory"},
-		{count: r.accelerators, text: "lack accelerators"},
-		{count: r.fitting, text: "have room"},
+		newPart(r.closed, "are closed"),
+		newPart(r.draining, "are draining"),
+		newPart(r.setAside, "are set aside"),
+		newPart(r.tooSmall, "are too small"),
+		newPart(r.claimed, "keep their room for others"),
+		newPart(r.cores, "lack cores"),
+		newPart(r.memory, "lack memory"),
+		newPart(r.accelerators, "lack accelerators"),
+		newPart(r.fitting, "have room"),
 	}
 }
 
