--- a/placer/teams.go
+++ b/placer/teams.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"math/bits"
 	"slices"
 	"time"
@@ -12,6 +13,9 @@
 // levelScale is the part of sizeUnit, as its inverse, that has level 1.
 const levelScale = 1 << 16
 
+// lengthLevels is the number of levels of run time to each doubling.
+const lengthLevels = 4
+
 // sizeUnit is what sizes are compared with: 64 cores, 256 GiB, 8 accelerators.
 var sizeUnit = sizer.New(64_000, 256<<30, 8)
 
@@ -35,11 +39,14 @@
 )
 
 // rank is the place of a class in the order of its team: by band, then by age
-// in steps, then the larger first, then by arrival.
+// in steps, then the larger first, then the longer, so that a backlog ends with
+// small and short work, then by arrival.
 type rank struct {
-	band     band
-	age      int64
-	level    int
+	band  band
+	age   int64
+	level int
+	// length is the level of the run time.
+	length   int
 	sequence uint64
 }
 
@@ -48,6 +55,7 @@
 		cmp.Compare(r.band, other.band),
 		cmp.Compare(r.age, other.age),
 		cmp.Compare(other.level, r.level),
+		cmp.Compare(other.length, r.length),
 		cmp.Compare(r.sequence, other.sequence),
 	)
 }
@@ -161,11 +169,21 @@
 // that is on a level or below.
 func (t *teamRow) firstAt(position rank, level int) int {
 	position.level = level
+	position.length = math.MaxInt
 	position.sequence = 0
 	at, _ := t.find(position)
 	return at
 }
 
+// lengthLevel returns the level of a run time, of which there are lengthLevels to
+// each doubling.
+func lengthLevel(run time.Duration) int {
+	if run <= time.Second {
+		return 0
+	}
+	return int(lengthLevels * math.Log2(run.Seconds()))
+}
+
 // overQuota reports whether a task of this size is beyond the quota of the team.
 func (t *teamRow) overQuota(size sizer.Size) bool {
 	after := t.used.Add(size)
@@ -226,6 +244,7 @@
 		band:     class.band(),
 		age:      now.UnixNano() / int64(ageStep),
 		level:    sizeLevel(class.key.size),
+		length:   lengthLevel(class.expectedRun()),
 		sequence: p.classes.sequence,
 	}
 	class.queued = true
