Cut the cost of the tables' tick; do not fence on an answer to an older epoch

The cause: every tick looked at every start of every worker, in order. Workers that are set aside, and tasks that give way, are logged and counted.

--- a/dispatcher/effects.go
+++ b/dispatcher/effects.go
@@ -94,6 +94,7 @@
 	worker string
 	link   uint64
 	ref    namer.TaskRef
+	epoch  namer.Epoch
 	// sentAt is a time before, and doneAt one after the start was written.
 	sentAt time.Time
 	doneAt time.Time
@@ -184,6 +185,7 @@
 		worker: e.worker,
 		link:   e.link,
 		ref:    e.start.Ref,
+		epoch:  e.start.Epoch,
 		sentAt: s.clock.Now(),
 		err:    errLapsed,
 	}
--- a/dispatcher/epochs.go
+++ b/dispatcher/epochs.go
@@ -46,7 +46,7 @@
 
 // forget drops everything once this entry is no member: others take it over.
 func (t *tables) forget() {
-	for _, name := range sorted(t.links.byName) {
+	for _, name := range slices.Clone(t.links.names()) {
 		t.dropLink(t.links.byName[name])
 	}
 	for _, name := range sorted(t.reservations) {
@@ -65,7 +65,7 @@
 
 // moveLinks lets go of the workers that others own now, and tells those of them.
 func (t *tables) moveLinks(follows bool) {
-	for _, name := range sorted(t.links.byName) {
+	for _, name := range slices.Clone(t.links.names()) {
 		l := t.links.byName[name]
 		owner, _ := namer.Owner(name, t.members)
 		switch {
@@ -79,7 +79,7 @@
 		case !follows || l.state == linkSuperseded:
 			t.resetLink(l)
 		default:
-			l.due = t.now
+			t.hurry(l)
 		}
 	}
 }
@@ -195,7 +195,7 @@
 			return "member " + name
 		}
 	}
-	for _, name := range sorted(t.links.byName) {
+	for _, name := range slices.Clone(t.links.names()) {
 		if l := t.links.byName[name]; !l.adopted {
 			return "worker " + name + ", which is " + l.state.String()
 		}
--- a/dispatcher/exchange.go
+++ b/dispatcher/exchange.go
@@ -167,7 +167,7 @@
 	}
 	t.heardEpoch = epoch
 	t.log.Warnf("dispatcher: a peer has epoch %d, this entry %d", epoch, t.epoch)
-	for _, name := range sorted(t.links.byName) {
+	for _, name := range t.links.names() {
 		t.show(t.links.byName[name])
 	}
 }
@@ -290,6 +290,7 @@
 	t.own.promised = sizer.Size{}
 	t.own.waiting = 0
 	t.shareQuotas()
+	t.watchHealth()
 	t.measure()
 }
 
--- a/dispatcher/faults_test.go
+++ b/dispatcher/faults_test.go
@@ -306,9 +306,12 @@
 			}
 			entry.frozen = r.clock.Now().Add(pause)
 		case "deafen":
-			for name, w := range c.workers {
-				r.cut[[2]string{name, entry.name}] = true
-				w.wasCut = true
+			all := rapid.Bool().Draw(draw, "all")
+			for _, name := range c.liveWorkers() {
+				if all || c.chance(0.5) {
+					r.cut[[2]string{name, entry.name}] = true
+					c.workers[name].wasCut = true
+				}
 			}
 			r.after(pause, func() { clear(r.cut) })
 		default:
--- /dev/null
+++ b/dispatcher/hosts.go
@@ -0,0 +1,91 @@
+package dispatcher
+
+import (
+	"github.com/galenacove/galenacove/connector"
+	"github.com/galenacove/galenacove/namer"
+	"github.com/galenacove/galenacove/placer"
+)
+
+// setHosts takes the workers of the host list that this entry owns.
+func (t *tables) setHosts(hosts []connector.Host) {
+	t.listed = make(map[string]connector.Host, len(hosts))
+	for _, host := range hosts {
+		if host.Kind == connector.KindWorker && host.DataCentre == t.dataCentre {
+			t.listed[host.Name] = host
+		}
+	}
+	t.hostsKnown = true
+	t.matchHosts()
+}
+
+// matchHosts brings the links in line with the host list and the members.
+func (t *tables) matchHosts() {
+	if !t.member {
+		return
+	}
+	for _, l := range t.links.byName {
+		_, l.listed = t.listed[l.host.Name]
+	}
+	for _, name := range sorted(t.listed) {
+		if owner, _ := namer.Owner(name, t.members); owner != t.self {
+			continue
+		}
+		t.updateHost(t.listed[name])
+	}
+}
+
+func (t *tables) updateHost(host connector.Host) {
+	l := t.links.byName[host.Name]
+	if l == nil {
+		l = t.addLink(host)
+	}
+	if l.host != host {
+		if l.host.Address != host.Address && t.settings.workers != nil {
+			l.client = t.settings.workers(host.Address)
+		}
+		l.host = host
+		t.putWorker(l)
+	}
+	l.leaving = host.State == connector.HostLeaving
+	t.show(l)
+}
+
+// show tells the placer whether a worker takes tasks.
+func (t *tables) show(l *link) {
+	state := placer.Closed
+	switch {
+	case l.state != linkOwned || t.leaving || t.behind():
+	case !l.listed:
+		// The list lags: the worker keeps what it has, and gets nothing new.
+	case t.isDrained(l):
+		state = placer.Draining
+	default:
+		state = placer.Open
+	}
+	if state == l.shown {
+		return
+	}
+	l.shown = state
+	t.placer.SetWorkerState(l.host.Name, state)
+}
+
+// drain marks a worker, also for the time when this entry comes to own it. It
+// reports whether that is now.
+func (t *tables) drain(worker string, on bool) bool {
+	if on {
+		t.drained[worker] = struct{}{}
+	} else {
+		delete(t.drained, worker)
+	}
+	l := t.links.byName[worker]
+	if l == nil {
+		return false
+	}
+	t.show(l)
+	return true
+}
+
+func (t *tables) isDrained(l *link) bool {
+	_, drained := t.drained[l.host.Name]
+	return l.leaving || drained
+}
--- a/dispatcher/links.go
+++ b/dispatcher/links.go
@@ -11,6 +11,10 @@
 	"github.com/galenacove/galenacove/placer"
 )
 
+// linkInterval is the time between two looks at the links, unless something
+// happens to them.
+const linkInterval = 50 * time.Millisecond
+
 // linkState says how this owner stands with a worker.
 //
 //	from        on                                                to
@@ -78,8 +82,7 @@
 	// settled is when the start had certainly reached the worker or never
 	// will: a report asked for later that does not name it proves its end.
 	settled time.Time
-	// stopping is set once the placer asked for the end.
-	stopping   bool
+	// checkpoint says that its work is to be saved before it is stopped.
 	checkpoint bool
 	// stopSent is when the last stop was sent.
 	stopSent time.Time
@@ -116,12 +119,16 @@
 	found []namer.TaskRef
 	// starts holds what runs, may run, or ended without being recorded.
 	starts map[namer.TaskRef]*start
+	// stopping are the starts whose end the placer has asked for.
+	stopping map[namer.TaskRef]struct{}
 	// acks are ended starts that the worker may forget.
 	acks map[namer.TaskRef]struct{}
 	// listed says that the host list has the worker.
 	listed bool
 	// leaving says that the host list or the worker itself lets it go.
 	leaving bool
+	// aside is set while the placer has set the worker aside.
+	aside bool
 	// shown is what the placer was told.
 	shown placer.WorkerState
 }
@@ -134,18 +141,20 @@
 func (t *tables) addLink(host connector.Host) *link {
 	t.links.count++
 	l := &link{
-		host:   host,
-		number: t.links.count,
-		since:  t.now,
-		due:    t.now,
-		starts: make(map[namer.TaskRef]*start),
-		acks:   make(map[namer.TaskRef]struct{}),
-		listed: true,
+		host:     host,
+		number:   t.links.count,
+		since:    t.now,
+		starts:   make(map[namer.TaskRef]*start),
+		stopping: make(map[namer.TaskRef]struct{}),
+		acks:     make(map[namer.TaskRef]struct{}),
+		listed:   true,
 	}
 	if t.settings.workers != nil {
 		l.client = t.settings.workers(host.Address)
 	}
 	t.links.byName[host.Name] = l
+	t.links.order = nil
+	t.hurry(l)
 	t.putWorker(l)
 	return l
 }
@@ -163,6 +172,7 @@
 	}
 	t.placer.RemoveWorker(l.host.Name)
 	delete(t.links.byName, l.host.Name)
+	t.links.order = nil
 }
 
 // resetLink starts the takeover of a worker from the beginning.
@@ -173,93 +183,27 @@
 	fresh.listed = listed
 }
 
-// setHosts takes the workers of the host list that this entry owns.
-func (t *tables) setHosts(hosts []connector.Host) {
-	t.listed = make(map[string]connector.Host, len(hosts))
-	for _, host := range hosts {
-		if host.Kind == connector.KindWorker && host.DataCentre == t.dataCentre {
-			t.listed[host.Name] = host
-		}
-	}
-	t.hostsKnown = true
-	t.matchHosts()
+// hurry makes the next tick look at the links, and renew this one.
+func (t *tables) hurry(l *link) {
+	l.due = minTime(l.due, t.now)
+	t.links.due = t.now
 }
 
-// matchHosts brings the links in line with the host list and the members.
-func (t *tables) matchHosts() {
-	if !t.member {
-		return
-	}
-	for _, l := range t.links.byName {
-		_, l.listed = t.listed[l.host.Name]
-	}
-	for _, name := range sorted(t.listed) {
-		if owner, _ := namer.Owner(name, t.members); owner != t.self {
-			continue
-		}
-		t.updateHost(t.listed[name])
+// names returns the names of the links in order.
+func (t *linkTable) names() []string {
+	if t.order == nil {
+		t.order = sorted(t.byName)
 	}
+	return t.order
 }
 
-func (t *tables) updateHost(host connector.Host) {
-	l := t.links.byName[host.Name]
-	if l == nil {
-		l = t.addLink(host)
-	}
-	if l.host != host {
-		if l.host.Address != host.Address && t.settings.workers != nil {
-			l.client = t.settings.workers(host.Address)
-		}
-		l.host = host
-		t.putWorker(l)
-	}
-	l.leaving = host.State == connector.HostLeaving
-	t.show(l)
-}
-
-// show tells the placer whether a worker takes tasks.
-func (t *tables) show(l *link) {
-	state := placer.Closed
-	switch {
-	case l.state != linkOwned || t.leaving || t.behind():
-	case !l.listed:
-		// The list lags: the worker keeps what it has, and gets nothing new.
-	case t.isDrained(l):
-		state = placer.Draining
-	default:
-		state = placer.Open
-	}
-	if state == l.shown {
+// tendLinks sends what is due and finds what has lapsed. Not every tick does so.
+func (t *tables) tendLinks() {
+	if t.now.Before(t.links.due) {
 		return
 	}
-	l.shown = state
-	t.placer.SetWorkerState(l.host.Name, state)
-}
-
-// drain marks a worker, also for the time when this entry comes to own it. It
-// reports whether that is now.
-func (t *tables) drain(worker string, on bool) bool {
-	if on {
-		t.drained[worker] = struct{}{}
-	} else {
-		delete(t.drained, worker)
-	}
-	l := t.links.byName[worker]
-	if l == nil {
-		return false
-	}
-	t.show(l)
-	return true
-}
-
-func (t *tables) isDrained(l *link) bool {
-	_, drained := t.drained[l.host.Name]
-	return l.leaving || drained
-}
-
-// tendLinks sends what is due and finds what has lapsed.
-func (t *tables) tendLinks() {
-	for _, name := range sorted(t.links.byName) {
+	t.links.due = t.now.Add(linkInterval)
+	for _, name := range t.links.names() {
 		t.tendLink(t.links.byName[name])
 	}
 }
@@ -379,13 +323,15 @@
 	if !errors.Is(e.err, connector.ErrUnreachable) {
 		l.touch(e)
 	}
+	fenced := errors.Is(e.err, connector.ErrFenced)
 	switch {
-	case errors.Is(e.err, connector.ErrFenced), e.err == nil && e.report.Epoch > e.renewal.Epoch:
+	case e.renewal.Epoch < t.epoch && (fenced || e.err == nil) && e.report.Epoch <= t.epoch:
+		// It says nothing of the epoch that has begun meanwhile.
+		t.hurry(l)
+	case fenced, e.err == nil && e.report.Epoch > t.epoch:
 		t.supersede(l)
-	case e.err != nil, e.report.Epoch < e.renewal.Epoch:
+	case e.err != nil, e.report.Epoch < t.epoch:
 		l.missed = e.sentAt
-	case e.renewal.Epoch < t.epoch:
-		// It says nothing of the epoch that has begun meanwhile.
 	default:
 		t.accepted(l, e)
 	}
@@ -435,13 +381,13 @@
 		l.state = linkWaiting
 		l.announced = t.now
 		l.note(e.report)
-		l.due = t.now
+		t.hurry(l)
 	case linkWaiting:
 		l.note(e.report)
 		t.tryAdopt(l, e)
 	case linkSilent:
 		l.state = linkOwned
-		l.due = t.now
+		t.hurry(l)
 		t.log.Infof("dispatcher: worker %s answers again", l.host.Name)
 	case linkOwned, linkSuperseded:
 	}
@@ -490,6 +436,7 @@
 	if e.sentAt.Before(over) {
 		if t.now.Add(t.settings.terms.renewal).After(over) {
 			l.due = maxTime(over, t.now)
+			t.links.due = minTime(t.links.due, l.due)
 		}
 		return
 	}
--- /dev/null
+++ b/dispatcher/measure_test.go
@@ -0,0 +1,210 @@
+package dispatcher
+
+import (
+	"encoding/gob"
+	"encoding/json"
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/galenacove/galenacove/connector"
+	"github.com/galenacove/galenacove/namer"
+	"github.com/galenacove/galenacove/recorder"
+)
+
+// counter counts bytes.
+type counter int
+
+func (c *counter) Write(data []byte) (int, error) {
+	*c += counter(len(data))
+	return len(data), nil
+}
+
+// BenchmarkTakeover gives the time from a new epoch until the workers of a
+// former owner are taken over, until every member has reported, and until the
+// first task starts anywhere and on those workers, in virtual time with the
+// default terms. lost/op are running tasks that the takeover cost.
+func BenchmarkTakeover(b *testing.B) {
+	for _, cause := range []string{"kill", "freeze", "cutOff"} {
+		b.Run(cause, func(b *testing.B) {
+			var first, owned, census, started, lost time.Duration
+			var bound time.Duration
+			for i := range b.N {
+				r, running := steadyRig(uint64(i+1), 3, 30, 5, defaultSettings().terms)
+				victim := r.entries["entry-0"]
+				taken := make(map[string]bool)
+				for name := range victim.tables.links.byName {
+					taken[name] = true
+				}
+				switch cause {
+				case "kill":
+					victim.dead = true
+				case "freeze":
+					victim.frozen = r.clock.Now().Add(time.Hour)
+				default:
+					victim.cutOff = true
+				}
+				r.run(3 * time.Second)
+				epoch := r.epoch("entry-1", "entry-2")
+				r.append(testJob("after", recorder.Batch, 60, cores(2), time.Hour))
+				begin := r.clock.Now()
+				bound += r.terms.lapse() + 2*r.terms.delivery + 2*tickInterval + 200*time.Millisecond
+				note := func(at *time.Duration, done bool) bool {
+					if done && *at == 0 {
+						*at = r.clock.Now().Sub(begin)
+					}
+					return *at != 0
+				}
+				var o, c, f, s time.Duration
+				r.until(time.Minute, func() bool {
+					all := note(&f, r.running("after") > 0)
+					all = note(&o, r.owned("entry-1")+r.owned("entry-2") == 30) && all
+					all = note(&c, r.certainIn("entry-1", epoch)) && all
+					return note(&s, r.runningAt("after", taken) > 0) && all
+				})
+				first += f
+				owned += o
+				census += c
+				started += s
+				if now := r.running("steady"); now < running {
+					lost += time.Duration(running - now)
+				}
+				if len(taken) == 0 || len(r.violations) > 0 {
+					b.Fatal(len(taken), r.violations)
+				}
+			}
+			n := float64(b.N)
+			b.ReportMetric(owned.Seconds()/n, "s-owned/op")
+			b.ReportMetric(census.Seconds()/n, "s-census/op")
+			b.ReportMetric(first.Seconds()/n, "s-firstStart/op")
+			b.ReportMetric(started.Seconds()/n, "s-firstStartThere/op")
+			b.ReportMetric(bound.Seconds()/n, "s-bound/op")
+			b.ReportMetric(float64(lost)/n, "lost/op")
+		})
+	}
+}
+
+// steadyRig runs tasks on each worker until all have started, and returns how
+// many there are.
+func steadyRig(seed uint64, entries, workers, tasks int, terms terms) (*rig, int) {
+	r := newRig(seed)
+	r.terms = terms
+	names := make([]string, 0, entries)
+	for i := range entries {
+		names = append(names, fmt.Sprintf("entry-%d", i))
+		r.addEntry(names[i])
+	}
+	for i := range workers {
+		r.addWorker(fmt.Sprintf("worker-%d", i), cores(int64(2*tasks+4)), false)
+	}
+	r.epoch(names...)
+	running := workers * tasks
+	r.append(testJob("steady", recorder.Batch, running, cores(2), 10*time.Hour))
+	r.until(2*time.Minute, func() bool { return r.running("steady") == running })
+	return r, running
+}
+
+func (r *rig) owned(entry string) int {
+	n := 0
+	for _, l := range r.entries[entry].tables.links.byName {
+		if l.state == linkOwned {
+			n++
+		}
+	}
+	return n
+}
+
+func (r *rig) running(job string) int {
+	n := 0
+	for id, runs := range r.runs {
+		if id.Job == job {
+			n += len(runs)
+		}
+	}
+	return n
+}
+
+func (r *rig) certainIn(entry string, epoch namer.Epoch) bool {
+	t := r.entries[entry].tables
+	return t.epoch == epoch && t.certain
+}
+
+func (r *rig) runningAt(job string, workers map[string]bool) int {
+	n := 0
+	for id, runs := range r.runs {
+		for _, w := range runs {
+			if id.Job == job && workers[w.host.Name] {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// BenchmarkSteady gives the messages and bytes a second that one of four entries
+// sends and reads, with so many workers each, 13.5 tasks on a worker and 13
+// starts a second each, and the processor time of its tables and of encoding.
+func BenchmarkSteady(b *testing.B) {
+	for _, perEntry := range []int{34, 170} {
+		b.Run(fmt.Sprintf("workers=%d", perEntry), func(b *testing.B) {
+			const entries = 4
+			const span = 60 * time.Second
+			for range b.N {
+				r, _ := steadyRig(1, entries, entries*perEntry, 13, defaultSettings().terms)
+				r.bytes = make(map[string]int)
+				clear(r.messages)
+				for i := range int(span / time.Second) {
+					r.append(testJob(fmt.Sprintf("short-%d", i), recorder.Batch, 13*entries, cores(1), 2*time.Second))
+				}
+				runtime.GC()
+				var before, after runtime.MemStats
+				runtime.ReadMemStats(&before)
+				r.spent = 0
+				r.run(span)
+				runtime.ReadMemStats(&after)
+				each := span.Seconds() * entries
+				for kind, count := range r.messages {
+					b.ReportMetric(float64(count)/each, kind+"/s")
+					b.ReportMetric(float64(r.bytes[kind])/each, kind+"-B/s")
+				}
+				b.ReportMetric(r.spent.Seconds()/each*1000, "tables-ms/s")
+				b.ReportMetric(r.coded.Seconds()/each*1000, "codec-ms/s")
+				b.ReportMetric(float64(after.HeapAlloc)/(1<<20), "heap-MiB-all")
+			}
+		})
+	}
+}
+
+// weigh counts the bytes of a call and of its answer as they are on the wire.
+func (r *rig) weigh(kind string, parts ...any) {
+	if r.bytes == nil {
+		return
+	}
+	begin := time.Now()
+	for _, part := range parts {
+		if m, ok := part.(*Message); ok {
+			if r.encoder == nil {
+				r.encoder = gob.NewEncoder(&r.encoded)
+			}
+			former := r.encoded
+			_ = r.encoder.Encode(m)
+			r.bytes[kind] += int(r.encoded - former)
+			continue
+		}
+		data, _ := json.Marshal(part)
+		r.bytes[kind] += len(data)
+		r.decode(data, part)
+	}
+	r.coded += time.Since(begin)
+}
+
+// decode costs what the other end's decoding costs.
+func (r *rig) decode(data []byte, part any) {
+	switch part.(type) {
+	case connector.Report:
+		var report connector.Report
+		_ = json.Unmarshal(data, &report)
+	default:
+	}
+}
--- a/dispatcher/metrics.go
+++ b/dispatcher/metrics.go
@@ -2,6 +2,8 @@
 
 import (
 	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/galenacove/galenacove/placer"
 )
 
 const namespace = "galenacove_dispatcher"
@@ -14,6 +16,8 @@
 	renewals   prometheus.Counter
 	takeovers  prometheus.Counter
 	lapses     prometheus.Counter
+	stops      prometheus.Counter
+	setAside   prometheus.Counter
 	exchanges  prometheus.Counter
 	epoch      prometheus.Gauge
 	workers    prometheus.Gauge
@@ -29,6 +33,8 @@
 		renewals:   newCounter("renewals_total", "Renewals that were sent."),
 		takeovers:  newCounter("takeovers_total", "Workers that were taken over."),
 		lapses:     newCounter("lapsed_starts_total", "Starts whose lease has certainly lapsed."),
+		stops:      newCounter("stops_total", "Starts that were asked to end."),
+		setAside:   newCounter("set_aside_total", "Workers that were set aside."),
 		exchanges:  newCounter("exchanges_total", "Messages that were sent to peers."),
 		epoch:      newGauge("epoch", "The last epoch."),
 		workers:    newGauge("workers", "Workers that are owned."),
@@ -42,7 +48,7 @@
 	}
 	if registerer != nil {
 		registerer.MustRegister(m.starts, m.lateStarts, m.refusals, m.renewals, m.takeovers,
-			m.lapses, m.exchanges, m.epoch, m.workers, m.held, m.census)
+			m.lapses, m.stops, m.setAside, m.exchanges, m.epoch, m.workers, m.held, m.census)
 	}
 	return m
 }
@@ -63,6 +69,30 @@
 	})
 }
 
+// watchHealth says which workers were set aside, and which take tasks again.
+func (t *tables) watchHealth() {
+	for worker := range t.placer.Workers {
+		name := worker.Worker().Name()
+		l := t.links.byName[name]
+		if l == nil || l.state != linkOwned {
+			continue
+		}
+		aside := worker.State() == placer.SetAside
+		if aside == l.aside || worker.State() == placer.Probing {
+			continue
+		}
+		l.aside = aside
+		if aside {
+			t.metrics.setAside.Inc()
+			t.log.Warnf("dispatcher: worker %s is set aside after %d failures in a row", name, worker.Failures())
+			t.audit("set worker "+name+" aside", "everything that it started failed")
+		} else {
+			t.log.Infof("dispatcher: worker %s takes tasks again", name)
+			t.audit("put worker "+name+" back", "a task that probed it did not fail")
+		}
+	}
+}
+
 // measure sets the gauges.
 func (t *tables) measure() {
 	owned := 0
--- a/dispatcher/rig_test.go
+++ b/dispatcher/rig_test.go
@@ -3,9 +3,11 @@
 import (
 	"container/heap"
 	"context"
+	"encoding/gob"
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -46,9 +48,16 @@
 	violations []string
 	// cut holds pairs of which the first does not reach the second.
 	cut map[[2]string]bool
-	// messages and bytes count what was sent, by kind of effect.
+	// messages and bytes count what was sent, by kind of effect; bytes is nil
+	// unless they are counted.
 	messages map[string]int
-	trace    func(format string, args ...any)
+	bytes    map[string]int
+	encoder  *gob.Encoder
+	encoded  counter
+	// spent is the time in the tables of the entries, coded that of encoding.
+	spent time.Duration
+	coded time.Duration
+	trace func(format string, args ...any)
 }
 
 type rigEvent struct {
@@ -246,7 +255,9 @@
 }
 
 func (e *rigEntry) step() {
+	begin := time.Now()
 	e.tables.tick(e.rig.clock.Now())
+	e.rig.spent += time.Since(begin)
 	e.launch()
 }
 
@@ -258,7 +269,9 @@
 
 func (e *rigEntry) handle(ev event) {
 	e.awake(func() {
+		begin := time.Now()
 		e.tables.handle(e.rig.clock.Now(), ev)
+		e.rig.spent += time.Since(begin)
 		e.step()
 	})
 }
@@ -323,7 +336,8 @@
 func (e *rigEntry) call(ef effect) {
 	r := e.rig
 	sentAt := r.clock.Now()
-	r.messages[fmt.Sprintf("%T", ef)]++
+	kind := strings.TrimPrefix(fmt.Sprintf("%T", ef), "dispatcher.")
+	r.messages[kind]++
 	switch ef := ef.(type) {
 	case renewEffect:
 		ev := renewedEvent{
@@ -334,6 +348,7 @@
 		}
 		e.roundTrip(ef.worker, ef.timeout, func(w *rigWorker) (err error) {
 			ev.report, err = w.renew(ef.renewal)
+			r.weigh(kind, ef.renewal, ev.report)
 			return err
 		}, func(err error) {
 			ev.err = err
@@ -345,6 +360,7 @@
 			worker: ef.worker,
 			link:   ef.link,
 			ref:    ef.start.Ref,
+			epoch:  ef.start.Epoch,
 			sentAt: sentAt,
 			doneAt: sentAt,
 			err:    errLapsed,
@@ -353,6 +369,7 @@
 			e.handle(ev)
 			return
 		}
+		r.weigh(kind, ef.start)
 		e.roundTrip(ef.worker, ef.timeout, func(w *rigWorker) error { return w.startTask(ef.start) }, func(err error) {
 			ev.err = err
 			ev.doneAt = r.clock.Now()
@@ -409,6 +426,7 @@
 			peer.tables.now = r.clock.Now()
 			answer := ev
 			answer.reply, answer.err = peer.tables.receive(&ef.message)
+			r.weigh("exchangeEffect", &ef.message, &answer.reply)
 			peer.step()
 			r.deliver(ef.member, e.name, func() { end(answer) })
 		})
--- a/dispatcher/starts.go
+++ b/dispatcher/starts.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -89,12 +90,15 @@
 			t.strange(l, report)
 		}
 	}
-	for _, ref := range sortedRefs(l.starts) {
-		s := l.starts[ref]
-		if _, ok := named[ref]; ok || !e.sentAt.After(s.settled) || s.state == startSending {
-			continue
+	var unnamed []namer.TaskRef
+	for ref, s := range l.starts {
+		if _, ok := named[ref]; !ok && e.sentAt.After(s.settled) && s.state != startSending {
+			unnamed = append(unnamed, ref)
 		}
-		t.missing(l, s)
+	}
+	slices.SortFunc(unnamed, compareRefs)
+	for _, ref := range unnamed {
+		t.missing(l, l.starts[ref])
 	}
 }
 
@@ -251,7 +255,9 @@
 	case errors.Is(e.err, connector.ErrFenced):
 		t.metrics.refusals.Inc()
 		t.endStart(l, s, placer.Refused, "its worker has a later epoch")
-		t.supersede(l)
+		if e.epoch == t.epoch {
+			t.supersede(l)
+		}
 	case errors.Is(e.err, connector.ErrRefused):
 		t.metrics.refusals.Inc()
 		t.endStart(l, s, placer.Failed, e.err.Error())
@@ -283,20 +289,29 @@
 		return
 	}
 	s := l.starts[ref]
-	s.stopping = true
+	l.stopping[ref] = struct{}{}
+	t.metrics.stops.Inc()
+	if h := t.held[ref.Task]; h != nil && !h.withdrawn {
+		t.log.Infof("dispatcher: %s gives way at %s", ref.Task, worker)
+	}
 	s.checkpoint = checkpoint
 	s.stopSent = time.Time{}
+	t.hurry(l)
 }
 
 // resendStops sends stops until the report shows the end.
 func (t *tables) resendStops(l *link) {
-	if l.state != linkOwned || l.client == nil {
+	if len(l.stopping) == 0 || l.state != linkOwned || l.client == nil {
 		return
 	}
 	var plain, saved []namer.TaskRef
-	for _, ref := range sortedRefs(l.starts) {
+	for _, ref := range sortedRefs(l.stopping) {
 		s := l.starts[ref]
-		if !s.stopping || s.state == startFinished || t.now.Before(s.stopSent.Add(t.settings.terms.renewal)) {
+		if s == nil || s.state == startFinished {
+			delete(l.stopping, ref)
+			continue
+		}
+		if t.now.Before(s.stopSent.Add(t.settings.terms.renewal)) {
 			continue
 		}
 		s.stopSent = t.now
--- a/dispatcher/summaries.go
+++ b/dispatcher/summaries.go
@@ -37,7 +37,7 @@
 // shapes returns the different capacities of the workers that are here to stay.
 func (t *tables) shapes() []sizer.Size {
 	var shapes []sizer.Size
-	for _, name := range sorted(t.links.byName) {
+	for _, name := range t.links.names() {
 		l := t.links.byName[name]
 		if len(shapes) >= maxShapes {
 			break
--- a/dispatcher/tables.go
+++ b/dispatcher/tables.go
@@ -17,6 +17,10 @@
 // linkTable holds the workers that this member owns.
 type linkTable struct {
 	byName map[string]*link
+	// order has the names in order, nil if it has to be made again.
+	order []string
+	// due is when the links are looked at next.
+	due time.Time
 	// count numbers the links.
 	count uint64
 }
