--- a/dispatcher/measure_test.go
+++ b/dispatcher/measure_test.go
@@ -143,15 +143,15 @@
 }
 
 // BenchmarkSteady gives the messages and bytes a second that one of four entries
-// sends and reads, with so many workers each, 13.5 tasks on a worker and 13
-// starts a second each, and the processor time of its tables and of encoding.
+// sends and reads, with so many workers each, so many long tasks on a worker and
+// 13 starts a second each, and the processor time of its tables and of encoding.
 func BenchmarkSteady(b *testing.B) {
-	for _, perEntry := range []int{34, 170} {
-		b.Run(fmt.Sprintf("workers=%d", perEntry), func(b *testing.B) {
+	for _, load := range []struct{ workers, tasks int }{{34, 3}, {34, 13}, {170, 13}} {
+		b.Run(fmt.Sprintf("workers=%d/tasks=%d", load.workers, load.tasks), func(b *testing.B) {
 			const entries = 4
 			const span = 60 * time.Second
 			for range b.N {
-				r, _ := steadyRig(1, entries, entries*perEntry, 13, defaultSettings().terms)
+				r, _ := steadyRig(1, entries, entries*load.workers, load.tasks, defaultSettings().terms)
 				r.bytes = make(map[string]int)
 				clear(r.messages)
 				for i := range int(span / time.Second) {
