--- a/connector/http.go
+++ b/connector/http.go
@@ -158,6 +158,7 @@
 		return nil, err
 	}
 	req.Header.Set("Content-Type", "application/json")
+	guard(ctx, req, data)
 	return req, nil
 }
 
@@ -165,7 +166,7 @@
 func sendError(err error, method, address string) error {
 	mark := ErrUnknown
 	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
+	if errors.Is(err, ErrHeld) || (errors.As(err, &op) && op.Op == "dial") {
 		mark = ErrUnreachable
 	}
 	return errors.WithStack(fmt.Errorf("%w: %s %s: %w", mark, method, address, err))
--- a/dispatcher/effects.go
+++ b/dispatcher/effects.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http/httptrace"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -193,14 +192,11 @@
 		ended.doneAt = s.clock.Now()
 		return ended
 	}
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) {
-			if !s.mayStart(e) {
-				cancel()
-			}
-		},
-	})
+	ctx = connector.Guarded(ctx, func() bool { return s.mayStart(e) })
 	ended.err = e.client.Start(ctx, e.start)
+	if errors.Is(ended.err, connector.ErrHeld) {
+		ended.err = errLapsed
+	}
 	ended.doneAt = s.clock.Now()
 	return ended
 }
--- a/parser/nodes.go
+++ b/parser/nodes.go
@@ -103,11 +103,7 @@
 
 // Errorf returns an error at the place of the column.
 func (c Column) Errorf(message string, expected ...string) *Error {
-	return &Error{
-		pos:      c.pos,
-		message:  message,
-		expected: expected,
-	}
+	return newError(c.pos, message, expected)
 }
 
 // Order is one column to sort by.
@@ -199,26 +195,40 @@
 
 // Value is a value in a condition: a Text or a Quantity.
 type Value interface {
+	// Errorf returns an error at the place of the value.
+	Errorf(message string, expected ...string) *Error
 	value()
 }
 
 // Text is a value in quotes, or a bare name.
 type Text struct {
 	text string
+	pos  Position
 }
 
 // Text returns the text, without quotes.
 func (t Text) Text() string { return t.text }
 
+// Errorf returns an error at the place of the value.
+func (t Text) Errorf(message string, expected ...string) *Error {
+	return newError(t.pos, message, expected)
+}
+
 // Quantity is a number, with or without a unit. What the unit means depends on
 // the column: 500m are half a core, or 500 minutes.
 type Quantity struct {
 	literal string
+	pos     Position
 }
 
 // Literal returns the quantity as it was written.
 func (q Quantity) Literal() string { return q.literal }
 
+// Errorf returns an error at the place of the value.
+func (q Quantity) Errorf(message string, expected ...string) *Error {
+	return newError(q.pos, message, expected)
+}
+
 // Why asks why a task is where it is.
 type Why struct {
 	task namer.TaskID
@@ -426,3 +436,36 @@
 func (TeamSetting) setting()    {}
 func (ServiceSetting) setting() {}
 func (EntrySetting) setting()   {}
+
+// WithIdentity returns the command with the identity, unless it has one.
+// Whoever sends a command chooses its identity first, so that one whose answer
+// is lost can be given again and takes effect once.
+func WithIdentity(c Command, identity string) Command {
+	terms := c.Terms()
+	if terms.identity != "" {
+		return c
+	}
+	terms.identity = identity
+	switch c := c.(type) {
+	case Submit:
+		c.terms = terms
+		return c
+	case Stop:
+		c.terms = terms
+		return c
+	case Drain:
+		c.terms = terms
+		return c
+	case Resume:
+		c.terms = terms
+		return c
+	case Set:
+		c.terms = terms
+		return c
+	case Unset:
+		c.terms = terms
+		return c
+	default:
+		return c
+	}
+}
