Quote a cell only if it would break the table

A value of the configuration was shown with each of its quotes escaped. Only what is not printable, such as a line feed or a tab, is quoted now.

go test ./answerer: ok

--- a/answerer/answerer_test.go
+++ b/answerer/answerer_test.go
@@ -284,7 +284,8 @@
 		},
 		answerer.Row{"w1", "16000"},
 		answerer.Row{"w2\n", "500"},
-		answerer.Row{"w3", "64000"},
+		answerer.Row{`{"w": 3}`, "1500"},
+		answerer.Row{"w4", "64000"},
 	)
 	statement, err := parser.Parse("show workers where cpu < 20 order by cpu")
 	if err != nil {
@@ -299,8 +300,9 @@
 	// Standard output takes it all.
 	_ = answer.Print(os.Stdout)
 	// Output:
-	// NAME    CPU
-	// "w2\n"  0.5
-	// w1      16
+	// NAME      CPU
+	// "w2\n"    0.5
+	// {"w": 3}  1.5
+	// w1        16
 	// not heard of: amman-c
 }
--- a/answerer/table.go
+++ b/answerer/table.go
@@ -15,6 +15,7 @@
 	"strings"
 	"text/tabwriter"
 	"time"
+	"unicode"
 )
 
 // Kind says how the cells of a column compare.
@@ -189,9 +190,8 @@
 
 // oneLine keeps what others have named from breaking the table.
 func oneLine(cell string) string {
-	quoted := strconv.Quote(cell)
-	if quoted[1:len(quoted)-1] == cell {
-		return cell
+	if strings.ContainsFunc(cell, func(r rune) bool { return !unicode.IsPrint(r) }) {
+		return strconv.Quote(cell)
 	}
-	return quoted
+	return cell
 }
