Compress long answers of the stand-ins

Any HTTP server can compress, and the client takes it already. From 32 KiB on only the list is compressed.

go test -race ./emulator ./cmd/standin: ok

--- a/emulator/emulator.go
+++ b/emulator/emulator.go
@@ -110,12 +110,6 @@
 	return true
 }
 
-func writeJSON(w http.ResponseWriter, value any) {
-	w.Header().Set("Content-Type", "application/json")
-	// An error here is a caller that has gone.
-	_ = json.NewEncoder(w).Encode(value)
-}
-
 // drop closes the connection of the request without an answer.
 func drop() {
 	panic(http.ErrAbortHandler)
--- a/emulator/minion.go
+++ b/emulator/minion.go
@@ -220,8 +220,8 @@
 	}
 }
 
-func (m *Minion) handleCounts(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, m.Counts())
+func (m *Minion) handleCounts(w http.ResponseWriter, r *http.Request) {
+	writeJSON(w, r, m.Counts())
 }
 
 func (m *Minion) handleRequest(w http.ResponseWriter, r *http.Request) {
--- a/emulator/platform.go
+++ b/emulator/platform.go
@@ -156,7 +156,7 @@
 	if p.takeFault(name, loseAnswer) {
 		drop()
 	}
-	writeJSON(w, struct {
+	writeJSON(w, r, struct {
 		Offset namer.Offset `json:"offset"`
 	}{
 		Offset: offset,
@@ -271,7 +271,7 @@
 	if !p.enter(w, r, name) {
 		return
 	}
-	writeJSON(w, batch)
+	writeJSON(w, r, batch)
 }
 
 // read returns the records that the query asks for, and waits for them if
@@ -309,7 +309,7 @@
 	p.mu.Lock()
 	hosts := p.hosts.list(p.terms.clock.Now())
 	p.mu.Unlock()
-	writeJSON(w, hosts)
+	writeJSON(w, r, hosts)
 }
 
 func (p *Platform) handleRegister(w http.ResponseWriter, r *http.Request) {
--- a/emulator/platform_test.go
+++ b/emulator/platform_test.go
@@ -205,6 +205,23 @@
 	}
 }
 
+func TestLongHostListIsCompressed(t *testing.T) {
+	c := qt.New(t)
+	const count = 300
+	platform := NewPlatform(HostLag(0))
+	client, url := connect(t, platform.Handler())
+	for i := range count {
+		c.Assert(connector.Register(t.Context(), client, url, testHost(fmt.Sprint("w", i))), qt.IsNil)
+	}
+	list, err := connector.NewPlatform(client, url).List(t.Context())
+	c.Assert(err, qt.IsNil)
+	c.Check(list, qt.HasLen, count)
+	resp, err := client.Get(url + "/v1/hosts")
+	c.Assert(err, qt.IsNil)
+	c.Assert(resp.Body.Close(), qt.IsNil)
+	c.Check(resp.Uncompressed, qt.IsTrue)
+}
+
 // logHistory appends at random under faults and says how what is read differs
 // from what was promised.
 func logHistory(t *rapid.T, platform *Platform, log connector.Log) error {
--- a/emulator/worker.go
+++ b/emulator/worker.go
@@ -115,8 +115,8 @@
 	}
 }
 
-func (w *Worker) handleAccount(rw http.ResponseWriter, _ *http.Request) {
-	writeJSON(rw, w.Account())
+func (w *Worker) handleAccount(rw http.ResponseWriter, r *http.Request) {
+	writeJSON(rw, r, w.Account())
 }
 
 // enter applies the faults that come before a request takes effect.
@@ -192,7 +192,7 @@
 	w.tasks.settle(now)
 	w.tasks.renew(now, renewal.Lease, renewal.Refs)
 	w.tasks.acknowledge(renewal.Acknowledged)
-	writeJSON(rw, connector.Report{
+	writeJSON(rw, r, connector.Report{
 		Worker:      w.host.Name,
 		Incarnation: w.incarnation,
 		Epoch:       w.epoch,
