--- a/dispatcher/tables.go
+++ b/dispatcher/tables.go
@@ -17,6 +17,10 @@
 // linkTable holds the workers that this member owns.
 type linkTable struct {
 	byName map[string]*link
+	// order has the names in order, nil if it has to be made again.
+	order []string
+	// due is when the links are looked at next.
+	due time.Time
 	// count numbers the links.
 	count uint64
 }
@@ -167,6 +171,11 @@
 	case committedEvent:
 		t.committed(e)
 	case stoppedEvent:
+		// The report that shows the end is asked for at once.
+		if l := t.links.byName[e.worker]; l != nil {
+			t.hurry(l)
+		}
+	case throttledEvent:
 	}
 	t.settleLocal()
 }
--- a/router/path.go
+++ b/router/path.go
@@ -155,6 +155,9 @@
 
 // run takes a request to an owner, and to others while that may help.
 func (r *Router) run(ctx context.Context, q Request) (Answer, error) {
+	if q.identity == "" {
+		q.identity = r.nextID()
+	}
 	p := &path{
 		router: r,
 		q:      q,
@@ -241,8 +244,8 @@
 		return false
 	}
 	if last.outcome == refused && last.minion == "" {
-		p.moves++
-		return p.moves <= maxMoves && movable(last.reason)
+		p.moves += moveCost(last.reason)
+		return p.moves <= maxMoves
 	}
 	if last.outcome != refused && !p.q.idempotent && !r.settings.faults.retryAll {
 		return false
@@ -258,13 +261,16 @@
 	return true
 }
 
-// movable reports whether another owner may take what one refused.
-func movable(reason Reason) bool {
+// moveCost returns what it costs to try another owner after one refused. One
+// that is overloaded was thought the best, so that only one more is asked.
+func moveCost(reason Reason) int {
 	switch reason {
-	case ReasonMoved, ReasonNoOwner, ReasonNoMinion, ReasonLeaving, ReasonOverload, ReasonQueueFull, ReasonNoService:
-		return true
+	case ReasonMoved, ReasonNoOwner, ReasonNoMinion, ReasonLeaving, ReasonNoService:
+		return 1
+	case ReasonOverload, ReasonQueueFull:
+		return maxMoves/2 + 1
 	default:
-		return false
+		return maxMoves + 1
 	}
 }
 
