--- a/cmd/galenacove/callers_test.go
+++ b/cmd/galenacove/callers_test.go
@@ -28,6 +28,8 @@
 	group   errgroup.Group
 	stopped atomic.Bool
 	count   atomic.Int64
+	// sent counts the requests that were sent to entries, again or not.
+	sent atomic.Int64
 
 	mu sync.Mutex
 	// wrong has what no caller may ever see.
@@ -156,6 +158,7 @@
 	for name, value := range headers {
 		req.Header.Set(name, value)
 	}
+	k.sent.Add(1)
 	resp, err := k.client.Do(req)
 	if err != nil {
 		return 0, nil, err
--- /dev/null
+++ b/cmd/galenacove/minions_test.go
@@ -0,0 +1,67 @@
+package main
+
+import (
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/galenacove/galenacove/emulator"
+)
+
+// maxAmplification is the most attempts for each request, by the users' target.
+const maxAmplification = 1.1
+
+// TestMinionFaults lets one minion of four fail in every way that the stand-in
+// knows, one after the other, under load. Callers get whole answers of their
+// own, each outcome is true, and retries stay within their budget.
+func TestMinionFaults(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	s := startCell(c, 2, 1, 4)
+	s.configure(c)
+	k := call(c, 6, func() []*entryProcess { return s.entries })
+	faulty := s.minions[0]
+	faults := []struct {
+		name   string
+		faults emulator.MinionFaults
+	}{
+		{name: "down", faults: emulator.MinionFaults{Down: true}},
+		{name: "refuses", faults: emulator.MinionFaults{Refuse: true}},
+		{name: "slow", faults: emulator.MinionFaults{Slow: 300 * time.Millisecond}},
+		{name: "fails", faults: emulator.MinionFaults{Fail: true}},
+		{name: "fails every third", faults: emulator.MinionFaults{Fail: true, Every: 3}},
+		{name: "stalls", faults: emulator.MinionFaults{Stall: true}},
+		{name: "loses answers", faults: emulator.MinionFaults{LoseAnswer: true}},
+		{name: "cuts bodies", faults: emulator.MinionFaults{CutBody: true}},
+		{name: "wrong length", faults: emulator.MinionFaults{WrongLength: true}},
+		{name: "off the host list", faults: emulator.MinionFaults{Silent: true}},
+	}
+	for _, fault := range faults {
+		putFaults(c, faulty.first, fault.faults)
+		k.awaitAnswered(c, 120)
+		putFaults(c, faulty.first, emulator.MinionFaults{})
+		k.awaitAnswered(c, 40)
+		c.Logf("%s: went on", fault.name)
+	}
+	c.Assert(faulty.cmd.Process.Signal(syscall.SIGSTOP), qt.IsNil)
+	k.awaitAnswered(c, 120)
+	c.Assert(faulty.cmd.Process.Signal(syscall.SIGCONT), qt.IsNil)
+	k.awaitAnswered(c, 40)
+	s.verify(c, k)
+	attempts, requests := s.attempts(c), int(k.sent.Load())
+	c.Logf("%d attempts for %d requests: %.3f each", attempts, requests, float64(attempts)/float64(requests))
+	c.Check(float64(attempts) <= maxAmplification*float64(requests), qt.IsTrue)
+}
+
+// attempts counts the requests at all minions, without the probes.
+func (s *cell) attempts(c *qt.C) int {
+	total := 0
+	for _, minion := range s.minions {
+		var counts emulator.Counts
+		getJSON(c, "http://"+minion.first+"/v1/counts", &counts)
+		total += counts.Total
+	}
+	return total
+}
