--- a/appender/appender.go
+++ b/appender/appender.go
@@ -101,6 +101,7 @@
 	logger   log.Interface
 	backoff  *backoff.ExponentialBackOff
 	metrics  *metrics
+	outage   connector.Outage
 	backlog  int
 	patience time.Duration
 }
@@ -223,7 +224,7 @@
 	for _, r := range records {
 		data, err := recorder.Encode(r)
 		if err != nil {
-			return nil, errors.Mark(errors.Wrap(err, "appender: encode"), ErrRecord)
+			return nil, errors.WithStack(fmt.Errorf("%w: encode: %w", ErrRecord, err))
 		}
 		if len(data) > maxRecord {
 			return nil, errors.Wrapf(ErrRecord, "record %s has %d bytes", r.ID(), len(data))
@@ -243,7 +244,7 @@
 	case touched:
 		return errors.WithStack(&UnknownError{ID: e.id})
 	default:
-		return errors.Mark(errors.Wrap(cause, "appender: log out of reach"), ErrUnavailable)
+		return errors.WithStack(fmt.Errorf("%w: log out of reach: %w", ErrUnavailable, cause))
 	}
 }
 
@@ -293,16 +294,33 @@
 		if err := a.pace(ctx); err != nil {
 			return err
 		}
-		if err := a.appendNext(ctx); err != nil {
-			a.metrics.failed.Inc()
-			a.logger.WithError(err).Warn("appender: log out of reach")
-			if err := timekeeper.Sleep(ctx, a.clock, a.backoff.NextBackOff()); err != nil {
-				return err
-			}
+		err := a.appendNext(ctx)
+		a.note(err)
+		if err == nil {
 			continue
 		}
+		if err := timekeeper.Sleep(ctx, a.clock, a.backoff.NextBackOff()); err != nil {
+			return err
+		}
+	}
+}
+
+// note logs the beginning and the end of an outage.
+func (a *Appender) note(err error) {
+	now := a.clock.Now()
+	if err == nil {
 		a.backoff.Reset()
+		if length, ended := a.outage.Work(now); ended {
+			a.logger.Infof("appender: log takes appends again after %v", length)
+		}
+		return
+	}
+	a.metrics.failed.Inc()
+	if a.outage.Fail(now) {
+		a.logger.WithError(err).Warn("appender: log takes no appends")
+		return
 	}
+	a.logger.WithError(err).Debug("appender: log still takes no appends")
 }
 
 // pace waits for the budget. What comes meanwhile joins the append.
@@ -345,7 +363,7 @@
 		}
 		a.queue.settle(batch, nil)
 	case errors.Is(err, connector.ErrRefused):
-		a.queue.settle(batch, errors.Mark(errors.Wrap(err, "appender: refused by the log"), ErrUnavailable))
+		a.queue.settle(batch, errors.WithStack(fmt.Errorf("%w: refused by the log: %w", ErrUnavailable, err)))
 	case errors.Is(err, connector.ErrUnreachable), errors.Is(err, connector.ErrBusy):
 		a.queue.putBack(batch, false)
 	default:
--- a/emulator/emulator.go
+++ b/emulator/emulator.go
@@ -11,6 +11,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -26,9 +27,6 @@
 const (
 	// maxBody is the most bytes of a request that are read.
 	maxBody = 32 << 20
-	// heartbeatInterval is how often a worker or minion tells the platform
-	// that it lives.
-	heartbeatInterval = 500 * time.Millisecond
 	// heartbeatTimeout bounds one such call.
 	heartbeatTimeout = 2 * time.Second
 	// closeTimeout is how long a server waits for requests in flight.
@@ -59,7 +57,7 @@
 		if errors.Is(err, http.ErrServerClosed) {
 			return nil
 		}
-		return errors.Mark(errors.Wrap(err, "emulator: serve"), ErrServe)
+		return errors.WithStack(fmt.Errorf("%w: %w", ErrServe, err))
 	})
 	group.Go(func() error {
 		<-ctx.Done()
@@ -74,14 +72,19 @@
 }
 
 // register tells the platform of the host until the context has ended. A
-// platform that is out of reach is asked again at the next heartbeat.
-func register(ctx context.Context, clock timekeeper.Clock, platform string, host func() connector.Host, silent func() bool) error {
+// platform that is out of reach is asked again at the next heartbeat. Without an
+// address it only waits.
+func register(ctx context.Context, t terms, platform string, host func() connector.Host, silent func() bool) error {
+	if platform == "" {
+		<-ctx.Done()
+		return nil
+	}
 	client := &http.Client{
 		Timeout:   heartbeatTimeout,
 		Transport: &http.Transport{},
 	}
 	defer client.CloseIdleConnections()
-	err := timekeeper.Every(ctx, clock, heartbeatInterval, func(ctx context.Context) {
+	err := timekeeper.Every(ctx, t.clock, t.heartbeat, func(ctx context.Context) {
 		if silent() {
 			return
 		}
@@ -107,12 +110,6 @@
 	return true
 }
 
-func writeJSON(w http.ResponseWriter, value any) {
-	w.Header().Set("Content-Type", "application/json")
-	// An error here is a caller that has gone.
-	_ = json.NewEncoder(w).Encode(value)
-}
-
 // drop closes the connection of the request without an answer.
 func drop() {
 	panic(http.ErrAbortHandler)
--- a/replayer/snapshot.go
+++ b/replayer/snapshot.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"slices"
 	"strings"
 	"time"
@@ -271,7 +272,7 @@
 func (s *State) thaw(data json.RawMessage) error {
 	var c content
 	if err := json.Unmarshal(data, &c); err != nil {
-		return errors.Mark(errors.Wrap(err, "replayer: decode a snapshot"), ErrSnapshot)
+		return errors.WithStack(fmt.Errorf("%w: decode a snapshot: %w", ErrSnapshot, err))
 	}
 	for _, w := range c.Settings {
 		s.settings[w.Key] = Setting{
@@ -314,7 +315,7 @@
 // thaw adds a job whose end, if it has one, is in t.ended.
 func (t *jobTable) thaw(w wireJob) {
 	j := JobState{
-		job:       w.Job,
+		job:       intern(w.Job),
 		submitted: w.Submitted,
 		changed:   w.Changed,
 		cancelled: w.Cancelled,
@@ -343,7 +344,7 @@
 	for _, w := range unknown {
 		r, err := recorder.Decode(w.Record)
 		if err != nil {
-			return errors.Mark(errors.Wrap(err, "replayer: decode a kept record"), ErrSnapshot)
+			return errors.WithStack(fmt.Errorf("%w: decode a kept record: %w", ErrSnapshot, err))
 		}
 		s.unknown.put(w.ID, unknownRecord{
 			offset: w.Offset,
--- a/router/minion.go
+++ b/router/minion.go
@@ -24,8 +24,13 @@
 	refusalHold = 10 * time.Second
 	// fullHold is how long a minion that said it is full gets nothing.
 	fullHold = 50 * time.Millisecond
-	// smoothing is the weight of the newest time of service in the average.
-	smoothing = 0.1
+	// takeoverPatience is how long requests wait for the first answer of a
+	// minion that was taken over.
+	takeoverPatience = 500 * time.Millisecond
+	// smoothing and poolSmoothing are the weights of the newest time of service
+	// in the averages of a minion and of a service.
+	smoothing     = 0.1
+	poolSmoothing = 0.02
 )
 
 // minion is a minion as its owner sees it. The pool's lock guards it, save
@@ -45,6 +50,10 @@
 	// foreignUntil is when the last of them has certainly ended, zero while
 	// the minion has not accepted the epoch.
 	foreignUntil time.Time
+	// taken is when the minion was taken over.
+	taken time.Time
+	// counts is set once the minion said how many of them run.
+	counts bool
 	// lease is when the right to send lapses, in nanoseconds since the router's
 	// start: one term after the sending of the last accepted contact.
 	lease atomic.Int64
@@ -74,15 +83,23 @@
 // known end, or when the attempt has certainly ended.
 type reservation struct {
 	minion *minion
-	epoch  namer.Epoch
+	// name, address and connections are the minion's when the slot was
+	// reserved.
+	name        string
+	address     string
+	connections int
+	epoch       namer.Epoch
 	// made is when the slot was reserved, lapse when the attempt has certainly
 	// ended at the minion whatever became of its answer.
 	made  time.Time
 	lapse time.Time
 	// released is set once the slot is free again.
 	released bool
-	// stalled is set once the attempt was counted as a failure for its time.
-	stalled bool
+	// abandoned is set once nobody waits for the attempt any more. Its answer
+	// then says nothing about the minion.
+	abandoned bool
+	// lost is set once the answer was lost.
+	lost bool
 	// cancel ends the exchange.
 	cancel context.CancelFunc
 }
@@ -118,7 +135,7 @@
 
 // take makes the process the owner of the minion in an epoch. If it owned the
 // minion in the epoch before, it goes on with what it knows.
-func (m *minion) take(epoch namer.Epoch) {
+func (m *minion) take(epoch namer.Epoch, now time.Time) {
 	held := m.epoch != 0 && m.epoch+1 == epoch
 	m.epoch = epoch
 	if held {
@@ -126,6 +143,8 @@
 	}
 	m.foreign = m.slots
 	m.foreignUntil = time.Time{}
+	m.taken = now
+	m.counts = false
 	m.lease.Store(0)
 	m.probed = time.Time{}
 }
@@ -141,12 +160,40 @@
 	return m.usable(now) && since < m.lease.Load()
 }
 
-// usable reports whether the minion gives slots now, or will once it has
-// accepted the epoch.
+// usable reports whether the minion may get something new, as far as it is not
+// a matter of its lease and its slots.
 func (m *minion) usable(now time.Time) bool {
 	return m.epoch != 0 && !m.drained && !m.leaving && !m.ejected && !now.Before(m.hold)
 }
 
+// prospect returns how many slots the minion can be expected to give, now or
+// soon: those that its own requests hold, and after a takeover those that it
+// will tell of at once.
+func (m *minion) prospect(now time.Time, since int64) int {
+	fresh := m.lease.Load() == 0 && now.Sub(m.taken) < takeoverPatience
+	switch {
+	case !m.usable(now), !fresh && since >= m.lease.Load():
+		return 0
+	case fresh:
+		return m.slots
+	case m.counts:
+		return m.slots - m.stuck()
+	default:
+		return max(0, m.slots-m.foreign-m.stuck())
+	}
+}
+
+// stuck counts the slots of attempts whose answers are lost or not waited for.
+func (m *minion) stuck() int {
+	n := 0
+	for r := range m.reservations {
+		if r.lost || r.abandoned {
+			n++
+		}
+	}
+	return n
+}
+
 // free returns how many slots may be reserved now.
 func (m *minion) free(now time.Time, since int64) int {
 	if !m.open(now, since) {
@@ -158,6 +205,13 @@
 	return max(0, m.slots-len(m.reservations)-m.foreign)
 }
 
+// superseded ends the ownership if the minion was told a later epoch.
+func (m *minion) superseded(sent, echoed namer.Epoch) {
+	if sent == m.epoch && echoed > sent {
+		m.cede()
+	}
+}
+
 // accepted notes that the minion accepted the epoch in an exchange that was
 // sent at a time.
 func (m *minion) accepted(epoch namer.Epoch, lease int64, now time.Time, older int, rest time.Duration) {
@@ -171,6 +225,7 @@
 		m.foreignUntil = now.Add(rest)
 	}
 	if older >= 0 {
+		m.counts = true
 		m.foreign = min(m.foreign, older)
 	}
 }
@@ -192,7 +247,7 @@
 	m.failures = 0
 	m.trial = false
 	m.ejections = 0
-	m.latency = average(m.latency, service.Seconds())
+	m.latency = average(m.latency, service.Seconds(), smoothing)
 }
 
 // failed notes a failure and reports whether the minion has failed often
@@ -217,9 +272,9 @@
 	m.failures = 0
 }
 
-func average(old, x float64) float64 {
+func average(old, x, weight float64) float64 {
 	if old == 0 {
 		return x
 	}
-	return old + smoothing*(x-old)
+	return old + weight*(x-old)
 }
--- a/router/router.go
+++ b/router/router.go
@@ -92,6 +92,9 @@
 	}
 	r.base, r.stop = context.WithCancel(context.Background())
 	r.view.Store(&view{})
+	if s.registry != nil {
+		s.registry.MustRegister(newCollector(r))
+	}
 	return r
 }
 
@@ -203,6 +206,7 @@
 	r.stop()
 	err := r.Leave(context.Background())
 	_ = r.work.Wait()
+	r.carrier.close()
 	return err
 }
 
--- a/watcher/table.go
+++ b/watcher/table.go
@@ -41,6 +41,9 @@
 	terms      Terms
 	// membership is the one in force. Its epoch never falls.
 	membership recorder.Membership
+	// targets are the members that this process watches. It is replaced with
+	// the membership and never changed.
+	targets []recorder.Member
 	// peers holds the other members, and others that were heard.
 	peers map[string]*peer
 	// began is when the watch began, last the time of the last round.
@@ -55,6 +58,14 @@
 	pause  time.Duration
 }
 
+// inquiry is what came of asking the witnesses.
+type inquiry struct {
+	// names are the members that were asked about.
+	names []string
+	// answered is how many of the witnesses that are members answered.
+	answered int
+}
+
 func newTable(self recorder.Member, dataCentre string, terms Terms) *table {
 	return &table{
 		self:       self,
@@ -73,14 +84,18 @@
 	}
 	paused := t.overdue(now)
 	t.last = now
-	if !paused {
-		return false
+	if paused {
+		t.forgive(now)
 	}
+	return paused
+}
+
+// forgive begins the watch of every peer anew.
+func (t *table) forgive(now time.Time) {
 	for _, p := range t.peers {
 		p.heard = now
 		p.misses = 0
 	}
-	return true
 }
 
 // follow takes over the membership in force.
@@ -89,6 +104,7 @@
 		return
 	}
 	t.membership = m
+	t.targets = t.ringAfter(m.Members)
 	for _, member := range m.Members {
 		if member.Name == t.self.Name {
 			continue
@@ -108,11 +124,14 @@
 	}
 }
 
-// followSelf makes a process that was taken out wait before it comes back.
+// followSelf makes a process that was taken out wait before it comes back, and
+// one that came in begin its watch, since what it did not hear before may be
+// its own fault.
 func (t *table) followSelf(now time.Time, member bool) {
 	switch {
 	case member && !t.member:
 		t.joined = now
+		t.forgive(now)
 	case !member && t.member:
 		if t.pause == 0 || now.Sub(t.joined) > t.terms.RejoinMax {
 			t.pause = t.terms.Rejoin
@@ -178,7 +197,7 @@
 	if p == nil {
 		return false
 	}
-	if contains(t.membership.Members, name) && !contains(t.targets(), name) {
+	if contains(t.membership.Members, name) && !contains(t.targets, name) {
 		return true
 	}
 	return now.Sub(p.heard) <= t.terms.Suspicion
@@ -189,38 +208,21 @@
 	return !t.member && !now.Before(t.rejoin)
 }
 
-// targets returns the members that this process watches: the next ones in the
-// ring of names.
-func (t *table) targets() []recorder.Member {
-	others := make([]recorder.Member, 0, len(t.membership.Members))
+// ringAfter returns the members that this process watches: the next ones in
+// the ring of names.
+func (t *table) ringAfter(members []recorder.Member) []recorder.Member {
+	after := make([]recorder.Member, 0, len(members))
 	var before []recorder.Member
-	for _, member := range t.membership.Members {
+	for _, member := range members {
 		switch strings.Compare(member.Name, t.self.Name) {
 		case -1:
 			before = append(before, member)
 		case 1:
-			others = append(others, member)
-		}
-	}
-	others = append(others, before...)
-	return others[:min(len(others), watched)]
-}
-
-// patience returns how long a member may be silent. It is longer for a process
-// that hears less than most of those it watches, since the fault is then
-// rather its own.
-func (t *table) patience(now time.Time) time.Duration {
-	targets := t.targets()
-	heard := 1
-	for _, target := range targets {
-		if t.alive(now, target.Name) {
-			heard++
+			after = append(after, member)
 		}
 	}
-	if 2*heard > len(targets)+1 {
-		return t.terms.Suspicion
-	}
-	return t.terms.Suspicion * time.Duration(t.terms.Minority)
+	after = append(after, before...)
+	return after[:min(len(after), watched)]
 }
 
 // overdue reports whether the next round is late: then this process may just
@@ -229,24 +231,35 @@
 	return now.Sub(t.last) > t.terms.Suspicion/2
 }
 
-// doubted returns the members that look gone.
-func (t *table) doubted(now time.Time) []string {
+// doubted returns the members that look gone after so long a silence.
+func (t *table) doubted(now time.Time, patience time.Duration) []string {
 	if t.overdue(now) {
 		return nil
 	}
-	patience := t.patience(now)
 	var names []string
-	for _, target := range t.targets() {
+	for _, target := range t.targets {
 		p := t.peers[target.Name]
-		silent := now.Sub(p.heard) > patience+t.turn(now, target.Name)
-		vouched := !p.vouched.IsZero() && now.Sub(p.vouched) <= t.terms.Suspicion
-		if silent && !vouched && p.misses >= minMisses {
+		silence := min(now.Sub(p.heard), now.Sub(p.vouched))
+		if silence <= patience || p.misses < minMisses {
+			continue
+		}
+		if silence > patience+t.turn(now, target.Name) {
 			names = append(names, target.Name)
 		}
 	}
 	return names
 }
 
+// patience returns how long a member may be silent, after so many witnesses
+// have answered. It is longer for a process that reaches less than most of
+// those it watches, since the fault is then rather its own.
+func (t *table) patience(answered int) time.Duration {
+	if 2*(answered+1) > len(t.targets)+1 {
+		return t.terms.Suspicion
+	}
+	return t.terms.Suspicion * time.Duration(t.terms.Minority)
+}
+
 // turn returns how long this process leaves it to others to propose a change
 // that concerns the named process: the members just before it in the ring go
 // first.
@@ -271,23 +284,28 @@
 	return first < middle || middle < last
 }
 
-// witnesses returns the members that are asked about those in doubt.
+// witnesses returns those that are asked about the members in doubt: the
+// members that this process watches, and those that ask to be members.
 func (t *table) witnesses(now time.Time) []recorder.Member {
+	targets := t.targets
 	var asked []recorder.Member
-	for _, target := range t.targets() {
-		if t.hears(now, target.Name) && len(asked) < witnesses {
-			asked = append(asked, target)
+	for name, p := range t.peers {
+		if t.hears(now, name) && (contains(targets, name) || !p.joining.IsZero()) {
+			asked = append(asked, p.member)
 		}
 	}
 	return asked
 }
 
 // proposal returns the membership that should follow, and false if the one in
-// force will do.
-func (t *table) proposal(now time.Time, leaving bool) (recorder.Membership, bool) {
+// force will do. Of the members that look gone it takes out only those that
+// were asked about, and none while this process is no member itself.
+func (t *table) proposal(now time.Time, leaving bool, asked inquiry) (recorder.Membership, bool) {
 	var c change
-	for _, name := range t.doubted(now) {
-		c.remove(name, "gone")
+	for _, name := range t.doubted(now, t.patience(asked.answered)) {
+		if t.member && slices.Contains(asked.names, name) {
+			c.remove(name, "gone")
+		}
 	}
 	t.proposePeers(now, &c)
 	t.proposeSelf(now, leaving, &c)
@@ -310,12 +328,11 @@
 		return
 	}
 	for name, p := range t.peers {
-		turn := t.turn(now, name)
 		switch {
 		case !t.hears(now, name):
 		case p.leaving && contains(t.membership.Members, name):
 			c.remove(name, "leaving")
-		case !p.joining.IsZero() && now.Sub(p.joining) >= t.terms.Settle+turn:
+		case !p.joining.IsZero() && now.Sub(p.joining) >= t.terms.Settle+t.turn(now, name):
 			t.admit(p.member, c)
 		}
 	}
@@ -335,16 +352,25 @@
 	if t.rejoin.After(since) {
 		since = t.rejoin
 	}
-	patience := t.terms.Settle
-	if t.hearsAny(now) {
-		// A member that hears this process proposes it, with others.
-		patience = t.terms.Suspicion
-	}
-	if now.Sub(since) >= patience {
+	if now.Sub(since) >= t.joinPatience(now) {
 		t.admit(t.self, c)
 	}
 }
 
+// joinPatience returns how long this process leaves it to the members to
+// propose it. If it hears none of them they may all be gone, or only it may be
+// cut off.
+func (t *table) joinPatience(now time.Time) time.Duration {
+	switch {
+	case len(t.membership.Members) == 0:
+		return t.terms.Settle
+	case t.hearsAny(now):
+		return t.terms.Suspicion
+	default:
+		return t.terms.Suspicion * time.Duration(t.terms.Minority)
+	}
+}
+
 func (t *table) hearsAny(now time.Time) bool {
 	for _, member := range t.membership.Members {
 		if t.hears(now, member.Name) {
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -9,8 +9,10 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -19,6 +21,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/galenacove/galenacove/connector"
 	"github.com/galenacove/galenacove/namer"
 	"github.com/galenacove/galenacove/recorder"
 	"github.com/galenacove/galenacove/timekeeper"
@@ -49,7 +52,7 @@
 	// gone.
 	Suspicion time.Duration
 	// Minority is how many times longer that is for a watcher that does not
-	// hear most of the members.
+	// reach most of the members.
 	Minority int
 	// Settle is how long newcomers are gathered before they are proposed.
 	Settle time.Duration
@@ -78,10 +81,8 @@
 const (
 	// maxLoad is the most bytes of a load.
 	maxLoad = 1 << 10
-	// watched is how many members each one watches, and witnesses how many it
-	// asks before it takes one for gone.
-	watched   = 7
-	witnesses = 3
+	// watched is how many members each one watches.
+	watched = 7
 	// proposeTimeout bounds the wait for the log's answer.
 	proposeTimeout = 10 * time.Second
 )
@@ -102,6 +103,8 @@
 	random     *rand.Rand
 	logger     log.Interface
 	metrics    *metrics
+	// outage is used by settle only.
+	outage connector.Outage
 
 	mu    sync.Mutex
 	table *table
@@ -143,7 +146,7 @@
 }
 
 // Applied sets where the offset that this process has applied is asked for. It
-// goes with each heartbeat.
+// goes with each heartbeat. The function must not call the watcher.
 func Applied(offset func() namer.Offset) Option {
 	return func(w *Watcher) {
 		w.offset = offset
@@ -249,7 +252,7 @@
 		w.metrics.paused.Inc()
 		w.logger.Warn("watcher: this process was paused")
 	}
-	targets := w.table.targets()
+	targets := w.table.targets
 	w.mu.Unlock()
 	w.beat(ctx, targets)
 }
@@ -271,15 +274,21 @@
 	now := w.clock.Now()
 	w.mu.Lock()
 	w.metrics.observe(w.table, now)
-	doubted := w.table.doubted(now)
+	doubted := w.table.doubted(now, w.terms.Suspicion)
 	w.mu.Unlock()
-	if now.Sub(w.contact()) > w.terms.Frozen {
+	asked := w.askWitnesses(ctx, doubted)
+	if w.clock.Now().Sub(w.contact()) > w.terms.Frozen {
 		w.metrics.frozen.Inc()
+		if w.outage.Fail(w.clock.Now()) {
+			w.logger.Warn("watcher: membership is frozen while the log is out of reach")
+		}
 		return
 	}
-	w.askWitnesses(ctx, doubted)
+	if length, ended := w.outage.Work(w.clock.Now()); ended {
+		w.logger.Infof("watcher: membership is no longer frozen after %v", length)
+	}
 	w.mu.Lock()
-	proposal, ok := w.table.proposal(w.clock.Now(), w.leaving)
+	proposal, ok := w.table.proposal(w.clock.Now(), w.leaving, asked)
 	w.mu.Unlock()
 	if ok && w.propose != nil {
 		w.submit(ctx, proposal)
@@ -303,13 +312,12 @@
 	if w.caller == nil {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, w.terms.Interval)
+	ctx, cancel := context.WithTimeout(ctx, w.terms.Interval/2)
 	defer cancel()
-	args := w.heartbeat()
 	var group errgroup.Group
 	for _, target := range targets {
 		group.Go(func() error {
-			w.beatOne(ctx, target, args)
+			w.beatOne(ctx, target)
 			return nil
 		})
 	}
@@ -317,7 +325,10 @@
 	_ = group.Wait()
 }
 
-func (w *Watcher) beatOne(ctx context.Context, target recorder.Member, args Heartbeat) {
+func (w *Watcher) beatOne(ctx context.Context, target recorder.Member) {
+	w.mu.Lock()
+	args := w.heartbeat(target.Name)
+	w.mu.Unlock()
 	var reply Heartbeat
 	err := w.caller.Call(ctx, target.Peers, "Member.Heartbeat", args, &reply)
 	w.mu.Lock()
@@ -331,34 +342,44 @@
 }
 
 // askWitnesses asks other members whether they hear those that are in doubt.
-func (w *Watcher) askWitnesses(ctx context.Context, doubted []string) {
+func (w *Watcher) askWitnesses(ctx context.Context, doubted []string) inquiry {
+	asked := inquiry{
+		names: doubted,
+	}
 	if w.caller == nil || len(doubted) == 0 {
-		return
+		return asked
 	}
 	w.mu.Lock()
-	asked := w.table.witnesses(w.clock.Now())
+	witnesses := w.table.witnesses(w.clock.Now())
+	targets := w.table.targets
 	w.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, w.terms.Interval)
+	ctx, cancel := context.WithTimeout(ctx, w.terms.Interval/2)
 	defer cancel()
+	var answered atomic.Int32
 	var group errgroup.Group
-	for _, witness := range asked {
+	for _, witness := range witnesses {
 		group.Go(func() error {
-			w.askOne(ctx, witness, doubted)
+			if w.askOne(ctx, witness, doubted) && contains(targets, witness.Name) {
+				answered.Add(1)
+			}
 			return nil
 		})
 	}
 	// The group's functions return no errors.
 	_ = group.Wait()
+	asked.answered = int(answered.Load())
+	return asked
 }
 
-func (w *Watcher) askOne(ctx context.Context, witness recorder.Member, doubted []string) {
+// askOne reports whether the witness answered.
+func (w *Watcher) askOne(ctx context.Context, witness recorder.Member, doubted []string) bool {
 	var reply Testimony
 	args := Doubt{
 		DataCentre: w.dataCentre,
 		Members:    doubted,
 	}
 	if w.caller.Call(ctx, witness.Peers, "Member.Testify", args, &reply) != nil {
-		return
+		return false
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -366,17 +387,18 @@
 		w.metrics.spared.Inc()
 		w.table.vouch(w.clock.Now(), name)
 	}
+	return true
 }
 
-func (w *Watcher) heartbeat() Heartbeat {
-	offset := w.offset()
-	w.mu.Lock()
-	defer w.mu.Unlock()
+// heartbeat returns what the named peer is told. The caller holds the lock.
+func (w *Watcher) heartbeat(peer string) Heartbeat {
+	now := w.clock.Now()
 	return Heartbeat{
 		From:       w.self,
 		DataCentre: w.dataCentre,
-		Offset:     offset,
-		Joining:    !w.leaving && w.table.wantsIn(w.clock.Now()),
+		HearsYou:   w.table.hears(now, peer),
+		Offset:     w.offset(),
+		Joining:    !w.leaving && w.table.wantsIn(now),
 		Leaving:    w.leaving,
 		Load:       w.load,
 	}
@@ -394,7 +416,7 @@
 			return nil
 		}
 		if err := timekeeper.Sleep(ctx, w.clock, w.terms.Interval); err != nil {
-			return errors.Mark(errors.Wrap(err, "watcher: leave"), ErrLeave)
+			return errors.WithStack(fmt.Errorf("%w: leave: %w", ErrLeave, err))
 		}
 	}
 }
@@ -404,7 +426,7 @@
 func (w *Watcher) SetLoad(load any) error {
 	data, err := json.Marshal(load)
 	if err != nil {
-		return errors.Mark(errors.Wrap(err, "watcher: encode the load"), ErrLoad)
+		return errors.WithStack(fmt.Errorf("%w: encode the load: %w", ErrLoad, err))
 	}
 	if len(data) > maxLoad {
 		return errors.Wrapf(ErrLoad, "%d bytes", len(data))
