--- a/placer/placer.go
+++ b/placer/placer.go
@@ -10,7 +10,8 @@
 //
 // The package does no input or output, starts no goroutine, holds no leases and
 // talks to no worker: whoever drives it carries the decisions out and says what
-// became of them. It knows neither epochs nor other owners. A Placer is used by
+// became of them. It knows neither epochs nor other owners: shares and quotas are
+// of the workers that it was given. A Placer is used by
 // one goroutine at a time. The same calls with the same clock and seed give the
 // same decisions.
 package placer
@@ -49,6 +50,8 @@
 	free sizer.Size
 	// freedRoom is the most room on a worker with freed room, valid in fill.
 	freedRoom sizer.Size
+	// freedLevel is the level of that room: no larger class fits.
+	freedLevel int
 	// kept lists the workers on which room is kept for starving work.
 	kept []int32
 	// keepAt is when starving work is looked for next.
