--- a/appender/appender.go
+++ b/appender/appender.go
@@ -117,6 +117,14 @@
 	}
 }
 
+// SetBudget changes the budget while the appender runs, as when the platform's
+// rate has to be shared among more processes.
+func (a *Appender) SetBudget(perSecond float64) {
+	now := a.clock.Now()
+	a.limiter.SetLimitAt(now, rate.Limit(perSecond))
+	a.limiter.SetBurstAt(now, max(1, int(perSecond)))
+}
+
 // Backlog sets the most records that wait. The default is 4,096.
 func Backlog(records int) Option {
 	return func(a *Appender) {
--- a/appender/appender_test.go
+++ b/appender/appender_test.go
@@ -325,7 +325,8 @@
 	c := qt.New(t)
 	l := newFakeLog()
 	clock := timekeeper.NewFake(time.Unix(0, 0))
-	a := appender.New(l, appender.Budget(10), appender.Clock(clock))
+	a := appender.New(l, appender.Clock(clock))
+	a.SetBudget(10)
 	const records = 1000
 	run(a, func() {
 		var group errgroup.Group
--- a/compactor/measure_test.go
+++ b/compactor/measure_test.go
@@ -82,8 +82,10 @@
 	follower *follower.Follower
 	appender *appender.Appender
 	watcher  *watcher.Watcher
-	stop     context.CancelFunc
-	// paused makes the entry answer no peer until it is closed.
+	// stop ends the server, freeze all that acts by itself.
+	stop   context.CancelFunc
+	freeze context.CancelFunc
+	// paused makes the entry answer no peer while it is set.
 	paused atomic.Bool
 }
 
@@ -114,7 +116,8 @@
 // start adds an entry to a data centre. It follows the log by long reads, or
 // asks each poll if that is not 0.
 func (r *rig) start(dataCentre string, poll time.Duration) {
-	ctx, stop := context.WithCancel(r.ctx)
+	served, stop := context.WithCancel(r.ctx)
+	ctx, freeze := context.WithCancel(served)
 	client := &http.Client{
 		Transport: &http.Transport{},
 	}
@@ -130,6 +133,7 @@
 		state:    replayer.New(),
 		appender: appender.New(platform),
 		stop:     stop,
+		freeze:   freeze,
 	}
 	e.follower = follower.New(platform, recorder.StreamControl, e.state.Apply, follower.Wait(time.Second))
 	pool := messenger.NewPool()
@@ -152,7 +156,7 @@
 	}), qt.IsNil)
 	r.run(ctx, e.appender.Run)
 	r.run(ctx, c.Run)
-	r.run(ctx, func(ctx context.Context) error {
+	r.run(served, func(ctx context.Context) error {
 		return server.Serve(ctx, countedListener{
 			Listener: listener,
 			bytes:    &r.peerBytes,
@@ -317,6 +321,7 @@
 				lost := r.entries[0]
 				lost.paused.Store(true)
 				begin := time.Now()
+				lost.freeze()
 				if kind == "kill" {
 					lost.stop()
 				}
