--- a/cmd/galenacove/script_test.go
+++ b/cmd/galenacove/script_test.go
@@ -14,7 +14,10 @@
 // TestMain makes the program a command of the scripts, and removes what the
 // tests have built.
 func TestMain(m *testing.M) {
-	testscript.Main(cleaner{m}, map[string]func(){
+	tests := cleaner{
+		M: m,
+	}
+	testscript.Main(tests, map[string]func(){
 		"galenacove": main,
 	})
 }
