Show the audit trail after retention; give stopping its settings

Cause: show audit read from offset 1, and an offset that the log has dropped gives an error with no first offset beside it. Ruled out: the client, which does as the interface says. Change: a read of no records tells the first one.

The setting terms.tick had no effect: nothing took it.

--- a/cmd/galenacove/entry.go
+++ b/cmd/galenacove/entry.go
@@ -115,6 +115,7 @@
 		server.Leases(terms.Lease(), terms.Renewal()),
 		server.Bounds(terms.Delivery(), float64(terms.ClockRateError())/float64(terms.Lease())),
 		server.Heartbeats(terms.Heartbeat(), terms.Suspect()),
+		server.Stopping(terms.Grace(), terms.Stop()),
 	}
 	files, found := settings.TLS()
 	if !found {
--- a/loader/loader_test.go
+++ b/loader/loader_test.go
@@ -66,8 +66,8 @@
 	lease = "10s"                 | lease = "3s"                  | 18: terms.lease: 3s is less than 2 times terms.renewal, 2s
 	renewal = "2s"                | clockRateError = "20s"        | 18: terms.lease: 10s is less than 1 times terms.clockRateError, 20s
 	renewal = "2s"                | heartbeat = "3s"              | 17: terms.suspect: 2s is less than 2 times terms.heartbeat, 3s
-	renewal = "2s"                | tick = "6s"                   | 17: terms.renewal: 5s is less than 1 times terms.tick, 6s
-	renewal = "2s"                | renewals = "2s"               | 19: terms.renewals: unknown key, it is none of lease, renewal, heartbeat, suspect, delivery, clockRateError, tick
+	renewal = "2s"                | grace = "1m"                  | 17: terms.stop: 30s is less than 1 times terms.grace, 1m0s
+	renewal = "2s"                | renewals = "2s"               | 19: terms.renewals: unknown key, it is none of lease, renewal, heartbeat, suspect, delivery, clockRateError, grace, stop
 	renewal = "2s"                | lease = "2s"                  | 19: terms.lease: Key 'terms.lease' has already been defined.
 	level = "info"                | level = "loud"                | 22: log.level: "loud" is none of debug, info, warn, error
 	format = "text"               | format = "xml"                | 23: log.format: "xml" is none of json, text
--- a/loader/sections.go
+++ b/loader/sections.go
@@ -116,12 +116,13 @@
 		optional("suspect", duration(&terms.suspect)),
 		optional("delivery", duration(&terms.delivery)),
 		optional("clockRateError", duration(&terms.clockRateError)),
-		optional("tick", duration(&terms.tick)),
+		optional("grace", duration(&terms.grace)),
+		optional("stop", duration(&terms.stop)),
 	})
 	c.ratio("lease", terms.lease, 2, "renewal", terms.renewal)
 	c.ratio("suspect", terms.suspect, 2, "heartbeat", terms.heartbeat)
 	c.ratio("lease", terms.lease, 1, "clockRateError", terms.clockRateError)
-	c.ratio("renewal", terms.renewal, 1, "tick", terms.tick)
+	c.ratio("stop", terms.stop, 1, "grace", terms.grace)
 }
 
 // ratio faults a time that is less than so many times another.
--- a/loader/settings.go
+++ b/loader/settings.go
@@ -18,7 +18,8 @@
 	DefaultSuspect        = 2 * time.Second
 	DefaultDelivery       = 2 * time.Second
 	DefaultClockRateError = 150 * time.Millisecond
-	DefaultTick           = 20 * time.Millisecond
+	DefaultGrace          = time.Second
+	DefaultStop           = 30 * time.Second
 	DefaultLevel          = "info"
 	DefaultFormat         = FormatJSON
 )
@@ -118,7 +119,8 @@
 	suspect        time.Duration
 	delivery       time.Duration
 	clockRateError time.Duration
-	tick           time.Duration
+	grace          time.Duration
+	stop           time.Duration
 }
 
 // Lease returns how long a task runs without a renewal. The default is
@@ -145,8 +147,13 @@
 // The default is DefaultClockRateError.
 func (t Terms) ClockRateError() time.Duration { return t.clockRateError }
 
-// Tick returns how often work is placed. The default is DefaultTick.
-func (t Terms) Tick() time.Duration { return t.tick }
+// Grace returns how long a stopping process goes on taking requests, while the
+// balancer sees that it leaves. The default is DefaultGrace.
+func (t Terms) Grace() time.Duration { return t.grace }
+
+// Stop returns how long a stopping process then waits for what is in flight.
+// The default is DefaultStop.
+func (t Terms) Stop() time.Duration { return t.stop }
 
 // Format is the format of log lines.
 type Format string
@@ -210,7 +217,8 @@
 			suspect:        DefaultSuspect,
 			delivery:       DefaultDelivery,
 			clockRateError: DefaultClockRateError,
-			tick:           DefaultTick,
+			grace:          DefaultGrace,
+			stop:           DefaultStop,
 		},
 		log: Log{
 			level:  DefaultLevel,
--- a/server/query.go
+++ b/server/query.go
@@ -99,7 +99,7 @@
 		}
 		return answerer.Select(q, table)
 	case parser.Why:
-		return s.why(ctx, q.Task()), nil
+		return s.why(ctx, q.Task())
 	default:
 		return answerer.Table{}, errors.Wrapf(errQuery, "%T is not known", statement)
 	}
@@ -180,7 +180,7 @@
 
 // why asks all members for the reason, since a task's home and its holder each
 // know a part.
-func (s *Server) why(ctx context.Context, task namer.TaskID) answerer.Table {
+func (s *Server) why(ctx context.Context, task namer.TaskID) (answerer.Table, error) {
 	whole := answerer.NewTable([]answerer.Column{text("task"), text("member"), text("reason")})
 	var mu sync.Mutex
 	s.askMembers(ctx, func(ctx context.Context, dataCentre string, member recorder.Member) {
@@ -194,7 +194,10 @@
 			whole = whole.Merge(answerer.NewTable(whole.Columns(), answerer.Row{task.String(), member.Name, reply.Reason}))
 		}
 	})
-	return whole
+	if len(whole.Rows()) == 0 && len(whole.Missing()) == 0 {
+		return answerer.Table{}, errors.Wrapf(errQuery, "no member knows the task %s", task)
+	}
+	return whole, nil
 }
 
 func (s *Server) askWhy(ctx context.Context, member recorder.Member, task namer.TaskID) (WhyReply, error) {
@@ -226,9 +229,10 @@
 	var rows []answerer.Row
 	for range auditReads {
 		batch, err := s.platform.Read(ctx, recorder.StreamAudit, next, auditBatch, 0)
-		if batch.First > next {
-			next = batch.First
-			continue
+		if errors.Is(err, connector.ErrAged) {
+			// A read of no records tells what the log still keeps.
+			batch, err = s.platform.Read(ctx, recorder.StreamAudit, 0, 0, 0)
+			next = max(next, batch.First)
 		}
 		if err != nil {
 			return answerer.Table{}, errors.WithStack(fmt.Errorf("%w: the log does not answer: %w", errQuery, err))
@@ -239,7 +243,7 @@
 			}
 		}
 		next += namer.Offset(len(batch.Entries))
-		if len(batch.Entries) == 0 || next >= batch.Next {
+		if next >= batch.Next {
 			return answerer.NewTable(columnsOf[parser.Audit], rows...), nil
 		}
 	}
