--- a/cmd/galenacove/cell_test.go
+++ b/cmd/galenacove/cell_test.go
@@ -90,6 +90,12 @@
 	return p
 }
 
+// runCommand runs a program to its end and returns what it printed.
+func runCommand(name string, args ...string) (string, error) {
+	out, err := exec.Command(name, args...).CombinedOutput()
+	return string(out), err
+}
+
 func tail(text string) string {
 	const most = 4000
 	return text[max(0, len(text)-most):]
--- a/cmd/galenacove/do.go
+++ b/cmd/galenacove/do.go
@@ -46,6 +46,10 @@
 				Usage:   "the operator's `TOKEN`",
 				Sources: cli.EnvVars("GALENACOVE_TOKEN"),
 			},
+			&cli.StringFlag{
+				Name:  "authority",
+				Usage: "check an https:// entry against the certificates in `FILE`",
+			},
 			&cli.StringFlag{
 				Name:  "output",
 				Usage: "print as `FORMAT`: table or json",
@@ -76,7 +80,11 @@
 	if !strings.Contains(base, "://") {
 		base = "http://" + base
 	}
-	client := commander.New(base, cmd.String("token"))
+	http, err := newClient(cmd.String("authority"))
+	if err != nil {
+		return err
+	}
+	client := commander.New(base, cmd.String("token"), commander.HTTP(http))
 	for _, statement := range parsed {
 		if command, ok := statement.(parser.Command); ok {
 			statement = parser.WithIdentity(command, namer.NewIdentity())
--- a/cmd/galenacove/entry.go
+++ b/cmd/galenacove/entry.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
-	"crypto/x509"
 	"fmt"
 	"io"
 	"net"
@@ -19,8 +17,6 @@
 	"github.com/galenacove/galenacove/server"
 )
 
-var errTLS = errors.New("cannot use the TLS files")
-
 func configFlag() cli.Flag {
 	return &cli.StringFlag{
 		Name:     "config",
@@ -145,32 +141,3 @@
 		Level:   level,
 	}, nil
 }
-
-// loadTLS returns the configuration of the callers' and operators' ports, and
-// that of the connections between peers, which prove themselves to each other.
-func loadTLS(files loader.TLS) (ports, peers *tls.Config, err error) {
-	certificate, err := tls.LoadX509KeyPair(files.Certificate(), files.Key())
-	if err != nil {
-		return nil, nil, errors.WithStack(fmt.Errorf("%w: %w", errTLS, err))
-	}
-	authority, err := os.ReadFile(files.Authority())
-	if err != nil {
-		return nil, nil, errors.WithStack(fmt.Errorf("%w: %w", errTLS, err))
-	}
-	roots := x509.NewCertPool()
-	if !roots.AppendCertsFromPEM(authority) {
-		return nil, nil, errors.Wrapf(errTLS, "no certificate in %s", files.Authority())
-	}
-	ports = &tls.Config{
-		Certificates: []tls.Certificate{certificate},
-		MinVersion:   tls.VersionTLS12,
-	}
-	peers = &tls.Config{
-		Certificates: []tls.Certificate{certificate},
-		ClientCAs:    roots,
-		RootCAs:      roots,
-		ClientAuth:   tls.RequireAndVerifyClientCert,
-		MinVersion:   tls.VersionTLS13,
-	}
-	return ports, peers, nil
-}
--- /dev/null
+++ b/cmd/galenacove/tls.go
@@ -0,0 +1,74 @@
+package main
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"fmt"
+	"net/http"
+	"os"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/galenacove/galenacove/loader"
+)
+
+// errTLS is returned for certificates or keys that cannot be used.
+var errTLS = errors.New("cannot use the TLS files")
+
+// loadTLS returns the configuration of the callers' and operators' ports, and
+// that of the connections between peers, which prove themselves to each other.
+func loadTLS(files loader.TLS) (ports, peers *tls.Config, err error) {
+	certificate, err := tls.LoadX509KeyPair(files.Certificate(), files.Key())
+	if err != nil {
+		return nil, nil, errors.WithStack(fmt.Errorf("%w: %w", errTLS, err))
+	}
+	roots, err := loadAuthority(files.Authority())
+	if err != nil {
+		return nil, nil, err
+	}
+	ports = &tls.Config{
+		Certificates: []tls.Certificate{certificate},
+		MinVersion:   tls.VersionTLS12,
+	}
+	peers = &tls.Config{
+		Certificates: []tls.Certificate{certificate},
+		ClientCAs:    roots,
+		RootCAs:      roots,
+		ClientAuth:   tls.RequireAndVerifyClientCert,
+		MinVersion:   tls.VersionTLS13,
+	}
+	return ports, peers, nil
+}
+
+// loadAuthority reads the certificates that others are checked against.
+func loadAuthority(path string) (*x509.CertPool, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.WithStack(fmt.Errorf("%w: %w", errTLS, err))
+	}
+	roots := x509.NewCertPool()
+	if !roots.AppendCertsFromPEM(data) {
+		return nil, errors.Wrapf(errTLS, "no certificate in %s", path)
+	}
+	return roots, nil
+}
+
+// newClient returns the client of an operator, who checks an entry against the
+// certificates in the file, or against those of the host if there is none.
+func newClient(authority string) (*http.Client, error) {
+	if authority == "" {
+		return http.DefaultClient, nil
+	}
+	roots, err := loadAuthority(authority)
+	if err != nil {
+		return nil, err
+	}
+	return &http.Client{
+		Transport: &http.Transport{
+			TLSClientConfig: &tls.Config{
+				RootCAs:    roots,
+				MinVersion: tls.VersionTLS12,
+			},
+		},
+	}, nil
+}
