--- a/compactor/measure_test.go
+++ b/compactor/measure_test.go
@@ -392,3 +392,45 @@
 		Operator:   "anna",
 	}
 }
+
+// BenchmarkAppends measures how many appends one entry uses for 1,000 jobs that
+// come at once, and for jobs that come one by one, 5 or 50 a second at random.
+// Each iteration takes a second, or 1,000 jobs.
+func BenchmarkAppends(b *testing.B) {
+	for name, perSecond := range map[string]int{
+		"atOnce":       0,
+		"perSecond=5":  5,
+		"perSecond=50": 50,
+	} {
+		b.Run(name, func(b *testing.B) {
+			r := newRig(b)
+			r.start("here", 0)
+			r.awaitMembers("here", 1)
+			before := r.platform.Appends()
+			jobs := 0
+			var group errgroup.Group
+			for range b.N {
+				n := perSecond
+				if n == 0 {
+					n = 1000
+				}
+				for range n {
+					group.Go(func() error {
+						if perSecond > 0 {
+							time.Sleep(time.Duration(rand.Int64N(int64(time.Second))))
+						}
+						return r.entries[0].commit(r.ctx, appender.PriorityJob, letterJob(namer.NewIdentity()))
+					})
+				}
+				jobs += n
+				if perSecond > 0 {
+					time.Sleep(time.Second)
+					continue
+				}
+				qt.Assert(b, group.Wait(), qt.IsNil)
+			}
+			qt.Assert(b, group.Wait(), qt.IsNil)
+			b.ReportMetric(float64(r.platform.Appends()-before)/float64(jobs)*1000, "appends/1000jobs")
+		})
+	}
+}
--- a/compactor/recovery.go
+++ b/compactor/recovery.go
@@ -14,7 +14,9 @@
 
 const (
 	// window is how many records are looked at in one step back.
-	window      = 500
+	window = 512
+	// readLimit is the most records of one read.
+	readLimit   = 64
 	readTimeout = 5 * time.Second
 	callTimeout = 10 * time.Second
 	// enoughPeers is how many peers' snapshots are taken; the latest stays.
@@ -75,7 +77,7 @@
 func (c *Compactor) readParts(ctx context.Context, start, end namer.Offset) ([]recorder.Snapshot, error) {
 	var found []recorder.Snapshot
 	for start < end {
-		batch, err := c.read(ctx, start, int(end-start))
+		batch, err := c.read(ctx, start, min(int(end-start), readLimit))
 		if err != nil {
 			return nil, err
 		}
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -24,8 +24,12 @@
 )
 
 const (
-	defaultWait    = 10 * time.Second
-	defaultLimit   = 500
+	defaultWait  = 10 * time.Second
+	defaultLimit = 500
+	// fewRecords is the limit of a read at the end of the stream, and
+	// smallBatch how many bytes a batch may have for the next to be longer.
+	fewRecords     = 8
+	smallBatch     = 256 << 10
 	minBackoff     = 100 * time.Millisecond
 	maxBackoff     = 5 * time.Second
 	attemptTimeout = 5 * time.Second
@@ -55,6 +59,8 @@
 	backoff *backoff.ExponentialBackOff
 	metrics *metrics
 	outage  connector.Outage
+	// window is the limit of the next read.
+	window int
 
 	mu sync.Mutex
 	// position is the next offset to read. It never falls.
@@ -108,7 +114,8 @@
 	}
 }
 
-// Limit sets the most records of one read. The default is 500.
+// Limit sets the most records of one read. The default is 500. A follower that
+// is not behind asks for 8, since a snapshot's parts are long.
 func Limit(limit int) Option {
 	return func(f *Follower) {
 		f.limit = limit
@@ -159,6 +166,7 @@
 	for _, opt := range opts {
 		opt(f)
 	}
+	f.window = min(fewRecords, f.limit)
 	return f
 }
 
@@ -271,7 +279,7 @@
 func (f *Follower) Step(ctx context.Context) error {
 	f.start(ctx)
 	sent := f.clock.Now()
-	batch, err := f.read(ctx, f.Position(), f.limit, f.wait)
+	batch, err := f.read(ctx, f.Position(), f.window, f.wait)
 	switch {
 	case errors.Is(err, connector.ErrAged):
 		return f.overtaken(ctx)
@@ -279,9 +287,24 @@
 		return err
 	}
 	f.touch(sent, batch)
+	f.resize(batch)
 	return f.take(ctx, sent, batch)
 }
 
+// resize asks for more while full batches are small, and for less otherwise,
+// so that a batch stays within memory.
+func (f *Follower) resize(batch connector.Batch) {
+	size := 0
+	for _, entry := range batch.Entries {
+		size += len(entry.Payload)
+	}
+	if len(batch.Entries) < f.window || size > smallBatch {
+		f.window = min(fewRecords, f.limit)
+		return
+	}
+	f.window = min(2*f.window, f.limit)
+}
+
 // read bounds one read by the wait that was asked for and a little more.
 func (f *Follower) read(ctx context.Context, from namer.Offset, limit int, wait time.Duration) (connector.Batch, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+attemptTimeout)
