--- a/dispatcher/effects.go
+++ b/dispatcher/effects.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http/httptrace"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -40,6 +39,7 @@
 
 // stopEffect ends tasks.
 type stopEffect struct {
+	worker  string
 	client  connector.Worker
 	stop    connector.Stop
 	timeout time.Duration
@@ -94,15 +94,21 @@
 	worker string
 	link   uint64
 	ref    namer.TaskRef
+	epoch  namer.Epoch
 	// sentAt is a time before, and doneAt one after the start was written.
 	sentAt time.Time
 	doneAt time.Time
 	err    error
 }
 
-// stoppedEvent is the end of a stopEffect or a throttleEffect. The report tells
-// whether it had an effect.
-type stoppedEvent struct{}
+// stoppedEvent is the end of a stopEffect. The report tells whether it had an
+// effect.
+type stoppedEvent struct {
+	worker string
+}
+
+// throttledEvent is the end of a throttleEffect.
+type throttledEvent struct{}
 
 // exchangedEvent is the end of an exchangeEffect.
 type exchangedEvent struct {
@@ -121,6 +127,7 @@
 func (renewedEvent) event()   {}
 func (startedEvent) event()   {}
 func (stoppedEvent) event()   {}
+func (throttledEvent) event() {}
 func (exchangedEvent) event() {}
 func (committedEvent) event() {}
 
@@ -140,12 +147,14 @@
 		defer cancel()
 		// What came of it shows in the report.
 		_ = e.client.Stop(ctx, e.stop)
-		return stoppedEvent{}
+		return stoppedEvent{
+			worker: e.worker,
+		}
 	case throttleEffect:
 		ctx, cancel := context.WithTimeout(ctx, e.timeout)
 		defer cancel()
 		_ = e.client.Throttle(ctx, e.throttle)
-		return stoppedEvent{}
+		return throttledEvent{}
 	case exchangeEffect:
 		return s.exchange(ctx, e)
 	case commitEffect:
@@ -154,7 +163,7 @@
 			err:  s.record(ctx, e.body),
 		}
 	default:
-		return stoppedEvent{}
+		return throttledEvent{}
 	}
 }
 
@@ -184,6 +193,7 @@
 		worker: e.worker,
 		link:   e.link,
 		ref:    e.start.Ref,
+		epoch:  e.start.Epoch,
 		sentAt: s.clock.Now(),
 		err:    errLapsed,
 	}
@@ -191,14 +201,11 @@
 		ended.doneAt = s.clock.Now()
 		return ended
 	}
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) {
-			if !s.mayStart(e) {
-				cancel()
-			}
-		},
-	})
+	ctx = connector.Guarded(ctx, func() bool { return s.mayStart(e) })
 	ended.err = e.client.Start(ctx, e.start)
+	if errors.Is(ended.err, connector.ErrHeld) {
+		ended.err = errLapsed
+	}
 	ended.doneAt = s.clock.Now()
 	return ended
 }
--- a/dispatcher/epochs.go
+++ b/dispatcher/epochs.go
@@ -46,7 +46,7 @@
 
 // forget drops everything once this entry is no member: others take it over.
 func (t *tables) forget() {
-	for _, name := range sorted(t.links.byName) {
+	for _, name := range slices.Clone(t.links.names()) {
 		t.dropLink(t.links.byName[name])
 	}
 	for _, name := range sorted(t.reservations) {
@@ -57,6 +57,7 @@
 		t.unhold(id)
 	}
 	clear(t.homes)
+	clear(t.fresh)
 	clear(t.active)
 	clear(t.strays.byJob)
 	clear(t.channels)
@@ -65,7 +66,7 @@
 
 // moveLinks lets go of the workers that others own now, and tells those of them.
 func (t *tables) moveLinks(follows bool) {
-	for _, name := range sorted(t.links.byName) {
+	for _, name := range slices.Clone(t.links.names()) {
 		l := t.links.byName[name]
 		owner, _ := namer.Owner(name, t.members)
 		switch {
@@ -79,7 +80,7 @@
 		case !follows || l.state == linkSuperseded:
 			t.resetLink(l)
 		default:
-			l.due = t.now
+			t.hurry(l)
 		}
 	}
 }
@@ -132,6 +133,7 @@
 		former, _ := namer.Owner(id, before)
 		if !follows || former != t.self || t.homeOf(id) != t.self {
 			delete(t.homes, id)
+			delete(t.fresh, id)
 			delete(t.active, id)
 			continue
 		}
@@ -195,7 +197,7 @@
 			return "member " + name
 		}
 	}
-	for _, name := range sorted(t.links.byName) {
+	for _, name := range slices.Clone(t.links.names()) {
 		if l := t.links.byName[name]; !l.adopted {
 			return "worker " + name + ", which is " + l.state.String()
 		}
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -24,8 +24,12 @@
 )
 
 const (
-	defaultWait    = 10 * time.Second
-	defaultLimit   = 500
+	defaultWait  = 10 * time.Second
+	defaultLimit = 500
+	// fewRecords is the limit of a read at the end of the stream, and
+	// smallBatch how many bytes a batch may have for the next to be longer.
+	fewRecords     = 8
+	smallBatch     = 256 << 10
 	minBackoff     = 100 * time.Millisecond
 	maxBackoff     = 5 * time.Second
 	attemptTimeout = 5 * time.Second
@@ -34,6 +38,10 @@
 // ErrGap is returned by a recovery that found nothing to go on from.
 var ErrGap = errors.New("follower: records were dropped and no snapshot reaches them")
 
+// ErrAnswer is returned for an answer of the log that does not begin with the
+// record that was asked for.
+var ErrAnswer = errors.New("follower: answer of the log without the next record")
+
 // Recover brings the state up to a snapshot and returns the next offset to
 // read. It fails if there is none.
 type Recover func(ctx context.Context) (namer.Offset, error)
@@ -50,6 +58,9 @@
 	limit   int
 	backoff *backoff.ExponentialBackOff
 	metrics *metrics
+	outage  connector.Outage
+	// window is the limit of the next read.
+	window int
 
 	mu sync.Mutex
 	// position is the next offset to read. It never falls.
@@ -103,7 +114,8 @@
 	}
 }
 
-// Limit sets the most records of one read. The default is 500.
+// Limit sets the most records of one read. The default is 500. A follower that
+// is not behind asks for 8, since a snapshot's parts are long.
 func Limit(limit int) Option {
 	return func(f *Follower) {
 		f.limit = limit
@@ -154,6 +166,7 @@
 	for _, opt := range opts {
 		opt(f)
 	}
+	f.window = min(fewRecords, f.limit)
 	return f
 }
 
@@ -212,22 +225,37 @@
 // Run follows the stream until the context has ended, and returns the
 // context's error.
 func (f *Follower) Run(ctx context.Context) error {
-	for ctx.Err() == nil {
+	for {
 		err := f.Step(ctx)
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		f.note(err)
 		if err == nil {
-			f.backoff.Reset()
 			continue
 		}
-		if ctx.Err() != nil {
-			break
-		}
-		f.metrics.failed.Inc()
-		f.logger.WithError(err).Warn("follower: log out of reach")
 		if err := timekeeper.Sleep(ctx, f.clock, f.backoff.NextBackOff()); err != nil {
-			break
+			return err
 		}
 	}
-	return ctx.Err()
+}
+
+// note logs the beginning and the end of an outage.
+func (f *Follower) note(err error) {
+	now := f.clock.Now()
+	if err == nil {
+		f.backoff.Reset()
+		if length, ended := f.outage.Work(now); ended {
+			f.logger.Infof("follower: %s is in reach again after %v", f.stream, length)
+		}
+		return
+	}
+	f.metrics.failed.Inc()
+	if f.outage.Fail(now) {
+		f.logger.WithError(err).Warnf("follower: %s is out of reach", f.stream)
+		return
+	}
+	f.logger.WithError(err).Debugf("follower: %s is still out of reach", f.stream)
 }
 
 // start recovers until a recovery or a read has succeeded once.
@@ -236,7 +264,7 @@
 		return
 	}
 	if err := f.recoverNow(ctx); err != nil {
-		f.logger.WithError(err).Info("follower: no snapshot to start from")
+		f.logger.WithError(err).Debug("follower: no snapshot to start from")
 	}
 }
 
@@ -251,7 +279,7 @@
 func (f *Follower) Step(ctx context.Context) error {
 	f.start(ctx)
 	sent := f.clock.Now()
-	batch, err := f.read(ctx, f.Position(), f.limit, f.wait)
+	batch, err := f.read(ctx, f.Position(), f.window, f.wait)
 	switch {
 	case errors.Is(err, connector.ErrAged):
 		return f.overtaken(ctx)
@@ -259,9 +287,24 @@
 		return err
 	}
 	f.touch(sent, batch)
+	f.resize(batch)
 	return f.take(ctx, sent, batch)
 }
 
+// resize asks for more while full batches are small, and for less otherwise,
+// so that a batch stays within memory.
+func (f *Follower) resize(batch connector.Batch) {
+	size := 0
+	for _, entry := range batch.Entries {
+		size += len(entry.Payload)
+	}
+	if len(batch.Entries) < f.window || size > smallBatch {
+		f.window = min(fewRecords, f.limit)
+		return
+	}
+	f.window = min(2*f.window, f.limit)
+}
+
 // read bounds one read by the wait that was asked for and a little more.
 func (f *Follower) read(ctx context.Context, from namer.Offset, limit int, wait time.Duration) (connector.Batch, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+attemptTimeout)
@@ -284,12 +327,16 @@
 	if batch.First > f.Position() {
 		return f.overtaken(ctx)
 	}
+	before := f.Position()
 	for _, entry := range batch.Entries {
 		if !f.takeEntry(entry) {
 			break
 		}
 	}
 	position := f.Position()
+	if len(batch.Entries) > 0 && position == before {
+		return errors.Wrapf(ErrAnswer, "no record at %d", position)
+	}
 	switch {
 	case position == batch.Next:
 		f.reachEnd(sent)
--- a/placer/tasks.go
+++ b/placer/tasks.go
@@ -293,6 +293,7 @@
 // Started says that a worker runs the start.
 func (p *Placer) Started(ref namer.TaskRef) {
 	if i, ok := p.tasks.find(ref); ok && p.move(i, eventStarted) {
+		p.workers.rows[p.tasks.rows[i].worker].health.refusals = 0
 		p.drainTask(i)
 	}
 }
@@ -425,6 +426,9 @@
 
 // withdraw takes a task that waits out of whatever it waits in.
 func (p *Placer) withdraw(i int32) {
+	if c := p.tasks.rows[i].class; p.classes.rows[c].kept {
+		p.giveBack(c)
+	}
 	switch p.tasks.rows[i].state {
 	case StatePending:
 		p.dequeue(i)
