--- a/cmd/galenacove/cell_test.go
+++ b/cmd/galenacove/cell_test.go
@@ -107,9 +107,12 @@
 	_ = p.cmd.Wait()
 }
 
-// cell is a cell of separate processes.
+// cell is one data centre of separate processes, with the platform.
 type cell struct {
-	terms    string
+	terms      string
+	dataCentre string
+	// link is the address under which the entries reach the platform.
+	link     string
 	programs programs
 	platform string
 	workers  []*process
@@ -145,32 +148,39 @@
 
 func startCellWith(c *qt.C, terms string, entries, workers, minions int) *cell {
 	s := &cell{
-		terms:    terms,
-		programs: buildPrograms(c),
+		terms:      terms,
+		programs:   buildPrograms(c),
+		dataCentre: "klein-hall",
 	}
 	s.platform = start(c, s.programs.standin, "platform", "--listen", "127.0.0.1:0", "--host-lag", "200ms").first
+	s.link = s.platform
+	s.populate(c, entries, workers, minions)
+	return s
+}
+
+// populate starts the hosts of the data centre.
+func (s *cell) populate(c *qt.C, entries, workers, minions int) {
 	for i := range workers {
 		s.workers = append(s.workers, start(c, s.programs.standin, "worker", "--platform", s.platform,
-			"--name", fmt.Sprintf("worker-%d", i), "--data-centre", "klein-hall", "--rack", fmt.Sprintf("rack-%d", i)))
+			"--name", fmt.Sprintf("%s-worker-%d", s.dataCentre, i), "--data-centre", s.dataCentre, "--rack", fmt.Sprintf("rack-%d", i)))
 	}
 	for i := range minions {
 		s.minions = append(s.minions, s.startMinion(c, fmt.Sprintf("minion-%d", i)))
 	}
 	for i := range entries {
-		s.entries = append(s.entries, s.startEntry(c, fmt.Sprintf("entry-%d", i)))
+		s.entries = append(s.entries, s.startEntry(c, fmt.Sprintf("%s-entry-%d", s.dataCentre, i)))
 	}
-	return s
 }
 
 func (s *cell) startMinion(c *qt.C, name string) *process {
 	return start(c, s.programs.standin, "minion", "--platform", s.platform,
-		"--name", name, "--data-centre", "klein-hall", "--service", "field-desk")
+		"--name", s.dataCentre+"-"+name, "--data-centre", s.dataCentre, "--service", "field-desk")
 }
 
 const entrySettings = `
 [entry]
 name = %q
-dataCentre = "klein-hall"
+dataCentre = %q
 callers = "127.0.0.1:0"
 peers = "127.0.0.1:0"
 operators = "127.0.0.1:0"
@@ -198,7 +208,7 @@
 		seeds = append(seeds, fmt.Sprintf("%q", entry.peers))
 	}
 	file := filepath.Join(c.TempDir(), name+".toml")
-	settings := fmt.Appendf(nil, entrySettings, name, s.platform, strings.Join(seeds, ", "), s.terms)
+	settings := fmt.Appendf(nil, entrySettings, name, s.dataCentre, s.link, strings.Join(seeds, ", "), s.terms)
 	c.Assert(os.WriteFile(file, settings, 0o600), qt.IsNil)
 	p := &entryProcess{
 		process: start(c, s.programs.galenacove, "entry", "--config", file),
@@ -271,7 +281,7 @@
 	for _, entry := range s.entries {
 		await(c, "entries are healthy", entry.healthy)
 	}
-	s.entries[0].awaitRows(c, "show members", len(s.entries))
+	s.entries[0].awaitRows(c, fmt.Sprintf("show members where dataCentre = %q", s.dataCentre), len(s.entries))
 }
 
 // configure makes the team and the service known, and waits until requests are
--- a/cmd/galenacove/rolling_test.go
+++ b/cmd/galenacove/rolling_test.go
@@ -117,10 +117,10 @@
 func (s *cell) replaceMinion(c *qt.C, i int) {
 	old := s.minions[i]
 	s.minions = append(s.minions, s.startMinion(c, fmt.Sprintf("minion-%d-next", i)))
-	query := fmt.Sprintf(`show minions where name = "minion-%d-next" and state = open`, i)
+	query := fmt.Sprintf(`show minions where name ~ "minion-%d-next" and state = open`, i)
 	s.entries[0].awaitRows(c, query, 1)
 	putFaults(c, old.first, emulator.MinionFaults{
 		Leaving: true,
 	})
-	s.entries[0].awaitRows(c, fmt.Sprintf(`show minions where name = "minion-%d" and (state != leaving or reserved > 0)`, i), 0)
+	s.entries[0].awaitRows(c, fmt.Sprintf(`show minions where name = "klein-hall-minion-%d" and (state != leaving or reserved > 0)`, i), 0)
 }
