Show the configuration of an earlier offset

Cause: the language offered show config at OFFSET, and only the last offset was answered. Ruled out: keeping old values in memory, which costs every entry.

--- /dev/null
+++ b/server/history.go
@@ -0,0 +1,64 @@
+package server
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/galenacove/galenacove/answerer"
+	"github.com/galenacove/galenacove/compactor"
+	"github.com/galenacove/galenacove/connector"
+	"github.com/galenacove/galenacove/follower"
+	"github.com/galenacove/galenacove/namer"
+	"github.com/galenacove/galenacove/parser"
+	"github.com/galenacove/galenacove/recorder"
+	"github.com/galenacove/galenacove/replayer"
+)
+
+// past is the log as it was when its last record had the given offset.
+type past struct {
+	connector.Log
+	last namer.Offset
+}
+
+// Read reads what was there then, and does not wait for more.
+func (p past) Read(ctx context.Context, stream string, from namer.Offset, limit int, _ time.Duration) (connector.Batch, error) {
+	batch, err := p.Log.Read(ctx, stream, from, limit, 0)
+	if err != nil {
+		return batch, err
+	}
+	batch.Next = min(batch.Next, p.last+1)
+	for i, entry := range batch.Entries {
+		if entry.Offset > p.last {
+			batch.Entries = batch.Entries[:i]
+			break
+		}
+	}
+	return batch, nil
+}
+
+// configAt returns the configuration that was in force at an offset. It replays
+// the log up to there, from the last snapshot before it that the log keeps.
+func (s *Server) configAt(ctx context.Context, at namer.Offset) (answerer.Table, error) {
+	if at > s.state.Offset() {
+		return answerer.Table{}, errors.Wrapf(errQuery, "this entry knows the log up to offset %d, not %d", s.state.Offset(), at)
+	}
+	state := replayer.New()
+	log := past{
+		Log:  s.platform,
+		last: at,
+	}
+	snapshots := compactor.New(s.self.Name, log, state, compactor.Clock(s.settings.clock))
+	replay := follower.New(log, recorder.StreamControl, state.Apply,
+		follower.Clock(s.settings.clock),
+		follower.Recovery(snapshots.Recover),
+	)
+	for replay.Position() <= at {
+		if err := replay.Step(ctx); err != nil {
+			return answerer.Table{}, errors.WithStack(fmt.Errorf("%w: the log no longer tells what held at offset %d: %w", errQuery, at, err))
+		}
+	}
+	return answerer.NewTable(columnsOf[parser.Config], configRows(state)...), nil
+}
--- a/server/query.go
+++ b/server/query.go
@@ -118,7 +118,7 @@
 		if at := q.At(); at != 0 && at != s.state.Offset() {
 			return s.configAt(ctx, at)
 		}
-		return s.configRows(), nil
+		return answerer.NewTable(columnsOf[parser.Config], configRows(s.state)...), nil
 	case parser.Audit:
 		return s.auditRows(ctx, q.Since())
 	default:
@@ -212,12 +212,6 @@
 	return reply, err
 }
 
-// configAt answers for an offset that is not the last one, which only the log
-// could tell.
-func (s *Server) configAt(_ context.Context, at namer.Offset) (answerer.Table, error) {
-	return answerer.Table{}, errors.Wrapf(errQuery, "the configuration is known at offset %d, not at %d", s.state.Offset(), at)
-}
-
 // auditRows reads the audit trail from the log. It reads a bounded part, and
 // says so if there is more.
 func (s *Server) auditRows(ctx context.Context, since parser.Since) (answerer.Table, error) {
--- a/server/rows.go
+++ b/server/rows.go
@@ -190,14 +190,14 @@
 	return answerer.NewTable(columnsOf[parser.Teams], rows...).WithMissing(loads.Missing()...)
 }
 
-func (s *Server) configRows() answerer.Table {
+func configRows(state *replayer.State) []answerer.Row {
 	var rows []answerer.Row
-	for _, setting := range s.state.ConfigUnder("") {
+	for _, setting := range state.ConfigUnder("") {
 		rows = append(rows, answerer.Row{
 			setting.Key(), string(setting.Value()), formatOffset(setting.Offset()), setting.Operator(),
 		})
 	}
-	return answerer.NewTable(columnsOf[parser.Config], rows...)
+	return rows
 }
 
 func (s *Server) memberRows() answerer.Table {
