Keep the place of work that was preempted or lost its worker

Cause: a class whose last task had been placed came back at the end of its team's queue, behind all that had come since, and within five minutes large and long work went first whatever had waited longer. Change: a class keeps its first arrival, and size and length decide only within 10 s of arrival. A backlog that comes at once is packed as before.

--- a/placer/classes.go
+++ b/placer/classes.go
@@ -80,6 +80,10 @@
 	keptUntil time.Time
 	// keptSince is when the gang came to find no room before that.
 	keptSince time.Time
+	// arrived is when a task of the class first came to wait, and arrival the
+	// number of that among all classes, 0 if there was none.
+	arrived time.Time
+	arrival uint64
 	// position is the class's place in the order of its team. It is valid while
 	// queued is true.
 	position rank
@@ -94,7 +98,7 @@
 	unused  []int32
 	byKey   map[classKey]int32
 	spreads map[spreadName]*spreadCount
-	// sequence numbers the times that a class came to wait.
+	// sequence numbers the arrivals of classes.
 	sequence uint64
 	// overflowing lists classes with waiting tasks that found no room and were
 	// not said to.
--- a/placer/teams.go
+++ b/placer/teams.go
@@ -26,7 +26,7 @@
 }
 
 // ageStep is the time after which earlier work goes first whatever its size.
-const ageStep = 5 * time.Minute
+const ageStep = 10 * time.Second
 
 // band orders the work of a team.
 type band uint8
@@ -236,16 +236,22 @@
 	}
 }
 
-// queue puts a class with waiting tasks into the order of its team.
+// queue puts a class with waiting tasks into the order of its team. It keeps the
+// place of its first arrival, so that what was preempted or lost its worker does
+// not wait behind all that came since.
 func (p *Placer) queue(c int32, now time.Time) {
 	class := &p.classes.rows[c]
-	p.classes.sequence++
+	if class.arrival == 0 {
+		p.classes.sequence++
+		class.arrival = p.classes.sequence
+		class.arrived = now
+	}
 	class.position = rank{
 		band:     class.band(),
-		age:      now.UnixNano() / int64(ageStep),
+		age:      class.arrived.UnixNano() / int64(ageStep),
 		level:    sizeLevel(class.key.size),
 		length:   lengthLevel(class.expectedRun()),
-		sequence: p.classes.sequence,
+		sequence: class.arrival,
 	}
 	class.queued = true
 	class.blockedSince = time.Time{}
