--- a/compactor/measure_test.go
+++ b/compactor/measure_test.go
@@ -82,8 +82,10 @@
 	follower *follower.Follower
 	appender *appender.Appender
 	watcher  *watcher.Watcher
-	stop     context.CancelFunc
-	// paused makes the entry answer no peer until it is closed.
+	// stop ends the server, freeze all that acts by itself.
+	stop   context.CancelFunc
+	freeze context.CancelFunc
+	// paused makes the entry answer no peer while it is set.
 	paused atomic.Bool
 }
 
@@ -114,7 +116,8 @@
 // start adds an entry to a data centre. It follows the log by long reads, or
 // asks each poll if that is not 0.
 func (r *rig) start(dataCentre string, poll time.Duration) {
-	ctx, stop := context.WithCancel(r.ctx)
+	served, stop := context.WithCancel(r.ctx)
+	ctx, freeze := context.WithCancel(served)
 	client := &http.Client{
 		Transport: &http.Transport{},
 	}
@@ -130,6 +133,7 @@
 		state:    replayer.New(),
 		appender: appender.New(platform),
 		stop:     stop,
+		freeze:   freeze,
 	}
 	e.follower = follower.New(platform, recorder.StreamControl, e.state.Apply, follower.Wait(time.Second))
 	pool := messenger.NewPool()
@@ -152,7 +156,7 @@
 	}), qt.IsNil)
 	r.run(ctx, e.appender.Run)
 	r.run(ctx, c.Run)
-	r.run(ctx, func(ctx context.Context) error {
+	r.run(served, func(ctx context.Context) error {
 		return server.Serve(ctx, countedListener{
 			Listener: listener,
 			bytes:    &r.peerBytes,
@@ -317,6 +321,7 @@
 				lost := r.entries[0]
 				lost.paused.Store(true)
 				begin := time.Now()
+				lost.freeze()
 				if kind == "kill" {
 					lost.stop()
 				}
@@ -387,3 +392,45 @@
 		Operator:   "anna",
 	}
 }
+
+// BenchmarkAppends measures how many appends one entry uses for 1,000 jobs that
+// come at once, and for jobs that come one by one, 5 or 50 a second at random.
+// Each iteration takes a second, or 1,000 jobs.
+func BenchmarkAppends(b *testing.B) {
+	for name, perSecond := range map[string]int{
+		"atOnce":       0,
+		"perSecond=5":  5,
+		"perSecond=50": 50,
+	} {
+		b.Run(name, func(b *testing.B) {
+			r := newRig(b)
+			r.start("here", 0)
+			r.awaitMembers("here", 1)
+			before := r.platform.Appends()
+			jobs := 0
+			var group errgroup.Group
+			for range b.N {
+				n := perSecond
+				if n == 0 {
+					n = 1000
+				}
+				for range n {
+					group.Go(func() error {
+						if perSecond > 0 {
+							time.Sleep(time.Duration(rand.Int64N(int64(time.Second))))
+						}
+						return r.entries[0].commit(r.ctx, appender.PriorityJob, letterJob(namer.NewIdentity()))
+					})
+				}
+				jobs += n
+				if perSecond > 0 {
+					time.Sleep(time.Second)
+					continue
+				}
+				qt.Assert(b, group.Wait(), qt.IsNil)
+			}
+			qt.Assert(b, group.Wait(), qt.IsNil)
+			b.ReportMetric(float64(r.platform.Appends()-before)/float64(jobs)*1000, "appends/1000jobs")
+		})
+	}
+}
