--- a/parser/builder.go
+++ b/parser/builder.go
@@ -470,12 +470,9 @@
 		case option.Deadline != nil:
 			once.give(option.Pos, "deadline")
 			service.deadline = b.duration(option.Deadline)
-		case option.Attempt != nil:
+		default:
 			once.give(option.Pos, "attempt")
 			service.attempt = b.duration(option.Attempt)
-		default:
-			once.give(option.Pos, "hedged")
-			service.hedged = pointer(option.Hedged == "on")
 		}
 	}
 	return service
--- a/parser/grammar.go
+++ b/parser/grammar.go
@@ -13,9 +13,9 @@
 var keywords = []string{
 	"accelerators", "and", "as", "asc", "at", "attempt", "audit", "base",
 	"batch", "by", "config", "count", "cpu", "deadline", "desc", "drain", "dry",
-	"false", "for", "gang", "hedged", "in", "job", "jobs", "limit", "members",
-	"memory", "minion", "minions", "none", "not", "null", "off", "offsets",
-	"on", "or", "order", "queue", "quota", "resume", "run", "service",
+	"false", "for", "gang", "in", "job", "jobs", "limit", "members",
+	"memory", "minion", "minions", "none", "not", "null", "offsets",
+	"or", "order", "queue", "quota", "resume", "run", "service",
 	"services", "set", "shares", "show", "since", "stop", "submit", "task",
 	"tasks", "team", "teams", "true", "unset", "urgent", "weight", "where",
 	"why", "worker", "workers",
@@ -184,7 +184,6 @@
 	Queue    *rawNumber `parser:"| 'queue' @@"`
 	Deadline *rawNumber `parser:"| 'deadline' @@"`
 	Attempt  *rawNumber `parser:"| 'attempt' @@"`
-	Hedged   string     `parser:"| 'hedged' @( 'on' | 'off' )"`
 }
 
 type rawEntry struct {
--- a/parser/nodes.go
+++ b/parser/nodes.go
@@ -393,7 +393,6 @@
 	queue    *int
 	deadline *time.Duration
 	attempt  *time.Duration
-	hedged   *bool
 }
 
 // EntrySetting replaces the value of any entry.
--- a/parser/printer.go
+++ b/parser/printer.go
@@ -232,9 +232,6 @@
 	}
 	p.duration("deadline", s.deadline)
 	p.duration("attempt", s.attempt)
-	if s.hedged != nil {
-		p.word("hedged", onOff(*s.hedged))
-	}
 }
 
 func (p *printer) duration(name string, d *time.Duration) {
@@ -242,10 +239,3 @@
 		p.word(name, d.String())
 	}
 }
-
-func onOff(on bool) string {
-	if on {
-		return "on"
-	}
-	return "off"
-}
--- a/parser/settings.go
+++ b/parser/settings.go
@@ -60,7 +60,6 @@
 	QueueLimit     *int    `json:"queueLimit,omitempty"`
 	Deadline       *string `json:"deadline,omitempty"`
 	AttemptTimeout *string `json:"attemptTimeout,omitempty"`
-	Hedged         *bool   `json:"hedged,omitempty"`
 }
 
 // Apply returns the value in force with the named fields changed.
@@ -70,7 +69,6 @@
 		QueueLimit:     s.queue,
 		Deadline:       durationText(s.deadline),
 		AttemptTimeout: durationText(s.attempt),
-		Hedged:         s.hedged,
 	})
 }
 
--- a/replayer/settings.go
+++ b/replayer/settings.go
@@ -79,8 +79,6 @@
 	// AttemptTimeout is the longest that one attempt may take, 0 for the
 	// default.
 	AttemptTimeout time.Duration
-	// Hedged says that a slow idempotent request may be sent a second time.
-	Hedged bool
 }
 
 type wireService struct {
@@ -88,7 +86,6 @@
 	QueueLimit     int    `json:"queueLimit,omitempty"`
 	Deadline       string `json:"deadline,omitempty"`
 	AttemptTimeout string `json:"attemptTimeout,omitempty"`
-	Hedged         bool   `json:"hedged,omitempty"`
 }
 
 // MarshalJSON encodes the service with its durations as strings.
@@ -98,7 +95,6 @@
 		QueueLimit:     s.QueueLimit,
 		Deadline:       formatDuration(s.Deadline),
 		AttemptTimeout: formatDuration(s.AttemptTimeout),
-		Hedged:         s.Hedged,
 	})
 }
 
@@ -121,7 +117,6 @@
 		QueueLimit:     w.QueueLimit,
 		Deadline:       deadline,
 		AttemptTimeout: attempt,
-		Hedged:         w.Hedged,
 	}
 	return nil
 }
--- a/server/query_test.go
+++ b/server/query_test.go
@@ -17,8 +17,35 @@
 	"github.com/galenacove/galenacove/parser"
 	"github.com/galenacove/galenacove/recorder"
 	"github.com/galenacove/galenacove/replayer"
+	"github.com/galenacove/galenacove/timekeeper"
 )
 
+// The last lines of a long trail are found from its end.
+func TestAuditRowsSinceATime(t *testing.T) {
+	const old, recent = (auditReads + 2) * auditBatch, 7
+	c := qt.New(t)
+	clock := timekeeper.NewFake(time.Unix(1_000_000, 0))
+	s := newTestServer(c, 2*old)
+	s.settings.clock = clock
+	var payloads [][]byte
+	for i := range old + recent {
+		if i == old {
+			clock.Advance(24 * time.Hour)
+		}
+		data, err := recorder.Encode(s.record(strconv.Itoa(i), recorder.Audit{}))
+		c.Assert(err, qt.IsNil)
+		payloads = append(payloads, data)
+	}
+	_, err := s.platform.Append(context.Background(), recorder.StreamAudit, payloads)
+	c.Assert(err, qt.IsNil)
+	statement, err := parser.Parse("show audit since 1h")
+	c.Assert(err, qt.IsNil)
+	table, err := s.auditRows(context.Background(), statement.(parser.Show).Since())
+	c.Assert(err, qt.IsNil)
+	c.Assert(table.Rows(), qt.HasLen, recent)
+	c.Assert(table.Missing(), qt.HasLen, 0)
+}
+
 // newTestServer returns a server that has only a state and a platform, which
 // keeps so many records.
 func newTestServer(c *qt.C, kept int) *Server {
