--- a/server/feeds.go
+++ b/server/feeds.go
@@ -58,6 +58,7 @@
 // offset that is covered now.
 func (s *Server) feedOnce(since namer.Offset) namer.Offset {
 	reached := s.state.Offset()
+	s.appender.SetBudget(appendBudget(len(s.allMembers())))
 	teams := s.state.Teams()
 	s.dispatcher.SetTeams(teams)
 	s.router.SetTeams(queueWeights(teams))
@@ -79,6 +80,23 @@
 	return reached
 }
 
+const (
+	// cellAppends is what all members together may append in a second, and
+	// mostAppends and fewestAppends bound the part of one.
+	cellAppends   = 300
+	mostAppends   = 10
+	fewestAppends = 1
+)
+
+// appendBudget returns how many appends a second one of so many members may
+// make, so that all of them stay within what the log takes.
+func appendBudget(members int) float64 {
+	if members == 0 {
+		return mostAppends
+	}
+	return min(mostAppends, max(fewestAppends, float64(cellAppends)/float64(members)))
+}
+
 // feedDrains tells the parts which hosts get nothing new, and which do again.
 func (s *Server) feedDrains() {
 	drained := make(map[string]bool)
