--- a/rehearser/cell.go
+++ b/rehearser/cell.go
@@ -48,9 +48,9 @@
 	defaultEntries  = 2
 	defaultWorkers  = 5
 	defaultMinions  = 3
-	defaultLease    = 3 * time.Second
-	defaultRenewal  = 500 * time.Millisecond
-	defaultDelivery = 200 * time.Millisecond
+	defaultLease    = 1500 * time.Millisecond
+	defaultRenewal  = 300 * time.Millisecond
+	defaultDelivery = 100 * time.Millisecond
 	hostLag         = 200 * time.Millisecond
 	hostPoll        = 200 * time.Millisecond
 	stopGrace       = 100 * time.Millisecond
--- a/rehearser/sample.go
+++ b/rehearser/sample.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/galenacove/galenacove/commander"
 	"github.com/galenacove/galenacove/emulator"
@@ -60,12 +61,11 @@
 	sampleTasks    = 3
 )
 
-// sample runs the steps one after the other.
+// sample runs the steps.
 type sample struct {
 	cell     *Cell
 	clock    timekeeper.Clock
 	operator *commander.Client
-	steps    []Step
 }
 
 // Sample uses the started cell as its operators and callers would: it sets a
@@ -78,28 +78,60 @@
 		clock:    timekeeper.System(),
 		operator: commander.New("http://"+c.running[0].operators, Token),
 	}
-	s.step(ctx, "entries are ready", s.awaitEntries)
-	s.step(ctx, "team and service set", s.configure)
-	s.step(ctx, "requests answered", s.request)
-	s.step(ctx, "service runs, then stops", s.runService)
-	s.step(ctx, "batch job finishes", func(ctx context.Context) (string, error) {
-		return s.runJob(ctx, "batch", "cpu 500m memory 256MiB")
-	})
-	s.step(ctx, "gang finishes", func(ctx context.Context) (string, error) {
-		return s.runJob(ctx, "gang", "cpu 2 memory 1GiB")
-	})
-	return s.steps
+	steps := []Step{
+		s.step(ctx, "entries are ready", s.awaitEntries),
+		s.step(ctx, "team and service set", s.configure),
+		s.step(ctx, "requests answered", s.request),
+	}
+	return append(steps, s.runJobs(ctx)...)
 }
 
-func (s *sample) step(ctx context.Context, name string, run func(context.Context) (string, error)) {
+// runJobs runs one job of each policy, all at the same time.
+func (s *sample) runJobs(ctx context.Context) []Step {
+	jobs := []struct {
+		name string
+		run  func(context.Context) (string, error)
+	}{
+		{
+			name: "service runs, then stops",
+			run:  s.runService,
+		},
+		{
+			name: "batch job finishes",
+			run: func(ctx context.Context) (string, error) {
+				return s.runJob(ctx, "batch", "cpu 500m memory 256MiB")
+			},
+		},
+		{
+			name: "gang finishes",
+			run: func(ctx context.Context) (string, error) {
+				return s.runJob(ctx, "gang", "cpu 2 memory 1GiB")
+			},
+		},
+	}
+	steps := make([]Step, len(jobs))
+	var group errgroup.Group
+	for i, job := range jobs {
+		group.Go(func() error {
+			steps[i] = s.step(ctx, job.name, job.run)
+			return nil
+		})
+	}
+	// A step keeps its own error.
+	_ = group.Wait()
+	return steps
+}
+
+// step runs one step and says what became of it.
+func (s *sample) step(ctx context.Context, name string, run func(context.Context) (string, error)) Step {
 	began := s.clock.Now()
 	detail, err := run(ctx)
-	s.steps = append(s.steps, Step{
+	return Step{
 		name:   name,
 		detail: detail,
 		took:   s.clock.Now().Sub(began),
 		err:    err,
-	})
+	}
 }
 
 // await asks until the check holds or the context ends.
