--- a/cmd/galenacove/callers_test.go
+++ b/cmd/galenacove/callers_test.go
@@ -153,6 +153,9 @@
 	if err != nil {
 		return 0, nil, err
 	}
+	// Without it the client may send a request again by itself, and a broken
+	// connection would not be seen.
+	req.GetBody = nil
 	req.Header.Set("Galenacove-Team", "omuti")
 	req.Header.Set("Galenacove-Deadline", "5")
 	for name, value := range headers {
--- a/cmd/galenacove/rolling_test.go
+++ b/cmd/galenacove/rolling_test.go
@@ -113,7 +113,8 @@
 	next.awaitRows(c, "show members", len(s.entries))
 }
 
-// replaceMinion lets a minion leave, and ends it once nothing runs there.
+// replaceMinion starts a successor, lets the old minion leave, and waits until
+// nothing runs there. It stays up, so that its account can be read at the end.
 func (s *cell) replaceMinion(c *qt.C, i int) {
 	old := s.minions[i]
 	s.minions = append(s.minions, s.startMinion(c, fmt.Sprintf("minion-%d-next", i)))
