--- a/cmd/galenacove/main.go
+++ b/cmd/galenacove/main.go
@@ -61,6 +61,7 @@
 		Version: version,
 		Commands: []*cli.Command{
 			entryCommand(),
+			hostCommand(),
 			checkCommand(),
 			doCommand(),
 			devCommand(),
--- /dev/null
+++ b/cmd/galenacove/run.go
@@ -0,0 +1,160 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"runtime/debug"
+	"strconv"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/galenacove/galenacove/coordinator"
+	"github.com/galenacove/galenacove/logger"
+	"github.com/galenacove/galenacove/platform"
+	"github.com/galenacove/galenacove/scheduler"
+)
+
+const (
+	// memoryShare is the part of the host's memory at which the collector
+	// works harder; the rest is for what the system counts besides the heap.
+	memoryShare = 0.7
+	// collectPercent lets the heap grow further between collections than the
+	// default does, as the host has more memory than processor time.
+	collectPercent = 300
+	// metricsPort is where metrics are served unless told otherwise.
+	metricsPort = 9464
+	// leaseShare is the part of the longest lease that is asked for. The rest
+	// is the time in which an owner may fail to confirm that it is one.
+	leaseShare = 0.85
+	// usefulLease is the longest lease that is asked for. It outlasts a restart
+	// of all entries; the tasks of a lost worker wait for its end.
+	usefulLease = 5 * time.Second
+)
+
+func hostCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "run",
+		Usage:     "run the process of an entry host on a platform with a store of its own",
+		UsageText: "galenacove run [--log info] [--metrics-port 9464]",
+		Description: "Reads the platform's settings from the file that the environment variable\n" +
+			platform.SettingsVariable + " names. Serves until SIGTERM, then hands over and\n" +
+			"finishes what is in flight. A second signal ends the process at once.",
+		Before: noArguments,
+		Flags: []cli.Flag{
+			settingsFlag(),
+			&cli.StringFlag{
+				Name:  "log",
+				Usage: "log from this `LEVEL` on: debug, info, warn, error",
+				Value: "info",
+			},
+			&cli.IntFlag{
+				Name:  "metrics-port",
+				Usage: "serve metrics on `PORT`, 0 for none",
+				Value: metricsPort,
+			},
+		},
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			settings, err := platform.LoadSettings(cmd.String("settings"))
+			if err != nil {
+				return err
+			}
+			return runOnPlatform(ctx, cmd, settings)
+		},
+	}
+}
+
+func settingsFlag() cli.Flag {
+	return &cli.StringFlag{
+		Name:     "settings",
+		Usage:    "read the platform's settings from `FILE`",
+		Sources:  cli.EnvVars(platform.SettingsVariable),
+		Required: true,
+	}
+}
+
+func runOnPlatform(ctx context.Context, cmd *cli.Command, settings platform.Settings) error {
+	level, err := log.ParseLevel(cmd.String("log"))
+	if err != nil {
+		return cli.Exit(fmt.Sprintf("log level %q: %v", cmd.String("log"), err), exitUsage)
+	}
+	handler := logger.New(cmd.Root().Writer)
+	logs := &log.Logger{
+		Handler: handler,
+		Level:   level,
+	}
+	if settings.Memory() > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(settings.Memory())))
+		debug.SetGCPercent(collectPercent)
+	}
+	listeners, err := listen(
+		settings.Callers(),
+		settings.Readiness(),
+		net.JoinHostPort(settings.IP(), strconv.Itoa(settings.PeerPort())),
+	)
+	if err != nil {
+		return err
+	}
+	lease := settings.LongestLease()
+	options := []coordinator.Option{
+		coordinator.Name(settings.Name(), settings.DataCentre()),
+		coordinator.Listeners(listeners[0], listeners[1], listeners[2]),
+		coordinator.Partitions(settings.Partitions()),
+		coordinator.Grace(settings.Grace()),
+		coordinator.Logger(logs),
+		coordinator.Config(platform.ConfigPartition(), platform.DecodeConfig),
+		coordinator.Directory(platform.DirectoryPartition(), platform.DecodeWorker),
+		coordinator.Scheduling(
+			scheduler.Lease(min(usefulLease, time.Duration(leaseShare*float64(lease))), lease),
+			scheduler.StopTimeout(settings.StopTimeout()),
+			scheduler.Keep(settings.KeepStates()),
+			scheduler.RemoteFactor(settings.RemoteFactor()),
+		),
+	}
+	if port := cmd.Int("metrics-port"); port > 0 {
+		address := net.JoinHostPort(settings.IP(), strconv.Itoa(port))
+		metrics, err := net.Listen("tcp", address)
+		if err != nil {
+			// An entry without metrics still serves its callers.
+			logs.WithError(err).Warn("run: metrics are not served")
+		} else {
+			options = append(options, coordinator.Metrics(metrics))
+		}
+	}
+	client := platform.NewClient()
+	adviser := platform.NewAdviser(client, settings.Adviser())
+	process := coordinator.New(platform.NewStore(client, settings.Store()), platform.NewWorkers(client),
+		adviser.Advise, platform.Bodies{}, options...)
+	var group errgroup.Group
+	writing, stopWriting := context.WithCancel(context.WithoutCancel(ctx))
+	group.Go(func() error { return handler.Run(writing) })
+	err = process.Run(ctx)
+	stopWriting()
+	return errors.CombineErrors(err, group.Wait())
+}
+
+func listen(addresses ...string) ([]net.Listener, error) {
+	listeners := make([]net.Listener, len(addresses))
+	for i, address := range addresses {
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			return nil, errors.Wrapf(err, "listen on %s", address)
+		}
+		listeners[i] = listener
+	}
+	return listeners, nil
+}
+
+// checkPlatform checks the settings of a platform and prints what they say.
+func checkPlatform(cmd *cli.Command, path string) error {
+	settings, err := platform.LoadSettings(path)
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(cmd.Root().Writer, "%s: entry %q in %q, no faults\n", path, settings.Name(), settings.DataCentre())
+	return err
+}
--- /dev/null
+++ b/conductor/conductor.go
@@ -0,0 +1,685 @@
+// Package conductor carries out what a scheduler decides for the jobs of one
+// partition, as the one owner of it: it reads jobs from the store, orders
+// workers, asks for advice, and stores the progress.
+//
+// The owner is made the only one twice over: its token as an epoch shuts
+// former owners out of the store, and as a fencing token out of each worker
+// that can be reached.
+package conductor
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/galenacove/galenacove/scheduler"
+	"github.com/galenacove/galenacove/storer"
+	"github.com/galenacove/galenacove/timekeeper"
+)
+
+// The errors of the package.
+var (
+	// ErrSuperseded is returned where there is a later owner.
+	ErrSuperseded = errors.New("conductor: there is a later owner")
+	// ErrWorkerGone is returned where a life of a worker has ended.
+	ErrWorkerGone = errors.New("conductor: the worker has ended")
+	// ErrUnreachable is returned where a worker gave no usable answer.
+	ErrUnreachable = errors.New("conductor: the worker did not answer")
+	// ErrNotReady is returned while the jobs are being read.
+	ErrNotReady = errors.New("conductor: the jobs are being read")
+)
+
+const (
+	// JobsTopic holds the jobs that callers submitted, and their cancelling.
+	JobsTopic = "jobs"
+	// ProgressTopic holds what the owners store of jobs.
+	ProgressTopic = "progress"
+
+	// cancelSuffix follows the identity in the key of a record that cancels.
+	cancelSuffix = "/cancel"
+	// workersKey is the key under which an owner stores the workers it uses.
+	workersKey = "/workers"
+	// writerName is the same for all owners.
+	writerName = "owner"
+
+	// readWait is how long a read waits for new jobs.
+	readWait = 10 * time.Second
+	// retryPause is how long a failed call to the store waits to be made again.
+	retryPause = 100 * time.Millisecond
+	// urgentLinger gathers the ends that come within a round trip of each
+	// other into one write, for which a caller may be waiting.
+	urgentLinger = 3 * time.Millisecond
+	// calmLinger gathers the others. Workers list an end again until it is
+	// acknowledged, which may take up to a few seconds.
+	calmLinger = 25 * time.Millisecond
+	// tickGap is the shortest time between two ticks.
+	tickGap = 3 * time.Millisecond
+	// busyTick and idleTick are the longest time, with and without jobs.
+	busyTick = 50 * time.Millisecond
+	idleTick = 250 * time.Millisecond
+	// holdWait is how long a worker waits for an end before it answers.
+	holdWait = time.Second
+	// holdPause is how long a renewal that failed waits to be made again.
+	holdPause = 200 * time.Millisecond
+	// startTries is how often a start without an answer is sent.
+	startTries = 2
+	// storeWait bounds one try to store progress.
+	storeWait = 3 * time.Second
+	// catchUpWait bounds how long a caller waits until all jobs are read.
+	catchUpWait = 400 * time.Millisecond
+)
+
+// Workers makes calls to workers. Each carries the owner's token. Errors are
+// marked with ErrSuperseded, ErrWorkerGone or ErrUnreachable.
+type Workers interface {
+	// Start orders a run. The error explains an outcome other than StartDone.
+	Start(ctx context.Context, token int64, order scheduler.StartTask) (scheduler.StartOutcome, error)
+	Stop(ctx context.Context, token int64, order scheduler.StopTask) error
+	Pace(ctx context.Context, token int64, order scheduler.PaceTask) error
+	// Hold renews the lease of a worker and returns what it reports, once a
+	// run has ended or wait is over.
+	Hold(ctx context.Context, token int64, order scheduler.HoldOrder, wait time.Duration) (scheduler.Report, error)
+}
+
+// Adviser tells which workers may run a step.
+type Adviser interface {
+	// Advise returns the approved ones and how long their tickets are good for.
+	Advise(ctx context.Context, order scheduler.AskAdvice) ([]scheduler.Approval, time.Duration, error)
+}
+
+// Conductor is the owner of one partition.
+type Conductor struct {
+	store     storer.Store
+	workers   Workers
+	adviser   Adviser
+	clock     timekeeper.Clock
+	logger    log.Interface
+	partition int
+	token     int64
+	options   []scheduler.Option
+	metrics   *Metrics
+
+	// wake asks for a tick, and dirty for a write.
+	wake  chan struct{}
+	dirty chan struct{}
+
+	mu        sync.Mutex
+	scheduler *scheduler.Scheduler
+	// ready tells that all jobs were read once.
+	ready bool
+	// next is the offset of the next job to read.
+	next int64
+	// moved is closed and replaced when next moves on or progress is stored.
+	moved chan struct{}
+	// entries is the directory as it was last told.
+	entries []scheduler.WorkerEntry
+	// expected holds the workers that are stored as in use.
+	expected map[string]scheduler.WorkerEntry
+	// holders holds the workers that are being held.
+	holders map[string]context.CancelFunc
+	// sequence numbers the next write.
+	sequence int64
+	// confirmed is when the ownership was last known to hold.
+	confirmed time.Time
+}
+
+// Option changes how a Conductor works.
+type Option func(*Conductor)
+
+// Clock sets the clock. The default is the host's.
+func Clock(clock timekeeper.Clock) Option {
+	return func(c *Conductor) {
+		c.clock = clock
+	}
+}
+
+// Logger sets where decisions are logged. The default is nowhere.
+func Logger(logger log.Interface) Option {
+	return func(c *Conductor) {
+		c.logger = logger
+	}
+}
+
+// Scheduling sets the options of the scheduler.
+func Scheduling(options ...scheduler.Option) Option {
+	return func(c *Conductor) {
+		c.options = options
+	}
+}
+
+// WithMetrics sets what is counted. The default counts for nobody.
+func WithMetrics(metrics *Metrics) Option {
+	return func(c *Conductor) {
+		c.metrics = metrics
+	}
+}
+
+// New returns the owner of a partition with that fencing token, which must be
+// higher than that of any owner before.
+func New(store storer.Store, workers Workers, adviser Adviser, partition int, token int64, opts ...Option) *Conductor {
+	c := &Conductor{
+		store:   store,
+		workers: workers,
+		adviser: adviser,
+		clock:   timekeeper.System(),
+		logger: &log.Logger{
+			Handler: log.HandlerFunc(func(*log.Entry) error { return nil }),
+			Level:   log.FatalLevel,
+		},
+		partition: partition,
+		token:     token,
+		metrics:   NewMetrics(),
+		wake:      make(chan struct{}, 1),
+		dirty:     make(chan struct{}, 1),
+		moved:     make(chan struct{}),
+		expected:  make(map[string]scheduler.WorkerEntry),
+		holders:   make(map[string]context.CancelFunc),
+	}
+	for _, opt := range opts {
+		opt(c)
+	}
+	c.confirmed = c.clock.Now()
+	return c
+}
+
+// Run works until the context has ended, or until there is a later owner,
+// which it tells by ErrSuperseded.
+func (c *Conductor) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error {
+		if err := c.recover(ctx); err != nil {
+			return err
+		}
+		c.logger.WithFields(log.Fields{
+			"partition": c.partition,
+			"token":     c.token,
+		}).Info("conductor: took over the partition")
+		group.Go(func() error { return c.follow(ctx) })
+		group.Go(func() error { return c.write(ctx) })
+		return c.tick(ctx, group)
+	})
+	return group.Wait()
+}
+
+// Token returns the fencing token.
+func (c *Conductor) Token() int64 {
+	return c.token
+}
+
+// Confirm tells that the ownership held at that time.
+func (c *Conductor) Confirm(at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.confirmed = at
+	if c.scheduler != nil {
+		c.scheduler.Confirm(at)
+	}
+}
+
+// SetWorkers tells what the directory names now.
+func (c *Conductor) SetWorkers(entries []scheduler.WorkerEntry) {
+	c.mu.Lock()
+	c.entries = entries
+	if c.scheduler != nil {
+		c.scheduler.SetWorkers(entries)
+	}
+	c.mu.Unlock()
+	c.poke()
+}
+
+// State returns the state of a job, and whether there is one. Before it tells
+// that there is none, it reads up to the end of the store.
+func (c *Conductor) State(ctx context.Context, id string) (scheduler.JobState, bool, error) {
+	state, found, ready := c.look(id)
+	if !ready {
+		return "", false, ErrNotReady
+	}
+	if found {
+		return state, true, nil
+	}
+	if err := c.catchUp(ctx); err != nil {
+		return "", false, err
+	}
+	state, found, _ = c.look(id)
+	return state, found, nil
+}
+
+func (c *Conductor) look(id string) (state scheduler.JobState, found, ready bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.ready {
+		return "", false, false
+	}
+	state, found = c.scheduler.State(id)
+	return state, found, true
+}
+
+// catchUp waits until all jobs are read that were stored before the call.
+func (c *Conductor) catchUp(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, catchUpWait)
+	defer cancel()
+	c.mu.Lock()
+	next := c.next
+	c.mu.Unlock()
+	page, err := c.store.Read(ctx, c.jobsPartition(), next, 0)
+	if err != nil && !errors.Is(err, storer.ErrTrimmed) {
+		return err
+	}
+	for {
+		c.mu.Lock()
+		caughtUp := c.next >= page.End
+		moved := c.moved
+		c.mu.Unlock()
+		if caughtUp {
+			return nil
+		}
+		select {
+		case <-moved:
+		case <-ctx.Done():
+			return ErrNotReady
+		}
+	}
+}
+
+// Waiting counts the jobs of a queue that have not begun.
+func (c *Conductor) Waiting(queue string) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.ready {
+		return 0, ErrNotReady
+	}
+	return c.scheduler.Waiting(queue), nil
+}
+
+func (c *Conductor) jobsPartition() storer.Partition {
+	return storer.Partition{
+		Topic:  JobsTopic,
+		Number: c.partition,
+	}
+}
+
+func (c *Conductor) progressPartition() storer.Partition {
+	return storer.Partition{
+		Topic:  ProgressTopic,
+		Number: c.partition,
+	}
+}
+
+// JobRecord returns the record that stores a job.
+func JobRecord(job scheduler.Job) (storer.Record, error) {
+	value, err := json.Marshal(job)
+	if err != nil {
+		return storer.Record{}, errors.Wrap(err, "conductor: encode a job")
+	}
+	return storer.Record{
+		Key:   job.ID,
+		Value: value,
+	}, nil
+}
+
+// CancelRecord returns the record that cancels a job.
+func CancelRecord(id string) storer.Record {
+	return storer.Record{
+		Key:   id + cancelSuffix,
+		Value: []byte("{}"),
+	}
+}
+
+// recover shuts out the former owner and reads what it stored.
+func (c *Conductor) recover(ctx context.Context) error {
+	for {
+		err := c.load(ctx)
+		if err == nil || errors.Is(err, ErrSuperseded) || ctx.Err() != nil {
+			return err
+		}
+		c.logger.WithError(err).WithField("partition", c.partition).Warn("conductor: cannot read the partition yet")
+		if err := timekeeper.Sleep(ctx, c.clock, retryPause); err != nil {
+			return err
+		}
+	}
+}
+
+func (c *Conductor) load(ctx context.Context) error {
+	_, err := c.store.Append(ctx, c.progressPartition(), &storer.Writer{
+		Name:  writerName,
+		Epoch: c.token,
+	})
+	if errors.Is(err, storer.ErrFenced) {
+		return errors.Mark(err, ErrSuperseded)
+	}
+	if err != nil {
+		return err
+	}
+	var jobs, progress []storer.Record
+	var next int64
+	var group errgroup.Group
+	group.Go(func() error {
+		var err error
+		progress, _, err = storer.AllNewest(ctx, c.store, c.progressPartition())
+		return err
+	})
+	group.Go(func() error {
+		var err error
+		jobs, next, err = storer.AllNewest(ctx, c.store, c.jobsPartition())
+		return err
+	})
+	if err := group.Wait(); err != nil {
+		return err
+	}
+	now := c.clock.Now()
+	s := scheduler.New(c.token, now, c.options...)
+	known, used := c.decodeProgress(progress)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s.Confirm(c.confirmed)
+	s.Expect(used)
+	for _, entry := range used {
+		c.expected[entry.Ref.ID] = entry
+	}
+	s.SetWorkers(c.entries)
+	c.scheduler = s
+	c.takeRecords(jobs, known, now)
+	c.next = next
+	c.ready = true
+	return nil
+}
+
+// decodeProgress returns the progress of each job, and the workers in use.
+func (c *Conductor) decodeProgress(records []storer.Record) (map[string]*scheduler.Progress, []scheduler.WorkerEntry) {
+	known := make(map[string]*scheduler.Progress, len(records))
+	var used []scheduler.WorkerEntry
+	for _, record := range records {
+		var err error
+		if record.Key == workersKey {
+			err = json.Unmarshal(record.Value, &used)
+		} else {
+			progress := new(scheduler.Progress)
+			if err = json.Unmarshal(record.Value, progress); err == nil {
+				known[record.Key] = progress
+			}
+		}
+		if err != nil {
+			c.logger.WithError(err).WithField("id", record.Key).Error("conductor: stored progress cannot be read")
+		}
+	}
+	return known, used
+}
+
+// takeRecords takes in records of the jobs' topic. The progress is nil for
+// records that came after the takeover.
+func (c *Conductor) takeRecords(records []storer.Record, known map[string]*scheduler.Progress, now time.Time) {
+	var cancels []string
+	for _, record := range records {
+		if record.Value == nil || record.Key == "" {
+			continue
+		}
+		if id, found := strings.CutSuffix(record.Key, cancelSuffix); found {
+			cancels = append(cancels, id)
+			continue
+		}
+		var job scheduler.Job
+		if err := json.Unmarshal(record.Value, &job); err != nil {
+			c.logger.WithError(err).WithField("id", record.Key).Error("conductor: stored job cannot be read")
+			continue
+		}
+		c.scheduler.AddJob(job, known[job.ID], known != nil, now)
+	}
+	for _, id := range cancels {
+		if !c.scheduler.Cancel(id, now) {
+			c.logger.WithField("id", id).Warn("conductor: an unknown job is cancelled")
+		}
+	}
+}
+
+// follow reads new jobs.
+func (c *Conductor) follow(ctx context.Context) error {
+	for {
+		c.mu.Lock()
+		next := c.next
+		c.mu.Unlock()
+		page, err := c.store.Read(ctx, c.jobsPartition(), next, readWait)
+		if errors.Is(err, storer.ErrTrimmed) {
+			page.Records, page.Next, err = storer.AllNewest(ctx, c.store, c.jobsPartition())
+		}
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		if err != nil {
+			if err := timekeeper.Sleep(ctx, c.clock, retryPause); err != nil {
+				return err
+			}
+			continue
+		}
+		c.mu.Lock()
+		c.takeRecords(page.Records, nil, c.clock.Now())
+		c.next = page.Next
+		c.signalMoved()
+		c.mu.Unlock()
+		if len(page.Records) > 0 {
+			c.poke()
+		}
+	}
+}
+
+// signalMoved wakes those who wait for moved. The caller holds mu.
+func (c *Conductor) signalMoved() {
+	close(c.moved)
+	c.moved = make(chan struct{})
+}
+
+// poke asks for a tick.
+func (c *Conductor) poke() {
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+// askWrite asks for a write.
+func (c *Conductor) askWrite() {
+	select {
+	case c.dirty <- struct{}{}:
+	default:
+	}
+}
+
+// tick runs the scheduler whenever something has changed.
+func (c *Conductor) tick(ctx context.Context, group *errgroup.Group) error {
+	for {
+		c.mu.Lock()
+		c.hold(ctx, group)
+		effects := c.scheduler.Tick(c.clock.Now())
+		notes := c.scheduler.Notes()
+		some, _ := c.scheduler.Unwritten()
+		wait := idleTick
+		if c.scheduler.Jobs() > 0 {
+			wait = busyTick
+		}
+		c.mu.Unlock()
+		if some {
+			c.askWrite()
+		}
+		c.logNotes(notes)
+		for _, effect := range effects {
+			group.Go(func() error { return c.carryOut(ctx, effect) })
+		}
+		if err := timekeeper.Sleep(ctx, c.clock, tickGap); err != nil {
+			return err
+		}
+		timer := c.clock.NewTimer(wait)
+		select {
+		case <-c.wake:
+		case <-timer.C():
+		case <-ctx.Done():
+		}
+		timer.Stop()
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+	}
+}
+
+func (c *Conductor) logNotes(notes []scheduler.Note) {
+	for _, note := range notes {
+		c.logger.WithFields(log.Fields{
+			"id":     note.Task.Step.Job,
+			"task":   note.Task.String(),
+			"worker": note.Worker,
+			"ageMs":  note.Age.Milliseconds(),
+			"token":  c.token,
+		}).Info("conductor: " + note.Text)
+	}
+}
+
+// write stores progress, as long as there is some.
+func (c *Conductor) write(ctx context.Context) error {
+	for {
+		select {
+		case <-c.dirty:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		c.mu.Lock()
+		_, urgent := c.scheduler.Unwritten()
+		c.mu.Unlock()
+		linger := calmLinger
+		if urgent {
+			linger = urgentLinger
+		}
+		if err := timekeeper.Sleep(ctx, c.clock, linger); err != nil {
+			return err
+		}
+		if err := c.writeNow(ctx); err != nil {
+			return err
+		}
+	}
+}
+
+func (c *Conductor) writeNow(ctx context.Context) error {
+	c.mu.Lock()
+	write := c.scheduler.NextWrite()
+	workers, changed := c.workersRecord()
+	c.mu.Unlock()
+	records := make([]storer.Record, 0, len(write.Jobs)+len(write.Drops)+1)
+	for _, part := range write.Jobs {
+		value, err := json.Marshal(part.Progress)
+		if err != nil {
+			return errors.Wrap(err, "conductor: encode progress")
+		}
+		records = append(records, storer.Record{
+			Key:   part.ID,
+			Value: value,
+		})
+	}
+	for _, id := range write.Drops {
+		records = append(records, storer.Record{
+			Key: id,
+		})
+	}
+	if changed {
+		records = append(records, workers)
+	}
+	if len(records) > 0 {
+		if err := c.store2(ctx, records); err != nil {
+			return err
+		}
+	}
+	c.mu.Lock()
+	c.scheduler.Written(write)
+	c.signalMoved()
+	c.mu.Unlock()
+	return c.dropJobs(ctx, write.Drops)
+}
+
+// store2 appends records as the owner, until that has succeeded.
+func (c *Conductor) store2(ctx context.Context, records []storer.Record) error {
+	writer := &storer.Writer{
+		Name:     writerName,
+		Epoch:    c.token,
+		Sequence: c.sequence,
+	}
+	for {
+		// An append that is repeated with its number is made once.
+		attempt, cancel := context.WithTimeout(ctx, storeWait)
+		_, err := c.store.Append(attempt, c.progressPartition(), writer, records...)
+		cancel()
+		switch {
+		case err == nil:
+			c.sequence++
+			return nil
+		case errors.Is(err, storer.ErrFenced), errors.Is(err, storer.ErrConflict):
+			return errors.Mark(err, ErrSuperseded)
+		case ctx.Err() != nil:
+			return ctx.Err()
+		}
+		c.metrics.storeErrors.Inc()
+		if err := timekeeper.Sleep(ctx, c.clock, retryPause); err != nil {
+			return err
+		}
+	}
+}
+
+// workersRecord returns the record of the workers in use, if it has changed.
+// The caller holds mu.
+func (c *Conductor) workersRecord() (storer.Record, bool) {
+	var entries []scheduler.WorkerEntry
+	changed := len(c.entries) != len(c.expected)
+	for _, entry := range c.entries {
+		if _, found := c.expected[entry.Ref.ID]; !found {
+			changed = true
+		}
+		entries = append(entries, entry)
+	}
+	if !changed || len(entries) == 0 {
+		return storer.Record{}, false
+	}
+	clear(c.expected)
+	for _, entry := range entries {
+		c.expected[entry.Ref.ID] = entry
+	}
+	value, err := json.Marshal(entries)
+	if err != nil {
+		c.logger.WithError(err).Error("conductor: the workers in use cannot be encoded")
+		return storer.Record{}, false
+	}
+	return storer.Record{
+		Key:   workersKey,
+		Value: value,
+	}, true
+}
+
+// dropJobs drops jobs that need no longer be known.
+func (c *Conductor) dropJobs(ctx context.Context, ids []string) error {
+	if len(ids) == 0 {
+		return nil
+	}
+	var records []storer.Record
+	for _, id := range ids {
+		records = append(records, storer.Record{
+			Key: id,
+		}, storer.Record{
+			Key: id + cancelSuffix,
+		})
+	}
+	if _, err := c.store.Append(ctx, c.jobsPartition(), nil, records...); err != nil {
+		// The records stay until the next owner drops them.
+		c.logger.WithError(err).Warn("conductor: ended jobs were not dropped")
+	}
+	return nil
+}
+
+// sortedEntries orders entries by worker, for the log and the tests.
+func sortedEntries(entries []scheduler.WorkerEntry) []scheduler.WorkerEntry {
+	sorted := slices.Clone(entries)
+	slices.SortFunc(sorted, func(a, b scheduler.WorkerEntry) int {
+		return strings.Compare(a.Ref.ID, b.Ref.ID)
+	})
+	return sorted
+}
--- /dev/null
+++ b/conductor/orders.go
@@ -0,0 +1,238 @@
+package conductor
+
+import (
+	"context"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/galenacove/galenacove/scheduler"
+	"github.com/galenacove/galenacove/timekeeper"
+)
+
+// carryOut does what the scheduler decided, and reports what came of it.
+func (c *Conductor) carryOut(ctx context.Context, effect scheduler.Effect) error {
+	switch effect := effect.(type) {
+	case scheduler.StartTask:
+		return c.start(ctx, effect)
+	case scheduler.StopTask:
+		return c.stop(ctx, effect)
+	case scheduler.AskAdvice:
+		c.advise(ctx, effect)
+	case scheduler.PaceTask:
+		return c.pace(ctx, effect)
+	}
+	return nil
+}
+
+func (c *Conductor) start(ctx context.Context, order scheduler.StartTask) error {
+	began := c.clock.Now()
+	var outcome scheduler.StartOutcome
+	var err error
+	unsure := false
+	for range startTries {
+		// The same order may be sent again: the run is there at most once.
+		outcome, err = c.workers.Start(ctx, c.token, order)
+		if outcome == scheduler.StartUnknown {
+			unsure = true
+			continue
+		}
+		break
+	}
+	if unsure && outcome != scheduler.StartDone && outcome != scheduler.StartWorkerGone {
+		// The first order may still be carried out.
+		outcome = scheduler.StartUnknown
+	}
+	now := c.clock.Now()
+	c.metrics.starts.WithLabelValues(outcome.String()).Inc()
+	fields := log.Fields{
+		"id":      order.Run.Task.Step.Job,
+		"task":    order.Run.Task.String(),
+		"attempt": order.Run.Attempt,
+		"worker":  order.Worker.ID,
+		"token":   c.token,
+		"outcome": outcome.String(),
+		"tookMs":  now.Sub(began).Milliseconds(),
+	}
+	if err != nil && outcome != scheduler.StartDone {
+		c.logger.WithFields(fields).WithError(err).Warn("conductor: start not done")
+	} else {
+		c.logger.WithFields(fields).Debug("conductor: start answered")
+	}
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	c.mu.Lock()
+	c.scheduler.StartAnswered(order.Worker.ID, order.Run, outcome, now)
+	c.mu.Unlock()
+	c.poke()
+	if outcome == scheduler.StartSuperseded {
+		return ErrSuperseded
+	}
+	return nil
+}
+
+func (c *Conductor) stop(ctx context.Context, order scheduler.StopTask) error {
+	err := c.workers.Stop(ctx, c.token, order)
+	now := c.clock.Now()
+	entry := c.logger.WithFields(log.Fields{
+		"id":      order.Run.Task.Step.Job,
+		"task":    order.Run.Task.String(),
+		"attempt": order.Run.Attempt,
+		"worker":  order.Worker.ID,
+		"token":   c.token,
+		"reason":  order.Reason,
+	})
+	if err != nil {
+		entry.WithError(err).Warn("conductor: stop not answered")
+	} else {
+		entry.Info("conductor: stopped a run")
+	}
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	c.mu.Lock()
+	if errors.Is(err, ErrWorkerGone) {
+		c.scheduler.WorkerGone(order.Worker.ID, now)
+	} else {
+		c.scheduler.StopAnswered(order.Worker.ID, order.Run, err == nil, now)
+	}
+	c.mu.Unlock()
+	c.poke()
+	if errors.Is(err, ErrSuperseded) {
+		return ErrSuperseded
+	}
+	return nil
+}
+
+func (c *Conductor) pace(ctx context.Context, order scheduler.PaceTask) error {
+	err := c.workers.Pace(ctx, c.token, order)
+	if errors.Is(err, ErrSuperseded) {
+		return ErrSuperseded
+	}
+	if err != nil {
+		c.logger.WithError(err).WithField("task", order.Run.Task.String()).Warn("conductor: pace not set")
+	}
+	return nil
+}
+
+func (c *Conductor) advise(ctx context.Context, order scheduler.AskAdvice) {
+	began := c.clock.Now()
+	approved, validity, err := c.adviser.Advise(ctx, order)
+	now := c.clock.Now()
+	c.metrics.advice.Observe(now.Sub(began).Seconds())
+	entry := c.logger.WithFields(log.Fields{
+		"id":       order.Step.Job,
+		"step":     order.Step.String(),
+		"asked":    len(order.Workers),
+		"approved": len(approved),
+		"costMs":   order.Cost.Milliseconds(),
+		"tookMs":   now.Sub(began).Milliseconds(),
+	})
+	c.mu.Lock()
+	if err != nil {
+		entry.WithError(err).Warn("conductor: no advice")
+		c.scheduler.AdviceFailed(order.Step, now)
+	} else {
+		entry.Debug("conductor: advice came")
+		c.scheduler.AdviceAnswered(order.Step, order.Workers, approved, validity, now)
+	}
+	c.mu.Unlock()
+	c.poke()
+}
+
+// hold begins to hold the workers that are not held yet. The caller holds mu.
+func (c *Conductor) hold(ctx context.Context, group *errgroup.Group) {
+	wanted := make(map[string]bool)
+	for _, ref := range c.scheduler.Workers() {
+		wanted[ref.ID] = true
+		if c.holders[ref.ID] != nil {
+			continue
+		}
+		holding, cancel := context.WithCancel(ctx)
+		c.holders[ref.ID] = cancel
+		group.Go(func() error {
+			defer cancel()
+			return c.holdWorker(holding, ref.ID)
+		})
+	}
+	for id, cancel := range c.holders {
+		if !wanted[id] {
+			cancel()
+			delete(c.holders, id)
+		}
+	}
+}
+
+// holdWorker renews the lease of a worker and takes its reports.
+func (c *Conductor) holdWorker(ctx context.Context, id string) error {
+	wait := time.Duration(0)
+	for {
+		c.mu.Lock()
+		sent := c.clock.Now()
+		order, known := c.scheduler.HoldOrder(id, sent)
+		c.mu.Unlock()
+		if !known || ctx.Err() != nil {
+			return nil
+		}
+		report, err := c.workers.Hold(ctx, c.token, order, wait)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if errors.Is(err, ErrSuperseded) {
+			return ErrSuperseded
+		}
+		now := c.clock.Now()
+		c.mu.Lock()
+		switch {
+		case errors.Is(err, ErrWorkerGone):
+			c.scheduler.WorkerGone(id, now)
+		case err != nil:
+			c.scheduler.HoldFailed(id, now)
+		default:
+			c.scheduler.Report(id, report, sent, now)
+		}
+		order, _ = c.scheduler.HoldOrder(id, now)
+		some, _ := c.scheduler.Unwritten()
+		moved := c.moved
+		c.mu.Unlock()
+		if some {
+			c.askWrite()
+		}
+		c.poke()
+		wait = holdWait
+		switch {
+		case errors.Is(err, ErrWorkerGone):
+			c.logger.WithField("worker", id).Info("conductor: worker has ended")
+			wait = 0
+			if err := timekeeper.Sleep(ctx, c.clock, holdPause); err != nil {
+				return nil
+			}
+		case err != nil:
+			c.metrics.silent.Inc()
+			c.logger.WithError(err).WithField("worker", id).Warn("conductor: worker does not answer")
+			wait = 0
+			if err := timekeeper.Sleep(ctx, c.clock, holdPause); err != nil {
+				return nil
+			}
+		case order.Unstored:
+			// A worker answers at once while it lists ends that are not
+			// acknowledged.
+			c.awaitWrite(ctx, moved)
+		}
+	}
+}
+
+// awaitWrite waits until progress is stored, but not so long that the lease
+// would run out.
+func (c *Conductor) awaitWrite(ctx context.Context, moved <-chan struct{}) {
+	timer := c.clock.NewTimer(holdPause)
+	defer timer.Stop()
+	select {
+	case <-moved:
+	case <-timer.C():
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/coordinator/jobs.go
@@ -0,0 +1,156 @@
+package coordinator
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/galenacove/galenacove/conductor"
+	"github.com/galenacove/galenacove/messenger"
+	"github.com/galenacove/galenacove/receiver"
+	"github.com/galenacove/galenacove/scheduler"
+	"github.com/galenacove/galenacove/storer"
+)
+
+const (
+	// appendTimeout bounds how long a job waits for the store to take it.
+	appendTimeout = 1500 * time.Millisecond
+	// appendFresh is how old the last answer of the store may be for a job to
+	// be stored from here. Past it another entry is asked at once.
+	appendFresh = 900 * time.Millisecond
+	// peerTimeout bounds a call to another entry that answers from memory.
+	peerTimeout = 600 * time.Millisecond
+)
+
+var _ receiver.Jobs = (*Coordinator)(nil)
+
+// Submit implements receiver.Jobs.
+func (c *Coordinator) Submit(ctx context.Context, job scheduler.Job) error {
+	record, err := conductor.JobRecord(job)
+	if err != nil {
+		return errors.Mark(err, receiver.ErrNotRun)
+	}
+	return c.append(ctx, c.partitionOf(job.Queue.Service), record)
+}
+
+// Cancel implements receiver.Jobs.
+func (c *Coordinator) Cancel(ctx context.Context, queue scheduler.Queue, id string) error {
+	return c.append(ctx, c.partitionOf(queue.Service), conductor.CancelRecord(id))
+}
+
+// append stores a record of the jobs' topic, through another entry where the
+// store turns this one away.
+func (c *Coordinator) append(ctx context.Context, partition int, record storer.Record) error {
+	err := errors.Mark(errors.New("coordinator: the store has not answered lately"), storer.ErrUnavailable)
+	if c.store.reachable(appendFresh) {
+		err = c.appendHere(ctx, partition, record)
+	}
+	if !errors.Is(err, storer.ErrUnavailable) {
+		return submitError(err)
+	}
+	relayed := c.callAny(ctx, "Append", AppendArgs{
+		Partition: partition,
+		Record:    record,
+	}, &AppendReply{})
+	switch {
+	case relayed == nil:
+		return nil
+	case errors.Is(relayed, messenger.ErrUnreachable), errors.Is(relayed, messenger.ErrRefused):
+		return errors.Mark(err, receiver.ErrNotRun)
+	default:
+		return errors.Mark(relayed, receiver.ErrUnknown)
+	}
+}
+
+func (c *Coordinator) appendHere(ctx context.Context, partition int, record storer.Record) error {
+	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	_, err := c.store.Append(ctx, storer.Partition{
+		Topic:  conductor.JobsTopic,
+		Number: partition,
+	}, nil, record)
+	return err
+}
+
+func submitError(err error) error {
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, storer.ErrUnknown):
+		return errors.Mark(err, receiver.ErrUnknown)
+	default:
+		return errors.Mark(err, receiver.ErrNotRun)
+	}
+}
+
+// State implements receiver.Jobs.
+func (c *Coordinator) State(ctx context.Context, queue scheduler.Queue, id string) (scheduler.JobState, error) {
+	var reply StateReply
+	err := c.atOwner(ctx, c.partitionOf(queue.Service), func(ctx context.Context, own *conductor.Conductor) error {
+		var err error
+		reply.State, reply.Found, err = own.State(ctx, id)
+		return err
+	}, "State", StateArgs{
+		Partition: c.partitionOf(queue.Service),
+		ID:        id,
+	}, &reply)
+	if err != nil {
+		return "", errors.Mark(err, receiver.ErrNoAnswer)
+	}
+	if !reply.Found {
+		return "", receiver.ErrNoJob
+	}
+	return reply.State, nil
+}
+
+// Waiting implements receiver.Jobs.
+func (c *Coordinator) Waiting(ctx context.Context, queue scheduler.Queue) (int, error) {
+	var reply WaitingReply
+	err := c.atOwner(ctx, c.partitionOf(queue.Service), func(_ context.Context, own *conductor.Conductor) error {
+		var err error
+		reply.Jobs, err = own.Waiting(queue.Name)
+		return err
+	}, "Waiting", WaitingArgs{
+		Partition: c.partitionOf(queue.Service),
+		Queue:     queue.Name,
+	}, &reply)
+	if err != nil {
+		return 0, errors.Mark(err, receiver.ErrNoAnswer)
+	}
+	return reply.Jobs, nil
+}
+
+// errNotOwner is returned by an entry that does not own the partition.
+var errNotOwner = errors.New("coordinator: the partition is owned by another entry")
+
+// atOwner asks the owner of a partition, here or at another entry. Where what
+// is known of the owners is out of date it is read again once.
+func (c *Coordinator) atOwner(ctx context.Context, partition int, local func(context.Context, *conductor.Conductor) error, method string, args, reply any) error {
+	err := errNotOwner
+	for try := range 2 {
+		if own := c.localOwner(partition); own != nil {
+			return local(ctx, own)
+		}
+		address, found := c.ownerOf(ctx, partition, try > 0)
+		if !found || address == c.settings.peerAddress {
+			continue
+		}
+		calling, cancel := context.WithTimeout(ctx, peerTimeout)
+		err = c.pool.Call(calling, address, rpcName+"."+method, args, reply)
+		cancel()
+		if err == nil {
+			return nil
+		}
+	}
+	return err
+}
+
+func (c *Coordinator) localOwner(partition int) *conductor.Conductor {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if own := c.owned[partition]; own != nil {
+		return own.conductor
+	}
+	return nil
+}
--- /dev/null
+++ b/coordinator/options.go
@@ -0,0 +1,151 @@
+package coordinator
+
+import (
+	"net"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/galenacove/galenacove/conductor"
+	"github.com/galenacove/galenacove/receiver"
+	"github.com/galenacove/galenacove/scheduler"
+	"github.com/galenacove/galenacove/storer"
+	"github.com/galenacove/galenacove/timekeeper"
+)
+
+// DecodeConfig decodes a record of the configuration's partition. It returns
+// false for a record that is none.
+type DecodeConfig func(record storer.Record) (receiver.Config, bool, error)
+
+// DecodeWorker decodes a record of the directory.
+type DecodeWorker func(record storer.Record, now time.Time) (scheduler.WorkerEntry, error)
+
+type settings struct {
+	name, dataCentre, secret string
+	peerAddress              string
+	callers, readiness       net.Listener
+	peerListener, metrics    net.Listener
+	partitions               int
+	ttl                      time.Duration
+	grace                    time.Duration
+	clock                    timekeeper.Clock
+	logger                   log.Interface
+	scheduling               []scheduler.Option
+	config, directory        storer.Partition
+	decodeConfig             DecodeConfig
+	decodeWorker             DecodeWorker
+	workers                  conductor.Workers
+	advise                   Advise
+}
+
+// Option changes how a Coordinator works.
+type Option func(*settings)
+
+func newSettings(opts []Option) settings {
+	s := settings{
+		partitions: 12,
+		ttl:        defaultTTL,
+		grace:      6 * time.Second,
+		clock:      timekeeper.System(),
+		logger: &log.Logger{
+			Handler: log.HandlerFunc(func(*log.Entry) error { return nil }),
+			Level:   log.FatalLevel,
+		},
+	}
+	for _, opt := range opts {
+		opt(&s)
+	}
+	return s
+}
+
+// Name sets the entry's name and data centre.
+func Name(name, dataCentre string) Option {
+	return func(s *settings) {
+		s.name = name
+		s.dataCentre = dataCentre
+	}
+}
+
+// Secret sets the secret that all entries share. The default is the empty one.
+func Secret(secret string) Option {
+	return func(s *settings) {
+		s.secret = secret
+	}
+}
+
+// Listeners sets where callers, the balancer's probes and peers are served.
+func Listeners(callers, readiness, peers net.Listener) Option {
+	return func(s *settings) {
+		s.callers = callers
+		s.readiness = readiness
+		s.peerListener = peers
+		s.peerAddress = peers.Addr().String()
+	}
+}
+
+// Metrics sets where metrics are served. The default is nowhere.
+func Metrics(listener net.Listener) Option {
+	return func(s *settings) {
+		s.metrics = listener
+	}
+}
+
+// Partitions sets how many partitions a topic of the store has. The default
+// is 12.
+func Partitions(n int) Option {
+	return func(s *settings) {
+		s.partitions = n
+	}
+}
+
+// Membership sets how long an entry may be silent before its partitions go to
+// others. The default is 1.2 s.
+func Membership(ttl time.Duration) Option {
+	return func(s *settings) {
+		s.ttl = ttl
+	}
+}
+
+// Grace sets how long the process may take to stop. The default is 6 s.
+func Grace(d time.Duration) Option {
+	return func(s *settings) {
+		s.grace = d
+	}
+}
+
+// Clock sets the clock. The default is the host's.
+func Clock(clock timekeeper.Clock) Option {
+	return func(s *settings) {
+		s.clock = clock
+	}
+}
+
+// Logger sets where decisions are logged. The default is nowhere.
+func Logger(logger log.Interface) Option {
+	return func(s *settings) {
+		s.logger = logger
+	}
+}
+
+// Scheduling sets the options of the schedulers.
+func Scheduling(options ...scheduler.Option) Option {
+	return func(s *settings) {
+		s.scheduling = options
+	}
+}
+
+// Config sets where the configuration is, and how it is decoded.
+func Config(partition storer.Partition, decode DecodeConfig) Option {
+	return func(s *settings) {
+		s.config = partition
+		s.decodeConfig = decode
+	}
+}
+
+// Directory sets where the workers register, and how an entry is decoded.
+func Directory(partition storer.Partition, decode DecodeWorker) Option {
+	return func(s *settings) {
+		s.directory = partition
+		s.decodeWorker = decode
+	}
+}
--- /dev/null
+++ b/coordinator/rpc.go
@@ -0,0 +1,143 @@
+package coordinator
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/galenacove/galenacove/messenger"
+	"github.com/galenacove/galenacove/receiver"
+	"github.com/galenacove/galenacove/scheduler"
+	"github.com/galenacove/galenacove/storer"
+)
+
+// rpcName is the name of the service between entries.
+const rpcName = "Coordinator"
+
+// rpc serves the other entries.
+type rpc struct {
+	coordinator *Coordinator
+}
+
+// StateArgs asks for the state of a job.
+type StateArgs struct {
+	Partition int
+	ID        string
+}
+
+// StateReply answers StateArgs.
+type StateReply struct {
+	State scheduler.JobState
+	Found bool
+}
+
+// State tells the state of a job of a partition that this entry owns.
+func (r *rpc) State(args StateArgs, reply *StateReply) error {
+	own := r.coordinator.localOwner(args.Partition)
+	if own == nil {
+		return errNotOwner
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
+	defer cancel()
+	var err error
+	reply.State, reply.Found, err = own.State(ctx, args.ID)
+	return err
+}
+
+// WaitingArgs asks how many jobs of a queue have not begun.
+type WaitingArgs struct {
+	Partition int
+	Queue     string
+}
+
+// WaitingReply answers WaitingArgs.
+type WaitingReply struct {
+	Jobs int
+}
+
+// Waiting counts the jobs of a queue that have not begun.
+func (r *rpc) Waiting(args WaitingArgs, reply *WaitingReply) error {
+	own := r.coordinator.localOwner(args.Partition)
+	if own == nil {
+		return errNotOwner
+	}
+	var err error
+	reply.Jobs, err = own.Waiting(args.Queue)
+	return err
+}
+
+// AppendArgs carries a record for the jobs' topic.
+type AppendArgs struct {
+	Partition int
+	Record    storer.Record
+}
+
+// AppendReply answers AppendArgs.
+type AppendReply struct {
+	// Unknown tells that the store may have taken the record.
+	Unknown bool
+}
+
+// Append stores a record for an entry that the store turns away.
+func (r *rpc) Append(args AppendArgs, reply *AppendReply) error {
+	err := r.coordinator.appendHere(context.Background(), args.Partition, args.Record)
+	if errors.Is(err, storer.ErrUnknown) {
+		reply.Unknown = true
+		return nil
+	}
+	return err
+}
+
+// Config tells the configuration in force.
+func (r *rpc) Config(_ struct{}, reply *receiver.Config) error {
+	config, known := r.coordinator.receiver.Config()
+	if !known {
+		return errors.New("coordinator: no configuration yet")
+	}
+	*reply = config
+	return nil
+}
+
+// AdviseArgs asks for advice from this entry's own place at the adviser.
+type AdviseArgs struct {
+	Step    scheduler.StepRef
+	Workers []string
+}
+
+// AdviseReply answers AdviseArgs.
+type AdviseReply struct {
+	Approved []scheduler.Approval
+	Validity time.Duration
+}
+
+// Advise asks the adviser for another entry.
+func (r *rpc) Advise(args AdviseArgs, reply *AdviseReply) error {
+	ctx, cancel := context.WithTimeout(context.Background(), adviceTimeout)
+	defer cancel()
+	var err error
+	reply.Approved, reply.Validity, err = r.coordinator.settings.advise(ctx, args.Step, args.Workers)
+	return err
+}
+
+// callAny calls a method of one of the other entries that answered lately.
+func (c *Coordinator) callAny(ctx context.Context, method string, args, reply any) error {
+	err := errors.Mark(errors.New("coordinator: no peer is known"), messenger.ErrUnreachable)
+	const tries = 3
+	for _, address := range c.lanes.reachable(tries) {
+		calling, cancel := context.WithTimeout(ctx, peerTimeout+appendTimeout)
+		err = c.pool.Call(calling, address, rpcName+"."+method, args, reply)
+		cancel()
+		c.lanes.heard(address, err)
+		if err == nil {
+			if appended, ok := reply.(*AppendReply); ok && appended.Unknown {
+				return errors.Mark(errors.New("coordinator: the store did not answer a peer"), messenger.ErrUnknown)
+			}
+			return nil
+		}
+		if errors.Is(err, messenger.ErrUnknown) {
+			return err
+		}
+	}
+	return err
+}
--- /dev/null
+++ b/coordinator/store.go
@@ -0,0 +1,94 @@
+package coordinator
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/galenacove/galenacove/storer"
+	"github.com/galenacove/galenacove/timekeeper"
+)
+
+// watchedStore counts the calls to a store, and knows whether it answers.
+type watchedStore struct {
+	storer.Store
+	clock timekeeper.Clock
+	// served is when a call last had an answer, in nanoseconds since 1970.
+	served atomic.Int64
+	// refused counts the calls in a row that had none.
+	refused atomic.Int64
+	calls   *prometheus.CounterVec
+}
+
+func newWatchedStore(store storer.Store, clock timekeeper.Clock) *watchedStore {
+	return &watchedStore{
+		Store: store,
+		clock: clock,
+		calls: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "galenacove_store_calls_total",
+			Help: "Calls to the store, by kind and outcome.",
+		}, []string{"call", "outcome"}),
+	}
+}
+
+func (s *watchedStore) collectors() []prometheus.Collector {
+	return []prometheus.Collector{s.calls}
+}
+
+// reachable tells that the store has answered lately, or has not failed since.
+func (s *watchedStore) reachable(within time.Duration) bool {
+	return s.refused.Load() == 0 || s.clock.Now().Sub(time.Unix(0, s.served.Load())) < within
+}
+
+// note keeps what a call tells about the store.
+func (s *watchedStore) note(ctx context.Context, call string, err error) {
+	switch {
+	case errors.Is(err, storer.ErrUnavailable), errors.Is(err, storer.ErrUnknown):
+		if ctx.Err() == nil {
+			s.refused.Add(1)
+		}
+		s.calls.WithLabelValues(call, "failed").Inc()
+	default:
+		s.refused.Store(0)
+		s.served.Store(s.clock.Now().UnixNano())
+		s.calls.WithLabelValues(call, "answered").Inc()
+	}
+}
+
+// Append implements storer.Store.
+func (s *watchedStore) Append(ctx context.Context, to storer.Partition, writer *storer.Writer, records ...storer.Record) (int64, error) {
+	end, err := s.Store.Append(ctx, to, writer, records...)
+	s.note(ctx, "append", err)
+	return end, err
+}
+
+// Read implements storer.Store.
+func (s *watchedStore) Read(ctx context.Context, of storer.Partition, from int64, wait time.Duration) (storer.Page, error) {
+	page, err := s.Store.Read(ctx, of, from, wait)
+	s.note(ctx, "read", err)
+	return page, err
+}
+
+// Newest implements storer.Store.
+func (s *watchedStore) Newest(ctx context.Context, of storer.Partition, after string) (storer.NewestPage, error) {
+	page, err := s.Store.Newest(ctx, of, after)
+	s.note(ctx, "newest", err)
+	return page, err
+}
+
+// Join implements storer.Store.
+func (s *watchedStore) Join(ctx context.Context, group, member string, topics []string, ttl time.Duration, generation int64) (storer.Assignment, error) {
+	held, err := s.Store.Join(ctx, group, member, topics, ttl, generation)
+	s.note(ctx, "join", err)
+	return held, err
+}
+
+// Owners implements storer.Store.
+func (s *watchedStore) Owners(ctx context.Context, group string) ([]storer.Ownership, error) {
+	owners, err := s.Store.Owners(ctx, group)
+	s.note(ctx, "owners", err)
+	return owners, err
+}
--- /dev/null
+++ b/scheduler/advice.go
@@ -0,0 +1,215 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// mostAsked bounds the workers of one call: the adviser takes 100.
+	mostAsked = 100
+	// fewAsked bounds them for a step whose tasks run each by itself.
+	fewAsked = 24
+	// askRepeat is how long a step waits after a call that failed.
+	askRepeat = 50 * time.Millisecond
+	// approvalWeight is what one call changes of a queue's learnt share.
+	approvalWeight = 0.1
+	// moreThanNeeded is how many times the room needed is asked about, as a
+	// share of it is taken by others in the meantime.
+	moreThanNeeded = 1.5
+	// delivery is added to the cost of a call when asking ahead.
+	delivery = 20 * time.Millisecond
+)
+
+// Approval is a worker that may run a step.
+type Approval struct {
+	WorkerID string
+	Ticket   string
+}
+
+// cost is how long a call about n workers takes, with its delivery.
+func (st *step) cost(n int) time.Duration {
+	if st.job.record.Queue.Advice == nil {
+		return 0
+	}
+	return st.job.record.Queue.Advice.Cost(n) + delivery
+}
+
+// ask calls for advice on workers that could take the waiting tasks.
+func (s *Scheduler) ask(st *step, p *pool, now time.Time) {
+	if st.advice.asking || now.Before(st.advice.retry) {
+		return
+	}
+	if st.phase.Gang {
+		if unasked := s.unasked(st, p); len(unasked) > 0 {
+			s.renew(st, unasked, now)
+		}
+		return
+	}
+	if !sizeOf(st.phase).Fits(p.free) {
+		return
+	}
+	if workers := s.worthAsking(st, p, now); len(workers) > 0 {
+		s.renew(st, workers, now)
+	}
+}
+
+// unasked returns the workers that suit the step and of which nothing is known.
+func (s *Scheduler) unasked(st *step, p *pool) []*worker {
+	var workers []*worker
+	for _, w := range p.workers {
+		if suits(st, w) && !st.advice.asked[w.entry.Ref.ID] {
+			workers = append(workers, w)
+		}
+	}
+	return workers
+}
+
+// worthAsking returns as many workers with room as the step needs, first those
+// that are known to be approved.
+func (s *Scheduler) worthAsking(st *step, p *pool, now time.Time) []*worker {
+	type option struct {
+		worker   *worker
+		approved bool
+		room     int
+		score    float64
+	}
+	var all []option
+	for _, w := range p.workers {
+		_, approved := st.advice.tickets[w.entry.Ref.ID]
+		if !suits(st, w) || st.advice.asked[w.entry.Ref.ID] && !approved || s.allowed(st, w, now) {
+			continue
+		}
+		if room := s.roomFor(st, w, p, now); room > 0 {
+			all = append(all, option{
+				worker:   w,
+				approved: approved,
+				room:     min(room, st.waiting),
+				score:    s.score(st, w),
+			})
+		}
+	}
+	slices.SortStableFunc(all, func(a, b option) int {
+		if a.approved != b.approved {
+			if a.approved {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(a.score, b.score)
+	})
+	share := s.stats(st.job.record.Queue.Name).approval
+	need := moreThanNeeded * float64(st.waiting)
+	var workers []*worker
+	for _, o := range all {
+		if need <= 0 || len(workers) >= fewAsked {
+			break
+		}
+		if o.approved {
+			need -= float64(o.room)
+		} else {
+			need -= share * float64(o.room)
+		}
+		workers = append(workers, o.worker)
+	}
+	return workers
+}
+
+// renew calls for advice on these workers.
+func (s *Scheduler) renew(st *step, workers []*worker, now time.Time) {
+	if st.advice.asking || now.Before(st.advice.retry) || len(workers) == 0 {
+		return
+	}
+	workers = workers[:min(len(workers), mostAsked)]
+	st.advice.asking = true
+	ids := make([]string, len(workers))
+	for i, w := range workers {
+		ids[i] = w.entry.Ref.ID
+	}
+	s.emit(AskAdvice{
+		Step:    st.ref,
+		Workers: ids,
+		Cost:    st.job.record.Queue.Advice.Cost(len(ids)),
+	})
+}
+
+// AdviceAnswered tells which of the workers a step may run on. The tickets
+// are good for validity from the time of the answer.
+func (s *Scheduler) AdviceAnswered(ref StepRef, asked []string, approved []Approval, validity time.Duration, now time.Time) {
+	st := s.step(ref)
+	if st == nil {
+		return
+	}
+	st.advice.asking = false
+	for _, id := range asked {
+		st.advice.asked[id] = true
+	}
+	for _, a := range approved {
+		st.advice.tickets[a.WorkerID] = ticket{
+			value:   a.Ticket,
+			expires: now.Add(validity - ticketMargin),
+		}
+	}
+	if len(asked) > 0 {
+		q := s.stats(st.job.record.Queue.Name)
+		q.approval += approvalWeight * (float64(len(approved))/float64(len(asked)) - q.approval)
+		q.approval = max(q.approval, 0.1)
+	}
+}
+
+// AdviceFailed tells that a call for advice had no answer.
+func (s *Scheduler) AdviceFailed(ref StepRef, now time.Time) {
+	if st := s.step(ref); st != nil {
+		st.advice.asking = false
+		st.advice.retry = now.Add(askRepeat)
+	}
+}
+
+func (s *Scheduler) step(ref StepRef) *step {
+	j := s.jobs[ref.Job]
+	if j == nil {
+		return nil
+	}
+	return j.steps[ref]
+}
+
+// askAhead calls for advice on steps that are about to become ready.
+func (s *Scheduler) askAhead(pools map[string]*pool, now time.Time) {
+	for _, j := range s.jobs {
+		if j.state != Running || j.record.Queue.Advice == nil || len(j.record.Phases) < 2 {
+			continue
+		}
+		p := pools[j.record.Queue.Service]
+		if p == nil {
+			continue
+		}
+		for _, st := range j.steps {
+			if len(st.phase.DependsOn) == 0 || st.done > 0 || st.advice.asking || len(st.advice.asked) > 0 {
+				continue
+			}
+			if s.open[st.ref] == nil && s.readyWithin(st, st.cost(fewAsked), now) {
+				s.ask(st, p, now)
+			}
+		}
+	}
+}
+
+// readyWithin tells that all that the step depends on will probably have ended
+// after that time.
+func (s *Scheduler) readyWithin(st *step, within time.Duration, now time.Time) bool {
+	for _, on := range st.phase.DependsOn {
+		before := st.ref
+		before.Phase = on
+		other := st.job.steps[before]
+		if other == nil || other.waiting > 0 {
+			return false
+		}
+		for i := range other.tasks {
+			if r := other.tasks[i].run; r != nil && s.remaining(r, now) > within {
+				return false
+			}
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/scheduler/gangs.go
@@ -0,0 +1,194 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/galenacove/galenacove/sizer"
+)
+
+// placeGang starts all tasks of a gang, or none.
+func (s *Scheduler) placeGang(st *step, p *pool, now time.Time) {
+	if st.waiting < len(st.tasks) {
+		// Members of the former attempt still hold room.
+		return
+	}
+	chosen := s.chooseAll(st, p, now, s.allowed)
+	if chosen != nil {
+		attempt := s.attempt()
+		st.gang = attempt
+		for i, w := range chosen {
+			s.start(st, i, w, attempt, now)
+		}
+		return
+	}
+	known := func(st *step, w *worker, now time.Time) bool {
+		_, approved := st.advice.tickets[w.entry.Ref.ID]
+		return suits(st, w) && (approved || st.job.record.Queue.Advice == nil)
+	}
+	if chosen = s.chooseAll(st, p, now, known); chosen != nil {
+		// There is room, but tickets have run out.
+		s.renew(st, unique(chosen), now)
+		s.reserve(p, unique(chosen), now.Add(st.cost(len(chosen))))
+		return
+	}
+	s.waitForRoom(st, p, now, known)
+	if st.job.record.Queue.Advice != nil {
+		s.ask(st, p, now)
+	}
+}
+
+// chooseAll returns a worker for each task of the gang, or nil.
+func (s *Scheduler) chooseAll(st *step, p *pool, now time.Time, allowed func(*step, *worker, time.Time) bool) []*worker {
+	type place struct {
+		worker *worker
+		room   int
+		score  float64
+	}
+	var places []place
+	for _, w := range p.workers {
+		if !allowed(st, w, now) {
+			continue
+		}
+		if room := s.roomFor(st, w, p, now); room > 0 {
+			places = append(places, place{
+				worker: w,
+				room:   room,
+				score:  s.score(st, w),
+			})
+		}
+	}
+	slices.SortStableFunc(places, func(a, b place) int {
+		return cmp.Compare(a.score, b.score)
+	})
+	take := func(rack string) []*worker {
+		var chosen []*worker
+		for _, pl := range places {
+			if rack != "" && pl.worker.entry.Rack != rack {
+				continue
+			}
+			for range pl.room {
+				if len(chosen) == len(st.tasks) {
+					return chosen
+				}
+				chosen = append(chosen, pl.worker)
+			}
+		}
+		if len(chosen) < len(st.tasks) {
+			return nil
+		}
+		return chosen
+	}
+	if st.phase.RackLocal {
+		for _, pl := range places {
+			if chosen := take(pl.worker.entry.Rack); chosen != nil {
+				return chosen
+			}
+		}
+	}
+	return take("")
+}
+
+// waitForRoom keeps the workers for a gang on which it can start first.
+func (s *Scheduler) waitForRoom(st *step, p *pool, now time.Time, known func(*step, *worker, time.Time) bool) {
+	type place struct {
+		worker *worker
+		at     time.Time
+		room   int
+	}
+	var places []place
+	for _, w := range p.workers {
+		if _, kept := p.reserved[w]; kept || !known(st, w, now) {
+			continue
+		}
+		at, room := s.predict(st, w, now)
+		if room > 0 {
+			places = append(places, place{
+				worker: w,
+				at:     at,
+				room:   room,
+			})
+		}
+	}
+	slices.SortStableFunc(places, func(a, b place) int {
+		return a.at.Compare(b.at)
+	})
+	var kept []*worker
+	var until time.Time
+	missing := len(st.tasks)
+	for _, pl := range places {
+		if missing <= 0 {
+			break
+		}
+		missing -= pl.room
+		kept = append(kept, pl.worker)
+		until = pl.at
+	}
+	if missing > 0 || float64(len(p.reserved)+len(kept)) > shareOfReserved*float64(len(p.workers))+1 {
+		return
+	}
+	s.reserve(p, kept, until)
+	if st.job.record.Queue.Advice != nil && until.Sub(now) < st.cost(len(kept)) {
+		s.renew(st, kept, now)
+	}
+}
+
+// predict tells when the worker will have room for tasks of the step, and for
+// how many.
+func (s *Scheduler) predict(st *step, w *worker, now time.Time) (time.Time, int) {
+	size := sizeOf(st.phase)
+	most := fitting(size, w.entry.Total)
+	if st.phase.PerWorker > 0 {
+		most = min(most, st.phase.PerWorker)
+	}
+	want := min(most, len(st.tasks))
+	if want == 0 {
+		return now, 0
+	}
+	runs := sortedRuns(w)
+	slices.SortStableFunc(runs, func(a, b *run) int {
+		return cmp.Compare(s.remaining(a, now), s.remaining(b, now))
+	})
+	free := w.free()
+	at := now
+	for _, r := range runs {
+		if fitting(size, free) >= want {
+			break
+		}
+		if r.lasting {
+			break
+		}
+		free = free.Add(r.size)
+		at = now.Add(s.remaining(r, now))
+	}
+	return at, min(want, fitting(size, free))
+}
+
+func (s *Scheduler) reserve(p *pool, workers []*worker, until time.Time) {
+	for _, w := range workers {
+		p.reserved[w] = until
+		p.free = p.free.Sub(w.free().Max(sizer.Size{}))
+	}
+}
+
+// breakGang stops the other members of a gang of which one has ended, and
+// has it try again once all have.
+func (s *Scheduler) breakGang(st *step, reason string, now time.Time) {
+	st.retry = now.Add(refusedPause)
+	for i := range st.tasks {
+		if r := st.tasks[i].run; r != nil {
+			s.stop(r, now, "gang broken: "+reason)
+		}
+	}
+}
+
+func unique(workers []*worker) []*worker {
+	var distinct []*worker
+	for _, w := range workers {
+		if !slices.Contains(distinct, w) {
+			distinct = append(distinct, w)
+		}
+	}
+	return distinct
+}
--- /dev/null
+++ b/scheduler/placing.go
@@ -0,0 +1,286 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+
+	"github.com/galenacove/galenacove/sizer"
+)
+
+const (
+	// ticketMargin is how long before its end a ticket is no longer used:
+	// delivery of the start.
+	ticketMargin = 150 * time.Millisecond
+	// refusedPause is how long a gang waits after one of its starts failed.
+	refusedPause = 50 * time.Millisecond
+	// slowWorker is the slowness from which a worker is used only where there
+	// is no other.
+	slowWorker = 2.5
+	// shareOfReserved bounds the workers that are kept for gangs.
+	shareOfReserved = 0.5
+)
+
+// pool is what one Tick knows of the workers of a service.
+type pool struct {
+	workers []*worker
+	// free is the room of all workers, less what steps that came first are
+	// about to take.
+	free sizer.Size
+	// reserved holds the workers that are kept for a gang, and until when.
+	reserved map[*worker]time.Time
+}
+
+// pools groups the workers that take something new by service.
+func (s *Scheduler) pools(now time.Time) map[string]*pool {
+	pools := make(map[string]*pool)
+	for _, w := range s.workers {
+		if !w.available(now) {
+			continue
+		}
+		p := pools[w.entry.Service]
+		if p == nil {
+			p = &pool{
+				reserved: make(map[*worker]time.Time),
+			}
+			pools[w.entry.Service] = p
+		}
+		p.workers = append(p.workers, w)
+		p.free = p.free.Add(w.free().Max(sizer.Size{}))
+	}
+	for _, p := range pools {
+		slices.SortFunc(p.workers, func(a, b *worker) int {
+			if a.entry.Ref.ID < b.entry.Ref.ID {
+				return -1
+			}
+			return 1
+		})
+	}
+	return pools
+}
+
+// available tells that the worker takes something new.
+func (w *worker) available(now time.Time) bool {
+	return w.listed && w.adopted && !w.entry.Leaving && w.silent.IsZero() &&
+		now.Sub(w.seen) < reportAge && !now.Before(w.shunned)
+}
+
+// place starts what can start, in the order of rank.
+func (s *Scheduler) place(now time.Time) {
+	pools := s.pools(now)
+	for _, st := range s.ranked(now) {
+		p := pools[st.job.record.Queue.Service]
+		if p == nil {
+			continue
+		}
+		if st.phase.Gang {
+			s.placeGang(st, p, now)
+		} else {
+			s.placeTasks(st, p, now)
+		}
+	}
+	s.askAhead(pools, now)
+}
+
+// placeTasks starts the waiting tasks of a step, each by itself.
+func (s *Scheduler) placeTasks(st *step, p *pool, now time.Time) {
+	for i := range st.tasks {
+		t := &st.tasks[i]
+		if t.done || t.run != nil {
+			continue
+		}
+		w := s.choose(st, t, p, now)
+		if w == nil {
+			// The tasks of a step are alike, so what is missing for one is
+			// missing for the others, unless it avoids a worker.
+			if len(t.avoid) == 0 {
+				break
+			}
+			continue
+		}
+		s.start(st, i, w, s.attempt(), now)
+	}
+	if st.waiting > 0 && st.job.record.Queue.Advice != nil {
+		s.ask(st, p, now)
+	}
+	p.free = p.free.Sub(sizeOf(st.phase).Times(int64(st.waiting)))
+}
+
+// choose returns the worker for a task, or nil.
+func (s *Scheduler) choose(st *step, t *task, p *pool, now time.Time) *worker {
+	var best *worker
+	var bestScore float64
+	for _, w := range p.workers {
+		if !s.allowed(st, w, now) || !s.hasRoom(st, w, p, now) {
+			continue
+		}
+		score := s.score(st, w)
+		if slices.Contains(t.avoid, w.entry.Ref.ID) {
+			score += 100
+		}
+		if best == nil || score < bestScore {
+			best, bestScore = w, score
+		}
+	}
+	return best
+}
+
+// allowed tells that the step's own words and the adviser let it run on the
+// worker.
+func (s *Scheduler) allowed(st *step, w *worker, now time.Time) bool {
+	if !suits(st, w) {
+		return false
+	}
+	if st.job.record.Queue.Advice == nil {
+		return true
+	}
+	got, found := st.advice.tickets[w.entry.Ref.ID]
+	return found && now.Before(got.expires)
+}
+
+// suits tells that the worker has what the step requires.
+func suits(st *step, w *worker) bool {
+	if st.phase.Requires != "" && !slices.Contains(w.entry.Labels, st.phase.Requires) {
+		return false
+	}
+	if !sizeOf(st.phase).Fits(w.entry.Total) {
+		return false
+	}
+	// Tasks that fill disturb those that serve, by amounts that nobody knows
+	// beforehand, so they are kept apart.
+	if st.phase.Fills && w.serves > 0 {
+		return false
+	}
+	return !st.serves() || w.fills == 0
+}
+
+func (st *step) serves() bool {
+	return st.phase.Lasting && st.phase.TailTarget > 0
+}
+
+// hasRoom tells that a task of the step fits the worker now.
+func (s *Scheduler) hasRoom(st *step, w *worker, p *pool, now time.Time) bool {
+	return s.roomFor(st, w, p, now) > 0
+}
+
+// roomFor counts the tasks of the step that fit the worker now.
+func (s *Scheduler) roomFor(st *step, w *worker, p *pool, now time.Time) int {
+	if until, kept := p.reserved[w]; kept {
+		length := time.Duration(float64(st.phase.Estimate) * s.stats(st.job.record.Queue.Name).stretch * w.slowness)
+		if st.phase.Lasting || now.Add(length).After(until) {
+			return 0
+		}
+	}
+	n := fitting(sizeOf(st.phase), w.free())
+	if st.phase.PerWorker > 0 {
+		n = min(n, st.phase.PerWorker-st.running(w))
+	}
+	if w.fails >= shunAfter && len(w.runs) > 0 {
+		// A worker that failed everything is tried with one run at a time.
+		return 0
+	}
+	if w.fails >= shunAfter {
+		n = min(n, 1)
+	}
+	return n
+}
+
+// running counts the runs of the step on the worker.
+func (st *step) running(w *worker) int {
+	n := 0
+	for ref := range w.runs {
+		if ref.Task.Step == st.ref {
+			n++
+		}
+	}
+	return n
+}
+
+// fitting counts how often a size fits a room.
+func fitting(size, room sizer.Size) int {
+	n := int64(maxTasks)
+	if size.MilliCores() > 0 {
+		n = min(n, room.MilliCores()/size.MilliCores())
+	}
+	if size.Bytes() > 0 {
+		n = min(n, room.Bytes()/size.Bytes())
+	}
+	if size.Accelerators() > 0 {
+		n = min(n, room.Accelerators()/size.Accelerators())
+	}
+	if room.IsNegative() {
+		return 0
+	}
+	return int(max(0, n))
+}
+
+// score rates a worker for a step, the lowest being best: by the time that a
+// task takes there, then by how little room is left, so that large tasks find
+// whole workers free.
+func (s *Scheduler) score(st *step, w *worker) float64 {
+	factor := max(1, w.slowness)
+	if w.slowness > slowWorker {
+		factor *= 2
+	}
+	if st.phase.DataRack != "" && st.phase.DataRack != w.entry.Rack {
+		factor *= s.options.remote
+	}
+	left := w.free().Sub(sizeOf(st.phase)).DominantShare(w.entry.Total)
+	if w.entry.Total.Accelerators() > 0 && st.phase.Size.Accelerators() > 0 {
+		left = float64(w.free().Accelerators()-st.phase.Size.Accelerators()) / float64(w.entry.Total.Accelerators())
+	}
+	return 4*factor + left
+}
+
+// attempt returns a number that is higher than that of any run before.
+func (s *Scheduler) attempt() int64 {
+	s.nextAttempt++
+	return s.nextAttempt
+}
+
+// start orders a run.
+func (s *Scheduler) start(st *step, index int, w *worker, attempt int64, now time.Time) {
+	t := &st.tasks[index]
+	r := &run{
+		ref: RunRef{
+			Task: TaskRef{
+				Step:  st.ref,
+				Index: index,
+			},
+			Attempt: attempt,
+		},
+		worker: w,
+		began:  now,
+		moved:  now,
+		pace:   100,
+	}
+	r.describe(st)
+	w.add(r)
+	t.run = r
+	st.waiting--
+	if st.waiting == 0 {
+		delete(s.open, st.ref)
+	}
+	s.begin(st.job)
+	s.emit(StartTask{
+		Run:        r.ref,
+		Worker:     w.entry.Ref,
+		Spec:       st.job.record.Spec,
+		Checkpoint: t.checkpoint,
+		Ticket:     st.advice.tickets[w.entry.Ref.ID].value,
+		Lease:      s.extendLease(w, now),
+	})
+}
+
+// remaining is how much longer a run will take, as far as can be told.
+func (s *Scheduler) remaining(r *run, now time.Time) time.Duration {
+	if r.lasting {
+		return s.options.keep
+	}
+	elapsed := now.Sub(r.began)
+	const enough = 5
+	if r.percent >= enough {
+		total := time.Duration(float64(r.moved.Sub(r.began)) * 100 / float64(r.percent))
+		return max(0, total-elapsed)
+	}
+	return max(0, r.estimate-elapsed)
+}
--- /dev/null
+++ b/scheduler/scheduler.go
@@ -0,0 +1,540 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+
+	"github.com/galenacove/galenacove/sizer"
+)
+
+const (
+	// slowestClock is how fast a worker's clock runs at least: the platform
+	// allows 2% less than true time.
+	slowestClock = 0.98
+	// attemptsPerToken is the range of attempt numbers that one owner has for
+	// a task, so that they rise over owners without a record of each start.
+	attemptsPerToken = 1 << 20
+	// keepFinal is how much longer a job is known after the time for which its
+	// state is promised.
+	keepFinal = 10 * time.Second
+	// laterStart is how long after a takeover the former owner may still have
+	// learnt of new jobs. It is twice the interval at which an owner confirms
+	// that it is one.
+	laterStart = time.Second
+)
+
+// Options of a Scheduler.
+type options struct {
+	lease       time.Duration
+	holdLimit   time.Duration
+	stopTimeout time.Duration
+	keep        time.Duration
+	remote      float64
+}
+
+// Option changes how a Scheduler works.
+type Option func(*options)
+
+// Lease sets how long a lease is, and the longest one that a worker grants.
+// The defaults are 5 s and 6 s.
+func Lease(lease, limit time.Duration) Option {
+	return func(o *options) {
+		o.lease = lease
+		o.holdLimit = limit
+	}
+}
+
+// StopTimeout sets how long a worker may take to stop a run. The default is
+// 900 ms.
+func StopTimeout(d time.Duration) Option {
+	return func(o *options) {
+		o.stopTimeout = d
+	}
+}
+
+// Keep sets how long the state of a job is known after its end. The default
+// is 120 s.
+func Keep(d time.Duration) Option {
+	return func(o *options) {
+		o.keep = d
+	}
+}
+
+// RemoteFactor sets how many times as long a task takes away from its data.
+// The default is 1.5.
+func RemoteFactor(f float64) Option {
+	return func(o *options) {
+		o.remote = f
+	}
+}
+
+// Scheduler holds the tables of one owner, and the systems over them.
+type Scheduler struct {
+	options options
+	// token is the fencing token of this ownership. Attempts are numbered
+	// above it.
+	token int64
+	// nextAttempt rises with each start.
+	nextAttempt int64
+	// began is when the ownership did.
+	began time.Time
+	// settled tells that no run of the former owner can be unknown.
+	settled bool
+
+	jobs    map[string]*job
+	workers map[string]*worker
+	// open holds the steps that have waiting tasks and whose dependencies are
+	// done.
+	open map[StepRef]*step
+	// timed holds the jobs with occurrences that have no steps yet.
+	timed map[string]*job
+	// queues counts what is known of each queue.
+	queues map[string]*queueStats
+	// confirmed is when the ownership was last known to hold.
+	confirmed time.Time
+
+	dirty map[string]bool
+	// batch numbers the next write of progress, and written the last one that
+	// is stored.
+	batch, written int64
+	// drops are the identities that the store need no longer keep.
+	drops   []string
+	effects []Effect
+	notes   []Note
+}
+
+// queueStats is what was learnt of a queue.
+type queueStats struct {
+	// approval is the share of workers that the adviser approves.
+	approval float64
+	// stretch is the time that runs take, as a multiple of the estimate.
+	stretch float64
+	// waiting counts the jobs that have not begun.
+	waiting int
+}
+
+// New returns a scheduler for the owner with that fencing token.
+func New(token int64, now time.Time, opts ...Option) *Scheduler {
+	s := &Scheduler{
+		options: options{
+			lease:       5 * time.Second,
+			holdLimit:   6 * time.Second,
+			stopTimeout: 900 * time.Millisecond,
+			keep:        120 * time.Second,
+			remote:      1.5,
+		},
+		token:       token,
+		nextAttempt: token * attemptsPerToken,
+		began:       now,
+		confirmed:   now,
+		jobs:        make(map[string]*job),
+		workers:     make(map[string]*worker),
+		open:        make(map[StepRef]*step),
+		timed:       make(map[string]*job),
+		queues:      make(map[string]*queueStats),
+		dirty:       make(map[string]bool),
+		batch:       1,
+	}
+	for _, opt := range opts {
+		opt(&s.options)
+	}
+	return s
+}
+
+// Token returns the fencing token of this ownership.
+func (s *Scheduler) Token() int64 {
+	return s.token
+}
+
+// Confirm tells that the ownership held at that time. No lease is granted that
+// could outlive the next owner's wait for it.
+func (s *Scheduler) Confirm(at time.Time) {
+	if at.After(s.confirmed) {
+		s.confirmed = at
+	}
+}
+
+// AddJob takes a job from the store. A job that is known already changes
+// nothing. The progress is nil where none was stored. Recovered tells that the
+// job was stored before this owner took over.
+func (s *Scheduler) AddJob(record Job, progress *Progress, recovered bool, now time.Time) {
+	if s.jobs[record.ID] != nil {
+		return
+	}
+	j := &job{
+		record:    record,
+		state:     Pending,
+		steps:     make(map[StepRef]*step),
+		loaded:    make(map[StepRef]StepProgress),
+		recovered: recovered || record.Accepted.Before(s.began.Add(laterStart)) && now.Before(s.began.Add(laterStart)),
+		objective: record.objective(),
+	}
+	s.jobs[record.ID] = j
+	if progress != nil {
+		j.state = progress.State
+		j.ended = progress.Ended
+		j.stored = progress.State.Final()
+		j.begun = progress.State != Pending
+		for _, part := range progress.Steps {
+			j.loaded[StepRef{
+				Job:        record.ID,
+				Occurrence: part.Occurrence,
+				Phase:      part.Phase,
+			}] = part
+		}
+	}
+	if j.state.Final() {
+		return
+	}
+	s.stats(record.Queue.Name).waiting++
+	if j.begun {
+		s.stats(record.Queue.Name).waiting--
+	}
+	s.timed[record.ID] = j
+	s.openOccurrences(j, now)
+}
+
+// openOccurrences makes the steps of the occurrences that are due.
+func (s *Scheduler) openOccurrences(j *job, now time.Time) {
+	for ; j.opened < j.record.occurrences(); j.opened++ {
+		due := j.record.due(j.opened)
+		if j.record.Repetitions > 0 && due.After(now) {
+			return
+		}
+		for i := range j.record.Phases {
+			s.openStep(j, j.opened, i, due, now)
+		}
+		for i := range j.record.Phases {
+			s.release(j.steps[StepRef{
+				Job:        j.record.ID,
+				Occurrence: j.opened,
+				Phase:      i,
+			}])
+		}
+	}
+	delete(s.timed, j.record.ID)
+	s.finish(j, now)
+}
+
+func (s *Scheduler) openStep(j *job, occurrence, phase int, due, now time.Time) {
+	ref := StepRef{
+		Job:        j.record.ID,
+		Occurrence: occurrence,
+		Phase:      phase,
+	}
+	st := &step{
+		ref:       ref,
+		job:       j,
+		phase:     &j.record.Phases[phase],
+		due:       due,
+		objective: due.Add(j.objective),
+		advice: advice{
+			asked:   make(map[string]bool),
+			tickets: make(map[string]ticket),
+		},
+	}
+	st.tasks = make([]task, st.phase.Tasks)
+	st.waiting = len(st.tasks)
+	stored := j.loaded[ref]
+	delete(j.loaded, ref)
+	for i := range st.tasks {
+		t := &st.tasks[i]
+		t.away = now
+		t.failures = stored.Failures[i]
+		if bit(stored.Done, i) {
+			t.done = true
+			st.done++
+			st.waiting--
+		}
+	}
+	if st.phase.Gang {
+		st.gangFailures = stored.Failures[0]
+	}
+	j.steps[ref] = st
+}
+
+// release opens a step whose dependencies are done.
+func (s *Scheduler) release(st *step) {
+	if st == nil || st.waiting == 0 || !st.ready() {
+		return
+	}
+	s.open[st.ref] = st
+}
+
+// ready tells that all steps that this one depends on are done.
+func (st *step) ready() bool {
+	for _, on := range st.phase.DependsOn {
+		before := st.ref
+		before.Phase = on
+		if other := st.job.steps[before]; other != nil && other.done < len(other.tasks) {
+			return false
+		}
+	}
+	return true
+}
+
+// Cancel ends a job. It reports whether the job is known.
+func (s *Scheduler) Cancel(id string, now time.Time) bool {
+	j := s.jobs[id]
+	if j == nil {
+		return false
+	}
+	if !j.state.Final() {
+		s.end(j, Cancelled, now)
+	}
+	return true
+}
+
+// end gives a job its final state and stops what is left of it.
+func (s *Scheduler) end(j *job, state JobState, now time.Time) {
+	if !j.begun {
+		s.begin(j)
+	}
+	j.state = state
+	j.ended = now
+	j.stored = false
+	s.dirty[j.record.ID] = true
+	delete(s.timed, j.record.ID)
+	for ref, st := range j.steps {
+		delete(s.open, ref)
+		for i := range st.tasks {
+			if r := st.tasks[i].run; r != nil {
+				s.stop(r, now, "job "+string(state))
+			}
+		}
+	}
+}
+
+// begin notes that a task of the job has started.
+func (s *Scheduler) begin(j *job) {
+	if j.begun {
+		return
+	}
+	j.begun = true
+	s.stats(j.record.Queue.Name).waiting--
+	if j.state == Pending {
+		j.state = Running
+	}
+}
+
+// finish completes a job whose steps are all done.
+func (s *Scheduler) finish(j *job, now time.Time) {
+	if j.state.Final() || j.opened < j.record.occurrences() {
+		return
+	}
+	for _, st := range j.steps {
+		if st.done < len(st.tasks) {
+			return
+		}
+	}
+	s.end(j, Completed, now)
+}
+
+// State returns the state to show to a caller.
+func (s *Scheduler) State(id string) (JobState, bool) {
+	j := s.jobs[id]
+	if j == nil {
+		return "", false
+	}
+	if j.state.Final() && !j.stored {
+		// A cancelled job is never shown as anything else once that is stored;
+		// until then the former state is still true.
+		if j.begun {
+			return Running, true
+		}
+		return Pending, true
+	}
+	return j.state, true
+}
+
+// Waiting counts the jobs of a queue of which no task has started.
+func (s *Scheduler) Waiting(queue string) int {
+	return s.stats(queue).waiting
+}
+
+// Jobs counts the jobs that are not final.
+func (s *Scheduler) Jobs() int {
+	n := 0
+	for _, j := range s.jobs {
+		if !j.state.Final() {
+			n++
+		}
+	}
+	return n
+}
+
+func (s *Scheduler) stats(queue string) *queueStats {
+	q := s.queues[queue]
+	if q == nil {
+		q = &queueStats{
+			approval: 0.5,
+			stretch:  1,
+		}
+		s.queues[queue] = q
+	}
+	return q
+}
+
+// emit adds an effect to what the next Tick returns.
+func (s *Scheduler) emit(e Effect) {
+	s.effects = append(s.effects, e)
+}
+
+// Note is a decision that an operator may want to follow.
+type Note struct {
+	Text string
+	Task TaskRef
+	// Worker is empty where none is concerned.
+	Worker string
+	// Age is that of what decided.
+	Age time.Duration
+}
+
+// Notes returns what was decided since the last call.
+func (s *Scheduler) Notes() []Note {
+	notes := s.notes
+	s.notes = nil
+	return notes
+}
+
+func (s *Scheduler) note(text string, ref TaskRef, workerID string, age time.Duration) {
+	s.notes = append(s.notes, Note{
+		Text:   text,
+		Task:   ref,
+		Worker: workerID,
+		Age:    age,
+	})
+}
+
+// Write is what is to be stored of the jobs that changed.
+type Write struct {
+	// Batch is passed to Written once the write is stored.
+	Batch int64
+	Jobs  []JobProgress
+	// Drops are jobs that need no longer be kept.
+	Drops []string
+}
+
+// JobProgress is the progress of one job.
+type JobProgress struct {
+	ID       string
+	Progress Progress
+}
+
+// Unwritten tells whether there is something to store, and whether a caller
+// may be waiting for it.
+func (s *Scheduler) Unwritten() (some, urgent bool) {
+	for id := range s.dirty {
+		if s.jobs[id].state.Final() {
+			return true, true
+		}
+	}
+	return len(s.dirty) > 0 || len(s.drops) > 0, false
+}
+
+// NextWrite returns what changed since the last call.
+func (s *Scheduler) NextWrite() Write {
+	write := Write{
+		Batch: s.batch,
+		Drops: s.drops,
+	}
+	s.batch++
+	s.drops = nil
+	for id := range s.dirty {
+		write.Jobs = append(write.Jobs, JobProgress{
+			ID:       id,
+			Progress: s.jobs[id].progress(),
+		})
+	}
+	slices.SortFunc(write.Jobs, func(a, b JobProgress) int {
+		return compareSteps(StepRef{
+			Job: a.ID,
+		}, StepRef{
+			Job: b.ID,
+		})
+	})
+	clear(s.dirty)
+	return write
+}
+
+// Written tells that a write is stored.
+func (s *Scheduler) Written(write Write) {
+	s.written = write.Batch
+	for _, part := range write.Jobs {
+		if j := s.jobs[part.ID]; j != nil && part.Progress.State.Final() {
+			j.stored = true
+		}
+	}
+}
+
+// progress returns what of the job must be stored.
+func (j *job) progress() Progress {
+	p := Progress{
+		State: j.state,
+		Ended: j.ended,
+	}
+	if j.state.Final() {
+		return p
+	}
+	for ref, part := range j.loaded {
+		_ = ref
+		p.Steps = append(p.Steps, part)
+	}
+	for ref, st := range j.steps {
+		if part, some := st.progress(ref); some {
+			p.Steps = append(p.Steps, part)
+		}
+	}
+	slices.SortFunc(p.Steps, func(a, b StepProgress) int {
+		return compareSteps(StepRef{
+			Occurrence: a.Occurrence,
+			Phase:      a.Phase,
+		}, StepRef{
+			Occurrence: b.Occurrence,
+			Phase:      b.Phase,
+		})
+	})
+	return p
+}
+
+func (st *step) progress(ref StepRef) (StepProgress, bool) {
+	part := StepProgress{
+		Occurrence: ref.Occurrence,
+		Phase:      ref.Phase,
+	}
+	some := false
+	for i := range st.tasks {
+		t := &st.tasks[i]
+		if t.done {
+			if part.Done == nil {
+				part.Done = newBits(len(st.tasks))
+			}
+			setBit(part.Done, i)
+			some = true
+		}
+		if len(t.failures) > 0 && !st.phase.Gang {
+			part.fail(i, t.failures)
+			some = true
+		}
+	}
+	if len(st.gangFailures) > 0 {
+		part.fail(0, st.gangFailures)
+		some = true
+	}
+	return part, some
+}
+
+func (p *StepProgress) fail(i int, attempts []int64) {
+	if p.Failures == nil {
+		p.Failures = make(map[int][]int64)
+	}
+	p.Failures[i] = slices.Clone(attempts)
+}
+
+// sizeOf is the room that a task of the phase takes.
+func sizeOf(phase *Phase) sizer.Size {
+	if !phase.Fills {
+		return phase.Size
+	}
+	return sizer.New(0, phase.Size.Bytes(), phase.Size.Accelerators())
+}
