Rank by latest start, short long reads, speed learnt from siblings

Change: reads wait 0.4 to 0.7 s; steps are ranked by the latest time at which they can start; a worker is compared with siblings of the step.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -49,8 +49,9 @@
 	// writerName is the same for all owners.
 	writerName = "owner"
 
-	// readWait is how long a read waits for new jobs.
-	readWait = 10 * time.Second
+	// readWait is how long a read waits for new jobs. An open connection may
+	// go silent, and the read that was on it is made again only after that.
+	readWait = 400 * time.Millisecond
 	// retryPause is how long a failed call to the store waits to be made again.
 	retryPause = 100 * time.Millisecond
 	// urgentLinger gathers the ends that come within a round trip of each
@@ -272,6 +273,7 @@
 	if err != nil && !errors.Is(err, storer.ErrTrimmed) {
 		return err
 	}
+	c.takePage(next, page)
 	for {
 		c.mu.Lock()
 		caughtUp := c.next >= page.End
@@ -457,14 +459,22 @@
 			}
 			continue
 		}
-		c.mu.Lock()
-		c.takeRecords(page.Records, nil, c.clock.Now())
-		c.next = page.Next
-		c.signalMoved()
-		c.mu.Unlock()
-		if len(page.Records) > 0 {
-			c.poke()
-		}
+		c.takePage(next, page)
+	}
+}
+
+// takePage takes in what was read from an offset, unless that was done before.
+func (c *Conductor) takePage(from int64, page storer.Page) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.next != from {
+		return
+	}
+	c.takeRecords(page.Records, nil, c.clock.Now())
+	c.next = page.Next
+	c.signalMoved()
+	if len(page.Records) > 0 {
+		c.poke()
 	}
 }
 
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -49,8 +49,10 @@
 	directoryInterval = 400 * time.Millisecond
 	// directoryCalm is the same for an entry that owns nothing.
 	directoryCalm = 5 * time.Second
-	// configWait is how long a read waits for a new configuration.
-	configWait = 20 * time.Second
+	// configWait is how long a read waits for a new configuration. The
+	// connection may go silent under it, and a configuration must be in force
+	// after 2 s.
+	configWait = 700 * time.Millisecond
 	// retryPause is how long a failed call waits to be made again.
 	retryPause = 150 * time.Millisecond
 	// storeFresh is how old the last answer of the store may be for the entry
--- a/coordinator/feeds.go
+++ b/coordinator/feeds.go
@@ -17,7 +17,7 @@
 	// peersTopic holds the address of each entry under its name.
 	peersTopic = "entries"
 	// peersWait is how long a read waits for a new entry.
-	peersWait = 25 * time.Second
+	peersWait = 5 * time.Second
 )
 
 // feed reads a partition from its newest records on, for ever.
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -173,6 +173,20 @@
 	return longest
 }
 
+// chains returns, for each phase, the longest time from its start to the end
+// of all that depends on it, by the estimates.
+func (j Job) chains() []time.Duration {
+	chains := make([]time.Duration, len(j.Phases))
+	after := make([]time.Duration, len(j.Phases))
+	for i := len(j.Phases) - 1; i >= 0; i-- {
+		chains[i] = j.Phases[i].Estimate + after[i]
+		for _, on := range j.Phases[i].DependsOn {
+			after[on] = max(after[on], chains[i])
+		}
+	}
+	return chains
+}
+
 // objective is how long after it is due an occurrence should be done.
 func (j Job) objective() time.Duration {
 	return time.Duration(j.Queue.SlackFactor*float64(j.chain())) + j.Queue.Target
--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -13,9 +13,9 @@
 	ticketMargin = 150 * time.Millisecond
 	// refusedPause is how long a gang waits after one of its starts failed.
 	refusedPause = 50 * time.Millisecond
-	// slowWorker is the slowness from which a worker is used only where there
-	// is no other.
-	slowWorker = 2.5
+	// slowWorker is the slowness from which a worker is used after others. Tasks
+	// of a step differ by less.
+	slowWorker = 1.6
 	// shareOfReserved bounds the workers that are kept for gangs.
 	shareOfReserved = 0.5
 )
@@ -217,9 +217,9 @@
 // task takes there, then by how little room is left, so that large tasks find
 // whole workers free.
 func (s *Scheduler) score(st *step, w *worker) float64 {
-	factor := max(1, w.slowness)
+	factor := 1.0
 	if w.slowness > slowWorker {
-		factor *= 2
+		factor = w.slowness
 	}
 	if st.phase.DataRack != "" && st.phase.DataRack != w.entry.Rack {
 		factor *= s.options.remote
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -168,6 +168,7 @@
 		loaded:    make(map[StepRef]StepProgress),
 		recovered: recovered || record.Accepted.Before(s.began.Add(laterStart)) && now.Before(s.began.Add(laterStart)),
 		objective: record.objective(),
+		chains:    record.chains(),
 	}
 	s.jobs[record.ID] = j
 	if progress != nil {
--- a/scheduler/tables.go
+++ b/scheduler/tables.go
@@ -28,6 +28,9 @@
 	begun bool
 	// objective is the job's own bound, after an occurrence is due.
 	objective time.Duration
+	// chains holds, for each phase, the longest time from its start to the end
+	// of all that depends on it.
+	chains []time.Duration
 }
 
 // step is one phase of one occurrence.
@@ -48,6 +51,9 @@
 	gangFailures []int64
 	// retry is when a gang or an unlucky step is tried again.
 	retry time.Time
+	// ran and runs are the total time and the number of the runs that are done.
+	ran  time.Duration
+	runs int
 }
 
 // task is one task of a step.
--- a/scheduler/tick.go
+++ b/scheduler/tick.go
@@ -139,24 +139,52 @@
 	}
 	slices.SortFunc(steps, func(a, b *step) int {
 		return cmp.Or(
+			cmp.Compare(a.use(now), b.use(now)),
+			a.latest().Compare(b.latest()),
 			cmp.Compare(a.job.record.Queue.Priority, b.job.record.Queue.Priority),
-			cmp.Compare(a.urgency(now), b.urgency(now)),
-			a.objective.Compare(b.objective),
 			compareSteps(a.ref, b.ref),
 		)
 	})
 	return steps
 }
 
-// urgency sorts lasting tasks first, and steps that can no longer be of much
-// use last.
-func (st *step) urgency(now time.Time) int {
+// The ranks of steps, by what their callers still have of them.
+const (
+	// rankLasting comes first: callers depend on these tasks all the time.
+	rankLasting = iota
+	// rankInTime can still be done within the objective.
+	rankInTime
+	// rankLate can be done within three times the objective.
+	rankLate
+	// rankTooLate is of no more use, and is done with what room is left.
+	rankTooLate
+)
+
+// lateFactor is how many times the objective a result is of some use.
+const lateFactor = 3
+
+// use ranks a step.
+func (st *step) use(now time.Time) int {
+	remaining := st.job.chainFrom(st.ref.Phase)
 	switch {
 	case st.phase.Lasting:
-		return 0
-	case now.Sub(st.due) > 3*st.job.objective:
-		return 2
+		return rankLasting
+	case !now.Add(remaining).After(st.objective):
+		return rankInTime
+	case !now.Add(remaining).After(st.due.Add(lateFactor * st.job.objective)):
+		return rankLate
 	default:
-		return 1
+		return rankTooLate
 	}
 }
+
+// latest is when the step should start at the latest.
+func (st *step) latest() time.Time {
+	return st.objective.Add(-st.job.chainFrom(st.ref.Phase))
+}
+
+// chainFrom is the longest time from the start of a phase to the end of all
+// that depends on it, by the estimates.
+func (j *job) chainFrom(phase int) time.Duration {
+	return j.chains[phase]
+}
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -594,15 +594,20 @@
 	queueWeight = 0.02
 )
 
-// learnSpeed compares the time that a run took with that of its queue.
+// learnSpeed compares the time that a run took with that of the others of its
+// step, which are alike. Estimates are too far off to compare with.
 func (s *Scheduler) learnSpeed(r *run, now time.Time) {
 	st, _ := s.find(r.ref.Task)
 	if st == nil {
 		return
 	}
+	took := now.Sub(r.began)
+	if st.runs > 0 {
+		relative := float64(took) * float64(st.runs) / float64(st.ran)
+		r.worker.slowness += speedWeight * (relative - r.worker.slowness)
+	}
+	st.runs++
+	st.ran += took
 	q := s.stats(st.job.record.Queue.Name)
-	stretch := float64(now.Sub(r.began)) / float64(r.estimate)
-	relative := stretch / q.stretch
-	r.worker.slowness += speedWeight * (relative - r.worker.slowness)
-	q.stretch += queueWeight * (stretch - q.stretch)
+	q.stretch += queueWeight * (float64(took)/float64(r.estimate) - q.stretch)
 }
