Count the room of a run whose job has ended

Ruled out: a lost stop; the trace shows the start 3 ms after the adoption.

Change: such a run is described from the stored job; one of an unknown job holds the whole worker. Tests of the scheduler, of which TestRunOfAnEndedJobKeepsItsRoom failed before.

--- /dev/null
+++ b/scheduler/recovery_test.go
@@ -0,0 +1,247 @@
+package scheduler_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/galenacove/galenacove/scheduler"
+)
+
+// takeOver returns a rig with the same workers and a new owner.
+func (r *rig) takeOver(jobs []scheduler.Job, progress map[string]*scheduler.Progress) {
+	r.s = scheduler.New(r.s.Token()+1, r.now)
+	for _, job := range jobs {
+		r.s.AddJob(job, progress[job.ID], true, r.now)
+	}
+	r.list()
+}
+
+// TestRunOfAnEndedJobKeepsItsRoom has a new owner find a run that belongs to a
+// job which is cancelled already: it holds its room until it has ended.
+func TestRunOfAnEndedJobKeepsItsRoom(t *testing.T) {
+	r := newRig(t)
+	w := r.worker("w", cores(4))
+	r.list()
+	r.hold()
+	old := r.job("old", tasks(1, cores(3)))
+	r.s.AddJob(old, nil, false, r.now)
+	r.tick()
+	r.c.Assert(r.active(), qt.Equals, 1)
+
+	r.takeOver([]scheduler.Job{old}, map[string]*scheduler.Progress{
+		"old": {
+			State: scheduler.Cancelled,
+			Ended: r.now,
+		},
+	})
+	r.hold()
+	r.s.AddJob(r.job("new", tasks(1, cores(3))), nil, false, r.now)
+	effects := r.s.Tick(r.now)
+	for _, effect := range effects {
+		_, starts := effect.(scheduler.StartTask)
+		r.c.Assert(starts, qt.IsFalse, qt.Commentf("started beside a run that is being stopped"))
+	}
+	r.c.Assert(w.active, qt.HasLen, 1)
+}
+
+func TestNewOwnerAdoptsWhatRuns(t *testing.T) {
+	r := newRig(t)
+	w := r.worker("w", cores(4))
+	r.list()
+	r.hold()
+	job := r.job("j", tasks(2, cores(1)))
+	r.s.AddJob(job, nil, false, r.now)
+	r.tick()
+	r.takeOver([]scheduler.Job{job}, nil)
+	r.tick()
+	r.c.Assert(r.active(), qt.Equals, 2)
+	r.round()
+	r.round()
+	r.c.Assert(w.started, qt.HasLen, 2)
+	for task, n := range w.started {
+		r.c.Assert(n, qt.Equals, 1, qt.Commentf("%v ran twice", task))
+	}
+}
+
+// TestSilentWorkerHoldsBackOldTasks has a new owner that cannot reach one
+// worker: what may run there is started elsewhere only once the former owner's
+// leases have certainly ended.
+func TestSilentWorkerHoldsBackOldTasks(t *testing.T) {
+	r := newRig(t)
+	r.worker("v", cores(4))
+	w := r.worker("w", cores(1))
+	r.list()
+	r.hold()
+	old := r.job("old", tasks(5, cores(1)))
+	r.s.AddJob(old, nil, false, r.now)
+	r.tick()
+	r.c.Assert(r.active(), qt.Equals, 5)
+	w.silent = true
+
+	r.takeOver([]scheduler.Job{old}, nil)
+	r.hold()
+	r.pass(1500 * time.Millisecond)
+	r.s.AddJob(r.job("new", tasks(1, cores(1))), nil, false, r.now)
+	r.nodes["v"].end(firstRun(r.nodes["v"]), scheduler.EndDone)
+	began := r.now
+	for r.now.Sub(began) < 4*time.Second {
+		r.round()
+		r.c.Assert(r.nodes["v"].started[scheduler.TaskRef{
+			Step: scheduler.StepRef{
+				Job: "new",
+			},
+		}], qt.Equals, 1, qt.Commentf("a new job waits for the recovery"))
+		r.c.Assert(totalStarts(r, "old"), qt.Equals, 5)
+	}
+	r.endAll(0, scheduler.EndDone)
+	for r.now.Sub(began) < 8*time.Second {
+		r.round()
+	}
+	r.c.Assert(totalStarts(r, "old"), qt.Equals, 6)
+}
+
+func firstRun(n *node) scheduler.RunRef {
+	var first scheduler.RunRef
+	for run := range n.active {
+		if first.Task.Step.Job == "" || run.Task.Index < first.Task.Index {
+			first = run
+		}
+	}
+	return first
+}
+
+func totalStarts(r *rig, job string) int {
+	total := 0
+	for _, n := range r.nodes {
+		for task, count := range n.started {
+			if task.Step.Job == job {
+				total += count
+			}
+		}
+	}
+	return total
+}
+
+func TestDoneTasksAreNotRunAgainByTheNextOwner(t *testing.T) {
+	r := newRig(t)
+	r.worker("w", cores(4))
+	r.list()
+	r.hold()
+	job := r.job("j", tasks(3, cores(1)), tasks(1, cores(1)))
+	r.s.AddJob(job, nil, false, r.now)
+	r.tick()
+	r.nodes["w"].end(firstRun(r.nodes["w"]), scheduler.EndDone)
+	r.round()
+	write := r.write()
+	r.c.Assert(write.Jobs, qt.HasLen, 1)
+	r.endAll(0, scheduler.EndDone)
+	r.nodes["w"].ended = r.nodes["w"].ended[1:]
+
+	stored := write.Jobs[0].Progress
+	r.takeOver([]scheduler.Job{job}, map[string]*scheduler.Progress{
+		"j": &stored,
+	})
+	r.hold()
+	r.tick()
+	r.round()
+	r.c.Assert(totalStarts(r, "j"), qt.Equals, 4)
+	r.endAll(1, scheduler.EndDone)
+	r.round()
+	r.write()
+	r.c.Assert(r.state("j"), qt.Equals, scheduler.Completed)
+}
+
+// TestFailureIsCountedOnce has an end that is listed to two owners.
+func TestFailureIsCountedOnce(t *testing.T) {
+	r := newRig(t)
+	r.worker("v", cores(4))
+	r.worker("w", cores(4))
+	r.list()
+	r.hold()
+	job := r.job("j", tasks(1, cores(1)))
+	r.s.AddJob(job, nil, false, r.now)
+	r.tick()
+	r.endAll(0, scheduler.EndFailed)
+	r.hold()
+	stored := r.s.NextWrite().Jobs[0].Progress
+
+	r.takeOver([]scheduler.Job{job}, map[string]*scheduler.Progress{
+		"j": &stored,
+	})
+	r.round()
+	r.round()
+	r.c.Assert(r.state("j"), qt.Equals, scheduler.Running)
+	r.c.Assert(r.active(), qt.Equals, 1)
+}
+
+// TestLeaseLapsesBeforeARestart has a worker fall silent under its own owner.
+func TestLeaseLapsesBeforeARestart(t *testing.T) {
+	r := newRig(t)
+	r.worker("v", cores(4))
+	r.worker("w", cores(4))
+	r.list()
+	r.hold()
+	r.s.AddJob(r.job("j", tasks(1, cores(1))), nil, false, r.now)
+	r.tick()
+	var holder *node
+	for _, n := range r.nodes {
+		if len(n.active) > 0 {
+			holder = n
+		}
+	}
+	holder.silent = true
+	silent := r.now
+	for r.now.Sub(silent) < 4800*time.Millisecond {
+		r.s.Confirm(r.now)
+		r.round()
+		r.c.Assert(totalStarts(r, "j"), qt.Equals, 1, qt.Commentf("after %v", r.now.Sub(silent)))
+	}
+	for r.now.Sub(silent) < 6*time.Second {
+		r.s.Confirm(r.now)
+		r.round()
+	}
+	r.c.Assert(totalStarts(r, "j"), qt.Equals, 2)
+}
+
+// TestLeaseEndsBeforeTheNextOwnersWait has an owner that cannot confirm that
+// it is one: no lease reaches past the time that a next owner would wait.
+func TestLeaseEndsBeforeTheNextOwnersWait(t *testing.T) {
+	r := newRig(t)
+	w := r.worker("w", cores(4))
+	r.list()
+	r.hold()
+	r.s.Confirm(r.now)
+	confirmed := w.clock
+	for range 100 {
+		r.round()
+		order, _ := r.s.HoldOrder("w", r.now)
+		r.c.Assert(order.Lease <= confirmed+6*time.Second, qt.IsTrue,
+			qt.Commentf("lease until %v after the last confirmation", order.Lease-confirmed))
+	}
+}
+
+// TestUnansweredStartHoldsItsRoom has a start without an answer: it is stopped,
+// and nothing else gets its room until the stop is answered.
+func TestUnansweredStartHoldsItsRoom(t *testing.T) {
+	r := newRig(t)
+	w := r.worker("w", cores(1))
+	r.list()
+	r.hold()
+	r.s.AddJob(r.job("j", tasks(1, cores(1))), nil, false, r.now)
+	w.silent = true
+	r.tick()
+	r.tick()
+	w.silent = false
+	r.s.AddJob(r.job("k", tasks(1, cores(1))), nil, false, r.now)
+	r.hold()
+	r.tick()
+	r.c.Assert(r.active(), qt.Equals, 0)
+	r.pass(time.Second)
+	r.hold()
+	r.tick()
+	r.c.Assert(r.active(), qt.Equals, 0, qt.Commentf("the stop was answered only now"))
+	r.round()
+	r.c.Assert(r.active(), qt.Equals, 1)
+}
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -383,9 +383,7 @@
 		moved:    now,
 		pace:     100,
 	}
-	if st != nil {
-		r.describe(st)
-	}
+	s.describeFound(r, st)
 	w.add(r)
 	wanted := t != nil && !t.done && t.run == nil && !st.job.state.Final()
 	if wanted && st.phase.Gang && st.gang != 0 && st.gang != row.Run.Attempt {
@@ -406,6 +404,21 @@
 	return r
 }
 
+// describeFound describes a run that was found on a worker. One of a job that
+// has ended holds its room until it is gone. One of a job that is not known
+// may hold all of it.
+func (s *Scheduler) describeFound(r *run, st *step) {
+	if st != nil {
+		r.describe(st)
+		return
+	}
+	r.size = r.worker.entry.Total
+	ref := r.ref.Task.Step
+	if j := s.jobs[ref.Job]; j != nil && ref.Phase >= 0 && ref.Phase < len(j.record.Phases) {
+		r.size = sizeOf(&j.record.Phases[ref.Phase])
+	}
+}
+
 // describe copies what matters of a run's step.
 func (r *run) describe(st *step) {
 	r.size = sizeOf(st.phase)
