Share the appends of callers; notice a silent store within 0.6 s

Cause: with the store silent each submission waited 1.5 s here and 1.5 s at a peer before its 504, and a slow store got one call for each job.

Change: one append at a time for a partition, with what came meanwhile; a record that was never sent is refused as not run; the store counts as out of reach 0.4 s after its last answer once a call has failed.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -42,8 +42,9 @@
 	// defaultTTL is how long a member may be silent: three times as long as it
 	// should be.
 	defaultTTL = 1200 * time.Millisecond
-	// joinTimeout bounds one call.
-	joinTimeout = 1500 * time.Millisecond
+	// joinTimeout bounds one call. It is how soon a store that has fallen
+	// silent is noticed.
+	joinTimeout = 600 * time.Millisecond
 	// directoryInterval is how often the directory is read by an owner. A
 	// leaving worker must get nothing new after 2 s.
 	directoryInterval = 400 * time.Millisecond
@@ -75,6 +76,7 @@
 type Coordinator struct {
 	settings settings
 	store    *watchedStore
+	submits  *submits
 	receiver *receiver.Receiver
 	pool     *messenger.Pool
 	lanes    *lanes
@@ -119,6 +121,7 @@
 	c.settings.workers = workers
 	c.settings.advise = advise
 	c.store = newWatchedStore(store, c.settings.clock)
+	c.submits = newSubmits(c.store)
 	c.receiver = receiver.New(c, bodies, receiver.Logger(c.settings.logger), receiver.Clock(c.settings.clock))
 	c.pool = messenger.NewPool(messenger.Secret(c.settings.secret), messenger.Clock(c.settings.clock))
 	c.lanes = newLanes(c)
--- a/coordinator/jobs.go
+++ b/coordinator/jobs.go
@@ -14,11 +14,13 @@
 )
 
 const (
-	// appendTimeout bounds how long a job waits for the store to take it.
-	appendTimeout = 1500 * time.Millisecond
+	// appendTimeout bounds an append for callers. A store that is fifty times
+	// slower than usual still answers within it.
+	appendTimeout = 900 * time.Millisecond
 	// appendFresh is how old the last answer of the store may be for a job to
-	// be stored from here. Past it another entry is asked at once.
-	appendFresh = 900 * time.Millisecond
+	// be stored from here, once a call has failed. Past it another entry is
+	// asked at once.
+	appendFresh = 400 * time.Millisecond
 	// peerTimeout bounds a call to another entry that answers from memory.
 	peerTimeout = 600 * time.Millisecond
 )
@@ -42,10 +44,7 @@
 // append stores a record of the jobs' topic, through another entry where the
 // store turns this one away.
 func (c *Coordinator) append(ctx context.Context, partition int, record storer.Record) error {
-	err := errors.Mark(errors.New("coordinator: the store has not answered lately"), storer.ErrUnavailable)
-	if c.store.reachable(appendFresh) {
-		err = c.appendHere(ctx, partition, record)
-	}
+	err := c.appendHere(ctx, partition, record)
 	if !errors.Is(err, storer.ErrUnavailable) {
 		return submitError(err)
 	}
@@ -63,14 +62,12 @@
 	}
 }
 
+// appendHere stores a record of the jobs' topic from this entry.
 func (c *Coordinator) appendHere(ctx context.Context, partition int, record storer.Record) error {
-	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
-	defer cancel()
-	_, err := c.store.Append(ctx, storer.Partition{
-		Topic:  conductor.JobsTopic,
-		Number: partition,
-	}, nil, record)
-	return err
+	if !c.store.reachable(appendFresh) {
+		return errors.Mark(errors.New("coordinator: the store has not answered lately"), storer.ErrUnavailable)
+	}
+	return c.submits.append(ctx, partition, record)
 }
 
 func submitError(err error) error {
