Let a step that cannot be placed take no room from those behind it

Change: only a step whose call for advice is under way holds room back; a gang passes over workers that failed everything when it waits for room. TestStepThatCannotBePlacedDoesNotKeepOthersFromAdvice failed before.

--- a/cmd/galenacove/run.go
+++ b/cmd/galenacove/host.go
@@ -38,9 +38,9 @@
 
 func hostCommand() *cli.Command {
 	return &cli.Command{
-		Name:      "run",
+		Name:      "host",
 		Usage:     "run the process of an entry host on a platform with a store of its own",
-		UsageText: "galenacove run [--log info] [--metrics-port 9464]",
+		UsageText: "galenacove host [--log info] [--metrics-port 9464]",
 		Description: "Reads the platform's settings from the file that the environment variable\n" +
 			platform.SettingsVariable + " names. Serves until SIGTERM, then hands over and\n" +
 			"finishes what is in flight. A second signal ends the process at once.",
@@ -120,7 +120,7 @@
 		metrics, err := net.Listen("tcp", address)
 		if err != nil {
 			// An entry without metrics still serves its callers.
-			logs.WithError(err).Warn("run: metrics are not served")
+			logs.WithError(err).Warn("host: metrics are not served")
 		} else {
 			options = append(options, coordinator.Metrics(metrics))
 		}
--- /dev/null
+++ b/scheduler/advice_test.go
@@ -0,0 +1,231 @@
+package scheduler_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/galenacove/galenacove/scheduler"
+)
+
+var advisedQueue = scheduler.Queue{
+	Name:        "advised",
+	Service:     "desk",
+	MaxAttempts: 2,
+	SlackFactor: 2,
+	Target:      time.Second,
+	Advice: &scheduler.Advice{
+		Decision:  10 * time.Millisecond,
+		PerWorker: time.Millisecond,
+		Validity:  2 * time.Second,
+	},
+}
+
+// advise answers the calls for advice of the last tick: the workers that the
+// function names are approved.
+func (r *rig) advise(approves func(step scheduler.StepRef, worker string) bool) []scheduler.AskAdvice {
+	var asked []scheduler.AskAdvice
+	for _, effect := range r.effects {
+		ask, is := effect.(scheduler.AskAdvice)
+		if !is {
+			continue
+		}
+		asked = append(asked, ask)
+		var approved []scheduler.Approval
+		for _, id := range ask.Workers {
+			if approves(ask.Step, id) {
+				approved = append(approved, scheduler.Approval{
+					WorkerID: id,
+					Ticket:   "ticket of " + id,
+				})
+			}
+		}
+		r.s.AdviceAnswered(ask.Step, ask.Workers, approved, 2*time.Second, r.now)
+	}
+	return asked
+}
+
+func all(scheduler.StepRef, string) bool { return true }
+
+func TestStartsCarryTheTicket(t *testing.T) {
+	r := newRig(t)
+	r.worker("v", cores(4))
+	r.worker("w", cores(4))
+	r.list()
+	r.hold()
+	job := r.job("j", tasks(2, cores(1)))
+	job.Queue = advisedQueue
+	r.s.AddJob(job, nil, false, r.now)
+	r.tick()
+	r.c.Assert(r.active(), qt.Equals, 0)
+	onlyW := func(_ scheduler.StepRef, worker string) bool { return worker == "w" }
+	r.c.Assert(r.advise(onlyW), qt.HasLen, 1)
+	r.tick()
+	r.c.Assert(r.nodes["w"].active, qt.HasLen, 2)
+	for _, effect := range r.effects {
+		if start, is := effect.(scheduler.StartTask); is {
+			r.c.Assert(start.Ticket, qt.Equals, "ticket of w")
+		}
+	}
+}
+
+// TestStepThatCannotBePlacedDoesNotKeepOthersFromAdvice answers the pattern of
+// a wide job that may use few workers: what waits of it takes no room from
+// those behind.
+func TestStepThatCannotBePlacedDoesNotKeepOthersFromAdvice(t *testing.T) {
+	r := newRig(t)
+	r.worker("v", cores(4))
+	r.worker("w", cores(4))
+	r.list()
+	r.hold()
+	phase := tasks(50, cores(1))
+	phase.PerWorker = 1
+	wide := r.job("a", phase)
+	wide.Queue = advisedQueue
+	r.s.AddJob(wide, nil, false, r.now)
+	for range 3 {
+		r.tick()
+		r.advise(all)
+	}
+	r.c.Assert(r.active(), qt.Equals, 2)
+	narrow := r.job("b", tasks(1, cores(1)))
+	narrow.Queue = advisedQueue
+	r.s.AddJob(narrow, nil, false, r.now)
+	for range 3 {
+		r.tick()
+		r.advise(all)
+	}
+	r.c.Assert(r.active(), qt.Equals, 3)
+}
+
+// TestExpiredTicketsAreRenewedOnlyForRoom has the room taken until the tickets
+// have run out.
+func TestExpiredTicketsAreRenewedOnlyForRoom(t *testing.T) {
+	r := newRig(t)
+	r.worker("w", cores(1))
+	r.list()
+	r.hold()
+	r.s.AddJob(r.job("a", tasks(1, cores(1))), nil, false, r.now)
+	r.tick()
+	job := r.job("b", tasks(1, cores(1)))
+	job.Queue = advisedQueue
+	r.s.AddJob(job, nil, false, r.now)
+	for range 30 {
+		r.round()
+		r.c.Assert(r.advise(all), qt.HasLen, 0, qt.Commentf("asked while there is no room"))
+	}
+	r.endAll(0, scheduler.EndDone)
+	r.round()
+	r.c.Assert(r.advise(all), qt.HasLen, 1)
+	r.round()
+	r.c.Assert(r.active(), qt.Equals, 1)
+}
+
+// TestNextPhaseIsAskedAhead has the advice for a phase come before the one
+// that it depends on has ended.
+func TestNextPhaseIsAskedAhead(t *testing.T) {
+	r := newRig(t)
+	r.worker("w", cores(4)).length = time.Second
+	r.list()
+	r.hold()
+	job := r.job("j", tasks(1, cores(1)), tasks(1, cores(1)))
+	job.Queue = advisedQueue
+	r.s.AddJob(job, nil, false, r.now)
+	r.tick()
+	r.advise(all)
+	r.tick()
+	r.c.Assert(r.active(), qt.Equals, 1)
+	asked := 0
+	for range 10 {
+		r.pass(100 * time.Millisecond)
+		r.hold()
+		r.tick()
+		asked += len(r.advise(all))
+	}
+	r.c.Assert(asked, qt.Equals, 1)
+	r.endAll(0, scheduler.EndDone)
+	r.hold()
+	r.tick()
+	r.c.Assert(r.active(), qt.Equals, 1, qt.Commentf("the second phase does not start at once"))
+}
+
+func TestGangStartsWholeOrNotAtAll(t *testing.T) {
+	r := newRig(t)
+	r.worker("v", cores(4))
+	r.worker("w", cores(4))
+	r.list()
+	r.hold()
+	r.s.AddJob(r.job("single", tasks(1, cores(1))), nil, false, r.now)
+	r.tick()
+	phase := tasks(2, cores(4))
+	phase.Gang = true
+	gang := r.job("gang", phase)
+	r.s.AddJob(gang, nil, false, r.now)
+	for range 3 {
+		r.round()
+		r.c.Assert(totalStarts(r, "gang"), qt.Equals, 0)
+	}
+	r.nodes[holderOf(r, "single")].end(runOf(r, "single"), scheduler.EndDone)
+	r.round()
+	r.c.Assert(totalStarts(r, "gang"), qt.Equals, 2)
+	var attempts []int64
+	for _, n := range r.nodes {
+		for run := range n.active {
+			attempts = append(attempts, run.Attempt)
+		}
+	}
+	r.c.Assert(attempts[0], qt.Equals, attempts[1])
+}
+
+// TestGangTriesAgainOnceAllHaveEnded has a member fail.
+func TestGangTriesAgainOnceAllHaveEnded(t *testing.T) {
+	r := newRig(t)
+	r.worker("v", cores(4))
+	r.worker("w", cores(4))
+	r.list()
+	r.hold()
+	phase := tasks(2, cores(4))
+	phase.Gang = true
+	r.s.AddJob(r.job("gang", phase), nil, false, r.now)
+	r.tick()
+	r.c.Assert(r.active(), qt.Equals, 2)
+	r.nodes["v"].end(runOn(r, "v"), scheduler.EndFailed)
+	r.hold()
+	r.pass(time.Second)
+	r.round()
+	r.round()
+	r.c.Assert(r.active(), qt.Equals, 2)
+	r.c.Assert(totalStarts(r, "gang"), qt.Equals, 4)
+	// One end stands for all members.
+	r.nodes["v"].end(runOn(r, "v"), scheduler.EndDone)
+	r.round()
+	r.write()
+	r.c.Assert(r.state("gang"), qt.Equals, scheduler.Completed)
+}
+
+func runOn(r *rig, node string) scheduler.RunRef {
+	return firstRun(r.nodes[node])
+}
+
+func holderOf(r *rig, job string) string {
+	for id, n := range r.nodes {
+		for run := range n.active {
+			if run.Task.Step.Job == job {
+				return id
+			}
+		}
+	}
+	return ""
+}
+
+func runOf(r *rig, job string) scheduler.RunRef {
+	for _, n := range r.nodes {
+		for run := range n.active {
+			if run.Task.Step.Job == job {
+				return run
+			}
+		}
+	}
+	return scheduler.RunRef{}
+}
--- a/scheduler/gangs.go
+++ b/scheduler/gangs.go
@@ -102,6 +102,9 @@
 		if _, kept := p.reserved[w]; kept || !known(st, w, now) {
 			continue
 		}
+		if w.fails >= shunAfter {
+			continue
+		}
 		at, room := s.predict(st, w, now)
 		if room > 0 {
 			places = append(places, place{
@@ -175,7 +178,6 @@
 // breakGang stops the other members of a gang of which one has ended, and
 // has it try again once all have.
 func (s *Scheduler) breakGang(st *step, reason string, now time.Time) {
-	st.retry = now.Add(refusedPause)
 	for i := range st.tasks {
 		if r := st.tasks[i].run; r != nil {
 			s.stop(r, now, "gang broken: "+reason)
--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -102,7 +102,11 @@
 	if st.waiting > 0 && st.job.record.Queue.Advice != nil {
 		s.ask(st, p, now)
 	}
-	p.free = p.free.Sub(sizeOf(st.phase).Times(int64(st.waiting)))
+	if st.advice.asking {
+		// The step will take room soon. One that waits for particular workers
+		// to have room takes none from those behind it.
+		p.free = p.free.Sub(sizeOf(st.phase).Times(int64(st.waiting)))
+	}
 }
 
 // choose returns the worker for a task, or nil.
--- a/scheduler/rig_test.go
+++ b/scheduler/rig_test.go
@@ -32,6 +32,10 @@
 	number int64
 	// silent workers answer nothing.
 	silent bool
+	// began is when each run did, on the worker's clock, and length how long
+	// the runs take until they show that they are done.
+	began  map[scheduler.RunRef]time.Duration
+	length time.Duration
 	// started counts the starts by task.
 	started map[scheduler.TaskRef]int
 }
@@ -59,6 +63,8 @@
 		clock:   time.Hour,
 		active:  make(map[scheduler.RunRef]scheduler.ActiveRun),
 		started: make(map[scheduler.TaskRef]int),
+		began:   make(map[scheduler.RunRef]time.Duration),
+		length:  10 * time.Second,
 	}
 	r.nodes[id] = n
 	return n
@@ -89,9 +95,7 @@
 			Ended: append([]scheduler.EndedRun(nil), n.ended...),
 		}
 		for ref, run := range n.active {
-			// Each run works on, by a percent each tenth of a second.
-			run.Percent = min(99, run.Percent+1)
-			n.active[ref] = run
+			run.Percent = min(99, int(100*(n.clock-n.began[ref])/n.length))
 			report.Active = append(report.Active, run)
 		}
 		r.s.Report(ref.ID, report, r.now, r.now)
@@ -113,6 +117,7 @@
 				Run: effect.Run,
 			}
 			n.started[effect.Run.Task]++
+			n.began[effect.Run] = n.clock
 			r.s.StartAnswered(effect.Worker.ID, effect.Run, scheduler.StartDone, r.now)
 		case scheduler.StopTask:
 			n := r.nodes[effect.Worker.ID]
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -467,6 +467,7 @@
 	}
 	s.unassign(st, t, now)
 	if st.phase.Gang {
+		st.retry = now.Add(refusedPause)
 		s.breakGang(st, "a member was lost", now)
 	}
 }
