Store the workers in use before anything starts on them

The list of workers in use was written with other progress, from the directory.

Ruled out: a lease that outlived the takeover; the run's lease lapsed 3.5 s after the second start, as reckoned.

Change: the list comes from the scheduler's table, so it keeps workers that the directory has lost; a worker that is not in the stored list gets nothing. SIGHUP reads the settings again (it ended the process before).

--- a/cmd/galenacove/host.go
+++ b/cmd/galenacove/host.go
@@ -4,8 +4,11 @@
 	"context"
 	"fmt"
 	"net"
+	"os"
+	"os/signal"
 	"runtime/debug"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/apex/log"
@@ -99,7 +102,6 @@
 	if err != nil {
 		return err
 	}
-	lease := settings.LongestLease()
 	options := []coordinator.Option{
 		coordinator.Name(settings.Name(), settings.DataCentre()),
 		coordinator.Listeners(listeners[0], listeners[1], listeners[2]),
@@ -108,12 +110,7 @@
 		coordinator.Logger(logs),
 		coordinator.Config(platform.ConfigPartition(), platform.DecodeConfig),
 		coordinator.Directory(platform.DirectoryPartition(), platform.DecodeWorker),
-		coordinator.Scheduling(
-			scheduler.Lease(min(usefulLease, time.Duration(leaseShare*float64(lease))), lease),
-			scheduler.StopTimeout(settings.StopTimeout()),
-			scheduler.Keep(settings.KeepStates()),
-			scheduler.RemoteFactor(settings.RemoteFactor()),
-		),
+		coordinator.Scheduling(scheduling(settings)...),
 	}
 	if port := cmd.Int("metrics-port"); port > 0 {
 		address := net.JoinHostPort(settings.IP(), strconv.Itoa(port))
@@ -130,13 +127,50 @@
 	process := coordinator.New(platform.NewStore(client, settings.Store()), platform.NewWorkers(client),
 		adviser.Advise, platform.Bodies{}, options...)
 	var group errgroup.Group
-	writing, stopWriting := context.WithCancel(context.WithoutCancel(ctx))
-	group.Go(func() error { return handler.Run(writing) })
+	serving, stopServing := context.WithCancel(context.WithoutCancel(ctx))
+	group.Go(func() error { return handler.Run(serving) })
+	group.Go(func() error {
+		reload(serving, cmd.String("settings"), process, logs)
+		return nil
+	})
 	err = process.Run(ctx)
-	stopWriting()
+	stopServing()
 	return errors.CombineErrors(err, group.Wait())
 }
 
+// scheduling returns what the platform's settings say to a scheduler.
+func scheduling(settings platform.Settings) []scheduler.Option {
+	lease := settings.LongestLease()
+	return []scheduler.Option{
+		scheduler.Lease(min(usefulLease, time.Duration(leaseShare*float64(lease))), lease),
+		scheduler.StopTimeout(settings.StopTimeout()),
+		scheduler.Keep(settings.KeepStates()),
+		scheduler.RemoteFactor(settings.RemoteFactor()),
+	}
+}
+
+// reload reads the settings again at each SIGHUP. A file with faults changes
+// nothing.
+func reload(ctx context.Context, path string, process *coordinator.Coordinator, logs log.Interface) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	for {
+		select {
+		case <-signals:
+		case <-ctx.Done():
+			return
+		}
+		settings, err := platform.LoadSettings(path)
+		if err != nil {
+			logs.WithError(err).Error("host: the settings were not taken")
+			continue
+		}
+		process.SetScheduling(scheduling(settings)...)
+		logs.WithField("file", path).Info("host: settings read again, for the partitions owned from now on")
+	}
+}
+
 func listen(addresses ...string) ([]net.Listener, error) {
 	listeners := make([]net.Listener, len(addresses))
 	for i, address := range addresses {
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -10,7 +10,6 @@
 import (
 	"context"
 	"encoding/json"
-	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -121,8 +120,6 @@
 	moved chan struct{}
 	// entries is the directory as it was last told.
 	entries []scheduler.WorkerEntry
-	// expected holds the workers that are stored as in use.
-	expected map[string]scheduler.WorkerEntry
 	// holders holds the workers that are being held.
 	holders map[string]context.CancelFunc
 	// sequence numbers the next write.
@@ -180,7 +177,6 @@
 		wake:      make(chan struct{}, 1),
 		dirty:     make(chan struct{}, 1),
 		moved:     make(chan struct{}),
-		expected:  make(map[string]scheduler.WorkerEntry),
 		holders:   make(map[string]context.CancelFunc),
 	}
 	for _, opt := range opts {
@@ -233,6 +229,7 @@
 	}
 	c.mu.Unlock()
 	c.poke()
+	c.askWrite()
 }
 
 // State returns the state of a job, and whether there is one. Before it tells
@@ -382,9 +379,6 @@
 	defer c.mu.Unlock()
 	s.Confirm(c.confirmed)
 	s.Expect(used)
-	for _, entry := range used {
-		c.expected[entry.Ref.ID] = entry
-	}
 	s.SetWorkers(c.entries)
 	c.scheduler = s
 	c.takeRecords(jobs, known, now)
@@ -575,7 +569,6 @@
 func (c *Conductor) writeNow(ctx context.Context) error {
 	c.mu.Lock()
 	write := c.scheduler.NextWrite()
-	workers, changed := c.workersRecord()
 	c.mu.Unlock()
 	records := make([]storer.Record, 0, len(write.Jobs)+len(write.Drops)+1)
 	for _, part := range write.Jobs {
@@ -593,11 +586,18 @@
 			Key: id,
 		})
 	}
-	if changed {
-		records = append(records, workers)
+	if len(write.Workers) > 0 {
+		value, err := json.Marshal(write.Workers)
+		if err != nil {
+			return errors.Wrap(err, "conductor: encode the workers in use")
+		}
+		records = append(records, storer.Record{
+			Key:   workersKey,
+			Value: value,
+		})
 	}
 	if len(records) > 0 {
-		if err := c.store2(ctx, records); err != nil {
+		if err := c.appendProgress(ctx, records); err != nil {
 			return err
 		}
 	}
@@ -608,8 +608,8 @@
 	return c.dropJobs(ctx, write.Drops)
 }
 
-// store2 appends records as the owner, until that has succeeded.
-func (c *Conductor) store2(ctx context.Context, records []storer.Record) error {
+// appendProgress appends records as the owner, until that has succeeded.
+func (c *Conductor) appendProgress(ctx context.Context, records []storer.Record) error {
 	writer := &storer.Writer{
 		Name:     writerName,
 		Epoch:    c.token,
@@ -636,35 +636,6 @@
 	}
 }
 
-// workersRecord returns the record of the workers in use, if it has changed.
-// The caller holds mu.
-func (c *Conductor) workersRecord() (storer.Record, bool) {
-	var entries []scheduler.WorkerEntry
-	changed := len(c.entries) != len(c.expected)
-	for _, entry := range c.entries {
-		if _, found := c.expected[entry.Ref.ID]; !found {
-			changed = true
-		}
-		entries = append(entries, entry)
-	}
-	if !changed || len(entries) == 0 {
-		return storer.Record{}, false
-	}
-	clear(c.expected)
-	for _, entry := range entries {
-		c.expected[entry.Ref.ID] = entry
-	}
-	value, err := json.Marshal(entries)
-	if err != nil {
-		c.logger.WithError(err).Error("conductor: the workers in use cannot be encoded")
-		return storer.Record{}, false
-	}
-	return storer.Record{
-		Key:   workersKey,
-		Value: value,
-	}, true
-}
-
 // dropJobs drops jobs that need no longer be known.
 func (c *Conductor) dropJobs(ctx context.Context, ids []string) error {
 	if len(ids) == 0 {
@@ -684,12 +655,3 @@
 	}
 	return nil
 }
-
-// sortedEntries orders entries by worker, for the log and the tests.
-func sortedEntries(entries []scheduler.WorkerEntry) []scheduler.WorkerEntry {
-	sorted := slices.Clone(entries)
-	slices.SortFunc(sorted, func(a, b scheduler.WorkerEntry) int {
-		return strings.Compare(a.Ref.ID, b.Ref.ID)
-	})
-	return sorted
-}
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -133,6 +133,14 @@
 	return c
 }
 
+// SetScheduling sets the options of the schedulers of partitions that are owned
+// from now on.
+func (c *Coordinator) SetScheduling(options ...scheduler.Option) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.settings.scheduling = options
+}
+
 // renew makes this process a new member of the group.
 func (c *Coordinator) renew() {
 	life := make([]byte, 0, 8)
--- a/scheduler/recovery_test.go
+++ b/scheduler/recovery_test.go
@@ -245,3 +245,47 @@
 	r.round()
 	r.c.Assert(r.active(), qt.Equals, 1)
 }
+
+// TestWorkersInUseOutliveOwnersThatDoNotSeeThem has the directory lose a worker
+// while two owners follow each other: what runs there is not started again.
+func TestWorkersInUseOutliveOwnersThatDoNotSeeThem(t *testing.T) {
+	r := newRig(t)
+	w := r.worker("w", cores(4))
+	r.list()
+	r.hold()
+	job := r.job("j", tasks(1, cores(1)))
+	r.s.AddJob(job, nil, false, r.now)
+	r.tick()
+	r.c.Assert(r.active(), qt.Equals, 1)
+	v := r.worker("v", cores(4))
+	used := []scheduler.WorkerEntry{w.entry}
+	for token := int64(2); token <= 3; token++ {
+		r.s = scheduler.New(token, r.now)
+		r.s.AddJob(job, nil, true, r.now)
+		r.s.Expect(used)
+		r.s.SetWorkers([]scheduler.WorkerEntry{v.entry})
+		w.silent = token == 2
+		r.round()
+		if write := r.write(); len(write.Workers) > 0 {
+			used = write.Workers
+		}
+		r.round()
+		r.round()
+		r.c.Assert(totalStarts(r, "j"), qt.Equals, 1, qt.Commentf("under token %d", token))
+	}
+}
+
+// TestNothingStartsOnAWorkerThatIsNotRecorded has a worker appear: it is used
+// once the store names it.
+func TestNothingStartsOnAWorkerThatIsNotRecorded(t *testing.T) {
+	r := newRig(t)
+	r.worker("w", cores(4))
+	r.s.SetWorkers([]scheduler.WorkerEntry{r.nodes["w"].entry})
+	r.hold()
+	r.s.AddJob(r.job("j", tasks(1, cores(1))), nil, false, r.now)
+	r.tick()
+	r.c.Assert(r.active(), qt.Equals, 0)
+	r.c.Assert(r.write().Workers, qt.HasLen, 1)
+	r.tick()
+	r.c.Assert(r.active(), qt.Equals, 1)
+}
--- a/scheduler/rig_test.go
+++ b/scheduler/rig_test.go
@@ -76,6 +76,7 @@
 		entries = append(entries, n.entry)
 	}
 	r.s.SetWorkers(entries)
+	r.write()
 }
 
 // hold renews the leases of all workers and takes their reports.
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -414,6 +414,14 @@
 	Jobs  []JobProgress
 	// Drops are jobs that need no longer be kept.
 	Drops []string
+	// Workers replaces the list of workers in use. It is nil where that has
+	// not grown.
+	Workers []WorkerEntry
+}
+
+// Empty tells that there is nothing to store.
+func (w Write) Empty() bool {
+	return len(w.Jobs) == 0 && len(w.Drops) == 0 && len(w.Workers) == 0
 }
 
 // JobProgress is the progress of one job.
@@ -425,6 +433,9 @@
 // Unwritten tells whether there is something to store, and whether a caller
 // may be waiting for it.
 func (s *Scheduler) Unwritten() (some, urgent bool) {
+	if s.unrecorded() {
+		return true, true
+	}
 	for id := range s.dirty {
 		if s.jobs[id].state.Final() {
 			return true, true
@@ -441,6 +452,9 @@
 	}
 	s.batch++
 	s.drops = nil
+	if s.unrecorded() {
+		write.Workers = s.inUse()
+	}
 	for id := range s.dirty {
 		write.Jobs = append(write.Jobs, JobProgress{
 			ID:       id,
@@ -461,6 +475,11 @@
 // Written tells that a write is stored.
 func (s *Scheduler) Written(write Write) {
 	s.written = write.Batch
+	for _, entry := range write.Workers {
+		if w := s.workers[entry.Ref.ID]; w != nil {
+			w.recorded = true
+		}
+	}
 	for _, part := range write.Jobs {
 		if j := s.jobs[part.ID]; j != nil && part.Progress.State.Final() {
 			j.stored = true
@@ -477,8 +496,7 @@
 	if j.state.Final() {
 		return p
 	}
-	for ref, part := range j.loaded {
-		_ = ref
+	for _, part := range j.loaded {
 		p.Steps = append(p.Steps, part)
 	}
 	for ref, st := range j.steps {
--- a/scheduler/tables.go
+++ b/scheduler/tables.go
@@ -140,6 +140,10 @@
 	fills  int
 	// adopted tells that the worker has obeyed this owner.
 	adopted bool
+	// recorded tells that the store names the worker as one in use. Nothing is
+	// started on it before, so that a next owner asks it what runs there, also
+	// if the directory has lost it by then.
+	recorded bool
 	// clock is the worker's clock at seen, at least.
 	clock time.Duration
 	seen  time.Time
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -119,9 +120,33 @@
 func (s *Scheduler) Expect(entries []WorkerEntry) {
 	for _, entry := range entries {
 		if s.workers[entry.Ref.ID] == nil {
-			s.workers[entry.Ref.ID] = newWorker(entry)
+			w := newWorker(entry)
+			w.recorded = true
+			s.workers[entry.Ref.ID] = w
+		}
+	}
+}
+
+// unrecorded tells that the store does not name all workers.
+func (s *Scheduler) unrecorded() bool {
+	for _, w := range s.workers {
+		if !w.recorded {
+			return true
 		}
 	}
+	return false
+}
+
+// inUse returns all workers on which there may be runs, by identity.
+func (s *Scheduler) inUse() []WorkerEntry {
+	entries := make([]WorkerEntry, 0, len(s.workers))
+	for _, w := range s.workers {
+		entries = append(entries, w.entry)
+	}
+	slices.SortFunc(entries, func(a, b WorkerEntry) int {
+		return strings.Compare(a.Ref.ID, b.Ref.ID)
+	})
+	return entries
 }
 
 func newWorker(entry WorkerEntry) *worker {
