Name the workers of a job in the store before its first start there

Change: the progress of a job names the workers on which its tasks may be, written before the start; only jobs that name a silent worker wait. An entry that loses partitions joins again at once and nudges its peers, so that a rebalance does not take two joining intervals.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -55,7 +55,7 @@
 	retryPause = 100 * time.Millisecond
 	// urgentLinger gathers the ends that come within a round trip of each
 	// other into one write, for which a caller may be waiting.
-	urgentLinger = 3 * time.Millisecond
+	urgentLinger = 2 * time.Millisecond
 	// calmLinger gathers the others. Workers list an end again until it is
 	// acknowledged, which may take up to a few seconds.
 	calmLinger = 25 * time.Millisecond
@@ -605,6 +605,7 @@
 	c.scheduler.Written(write)
 	c.signalMoved()
 	c.mu.Unlock()
+	c.poke()
 	return c.dropJobs(ctx, write.Drops)
 }
 
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -83,6 +83,8 @@
 	registry *prometheus.Registry
 	metrics  *conductor.Metrics
 
+	// nudged asks for a look at what the group deals to this entry.
+	nudged chan struct{}
 	// stopping is set once the process has begun to stop.
 	stopping atomic.Bool
 	// directory is the last one that was read.
@@ -117,6 +119,7 @@
 		owned:    make(map[int]*ownership),
 		owners:   make(map[int]string),
 		peers:    make(map[string]string),
+		nudged:   make(chan struct{}, 1),
 	}
 	c.settings.workers = workers
 	c.settings.advise = advise
@@ -190,7 +193,7 @@
 		case <-ctx.Done():
 		case <-running.Done():
 		}
-		c.shutdown(running, callers)
+		c.shutdown(running, group, callers)
 		halt()
 		for _, s := range []*http.Server{probes, metrics, callers} {
 			if s != nil {
@@ -269,11 +272,12 @@
 }
 
 // shutdown hands the partitions over, and lets callers finish.
-func (c *Coordinator) shutdown(ctx context.Context, callers *http.Server) {
+func (c *Coordinator) shutdown(ctx context.Context, group *errgroup.Group, callers *http.Server) {
 	c.stopping.Store(true)
 	c.settings.logger.WithField("entry", c.settings.name).Info("coordinator: stopping")
 	began := c.settings.clock.Now()
 	c.handOver(ctx)
+	c.nudge(ctx, group)
 	if err := timekeeper.Sleep(ctx, c.settings.clock, min(leavePause, c.settings.grace/2)); err != nil {
 		return
 	}
--- a/coordinator/membership.go
+++ b/coordinator/membership.go
@@ -11,25 +11,61 @@
 
 	"github.com/galenacove/galenacove/conductor"
 	"github.com/galenacove/galenacove/storer"
-	"github.com/galenacove/galenacove/timekeeper"
 )
 
 // ownersAge is how old what is known of the owners may be before a failed call
 // has it read again.
 const ownersAge = 150 * time.Millisecond
 
+const (
+	// mostNudged bounds the entries that are told of a change: about as many
+	// as there are partitions.
+	mostNudged = 16
+	// nudgeTimeout bounds one call. It saves at most the interval between two
+	// joins.
+	nudgeTimeout = joinInterval
+)
+
 // keepMembership keeps this process in the group, and owns what the group
 // deals to it.
 func (c *Coordinator) keepMembership(ctx context.Context, group *errgroup.Group) error {
-	return timekeeper.Every(ctx, c.settings.clock, joinInterval, func(ctx context.Context) {
-		if c.stopping.Load() {
-			return
+	for {
+		if !c.stopping.Load() && c.join(ctx, group) {
+			// The group gives a partition on once its former owner joins with
+			// the generation in which it lost it.
+			c.join(ctx, group)
+			c.nudge(ctx, group)
 		}
-		c.join(ctx, group)
-	})
+		timer := c.settings.clock.NewTimer(joinInterval)
+		select {
+		case <-timer.C():
+		case <-c.nudged:
+		case <-ctx.Done():
+		}
+		timer.Stop()
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+	}
 }
 
-func (c *Coordinator) join(ctx context.Context, group *errgroup.Group) {
+// nudge has the other entries look at once at what the group deals to them.
+func (c *Coordinator) nudge(ctx context.Context, group *errgroup.Group) {
+	for _, address := range c.lanes.reachable(mostNudged) {
+		group.Go(func() error {
+			calling, cancel := context.WithTimeout(ctx, nudgeTimeout)
+			defer cancel()
+			// An entry that is not reached looks by itself a little later.
+			if err := c.pool.Call(calling, address, rpcName+".Nudge", struct{}{}, new(struct{})); err != nil {
+				c.settings.logger.WithError(err).Debug("coordinator: a peer was not nudged")
+			}
+			return nil
+		})
+	}
+}
+
+// join keeps up the membership once. It reports whether partitions were lost.
+func (c *Coordinator) join(ctx context.Context, group *errgroup.Group) bool {
 	c.mu.Lock()
 	member, generation := c.member, c.generation
 	c.mu.Unlock()
@@ -41,12 +77,12 @@
 		if ctx.Err() == nil {
 			c.settings.logger.WithError(err).Warn("coordinator: membership not kept up")
 		}
-		return
+		return false
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.stopping.Load() || c.member != member {
-		return
+		return false
 	}
 	if held.Generation != c.generation {
 		c.settings.logger.WithFields(log.Fields{
@@ -61,9 +97,11 @@
 			listed[partition.Number] = true
 		}
 	}
+	lost := false
 	for partition, own := range c.owned {
 		if !listed[partition] {
 			c.drop(partition, own, "dealt to another entry")
+			lost = true
 			continue
 		}
 		own.conductor.Confirm(sent)
@@ -73,6 +111,7 @@
 			c.own(ctx, group, partition, held.Generation)
 		}
 	}
+	return lost
 }
 
 // drop ends an ownership. The caller holds mu.
--- a/coordinator/rpc.go
+++ b/coordinator/rpc.go
@@ -99,6 +99,15 @@
 	return nil
 }
 
+// Nudge has this entry look at once at what the group deals to it.
+func (r *rpc) Nudge(_ struct{}, _ *struct{}) error {
+	select {
+	case r.coordinator.nudged <- struct{}{}:
+	default:
+	}
+	return nil
+}
+
 // AdviseArgs asks for advice from this entry's own place at the adviser.
 type AdviseArgs struct {
 	Step    scheduler.StepRef
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -248,6 +248,8 @@
 	State JobState `json:"state"`
 	// Ended is when a final state was reached.
 	Ended time.Time `json:"ended,omitzero"`
+	// Workers are all on which tasks may have been started.
+	Workers []string `json:"workers,omitempty"`
 	// Steps holds the steps of which anything is known.
 	Steps []StepProgress `json:"steps,omitempty"`
 }
--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -265,16 +265,67 @@
 		delete(s.open, st.ref)
 	}
 	s.begin(st.job)
+	if st.job.named[w.entry.Ref.ID] {
+		s.send(r, st, now)
+		return
+	}
+	st.job.workers[w.entry.Ref.ID] = true
+	s.dirty[st.job.record.ID] = true
+	s.planned = append(s.planned, r)
+}
+
+// send orders a planned run.
+func (s *Scheduler) send(r *run, st *step, now time.Time) {
+	r.state = runStarting
+	r.began = now
+	r.moved = now
+	w := r.worker
 	s.emit(StartTask{
 		Run:        r.ref,
 		Worker:     w.entry.Ref,
 		Spec:       st.job.record.Spec,
-		Checkpoint: t.checkpoint,
+		Checkpoint: st.tasks[r.ref.Task.Index].checkpoint,
 		Ticket:     st.advice.tickets[w.entry.Ref.ID].value,
 		Lease:      s.extendLease(w, now),
 	})
 }
 
+// sendPlanned orders the runs whose worker the store names by now, and drops
+// those that can no longer start there. Of a gang all members are ordered at
+// once.
+func (s *Scheduler) sendPlanned(now time.Time) {
+	planned := s.planned
+	s.planned = nil
+	var keep []*run
+	for _, r := range planned {
+		st, t := s.find(r.ref.Task)
+		if t == nil || t.run != r || r.state != runPlanned {
+			continue
+		}
+		switch {
+		case !r.worker.available(now) || !s.allowed(st, r.worker, now):
+			s.lose(r, "worker no longer fit before the start", now)
+		case !st.allNamed():
+			keep = append(keep, r)
+		default:
+			s.send(r, st, now)
+		}
+	}
+	s.planned = append(s.planned, keep...)
+}
+
+// allNamed tells that the store names the workers of all planned runs of the
+// step that must begin together.
+func (st *step) allNamed() bool {
+	for i := range st.tasks {
+		r := st.tasks[i].run
+		if r != nil && r.state == runPlanned && !st.job.named[r.worker.entry.Ref.ID] {
+			return false
+		}
+	}
+	return true
+}
+
 // remaining is how much longer a run will take, as far as can be told.
 func (s *Scheduler) remaining(r *run, now time.Time) time.Duration {
 	if r.lasting {
--- a/scheduler/recovery_test.go
+++ b/scheduler/recovery_test.go
@@ -9,15 +9,24 @@
 	"github.com/galenacove/galenacove/scheduler"
 )
 
-// takeOver returns a rig with the same workers and a new owner.
-func (r *rig) takeOver(jobs []scheduler.Job, progress map[string]*scheduler.Progress) {
+// takeOver puts a new owner over the same workers, which knows what is stored.
+func (r *rig) takeOver(jobs ...scheduler.Job) {
 	r.s = scheduler.New(r.s.Token()+1, r.now)
 	for _, job := range jobs {
-		r.s.AddJob(job, progress[job.ID], true, r.now)
+		r.restore(job)
 	}
 	r.list()
 }
 
+// restore gives a job to the owner with the progress that is stored.
+func (r *rig) restore(job scheduler.Job) {
+	var progress *scheduler.Progress
+	if stored, found := r.stored[job.ID]; found {
+		progress = &stored
+	}
+	r.s.AddJob(job, progress, true, r.now)
+}
+
 // TestRunOfAnEndedJobKeepsItsRoom has a new owner find a run that belongs to a
 // job which is cancelled already: it holds its room until it has ended.
 func TestRunOfAnEndedJobKeepsItsRoom(t *testing.T) {
@@ -30,12 +39,11 @@
 	r.tick()
 	r.c.Assert(r.active(), qt.Equals, 1)
 
-	r.takeOver([]scheduler.Job{old}, map[string]*scheduler.Progress{
-		"old": {
-			State: scheduler.Cancelled,
-			Ended: r.now,
-		},
-	})
+	r.stored["old"] = scheduler.Progress{
+		State: scheduler.Cancelled,
+		Ended: r.now,
+	}
+	r.takeOver(old)
 	r.hold()
 	r.s.AddJob(r.job("new", tasks(1, cores(3))), nil, false, r.now)
 	effects := r.s.Tick(r.now)
@@ -54,7 +62,7 @@
 	job := r.job("j", tasks(2, cores(1)))
 	r.s.AddJob(job, nil, false, r.now)
 	r.tick()
-	r.takeOver([]scheduler.Job{job}, nil)
+	r.takeOver(job)
 	r.tick()
 	r.c.Assert(r.active(), qt.Equals, 2)
 	r.round()
@@ -80,7 +88,7 @@
 	r.c.Assert(r.active(), qt.Equals, 5)
 	w.silent = true
 
-	r.takeOver([]scheduler.Job{old}, nil)
+	r.takeOver(old)
 	r.hold()
 	r.pass(1500 * time.Millisecond)
 	r.s.AddJob(r.job("new", tasks(1, cores(1))), nil, false, r.now)
@@ -139,10 +147,7 @@
 	r.endAll(0, scheduler.EndDone)
 	r.nodes["w"].ended = r.nodes["w"].ended[1:]
 
-	stored := write.Jobs[0].Progress
-	r.takeOver([]scheduler.Job{job}, map[string]*scheduler.Progress{
-		"j": &stored,
-	})
+	r.takeOver(job)
 	r.hold()
 	r.tick()
 	r.round()
@@ -165,11 +170,9 @@
 	r.tick()
 	r.endAll(0, scheduler.EndFailed)
 	r.hold()
-	stored := r.s.NextWrite().Jobs[0].Progress
+	r.write()
 
-	r.takeOver([]scheduler.Job{job}, map[string]*scheduler.Progress{
-		"j": &stored,
-	})
+	r.takeOver(job)
 	r.round()
 	r.round()
 	r.c.Assert(r.state("j"), qt.Equals, scheduler.Running)
@@ -261,7 +264,7 @@
 	used := []scheduler.WorkerEntry{w.entry}
 	for token := int64(2); token <= 3; token++ {
 		r.s = scheduler.New(token, r.now)
-		r.s.AddJob(job, nil, true, r.now)
+		r.restore(job)
 		r.s.Expect(used)
 		r.s.SetWorkers([]scheduler.WorkerEntry{v.entry})
 		w.silent = token == 2
@@ -289,3 +292,50 @@
 	r.tick()
 	r.c.Assert(r.active(), qt.Equals, 1)
 }
+
+// TestOldJobThatCannotBeOnASilentWorkerGoesOn has a new owner that cannot reach
+// one worker: a job of which nothing was started there does not wait for it.
+func TestOldJobThatCannotBeOnASilentWorkerGoesOn(t *testing.T) {
+	r := newRig(t)
+	r.worker("v", cores(2))
+	r.list()
+	r.hold()
+	running := r.job("running", tasks(3, cores(1)))
+	r.s.AddJob(running, nil, false, r.now)
+	queued := r.job("queued", tasks(1, cores(1)))
+	r.s.AddJob(queued, nil, false, r.now)
+	r.tick()
+	r.c.Assert(r.active(), qt.Equals, 2)
+	w := r.worker("w", cores(2))
+	w.silent = true
+	r.takeOver(running, queued)
+	r.hold()
+	r.endAll(0, scheduler.EndDone)
+	r.round()
+	r.c.Assert(totalStarts(r, "running"), qt.Equals, 3)
+	r.c.Assert(totalStarts(r, "queued"), qt.Equals, 1)
+}
+
+// TestNothingStartsBeforeItsWorkerIsStored has the store take no write: a start
+// that a next owner would not know of is not sent.
+func TestNothingStartsBeforeItsWorkerIsStored(t *testing.T) {
+	r := newRig(t)
+	r.worker("w", cores(2))
+	r.list()
+	r.hold()
+	r.s.AddJob(r.job("j", tasks(1, cores(1)), tasks(1, cores(1))), nil, false, r.now)
+	for range 5 {
+		r.pass(100 * time.Millisecond)
+		r.hold()
+		r.carryOut(r.s.Tick(r.now))
+		r.c.Assert(r.active(), qt.Equals, 0)
+	}
+	r.write()
+	r.tick()
+	r.c.Assert(r.active(), qt.Equals, 1)
+	// What follows on the same worker needs no other write.
+	r.endAll(0, scheduler.EndDone)
+	r.hold()
+	r.carryOut(r.s.Tick(r.now))
+	r.c.Assert(r.active(), qt.Equals, 1)
+}
--- a/scheduler/rig_test.go
+++ b/scheduler/rig_test.go
@@ -19,6 +19,8 @@
 	s     *scheduler.Scheduler
 	now   time.Time
 	nodes map[string]*node
+	// stored is the progress that was written, by job.
+	stored map[string]scheduler.Progress
 	// effects are those of the last tick.
 	effects []scheduler.Effect
 }
@@ -42,10 +44,11 @@
 
 func newRig(t *testing.T, opts ...scheduler.Option) *rig {
 	return &rig{
-		c:     qt.New(t),
-		now:   time.Unix(1_700_000_000, 0),
-		s:     scheduler.New(1, time.Unix(1_700_000_000, 0), opts...),
-		nodes: make(map[string]*node),
+		c:      qt.New(t),
+		now:    time.Unix(1_700_000_000, 0),
+		s:      scheduler.New(1, time.Unix(1_700_000_000, 0), opts...),
+		nodes:  make(map[string]*node),
+		stored: make(map[string]scheduler.Progress),
 	}
 }
 
@@ -103,9 +106,20 @@
 	}
 }
 
-// tick runs the scheduler and carries out what it decides.
+// tick runs the scheduler and carries out what it decides, with a write where
+// starts wait for one.
 func (r *rig) tick() {
-	r.effects = r.s.Tick(r.now)
+	r.carryOut(r.s.Tick(r.now))
+	if r.s.Planned() > 0 {
+		r.write()
+		asked := r.effects
+		r.carryOut(r.s.Tick(r.now))
+		r.effects = append(asked, r.effects...)
+	}
+}
+
+func (r *rig) carryOut(effects []scheduler.Effect) {
+	r.effects = effects
 	for _, effect := range r.effects {
 		switch effect := effect.(type) {
 		case scheduler.StartTask:
@@ -175,6 +189,9 @@
 func (r *rig) write() scheduler.Write {
 	write := r.s.NextWrite()
 	r.s.Written(write)
+	for _, part := range write.Jobs {
+		r.stored[part.ID] = part.Progress
+	}
 	return write
 }
 
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -17,10 +17,6 @@
 	// keepFinal is how much longer a job is known after the time for which its
 	// state is promised.
 	keepFinal = 10 * time.Second
-	// laterStart is how long after a takeover the former owner may still have
-	// learnt of new jobs. It is twice the interval at which an owner confirms
-	// that it is one.
-	laterStart = time.Second
 )
 
 // Options of a Scheduler.
@@ -93,7 +89,9 @@
 	// confirmed is when the ownership was last known to hold.
 	confirmed time.Time
 
-	dirty map[string]bool
+	// planned holds the runs that wait for their worker to be named.
+	planned []*run
+	dirty   map[string]bool
 	// batch numbers the next write of progress, and written the last one that
 	// is stored.
 	batch, written int64
@@ -166,7 +164,9 @@
 		state:     Pending,
 		steps:     make(map[StepRef]*step),
 		loaded:    make(map[StepRef]StepProgress),
-		recovered: recovered || record.Accepted.Before(s.began.Add(laterStart)) && now.Before(s.began.Add(laterStart)),
+		recovered: recovered,
+		workers:   make(map[string]bool),
+		named:     make(map[string]bool),
 		objective: record.objective(),
 		chains:    record.chains(),
 	}
@@ -176,6 +176,10 @@
 		j.ended = progress.Ended
 		j.stored = progress.State.Final()
 		j.begun = progress.State != Pending
+		for _, id := range progress.Workers {
+			j.workers[id] = true
+			j.named[id] = true
+		}
 		for _, part := range progress.Steps {
 			j.loaded[StepRef{
 				Job:        record.ID,
@@ -433,7 +437,7 @@
 // Unwritten tells whether there is something to store, and whether a caller
 // may be waiting for it.
 func (s *Scheduler) Unwritten() (some, urgent bool) {
-	if s.unrecorded() {
+	if s.unrecorded() || len(s.planned) > 0 {
 		return true, true
 	}
 	for id := range s.dirty {
@@ -481,12 +485,24 @@
 		}
 	}
 	for _, part := range write.Jobs {
-		if j := s.jobs[part.ID]; j != nil && part.Progress.State.Final() {
+		j := s.jobs[part.ID]
+		if j == nil {
+			continue
+		}
+		if part.Progress.State.Final() {
 			j.stored = true
 		}
+		for _, id := range part.Progress.Workers {
+			j.named[id] = true
+		}
 	}
 }
 
+// Planned counts the runs that wait for a write.
+func (s *Scheduler) Planned() int {
+	return len(s.planned)
+}
+
 // progress returns what of the job must be stored.
 func (j *job) progress() Progress {
 	p := Progress{
@@ -496,6 +512,10 @@
 	if j.state.Final() {
 		return p
 	}
+	for id := range j.workers {
+		p.Workers = append(p.Workers, id)
+	}
+	slices.Sort(p.Workers)
 	for _, part := range j.loaded {
 		p.Steps = append(p.Steps, part)
 	}
--- a/scheduler/tables.go
+++ b/scheduler/tables.go
@@ -22,8 +22,13 @@
 	steps map[StepRef]*step
 	// loaded is the progress that was stored before this owner, by step.
 	loaded map[StepRef]StepProgress
-	// recovered tells that the former owner may have started tasks.
+	// recovered tells that the job was stored before this owner took over.
 	recovered bool
+	// workers holds those on which tasks may have been started. The store names
+	// each before a start is sent there, so that a next owner knows whom to ask.
+	workers map[string]bool
+	// named holds those of workers that the store names by now.
+	named map[string]bool
 	// begun tells that a task has started.
 	begun bool
 	// objective is the job's own bound, after an occurrence is due.
@@ -92,8 +97,11 @@
 type runState int
 
 const (
+	// runPlanned runs hold their room, and wait until the store names their
+	// worker.
+	runPlanned runState = iota
 	// runStarting runs were ordered, and the answer is awaited.
-	runStarting runState = iota
+	runStarting
 	// runWorking runs are on the worker.
 	runWorking
 	// runStopping runs were told to end.
--- a/scheduler/tick.go
+++ b/scheduler/tick.go
@@ -26,6 +26,7 @@
 	s.reap(now)
 	s.settle(now)
 	s.findStuck(now)
+	s.sendPlanned(now)
 	s.place(now)
 	s.forget(now)
 	effects := s.effects
@@ -125,12 +126,26 @@
 	}
 }
 
+// unsettled tells that a former owner may have runs of the job on a worker that
+// has not told yet what runs there.
+func (s *Scheduler) unsettled(j *job) bool {
+	if s.settled || !j.recovered {
+		return false
+	}
+	for id := range j.workers {
+		if w := s.workers[id]; w != nil && !w.adopted {
+			return true
+		}
+	}
+	return false
+}
+
 // ranked returns the steps that may start tasks now, first the ones that come
 // first.
 func (s *Scheduler) ranked(now time.Time) []*step {
 	steps := make([]*step, 0, len(s.open))
 	for _, st := range s.open {
-		if st.job.recovered && !s.settled {
+		if s.unsettled(st.job) {
 			continue
 		}
 		if st.waiting > 0 && !now.Before(st.retry) {
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -426,6 +426,10 @@
 	if st.waiting == 0 {
 		delete(s.open, st.ref)
 	}
+	if j := st.job; !j.workers[w.entry.Ref.ID] {
+		j.workers[w.entry.Ref.ID] = true
+		s.dirty[j.record.ID] = true
+	}
 	return r
 }
 
@@ -534,6 +538,14 @@
 
 // stop tells a run to end, or never to begin.
 func (s *Scheduler) stop(r *run, now time.Time, reason string) {
+	if r.state == runPlanned {
+		// It was never sent.
+		r.worker.remove(r)
+		if st, t := s.find(r.ref.Task); t != nil && t.run == r {
+			s.unassign(st, t, now)
+		}
+		return
+	}
 	if r.state != runUncertain {
 		r.state = runStopping
 	}
