Keep calls for advice away from entries that give no sign of life

Change: entries that have calls to answer or did not answer are asked for a sign of life; where that does not come its calls are made by others. Relays through peers take 0.8 s at most. With the store stalled, starts go to workers that it names already.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -178,6 +178,7 @@
 	group.Go(func() error { return quiet(c.followConfig(running)) })
 	group.Go(func() error { return quiet(c.followDirectory(running)) })
 	group.Go(func() error { return quiet(c.followPeers(running)) })
+	group.Go(func() error { return quiet(c.lanes.probe(running)) })
 	group.Go(func() error { return quiet(c.keepMembership(running, group)) })
 	callers := c.callersServer()
 	group.Go(func() error { return serve(callers, c.settings.callers) })
--- a/coordinator/jobs.go
+++ b/coordinator/jobs.go
@@ -23,6 +23,11 @@
 	appendFresh = 400 * time.Millisecond
 	// peerTimeout bounds a call to another entry that answers from memory.
 	peerTimeout = 600 * time.Millisecond
+	// relayTries is how many other entries are asked to do something in place
+	// of this one, and relayTimeout how long each may take. What none of them
+	// can do is refused, well before the caller's patience ends.
+	relayTries   = 2
+	relayTimeout = 400 * time.Millisecond
 )
 
 var _ receiver.Jobs = (*Coordinator)(nil)
--- a/coordinator/lanes.go
+++ b/coordinator/lanes.go
@@ -8,25 +8,36 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/galenacove/galenacove/conductor"
 	"github.com/galenacove/galenacove/messenger"
 	"github.com/galenacove/galenacove/scheduler"
+	"github.com/galenacove/galenacove/timekeeper"
 )
 
 const (
 	// adviceTimeout bounds a call for advice: the longest decision about 100
 	// workers, behind another one.
 	adviceTimeout = 4 * time.Second
-	// adviceMargin is added to the expected time of a call.
-	adviceMargin = 1200 * time.Millisecond
+	// adviceMargin is added to the expected time of a call, for its delivery and
+	// for calls of other owners that are ahead of it.
+	adviceMargin = 1500 * time.Millisecond
+	// adviceTries is how many entries are asked to make one call.
+	adviceTries = 3
 	// quickCall is the longest call that goes to the lanes for quick ones, so
 	// that a caller at a door never waits behind a long decision.
 	quickCall = 60 * time.Millisecond
 	// quickShare is the part of the entries that make quick calls only.
 	quickShare = 0.375
-	// restPause is for how long an entry that did not answer gets no calls.
-	restPause = 700 * time.Millisecond
+	// restFirst and restMost bound for how long an entry that did not answer
+	// gets no calls. It is asked for a sign of life all the while.
+	restFirst = 500 * time.Millisecond
+	restMost  = 8 * time.Second
+	// probeInterval is how often that is done, and probeTimeout how long it may
+	// take: several round trips between data centres.
+	probeInterval = 400 * time.Millisecond
+	probeTimeout  = 250 * time.Millisecond
 )
 
 // lanes spreads the calls for advice over the entries, as the adviser serves
@@ -47,6 +58,32 @@
 	calls int
 	// resting is until when the entry gets no calls.
 	resting time.Time
+	// failures counts the signs of life in a row that did not come.
+	failures int
+	// broken is closed when one did not come, for those who wait for a call.
+	broken chan struct{}
+}
+
+func newLane(name, address string) *lane {
+	return &lane{
+		name:    name,
+		address: address,
+		broken:  make(chan struct{}),
+	}
+}
+
+// failed has the entry rest, the longer the more often it did not answer.
+func (l *lane) failed(now time.Time) {
+	l.resting = now.Add(min(restMost, restFirst<<min(l.failures, 6)))
+	l.failures++
+	close(l.broken)
+	l.broken = make(chan struct{})
+}
+
+// answered ends the rest.
+func (l *lane) answered() {
+	l.resting = time.Time{}
+	l.failures = 0
 }
 
 var _ conductor.Adviser = (*lanes)(nil)
@@ -55,10 +92,7 @@
 	return &lanes{
 		coordinator: c,
 		all: []*lane{
-			{
-				name:    c.settings.name,
-				address: c.settings.peerAddress,
-			},
+			newLane(c.settings.name, c.settings.peerAddress),
 		},
 	}
 }
@@ -70,15 +104,12 @@
 	for name, address := range peers {
 		i := slices.IndexFunc(l.all, func(known *lane) bool { return known.name == name })
 		if i < 0 {
-			l.all = append(l.all, &lane{
-				name:    name,
-				address: address,
-			})
+			l.all = append(l.all, newLane(name, address))
 			continue
 		}
 		if l.all[i].address != address {
 			l.all[i].address = address
-			l.all[i].resting = time.Time{}
+			l.all[i].answered()
 		}
 	}
 	slices.SortFunc(l.all, func(a, b *lane) int { return strings.Compare(a.name, b.name) })
@@ -118,11 +149,41 @@
 			continue
 		}
 		if errors.Is(err, messenger.ErrUnreachable) || errors.Is(err, messenger.ErrUnknown) {
-			known.resting = l.coordinator.settings.clock.Now().Add(restPause)
+			known.failed(l.coordinator.settings.clock.Now())
+		} else {
+			known.answered()
 		}
 	}
 }
 
+// probe asks the entries that rest, or that have calls to answer, for a sign of
+// life. So a call waits for the adviser as long as it takes, but not for an
+// entry that is gone.
+func (l *lanes) probe(ctx context.Context) error {
+	return timekeeper.Every(ctx, l.coordinator.settings.clock, probeInterval, func(ctx context.Context) {
+		l.mu.Lock()
+		now := l.coordinator.settings.clock.Now()
+		var asked []string
+		for _, known := range l.all {
+			if (now.Before(known.resting) || known.calls > 0) && known.name != l.coordinator.settings.name {
+				asked = append(asked, known.address)
+			}
+		}
+		l.mu.Unlock()
+		var group errgroup.Group
+		for _, address := range asked {
+			group.Go(func() error {
+				calling, cancel := context.WithTimeout(ctx, probeTimeout)
+				defer cancel()
+				l.heard(address, l.coordinator.pool.Call(calling, address, rpcName+".Alive", struct{}{}, new(struct{})))
+				return nil
+			})
+		}
+		// Each call has kept its own outcome.
+		_ = group.Wait()
+	})
+}
+
 // pick returns the lane that will be free first, of those for such a call.
 func (l *lanes) pick(cost time.Duration) *lane {
 	l.mu.Lock()
@@ -169,23 +230,57 @@
 	if used.calls == 0 {
 		used.free = now
 	}
-	if err != nil {
-		used.resting = now.Add(restPause)
+	if err == nil {
+		used.answered()
+	} else if errors.Is(err, messenger.ErrUnreachable) {
+		used.failed(now)
 	}
 }
 
-// Advise implements conductor.Adviser.
+// Advise implements conductor.Adviser. A call that had no answer is made again
+// by another entry: it changes nothing at the adviser.
 func (l *lanes) Advise(ctx context.Context, order scheduler.AskAdvice) ([]scheduler.Approval, time.Duration, error) {
-	used := l.pick(order.Cost)
-	if used == nil {
-		return nil, 0, errors.New("coordinator: no entry can ask the adviser")
+	err := errors.New("coordinator: no entry can ask the adviser")
+	for range adviceTries {
+		used := l.pick(order.Cost)
+		if used == nil {
+			break
+		}
+		var reply AdviseReply
+		reply, err = l.adviseAt(ctx, used, order)
+		l.done(used, err)
+		if err == nil {
+			return reply.Approved, reply.Validity, nil
+		}
+		if ctx.Err() != nil {
+			break
+		}
 	}
-	now := l.coordinator.settings.clock.Now()
+	return nil, 0, err
+}
+
+// adviseAt has one entry make the call.
+func (l *lanes) adviseAt(ctx context.Context, used *lane, order scheduler.AskAdvice) (AdviseReply, error) {
 	l.mu.Lock()
-	queue := used.free.Sub(now)
+	queue := used.free.Sub(l.coordinator.settings.clock.Now())
+	broken := used.broken
 	l.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, min(adviceTimeout, queue+adviceMargin))
 	defer cancel()
+	var watch errgroup.Group
+	defer func() {
+		cancel()
+		// The watcher returns nothing.
+		_ = watch.Wait()
+	}()
+	watch.Go(func() error {
+		select {
+		case <-broken:
+			cancel()
+		case <-ctx.Done():
+		}
+		return nil
+	})
 	var reply AdviseReply
 	var err error
 	if used.name == l.coordinator.settings.name {
@@ -196,9 +291,5 @@
 			Workers: order.Workers,
 		}, &reply)
 	}
-	if ctx.Err() != nil && err == nil {
-		err = ctx.Err()
-	}
-	l.done(used, err)
-	return reply.Approved, reply.Validity, err
+	return reply, err
 }
--- a/coordinator/rpc.go
+++ b/coordinator/rpc.go
@@ -108,6 +108,11 @@
 	return nil
 }
 
+// Alive answers, as a sign of life.
+func (r *rpc) Alive(_ struct{}, _ *struct{}) error {
+	return nil
+}
+
 // AdviseArgs asks for advice from this entry's own place at the adviser.
 type AdviseArgs struct {
 	Step    scheduler.StepRef
@@ -132,9 +137,8 @@
 // callAny calls a method of one of the other entries that answered lately.
 func (c *Coordinator) callAny(ctx context.Context, method string, args, reply any) error {
 	err := errors.Mark(errors.New("coordinator: no peer is known"), messenger.ErrUnreachable)
-	const tries = 3
-	for _, address := range c.lanes.reachable(tries) {
-		calling, cancel := context.WithTimeout(ctx, peerTimeout+appendTimeout)
+	for _, address := range c.lanes.reachable(relayTries) {
+		calling, cancel := context.WithTimeout(ctx, relayTimeout)
 		err = c.pool.Call(calling, address, rpcName+"."+method, args, reply)
 		cancel()
 		c.lanes.heard(address, err)
--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -131,9 +131,15 @@
 // allowed tells that the step's own words and the adviser let it run on the
 // worker.
 func (s *Scheduler) allowed(st *step, w *worker, now time.Time) bool {
-	if !suits(st, w) {
+	if !suits(st, w) || s.stall && !st.job.named[w.entry.Ref.ID] {
 		return false
 	}
+	return s.ticketed(st, w, now)
+}
+
+// ticketed tells that the adviser's leave for the worker is there and valid,
+// where it is needed.
+func (s *Scheduler) ticketed(st *step, w *worker, now time.Time) bool {
 	if st.job.record.Queue.Advice == nil {
 		return true
 	}
@@ -270,10 +276,23 @@
 		return
 	}
 	st.job.workers[w.entry.Ref.ID] = true
+	for id := range st.advice.tickets {
+		// What follows on these needs no write of its own.
+		st.job.workers[id] = true
+	}
 	s.dirty[st.job.record.ID] = true
 	s.planned = append(s.planned, r)
 }
 
+// stalledAfter is how long a write may take before only workers that the store
+// names already are used: several times what it takes when the store is well.
+const stalledAfter = 150 * time.Millisecond
+
+// stalled tells that the store does not take what is to be written.
+func (s *Scheduler) stalled(now time.Time) bool {
+	return len(s.planned) > 0 && now.Sub(s.planned[0].began) > stalledAfter
+}
+
 // send orders a planned run.
 func (s *Scheduler) send(r *run, st *step, now time.Time) {
 	r.state = runStarting
@@ -294,6 +313,7 @@
 // those that can no longer start there. Of a gang all members are ordered at
 // once.
 func (s *Scheduler) sendPlanned(now time.Time) {
+	s.stall = s.stalled(now)
 	planned := s.planned
 	s.planned = nil
 	var keep []*run
@@ -303,8 +323,10 @@
 			continue
 		}
 		switch {
-		case !r.worker.available(now) || !s.allowed(st, r.worker, now):
+		case !r.worker.available(now) || !s.ticketed(st, r.worker, now):
 			s.lose(r, "worker no longer fit before the start", now)
+		case !st.allNamed() && s.stall && len(st.job.named) > 0:
+			s.lose(r, "the store takes no writes, other workers may do", now)
 		case !st.allNamed():
 			keep = append(keep, r)
 		default:
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -89,6 +89,8 @@
 	// confirmed is when the ownership was last known to hold.
 	confirmed time.Time
 
+	// stall tells that the store takes no writes, as of this tick.
+	stall bool
 	// planned holds the runs that wait for their worker to be named.
 	planned []*run
 	dirty   map[string]bool
