Have no more calls for advice under way than are served at once

Change: as many calls as there are entries for their kind, in the order of rank, with the workers that have room when the call is made. TestBacklogDoesNotFloodTheAdviser failed before.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -92,6 +92,8 @@
 type Adviser interface {
 	// Advise returns the approved ones and how long their tickets are good for.
 	Advise(ctx context.Context, order scheduler.AskAdvice) ([]scheduler.Approval, time.Duration, error)
+	// Slots returns how many calls can be made at once, quick ones and others.
+	Slots() (quick, other int)
 }
 
 // Conductor is the owner of one partition.
@@ -497,7 +499,9 @@
 // tick runs the scheduler whenever something has changed.
 func (c *Conductor) tick(ctx context.Context, group *errgroup.Group) error {
 	for {
+		quick, other := c.adviser.Slots()
 		c.mu.Lock()
+		c.scheduler.SetAskSlots(quick, other)
 		c.hold(ctx, group)
 		effects := c.scheduler.Tick(c.clock.Now())
 		notes := c.scheduler.Notes()
--- a/coordinator/lanes.go
+++ b/coordinator/lanes.go
@@ -25,9 +25,6 @@
 	adviceMargin = 1500 * time.Millisecond
 	// adviceTries is how many entries are asked to make one call.
 	adviceTries = 3
-	// quickCall is the longest call that goes to the lanes for quick ones, so
-	// that a caller at a door never waits behind a long decision.
-	quickCall = 60 * time.Millisecond
 	// quickShare is the part of the entries that make quick calls only.
 	quickShare = 0.375
 	// restFirst and restMost bound for how long an entry that did not answer
@@ -189,24 +186,14 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.coordinator.settings.clock.Now()
-	var ready []*lane
-	for _, known := range l.all {
-		if !now.Before(known.resting) {
-			ready = append(ready, known)
-		}
+	quick, other := l.divide(now)
+	ready := other
+	if cost <= scheduler.QuickCall {
+		ready = quick
 	}
 	if len(ready) == 0 {
 		return nil
 	}
-	quick := int(quickShare * float64(len(ready)))
-	if len(ready) > 1 {
-		quick = max(1, quick)
-	}
-	if cost <= quickCall {
-		ready = ready[:max(1, quick)]
-	} else if quick < len(ready) {
-		ready = ready[quick:]
-	}
 	best := ready[0]
 	for _, known := range ready[1:] {
 		if known.free.Before(best.free) {
@@ -221,6 +208,31 @@
 	return best
 }
 
+// divide returns the entries that make quick calls, and those that make others.
+// One entry alone makes both. The caller holds mu.
+func (l *lanes) divide(now time.Time) (quick, other []*lane) {
+	var ready []*lane
+	for _, known := range l.all {
+		if !now.Before(known.resting) {
+			ready = append(ready, known)
+		}
+	}
+	if len(ready) < 2 {
+		return ready, ready
+	}
+	n := max(1, int(quickShare*float64(len(ready))))
+	return ready[:n], ready[n:]
+}
+
+// Slots implements conductor.Adviser. Two owners that share the entries each
+// have a call wait at most behind one of the other.
+func (l *lanes) Slots() (quick, other int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	quickLanes, otherLanes := l.divide(l.coordinator.settings.clock.Now())
+	return len(quickLanes), len(otherLanes)
+}
+
 // done tells that a call of a lane has ended.
 func (l *lanes) done(used *lane, err error) {
 	l.mu.Lock()
--- a/scheduler/advice.go
+++ b/scheduler/advice.go
@@ -6,6 +6,11 @@
 	"time"
 )
 
+// QuickCall is the longest call for advice that counts as quick. Quick and
+// other calls are made in different places, so that a caller at a door never
+// waits behind a long decision.
+const QuickCall = 60 * time.Millisecond
+
 const (
 	// mostAsked bounds the workers of one call: the adviser takes 100.
 	mostAsked = 100
@@ -122,7 +127,15 @@
 		return
 	}
 	workers = workers[:min(len(workers), mostAsked)]
+	cost := st.job.record.Queue.Advice.Cost(len(workers))
+	if s.asking[cost <= QuickCall] >= s.askSlots[cost <= QuickCall] {
+		// The call is made when one of those before has ended, with the workers
+		// that have room by then.
+		return
+	}
 	st.advice.asking = true
+	st.advice.quick = cost <= QuickCall
+	s.asking[st.advice.quick]++
 	ids := make([]string, len(workers))
 	for i, w := range workers {
 		ids[i] = w.entry.Ref.ID
@@ -130,7 +143,7 @@
 	s.emit(AskAdvice{
 		Step:    st.ref,
 		Workers: ids,
-		Cost:    st.job.record.Queue.Advice.Cost(len(ids)),
+		Cost:    cost,
 	})
 }
 
@@ -141,7 +154,7 @@
 	if st == nil {
 		return
 	}
-	st.advice.asking = false
+	s.askEnded(st)
 	for _, id := range asked {
 		st.advice.asked[id] = true
 	}
@@ -161,11 +174,27 @@
 // AdviceFailed tells that a call for advice had no answer.
 func (s *Scheduler) AdviceFailed(ref StepRef, now time.Time) {
 	if st := s.step(ref); st != nil {
-		st.advice.asking = false
+		s.askEnded(st)
 		st.advice.retry = now.Add(askRepeat)
 	}
 }
 
+// askEnded frees the place of a call.
+func (s *Scheduler) askEnded(st *step) {
+	if st.advice.asking {
+		st.advice.asking = false
+		s.asking[st.advice.quick]--
+	}
+}
+
+// SetAskSlots sets how many calls for advice may be under way at once, quick
+// ones and others. The adviser takes calls in turn, so what waits there costs
+// the time for which its tickets are valid.
+func (s *Scheduler) SetAskSlots(quick, other int) {
+	s.askSlots[true] = quick
+	s.askSlots[false] = other
+}
+
 func (s *Scheduler) step(ref StepRef) *step {
 	j := s.jobs[ref.Job]
 	if j == nil {
--- a/scheduler/advice_test.go
+++ b/scheduler/advice_test.go
@@ -229,3 +229,41 @@
 	}
 	return scheduler.RunRef{}
 }
+
+// TestBacklogDoesNotFloodTheAdviser answers the pattern of many jobs that wait
+// after an outage: no more calls are under way than are served at once, and
+// the ones that come first by rank are made first.
+func TestBacklogDoesNotFloodTheAdviser(t *testing.T) {
+	r := newRig(t)
+	for i := range 20 {
+		r.worker(nodeName(i), cores(4))
+	}
+	r.list()
+	r.hold()
+	r.s.SetAskSlots(2, 2)
+	for i := range 40 {
+		job := r.job(nodeName(i), tasks(1, cores(1)))
+		job.Queue = advisedQueue
+		job.Accepted = r.now.Add(time.Duration(i) * time.Millisecond)
+		r.s.AddJob(job, nil, false, r.now)
+	}
+	waiting := 0
+	var order []string
+	for range 5 {
+		r.carryOut(r.s.Tick(r.now))
+		for _, effect := range r.effects {
+			if ask, is := effect.(scheduler.AskAdvice); is {
+				waiting++
+				order = append(order, ask.Step.Job)
+			}
+		}
+	}
+	r.c.Assert(waiting, qt.Equals, 2)
+	r.c.Assert(order, qt.DeepEquals, []string{nodeName(0), nodeName(1)})
+	// A call that failed frees its place.
+	r.s.AdviceFailed(scheduler.StepRef{
+		Job: nodeName(0),
+	}, r.now)
+	r.carryOut(r.s.Tick(r.now))
+	r.c.Assert(r.effects, qt.HasLen, 1)
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -14,6 +14,9 @@
 	// attemptsPerToken is the range of attempt numbers that one owner has for
 	// a task, so that they rise over owners without a record of each start.
 	attemptsPerToken = 1 << 20
+	// defaultSlots is how many calls for advice of each kind may be under way
+	// where nobody has said.
+	defaultSlots = 4
 	// keepFinal is how much longer a job is known after the time for which its
 	// state is promised.
 	keepFinal = 10 * time.Second
@@ -84,6 +87,9 @@
 	open map[StepRef]*step
 	// timed holds the jobs with occurrences that have no steps yet.
 	timed map[string]*job
+	// asking counts the calls for advice under way, and askSlots how many there
+	// may be, quick ones under true.
+	asking, askSlots map[bool]int
 	// queues counts what is known of each queue.
 	queues map[string]*queueStats
 	// confirmed is when the ownership was last known to hold.
@@ -132,8 +138,13 @@
 		open:        make(map[StepRef]*step),
 		timed:       make(map[string]*job),
 		queues:      make(map[string]*queueStats),
-		dirty:       make(map[string]bool),
-		batch:       1,
+		asking:      make(map[bool]int),
+		askSlots: map[bool]int{
+			true:  defaultSlots,
+			false: defaultSlots,
+		},
+		dirty: make(map[string]bool),
+		batch: 1,
 	}
 	for _, opt := range opts {
 		opt(&s.options)
--- a/scheduler/tables.go
+++ b/scheduler/tables.go
@@ -82,8 +82,8 @@
 	asked map[string]bool
 	// tickets holds the approved workers.
 	tickets map[string]ticket
-	// asking tells that a call is under way.
-	asking bool
+	// asking tells that a call is under way, and quick of which kind.
+	asking, quick bool
 	// retry is when the next call may be made.
 	retry time.Time
 }
