Use workers whose clock runs as slowly as allowed; leave the rotation when cut off

Cause: the age of a worker's last report was that of the best reading of its clock. An entry that the store did not serve stayed in the balancer's rotation as long as any peer answered, also one in the same cut.

Change: the time of the last report is kept by itself; entries tell each other whether the store serves them, and one that can store nothing by itself or through a peer reports itself not ready and relays nothing. TestWorkerWithASlowClockGetsWork failed before.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -38,10 +38,10 @@
 	groupName = "entries"
 	// joinInterval is how often the membership is kept up. It bounds how long
 	// an owner does not know that it was superseded.
-	joinInterval = 350 * time.Millisecond
+	joinInterval = 300 * time.Millisecond
 	// defaultTTL is how long a member may be silent: three times as long as it
-	// should be.
-	defaultTTL = 1200 * time.Millisecond
+	// should be, and a margin.
+	defaultTTL = 1050 * time.Millisecond
 	// joinTimeout bounds one call. It is how soon a store that has fallen
 	// silent is noticed.
 	joinTimeout = 600 * time.Millisecond
@@ -56,9 +56,10 @@
 	configWait = 700 * time.Millisecond
 	// retryPause is how long a failed call waits to be made again.
 	retryPause = 150 * time.Millisecond
-	// storeFresh is how old the last answer of the store may be for the entry
-	// to count on it.
-	storeFresh = 1500 * time.Millisecond
+	// storeFresh is how old the last answer of the store may be, once a call
+	// has failed, for the entry to get new callers. The balancer takes 2 s more
+	// to notice.
+	storeFresh = 900 * time.Millisecond
 	// leavePause is how long a stopping entry goes on before it asks callers
 	// to reconnect: two of the balancer's probes and a margin.
 	leavePause = 2500 * time.Millisecond
@@ -266,8 +267,8 @@
 	if _, known := c.receiver.Config(); !known {
 		return "no configuration yet"
 	}
-	if !c.store.reachable(storeFresh) && !c.lanes.anyReachable() {
-		return "cut off from the store and all peers"
+	if !c.store.reachable(storeFresh) && len(c.lanes.relays(1)) == 0 {
+		return "cut off from the store, and from every entry that it serves"
 	}
 	return ""
 }
--- a/coordinator/feeds.go
+++ b/coordinator/feeds.go
@@ -122,7 +122,7 @@
 // not serve this one.
 func (c *Coordinator) configFromPeer(ctx context.Context) {
 	var got receiver.Config
-	if c.callAny(ctx, "Config", struct{}{}, &got) == nil {
+	if c.callAny(ctx, c.lanes.reachable(relayTries), "Config", struct{}{}, &got) == nil {
 		c.setConfig(got, "peer")
 	}
 }
--- a/coordinator/jobs.go
+++ b/coordinator/jobs.go
@@ -53,7 +53,7 @@
 	if !errors.Is(err, storer.ErrUnavailable) {
 		return submitError(err)
 	}
-	relayed := c.callAny(ctx, "Append", AppendArgs{
+	relayed := c.callAny(ctx, c.lanes.relays(relayTries), "Append", AppendArgs{
 		Partition: partition,
 		Record:    record,
 	}, &AppendReply{})
--- a/coordinator/lanes.go
+++ b/coordinator/lanes.go
@@ -57,6 +57,9 @@
 	resting time.Time
 	// failures counts the signs of life in a row that did not come.
 	failures int
+	// stores tells that the entry said, when last asked, that the store serves
+	// it.
+	stores bool
 	// broken is closed when one did not come, for those who wait for a call.
 	broken chan struct{}
 }
@@ -73,6 +76,7 @@
 func (l *lane) failed(now time.Time) {
 	l.resting = now.Add(min(restMost, restFirst<<min(l.failures, 6)))
 	l.failures++
+	l.stores = false
 	close(l.broken)
 	l.broken = make(chan struct{})
 }
@@ -112,15 +116,25 @@
 	slices.SortFunc(l.all, func(a, b *lane) int { return strings.Compare(a.name, b.name) })
 }
 
-// reachable returns up to n other entries that are not resting, in the order
-// of how busy they are.
+// relays returns up to n other entries that the store serves.
+func (l *lanes) relays(n int) []string {
+	return l.others(n, func(known *lane) bool { return known.stores })
+}
+
+// reachable returns up to n other entries that are not resting.
 func (l *lanes) reachable(n int) []string {
+	return l.others(n, func(*lane) bool { return true })
+}
+
+// others returns up to n other entries that are not resting and that fit, in
+// the order of how busy they are.
+func (l *lanes) others(n int, fits func(*lane) bool) []string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.coordinator.settings.clock.Now()
 	var ready []*lane
 	for _, known := range l.all {
-		if known.name != l.coordinator.settings.name && !now.Before(known.resting) {
+		if known.name != l.coordinator.settings.name && !now.Before(known.resting) && fits(known) {
 			ready = append(ready, known)
 		}
 	}
@@ -132,11 +146,6 @@
 	return addresses
 }
 
-// anyReachable tells that some other entry is not resting.
-func (l *lanes) anyReachable() bool {
-	return len(l.reachable(1)) > 0
-}
-
 // heard keeps whether an entry answers.
 func (l *lanes) heard(address string, err error) {
 	l.mu.Lock()
@@ -161,8 +170,11 @@
 		l.mu.Lock()
 		now := l.coordinator.settings.clock.Now()
 		var asked []string
+		// While the store does not serve this entry, it has to know who could
+		// store jobs for it.
+		cutOff := !l.coordinator.store.reachable(appendFresh)
 		for _, known := range l.all {
-			if (now.Before(known.resting) || known.calls > 0) && known.name != l.coordinator.settings.name {
+			if (cutOff || now.Before(known.resting) || known.calls > 0) && known.name != l.coordinator.settings.name {
 				asked = append(asked, known.address)
 			}
 		}
@@ -172,7 +184,9 @@
 			group.Go(func() error {
 				calling, cancel := context.WithTimeout(ctx, probeTimeout)
 				defer cancel()
-				l.heard(address, l.coordinator.pool.Call(calling, address, rpcName+".Alive", struct{}{}, new(struct{})))
+				var reply AliveReply
+				l.heard(address, l.coordinator.pool.Call(calling, address, rpcName+".Alive", struct{}{}, &reply))
+				l.setStores(address, reply.Stores)
 				return nil
 			})
 		}
@@ -181,6 +195,17 @@
 	})
 }
 
+// setStores keeps whether the store serves an entry.
+func (l *lanes) setStores(address string, stores bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, known := range l.all {
+		if known.address == address {
+			known.stores = stores
+		}
+	}
+}
+
 // pick returns the lane that will be free first, of those for such a call.
 func (l *lanes) pick(cost time.Duration) *lane {
 	l.mu.Lock()
--- a/coordinator/rpc.go
+++ b/coordinator/rpc.go
@@ -108,8 +108,15 @@
 	return nil
 }
 
+// AliveReply is a sign of life.
+type AliveReply struct {
+	// Stores tells that the store serves the entry.
+	Stores bool
+}
+
 // Alive answers, as a sign of life.
-func (r *rpc) Alive(_ struct{}, _ *struct{}) error {
+func (r *rpc) Alive(_ struct{}, reply *AliveReply) error {
+	reply.Stores = r.coordinator.store.reachable(appendFresh)
 	return nil
 }
 
@@ -134,10 +141,10 @@
 	return err
 }
 
-// callAny calls a method of one of the other entries that answered lately.
-func (c *Coordinator) callAny(ctx context.Context, method string, args, reply any) error {
-	err := errors.Mark(errors.New("coordinator: no peer is known"), messenger.ErrUnreachable)
-	for _, address := range c.lanes.reachable(relayTries) {
+// callAny calls a method of one of these entries, the first that answers.
+func (c *Coordinator) callAny(ctx context.Context, addresses []string, method string, args, reply any) error {
+	err := errors.Mark(errors.New("coordinator: no peer can serve the call"), messenger.ErrUnreachable)
+	for _, address := range addresses {
 		calling, cancel := context.WithTimeout(ctx, relayTimeout)
 		err = c.pool.Call(calling, address, rpcName+"."+method, args, reply)
 		cancel()
--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -61,7 +61,7 @@
 // available tells that the worker takes something new.
 func (w *worker) available(now time.Time) bool {
 	return w.listed && w.adopted && w.recorded && !w.entry.Leaving && w.silent.IsZero() &&
-		now.Sub(w.seen) < reportAge && !now.Before(w.shunned)
+		now.Sub(w.heard) < reportAge && !now.Before(w.shunned)
 }
 
 // place starts what can start, in the order of rank.
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -174,3 +174,20 @@
 		})
 	}
 }
+
+// TestWorkerWithASlowClockGetsWork has a clock that runs as slowly as allowed,
+// so that no later report tells more of it than the first.
+func TestWorkerWithASlowClockGetsWork(t *testing.T) {
+	r := newRig(t)
+	w := r.worker("w", cores(4))
+	r.list()
+	r.hold()
+	began, clock := r.now, w.clock
+	for range 40 {
+		r.round()
+		w.clock = clock + time.Duration(0.98*float64(r.now.Sub(began))) - time.Millisecond
+	}
+	r.s.AddJob(r.job("j", tasks(1, cores(1))), nil, false, r.now)
+	r.tick()
+	r.c.Assert(r.active(), qt.Equals, 1)
+}
--- a/scheduler/tables.go
+++ b/scheduler/tables.go
@@ -152,9 +152,12 @@
 	// started on it before, so that a next owner asks it what runs there, also
 	// if the directory has lost it by then.
 	recorded bool
-	// clock is the worker's clock at seen, at least.
+	// clock is the worker's clock at seen, at least. They are those of the
+	// report that tells most of it.
 	clock time.Duration
 	seen  time.Time
+	// heard is when the last report came.
+	heard time.Time
 	// lease is the latest end of a lease that was sent, on the worker's clock.
 	lease time.Duration
 	// silent is since when calls have had no answer, zero while they have.
--- a/scheduler/tick.go
+++ b/scheduler/tick.go
@@ -103,13 +103,13 @@
 				continue
 			}
 			patience := max(stuckAfter, time.Duration(stuckShare*float64(r.estimate)))
-			if w.seen.Sub(r.moved) > patience {
+			if w.heard.Sub(r.moved) > patience {
 				w.shunned = now.Add(stuckPause)
 				if st, t := s.find(r.ref.Task); t != nil && t.run == r {
 					t.avoid = append(t.avoid, w.entry.Ref.ID)
 					_ = st
 				}
-				s.note("run stands still", r.ref.Task, w.entry.Ref.ID, w.seen.Sub(r.moved))
+				s.note("run stands still", r.ref.Task, w.entry.Ref.ID, w.heard.Sub(r.moved))
 				s.stop(r, now, "no progress")
 			}
 		}
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -234,6 +234,7 @@
 		w.seen = now
 	}
 	w.adopted = true
+	w.heard = now
 	w.silent = time.Time{}
 	ended := make(map[RunRef]bool)
 	for _, row := range report.Ended {
