--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -55,7 +55,7 @@
 	retryPause = 100 * time.Millisecond
 	// urgentLinger gathers the ends that come within a round trip of each
 	// other into one write, for which a caller may be waiting.
-	urgentLinger = 2 * time.Millisecond
+	urgentLinger = 5 * time.Millisecond
 	// calmLinger gathers the others. Workers list an end again until it is
 	// acknowledged, which may take up to a few seconds.
 	calmLinger = 25 * time.Millisecond
--- a/coordinator/feeds.go
+++ b/coordinator/feeds.go
@@ -110,6 +110,7 @@
 
 func (c *Coordinator) setConfig(config receiver.Config, source string) {
 	if c.receiver.SetConfig(config) {
+		c.lookAgain()
 		c.settings.logger.WithFields(log.Fields{
 			"version": config.Version,
 			"routes":  len(config.Routes),
--- a/coordinator/membership.go
+++ b/coordinator/membership.go
@@ -106,14 +106,40 @@
 		}
 		own.conductor.Confirm(sent)
 	}
+	used := c.usedPartitions()
 	for partition := range listed {
-		if c.owned[partition] == nil {
+		if c.owned[partition] == nil && used[partition] {
 			c.own(ctx, group, partition, held.Generation)
 		}
 	}
 	return lost
 }
 
+// usedPartitions returns the partitions of the services that are configured or
+// that have workers. The others hold no jobs, and are not read.
+func (c *Coordinator) usedPartitions() map[int]bool {
+	used := make(map[int]bool)
+	if config, known := c.receiver.Config(); known {
+		for _, route := range config.Routes {
+			used[c.partitionOf(route.Queue.Service)] = true
+		}
+	}
+	if entries := c.directory.Load(); entries != nil {
+		for _, entry := range *entries {
+			used[c.partitionOf(entry.Service)] = true
+		}
+	}
+	return used
+}
+
+// lookAgain asks for a look at what the group deals to this entry.
+func (c *Coordinator) lookAgain() {
+	select {
+	case c.nudged <- struct{}{}:
+	default:
+	}
+}
+
 // drop ends an ownership. The caller holds mu.
 func (c *Coordinator) drop(partition int, own *ownership, reason string) {
 	own.cancel()
--- a/coordinator/rpc.go
+++ b/coordinator/rpc.go
@@ -101,10 +101,7 @@
 
 // Nudge has this entry look at once at what the group deals to it.
 func (r *rpc) Nudge(_ struct{}, _ *struct{}) error {
-	select {
-	case r.coordinator.nudged <- struct{}{}:
-	default:
-	}
+	r.coordinator.lookAgain()
 	return nil
 }
 
