--- a/cmd/galenacove/host.go
+++ b/cmd/galenacove/host.go
@@ -31,12 +31,14 @@
 	collectPercent = 300
 	// metricsPort is where metrics are served unless told otherwise.
 	metricsPort = 9464
-	// leaseShare is the part of the longest lease that is asked for. The rest
-	// is the time in which an owner may fail to confirm that it is one.
-	leaseShare = 0.85
 	// usefulLease is the longest lease that is asked for. It outlasts a restart
-	// of all entries; the tasks of a lost worker wait for its end.
-	usefulLease = 5 * time.Second
+	// of all entries, some 3 s with the age of the last renewal; the tasks of a
+	// lost worker wait for its end.
+	usefulLease = 3500 * time.Millisecond
+	// usefulWait bounds for how long a new owner waits for workers that it
+	// cannot reach, and so for how long an owner goes on without the store.
+	// Most outages are shorter.
+	usefulWait = 6 * time.Second
 )
 
 func hostCommand() *cli.Command {
@@ -140,9 +142,9 @@
 
 // scheduling returns what the platform's settings say to a scheduler.
 func scheduling(settings platform.Settings) []scheduler.Option {
-	lease := settings.LongestLease()
+	longest := min(usefulWait, settings.LongestLease())
 	return []scheduler.Option{
-		scheduler.Lease(min(usefulLease, time.Duration(leaseShare*float64(lease))), lease),
+		scheduler.Lease(min(usefulLease, longest), longest),
 		scheduler.StopTimeout(settings.StopTimeout()),
 		scheduler.Keep(settings.KeepStates()),
 		scheduler.RemoteFactor(settings.RemoteFactor()),
--- /dev/null
+++ b/scheduler/load_test.go
@@ -0,0 +1,436 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/galenacove/galenacove/scheduler"
+	"github.com/galenacove/galenacove/sizer"
+)
+
+// load is a stream of jobs of one kind.
+type load struct {
+	queue scheduler.Queue
+	// perSecond is how many jobs come, in turn with burst from burstFrom to
+	// burstTo.
+	perSecond          float64
+	burst              float64
+	burstFrom, burstTo time.Duration
+	// width and phases are the means of lognormal and geometric draws.
+	width    float64
+	maxWidth int
+	phases   float64
+	size     func(*rand.Rand) sizer.Size
+	// work is the mean of a lognormal draw with spread; an estimate is off by
+	// up to off.
+	work, spread, off float64
+	gang, checkpoints bool
+	// approved is the share of workers that the adviser approves.
+	approved float64
+	worth    float64
+}
+
+// world plays loads against a scheduler, in steps of simulated time.
+type world struct {
+	*rig
+	random  *rand.Rand
+	workers []*node
+	loads   []load
+	lanes   [2][]time.Time
+	calls   []call
+	ends    map[scheduler.RunRef]time.Duration
+	lengths map[scheduler.StepRef][]time.Duration
+	jobs    map[string]played
+	phases  map[scheduler.StepRef]scheduler.Phase
+	// approvals are drawn once for a step and a worker.
+	approvals map[string]bool
+}
+
+type call struct {
+	at  time.Time
+	ask scheduler.AskAdvice
+}
+
+type played struct {
+	load      int
+	came      time.Time
+	objective time.Duration
+	value     float64
+}
+
+const worldStep = 10 * time.Millisecond
+
+func newWorld(t *testing.T, seed uint64, workers int, size sizer.Size, loads ...load) *world {
+	w := &world{
+		rig:       newRig(t),
+		random:    rand.New(rand.NewPCG(seed, 1)),
+		loads:     loads,
+		ends:      make(map[scheduler.RunRef]time.Duration),
+		lengths:   make(map[scheduler.StepRef][]time.Duration),
+		jobs:      make(map[string]played),
+		phases:    make(map[scheduler.StepRef]scheduler.Phase),
+		approvals: make(map[string]bool),
+	}
+	for i := range workers {
+		w.workers = append(w.workers, w.worker(nodeName(i), size))
+	}
+	w.lanes[0] = make([]time.Time, 3)
+	w.lanes[1] = make([]time.Time, 5)
+	w.s.SetAskSlots(3, 5)
+	w.list()
+	w.hold()
+	return w
+}
+
+// poisson draws whether something with that rate happens in one step.
+func (w *world) happens(rate float64) bool {
+	return w.random.Float64() < rate*worldStep.Seconds()
+}
+
+func (w *world) arrivals(began time.Time) {
+	for i, l := range w.loads {
+		rate := l.perSecond
+		if since := w.now.Sub(began); since >= l.burstFrom && since < l.burstTo {
+			rate *= l.burst
+		}
+		if !w.happens(rate) {
+			continue
+		}
+		id := fmt.Sprintf("%016x", len(w.jobs)+1)
+		job, value := w.draw(l, id)
+		w.jobs[id] = played{
+			load:      i,
+			came:      w.now,
+			objective: w.objective(l, job),
+			value:     value,
+		}
+		w.s.AddJob(job, nil, false, w.now)
+	}
+}
+
+// draw makes a job, and the seconds that its tasks take in truth.
+func (w *world) draw(l load, id string) (scheduler.Job, float64) {
+	job := scheduler.Job{
+		ID:       id,
+		Queue:    l.queue,
+		Accepted: w.now,
+	}
+	phases := 1
+	for float64(phases) < 4 && w.random.Float64() < 1-1/l.phases {
+		phases++
+	}
+	work := 0.0
+	for i := range phases {
+		const widthSpread = 0.8
+		drawn := l.width * math.Exp(w.random.NormFloat64()*widthSpread-widthSpread*widthSpread/2)
+		width := min(l.maxWidth, max(1, int(math.Round(drawn))))
+		size := l.size(w.random)
+		length := l.work * math.Exp(w.random.NormFloat64()*l.spread-l.spread*l.spread/2)
+		estimate := length * (1 + l.off*(2*w.random.Float64()-1))
+		phase := scheduler.Phase{
+			Tasks:       width,
+			Size:        size,
+			Estimate:    time.Duration(estimate * float64(time.Second)),
+			Gang:        l.gang,
+			Checkpoints: l.checkpoints,
+		}
+		if i > 0 {
+			phase.DependsOn = []int{i - 1}
+		}
+		job.Phases = append(job.Phases, phase)
+		ref := scheduler.StepRef{
+			Job:   id,
+			Phase: i,
+		}
+		w.phases[ref] = phase
+		for range width {
+			d := length
+			if !l.gang {
+				d *= 0.85 + 0.3*w.random.Float64()
+			}
+			w.lengths[ref] = append(w.lengths[ref], time.Duration(d*float64(time.Second)))
+		}
+		work += length * float64(width) * (float64(size.MilliCores())/1000 + 8*float64(size.Accelerators()))
+	}
+	mean := l.work * l.width * l.phases * (float64(l.size(w.random).MilliCores())/1000 + 8*meanCards(l, w.random))
+	return job, l.worth * min(4, 0.3+0.7*work/mean)
+}
+
+func meanCards(l load, random *rand.Rand) float64 {
+	total := 0.0
+	for range 20 {
+		total += float64(l.size(random).Accelerators())
+	}
+	return total / 20
+}
+
+// objective is what the job should take, by the true lengths.
+func (w *world) objective(l load, job scheduler.Job) time.Duration {
+	var chain time.Duration
+	for i := range job.Phases {
+		var longest time.Duration
+		for _, d := range w.lengths[scheduler.StepRef{
+			Job:   job.ID,
+			Phase: i,
+		}] {
+			longest = max(longest, d)
+		}
+		chain += longest
+	}
+	return time.Duration(l.queue.SlackFactor*float64(chain)) + l.queue.Target
+}
+
+// step plays one step.
+func (w *world) step() {
+	w.pass(worldStep)
+	for _, n := range w.workers {
+		for ref := range n.active {
+			if n.clock >= w.ends[ref] {
+				n.end(ref, scheduler.EndDone)
+				if w.loads[w.jobs[ref.Task.Step.Job].load].gang {
+					w.endGang(ref)
+				}
+			}
+		}
+	}
+	w.hold()
+	w.answer()
+	effects := w.s.Tick(w.now)
+	if w.s.Planned() > 0 {
+		w.write()
+		effects = append(effects, w.s.Tick(w.now)...)
+	}
+	w.carryOut(effects)
+	for _, effect := range effects {
+		switch effect := effect.(type) {
+		case scheduler.StartTask:
+			n := w.nodes[effect.Worker.ID]
+			length := w.lengths[effect.Run.Task.Step][effect.Run.Task.Index]
+			n.length = length
+			w.ends[effect.Run] = n.clock + length
+		case scheduler.AskAdvice:
+			w.queueCall(effect)
+		case scheduler.StopTask, scheduler.PaceTask:
+		}
+	}
+	w.write()
+}
+
+// endGang ends the other members of a gang, done as well.
+func (w *world) endGang(ended scheduler.RunRef) {
+	for _, n := range w.workers {
+		for ref := range n.active {
+			if ref.Task.Step == ended.Task.Step {
+				n.end(ref, scheduler.EndDone)
+			}
+		}
+	}
+}
+
+// queueCall puts a call for advice in the lane that is free first.
+func (w *world) queueCall(ask scheduler.AskAdvice) {
+	lanes := w.lanes[1]
+	if ask.Cost <= scheduler.QuickCall {
+		lanes = w.lanes[0]
+	}
+	best := 0
+	for i := range lanes {
+		if lanes[i].Before(lanes[best]) {
+			best = i
+		}
+	}
+	if lanes[best].Before(w.now) {
+		lanes[best] = w.now
+	}
+	lanes[best] = lanes[best].Add(ask.Cost)
+	w.calls = append(w.calls, call{
+		at:  lanes[best],
+		ask: ask,
+	})
+}
+
+// approves draws which workers may run a step: a share of them, and always
+// enough for all of its tasks.
+func (w *world) approves(ref scheduler.StepRef, id string, share float64) bool {
+	if _, drawn := w.approvals[ref.String()]; !drawn {
+		w.approvals[ref.String()] = true
+		phase := w.phases[ref]
+		room := 0
+		for _, i := range w.random.Perm(len(w.workers)) {
+			if w.random.Float64() < share || room < phase.Tasks {
+				n := w.workers[i]
+				w.approvals[ref.String()+"/"+n.entry.Ref.ID] = true
+				for free := n.entry.Total; phase.Size.Fits(free); free = free.Sub(phase.Size) {
+					room++
+				}
+			}
+		}
+	}
+	return w.approvals[ref.String()+"/"+id]
+}
+
+// answer gives the advice that is due.
+func (w *world) answer() {
+	rest := w.calls[:0]
+	for _, c := range w.calls {
+		if c.at.After(w.now) {
+			rest = append(rest, c)
+			continue
+		}
+		share := w.loads[w.jobs[c.ask.Step.Job].load].approved
+		var approved []scheduler.Approval
+		for _, id := range c.ask.Workers {
+			if w.approves(c.ask.Step, id, share) {
+				approved = append(approved, scheduler.Approval{
+					WorkerID: id,
+					Ticket:   "t",
+				})
+			}
+		}
+		w.s.AdviceAnswered(c.ask.Step, c.ask.Workers, approved, 2*time.Second, w.now)
+	}
+	w.calls = rest
+}
+
+// result is what a load earned of what it could.
+type result struct {
+	owed, earned        float64
+	inTime, late, other int
+}
+
+func (r result) share() float64 {
+	return r.earned / r.owed
+}
+
+// play runs the world and returns the result of each load. Jobs that come in
+// the last part are not counted, as they have no time to end.
+func (w *world) play(length time.Duration) []result {
+	began := w.now
+	results := make([]result, len(w.loads))
+	open := make(map[string]bool)
+	for w.now.Sub(began) < length {
+		before := len(w.jobs)
+		if w.now.Sub(began) < length*3/4 {
+			w.arrivals(began)
+		}
+		if len(w.jobs) > before {
+			open[fmt.Sprintf("%016x", len(w.jobs))] = true
+		}
+		w.step()
+		for id := range open {
+			if state, _ := w.s.State(id); state != scheduler.Completed {
+				continue
+			}
+			delete(open, id)
+			j := w.jobs[id]
+			took := w.now.Sub(j.came)
+			switch {
+			case took <= j.objective:
+				results[j.load].earned += j.value
+				results[j.load].inTime++
+			case took <= 3*j.objective:
+				results[j.load].earned += 0.2 * j.value
+				results[j.load].late++
+			default:
+				results[j.load].other++
+			}
+		}
+	}
+	for _, j := range w.jobs {
+		results[j.load].owed += j.value
+	}
+	for id := range open {
+		results[w.jobs[id].load].other++
+	}
+	return results
+}
+
+const gpuMemory = 512 * gibibyte
+
+func visionQueue(name string, priority int, slack float64, target time.Duration, decision, perWorker float64) scheduler.Queue {
+	return scheduler.Queue{
+		Name:        name,
+		Service:     "desk",
+		Priority:    priority,
+		MaxAttempts: 3,
+		SlackFactor: slack,
+		Target:      target,
+		Advice: &scheduler.Advice{
+			Decision:  time.Duration(decision * float64(time.Millisecond)),
+			PerWorker: time.Duration(perWorker * float64(time.Millisecond)),
+			Validity:  2 * time.Second,
+		},
+	}
+}
+
+// visionLoads are gangs that want whole workers, beside single cards.
+func visionLoads(rate float64) []load {
+	return []load{
+		{
+			queue:     visionQueue("gangs", 1, 2.2, time.Second, 490, 7),
+			perSecond: 1.84 * rate,
+			width:     1.5,
+			maxWidth:  9,
+			phases:    1,
+			size: func(r *rand.Rand) sizer.Size {
+				return sizer.New(62000, 250*gibibyte, []int64{2, 4, 8, 8}[r.IntN(4)])
+			},
+			work:     3.6,
+			spread:   0.5,
+			off:      0.9,
+			gang:     true,
+			approved: 0.3,
+			worth:    3.23,
+		},
+		{
+			queue:     visionQueue("cards", 2, 4, 3*time.Second, 140, 2),
+			perSecond: 1.9 * rate,
+			width:     4.1,
+			maxWidth:  20,
+			phases:    1,
+			size: func(*rand.Rand) sizer.Size {
+				return sizer.New(11000, 46*gibibyte, 1)
+			},
+			work:     3.8,
+			spread:   0.5,
+			off:      0.9,
+			approved: 0.45,
+			worth:    1.95,
+		},
+	}
+}
+
+// playVision plays gangs and single cards on 13 workers, over some seeds.
+func playVision(t *testing.T, rate float64, seeds int) []result {
+	total := make([]result, 2)
+	for seed := range seeds {
+		w := newWorld(t, uint64(seed), 13, sizer.New(128000, gpuMemory, 8), visionLoads(rate)...)
+		for i, r := range w.play(60 * time.Second) {
+			total[i].owed += r.owed
+			total[i].earned += r.earned
+			total[i].inTime += r.inTime
+			total[i].late += r.late
+			total[i].other += r.other
+		}
+	}
+	return total
+}
+
+// TestGangsBesideSingleCards answers the pattern of gangs that want whole
+// workers while single cards are asked for, at the usual load and above it.
+func TestGangsBesideSingleCards(t *testing.T) {
+	c := qt.New(t)
+	for _, rate := range []float64{0.8, 1, 1.3} {
+		got := playVision(t, rate, 6)
+		t.Logf("rate %.1f: gangs %.3f (%d, %d, %d), cards %.3f (%d, %d, %d), both %.3f", rate,
+			got[0].share(), got[0].inTime, got[0].late, got[0].other,
+			got[1].share(), got[1].inTime, got[1].late, got[1].other,
+			(got[0].earned+got[1].earned)/(got[0].owed+got[1].owed))
+		c.Check(got[0].share() > 0.3, qt.IsTrue)
+	}
+}
--- a/scheduler/tick.go
+++ b/scheduler/tick.go
@@ -155,8 +155,8 @@
 	slices.SortFunc(steps, func(a, b *step) int {
 		return cmp.Or(
 			cmp.Compare(a.use(now), b.use(now)),
-			a.latest().Compare(b.latest()),
 			cmp.Compare(a.job.record.Queue.Priority, b.job.record.Queue.Priority),
+			a.latest().Compare(b.latest()),
 			compareSteps(a.ref, b.ref),
 		)
 	})
