Read the directory when a partition is taken over; count a job as begun when its start is sent

(3) They waited as a step that asks for advice held back room for all of its tasks; and an entry whose adviser failed looked free to every call.

Change: a new owner has the directory read at once and starts nothing before; begun is set when the start is sent; a step holds back what the call may find; an entry whose calls for advice fail gets none for a while; the log says every 5 s why a step waits. Two tests failed before.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -84,6 +84,8 @@
 	registry *prometheus.Registry
 	metrics  *conductor.Metrics
 
+	// readDirectory asks for the directory to be read at once.
+	readDirectory chan struct{}
 	// nudged asks for a look at what the group deals to this entry.
 	nudged chan struct{}
 	// stopping is set once the process has begun to stop.
@@ -121,6 +123,8 @@
 		owners:   make(map[int]string),
 		peers:    make(map[string]string),
 		nudged:   make(chan struct{}, 1),
+
+		readDirectory: make(chan struct{}, 1),
 	}
 	c.settings.workers = workers
 	c.settings.advise = advise
--- a/coordinator/feeds.go
+++ b/coordinator/feeds.go
@@ -25,11 +25,14 @@
 	store     storer.Store
 	clock     timekeeper.Clock
 	partition storer.Partition
-	// take is given what was read. Whole tells that it is everything.
+	// take is given what each read returned, which may be nothing. Whole tells
+	// that it is everything.
 	take func(records []storer.Record, whole bool)
-	// wait is how long a read waits, and pause how long to wait after it.
+	// wait is how long a read waits, and pause how long to wait after it, unless
+	// a value comes from early. Both may be nil.
 	wait  time.Duration
 	pause func() time.Duration
+	early <-chan struct{}
 	// failed is called after a read that failed. It may be nil.
 	failed func(ctx context.Context)
 }
@@ -53,13 +56,22 @@
 			pause = f.pause()
 		}
 		if pause > 0 {
-			if err := timekeeper.Sleep(ctx, f.clock, pause); err != nil {
-				return err
-			}
+			f.sleep(ctx, pause)
 		}
 	}
 }
 
+// sleep waits between two reads.
+func (f feed) sleep(ctx context.Context, pause time.Duration) {
+	timer := f.clock.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C():
+	case <-f.early:
+	case <-ctx.Done():
+	}
+}
+
 // step reads once, from an offset or, below 0, from the newest records.
 func (f feed) step(ctx context.Context, next int64) (int64, error) {
 	if next < 0 {
@@ -77,9 +89,7 @@
 	if err != nil {
 		return next, err
 	}
-	if len(page.Records) > 0 {
-		f.take(page.Records, false)
-	}
+	f.take(page.Records, false)
 	return page.Next, nil
 }
 
@@ -135,6 +145,7 @@
 		store:     c.store,
 		clock:     c.settings.clock,
 		partition: c.settings.directory,
+		early:     c.readDirectory,
 		pause: func() time.Duration {
 			c.mu.Lock()
 			defer c.mu.Unlock()
--- a/coordinator/lanes.go
+++ b/coordinator/lanes.go
@@ -31,6 +31,10 @@
 	// gets no calls. It is asked for a sign of life all the while.
 	restFirst = 500 * time.Millisecond
 	restMost  = 8 * time.Second
+	// shutFirst and shutMost bound for how long an entry makes no calls that the
+	// adviser did not answer: up to the length of a few calls.
+	shutFirst = 100 * time.Millisecond
+	shutMost  = 2 * time.Second
 	// probeInterval is how often that is done, and probeTimeout how long it may
 	// take: several round trips between data centres.
 	probeInterval = 400 * time.Millisecond
@@ -57,6 +61,10 @@
 	resting time.Time
 	// failures counts the signs of life in a row that did not come.
 	failures int
+	// shut is until when the entry gets no calls for advice, after refusals of
+	// them in a row.
+	shut     time.Time
+	refusals int
 	// stores tells that the entry said, when last asked, that the store serves
 	// it.
 	stores bool
@@ -238,7 +246,7 @@
 func (l *lanes) divide(now time.Time) (quick, other []*lane) {
 	var ready []*lane
 	for _, known := range l.all {
-		if !now.Before(known.resting) {
+		if !now.Before(known.resting) && !now.Before(known.shut) {
 			ready = append(ready, known)
 		}
 	}
@@ -267,10 +275,17 @@
 	if used.calls == 0 {
 		used.free = now
 	}
-	if err == nil {
+	switch {
+	case err == nil:
 		used.answered()
-	} else if errors.Is(err, messenger.ErrUnreachable) {
+		used.refusals = 0
+	case errors.Is(err, messenger.ErrUnreachable):
 		used.failed(now)
+	default:
+		// The entry is there, but the adviser does not serve it. It would look
+		// free to every next call.
+		used.shut = now.Add(min(shutMost, shutFirst<<min(used.refusals, 5)))
+		used.refusals++
 	}
 }
 
--- a/coordinator/membership.go
+++ b/coordinator/membership.go
@@ -166,8 +166,11 @@
 		done:   make(chan struct{}),
 	}
 	c.owned[partition] = own
-	if entries := c.directory.Load(); entries != nil {
-		own.conductor.SetWorkers(c.inPartition(partition, *entries))
+	// What is known of the workers may be old: an entry that owns nothing reads
+	// them rarely. The owner is told of them by the next read.
+	select {
+	case c.readDirectory <- struct{}{}:
+	default:
 	}
 	group.Go(func() error {
 		defer close(own.done)
--- a/scheduler/advice.go
+++ b/scheduler/advice.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -55,8 +56,10 @@
 	if !sizeOf(st.phase).Fits(p.free) {
 		return
 	}
-	if workers := s.worthAsking(st, p, now); len(workers) > 0 {
+	workers, hoped := s.worthAsking(st, p, now)
+	if len(workers) > 0 {
 		s.renew(st, workers, now)
+		st.advice.hoped = hoped
 	}
 }
 
@@ -72,8 +75,8 @@
 }
 
 // worthAsking returns as many workers with room as the step needs, first those
-// that are known to be approved.
-func (s *Scheduler) worthAsking(st *step, p *pool, now time.Time) []*worker {
+// that are known to be approved, and how many tasks they may have room for.
+func (s *Scheduler) worthAsking(st *step, p *pool, now time.Time) (workers []*worker, hoped int) {
 	type option struct {
 		worker   *worker
 		approved bool
@@ -106,19 +109,19 @@
 	})
 	share := s.stats(st.job.record.Queue.Name).approval
 	need := moreThanNeeded * float64(st.waiting)
-	var workers []*worker
+	found := 0.0
 	for _, o := range all {
-		if need <= 0 || len(workers) >= fewAsked {
+		if found >= need || len(workers) >= fewAsked {
 			break
 		}
 		if o.approved {
-			need -= float64(o.room)
+			found += float64(o.room)
 		} else {
-			need -= share * float64(o.room)
+			found += share * float64(o.room)
 		}
 		workers = append(workers, o.worker)
 	}
-	return workers
+	return workers, int(math.Ceil(found))
 }
 
 // renew calls for advice on these workers.
--- a/scheduler/advice_test.go
+++ b/scheduler/advice_test.go
@@ -267,3 +267,26 @@
 	r.carryOut(r.s.Tick(r.now))
 	r.c.Assert(r.effects, qt.HasLen, 1)
 }
+
+// TestWideStepHoldsBackWhatItCanTake answers the pattern of a wide job that
+// asks for advice ahead of many small ones: it holds back the room that it may
+// get, not what it would want.
+func TestWideStepHoldsBackWhatItCanTake(t *testing.T) {
+	r := newRig(t)
+	for i := range 4 {
+		r.worker(nodeName(i), cores(16))
+	}
+	r.list()
+	r.hold()
+	r.s.SetAskSlots(2, 2)
+	phase := tasks(100, cores(4))
+	phase.PerWorker = 1
+	wide := r.job("a", phase)
+	wide.Queue = advisedQueue
+	r.s.AddJob(wide, nil, false, r.now)
+	small := r.job("b", tasks(1, cores(1)))
+	small.Queue = advisedQueue
+	r.s.AddJob(small, nil, false, r.now)
+	r.carryOut(r.s.Tick(r.now))
+	r.c.Assert(r.effects, qt.HasLen, 2)
+}
--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -77,10 +78,51 @@
 		} else {
 			s.placeTasks(st, p, now)
 		}
+		if st.waiting > 0 {
+			s.explain(st, p, now)
+		}
 	}
 	s.askAhead(pools, now)
 }
 
+// explainEvery is how often a step that waits is explained in the log.
+const explainEvery = 5 * time.Second
+
+// explain notes why a step waits, from time to time.
+func (s *Scheduler) explain(st *step, p *pool, now time.Time) {
+	if st.explained.IsZero() {
+		st.explained = now
+	}
+	if now.Sub(st.explained) < explainEvery {
+		return
+	}
+	st.explained = now
+	suitable, approved, fresh, roomy, kept := 0, 0, 0, 0, 0
+	for _, w := range p.workers {
+		if !suits(st, w) {
+			continue
+		}
+		suitable++
+		if got, found := st.advice.tickets[w.entry.Ref.ID]; found {
+			approved++
+			if now.Before(got.expires) {
+				fresh++
+			}
+		}
+		if s.hasRoom(st, w, p, now) {
+			roomy++
+		}
+		if _, found := p.reserved[w]; found {
+			kept++
+		}
+	}
+	s.note(fmt.Sprintf("step waits: %d of %d tasks, %d workers available, %d suitable, %d approved, %d with a valid ticket, %d with room, %d kept for gangs, asking %t",
+		st.waiting, len(st.tasks), len(p.workers), suitable, approved, fresh, roomy, kept, st.advice.asking),
+		TaskRef{
+			Step: st.ref,
+		}, "", now.Sub(st.due))
+}
+
 // placeTasks starts the waiting tasks of a step, each by itself.
 func (s *Scheduler) placeTasks(st *step, p *pool, now time.Time) {
 	for i := range st.tasks {
@@ -105,7 +147,7 @@
 	if st.advice.asking {
 		// The step will take room soon. One that waits for particular workers
 		// to have room takes none from those behind it.
-		p.free = p.free.Sub(sizeOf(st.phase).Times(int64(st.waiting)))
+		p.free = p.free.Sub(sizeOf(st.phase).Times(int64(min(st.waiting, st.advice.hoped))))
 	}
 }
 
@@ -270,7 +312,6 @@
 	if st.waiting == 0 {
 		delete(s.open, st.ref)
 	}
-	s.begin(st.job)
 	if st.job.named[w.entry.Ref.ID] {
 		s.send(r, st, now)
 		return
@@ -295,6 +336,7 @@
 
 // send orders a planned run.
 func (s *Scheduler) send(r *run, st *step, now time.Time) {
+	s.begin(st.job)
 	r.state = runStarting
 	r.began = now
 	r.moved = now
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -191,3 +191,25 @@
 	r.tick()
 	r.c.Assert(r.active(), qt.Equals, 1)
 }
+
+// TestJobWaitsUntilAStartIsSent has the store take no writes: the job counts as
+// waiting, also for the next owner.
+func TestJobWaitsUntilAStartIsSent(t *testing.T) {
+	r := newRig(t)
+	r.worker("w", cores(4))
+	r.list()
+	r.hold()
+	job := r.job("j", tasks(1, cores(1)))
+	r.s.AddJob(job, nil, false, r.now)
+	r.carryOut(r.s.Tick(r.now))
+	r.c.Assert(r.s.Planned(), qt.Equals, 1)
+	r.c.Assert(r.s.Waiting("checks"), qt.Equals, 1)
+	r.c.Assert(r.state("j"), qt.Equals, scheduler.Pending)
+	r.write()
+	r.takeOver(job)
+	r.c.Assert(r.s.Waiting("checks"), qt.Equals, 1)
+	r.hold()
+	r.tick()
+	r.tick()
+	r.c.Assert(r.s.Waiting("checks"), qt.Equals, 0)
+}
--- a/scheduler/tables.go
+++ b/scheduler/tables.go
@@ -56,6 +56,8 @@
 	gangFailures []int64
 	// retry is when a gang or an unlucky step is tried again.
 	retry time.Time
+	// explained is when the log last said why the step waits.
+	explained time.Time
 	// ran and runs are the total time and the number of the runs that are done.
 	ran  time.Duration
 	runs int
@@ -84,6 +86,8 @@
 	tickets map[string]ticket
 	// asking tells that a call is under way, and quick of which kind.
 	asking, quick bool
+	// hoped is how many tasks the call under way may find room for.
+	hoped int
 	// retry is when the next call may be made.
 	retry time.Time
 }
