--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"strings"
 	"sync"
 	"time"
@@ -353,7 +354,7 @@
 		Epoch: c.token,
 	})
 	if errors.Is(err, storer.ErrFenced) {
-		return errors.Mark(err, ErrSuperseded)
+		return fmt.Errorf("%w: %w", ErrSuperseded, err)
 	}
 	if err != nil {
 		return err
@@ -630,7 +631,7 @@
 			c.sequence++
 			return nil
 		case errors.Is(err, storer.ErrFenced), errors.Is(err, storer.ErrConflict):
-			return errors.Mark(err, ErrSuperseded)
+			return fmt.Errorf("%w: %w", ErrSuperseded, err)
 		case ctx.Err() != nil:
 			return ctx.Err()
 		}
--- /dev/null
+++ b/coordinator/cell_test.go
@@ -0,0 +1,384 @@
+package coordinator_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/galenacove/galenacove/coordinator"
+	"github.com/galenacove/galenacove/emulator"
+	"github.com/galenacove/galenacove/receiver"
+	"github.com/galenacove/galenacove/scheduler"
+	"github.com/galenacove/galenacove/sizer"
+	"github.com/galenacove/galenacove/storer"
+	"github.com/galenacove/galenacove/timekeeper"
+)
+
+const (
+	service  = "desk"
+	gibibyte = 1 << 30
+)
+
+var (
+	configPartition    = storer.Partition{Topic: "config"}
+	directoryPartition = storer.Partition{Topic: "directory"}
+)
+
+// doorStore turns one entry away while it is shut.
+type doorStore struct {
+	storer.Store
+	shut atomic.Bool
+}
+
+func (s *doorStore) Append(ctx context.Context, to storer.Partition, writer *storer.Writer, records ...storer.Record) (int64, error) {
+	if s.shut.Load() {
+		return 0, storer.ErrUnavailable
+	}
+	return s.Store.Append(ctx, to, writer, records...)
+}
+
+func (s *doorStore) Read(ctx context.Context, of storer.Partition, from int64, wait time.Duration) (storer.Page, error) {
+	if s.shut.Load() {
+		return storer.Page{}, storer.ErrUnavailable
+	}
+	return s.Store.Read(ctx, of, from, wait)
+}
+
+func (s *doorStore) Join(ctx context.Context, group, member string, topics []string, ttl time.Duration, generation int64) (storer.Assignment, error) {
+	if s.shut.Load() {
+		return storer.Assignment{}, storer.ErrUnavailable
+	}
+	return s.Store.Join(ctx, group, member, topics, ttl, generation)
+}
+
+func (s *doorStore) Owners(ctx context.Context, group string) ([]storer.Ownership, error) {
+	if s.shut.Load() {
+		return nil, storer.ErrUnavailable
+	}
+	return s.Store.Owners(ctx, group)
+}
+
+// cell is a store, a fleet and some entries, in one process over loopback.
+type cell struct {
+	c       *qt.C
+	store   *storer.Memory
+	fleet   *emulator.Fleet
+	entries []*entry
+}
+
+type entry struct {
+	store     *doorStore
+	callers   string
+	readiness string
+	stop      context.CancelFunc
+	group     errgroup.Group
+}
+
+func newCell(t *testing.T, entries int) *cell {
+	cl := &cell{
+		c:     qt.New(t),
+		store: storer.NewMemory(timekeeper.System()),
+		fleet: emulator.NewFleet(timekeeper.System()),
+	}
+	for i := range 6 {
+		cl.fleet.Add(fmt.Sprintf("w%d", i), service, sizer.New(8000, 64*gibibyte, 0))
+	}
+	for _, worker := range cl.fleet.Entries() {
+		cl.write(directoryPartition, worker.Ref.ID, worker)
+	}
+	cl.configure(1, "/checks/")
+	for i := range entries {
+		cl.start(fmt.Sprintf("entry-%d", i))
+	}
+	t.Cleanup(func() {
+		for _, e := range cl.entries {
+			cl.c.Check(e.end(), qt.IsNil)
+		}
+	})
+	return cl
+}
+
+func (e *entry) end() error {
+	e.stop()
+	return e.group.Wait()
+}
+
+func (cl *cell) write(partition storer.Partition, key string, value any) {
+	data, err := json.Marshal(value)
+	cl.c.Assert(err, qt.IsNil)
+	_, err = cl.store.Append(context.Background(), partition, nil, storer.Record{
+		Key:   key,
+		Value: data,
+	})
+	cl.c.Assert(err, qt.IsNil)
+}
+
+func (cl *cell) configure(version int64, prefixes ...string) {
+	config := receiver.Config{
+		Version: version,
+	}
+	for _, prefix := range prefixes {
+		config.Routes = append(config.Routes, receiver.Route{
+			Host:   "127.0.0.1",
+			Prefix: prefix,
+			Queue: scheduler.Queue{
+				Name:        prefix,
+				Service:     service,
+				MaxAttempts: 2,
+				SlackFactor: 2,
+			},
+		})
+	}
+	cl.write(configPartition, "config", config)
+}
+
+func (cl *cell) start(name string) *entry {
+	var listeners [3]net.Listener
+	for i := range listeners {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		cl.c.Assert(err, qt.IsNil)
+		listeners[i] = listener
+	}
+	e := &entry{
+		store: &doorStore{
+			Store: cl.store,
+		},
+		callers:   "http://" + listeners[0].Addr().String(),
+		readiness: "http://" + listeners[1].Addr().String(),
+	}
+	advise := func(_ context.Context, _ scheduler.StepRef, _ []string) ([]scheduler.Approval, time.Duration, error) {
+		return nil, 0, nil
+	}
+	process := coordinator.New(e.store, cl.fleet, advise, receiver.JSON{},
+		coordinator.Name(name, "here"),
+		coordinator.Listeners(listeners[0], listeners[1], listeners[2]),
+		coordinator.Grace(1500*time.Millisecond),
+		coordinator.Scheduling(scheduler.Lease(time.Second, 1500*time.Millisecond)),
+		coordinator.Config(configPartition, func(record storer.Record) (receiver.Config, bool, error) {
+			var config receiver.Config
+			err := json.Unmarshal(record.Value, &config)
+			return config, err == nil, err
+		}),
+		coordinator.Directory(directoryPartition, func(record storer.Record, _ time.Time) (scheduler.WorkerEntry, error) {
+			var worker scheduler.WorkerEntry
+			err := json.Unmarshal(record.Value, &worker)
+			return worker, err
+		}))
+	ctx, stop := context.WithCancel(context.Background())
+	e.stop = stop
+	e.group.Go(func() error { return process.Run(ctx) })
+	cl.entries = append(cl.entries, e)
+	cl.awaitReady(e, http.StatusOK)
+	return e
+}
+
+func (cl *cell) awaitReady(e *entry, status int) {
+	for {
+		got, _ := cl.call(http.MethodGet, e.readiness+"/", nil)
+		if got == status {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// call makes one call and returns the status and the body, 0 where there was
+// no answer.
+func (cl *cell) call(method, url string, body []byte) (int, string) {
+	request, err := http.NewRequest(method, url, bytes.NewReader(body))
+	cl.c.Assert(err, qt.IsNil)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, ""
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, ""
+	}
+	return response.StatusCode, string(data)
+}
+
+func body(tasks int) []byte {
+	data, err := json.Marshal(scheduler.Job{
+		Phases: []scheduler.Phase{
+			{
+				Tasks:    tasks,
+				Size:     sizer.New(1000, gibibyte, 0),
+				Estimate: 200 * time.Millisecond,
+			},
+			{
+				Tasks:     1,
+				Size:      sizer.New(1000, gibibyte, 0),
+				Estimate:  200 * time.Millisecond,
+				DependsOn: []int{0},
+			},
+		},
+	})
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
+
+func (cl *cell) submit(e *entry, id string, tasks int) {
+	status, _ := cl.call(http.MethodPost, e.callers+"/checks/"+id, body(tasks))
+	cl.c.Assert(status, qt.Equals, http.StatusOK)
+}
+
+// await waits until the entry tells that state of a job.
+func (cl *cell) await(e *entry, id string, state scheduler.JobState) {
+	for {
+		status, got := cl.call(http.MethodGet, e.callers+"/checks/"+id, nil)
+		if status == http.StatusOK && got == fmt.Sprintf("{%q:%q}", "state", state) {
+			return
+		}
+		cl.c.Assert(status, qt.Not(qt.Equals), http.StatusGone, qt.Commentf("an accepted job is not known"))
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func TestAnyEntryServesAnyJob(t *testing.T) {
+	cl := newCell(t, 3)
+	for i := range 12 {
+		cl.submit(cl.entries[i%3], fmt.Sprintf("job%d", i), 4)
+	}
+	for i := range 12 {
+		cl.await(cl.entries[(i+1)%3], fmt.Sprintf("job%d", i), scheduler.Completed)
+	}
+	cl.c.Assert(cl.fleet.Done(), qt.Equals, 12*5)
+	cl.c.Assert(cl.fleet.Broken(), qt.HasLen, 0)
+}
+
+func TestSubmittedTwiceRunsOnce(t *testing.T) {
+	cl := newCell(t, 2)
+	for i := range 4 {
+		cl.submit(cl.entries[i%2], "job", 3)
+	}
+	cl.await(cl.entries[0], "job", scheduler.Completed)
+	cl.submit(cl.entries[1], "job", 3)
+	cl.await(cl.entries[1], "job", scheduler.Completed)
+	cl.c.Assert(cl.fleet.Starts(), qt.Equals, 4)
+}
+
+func TestAnswersToCallers(t *testing.T) {
+	cl := newCell(t, 1)
+	e := cl.entries[0]
+	tests := map[string]struct {
+		method, path string
+		body         []byte
+		want         int
+	}{
+		"no such route":       {http.MethodPost, "/nowhere/job", body(1), http.StatusNotFound},
+		"no such job":         {http.MethodGet, "/checks/nobody", nil, http.StatusGone},
+		"bad identity":        {http.MethodPost, "/checks/a/b", body(1), http.StatusBadRequest},
+		"not a job":           {http.MethodPost, "/checks/bad", []byte("{"), http.StatusBadRequest},
+		"a job of no phases":  {http.MethodPost, "/checks/bad", []byte("{}"), http.StatusBadRequest},
+		"an unknown method":   {http.MethodPut, "/checks/job", nil, http.StatusMethodNotAllowed},
+		"jobs that wait":      {http.MethodGet, "/checks/", nil, http.StatusOK},
+		"a count of no queue": {http.MethodGet, "/nowhere/", nil, http.StatusNotFound},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			for {
+				status, _ := cl.call(test.method, e.callers+test.path, test.body)
+				if status == http.StatusServiceUnavailable {
+					// The owner is still reading.
+					time.Sleep(10 * time.Millisecond)
+					continue
+				}
+				c.Assert(status, qt.Equals, test.want)
+				return
+			}
+		})
+	}
+}
+
+func TestCancelledJobStaysCancelled(t *testing.T) {
+	cl := newCell(t, 2)
+	cl.submit(cl.entries[0], "job", 4)
+	status, _ := cl.call(http.MethodDelete, cl.entries[1].callers+"/checks/job", nil)
+	cl.c.Assert(status, qt.Equals, http.StatusOK)
+	cl.await(cl.entries[0], "job", scheduler.Cancelled)
+	// A late copy of the submission changes nothing.
+	cl.submit(cl.entries[0], "job", 4)
+	cl.await(cl.entries[1], "job", scheduler.Cancelled)
+}
+
+// TestJobsOutliveTheirEntries replaces all entries under load, one by one.
+func TestJobsOutliveTheirEntries(t *testing.T) {
+	cl := newCell(t, 2)
+	for i := range 20 {
+		cl.submit(cl.entries[i%2], fmt.Sprintf("job%d", i), 6)
+	}
+	for i := range 2 {
+		cl.start(fmt.Sprintf("new-%d", i))
+		cl.c.Assert(cl.entries[0].end(), qt.IsNil)
+		cl.entries = cl.entries[1:]
+	}
+	for i := range 20 {
+		cl.await(cl.entries[i%2], fmt.Sprintf("job%d", i), scheduler.Completed)
+	}
+	cl.c.Assert(cl.fleet.Done(), qt.Equals, 20*7)
+	cl.c.Assert(cl.fleet.Broken(), qt.HasLen, 0)
+}
+
+// TestEntryThatTheStoreTurnsAwayRelays has one entry store jobs through another.
+func TestEntryThatTheStoreTurnsAwayRelays(t *testing.T) {
+	cl := newCell(t, 3)
+	away := cl.entries[1]
+	away.store.shut.Store(true)
+	for i := range 5 {
+		id := fmt.Sprintf("job%d", i)
+		for {
+			status, _ := cl.call(http.MethodPost, away.callers+"/checks/"+id, body(2))
+			if status == http.StatusOK {
+				break
+			}
+			// Refused while it is not known yet whom the store serves.
+			cl.c.Assert(status, qt.Equals, http.StatusServiceUnavailable)
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+	cl.awaitReady(away, http.StatusOK)
+	for i := range 5 {
+		cl.await(cl.entries[0], fmt.Sprintf("job%d", i), scheduler.Completed)
+	}
+	// A new configuration reaches it through the others.
+	cl.configure(2, "/checks/", "/more/")
+	for {
+		status, _ := cl.call(http.MethodPost, away.callers+"/more/job", body(1))
+		if status == http.StatusOK {
+			break
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	cl.c.Assert(cl.fleet.Broken(), qt.HasLen, 0)
+}
+
+// TestStoreOutageIsToldAtOnce has the store serve nobody: callers are refused
+// with a time to come back, and the balancer is told.
+func TestStoreOutageIsToldAtOnce(t *testing.T) {
+	cl := newCell(t, 2)
+	cl.submit(cl.entries[0], "before", 2)
+	cl.store.Fail(storer.ErrUnavailable)
+	status, _ := cl.call(http.MethodPost, cl.entries[0].callers+"/checks/during", body(2))
+	cl.c.Assert(status, qt.Equals, http.StatusServiceUnavailable)
+	cl.awaitReady(cl.entries[0], http.StatusServiceUnavailable)
+	cl.store.Fail(nil)
+	cl.awaitReady(cl.entries[0], http.StatusOK)
+	cl.await(cl.entries[1], "before", scheduler.Completed)
+	status, _ = cl.call(http.MethodGet, cl.entries[0].callers+"/checks/during", nil)
+	cl.c.Assert(status, qt.Equals, http.StatusGone, qt.Commentf("a job that was refused is known"))
+}
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"encoding/hex"
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -169,7 +170,7 @@
 func (c *Coordinator) Run(ctx context.Context) error {
 	server := messenger.NewServer(messenger.Secret(c.settings.secret), messenger.Clock(c.settings.clock))
 	if err := server.Register(rpcName, &rpc{coordinator: c}); err != nil {
-		return errors.Mark(err, ErrServe)
+		return fmt.Errorf("%w: %w", ErrServe, err)
 	}
 	c.settings.logger.WithFields(log.Fields{
 		"entry":      c.settings.name,
@@ -230,7 +231,7 @@
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
-	return errors.Mark(err, ErrServe)
+	return fmt.Errorf("%w: %w", ErrServe, err)
 }
 
 func (c *Coordinator) callersServer() *http.Server {
--- a/coordinator/jobs.go
+++ b/coordinator/jobs.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -36,7 +37,7 @@
 func (c *Coordinator) Submit(ctx context.Context, job scheduler.Job) error {
 	record, err := conductor.JobRecord(job)
 	if err != nil {
-		return errors.Mark(err, receiver.ErrNotRun)
+		return fmt.Errorf("%w: %w", receiver.ErrNotRun, err)
 	}
 	return c.append(ctx, c.partitionOf(job.Queue.Service), record)
 }
@@ -61,16 +62,16 @@
 	case relayed == nil:
 		return nil
 	case errors.Is(relayed, messenger.ErrUnreachable), errors.Is(relayed, messenger.ErrRefused):
-		return errors.Mark(err, receiver.ErrNotRun)
+		return fmt.Errorf("%w: %w", receiver.ErrNotRun, err)
 	default:
-		return errors.Mark(relayed, receiver.ErrUnknown)
+		return fmt.Errorf("%w: %w", receiver.ErrUnknown, relayed)
 	}
 }
 
 // appendHere stores a record of the jobs' topic from this entry.
 func (c *Coordinator) appendHere(ctx context.Context, partition int, record storer.Record) error {
 	if !c.store.reachable(appendFresh) {
-		return errors.Mark(errors.New("coordinator: the store has not answered lately"), storer.ErrUnavailable)
+		return fmt.Errorf("%w: %w", storer.ErrUnavailable, errors.New("coordinator: the store has not answered lately"))
 	}
 	return c.submits.append(ctx, partition, record)
 }
@@ -80,9 +81,9 @@
 	case err == nil:
 		return nil
 	case errors.Is(err, storer.ErrUnknown):
-		return errors.Mark(err, receiver.ErrUnknown)
+		return fmt.Errorf("%w: %w", receiver.ErrUnknown, err)
 	default:
-		return errors.Mark(err, receiver.ErrNotRun)
+		return fmt.Errorf("%w: %w", receiver.ErrNotRun, err)
 	}
 }
 
@@ -98,7 +99,7 @@
 		ID:        id,
 	}, &reply)
 	if err != nil {
-		return "", errors.Mark(err, receiver.ErrNoAnswer)
+		return "", fmt.Errorf("%w: %w", receiver.ErrNoAnswer, err)
 	}
 	if !reply.Found {
 		return "", receiver.ErrNoJob
@@ -118,7 +119,7 @@
 		Queue:     queue.Name,
 	}, &reply)
 	if err != nil {
-		return 0, errors.Mark(err, receiver.ErrNoAnswer)
+		return 0, fmt.Errorf("%w: %w", receiver.ErrNoAnswer, err)
 	}
 	return reply.Jobs, nil
 }
--- a/coordinator/rpc.go
+++ b/coordinator/rpc.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -140,7 +141,7 @@
 
 // callAny calls a method of one of these entries, the first that answers.
 func (c *Coordinator) callAny(ctx context.Context, addresses []string, method string, args, reply any) error {
-	err := errors.Mark(errors.New("coordinator: no peer can serve the call"), messenger.ErrUnreachable)
+	err := fmt.Errorf("%w: %w", messenger.ErrUnreachable, errors.New("coordinator: no peer can serve the call"))
 	for _, address := range addresses {
 		calling, cancel := context.WithTimeout(ctx, relayTimeout)
 		err = c.pool.Call(calling, address, rpcName+"."+method, args, reply)
@@ -148,7 +149,7 @@
 		c.lanes.heard(address, err)
 		if err == nil {
 			if appended, ok := reply.(*AppendReply); ok && appended.Unknown {
-				return errors.Mark(errors.New("coordinator: the store did not answer a peer"), messenger.ErrUnknown)
+				return fmt.Errorf("%w: %w", messenger.ErrUnknown, errors.New("coordinator: the store did not answer a peer"))
 			}
 			return nil
 		}
--- a/coordinator/submits.go
+++ b/coordinator/submits.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
@@ -73,7 +74,7 @@
 			return own.err
 		case <-waiting.Done():
 			if s.abandon(partition, own) {
-				return errors.Mark(errAbandoned, storer.ErrUnavailable)
+				return fmt.Errorf("%w: %w", storer.ErrUnavailable, errAbandoned)
 			}
 			// The record is in an append, or this caller has to make it.
 			select {
