--- a/cmd/galenacove/entry.go
+++ b/cmd/galenacove/entry.go
@@ -48,15 +48,30 @@
 
 func checkCommand() *cli.Command {
 	return &cli.Command{
-		Name:        "check",
-		Usage:       "check the settings without starting anything",
-		UsageText:   "galenacove check --config /etc/galenacove.toml",
-		Description: "Prints every fault with its file, line and key, and exits 1 if there is one.",
-		Before:      noArguments,
+		Name:      "check",
+		Usage:     "check the settings without starting anything",
+		UsageText: "galenacove check --config /etc/galenacove.toml\n   galenacove check --settings /etc/galenacove/boot.toml",
+		Description: "Prints every fault with its file and key, and exits 1 if there is one. --config\n" +
+			"is the file of the command entry, --settings the platform's file of the command\n" +
+			"host.",
+		Before: noArguments,
 		Flags: []cli.Flag{
-			configFlag(),
+			&cli.StringFlag{
+				Name:  "config",
+				Usage: "check the settings in `FILE`",
+			},
+			&cli.StringFlag{
+				Name:  "settings",
+				Usage: "check the platform's settings in `FILE`",
+			},
 		},
 		Action: func(_ context.Context, cmd *cli.Command) error {
+			if cmd.IsSet("config") == cmd.IsSet("settings") {
+				return cli.Exit("check takes either --config or --settings", exitUsage)
+			}
+			if path := cmd.String("settings"); path != "" {
+				return checkPlatform(cmd, path)
+			}
 			settings, err := loader.Load(cmd.String("config"))
 			if err != nil {
 				return err
--- a/conductor/orders.go
+++ b/conductor/orders.go
@@ -9,7 +9,6 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/galenacove/galenacove/scheduler"
-	"github.com/galenacove/galenacove/timekeeper"
 )
 
 // carryOut does what the scheduler decided, and reports what came of it.
@@ -175,54 +174,83 @@
 		order, known := c.scheduler.HoldOrder(id, sent)
 		c.mu.Unlock()
 		if !known || ctx.Err() != nil {
-			return nil
+			break
 		}
 		report, err := c.workers.Hold(ctx, c.token, order, wait)
-		if ctx.Err() != nil {
-			return nil
-		}
 		if errors.Is(err, ErrSuperseded) {
 			return ErrSuperseded
 		}
-		now := c.clock.Now()
-		c.mu.Lock()
-		switch {
-		case errors.Is(err, ErrWorkerGone):
-			c.scheduler.WorkerGone(id, now)
-		case err != nil:
-			c.scheduler.HoldFailed(id, now)
-		default:
-			c.scheduler.Report(id, report, sent, now)
-		}
-		order, _ = c.scheduler.HoldOrder(id, now)
-		some, _ := c.scheduler.Unwritten()
-		moved := c.moved
-		c.mu.Unlock()
-		if some {
-			c.askWrite()
-		}
-		c.poke()
-		wait = holdWait
-		switch {
-		case errors.Is(err, ErrWorkerGone):
-			c.logger.WithField("worker", id).Info("conductor: worker has ended")
-			wait = 0
-			if err := timekeeper.Sleep(ctx, c.clock, holdPause); err != nil {
-				return nil
-			}
-		case err != nil:
-			c.metrics.silent.Inc()
-			c.logger.WithError(err).WithField("worker", id).Warn("conductor: worker does not answer")
-			wait = 0
-			if err := timekeeper.Sleep(ctx, c.clock, holdPause); err != nil {
-				return nil
-			}
-		case order.Unstored:
-			// A worker answers at once while it lists ends that are not
-			// acknowledged.
-			c.awaitWrite(ctx, moved)
+		if wait = c.heard(ctx, id, report, err, sent); ctx.Err() != nil {
+			break
 		}
 	}
+	return nil
+}
+
+// heard takes what came of a renewal, and pauses where that is due. It returns
+// how long the worker is to wait for an end the next time.
+func (c *Conductor) heard(ctx context.Context, id string, report scheduler.Report, err error, sent time.Time) time.Duration {
+	if ctx.Err() != nil {
+		return 0
+	}
+	if err != nil {
+		c.holdFailed(id, err)
+		c.pause(ctx)
+		return 0
+	}
+	if unstored, moved := c.takeReport(id, report, sent); unstored {
+		// A worker answers at once while it lists ends that are not
+		// acknowledged.
+		c.awaitWrite(ctx, moved)
+	}
+	return holdWait
+}
+
+// takeReport takes what a worker answered. It tells whether ends are not stored
+// yet, and what is closed once they may be.
+func (c *Conductor) takeReport(id string, report scheduler.Report, sent time.Time) (unstored bool, moved <-chan struct{}) {
+	c.mu.Lock()
+	now := c.clock.Now()
+	c.scheduler.Report(id, report, sent, now)
+	order, _ := c.scheduler.HoldOrder(id, now)
+	some, _ := c.scheduler.Unwritten()
+	moved = c.moved
+	c.mu.Unlock()
+	if some {
+		c.askWrite()
+	}
+	c.poke()
+	return order.Unstored, moved
+}
+
+// holdFailed notes that a worker gave no usable answer.
+func (c *Conductor) holdFailed(id string, err error) {
+	entry := c.logger.WithError(err).WithField("worker", id)
+	now := c.clock.Now()
+	c.mu.Lock()
+	if errors.Is(err, ErrWorkerGone) {
+		c.scheduler.WorkerGone(id, now)
+	} else {
+		c.scheduler.HoldFailed(id, now)
+	}
+	c.mu.Unlock()
+	if errors.Is(err, ErrWorkerGone) {
+		entry.Info("conductor: worker has ended")
+	} else {
+		c.metrics.silent.Inc()
+		entry.Warn("conductor: worker does not answer")
+	}
+	c.poke()
+}
+
+// pause waits before a renewal that failed is made again.
+func (c *Conductor) pause(ctx context.Context) {
+	timer := c.clock.NewTimer(holdPause)
+	defer timer.Stop()
+	select {
+	case <-timer.C():
+	case <-ctx.Done():
+	}
 }
 
 // awaitWrite waits until progress is stored, but not so long that the lease
--- a/scheduler/gangs.go
+++ b/scheduler/gangs.go
@@ -41,11 +41,6 @@
 
 // chooseAll returns a worker for each task of the gang, or nil.
 func (s *Scheduler) chooseAll(st *step, p *pool, now time.Time, allowed func(*step, *worker, time.Time) bool) []*worker {
-	type place struct {
-		worker *worker
-		room   int
-		score  float64
-	}
 	var places []place
 	for _, w := range p.workers {
 		if !allowed(st, w, now) {
@@ -62,42 +57,49 @@
 	slices.SortStableFunc(places, func(a, b place) int {
 		return cmp.Compare(a.score, b.score)
 	})
-	take := func(rack string) []*worker {
-		var chosen []*worker
-		for _, pl := range places {
-			if rack != "" && pl.worker.entry.Rack != rack {
-				continue
-			}
-			for range pl.room {
-				if len(chosen) == len(st.tasks) {
-					return chosen
-				}
-				chosen = append(chosen, pl.worker)
-			}
-		}
-		if len(chosen) < len(st.tasks) {
-			return nil
-		}
-		return chosen
-	}
 	if st.phase.RackLocal {
 		for _, pl := range places {
-			if chosen := take(pl.worker.entry.Rack); chosen != nil {
+			if chosen := takeFrom(places, pl.worker.entry.Rack, len(st.tasks)); chosen != nil {
 				return chosen
 			}
 		}
 	}
-	return take("")
+	return takeFrom(places, "", len(st.tasks))
+}
+
+// place is a worker with room for tasks of a gang.
+type place struct {
+	worker *worker
+	room   int
+	score  float64
+}
+
+// takeFrom returns the workers of the first n rooms, all on one rack unless
+// that is empty. It returns nil where there are too few.
+func takeFrom(places []place, rack string, n int) []*worker {
+	var chosen []*worker
+	for _, pl := range places {
+		if rack != "" && pl.worker.entry.Rack != rack {
+			continue
+		}
+		for range min(pl.room, n-len(chosen)) {
+			chosen = append(chosen, pl.worker)
+		}
+	}
+	if len(chosen) < n {
+		return nil
+	}
+	return chosen
 }
 
 // waitForRoom keeps the workers for a gang on which it can start first.
 func (s *Scheduler) waitForRoom(st *step, p *pool, now time.Time, known func(*step, *worker, time.Time) bool) {
-	type place struct {
+	type vacancy struct {
 		worker *worker
 		at     time.Time
 		room   int
 	}
-	var places []place
+	var places []vacancy
 	for _, w := range p.workers {
 		if _, kept := p.reserved[w]; kept || !known(st, w, now) {
 			continue
@@ -107,14 +109,14 @@
 		}
 		at, room := s.predict(st, w, now)
 		if room > 0 {
-			places = append(places, place{
+			places = append(places, vacancy{
 				worker: w,
 				at:     at,
 				room:   room,
 			})
 		}
 	}
-	slices.SortStableFunc(places, func(a, b place) int {
+	slices.SortStableFunc(places, func(a, b vacancy) int {
 		return a.at.Compare(b.at)
 	})
 	var kept []*worker
--- a/scheduler/tables.go
+++ b/scheduler/tables.go
@@ -15,9 +15,8 @@
 	// stored tells that the state is in the store. A final state is shown only
 	// then.
 	stored bool
-	// first is the lowest occurrence that is not done, and opened the lowest
-	// that has no steps yet.
-	first, opened int
+	// opened is the lowest occurrence that has no steps yet.
+	opened int
 	// steps holds the steps of the occurrences that are open.
 	steps map[StepRef]*step
 	// loaded is the progress that was stored before this owner, by step.
