Give a service several owners, by shards that all entries agree on

Ruled out: shards by hash of the worker (capacity of a shard varies by 17%).

Change: the owner of a service's first partition decides how many shards there are and which shard a worker belongs to, in a topic, on the condition that nothing was written since it read. A job's shard follows from its identity.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -16,7 +16,6 @@
 	"time"
 
 	"github.com/apex/log"
-	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
@@ -61,6 +60,9 @@
 	// has failed, for the entry to get new callers. The balancer takes 2 s more
 	// to notice.
 	storeFresh = 900 * time.Millisecond
+	// settling is for how long a starting entry waits until all services have
+	// shards.
+	settling = 5 * time.Second
 	// leavePause is how long a stopping entry goes on before it asks callers
 	// to reconnect: two of the balancer's probes and a margin.
 	leavePause = 2500 * time.Millisecond
@@ -82,6 +84,7 @@
 	receiver *receiver.Receiver
 	pool     *messenger.Pool
 	lanes    *lanes
+	shards   *shards
 	registry *prometheus.Registry
 	metrics  *conductor.Metrics
 
@@ -89,6 +92,8 @@
 	readDirectory chan struct{}
 	// nudged asks for a look at what the group deals to this entry.
 	nudged chan struct{}
+	// began is when the process was made.
+	began time.Time
 	// stopping is set once the process has begun to stop.
 	stopping atomic.Bool
 	// directory is the last one that was read.
@@ -127,9 +132,11 @@
 
 		readDirectory: make(chan struct{}, 1),
 	}
+	c.began = c.settings.clock.Now()
 	c.settings.workers = workers
 	c.settings.advise = advise
 	c.store = newWatchedStore(store, c.settings.clock)
+	c.shards = newShards(c.settings.shardSize, c.settings.partitions)
 	c.submits = newSubmits(c.store)
 	c.receiver = receiver.New(c, bodies, receiver.Logger(c.settings.logger), receiver.Clock(c.settings.clock))
 	c.pool = messenger.NewPool(messenger.Secret(c.settings.secret), messenger.Clock(c.settings.clock))
@@ -160,11 +167,6 @@
 	c.generation = 0
 }
 
-// partitionOf returns the partition of the jobs of a service.
-func (c *Coordinator) partitionOf(service string) int {
-	return int(xxhash.Sum64String(service) % uint64(c.settings.partitions))
-}
-
 // Run serves until the context has ended, then hands over and finishes what is
 // in flight.
 func (c *Coordinator) Run(ctx context.Context) error {
@@ -184,6 +186,7 @@
 	group.Go(func() error { return quiet(c.followConfig(running)) })
 	group.Go(func() error { return quiet(c.followDirectory(running)) })
 	group.Go(func() error { return quiet(c.followPeers(running)) })
+	group.Go(func() error { return quiet(c.followShards(running)) })
 	group.Go(func() error { return quiet(c.lanes.probe(running)) })
 	group.Go(func() error { return quiet(c.keepMembership(running, group)) })
 	callers := c.callersServer()
@@ -269,9 +272,15 @@
 	if c.stopping.Load() {
 		return "stopping"
 	}
-	if _, known := c.receiver.Config(); !known {
+	config, known := c.receiver.Config()
+	if !known {
 		return "no configuration yet"
 	}
+	for _, route := range config.Routes {
+		if !c.shards.decided(route.Queue.Service) && c.settings.clock.Now().Sub(c.began) < settling {
+			return "a service has no shards yet"
+		}
+	}
 	if !c.store.reachable(storeFresh) && len(c.lanes.relays(1)) == 0 {
 		return "cut off from the store, and from every entry that it serves"
 	}
--- a/coordinator/feeds.go
+++ b/coordinator/feeds.go
@@ -25,9 +25,9 @@
 	store     storer.Store
 	clock     timekeeper.Clock
 	partition storer.Partition
-	// take is given what each read returned, which may be nothing. Whole tells
-	// that it is everything.
-	take func(records []storer.Record, whole bool)
+	// take is given what each read returned, which may be nothing, and the
+	// offset after it. Whole tells that it is everything.
+	take func(records []storer.Record, next int64, whole bool)
 	// wait is how long a read waits, and pause how long to wait after it, unless
 	// a value comes from early. Both may be nil.
 	wait  time.Duration
@@ -79,7 +79,7 @@
 		if err != nil {
 			return next, err
 		}
-		f.take(records, true)
+		f.take(records, end, true)
 		return end, nil
 	}
 	page, err := f.store.Read(ctx, f.partition, next, f.wait)
@@ -89,7 +89,7 @@
 	if err != nil {
 		return next, err
 	}
-	f.take(page.Records, false)
+	f.take(page.Records, page.Next, false)
 	return page.Next, nil
 }
 
@@ -100,7 +100,7 @@
 		clock:     c.settings.clock,
 		partition: c.settings.config,
 		wait:      configWait,
-		take:      func(records []storer.Record, _ bool) { c.takeConfig(records) },
+		take:      func(records []storer.Record, _ int64, _ bool) { c.takeConfig(records) },
 		failed:    c.configFromPeer,
 	}.run(ctx)
 }
@@ -154,11 +154,12 @@
 			}
 			return directoryInterval
 		},
-		take: func(records []storer.Record, whole bool) {
+		take: func(records []storer.Record, _ int64, whole bool) {
 			if whole {
 				clear(known)
 			}
 			c.takeWorkers(known, records)
+			c.decideShards(ctx)
 		},
 	}.run(ctx)
 }
@@ -182,18 +183,27 @@
 		entries = append(entries, entry)
 	}
 	c.directory.Store(&entries)
+	c.tellOwners()
+}
+
+// tellOwners tells the owners in this process of the workers of their shards.
+func (c *Coordinator) tellOwners() {
+	entries := c.directory.Load()
+	if entries == nil {
+		return
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for partition, own := range c.owned {
-		own.conductor.SetWorkers(c.inPartition(partition, entries))
+		own.conductor.SetWorkers(c.inPartition(partition, *entries))
 	}
 }
 
-// inPartition returns the workers of the services of a partition.
+// inPartition returns the workers of the shards in a partition.
 func (c *Coordinator) inPartition(partition int, entries []scheduler.WorkerEntry) []scheduler.WorkerEntry {
 	var own []scheduler.WorkerEntry
 	for _, entry := range entries {
-		if c.partitionOf(entry.Service) == partition {
+		if home, known := c.shards.ofWorker(entry); known && home == partition {
 			own = append(own, entry)
 		}
 	}
@@ -222,7 +232,7 @@
 		clock:     c.settings.clock,
 		partition: partition,
 		wait:      peersWait,
-		take: func(records []storer.Record, _ bool) {
+		take: func(records []storer.Record, _ int64, _ bool) {
 			c.mu.Lock()
 			defer c.mu.Unlock()
 			for _, record := range records {
--- a/coordinator/jobs.go
+++ b/coordinator/jobs.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/galenacove/galenacove/conductor"
 	"github.com/galenacove/galenacove/messenger"
@@ -39,12 +40,20 @@
 	if err != nil {
 		return fmt.Errorf("%w: %w", receiver.ErrNotRun, err)
 	}
-	return c.append(ctx, c.partitionOf(job.Queue.Service), record)
+	partition, known := c.shards.ofJob(job.Queue.Service, job.ID)
+	if !known {
+		return fmt.Errorf("%w: %w", receiver.ErrNotRun, errNoShards)
+	}
+	return c.append(ctx, partition, record)
 }
 
 // Cancel implements receiver.Jobs.
 func (c *Coordinator) Cancel(ctx context.Context, queue scheduler.Queue, id string) error {
-	return c.append(ctx, c.partitionOf(queue.Service), conductor.CancelRecord(id))
+	partition, known := c.shards.ofJob(queue.Service, id)
+	if !known {
+		return fmt.Errorf("%w: %w", receiver.ErrNotRun, errNoShards)
+	}
+	return c.append(ctx, partition, conductor.CancelRecord(id))
 }
 
 // append stores a record of the jobs' topic, through another entry where the
@@ -89,13 +98,17 @@
 
 // State implements receiver.Jobs.
 func (c *Coordinator) State(ctx context.Context, queue scheduler.Queue, id string) (scheduler.JobState, error) {
+	partition, known := c.shards.ofJob(queue.Service, id)
+	if !known {
+		return "", fmt.Errorf("%w: %w", receiver.ErrNoAnswer, errNoShards)
+	}
 	var reply StateReply
-	err := c.atOwner(ctx, c.partitionOf(queue.Service), func(ctx context.Context, own *conductor.Conductor) error {
+	err := c.atOwner(ctx, partition, func(ctx context.Context, own *conductor.Conductor) error {
 		var err error
 		reply.State, reply.Found, err = own.State(ctx, id)
 		return err
 	}, "State", StateArgs{
-		Partition: c.partitionOf(queue.Service),
+		Partition: partition,
 		ID:        id,
 	}, &reply)
 	if err != nil {
@@ -109,21 +122,37 @@
 
 // Waiting implements receiver.Jobs.
 func (c *Coordinator) Waiting(ctx context.Context, queue scheduler.Queue) (int, error) {
-	var reply WaitingReply
-	err := c.atOwner(ctx, c.partitionOf(queue.Service), func(_ context.Context, own *conductor.Conductor) error {
-		var err error
-		reply.Jobs, err = own.Waiting(queue.Name)
-		return err
-	}, "Waiting", WaitingArgs{
-		Partition: c.partitionOf(queue.Service),
-		Queue:     queue.Name,
-	}, &reply)
-	if err != nil {
+	partitions := c.shards.ofService(queue.Service)
+	counts := make([]int, len(partitions))
+	group, ctx := errgroup.WithContext(ctx)
+	for i, partition := range partitions {
+		group.Go(func() error {
+			var reply WaitingReply
+			err := c.atOwner(ctx, partition, func(_ context.Context, own *conductor.Conductor) error {
+				var err error
+				reply.Jobs, err = own.Waiting(queue.Name)
+				return err
+			}, "Waiting", WaitingArgs{
+				Partition: partition,
+				Queue:     queue.Name,
+			}, &reply)
+			counts[i] = reply.Jobs
+			return err
+		})
+	}
+	if err := group.Wait(); err != nil {
 		return 0, fmt.Errorf("%w: %w", receiver.ErrNoAnswer, err)
 	}
-	return reply.Jobs, nil
+	total := 0
+	for _, count := range counts {
+		total += count
+	}
+	return total, nil
 }
 
+// errNoShards is returned for a service of which the shards are not known yet.
+var errNoShards = errors.New("coordinator: the service has no shards yet")
+
 // errNotOwner is returned by an entry that does not own the partition.
 var errNotOwner = errors.New("coordinator: the partition is owned by another entry")
 
--- a/coordinator/lanes.go
+++ b/coordinator/lanes.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync"
@@ -227,9 +228,12 @@
 	if len(ready) == 0 {
 		return nil
 	}
-	best := ready[0]
-	for _, known := range ready[1:] {
-		if known.free.Before(best.free) {
+	// Other owners use the same entries, so the search begins anywhere.
+	first := rand.IntN(len(ready))
+	best := ready[first]
+	for i := range ready {
+		known := ready[(first+i)%len(ready)]
+		if known.free.Before(best.free) && best.free.After(now) {
 			best = known
 		}
 	}
@@ -257,13 +261,15 @@
 	return ready[:n], ready[n:]
 }
 
-// Slots implements conductor.Adviser. Two owners that share the entries each
-// have a call wait at most behind one of the other.
+// Slots implements conductor.Adviser. The owners of all shards share the
+// entries, so that a call waits behind one other on the average at most.
 func (l *lanes) Slots() (quick, other int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	quickLanes, otherLanes := l.divide(l.coordinator.settings.clock.Now())
-	return len(quickLanes), len(otherLanes)
+	owners := max(2, l.coordinator.shards.total())
+	share := func(n int) int { return (2*n + owners - 1) / owners }
+	return share(len(quickLanes)), share(len(otherLanes))
 }
 
 // done tells that a call of a lane has ended.
--- a/coordinator/membership.go
+++ b/coordinator/membership.go
@@ -121,17 +121,32 @@
 	used := make(map[int]bool)
 	if config, known := c.receiver.Config(); known {
 		for _, route := range config.Routes {
-			used[c.partitionOf(route.Queue.Service)] = true
+			for _, partition := range c.shards.ofService(route.Queue.Service) {
+				used[partition] = true
+			}
 		}
 	}
 	if entries := c.directory.Load(); entries != nil {
 		for _, entry := range *entries {
-			used[c.partitionOf(entry.Service)] = true
+			for _, partition := range c.shards.ofService(entry.Service) {
+				used[partition] = true
+			}
 		}
 	}
 	return used
 }
 
+// ownedPartitions returns the partitions that this process owns.
+func (c *Coordinator) ownedPartitions() map[int]bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	owned := make(map[int]bool, len(c.owned))
+	for partition := range c.owned {
+		owned[partition] = true
+	}
+	return owned
+}
+
 // lookAgain asks for a look at what the group deals to this entry.
 func (c *Coordinator) lookAgain() {
 	select {
--- a/coordinator/options.go
+++ b/coordinator/options.go
@@ -26,6 +26,7 @@
 	callers, readiness       net.Listener
 	peerListener, metrics    net.Listener
 	partitions               int
+	shardSize                int
 	ttl                      time.Duration
 	grace                    time.Duration
 	clock                    timekeeper.Clock
@@ -44,6 +45,7 @@
 func newSettings(opts []Option) settings {
 	s := settings{
 		partitions: 12,
+		shardSize:  defaultShardSize,
 		ttl:        defaultTTL,
 		grace:      6 * time.Second,
 		clock:      timekeeper.System(),
@@ -98,6 +100,14 @@
 	}
 }
 
+// ShardSize sets about how many workers one owner serves. The default is 42.
+// It counts where a service is seen for the first time.
+func ShardSize(workers int) Option {
+	return func(s *settings) {
+		s.shardSize = workers
+	}
+}
+
 // Membership sets how long an entry may be silent before its partitions go to
 // others. The default is 1.2 s.
 func Membership(ttl time.Duration) Option {
--- /dev/null
+++ b/coordinator/shards.go
@@ -0,0 +1,319 @@
+package coordinator
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+
+	"github.com/galenacove/galenacove/scheduler"
+	"github.com/galenacove/galenacove/storer"
+)
+
+const (
+	// shardsTopic holds how many shards a service has, and the shard of each
+	// worker of a service with several. A record is never replaced.
+	shardsTopic = "shards"
+	// serviceKey and workerKey begin the keys.
+	serviceKey = "service/"
+	workerKey  = "worker/"
+	// defaultShardSize is about how many workers one owner can serve on the
+	// smallest hosts, a fifth of a core, with room for a burst.
+	defaultShardSize = 42
+	// emptyService is how long a configured service may have no workers until
+	// it gets one shard.
+	emptyService = 3 * time.Second
+	// shardsWait is how long a read waits for new records. It is a part of how
+	// long a new worker gets nothing.
+	shardsWait = 700 * time.Millisecond
+)
+
+type serviceRecord struct {
+	Shards int `json:"shards"`
+}
+
+type workerRecord struct {
+	Shard int `json:"shard"`
+}
+
+// shards says which shard a job and a worker belong to. All entries read the
+// same records, and each is written on the condition that nothing came since
+// what its writer has read, so that they agree.
+type shards struct {
+	size       int
+	partitions int
+
+	mu sync.Mutex
+	// read tells that the records were read once, and next is the offset after
+	// the last one.
+	read bool
+	next int64
+	// counts holds the number of shards of each service, and homes the shard of
+	// each worker.
+	counts map[string]int
+	homes  map[string]int
+	// seen is what the directory said of each service without a record the last
+	// time, and since when.
+	seen map[string]sighting
+}
+
+type sighting struct {
+	workers int
+	first   time.Time
+}
+
+func newShards(size, partitions int) *shards {
+	return &shards{
+		size:       size,
+		partitions: partitions,
+		counts:     make(map[string]int),
+		homes:      make(map[string]int),
+		seen:       make(map[string]sighting),
+	}
+}
+
+// base is the partition of the first shard of a service.
+func (s *shards) base(service string) int {
+	return int(xxhash.Sum64String(service) % uint64(s.partitions))
+}
+
+func (s *shards) partition(service string, shard int) int {
+	return (s.base(service) + shard) % s.partitions
+}
+
+// ofJob returns the partition of a job. It is not known before the service has
+// a record.
+func (s *shards) ofJob(service, id string) (int, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := s.counts[service]
+	if n == 0 {
+		return 0, false
+	}
+	return s.partition(service, int(xxhash.Sum64String(id)%uint64(n))), true
+}
+
+// ofWorker returns the partition of a worker, which is not known before the
+// worker has a record.
+func (s *shards) ofWorker(entry scheduler.WorkerEntry) (int, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.counts[entry.Service] <= 1 {
+		return s.base(entry.Service), s.counts[entry.Service] == 1
+	}
+	shard, found := s.homes[entry.Ref.ID]
+	return s.partition(entry.Service, shard), found
+}
+
+// ofService returns the partitions of all shards of a service: the first one
+// alone before it has a record.
+func (s *shards) ofService(service string) []int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	partitions := make([]int, max(1, s.counts[service]))
+	for i := range partitions {
+		partitions[i] = s.partition(service, i)
+	}
+	return partitions
+}
+
+// decided tells whether a service has a record.
+func (s *shards) decided(service string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.counts[service] > 0
+}
+
+// total counts the shards of all services.
+func (s *shards) total() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, count := range s.counts {
+		n += count
+	}
+	return n
+}
+
+// take takes in records that were read. It returns those that cannot be read.
+func (s *shards) take(records []storer.Record, next int64) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var bad []string
+	for _, record := range records {
+		var service serviceRecord
+		var worker workerRecord
+		name, isService := strings.CutPrefix(record.Key, serviceKey)
+		id, isWorker := strings.CutPrefix(record.Key, workerKey)
+		switch {
+		case isService && json.Unmarshal(record.Value, &service) == nil && service.Shards > 0:
+			s.counts[name] = service.Shards
+		case isWorker && json.Unmarshal(record.Value, &worker) == nil:
+			s.homes[id] = worker.Shard
+		default:
+			bad = append(bad, record.Key)
+		}
+	}
+	s.next = next
+	s.read = true
+	return bad
+}
+
+// missing returns the records that should be written for what the directory
+// and the configuration name, and the offset that they rest on. The owner of
+// the first partition of a service writes those of the service.
+func (s *shards) missing(entries []scheduler.WorkerEntry, services []string, owned map[int]bool, now time.Time) ([]storer.Record, int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.read {
+		return nil, 0
+	}
+	byService := make(map[string][]scheduler.WorkerEntry)
+	for _, service := range services {
+		byService[service] = nil
+	}
+	for _, entry := range entries {
+		byService[entry.Service] = append(byService[entry.Service], entry)
+	}
+	var records []storer.Record
+	for service, workers := range byService {
+		if !owned[s.base(service)] {
+			continue
+		}
+		count := s.counts[service]
+		if count == 0 {
+			if count = s.decide(service, len(workers), now); count == 0 {
+				continue
+			}
+			records = append(records, encode(serviceKey+service, serviceRecord{
+				Shards: count,
+			}))
+		}
+		if count > 1 {
+			records = append(records, s.assign(workers, count)...)
+		}
+	}
+	return records, s.next
+}
+
+// decide returns how many shards a service should have, once the directory
+// names the same number of workers twice. It returns 0 before.
+func (s *shards) decide(service string, workers int, now time.Time) int {
+	before, found := s.seen[service]
+	if !found {
+		before = sighting{
+			workers: -1,
+			first:   now,
+		}
+	}
+	s.seen[service] = sighting{
+		workers: workers,
+		first:   before.first,
+	}
+	if before.workers != workers || workers == 0 && now.Sub(before.first) < emptyService {
+		return 0
+	}
+	return min(max(1, (workers+s.size/2)/s.size), s.partitions)
+}
+
+// assign gives each worker without a record to the shard that has least.
+func (s *shards) assign(workers []scheduler.WorkerEntry, count int) []storer.Record {
+	load := make([]int64, count)
+	var homeless []scheduler.WorkerEntry
+	for _, entry := range workers {
+		if shard, found := s.homes[entry.Ref.ID]; found && shard < count {
+			load[shard] += weight(entry)
+		} else {
+			homeless = append(homeless, entry)
+		}
+	}
+	slices.SortFunc(homeless, func(a, b scheduler.WorkerEntry) int {
+		if weight(a) != weight(b) {
+			return int(weight(b) - weight(a))
+		}
+		return strings.Compare(a.Ref.ID, b.Ref.ID)
+	})
+	records := make([]storer.Record, 0, len(homeless))
+	for _, entry := range homeless {
+		least := slices.Index(load, slices.Min(load))
+		load[least] += weight(entry)
+		records = append(records, encode(workerKey+entry.Ref.ID, workerRecord{
+			Shard: least,
+		}))
+	}
+	return records
+}
+
+// weight is what a worker counts for its shard, in thousandths of a core.
+func weight(entry scheduler.WorkerEntry) int64 {
+	return max(1, entry.Total.MilliCores())
+}
+
+func encode(key string, value any) storer.Record {
+	data, err := json.Marshal(value)
+	if err != nil {
+		// A struct of one number can always be encoded.
+		panic(err)
+	}
+	return storer.Record{
+		Key:   key,
+		Value: data,
+	}
+}
+
+// followShards keeps up with what was decided.
+func (c *Coordinator) followShards(ctx context.Context) error {
+	return feed{
+		store:     c.store,
+		clock:     c.settings.clock,
+		partition: storer.Partition{Topic: shardsTopic},
+		wait:      shardsWait,
+		take: func(records []storer.Record, next int64, _ bool) {
+			for _, key := range c.shards.take(records, next) {
+				c.settings.logger.WithField("key", key).Error("coordinator: a record of the shards cannot be read")
+			}
+			if len(records) > 0 {
+				c.lookAgain()
+				c.tellOwners()
+			}
+		},
+	}.run(ctx)
+}
+
+// decideShards writes what is missing of the services that this entry leads.
+func (c *Coordinator) decideShards(ctx context.Context) {
+	entries := c.directory.Load()
+	config, known := c.receiver.Config()
+	if entries == nil || !known {
+		return
+	}
+	var services []string
+	for _, route := range config.Routes {
+		services = append(services, route.Queue.Service)
+	}
+	records, at := c.shards.missing(*entries, services, c.ownedPartitions(), c.settings.clock.Now())
+	if len(records) == 0 {
+		return
+	}
+	calling, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	_, err := c.store.AppendAt(calling, storer.Partition{Topic: shardsTopic}, at, records...)
+	entry := c.settings.logger.WithFields(log.Fields{
+		"records": len(records),
+		"offset":  at,
+	})
+	switch {
+	case err == nil:
+		entry.Info("coordinator: gave workers to shards")
+	case errors.Is(err, storer.ErrConflict):
+		entry.Info("coordinator: another entry wrote first, its records are read")
+	default:
+		entry.WithError(err).Warn("coordinator: shards not stored")
+	}
+}
--- a/coordinator/store.go
+++ b/coordinator/store.go
@@ -65,6 +65,13 @@
 	return end, err
 }
 
+// AppendAt implements storer.Store.
+func (s *watchedStore) AppendAt(ctx context.Context, to storer.Partition, at int64, records ...storer.Record) (int64, error) {
+	end, err := s.Store.AppendAt(ctx, to, at, records...)
+	s.note(ctx, "append", err)
+	return end, err
+}
+
 // Read implements storer.Store.
 func (s *watchedStore) Read(ctx context.Context, of storer.Partition, from int64, wait time.Duration) (storer.Page, error) {
 	page, err := s.Store.Read(ctx, of, from, wait)
--- a/storer/memory.go
+++ b/storer/memory.go
@@ -143,6 +143,17 @@
 	return p.end(), nil
 }
 
+// AppendAt implements Store.
+func (m *Memory) AppendAt(ctx context.Context, to Partition, at int64, records ...Record) (int64, error) {
+	m.mu.Lock()
+	end := m.partition(to).end()
+	m.mu.Unlock()
+	if end != at {
+		return 0, ErrConflict
+	}
+	return m.Append(ctx, to, nil, records...)
+}
+
 // admit checks a writer's epoch and sequence. It returns no writer where
 // nothing is left to append.
 func (p *memoryPartition) admit(writer Writer, empty bool) (*memoryWriter, int64, error) {
--- a/storer/storer.go
+++ b/storer/storer.go
@@ -98,6 +98,9 @@
 	// the last one. With a writer, no record may be given: the call then only
 	// makes the epoch known.
 	Append(ctx context.Context, to Partition, writer *Writer, records ...Record) (int64, error)
+	// AppendAt appends the records if the partition ends at that offset, and
+	// returns ErrConflict if it does not.
+	AppendAt(ctx context.Context, to Partition, at int64, records ...Record) (int64, error)
 	// Read returns the records from an offset on. Where there are none it
 	// waits for the first one, as long as told.
 	Read(ctx context.Context, of Partition, from int64, wait time.Duration) (Page, error)
