--- a/conductor/orders.go
+++ b/conductor/orders.go
@@ -176,13 +176,11 @@
 		if !known || ctx.Err() != nil {
 			break
 		}
-		report, err := c.workers.Hold(ctx, c.token, order, wait)
-		if errors.Is(err, ErrSuperseded) {
+		report, failed := c.workers.Hold(ctx, c.token, order, wait)
+		if errors.Is(failed, ErrSuperseded) {
 			return ErrSuperseded
 		}
-		if wait = c.heard(ctx, id, report, err, sent); ctx.Err() != nil {
-			break
-		}
+		wait = c.heard(ctx, id, report, failed, sent)
 	}
 	return nil
 }
--- a/coordinator/shards.go
+++ b/coordinator/shards.go
@@ -23,9 +23,10 @@
 	// serviceKey and workerKey begin the keys.
 	serviceKey = "service/"
 	workerKey  = "worker/"
-	// defaultShardSize is about how many workers one owner can serve on the
-	// smallest hosts, a fifth of a core, with room for a burst.
-	defaultShardSize = 42
+	// defaultShardSize is how many workers an owner serves. The tasks of a job
+	// run within one shard, so it has to hold wide steps that may run on a part
+	// of the workers only and keep their tasks apart.
+	defaultShardSize = 126
 	// emptyService is how long a configured service may have no workers until
 	// it gets one shard.
 	emptyService = 3 * time.Second
--- a/rehearser/sample.go
+++ b/rehearser/sample.go
@@ -108,6 +108,10 @@
 				return s.runJob(ctx, "gang", "cpu 2 memory 1GiB")
 			},
 		},
+		{
+			name: "caller's job finishes",
+			run:  s.runCallersJob,
+		},
 	}
 	steps := make([]Step, len(jobs))
 	var group errgroup.Group
