--- a/conductor/orders.go
+++ b/conductor/orders.go
@@ -168,27 +168,27 @@
 // holdWorker renews the lease of a worker and takes its reports.
 func (c *Conductor) holdWorker(ctx context.Context, id string) error {
 	wait := time.Duration(0)
-	for {
+	for ctx.Err() == nil {
 		c.mu.Lock()
 		sent := c.clock.Now()
 		order, known := c.scheduler.HoldOrder(id, sent)
 		c.mu.Unlock()
-		if !known || ctx.Err() != nil {
+		if !known {
 			break
 		}
-		report, failed := c.workers.Hold(ctx, c.token, order, wait)
-		if errors.Is(failed, ErrSuperseded) {
+		report, err := c.workers.Hold(ctx, c.token, order, wait)
+		if wait = c.heard(ctx, id, report, err, sent); errors.Is(err, ErrSuperseded) {
 			return ErrSuperseded
 		}
-		wait = c.heard(ctx, id, report, failed, sent)
 	}
+	// The context was ended by whoever holds the worker no longer.
 	return nil
 }
 
 // heard takes what came of a renewal, and pauses where that is due. It returns
 // how long the worker is to wait for an end the next time.
 func (c *Conductor) heard(ctx context.Context, id string, report scheduler.Report, err error, sent time.Time) time.Duration {
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || errors.Is(err, ErrSuperseded) {
 		return 0
 	}
 	if err != nil {
--- a/coordinator/options.go
+++ b/coordinator/options.go
@@ -100,7 +100,7 @@
 	}
 }
 
-// ShardSize sets about how many workers one owner serves. The default is 126.
+// ShardSize sets about how many workers one owner serves. The default is 63.
 // It counts where a service is seen for the first time.
 func ShardSize(workers int) Option {
 	return func(s *settings) {
--- a/coordinator/shards.go
+++ b/coordinator/shards.go
@@ -23,10 +23,9 @@
 	// serviceKey and workerKey begin the keys.
 	serviceKey = "service/"
 	workerKey  = "worker/"
-	// defaultShardSize is how many workers an owner serves. The tasks of a job
-	// run within one shard, so it has to hold wide steps that may run on a part
-	// of the workers only and keep their tasks apart.
-	defaultShardSize = 126
+	// defaultShardSize is about how many workers an owner serves: what a fifth
+	// of a core, the smallest share of an entry host, carries in a burst.
+	defaultShardSize = 63
 	// emptyService is how long a configured service may have no workers until
 	// it gets one shard.
 	emptyService = 3 * time.Second
