Start a gang again of which a new owner finds only a part

Cause: a new owner adopts the members of a gang that still run.

Ruled out, by the log's line on why a step waits: tickets, room kept for other gangs, workers that are not available. A worker that left the table for an instant was held no longer; that is mended too, and was not the cause.

Change: the members of a part that lasts 1.5 s are stopped.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -124,7 +124,7 @@
 	// entries is the directory as it was last told.
 	entries []scheduler.WorkerEntry
 	// holders holds the workers that are being held.
-	holders map[string]context.CancelFunc
+	holders map[string]*holder
 	// sequence numbers the next write.
 	sequence int64
 	// confirmed is when the ownership was last known to hold.
@@ -180,7 +180,7 @@
 		wake:      make(chan struct{}, 1),
 		dirty:     make(chan struct{}, 1),
 		moved:     make(chan struct{}),
-		holders:   make(map[string]context.CancelFunc),
+		holders:   make(map[string]*holder),
 	}
 	for _, opt := range opts {
 		opt(c)
--- a/conductor/orders.go
+++ b/conductor/orders.go
@@ -142,6 +142,11 @@
 	c.poke()
 }
 
+// holder is what holds one worker.
+type holder struct {
+	cancel context.CancelFunc
+}
+
 // hold begins to hold the workers that are not held yet. The caller holds mu.
 func (c *Conductor) hold(ctx context.Context, group *errgroup.Group) {
 	wanted := make(map[string]bool)
@@ -151,15 +156,25 @@
 			continue
 		}
 		holding, cancel := context.WithCancel(ctx)
-		c.holders[ref.ID] = cancel
+		own := &holder{
+			cancel: cancel,
+		}
+		c.holders[ref.ID] = own
 		group.Go(func() error {
 			defer cancel()
-			return c.holdWorker(holding, ref.ID)
+			err := c.holdWorker(holding, ref.ID)
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			if c.holders[ref.ID] == own {
+				// The worker left the table; it may come back to it.
+				delete(c.holders, ref.ID)
+			}
+			return err
 		})
 	}
-	for id, cancel := range c.holders {
+	for id, own := range c.holders {
 		if !wanted[id] {
-			cancel()
+			own.cancel()
 			delete(c.holders, id)
 		}
 	}
--- a/scheduler/advice_test.go
+++ b/scheduler/advice_test.go
@@ -290,3 +290,26 @@
 	r.carryOut(r.s.Tick(r.now))
 	r.c.Assert(r.effects, qt.HasLen, 2)
 }
+
+// TestNewOwnerEndsAPartOfAGang has a new owner find one member of a gang whose
+// other member has ended: the gang starts again as a whole.
+func TestNewOwnerEndsAPartOfAGang(t *testing.T) {
+	r := newRig(t)
+	r.worker("v", cores(4))
+	r.worker("w", cores(4))
+	r.list()
+	r.hold()
+	phase := tasks(2, cores(4))
+	phase.Gang = true
+	gang := r.job("gang", phase)
+	r.s.AddJob(gang, nil, false, r.now)
+	r.tick()
+	r.c.Assert(r.active(), qt.Equals, 2)
+	r.nodes["v"].end(runOn(r, "v"), scheduler.EndLapsed)
+	r.takeOver(gang)
+	for range 40 {
+		r.round()
+	}
+	r.c.Assert(r.active(), qt.Equals, 2)
+	r.c.Assert(totalStarts(r, "gang"), qt.Equals, 4)
+}
--- a/scheduler/gangs.go
+++ b/scheduler/gangs.go
@@ -11,9 +11,10 @@
 // placeGang starts all tasks of a gang, or none.
 func (s *Scheduler) placeGang(st *step, p *pool, now time.Time) {
 	if st.waiting < len(st.tasks) {
-		// Members of the former attempt still hold room.
+		s.endPart(st, now)
 		return
 	}
+	st.part = time.Time{}
 	chosen := s.chooseAll(st, p, now, s.allowed)
 	if chosen != nil {
 		attempt := s.attempt()
@@ -39,6 +40,22 @@
 	}
 }
 
+// partPause is how long a part of a gang may be there: members that were told
+// to end do so within a second.
+const partPause = 1500 * time.Millisecond
+
+// endPart stops the members of a gang of which others are missing for long. A
+// new owner may find such a part, whose other members ended before.
+func (s *Scheduler) endPart(st *step, now time.Time) {
+	if st.part.IsZero() {
+		st.part = now
+	}
+	if now.Sub(st.part) > partPause {
+		st.part = now
+		s.breakGang(st, "members are missing", now)
+	}
+}
+
 // chooseAll returns a worker for each task of the gang, or nil.
 func (s *Scheduler) chooseAll(st *step, p *pool, now time.Time, allowed func(*step, *worker, time.Time) bool) []*worker {
 	var places []place
--- a/scheduler/tables.go
+++ b/scheduler/tables.go
@@ -53,6 +53,9 @@
 	gang int64
 	// gangFailures lists the attempts of a gang that failed.
 	gangFailures []int64
+	// part is since when only a part of a gang is there, zero while it is whole
+	// or not there.
+	part time.Time
 	// retry is when a gang or an unlucky step is tried again.
 	retry time.Time
 	// explained is when the log last said why the step waits.
