--- a/cmd/galenacove/entry.go
+++ b/cmd/galenacove/entry.go
@@ -66,8 +66,11 @@
 			},
 		},
 		Action: func(_ context.Context, cmd *cli.Command) error {
-			if cmd.IsSet("config") == cmd.IsSet("settings") {
+			switch {
+			case cmd.IsSet("config") && cmd.IsSet("settings"):
 				return cli.Exit("check takes either --config or --settings", exitUsage)
+			case !cmd.IsSet("config") && !cmd.IsSet("settings"):
+				return cli.Exit(`Required flag "config" not set, nor "settings"`, exitUsage)
 			}
 			if path := cmd.String("settings"); path != "" {
 				return checkPlatform(cmd, path)
--- /dev/null
+++ b/storer/memory_test.go
@@ -0,0 +1,77 @@
+package storer_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/galenacove/galenacove/storer"
+	"github.com/galenacove/galenacove/timekeeper"
+)
+
+var partition = storer.Partition{
+	Topic: "t",
+}
+
+func TestAllNewestReadsAllPages(t *testing.T) {
+	c := qt.New(t)
+	store := storer.NewMemory(timekeeper.System())
+	ctx := context.Background()
+	for i := range 1234 {
+		_, err := store.Append(ctx, partition, nil, storer.Record{
+			Key:   fmt.Sprintf("k%04d", i),
+			Value: []byte("v"),
+		})
+		c.Assert(err, qt.IsNil)
+	}
+	store.Trim(partition, 1000)
+	_, err := store.Read(ctx, partition, 999, 0)
+	c.Assert(err, qt.ErrorIs, storer.ErrTrimmed)
+	records, end, err := storer.AllNewest(ctx, store, partition)
+	c.Assert(err, qt.IsNil)
+	c.Assert(end, qt.Equals, int64(1234))
+	c.Assert(records, qt.HasLen, 1234)
+}
+
+func TestAppendAtHasOneWinner(t *testing.T) {
+	c := qt.New(t)
+	store := storer.NewMemory(timekeeper.System())
+	ctx := context.Background()
+	record := storer.Record{
+		Key:   "k",
+		Value: []byte("v"),
+	}
+	_, err := store.AppendAt(ctx, partition, 0, record)
+	c.Assert(err, qt.IsNil)
+	_, err = store.AppendAt(ctx, partition, 0, record)
+	c.Assert(err, qt.ErrorIs, storer.ErrConflict)
+}
+
+// TestPartitionHasOneHolder has a member join while another holds all: what is
+// dealt to the new one is given on once the former holder has seen it.
+func TestPartitionHasOneHolder(t *testing.T) {
+	c := qt.New(t)
+	clock := timekeeper.NewFake(time.Unix(0, 0))
+	store := storer.NewMemory(clock, storer.Partitions(4))
+	ctx := context.Background()
+	join := func(member string, generation int64) storer.Assignment {
+		held, err := store.Join(ctx, "g", member, []string{"t"}, time.Second, generation)
+		c.Assert(err, qt.IsNil)
+		return held
+	}
+	first := join("a", 0)
+	c.Assert(first.Partitions, qt.HasLen, 4)
+	second := join("b", 0)
+	c.Assert(second.Partitions, qt.HasLen, 0)
+	first = join("a", second.Generation)
+	c.Assert(first.Partitions, qt.HasLen, 2)
+	c.Assert(join("b", second.Generation).Partitions, qt.HasLen, 2)
+	// A member that is silent for too long holds nothing.
+	clock.Advance(900 * time.Millisecond)
+	join("a", first.Generation)
+	clock.Advance(200 * time.Millisecond)
+	c.Assert(join("a", first.Generation).Partitions, qt.HasLen, 4)
+}
