Confirm the owners in the conductor's tests, as the process around them does

Cause: the rig never confirmed an owner, which then rightly grants no lease after 1.3 s and starts nothing.

Change: the rig confirms each owner until the next one is there. No check is eased.

--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -48,6 +48,8 @@
 	owner *conductor.Conductor
 	stop  context.CancelFunc
 	group *errgroup.Group
+	// superseded ends the confirmations of the last owner.
+	superseded context.CancelFunc
 }
 
 func newRig(t *testing.T, workers int, opts ...emulator.FleetOption) *rig {
@@ -74,6 +76,22 @@
 	group.Go(func() error {
 		return owner.Run(ctx)
 	})
+	// The process around an owner confirms it as long as it is one. An owner
+	// that is not confirmed grants no lease after a while, and starts nothing.
+	confirming, done := context.WithCancel(ctx)
+	group.Go(func() error {
+		err := timekeeper.Every(confirming, timekeeper.System(), 100*time.Millisecond, func(context.Context) {
+			owner.Confirm(time.Now())
+		})
+		if errors.Is(err, context.Canceled) {
+			return nil
+		}
+		return err
+	})
+	if r.superseded != nil {
+		r.superseded()
+	}
+	r.superseded = done
 	former, formerGroup := r.stop, r.group
 	r.owner, r.group = owner, group
 	r.stop = func() {
