Urgent gangs and lasting tasks take room of runs that can resume

Cause: on a full service a gang waited for tasks of a less urgent queue to end by themselves, also where these had much slack and could be resumed; a task that lasts had nothing that made room for it at all. Change: preempting.go stops runs of a less urgent queue that have saved their work, all that a gang needs or none; tickets are renewed meanwhile.

--- a/scheduler/advice.go
+++ b/scheduler/advice.go
@@ -53,6 +53,13 @@
 		}
 		return
 	}
+	if st.phase.Lasting {
+		if unasked := s.unasked(st, p); len(unasked) > 0 {
+			// Room is made where the tasks may run.
+			s.renew(st, unasked[:min(len(unasked), fewAsked)], now)
+			return
+		}
+	}
 	if !sizeOf(st.phase).Fits(p.free) {
 		return
 	}
--- a/scheduler/gangs.go
+++ b/scheduler/gangs.go
@@ -24,17 +24,13 @@
 		}
 		return
 	}
-	known := func(st *step, w *worker, now time.Time) bool {
-		_, approved := st.advice.tickets[w.entry.Ref.ID]
-		return suits(st, w) && (approved || st.job.record.Queue.Advice == nil)
-	}
-	if chosen = s.chooseAll(st, p, now, known); chosen != nil {
+	if chosen = s.chooseAll(st, p, now, s.known); chosen != nil {
 		// There is room, but tickets have run out.
 		s.renew(st, unique(chosen), now)
 		s.reserve(p, unique(chosen), now.Add(st.cost(len(chosen))))
 		return
 	}
-	s.waitForRoom(st, p, now, known)
+	s.waitForRoom(st, p, now)
 	if st.job.record.Queue.Advice != nil {
 		s.ask(st, p, now)
 	}
@@ -110,7 +106,7 @@
 }
 
 // waitForRoom keeps the workers for a gang on which it can start first.
-func (s *Scheduler) waitForRoom(st *step, p *pool, now time.Time, known func(*step, *worker, time.Time) bool) {
+func (s *Scheduler) waitForRoom(st *step, p *pool, now time.Time) {
 	type vacancy struct {
 		worker *worker
 		at     time.Time
@@ -118,7 +114,7 @@
 	}
 	var places []vacancy
 	for _, w := range p.workers {
-		if _, kept := p.reserved[w]; kept || !known(st, w, now) {
+		if _, kept := p.reserved[w]; kept || !s.known(st, w, now) {
 			continue
 		}
 		if w.fails >= shunAfter {
@@ -147,6 +143,15 @@
 		kept = append(kept, pl.worker)
 		until = pl.at
 	}
+	if st.use(now) == rankInTime && (missing > 0 || until.Sub(now) > worthStopping) {
+		if cleared := s.makeRoom(st, len(st.tasks), p, now); cleared != nil {
+			s.reserve(p, cleared, now.Add(s.options.stopTimeout))
+			if !s.allTicketed(st, cleared, now.Add(s.options.stopTimeout)) {
+				s.renew(st, cleared, now)
+			}
+			return
+		}
+	}
 	if missing > 0 || float64(len(p.reserved)+len(kept)) > shareOfReserved*float64(len(p.workers))+1 {
 		return
 	}
@@ -156,6 +161,11 @@
 	}
 }
 
+// allTicketed tells that the adviser's leave for all workers is good at a time.
+func (s *Scheduler) allTicketed(st *step, workers []*worker, at time.Time) bool {
+	return !slices.ContainsFunc(workers, func(w *worker) bool { return !s.ticketed(st, w, at) })
+}
+
 // predict tells when the worker will have room for tasks of the step, and for
 // how many.
 func (s *Scheduler) predict(st *step, w *worker, now time.Time) (time.Time, int) {
--- a/scheduler/load_test.go
+++ b/scheduler/load_test.go
@@ -4,10 +4,13 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"runtime"
+	"slices"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/galenacove/galenacove/scheduler"
 	"github.com/galenacove/galenacove/sizer"
@@ -49,6 +52,14 @@
 	records []scheduler.Job
 	// stalled tells that the store takes no writes.
 	stalled bool
+	// cutFrom and cutTo tell when a third of the workers is silent, after the
+	// load began.
+	cutFrom, cutTo time.Duration
+	// asked is how long the adviser worked, and played how long the last play
+	// took.
+	asked, played time.Duration
+	// stops holds the runs that were told to stop and have not yet.
+	stops []lateStop
 	// open holds the jobs that have not ended.
 	open   map[string]bool
 	phases map[scheduler.StepRef]scheduler.Phase
@@ -218,7 +229,27 @@
 		w.write()
 		effects = append(effects, w.s.Tick(w.now)...)
 	}
-	w.carryOut(effects)
+	stops := w.stops
+	w.stops = nil
+	for _, stop := range stops {
+		if stop.at.After(w.now) {
+			w.stops = append(w.stops, stop)
+			continue
+		}
+		w.stopped(stop.order)
+	}
+	w.carryOut(slices.DeleteFunc(slices.Clone(effects), func(e scheduler.Effect) bool {
+		stop, is := e.(scheduler.StopTask)
+		if is && !w.nodes[stop.Worker.ID].silent {
+			w.s.StopAnswered(stop.Worker.ID, stop.Run, true, w.now)
+			w.stops = append(w.stops, lateStop{
+				at:    w.now.Add(stopTakes),
+				order: stop,
+			})
+			return true
+		}
+		return false
+	}))
 	for _, effect := range effects {
 		switch effect := effect.(type) {
 		case scheduler.StartTask:
@@ -236,6 +267,28 @@
 	}
 }
 
+// stopTakes is how long a worker takes to stop a run.
+const stopTakes = 400 * time.Millisecond
+
+type lateStop struct {
+	at    time.Time
+	order scheduler.StopTask
+}
+
+// stopped ends a run that was told to stop. What it did is saved, where its
+// load does so.
+func (w *world) stopped(order scheduler.StopTask) {
+	n := w.nodes[order.Worker.ID]
+	if _, there := n.active[order.Run]; !there {
+		return
+	}
+	ref := order.Run.Task
+	if w.loads[w.jobs[ref.Step.Job].load].checkpoints {
+		w.lengths[ref.Step][ref.Index] = max(0, w.ends[order.Run]-n.clock)
+	}
+	n.end(order.Run, scheduler.EndStopped)
+}
+
 // endGang ends the other members of a gang, done as well.
 func (w *world) endGang(ended scheduler.RunRef) {
 	for _, n := range w.workers {
@@ -263,6 +316,7 @@
 		lanes[best] = w.now
 	}
 	lanes[best] = lanes[best].Add(ask.Cost)
+	w.asked += ask.Cost
 	w.calls = append(w.calls, call{
 		at:  lanes[best],
 		ask: ask,
@@ -327,6 +381,12 @@
 	began := w.now
 	results := make([]result, len(w.loads))
 	for w.now.Sub(began) < coming+after {
+		if w.cutTo > 0 {
+			since := w.now.Sub(began)
+			for i, n := range w.workers {
+				n.silent = i%3 == 0 && since >= w.cutFrom && since < w.cutTo
+			}
+		}
 		if w.now.Sub(began) < coming {
 			w.arrivals(began)
 		} else if len(w.open) == 0 {
@@ -350,6 +410,7 @@
 	for _, j := range w.jobs {
 		results[j.load].owed += j.value
 	}
+	w.played = w.now.Sub(began)
 	return results
 }
 
@@ -395,12 +456,14 @@
 			size: func(r *rand.Rand) sizer.Size {
 				return sizer.New(62000, 250*gibibyte, []int64{2, 4, 8, 8}[r.IntN(4)])
 			},
-			work:     3.6,
-			spread:   0.5,
-			off:      0.9,
-			gang:     true,
-			approved: 0.3,
-			worth:    3.23,
+			work:   3.6,
+			spread: 0.5,
+			off:    0.9,
+			gang:   true,
+			// Nine of ten do.
+			checkpoints: true,
+			approved:    0.3,
+			worth:       3.23,
 		},
 		{
 			queue:     visionQueue("cards", 2, 4, 3*time.Second, 140, 2),
@@ -411,11 +474,13 @@
 			size: func(*rand.Rand) sizer.Size {
 				return sizer.New(11000, 46*gibibyte, 1)
 			},
-			work:     3.8,
-			spread:   0.5,
-			off:      0.9,
-			approved: 0.45,
-			worth:    1.95,
+			work:   3.8,
+			spread: 0.5,
+			off:    0.9,
+			// Eight of ten do.
+			checkpoints: true,
+			approved:    0.45,
+			worth:       1.95,
 		},
 	}
 }
@@ -425,6 +490,35 @@
 	return newWorld(t, seed, 13, sizer.New(128000, gpuMemory, 8), visionLoads(rate)...)
 }
 
+// memoryLoads are gangs of which a member takes most of a worker's memory,
+// however few cards it has, beside single cards.
+func memoryLoads(rate float64) []load {
+	loads := visionLoads(rate)
+	loads[0].queue = visionQueue("gangs", 1, 2.2, time.Second, 430, 6.1)
+	loads[0].size = func(r *rand.Rand) sizer.Size {
+		return sizer.New(15000, 81*gibibyte, []int64{2, 4, 8, 8}[r.IntN(4)])
+	}
+	loads[0].off = 0.5
+	loads[1].queue = visionQueue("cards", 2, 4, 3*time.Second, 150, 2.2)
+	loads[1].size = func(*rand.Rand) sizer.Size {
+		return sizer.New(2800, 15*gibibyte, 1)
+	}
+	loads[1].perSecond = 1.53 * rate
+	loads[1].width = 6.4
+	loads[1].maxWidth = 32
+	loads[1].work = 3
+	loads[1].off = 0.5
+	for i := range loads {
+		loads[i].queue.Advice.Validity = 1500 * time.Millisecond
+	}
+	return loads
+}
+
+// memoryWorld has 13 workers of 8 cards whose memory is what is short.
+func memoryWorld(t *testing.T, seed uint64, rate float64) *world {
+	return newWorld(t, seed, 13, sizer.New(32000, 128*gibibyte, 8), memoryLoads(rate)...)
+}
+
 // TestGangsBesideSingleCards answers the pattern of gangs that want whole
 // workers while single cards are asked for, at the usual load and a burst above
 // it: once the load ends all of it is done, the widest gangs too, before the
@@ -443,19 +537,57 @@
 const seeds = 5
 
 // BenchmarkVision reports what gangs and single cards earn, and together, at
-// the usual load.
+// the usual load; with a cut, a third of the workers is silent for a while. It
+// also reports the seconds of advice that were asked for in each second.
 func BenchmarkVision(b *testing.B) {
+	worlds := map[string]func(*testing.T, uint64, float64) *world{
+		"cards":  visionWorld,
+		"memory": memoryWorld,
+	}
+	for name, newWorld := range worlds {
+		for _, cut := range []bool{false, true} {
+			b.Run(fmt.Sprintf("%s/cut=%t", name, cut), func(b *testing.B) {
+				benchmarkWorld(b, newWorld, cut)
+			})
+		}
+	}
+}
+
+func benchmarkWorld(b *testing.B, newWorld func(*testing.T, uint64, float64) *world, cut bool) {
+	const coming = 40 * time.Second
+	worlds := make([]*world, b.N)
+	results := make([][]result, b.N)
+	var group errgroup.Group
+	group.SetLimit(runtime.GOMAXPROCS(0))
+	for seed := range worlds {
+		group.Go(func() error {
+			w := newWorld(&testing.T{}, uint64(seed), 1)
+			if cut {
+				w.cutFrom, w.cutTo = 18*time.Second, 23500*time.Millisecond
+			}
+			worlds[seed] = w
+			results[seed] = w.play(coming, 60*time.Second)
+			return nil
+		})
+	}
+	if err := group.Wait(); err != nil {
+		b.Fatal(err)
+	}
 	var total [2]result
-	for seed := range b.N {
-		w := visionWorld(&testing.T{}, uint64(seed), 1)
-		for i, r := range w.play(40*time.Second, 20*time.Second) {
+	var asked, last time.Duration
+	for seed, w := range worlds {
+		for i, r := range results[seed] {
 			total[i].owed += r.owed
 			total[i].earned += r.earned
 		}
+		asked += w.asked
+		last += w.played - coming
 	}
 	b.ReportMetric(total[0].share(), "gangs")
 	b.ReportMetric(total[1].share(), "cards")
 	b.ReportMetric((total[0].earned+total[1].earned)/(total[0].owed+total[1].owed), "both")
+	b.ReportMetric(asked.Seconds()/coming.Seconds()/float64(b.N), "advice")
+	b.ReportMetric(last.Seconds()/float64(b.N), "lastS")
 }
 
 // TestGangsOutliveOwnersAndCuts has owners follow each other and workers fall
--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -141,6 +141,9 @@
 		}
 		s.start(st, i, w, s.attempt(), now)
 	}
+	if st.waiting > 0 && st.phase.Lasting && !st.advice.asking {
+		s.claimRoom(st, p, now)
+	}
 	if st.waiting > 0 && st.job.record.Queue.Advice != nil {
 		s.ask(st, p, now)
 	}
@@ -395,6 +398,9 @@
 	if r.lasting {
 		return s.options.keep
 	}
+	if r.state == runStopping {
+		return max(0, s.options.stopTimeout-now.Sub(r.stopSent))
+	}
 	elapsed := now.Sub(r.began)
 	const enough = 5
 	if r.percent >= enough {
--- /dev/null
+++ b/scheduler/preempting.go
@@ -0,0 +1,154 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// worthStopping is how much sooner a step must start for runs to be stopped
+	// for it: about what their stop takes.
+	worthStopping = 500 * time.Millisecond
+	// mostStopped bounds the runs that are stopped for one task, so that one
+	// task does not undo the work of a whole data centre.
+	mostStopped = 8
+)
+
+// clearing is a worker on which runs can be stopped to make room.
+type clearing struct {
+	worker  *worker
+	victims []*run
+	// room is how many tasks fit once the victims have ended.
+	room int
+	// lost is the room of the victims, as a share of the worker.
+	lost float64
+}
+
+// makeRoom stops runs of less urgent queues, so that n more tasks of the step
+// find room, all of them or none. Only runs that can be resumed are stopped. It
+// returns the workers that will have room.
+func (s *Scheduler) makeRoom(st *step, n int, p *pool, now time.Time) []*worker {
+	var places []clearing
+	for _, w := range p.workers {
+		if _, kept := p.reserved[w]; kept || w.fails >= shunAfter || !s.known(st, w, now) {
+			continue
+		}
+		if place := s.clear(st, n, w, now); place.room > 0 {
+			places = append(places, place)
+		}
+	}
+	slices.SortStableFunc(places, func(a, b clearing) int {
+		return cmp.Compare(a.lost/float64(a.room), b.lost/float64(b.room))
+	})
+	missing := n
+	var chosen []clearing
+	for _, place := range places {
+		if missing <= 0 {
+			break
+		}
+		missing -= place.room
+		chosen = append(chosen, place)
+	}
+	if missing > 0 {
+		return nil
+	}
+	var workers []*worker
+	for _, place := range chosen {
+		for _, r := range place.victims {
+			s.note("run yields to "+st.ref.String(), r.ref.Task, place.worker.entry.Ref.ID, now.Sub(r.began))
+			s.stop(r, now, "yields to a more urgent task")
+		}
+		workers = append(workers, place.worker)
+	}
+	return workers
+}
+
+// clear tells which runs on a worker would have to end for up to n tasks of
+// the step to fit, the fewest first.
+func (s *Scheduler) clear(st *step, n int, w *worker, now time.Time) clearing {
+	size := sizeOf(st.phase)
+	most := n
+	if st.phase.PerWorker > 0 {
+		most = min(most, st.phase.PerWorker-st.running(w))
+	}
+	place := clearing{
+		worker: w,
+	}
+	free := w.free()
+	var victims []*run
+	for _, r := range sortedRuns(w) {
+		switch {
+		case r.state == runStopping:
+			// Its room is about to be free.
+			free = free.Add(r.size)
+		case s.yields(r, st, now):
+			victims = append(victims, r)
+		}
+	}
+	slices.SortStableFunc(victims, func(a, b *run) int {
+		return cmp.Compare(b.size.DominantShare(w.entry.Total), a.size.DominantShare(w.entry.Total))
+	})
+	place.room = min(most, fitting(size, free))
+	for _, r := range victims {
+		if place.room >= most || len(place.victims) >= mostStopped {
+			break
+		}
+		free = free.Add(r.size)
+		place.victims = append(place.victims, r)
+		place.lost += r.size.DominantShare(w.entry.Total)
+		place.room = min(most, fitting(size, free))
+	}
+	return place
+}
+
+// yields tells whether a run may be stopped for a step: it can be resumed, its
+// queue is less urgent, and it has a while to go.
+func (s *Scheduler) yields(r *run, to *step, now time.Time) bool {
+	if r.state != runWorking || r.lasting || r.gang {
+		return false
+	}
+	st, t := s.find(r.ref.Task)
+	if t == nil || t.run != r || !st.phase.Checkpoints {
+		return false
+	}
+	return st.job.record.Queue.Priority > to.job.record.Queue.Priority && s.remaining(r, now) > worthStopping
+}
+
+// claimRoom makes room for the waiting tasks of a step on which callers depend
+// all the time, where none is about to be free.
+func (s *Scheduler) claimRoom(st *step, p *pool, now time.Time) {
+	missing := st.waiting
+	for _, w := range p.workers {
+		if !s.known(st, w, now) {
+			continue
+		}
+		if at, room := s.predict(st, w, now); at.Sub(now) <= worthStopping {
+			missing -= room
+		}
+	}
+	for ; missing > 0; missing-- {
+		cleared := s.makeRoom(st, missing, p, now)
+		if cleared == nil {
+			continue
+		}
+		until := now.Add(s.options.stopTimeout)
+		s.reserve(p, cleared, until)
+		if st.job.record.Queue.Advice != nil && !s.allTicketed(st, cleared, until) {
+			s.renew(st, cleared, now)
+		}
+		return
+	}
+}
+
+// known is like allowed, for a step whose tickets may have run out.
+func (s *Scheduler) known(st *step, w *worker, _ time.Time) bool {
+	return suits(st, w) && s.approved(st, w)
+}
+
+// approved tells that the adviser lets the step run on the worker, with
+// whatever ticket.
+func (s *Scheduler) approved(st *step, w *worker) bool {
+	_, found := st.advice.tickets[w.entry.Ref.ID]
+	return found || st.job.record.Queue.Advice == nil
+}
--- /dev/null
+++ b/scheduler/preempting_test.go
@@ -0,0 +1,124 @@
+package scheduler_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/galenacove/galenacove/scheduler"
+)
+
+// fullService has two workers that are full of long tasks of a queue that is
+// not urgent.
+func fullService(t *testing.T, checkpoints bool, priority int) *rig {
+	r := newRig(t)
+	r.worker("w0", cores(8))
+	r.worker("w1", cores(8))
+	r.list()
+	r.hold()
+	phase := tasks(8, cores(2))
+	phase.Estimate = 10 * time.Second
+	phase.Checkpoints = checkpoints
+	job := r.job("batch", phase)
+	job.Queue.Name = "batches"
+	job.Queue.Priority = priority
+	r.s.AddJob(job, nil, false, r.now)
+	r.rounds(3)
+	r.c.Assert(r.active(), qt.Equals, 8)
+	return r
+}
+
+func (r *rig) rounds(n int) {
+	for range n {
+		r.round()
+	}
+}
+
+// runningOf counts the runs of a job.
+func (r *rig) runningOf(id string) int {
+	total := 0
+	for _, n := range r.nodes {
+		for ref := range n.active {
+			if ref.Task.Step.Job == id {
+				total++
+			}
+		}
+	}
+	return total
+}
+
+// TestUrgentStepTakesRoomOfRunsThatCanResume answers the pattern of long tasks
+// that fill a service when a gang, or a task that lasts, comes. These start
+// within two seconds where the others can be resumed, and wait for them where
+// not, or where they are as urgent.
+func TestUrgentStepTakesRoomOfRunsThatCanResume(t *testing.T) {
+	gang := tasks(2, cores(8))
+	gang.Gang = true
+	lasting := tasks(2, cores(8))
+	lasting.Lasting = true
+	for _, test := range []struct {
+		name        string
+		phase       scheduler.Phase
+		checkpoints bool
+		priority    int
+		want        int
+	}{
+		{
+			name:        "gang",
+			phase:       gang,
+			checkpoints: true,
+			priority:    2,
+			want:        2,
+		},
+		{
+			name:     "gang, runs cannot resume",
+			phase:    gang,
+			priority: 2,
+		},
+		{
+			name:        "gang, runs as urgent",
+			phase:       gang,
+			checkpoints: true,
+			priority:    1,
+		},
+		{
+			name:        "lasting",
+			phase:       lasting,
+			checkpoints: true,
+			priority:    2,
+			want:        2,
+		},
+		{
+			name:     "lasting, runs cannot resume",
+			phase:    lasting,
+			priority: 2,
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			r := fullService(t, test.checkpoints, test.priority)
+			job := r.job("urgent", test.phase)
+			job.Queue.Priority = 1
+			job.Queue.Target = 10 * time.Second
+			r.s.AddJob(job, nil, false, r.now)
+			r.rounds(20)
+			r.c.Assert(r.runningOf("urgent"), qt.Equals, test.want)
+			if test.want == 0 {
+				r.c.Assert(r.runningOf("batch"), qt.Equals, 8)
+			}
+		})
+	}
+}
+
+// TestNoMoreRunsAreStoppedThanNeeded keeps the others at work.
+func TestNoMoreRunsAreStoppedThanNeeded(t *testing.T) {
+	r := fullService(t, true, 2)
+	phase := tasks(1, cores(3))
+	phase.Lasting = true
+	job := r.job("urgent", phase)
+	job.Queue.Priority = 1
+	r.s.AddJob(job, nil, false, r.now)
+	r.rounds(20)
+	r.c.Assert(r.runningOf("urgent"), qt.Equals, 1)
+	r.c.Assert(r.runningOf("batch"), qt.Equals, 6)
+}
