Large tasks that run by themselves have workers kept for them

Cause: Parcelguard's jobs for whole workers are no gangs: their tasks run each by itself (a trial that logged their bodies: 32 of 32 without a gang). Ruled out: the adviser being slow (took 0.45 s for a cost of 0.44), too few lanes (5 of 7 entries), packing, a part of a gang. Change: a step of which at most two tasks fit a whole worker, or that lasts, asks about all workers at once, keeps those that will have room first, has room made, and renews tickets shortly before it is there. The first call of other steps on a slow queue names all workers as well.

--- a/scheduler/advice.go
+++ b/scheduler/advice.go
@@ -47,27 +47,27 @@
 	if st.advice.asking || now.Before(st.advice.retry) {
 		return
 	}
-	if st.phase.Gang {
+	if st.phase.Gang || st.claims() {
+		// They need many workers or whole ones, which are kept for them before
+		// they have room.
 		if unasked := s.unasked(st, p); len(unasked) > 0 {
 			s.renew(st, unasked, now)
 		}
 		return
 	}
-	if st.phase.Lasting {
-		if unasked := s.unasked(st, p); len(unasked) > 0 {
-			// Room is made where the tasks may run.
-			s.renew(st, unasked[:min(len(unasked), fewAsked)], now)
-			return
-		}
-	}
 	if !sizeOf(st.phase).Fits(p.free) {
 		return
 	}
 	workers, hoped := s.worthAsking(st, p, now)
-	if len(workers) > 0 {
-		s.renew(st, workers, now)
-		st.advice.hoped = hoped
+	if len(workers) == 0 {
+		return
+	}
+	if len(st.advice.asked) == 0 && st.cost(1) > QuickCall {
+		// What the decision costs is paid once for all workers.
+		workers = s.unasked(st, p)
 	}
+	s.renew(st, workers, now)
+	st.advice.hoped = hoped
 }
 
 // unasked returns the workers that suit the step and of which nothing is known.
@@ -144,6 +144,7 @@
 		return
 	}
 	st.advice.asking = true
+	st.advice.hoped = 0
 	st.advice.quick = cost <= QuickCall
 	s.asking[st.advice.quick]++
 	ids := make([]string, len(workers))
--- a/scheduler/gangs.go
+++ b/scheduler/gangs.go
@@ -107,31 +107,7 @@
 
 // waitForRoom keeps the workers for a gang on which it can start first.
 func (s *Scheduler) waitForRoom(st *step, p *pool, now time.Time) {
-	type vacancy struct {
-		worker *worker
-		at     time.Time
-		room   int
-	}
-	var places []vacancy
-	for _, w := range p.workers {
-		if _, kept := p.reserved[w]; kept || !s.known(st, w, now) {
-			continue
-		}
-		if w.fails >= shunAfter {
-			continue
-		}
-		at, room := s.predict(st, w, now)
-		if room > 0 {
-			places = append(places, vacancy{
-				worker: w,
-				at:     at,
-				room:   room,
-			})
-		}
-	}
-	slices.SortStableFunc(places, func(a, b vacancy) int {
-		return a.at.Compare(b.at)
-	})
+	places := s.vacancies(st, p, now)
 	var kept []*worker
 	var until time.Time
 	missing := len(st.tasks)
--- a/scheduler/load_test.go
+++ b/scheduler/load_test.go
@@ -514,6 +514,14 @@
 	return loads
 }
 
+// apart has the tasks for whole workers run each by itself, not as gangs.
+func (w *world) apart() *world {
+	for i := range w.loads {
+		w.loads[i].gang = false
+	}
+	return w
+}
+
 // memoryWorld has 13 workers of 8 cards whose memory is what is short.
 func memoryWorld(t *testing.T, seed uint64, rate float64) *world {
 	return newWorld(t, seed, 13, sizer.New(32000, 128*gibibyte, 8), memoryLoads(rate)...)
@@ -543,6 +551,12 @@
 	worlds := map[string]func(*testing.T, uint64, float64) *world{
 		"cards":  visionWorld,
 		"memory": memoryWorld,
+		"large": func(t *testing.T, seed uint64, rate float64) *world {
+			return visionWorld(t, seed, rate).apart()
+		},
+		"largeMemory": func(t *testing.T, seed uint64, rate float64) *world {
+			return memoryWorld(t, seed, rate).apart()
+		},
 	}
 	for name, newWorld := range worlds {
 		for _, cut := range []bool{false, true} {
--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -27,8 +27,10 @@
 	// free is the room of all workers, less what steps that came first are
 	// about to take.
 	free sizer.Size
-	// reserved holds the workers that are kept for a gang, and until when.
+	// reserved holds the workers that are kept for a step, and until when.
 	reserved map[*worker]time.Time
+	// largest is the most of each resource that a worker of the service has.
+	largest sizer.Size
 }
 
 // pools groups the workers that take something new by service.
@@ -46,6 +48,7 @@
 			pools[w.entry.Service] = p
 		}
 		p.workers = append(p.workers, w)
+		p.largest = p.largest.Max(w.entry.Total)
 		p.free = p.free.Add(w.free().Max(sizer.Size{}))
 	}
 	for _, p := range pools {
@@ -73,6 +76,7 @@
 		if p == nil {
 			continue
 		}
+		st.large = fitting(sizeOf(st.phase), p.largest) <= fewFit
 		if st.phase.Gang {
 			s.placeGang(st, p, now)
 		} else {
@@ -141,7 +145,7 @@
 		}
 		s.start(st, i, w, s.attempt(), now)
 	}
-	if st.waiting > 0 && st.phase.Lasting && !st.advice.asking {
+	if st.waiting > 0 && st.claims() {
 		s.claimRoom(st, p, now)
 	}
 	if st.waiting > 0 && st.job.record.Queue.Advice != nil {
--- a/scheduler/preempting.go
+++ b/scheduler/preempting.go
@@ -26,7 +26,7 @@
 }
 
 // makeRoom stops runs of less urgent queues, so that n more tasks of the step
-// find room, all of them or none. Only runs that can be resumed are stopped. It
+// find room: as many as possible, or all of a gang. Only runs that can be resumed are stopped. It
 // returns the workers that will have room.
 func (s *Scheduler) makeRoom(st *step, n int, p *pool, now time.Time) []*worker {
 	var places []clearing
@@ -50,7 +50,7 @@
 		missing -= place.room
 		chosen = append(chosen, place)
 	}
-	if missing > 0 {
+	if missing > 0 && st.phase.Gang {
 		return nil
 	}
 	var workers []*worker
@@ -115,30 +115,94 @@
 	return st.job.record.Queue.Priority > to.job.record.Queue.Priority && s.remaining(r, now) > worthStopping
 }
 
-// claimRoom makes room for the waiting tasks of a step on which callers depend
-// all the time, where none is about to be free.
-func (s *Scheduler) claimRoom(st *step, p *pool, now time.Time) {
-	missing := st.waiting
+// fewFit is how many tasks of a size fit a whole worker for them to count as
+// large: room for one is rarely left by others.
+const fewFit = 2
+
+// claims tells that workers are kept for the tasks of a step: callers depend on
+// them all the time, or they are so large that they would hardly find room.
+func (st *step) claims() bool {
+	return st.phase.Lasting || st.large
+}
+
+// vacancy is a worker that will have room for tasks of a step.
+type vacancy struct {
+	worker *worker
+	at     time.Time
+	room   int
+}
+
+// vacancies lists the approved workers that are not kept for others, first
+// those that will have room first.
+func (s *Scheduler) vacancies(st *step, p *pool, now time.Time) []vacancy {
+	var places []vacancy
 	for _, w := range p.workers {
-		if !s.known(st, w, now) {
+		if _, kept := p.reserved[w]; kept || w.fails >= shunAfter || !s.known(st, w, now) {
 			continue
 		}
-		if at, room := s.predict(st, w, now); at.Sub(now) <= worthStopping {
-			missing -= room
+		if at, room := s.predict(st, w, now); room > 0 {
+			places = append(places, vacancy{
+				worker: w,
+				at:     at,
+				room:   room,
+			})
 		}
 	}
-	for ; missing > 0; missing-- {
-		cleared := s.makeRoom(st, missing, p, now)
-		if cleared == nil {
-			continue
-		}
+	slices.SortStableFunc(places, func(a, b vacancy) int {
+		return a.at.Compare(b.at)
+	})
+	return places
+}
+
+// claimRoom keeps workers for the waiting tasks of a step, and makes room for
+// those for which none is about to be free.
+func (s *Scheduler) claimRoom(st *step, p *pool, now time.Time) {
+	places := s.vacancies(st, p, now)
+	soon := slices.IndexFunc(places, func(v vacancy) bool { return v.at.Sub(now) > worthStopping })
+	if soon < 0 {
+		soon = len(places)
+	}
+	missing := st.waiting
+	kept := s.keep(p, places[:soon], &missing)
+	if missing > 0 && (st.phase.Lasting || st.use(now) == rankInTime) {
 		until := now.Add(s.options.stopTimeout)
-		s.reserve(p, cleared, until)
-		if st.job.record.Queue.Advice != nil && !s.allTicketed(st, cleared, until) {
-			s.renew(st, cleared, now)
+		for _, w := range s.makeRoom(st, missing, p, now) {
+			cleared := vacancy{
+				worker: w,
+				at:     until,
+				room:   1,
+			}
+			kept = append(kept, s.keep(p, []vacancy{cleared}, &missing)...)
 		}
+	}
+	kept = append(kept, s.keep(p, places[soon:], &missing)...)
+	if st.job.record.Queue.Advice == nil {
 		return
 	}
+	var expiring []*worker
+	for _, v := range kept {
+		if v.at.Sub(now) < st.cost(len(kept)) && !s.ticketed(st, v.worker, v.at) {
+			expiring = append(expiring, v.worker)
+		}
+	}
+	s.renew(st, expiring, now)
+}
+
+// keep keeps workers until no task misses one, as far as workers may be kept.
+func (s *Scheduler) keep(p *pool, places []vacancy, missing *int) []vacancy {
+	var kept []vacancy
+	for _, v := range places {
+		if *missing <= 0 || float64(len(p.reserved)) > shareOfReserved*float64(len(p.workers)) {
+			break
+		}
+		if _, taken := p.reserved[v.worker]; taken {
+			continue
+		}
+		s.reserve(p, []*worker{v.worker}, v.at)
+		kept = append(kept, v)
+		*missing -= v.room
+	}
+	return kept
 }
 
 // known is like allowed, for a step whose tickets may have run out.
--- a/scheduler/tables.go
+++ b/scheduler/tables.go
@@ -53,6 +53,8 @@
 	gang int64
 	// gangFailures lists the attempts of a gang that failed.
 	gangFailures []int64
+	// large tells that few of the tasks fit a whole worker.
+	large bool
 	// part is since when only a part of a gang is there, zero while it is whole
 	// or not there.
 	part time.Time
