Runs yield only where a second or more is won and their job keeps two

Change: a second must be won (0.5 before), and the step of the run must have two seconds left or be of no more use.

--- a/scheduler/preempting.go
+++ b/scheduler/preempting.go
@@ -8,8 +8,11 @@
 
 const (
 	// worthStopping is how much sooner a step must start for runs to be stopped
-	// for it: about what their stop takes.
-	worthStopping = 500 * time.Millisecond
+	// for it: what their stop takes, and some of the work done again.
+	worthStopping = time.Second
+	// yieldSlack is the time that a step must have left for its runs to be
+	// stopped: their stop, the wait for another place and what is done again.
+	yieldSlack = 2 * time.Second
 	// mostStopped bounds the runs that are stopped for one task, so that one
 	// task does not undo the work of a whole data centre.
 	mostStopped = 8
@@ -112,7 +115,7 @@
 	if t == nil || t.run != r || !st.phase.Checkpoints {
 		return false
 	}
-	return st.job.record.Queue.Priority > to.job.record.Queue.Priority && s.remaining(r, now) > worthStopping
+	return st.job.record.Queue.Priority > to.job.record.Queue.Priority && s.remaining(r, now) > worthStopping && (st.use(now.Add(yieldSlack)) == rankInTime || st.use(now) == rankTooLate)
 }
 
 // fewFit is how many tasks of a size fit a whole worker for them to count as
