--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -344,6 +344,9 @@
 // send orders a planned run.
 func (s *Scheduler) send(r *run, st *step, now time.Time) {
 	s.begin(st.job)
+	if st.began.IsZero() {
+		st.began = now
+	}
 	r.state = runStarting
 	r.began = now
 	r.moved = now
--- a/scheduler/reports.go
+++ b/scheduler/reports.go
@@ -193,11 +193,12 @@
 	if st.done < len(st.tasks) {
 		return
 	}
+	st.ended = now
 	delete(s.open, st.ref)
 	for i := range st.job.record.Phases {
 		next := st.ref
 		next.Phase = i
-		s.release(st.job.steps[next])
+		s.release(st.job.steps[next], now)
 	}
 	s.finish(st.job, now)
 }
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -28,7 +28,7 @@
 	if t.away.IsZero() {
 		t.away = now
 	}
-	if !st.job.state.Final() && st.ready() {
+	if !st.job.state.Final() && st.isReady() {
 		s.open[st.ref] = st
 	}
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -1,6 +1,9 @@
 package scheduler
 
 import (
+	"fmt"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/galenacove/galenacove/sizer"
@@ -226,7 +229,7 @@
 				Job:        j.record.ID,
 				Occurrence: j.opened,
 				Phase:      i,
-			}])
+			}], now)
 		}
 	}
 	delete(s.timed, j.record.ID)
@@ -271,15 +274,18 @@
 }
 
 // release opens a step whose dependencies are done.
-func (s *Scheduler) release(st *step) {
-	if st == nil || st.waiting == 0 || !st.ready() {
+func (s *Scheduler) release(st *step, now time.Time) {
+	if st == nil || st.waiting == 0 || !st.isReady() {
 		return
 	}
+	if st.ready.IsZero() {
+		st.ready = now
+	}
 	s.open[st.ref] = st
 }
 
-// ready tells that all steps that this one depends on are done.
-func (st *step) ready() bool {
+// isReady tells that all steps that this one depends on are done.
+func (st *step) isReady() bool {
 	for _, on := range st.phase.DependsOn {
 		before := st.ref
 		before.Phase = on
@@ -310,6 +316,11 @@
 	j.state = state
 	j.ended = now
 	j.stored = false
+	s.note("job "+string(state)+": "+j.history(), TaskRef{
+		Step: StepRef{
+			Job: j.record.ID,
+		},
+	}, "", now.Sub(j.record.Accepted))
 	s.dirty[j.record.ID] = true
 	delete(s.timed, j.record.ID)
 	for ref, st := range j.steps {
@@ -322,6 +333,29 @@
 	}
 }
 
+// mostTold bounds the steps that the history of a job tells of.
+const mostTold = 8
+
+// history tells how long the steps of the job waited and ran, for the log.
+func (j *job) history() string {
+	var parts []string
+	for ref, st := range j.steps {
+		switch {
+		case st.ready.IsZero():
+			parts = append(parts, fmt.Sprintf("%d.%d not reached", ref.Occurrence, ref.Phase))
+		case st.began.IsZero():
+			parts = append(parts, fmt.Sprintf("%d.%d not begun", ref.Occurrence, ref.Phase))
+		case st.ended.IsZero():
+			parts = append(parts, fmt.Sprintf("%d.%d waited %v", ref.Occurrence, ref.Phase, st.began.Sub(st.ready).Round(time.Millisecond)))
+		default:
+			parts = append(parts, fmt.Sprintf("%d.%d waited %v, ran %v", ref.Occurrence, ref.Phase,
+				st.began.Sub(st.ready).Round(time.Millisecond), st.ended.Sub(st.began).Round(time.Millisecond)))
+		}
+	}
+	slices.Sort(parts)
+	return strings.Join(parts[:min(mostTold, len(parts))], "; ")
+}
+
 // begin notes that a task of the job has started.
 func (s *Scheduler) begin(j *job) {
 	if j.begun {
--- a/scheduler/tables.go
+++ b/scheduler/tables.go
@@ -60,6 +60,9 @@
 	part time.Time
 	// retry is when a gang or an unlucky step is tried again.
 	retry time.Time
+	// ready is when all that the step depends on was done, began when its first
+	// task was started, and ended when its last task was done.
+	ready, began, ended time.Time
 	// explained is when the log last said why the step waits.
 	explained time.Time
 	// ran and runs are the total time and the number of the runs that are done.
