--- a/coordinator/lanes.go
+++ b/coordinator/lanes.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -257,19 +258,21 @@
 	if len(ready) < 2 {
 		return ready, ready
 	}
-	n := max(1, int(quickShare*float64(len(ready))))
+	n := min(len(ready)-1, int(math.Ceil(quickShare*float64(len(ready)))))
 	return ready[:n], ready[n:]
 }
 
 // Slots implements conductor.Adviser. The owners of all shards share the
-// entries, so that a call waits behind one other on the average at most.
+// entries, so that a call waits behind one other on the average at most. About
+// half of the owners have no quick calls to make, and these are short, so there
+// are twice as many of them.
 func (l *lanes) Slots() (quick, other int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	quickLanes, otherLanes := l.divide(l.coordinator.settings.clock.Now())
 	owners := max(2, l.coordinator.shards.total())
-	share := func(n int) int { return (2*n + owners - 1) / owners }
-	return share(len(quickLanes)), share(len(otherLanes))
+	share := func(calls int) int { return (calls + owners - 1) / owners }
+	return share(4 * len(quickLanes)), share(2 * len(otherLanes))
 }
 
 // done tells that a call of a lane has ended.
