--- a/scheduler/load_test.go
+++ b/scheduler/load_test.go
@@ -518,6 +518,56 @@
 	return loads
 }
 
+// deskLoads are many short checks that callers wait for at a door, beside long
+// batches that may take a while and can be resumed.
+func deskLoads(rate float64) []load {
+	desk := func(cores, memory float64) func(*rand.Rand) sizer.Size {
+		return func(r *rand.Rand) sizer.Size {
+			spread := math.Exp(0.4 * r.NormFloat64())
+			return sizer.New(int64(cores*1000*spread), int64(memory*spread*gibibyte), 0)
+		}
+	}
+	return []load{
+		{
+			queue:     visionQueue("checks", 0, 1.5, 250*time.Millisecond, 14, 0.2),
+			perSecond: 16.9 * rate,
+			burst:     2.3,
+			burstFrom: 8 * time.Second,
+			burstTo:   12 * time.Second,
+			width:     6,
+			maxWidth:  36,
+			phases:    1.5,
+			size:      desk(1.5, 5.6),
+			work:      0.56,
+			spread:    0.5,
+			off:       0.2,
+			approved:  0.7,
+			worth:     0.615,
+		},
+		{
+			queue:       visionQueue("batches", 2, 4, 3*time.Second, 170, 2.4),
+			perSecond:   0.8 * rate,
+			width:       8.8,
+			maxWidth:    44,
+			phases:      2,
+			size:        desk(3.3, 12),
+			work:        5.6,
+			spread:      0.5,
+			off:         0.5,
+			checkpoints: true,
+			approved:    0.45,
+			worth:       4.63,
+		},
+	}
+}
+
+// deskWorld has 30 workers of 16 cores.
+func deskWorld(t *testing.T, seed uint64, rate float64) *world {
+	w := newWorld(t, seed, 30, sizer.New(16000, 64*gibibyte, 0), deskLoads(rate)...)
+	w.restore = 100 * time.Millisecond
+	return w
+}
+
 // apart has the tasks for whole workers run each by itself, not as gangs.
 func (w *world) apart() *world {
 	for i := range w.loads {
@@ -556,6 +606,7 @@
 func BenchmarkVision(b *testing.B) {
 	worlds := map[string]func(*testing.T, uint64, float64) *world{
 		"cards":  visionWorld,
+		"desk":   deskWorld,
 		"memory": memoryWorld,
 		"large": func(t *testing.T, seed uint64, rate float64) *world {
 			return visionWorld(t, seed, rate).apart()
