Copies of runs that are slow, stand still or are on silent workers

A job may allow two runs of a task at once. Where one would probably end later than a fresh one elsewhere, and no step in time lacks room, a second is started; the first end counts and the other is stopped.

--- a/scheduler/advice.go
+++ b/scheduler/advice.go
@@ -58,7 +58,7 @@
 	if !sizeOf(st.phase).Fits(p.free) {
 		return
 	}
-	workers, hoped := s.worthAsking(st, p, now)
+	workers, hoped := s.worthAsking(st, p, st.waiting, now)
 	if len(workers) == 0 {
 		return
 	}
@@ -81,9 +81,10 @@
 	return workers
 }
 
-// worthAsking returns as many workers with room as the step needs, first those
-// that are known to be approved, and how many tasks they may have room for.
-func (s *Scheduler) worthAsking(st *step, p *pool, now time.Time) (workers []*worker, hoped int) {
+// worthAsking returns as many workers with room as tasks of the step need, first
+// those that are known to be approved, and how many tasks they may have room
+// for.
+func (s *Scheduler) worthAsking(st *step, p *pool, tasks int, now time.Time) (workers []*worker, hoped int) {
 	type option struct {
 		worker   *worker
 		approved bool
@@ -100,7 +101,7 @@
 			all = append(all, option{
 				worker:   w,
 				approved: approved,
-				room:     min(room, st.waiting),
+				room:     min(room, tasks),
 				score:    s.score(st, w),
 			})
 		}
@@ -115,7 +116,7 @@
 		return cmp.Compare(a.score, b.score)
 	})
 	share := s.stats(st.job.record.Queue.Name).approval
-	need := moreThanNeeded * float64(st.waiting)
+	need := moreThanNeeded * float64(tasks)
 	found := 0.0
 	for _, o := range all {
 		if found >= need || len(workers) >= fewAsked {
--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -91,6 +91,7 @@
 	for _, p := range pools {
 		s.relieve(p, now)
 	}
+	s.copySlow(pools, now)
 	s.askAhead(pools, now)
 }
 
@@ -330,11 +331,7 @@
 	}
 	r.describe(st)
 	w.add(r)
-	t.run = r
-	st.waiting--
-	if st.waiting == 0 {
-		delete(s.open, st.ref)
-	}
+	s.assign(st, t, r)
 	if st.job.named[w.entry.Ref.ID] {
 		s.send(r, st, now)
 		return
@@ -387,7 +384,7 @@
 	var keep []*run
 	for _, r := range planned {
 		st, t := s.find(r.ref.Task)
-		if t == nil || t.run != r || r.state != runPlanned {
+		if t == nil || !t.has(r) || r.state != runPlanned {
 			continue
 		}
 		switch {
--- a/scheduler/preempting.go
+++ b/scheduler/preempting.go
@@ -148,7 +148,7 @@
 		return false
 	}
 	st, t := s.find(r.ref.Task)
-	if t == nil || t.run != r || !st.phase.Checkpoints {
+	if t == nil || !t.has(r) || !st.phase.Checkpoints {
 		return false
 	}
 	return st.job.record.Queue.Priority > to.job.record.Queue.Priority && s.remaining(r, now) > worthStopping && (st.use(now.Add(yieldSlack)) == rankInTime || st.use(now) == rankTooLate)
--- a/scheduler/reports.go
+++ b/scheduler/reports.go
@@ -121,9 +121,10 @@
 	if t == nil || st.job.state.Final() {
 		return false
 	}
-	own := t.run != nil && t.run.ref == row.Run
+	r := t.find(row.Run)
+	own := r != nil
 	if own {
-		s.unassign(st, t, now)
+		s.unassign(st, t, r, now)
 	}
 	if row.Checkpoint != "" && !t.done {
 		st.keepCheckpoint(row.Run.Task.Index, row.Checkpoint)
@@ -166,8 +167,9 @@
 	if t.done {
 		return
 	}
-	if r := t.run; r != nil {
-		s.unassign(st, t, now)
+	for t.run != nil {
+		r := t.run
+		s.unassign(st, t, r, now)
 		if _, there := r.worker.runs[r.ref]; there && !st.phase.Gang {
 			s.stop(r, now, "done elsewhere")
 		}
@@ -195,6 +197,7 @@
 	}
 	st.ended = now
 	delete(s.open, st.ref)
+	delete(s.copied, st.ref)
 	for i := range st.job.record.Phases {
 		next := st.ref
 		next.Phase = i
@@ -221,7 +224,7 @@
 	}
 	r.gauge = int64(row.Tail)
 	st, t := s.find(row.Run.Task)
-	if t == nil || t.run != r {
+	if t == nil || !t.has(r) {
 		return
 	}
 	s.begin(st.job)
@@ -248,7 +251,7 @@
 	}
 	s.describeFound(r, st)
 	w.add(r)
-	wanted := t != nil && !t.done && t.run == nil && !st.job.state.Final()
+	wanted := t != nil && !t.done && t.takes(st) && !st.job.state.Final()
 	if wanted && st.phase.Gang && st.gang != 0 && st.gang != row.Run.Attempt {
 		wanted = false
 	}
@@ -259,11 +262,7 @@
 	if st.phase.Gang {
 		st.gang = row.Run.Attempt
 	}
-	t.run = r
-	st.waiting--
-	if st.waiting == 0 {
-		delete(s.open, st.ref)
-	}
+	s.assign(st, t, r)
 	if j := st.job; !j.workers[w.entry.Ref.ID] {
 		j.workers[w.entry.Ref.ID] = true
 		s.dirty[j.record.ID] = true
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -18,9 +18,53 @@
 	return st, &st.tasks[ref.Index]
 }
 
-// unassign takes the run away from its task, which then waits again.
-func (s *Scheduler) unassign(st *step, t *task, now time.Time) {
-	t.run = nil
+// has tells that the run is one of the task.
+func (t *task) has(r *run) bool {
+	return t.run == r || t.copy == r
+}
+
+// find returns the run of the task with that name, or nil.
+func (t *task) find(ref RunRef) *run {
+	for _, r := range []*run{t.run, t.copy} {
+		if r != nil && r.ref == ref {
+			return r
+		}
+	}
+	return nil
+}
+
+// takes tells that the task may have one more run.
+func (t *task) takes(st *step) bool {
+	return t.run == nil || st.phase.Copies && t.copy == nil
+}
+
+// assign gives a task a run, as a copy where it has one.
+func (s *Scheduler) assign(st *step, t *task, r *run) {
+	if t.run != nil {
+		t.copy = r
+		return
+	}
+	t.run = r
+	st.waiting--
+	if st.waiting == 0 {
+		delete(s.open, st.ref)
+	}
+	if st.phase.Copies {
+		s.copied[st.ref] = st
+	}
+}
+
+// unassign takes a run away from its task, which waits again when it has no
+// other.
+func (s *Scheduler) unassign(st *step, t *task, r *run, now time.Time) {
+	if t.copy == r {
+		t.copy = nil
+		return
+	}
+	t.run, t.copy = t.copy, nil
+	if t.run != nil {
+		return
+	}
 	if t.done {
 		return
 	}
@@ -38,10 +82,10 @@
 	r.worker.remove(r)
 	s.note("run lost: "+reason, r.ref.Task, r.worker.entry.Ref.ID, now.Sub(r.began))
 	st, t := s.find(r.ref.Task)
-	if t == nil || t.run != r {
+	if t == nil || !t.has(r) {
 		return
 	}
-	s.unassign(st, t, now)
+	s.unassign(st, t, r, now)
 	if st.phase.Gang {
 		st.retry = now.Add(refusedPause)
 		s.breakGang(st, "a member was lost", now)
@@ -88,8 +132,8 @@
 	if r.state == runPlanned {
 		// It was never sent.
 		r.worker.remove(r)
-		if st, t := s.find(r.ref.Task); t != nil && t.run == r {
-			s.unassign(st, t, now)
+		if st, t := s.find(r.ref.Task); t != nil && t.has(r) {
+			s.unassign(st, t, r, now)
 		}
 		return
 	}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -87,6 +87,8 @@
 	// open holds the steps that have waiting tasks and whose dependencies are
 	// done.
 	open map[StepRef]*step
+	// copied holds the steps that have runs of which there may be copies.
+	copied map[StepRef]*step
 	// timed holds the jobs with occurrences that have no steps yet.
 	timed map[string]*job
 	// asking counts the calls for advice under way, and askSlots how many there
@@ -138,6 +140,7 @@
 		jobs:        make(map[string]*job),
 		workers:     make(map[string]*worker),
 		open:        make(map[StepRef]*step),
+		copied:      make(map[StepRef]*step),
 		timed:       make(map[string]*job),
 		queues:      make(map[string]*queueStats),
 		asking:      make(map[bool]int),
@@ -325,9 +328,12 @@
 	delete(s.timed, j.record.ID)
 	for ref, st := range j.steps {
 		delete(s.open, ref)
+		delete(s.copied, ref)
 		for i := range st.tasks {
-			if r := st.tasks[i].run; r != nil {
-				s.stop(r, now, "job "+string(state))
+			for _, r := range []*run{st.tasks[i].copy, st.tasks[i].run} {
+				if r != nil {
+					s.stop(r, now, "job "+string(state))
+				}
 			}
 		}
 	}
--- a/scheduler/tables.go
+++ b/scheduler/tables.go
@@ -73,8 +73,9 @@
 // task is one task of a step.
 type task struct {
 	done bool
-	// run is the run that is, or may be, at work, nil for none.
-	run *run
+	// run is the run that is, or may be, at work, nil for none, and copy a
+	// second one beside it. There is a copy only where there is a run.
+	run, copy *run
 	// failures lists the attempts that failed.
 	failures []int64
 	// checkpoint is the last one seen.
--- a/scheduler/tick.go
+++ b/scheduler/tick.go
@@ -105,9 +105,8 @@
 			patience := max(stuckAfter, time.Duration(stuckShare*float64(r.estimate)))
 			if w.heard.Sub(r.moved) > patience {
 				w.shunned = now.Add(stuckPause)
-				if st, t := s.find(r.ref.Task); t != nil && t.run == r {
+				if _, t := s.find(r.ref.Task); t != nil && t.has(r) {
 					t.avoid = append(t.avoid, w.entry.Ref.ID)
-					_ = st
 				}
 				s.note("run stands still", r.ref.Task, w.entry.Ref.ID, w.heard.Sub(r.moved))
 				s.stop(r, now, "no progress")
