A worker kept for a task that is kept apart takes one more of them

The room that is predicted did not count the tasks that are there ('step waits: 1 of 3, 9 approved, 31 with room, 1 kept', for 10 s). Ruled out: the adviser (it answered), room, workers that fail all. Change: predict counts them; a renewal names three more workers with room. Test: TestKeptWorkerTakesOneMoreTask, failed first.

--- a/scheduler/gangs.go
+++ b/scheduler/gangs.go
@@ -148,10 +148,10 @@
 	size := sizeOf(st.phase)
 	most := fitting(size, w.entry.Total)
 	if st.phase.PerWorker > 0 {
-		most = min(most, st.phase.PerWorker)
+		most = min(most, st.phase.PerWorker-st.running(w))
 	}
 	want := min(most, len(st.tasks))
-	if want == 0 {
+	if want <= 0 {
 		return now, 0
 	}
 	runs := sortedRuns(w)
--- a/scheduler/preempting.go
+++ b/scheduler/preempting.go
@@ -15,6 +15,9 @@
 	// yieldSlack is the time that a step must have left for its runs to be
 	// stopped: their stop, the wait for another place and what is done again.
 	yieldSlack = 2 * time.Second
+	// spares is how many more workers with room a call for advice names than are
+	// kept.
+	spares = 3
 	// mostStopped bounds the runs that are stopped for one task, so that one
 	// task does not undo the work of a whole data centre.
 	mostStopped = 8
@@ -224,6 +227,16 @@
 			expiring = append(expiring, v.worker)
 		}
 	}
+	if len(expiring) == 0 {
+		return
+	}
+	for _, v := range places[:min(soon, spares)] {
+		// What is kept may be lost in the meantime, and the decision costs much
+		// more than one worker does.
+		if !slices.Contains(expiring, v.worker) {
+			expiring = append(expiring, v.worker)
+		}
+	}
 	s.renew(st, expiring, now)
 }
 
--- a/scheduler/preempting_test.go
+++ b/scheduler/preempting_test.go
@@ -149,3 +149,40 @@
 		qt.Assert(t, batches.share() >= goal, qt.IsTrue, comment)
 	}
 }
+
+// TestKeptWorkerTakesOneMoreTask has a task that lasts fail once its tickets
+// have run out, while another of its step, which is kept apart from it, works on
+// the worker that would be kept first.
+func TestKeptWorkerTakesOneMoreTask(t *testing.T) {
+	r := newRig(t)
+	for i := range 2 {
+		r.worker(nodeName(i), cores(4))
+	}
+	r.list()
+	r.hold()
+	phase := tasks(2, cores(1))
+	phase.Lasting = true
+	phase.PerWorker = 1
+	job := r.job("j", phase)
+	job.Queue = advisedQueue
+	r.s.AddJob(job, nil, false, r.now)
+	for range 5 {
+		r.round()
+		r.advise(all)
+	}
+	r.c.Assert(r.active(), qt.Equals, 2)
+	for range 30 {
+		r.round()
+		r.c.Assert(r.advise(all), qt.HasLen, 0)
+	}
+	second := r.nodes[nodeName(1)]
+	for run := range second.active {
+		second.end(run, scheduler.EndFailed)
+	}
+	for range 10 {
+		r.round()
+		r.advise(all)
+	}
+	r.c.Assert(second.active, qt.HasLen, 1)
+	r.c.Assert(r.active(), qt.Equals, 2)
+}
