--- a/scheduler/copying.go
+++ b/scheduler/copying.go
@@ -8,10 +8,14 @@
 const (
 	// copyGain is how many times as long as a fresh run one must still take for
 	// a copy to be started: estimates of both are rough.
-	copyGain = 1.5
+	copyGain = 3
 	// copyStill is for how long a run may show no progress before it is copied.
 	// Copies cost little, so that is less than what stops a run.
 	copyStill = 500 * time.Millisecond
+	// copyAfter and copyPercent are how long a run must have worked, and how far
+	// it must be, for its speed to be known: percents are whole and rough.
+	copyAfter   = 250 * time.Millisecond
+	copyPercent = 10
 	// copyStart is what the start of a copy takes: its order and its answer.
 	copyStart = 50 * time.Millisecond
 )
@@ -79,6 +83,9 @@
 	if r.percent < 100 && still > max(copyStill, time.Duration(stuckShare*float64(r.estimate))) {
 		return true
 	}
+	if now.Sub(r.began) < copyAfter || r.percent < copyPercent {
+		return false
+	}
 	fresh := time.Duration(float64(st.phase.Estimate) * s.stats(st.job.record.Queue.Name).stretch)
 	if st.runs > 0 {
 		fresh = st.ran / time.Duration(st.runs)
