Runs move off leaving workers, saved, and lasting ones within their limit

A worker that leaves ends what runs on it. What will not end in time is stopped as late as lets it be saved, what cannot be saved and has no chance begins elsewhere at once, and tasks that last go as soon as a place is there for them, never more at once than the job allows.

--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -91,6 +91,7 @@
 	for _, p := range pools {
 		s.relieve(p, now)
 	}
+	s.move(pools, now)
 	s.copySlow(pools, now)
 	s.askAhead(pools, now)
 }
