--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -11,6 +11,7 @@
 	"context"
 	"encoding/json"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -127,6 +128,10 @@
 	sequence int64
 	// confirmed is when the ownership was last known to hold.
 	confirmed time.Time
+	// dealt is when the ownership began, and started tells that a worker has
+	// carried out a start since.
+	dealt   time.Time
+	started atomic.Bool
 }
 
 // Option changes how a Conductor works.
@@ -184,6 +189,7 @@
 		opt(c)
 	}
 	c.confirmed = c.clock.Now()
+	c.dealt = c.confirmed
 	return c
 }
 
@@ -196,8 +202,9 @@
 			return err
 		}
 		c.logger.WithFields(log.Fields{
-			"partition": c.partition,
-			"token":     c.token,
+			"partition":    c.partition,
+			"token":        c.token,
+			"sinceDealtMs": c.clock.Now().Sub(c.dealt).Milliseconds(),
 		}).Info("conductor: took over the partition")
 		group.Go(func() error { return c.follow(ctx) })
 		group.Go(func() error { return c.write(ctx) })
--- a/conductor/metrics.go
+++ b/conductor/metrics.go
@@ -8,6 +8,7 @@
 	advice      prometheus.Histogram
 	silent      prometheus.Counter
 	storeErrors prometheus.Counter
+	takeovers   prometheus.Histogram
 }
 
 // NewMetrics returns metrics that are not registered yet.
@@ -30,10 +31,15 @@
 			Name: "galenacove_conductor_store_errors_total",
 			Help: "Tries to store progress that failed.",
 		}),
+		takeovers: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name:    "galenacove_conductor_takeover_seconds",
+			Help:    "Time from being dealt a partition to its first start that a worker carried out.",
+			Buckets: prometheus.ExponentialBuckets(0.025, 2, 10),
+		}),
 	}
 }
 
 // Collectors returns the metrics.
 func (m *Metrics) Collectors() []prometheus.Collector {
-	return []prometheus.Collector{m.starts, m.advice, m.silent, m.storeErrors}
+	return []prometheus.Collector{m.starts, m.advice, m.silent, m.storeErrors, m.takeovers}
 }
--- a/conductor/orders.go
+++ b/conductor/orders.go
@@ -55,6 +55,13 @@
 		"outcome": outcome.String(),
 		"tookMs":  now.Sub(began).Milliseconds(),
 	}
+	if outcome == scheduler.StartDone && c.started.CompareAndSwap(false, true) {
+		c.metrics.takeovers.Observe(now.Sub(c.dealt).Seconds())
+		c.logger.WithFields(fields).WithFields(log.Fields{
+			"partition":    c.partition,
+			"sinceDealtMs": now.Sub(c.dealt).Milliseconds(),
+		}).Info("conductor: first start of the ownership")
+	}
 	if err != nil && outcome != scheduler.StartDone {
 		c.logger.WithFields(fields).WithError(err).Warn("conductor: start not done")
 	} else {
