--- a/scheduler/advice.go
+++ b/scheduler/advice.go
@@ -134,7 +134,7 @@
 
 // renew calls for advice on these workers.
 func (s *Scheduler) renew(st *step, workers []*worker, now time.Time) {
-	if st.advice.asking || now.Before(st.advice.retry) || len(workers) == 0 {
+	if st.job.record.Queue.Advice == nil || st.advice.asking || now.Before(st.advice.retry) || len(workers) == 0 {
 		return
 	}
 	workers = workers[:min(len(workers), mostAsked)]
