Small entries leave partitions to much larger ones while these are there

Change: an entry makes its processor share known; one that has less than half of another's joins the owners only while no such larger one says that it is one of them. Shards are of 126 workers where a larger entry decides. On sites of equal entries nothing changes.

--- a/coordinator/cell_test.go
+++ b/coordinator/cell_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -142,7 +143,7 @@
 	cl.write(configPartition, "config", config)
 }
 
-func (cl *cell) start(name string) *entry {
+func (cl *cell) start(name string, options ...coordinator.Option) *entry {
 	var listeners [3]net.Listener
 	for i := range listeners {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -159,7 +160,7 @@
 	advise := func(_ context.Context, _ scheduler.StepRef, _ []string) ([]scheduler.Approval, time.Duration, error) {
 		return nil, 0, nil
 	}
-	process := coordinator.New(e.store, cl.fleet, advise, receiver.JSON{},
+	options = append(options,
 		coordinator.Name(name, "here"),
 		coordinator.Listeners(listeners[0], listeners[1], listeners[2]),
 		coordinator.Grace(1500*time.Millisecond),
@@ -174,6 +175,7 @@
 			err := json.Unmarshal(record.Value, &worker)
 			return worker, err
 		}))
+	process := coordinator.New(e.store, cl.fleet, advise, receiver.JSON{}, options...)
 	ctx, stop := context.WithCancel(context.Background())
 	e.stop = stop
 	e.group.Go(func() error { return process.Run(ctx) })
@@ -334,6 +336,49 @@
 	cl.c.Assert(cl.fleet.Broken(), qt.HasLen, 0)
 }
 
+// awaitOwner waits until the group deals all partitions to entries whose name
+// begins like that.
+func (cl *cell) awaitOwner(prefix string) {
+	for {
+		owners, err := cl.store.Owners(context.Background(), "entries")
+		cl.c.Assert(err, qt.IsNil)
+		others := 0
+		for _, owner := range owners {
+			if !strings.Contains(owner.Member, "/"+prefix) {
+				others++
+			}
+		}
+		if len(owners) > 0 && others == 0 {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// TestSmallEntriesOwnWhileLargeOnesAreGone has a large entry come and go beside
+// two small ones: it owns all partitions while it is there, and jobs that came
+// before, during and after that end.
+func TestSmallEntriesOwnWhileLargeOnesAreGone(t *testing.T) {
+	cl := newCell(t, 0)
+	for _, name := range []string{"small-0", "small-1"} {
+		cl.start(name, coordinator.Cores(0.192))
+	}
+	cl.awaitOwner("small")
+	cl.submit(cl.entries[0], "before", 6)
+	large := cl.start("large", coordinator.Cores(0.8))
+	cl.awaitOwner("large")
+	cl.submit(cl.entries[1], "during", 6)
+	cl.await(cl.entries[0], "during", scheduler.Completed)
+	cl.entries = cl.entries[:2]
+	cl.c.Assert(large.end(), qt.IsNil)
+	cl.awaitOwner("small")
+	cl.submit(cl.entries[0], "after", 6)
+	for _, id := range []string{"before", "after"} {
+		cl.await(cl.entries[1], id, scheduler.Completed)
+	}
+	cl.c.Assert(cl.fleet.Broken(), qt.HasLen, 0)
+}
+
 // TestEntryThatTheStoreTurnsAwayRelays has one entry store jobs through another.
 func TestEntryThatTheStoreTurnsAwayRelays(t *testing.T) {
 	cl := newCell(t, 3)
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -90,6 +90,9 @@
 
 	// readDirectory asks for the directory to be read at once.
 	readDirectory chan struct{}
+	// largeSeen is when a much larger entry last said that it owns partitions.
+	// Only the loop that keeps the membership uses it.
+	largeSeen time.Time
 	// nudged asks for a look at what the group deals to this entry.
 	nudged chan struct{}
 	// began is when the process was made.
@@ -103,13 +106,16 @@
 	// member is this life's name in the group.
 	member     string
 	generation int64
+	// joined is when the last join that was answered was sent, zero for an entry
+	// that is no member.
+	joined time.Time
 	// owned holds the partitions of this process.
 	owned map[int]*ownership
 	// owners holds what is known of the others, and when that was read.
 	owners     map[int]string
 	ownersRead time.Time
-	// peers holds the addresses of the entries by their name.
-	peers map[string]string
+	// peers holds what the entries made known of themselves, by their name.
+	peers map[string]peer
 }
 
 // ownership is a partition that this process owns.
@@ -127,7 +133,7 @@
 		metrics:  conductor.NewMetrics(),
 		owned:    make(map[int]*ownership),
 		owners:   make(map[int]string),
-		peers:    make(map[string]string),
+		peers:    make(map[string]peer),
 		nudged:   make(chan struct{}, 1),
 
 		readDirectory: make(chan struct{}, 1),
@@ -292,7 +298,7 @@
 	c.stopping.Store(true)
 	c.settings.logger.WithField("entry", c.settings.name).Info("coordinator: stopping")
 	began := c.settings.clock.Now()
-	c.handOver(ctx)
+	c.handOver(ctx, "stopping")
 	c.nudge(ctx, group)
 	if err := timekeeper.Sleep(ctx, c.settings.clock, min(leavePause, c.settings.grace/2)); err != nil {
 		return
@@ -307,11 +313,11 @@
 }
 
 // handOver gives up all partitions at once.
-func (c *Coordinator) handOver(ctx context.Context) {
+func (c *Coordinator) handOver(ctx context.Context, reason string) {
 	c.mu.Lock()
 	member := c.member
 	for partition, own := range c.owned {
-		c.drop(partition, own, "stopping")
+		c.drop(partition, own, reason)
 	}
 	c.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
--- a/coordinator/feeds.go
+++ b/coordinator/feeds.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	// peersTopic holds the address of each entry under its name.
+	// peersTopic holds the address and the size of each entry under its name.
 	peersTopic = "entries"
 	// peersWait is how long a read waits for a new entry.
 	peersWait = 5 * time.Second
@@ -215,10 +215,17 @@
 	partition := storer.Partition{
 		Topic: peersTopic,
 	}
+	own, err := encodePeer(peer{
+		Address: c.settings.peerAddress,
+		Cores:   c.settings.cores,
+	})
+	if err != nil {
+		return err
+	}
 	for {
 		_, err := c.store.Append(ctx, partition, nil, storer.Record{
 			Key:   c.settings.name,
-			Value: []byte(c.settings.peerAddress),
+			Value: own,
 		})
 		if err == nil {
 			break
@@ -235,12 +242,16 @@
 		take: func(records []storer.Record, _ int64, _ bool) {
 			c.mu.Lock()
 			defer c.mu.Unlock()
+			addresses := make(map[string]string)
 			for _, record := range records {
 				if record.Value != nil {
-					c.peers[record.Key] = string(record.Value)
+					c.peers[record.Key] = decodePeer(record.Value)
 				}
 			}
-			c.lanes.setPeers(c.peers)
+			for name, known := range c.peers {
+				addresses[name] = known.Address
+			}
+			c.lanes.setPeers(addresses)
 		},
 	}.run(ctx)
 }
--- a/coordinator/membership.go
+++ b/coordinator/membership.go
@@ -30,7 +30,9 @@
 // deals to it.
 func (c *Coordinator) keepMembership(ctx context.Context, group *errgroup.Group) error {
 	for {
-		if !c.stopping.Load() && c.join(ctx, group) {
+		if c.leavesToLarger(ctx) {
+			c.stepBack(ctx)
+		} else if !c.stopping.Load() && c.join(ctx, group) {
 			// The group gives a partition on once its former owner joins with
 			// the generation in which it lost it.
 			c.join(ctx, group)
@@ -91,6 +93,7 @@
 		}).Info("coordinator: membership changed")
 	}
 	c.generation = held.Generation
+	c.joined = sent
 	listed := make(map[int]bool)
 	for _, partition := range held.Partitions {
 		if partition.Topic == conductor.JobsTopic {
--- a/coordinator/options.go
+++ b/coordinator/options.go
@@ -27,6 +27,7 @@
 	peerListener, metrics    net.Listener
 	partitions               int
 	shardSize                int
+	cores                    float64
 	ttl                      time.Duration
 	grace                    time.Duration
 	clock                    timekeeper.Clock
@@ -45,7 +46,6 @@
 func newSettings(opts []Option) settings {
 	s := settings{
 		partitions: 12,
-		shardSize:  defaultShardSize,
 		ttl:        defaultTTL,
 		grace:      6 * time.Second,
 		clock:      timekeeper.System(),
@@ -57,6 +57,12 @@
 	for _, opt := range opts {
 		opt(&s)
 	}
+	if s.shardSize == 0 {
+		s.shardSize = defaultShardSize
+		if s.cores >= largeEntry {
+			s.shardSize = largeShardSize
+		}
+	}
 	return s
 }
 
@@ -100,8 +106,17 @@
 	}
 }
 
-// ShardSize sets about how many workers one owner serves. The default is 63.
-// It counts where a service is seen for the first time.
+// Cores sets the share of processors that the process may use. Entries that are
+// much smaller than others leave partitions to them. The default is 0, unknown.
+func Cores(cores float64) Option {
+	return func(s *settings) {
+		s.cores = cores
+	}
+}
+
+// ShardSize sets about how many workers one owner serves. The default is 126
+// for entries of 0.4 cores or more, else 63. It counts where a service is seen
+// for the first time.
 func ShardSize(workers int) Option {
 	return func(s *settings) {
 		s.shardSize = workers
--- a/coordinator/rpc.go
+++ b/coordinator/rpc.go
@@ -110,10 +110,13 @@
 type AliveReply struct {
 	// Stores tells that the store serves the entry.
 	Stores bool
+	// Member tells that the entry is one of those that own partitions.
+	Member bool
 }
 
 // Alive answers, as a sign of life.
 func (r *rpc) Alive(_ struct{}, reply *AliveReply) error {
+	reply.Member = r.coordinator.isMember()
 	reply.Stores = r.coordinator.store.reachable(appendFresh)
 	return nil
 }
--- a/coordinator/shards.go
+++ b/coordinator/shards.go
@@ -26,6 +26,9 @@
 	// defaultShardSize is about how many workers an owner serves: what a fifth
 	// of a core, the smallest share of an entry host, carries in a burst.
 	defaultShardSize = 63
+	// largeShardSize is the same for entries with twice as much, so that a step
+	// that keeps its tasks apart finds more workers in one shard.
+	largeShardSize = 126
 	// emptyService is how long a configured service may have no workers until
 	// it gets one shard.
 	emptyService = 3 * time.Second
