--- /dev/null
+++ b/conductor/asking.go
@@ -0,0 +1,75 @@
+package conductor
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/galenacove/galenacove/scheduler"
+	"github.com/galenacove/galenacove/storer"
+)
+
+// State returns the state of a job, and whether there is one. Before it tells
+// that there is none, it reads up to the end of the store.
+func (c *Conductor) State(ctx context.Context, id string) (scheduler.JobState, bool, error) {
+	state, found, ready := c.look(id)
+	if !ready {
+		return "", false, ErrNotReady
+	}
+	if found {
+		return state, true, nil
+	}
+	if err := c.catchUp(ctx); err != nil {
+		return "", false, err
+	}
+	state, found, _ = c.look(id)
+	return state, found, nil
+}
+
+func (c *Conductor) look(id string) (state scheduler.JobState, found, ready bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.ready {
+		return "", false, false
+	}
+	state, found = c.scheduler.State(id)
+	return state, found, true
+}
+
+// catchUp waits until all jobs are read that were stored before the call.
+func (c *Conductor) catchUp(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, catchUpWait)
+	defer cancel()
+	c.mu.Lock()
+	next := c.next
+	c.mu.Unlock()
+	page, err := c.store.Read(ctx, c.jobsPartition(), next, 0)
+	if err != nil && !errors.Is(err, storer.ErrTrimmed) {
+		return err
+	}
+	c.takePage(next, page)
+	for {
+		c.mu.Lock()
+		caughtUp := c.next >= page.End
+		moved := c.moved
+		c.mu.Unlock()
+		if caughtUp {
+			return nil
+		}
+		select {
+		case <-moved:
+		case <-ctx.Done():
+			return ErrNotReady
+		}
+	}
+}
+
+// Waiting counts the jobs of a queue that have not begun.
+func (c *Conductor) Waiting(queue string) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.ready {
+		return 0, ErrNotReady
+	}
+	return c.scheduler.Waiting(queue), nil
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -1,9 +1,6 @@
 package scheduler
 
 import (
-	"fmt"
-	"slices"
-	"strings"
 	"time"
 
 	"github.com/galenacove/galenacove/sizer"
@@ -24,51 +21,6 @@
 	keepFinal = 10 * time.Second
 )
 
-// Options of a Scheduler.
-type options struct {
-	lease       time.Duration
-	holdLimit   time.Duration
-	stopTimeout time.Duration
-	keep        time.Duration
-	remote      float64
-}
-
-// Option changes how a Scheduler works.
-type Option func(*options)
-
-// Lease sets how long a lease is, and the longest one that a worker grants.
-// The defaults are 5 s and 6 s.
-func Lease(lease, limit time.Duration) Option {
-	return func(o *options) {
-		o.lease = lease
-		o.holdLimit = limit
-	}
-}
-
-// StopTimeout sets how long a worker may take to stop a run. The default is
-// 900 ms.
-func StopTimeout(d time.Duration) Option {
-	return func(o *options) {
-		o.stopTimeout = d
-	}
-}
-
-// Keep sets how long the state of a job is known after its end. The default
-// is 120 s.
-func Keep(d time.Duration) Option {
-	return func(o *options) {
-		o.keep = d
-	}
-}
-
-// RemoteFactor sets how many times as long a task takes away from its data.
-// The default is 1.5.
-func RemoteFactor(f float64) Option {
-	return func(o *options) {
-		o.remote = f
-	}
-}
-
 // Scheduler holds the tables of one owner, and the systems over them.
 type Scheduler struct {
 	options options
@@ -339,29 +291,6 @@
 	}
 }
 
-// mostTold bounds the steps that the history of a job tells of.
-const mostTold = 8
-
-// history tells how long the steps of the job waited and ran, for the log.
-func (j *job) history() string {
-	var parts []string
-	for ref, st := range j.steps {
-		switch {
-		case st.ready.IsZero():
-			parts = append(parts, fmt.Sprintf("%d.%d not reached", ref.Occurrence, ref.Phase))
-		case st.began.IsZero():
-			parts = append(parts, fmt.Sprintf("%d.%d not begun", ref.Occurrence, ref.Phase))
-		case st.ended.IsZero():
-			parts = append(parts, fmt.Sprintf("%d.%d waited %v", ref.Occurrence, ref.Phase, st.began.Sub(st.ready).Round(time.Millisecond)))
-		default:
-			parts = append(parts, fmt.Sprintf("%d.%d waited %v, ran %v", ref.Occurrence, ref.Phase,
-				st.began.Sub(st.ready).Round(time.Millisecond), st.ended.Sub(st.began).Round(time.Millisecond)))
-		}
-	}
-	slices.Sort(parts)
-	return strings.Join(parts[:min(mostTold, len(parts))], "; ")
-}
-
 // begin notes that a task of the job has started.
 func (s *Scheduler) begin(j *job) {
 	if j.begun {
@@ -437,32 +366,6 @@
 	s.effects = append(s.effects, e)
 }
 
-// Note is a decision that an operator may want to follow.
-type Note struct {
-	Text string
-	Task TaskRef
-	// Worker is empty where none is concerned.
-	Worker string
-	// Age is that of what decided.
-	Age time.Duration
-}
-
-// Notes returns what was decided since the last call.
-func (s *Scheduler) Notes() []Note {
-	notes := s.notes
-	s.notes = nil
-	return notes
-}
-
-func (s *Scheduler) note(text string, ref TaskRef, workerID string, age time.Duration) {
-	s.notes = append(s.notes, Note{
-		Text:   text,
-		Task:   ref,
-		Worker: workerID,
-		Age:    age,
-	})
-}
-
 // sizeOf is the room that a task of the phase takes.
 func sizeOf(phase *Phase) sizer.Size {
 	if !phase.Fills {
