--- a/scheduler/load_test.go
+++ b/scheduler/load_test.go
@@ -624,6 +624,32 @@
 	}
 }
 
+// playAll plays a world for each seed at once, for that time and as long after
+// as it takes, and returns the results of each load over all of them.
+func playAll(t *testing.T, seeds uint64, coming time.Duration, newWorld func(seed uint64) *world) []result {
+	worlds := make([]*world, seeds)
+	results := make([][]result, seeds)
+	var group errgroup.Group
+	group.SetLimit(runtime.GOMAXPROCS(0))
+	for seed := range worlds {
+		group.Go(func() error {
+			worlds[seed] = newWorld(uint64(seed))
+			results[seed] = worlds[seed].play(coming, 60*time.Second)
+			return nil
+		})
+	}
+	qt.Assert(t, group.Wait(), qt.IsNil)
+	total := make([]result, len(results[0]))
+	for seed, w := range worlds {
+		qt.Assert(t, w.unfinished(), qt.HasLen, 0, qt.Commentf("seed %d", seed))
+		for i, r := range results[seed] {
+			total[i].owed += r.owed
+			total[i].earned += r.earned
+		}
+	}
+	return total
+}
+
 func benchmarkWorld(b *testing.B, newWorld func(*testing.T, uint64, float64) *world, cut bool) {
 	const coming = 40 * time.Second
 	worlds := make([]*world, b.N)
