--- a/scheduler/load_test.go
+++ b/scheduler/load_test.go
@@ -601,8 +601,8 @@
 const seeds = 5
 
 // BenchmarkVision reports what gangs and single cards earn, and together, at
-// the usual load; with a cut, a third of the workers is silent for a while. It
-// also reports the seconds of advice that were asked for in each second.
+// the usual load; with a cut, a third of the workers is silent for a while, and
+// in an overload a third more comes. It also reports the seconds of advice that were asked for in each second.
 func BenchmarkVision(b *testing.B) {
 	worlds := map[string]func(*testing.T, uint64, float64) *world{
 		"cards":  visionWorld,
@@ -618,9 +618,12 @@
 	for name, newWorld := range worlds {
 		for _, cut := range []bool{false, true} {
 			b.Run(fmt.Sprintf("%s/cut=%t", name, cut), func(b *testing.B) {
-				benchmarkWorld(b, newWorld, cut)
+				benchmarkWorld(b, newWorld, 1, cut)
 			})
 		}
+		b.Run(name+"/overload", func(b *testing.B) {
+			benchmarkWorld(b, newWorld, 1.3, false)
+		})
 	}
 }
 
@@ -650,7 +653,7 @@
 	return total
 }
 
-func benchmarkWorld(b *testing.B, newWorld func(*testing.T, uint64, float64) *world, cut bool) {
+func benchmarkWorld(b *testing.B, newWorld func(*testing.T, uint64, float64) *world, rate float64, cut bool) {
 	const coming = 40 * time.Second
 	worlds := make([]*world, b.N)
 	results := make([][]result, b.N)
@@ -658,7 +661,7 @@
 	group.SetLimit(runtime.GOMAXPROCS(0))
 	for seed := range worlds {
 		group.Go(func() error {
-			w := newWorld(&testing.T{}, uint64(seed), 1)
+			w := newWorld(&testing.T{}, uint64(seed), rate)
 			if cut {
 				w.cutFrom, w.cutTo = 18*time.Second, 23500*time.Millisecond
 			}
