A slow store gets the appends of a partition from its owner only

Cause: a partition takes one append at a time; with a store 60 times slower one takes some 0.36 s, and each entry made its own for every partition. Ruled out: owners (they waited for jobs), the adviser. Change: an entry whose last join or append took more than 60 ms hands its records to the owner, whose appends hold those of all; it makes its own where the owner is not reached. Test: TestSlowStoreGetsTheAppendsOfOneEntry, failed first (3 of 3 append).

--- a/coordinator/cell_test.go
+++ b/coordinator/cell_test.go
@@ -16,6 +16,7 @@
 	qt "github.com/frankban/quicktest"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/galenacove/galenacove/conductor"
 	"github.com/galenacove/galenacove/coordinator"
 	"github.com/galenacove/galenacove/emulator"
 	"github.com/galenacove/galenacove/receiver"
@@ -39,12 +40,19 @@
 type doorStore struct {
 	storer.Store
 	shut atomic.Bool
+	// delay is how long appends and joins take, in nanoseconds, and submitted
+	// counts the appends to the jobs' topic.
+	delay, submitted atomic.Int64
 }
 
 func (s *doorStore) Append(ctx context.Context, to storer.Partition, writer *storer.Writer, records ...storer.Record) (int64, error) {
 	if s.shut.Load() {
 		return 0, storer.ErrUnavailable
 	}
+	if to.Topic == conductor.JobsTopic {
+		s.submitted.Add(1)
+	}
+	time.Sleep(time.Duration(s.delay.Load()))
 	return s.Store.Append(ctx, to, writer, records...)
 }
 
@@ -59,6 +67,7 @@
 	if s.shut.Load() {
 		return storer.Assignment{}, storer.ErrUnavailable
 	}
+	time.Sleep(time.Duration(s.delay.Load()))
 	return s.Store.Join(ctx, group, member, topics, ttl, generation)
 }
 
@@ -336,6 +345,40 @@
 	cl.c.Assert(cl.fleet.Broken(), qt.HasLen, 0)
 }
 
+// TestSlowStoreGetsTheAppendsOfOneEntry answers the pattern of a store that
+// takes long for each append, one at a time in a partition: entries that have
+// noticed leave the appends to the owner, which makes one for all.
+func TestSlowStoreGetsTheAppendsOfOneEntry(t *testing.T) {
+	cl := newCell(t, 3)
+	for i, e := range cl.entries {
+		cl.submit(e, fmt.Sprintf("well%d", i), 1)
+		e.store.delay.Store(int64(100 * time.Millisecond))
+	}
+	for i, e := range cl.entries {
+		cl.submit(e, fmt.Sprintf("first%d", i), 1)
+		e.store.submitted.Store(0)
+	}
+	for round := range 3 {
+		for i, e := range cl.entries {
+			cl.submit(e, fmt.Sprintf("next%d%d", round, i), 1)
+		}
+	}
+	appending := 0
+	for _, e := range cl.entries {
+		if e.store.submitted.Load() > 0 {
+			appending++
+		}
+		e.store.delay.Store(0)
+	}
+	cl.c.Assert(appending, qt.Equals, 1)
+	for round := range 3 {
+		for i, e := range cl.entries {
+			cl.await(e, fmt.Sprintf("next%d%d", round, i), scheduler.Completed)
+		}
+	}
+	cl.c.Assert(cl.fleet.Broken(), qt.HasLen, 0)
+}
+
 // awaitOwner waits until the group deals all partitions to entries whose name
 // begins like that.
 func (cl *cell) awaitOwner(prefix string) {
--- a/coordinator/jobs.go
+++ b/coordinator/jobs.go
@@ -19,6 +19,8 @@
 	// appendTimeout bounds an append for callers. A store that is fifty times
 	// slower than usual still answers within it.
 	appendTimeout = 900 * time.Millisecond
+	// ownerAppendTimeout bounds an append by the owner, behind another one.
+	ownerAppendTimeout = abandonedAfter + appendTimeout
 	// appendFresh is how old the last answer of the store may be for a job to
 	// be stored from here, once a call has failed. Past it another entry is
 	// asked at once.
@@ -59,6 +61,11 @@
 // append stores a record of the jobs' topic, through another entry where the
 // store turns this one away.
 func (c *Coordinator) append(ctx context.Context, partition int, record storer.Record) error {
+	if c.store.slow() {
+		if done, err := c.appendAtOwner(ctx, partition, record); done {
+			return submitError(err)
+		}
+	}
 	err := c.appendHere(ctx, partition, record)
 	if !errors.Is(err, storer.ErrUnavailable) {
 		return submitError(err)
@@ -77,6 +84,36 @@
 	}
 }
 
+// appendAtOwner has the owner of the partition store a record. A partition takes
+// one append at a time, so that a slow store would be given more of them by many
+// entries than it can take, while the owner makes one for all. It reports false
+// where this entry has to store the record itself.
+func (c *Coordinator) appendAtOwner(ctx context.Context, partition int, record storer.Record) (done bool, err error) {
+	address, found := c.ownerOf(ctx, partition, false)
+	if !found || address == c.settings.peerAddress {
+		return false, nil
+	}
+	began := c.settings.clock.Now()
+	calling, cancel := context.WithTimeout(ctx, ownerAppendTimeout)
+	defer cancel()
+	var reply AppendReply
+	err = c.pool.Call(calling, address, rpcName+".Append", AppendArgs{
+		Partition: partition,
+		Record:    record,
+	}, &reply)
+	switch {
+	case err == nil && reply.Unknown, errors.Is(err, messenger.ErrUnknown):
+		return true, fmt.Errorf("%w: %w", storer.ErrUnknown, errors.New("coordinator: the owner does not know whether the store took the job"))
+	case err == nil:
+		return true, nil
+	case c.settings.clock.Now().Sub(began) < relayTimeout:
+		// It is gone, or the store turns it away.
+		return false, nil
+	default:
+		return true, fmt.Errorf("%w: %w", storer.ErrUnavailable, err)
+	}
+}
+
 // appendHere stores a record of the jobs' topic from this entry.
 func (c *Coordinator) appendHere(ctx context.Context, partition int, record storer.Record) error {
 	if !c.store.reachable(appendFresh) {
--- a/coordinator/store.go
+++ b/coordinator/store.go
@@ -20,7 +20,10 @@
 	served atomic.Int64
 	// refused counts the calls in a row that had none.
 	refused atomic.Int64
-	calls   *prometheus.CounterVec
+	// took is how long the last call took that does not wait for anything, and
+	// measured when it ended, both in nanoseconds.
+	took, measured atomic.Int64
+	calls          *prometheus.CounterVec
 }
 
 func newWatchedStore(store storer.Store, clock timekeeper.Clock) *watchedStore {
@@ -43,6 +46,26 @@
 	return s.refused.Load() == 0 || s.clock.Now().Sub(time.Unix(0, s.served.Load())) < within
 }
 
+const (
+	// slowAnswer is what an answer takes at least for the store to count as slow:
+	// several times what it takes when it is well.
+	slowAnswer = 60 * time.Millisecond
+	// slowFresh is how old that may be: three joins.
+	slowFresh = 3 * joinInterval
+)
+
+// measure keeps how long a call took that began then.
+func (s *watchedStore) measure(began time.Time) {
+	now := s.clock.Now()
+	s.took.Store(int64(now.Sub(began)))
+	s.measured.Store(now.UnixNano())
+}
+
+// slow tells that the store answers, but takes many times as long as usual.
+func (s *watchedStore) slow() bool {
+	return time.Duration(s.took.Load()) > slowAnswer && s.clock.Now().Sub(time.Unix(0, s.measured.Load())) < slowFresh
+}
+
 // note keeps what a call tells about the store.
 func (s *watchedStore) note(ctx context.Context, call string, err error) {
 	switch {
@@ -60,7 +83,9 @@
 
 // Append implements storer.Store.
 func (s *watchedStore) Append(ctx context.Context, to storer.Partition, writer *storer.Writer, records ...storer.Record) (int64, error) {
+	began := s.clock.Now()
 	end, err := s.Store.Append(ctx, to, writer, records...)
+	s.measure(began)
 	s.note(ctx, "append", err)
 	return end, err
 }
@@ -88,7 +113,9 @@
 
 // Join implements storer.Store.
 func (s *watchedStore) Join(ctx context.Context, group, member string, topics []string, ttl time.Duration, generation int64) (storer.Assignment, error) {
+	began := s.clock.Now()
 	held, err := s.Store.Join(ctx, group, member, topics, ttl, generation)
+	s.measure(began)
 	s.note(ctx, "join", err)
 	return held, err
 }
