Small entries are told by larger ones that the store is slow

Cause: entries that leave partitions to larger ones do not join the group, so that they measure the store by their own appends only: each of 29 tried again every 0.9 s, and the queue of a partition stayed at its limit of 2 s ('status 503' after 0.5 to 0.7 s, owners' own appends 0.9 s). Change: the sign of life of a larger entry tells it. Test: TestSlowStoreIsNoticed.

--- a/coordinator/rpc.go
+++ b/coordinator/rpc.go
@@ -110,6 +110,8 @@
 type AliveReply struct {
 	// Stores tells that the store serves the entry.
 	Stores bool
+	// Slow tells that the store takes many times as long as usual.
+	Slow bool
 	// Member tells that the entry is one of those that own partitions.
 	Member bool
 }
@@ -117,6 +119,7 @@
 // Alive answers, as a sign of life.
 func (r *rpc) Alive(_ struct{}, reply *AliveReply) error {
 	reply.Member = r.coordinator.isMember()
+	reply.Slow = r.coordinator.store.slow()
 	reply.Stores = r.coordinator.store.reachable(appendFresh)
 	return nil
 }
--- a/coordinator/sizes.go
+++ b/coordinator/sizes.go
@@ -90,6 +90,7 @@
 	for _, reply := range replies {
 		if reply.Member {
 			c.largeSeen = now
+			c.store.told(reply.Slow)
 		}
 	}
 	return now.Sub(c.largeSeen) < largeGone
--- a/coordinator/store.go
+++ b/coordinator/store.go
@@ -61,6 +61,15 @@
 	s.measured.Store(now.UnixNano())
 }
 
+// told keeps what a peer said of the store, for an entry that makes no calls by
+// which it could tell.
+func (s *watchedStore) told(slow bool) {
+	if slow {
+		s.took.Store(int64(slowAnswer + 1))
+		s.measured.Store(s.clock.Now().UnixNano())
+	}
+}
+
 // slow tells that the store answers, but takes many times as long as usual.
 func (s *watchedStore) slow() bool {
 	return time.Duration(s.took.Load()) > slowAnswer && s.clock.Now().Sub(time.Unix(0, s.measured.Load())) < slowFresh
--- /dev/null
+++ b/coordinator/store_test.go
@@ -0,0 +1,33 @@
+package coordinator
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/galenacove/galenacove/storer"
+	"github.com/galenacove/galenacove/timekeeper"
+)
+
+// TestSlowStoreIsNoticed has an entry measure it, and another one be told of it.
+func TestSlowStoreIsNoticed(t *testing.T) {
+	c := qt.New(t)
+	clock := timekeeper.NewFake(time.Unix(1_700_000_000, 0))
+	store := newWatchedStore(storer.NewMemory(clock), clock)
+	c.Assert(store.slow(), qt.IsFalse)
+	began := clock.Now()
+	clock.Advance(10 * time.Millisecond)
+	store.measure(began)
+	c.Assert(store.slow(), qt.IsFalse)
+	began = clock.Now()
+	clock.Advance(200 * time.Millisecond)
+	store.measure(began)
+	c.Assert(store.slow(), qt.IsTrue)
+	clock.Advance(slowFresh)
+	c.Assert(store.slow(), qt.IsFalse)
+	store.told(false)
+	c.Assert(store.slow(), qt.IsFalse)
+	store.told(true)
+	c.Assert(store.slow(), qt.IsTrue)
+}
