A store without an answer does not count as slow

Change: only answered calls are measured, and nothing is handed to the owner while the store does not answer. Test: TestSlowStoreIsNoticed, failed first.

--- a/coordinator/jobs.go
+++ b/coordinator/jobs.go
@@ -61,7 +61,7 @@
 // append stores a record of the jobs' topic, through another entry where the
 // store turns this one away.
 func (c *Coordinator) append(ctx context.Context, partition int, record storer.Record) error {
-	if c.store.slow() {
+	if c.store.slow() && c.store.reachable(appendFresh) {
 		if done, err := c.appendAtOwner(ctx, partition, record); done {
 			return submitError(err)
 		}
--- a/coordinator/store.go
+++ b/coordinator/store.go
@@ -54,8 +54,12 @@
 	slowFresh = 3 * joinInterval
 )
 
-// measure keeps how long a call took that began then.
-func (s *watchedStore) measure(began time.Time) {
+// measure keeps how long a call took that began then. One without an answer
+// tells nothing: a store that is out or cut off is not slow.
+func (s *watchedStore) measure(began time.Time, err error) {
+	if errors.Is(err, storer.ErrUnavailable) || errors.Is(err, storer.ErrUnknown) {
+		return
+	}
 	now := s.clock.Now()
 	s.took.Store(int64(now.Sub(began)))
 	s.measured.Store(now.UnixNano())
@@ -94,7 +98,7 @@
 func (s *watchedStore) Append(ctx context.Context, to storer.Partition, writer *storer.Writer, records ...storer.Record) (int64, error) {
 	began := s.clock.Now()
 	end, err := s.Store.Append(ctx, to, writer, records...)
-	s.measure(began)
+	s.measure(began, err)
 	s.note(ctx, "append", err)
 	return end, err
 }
@@ -124,7 +128,7 @@
 func (s *watchedStore) Join(ctx context.Context, group, member string, topics []string, ttl time.Duration, generation int64) (storer.Assignment, error) {
 	began := s.clock.Now()
 	held, err := s.Store.Join(ctx, group, member, topics, ttl, generation)
-	s.measure(began)
+	s.measure(began, err)
 	s.note(ctx, "join", err)
 	return held, err
 }
--- a/coordinator/store_test.go
+++ b/coordinator/store_test.go
@@ -18,11 +18,18 @@
 	c.Assert(store.slow(), qt.IsFalse)
 	began := clock.Now()
 	clock.Advance(10 * time.Millisecond)
-	store.measure(began)
+	store.measure(began, nil)
 	c.Assert(store.slow(), qt.IsFalse)
+	// A store that does not answer is not slow, and is not waited for twice.
+	for _, err := range []error{storer.ErrUnavailable, storer.ErrUnknown} {
+		began = clock.Now()
+		clock.Advance(600 * time.Millisecond)
+		store.measure(began, err)
+		c.Assert(store.slow(), qt.IsFalse)
+	}
 	began = clock.Now()
 	clock.Advance(200 * time.Millisecond)
-	store.measure(began)
+	store.measure(began, nil)
 	c.Assert(store.slow(), qt.IsTrue)
 	clock.Advance(slowFresh)
 	c.Assert(store.slow(), qt.IsFalse)
--- a/scheduler/explaining.go
+++ b/scheduler/explaining.go
@@ -38,7 +38,7 @@
 			kept++
 		}
 	}
-	s.note(fmt.Sprintf("step waits: %d of %d tasks, %d workers available, %d suitable, %d approved, %d with a valid ticket, %d with room, %d kept for gangs, asking %t",
+	s.note(fmt.Sprintf("step waits: %d of %d tasks, %d workers available, %d suitable, %d approved, %d with a valid ticket, %d with room, %d kept for others, asking %t",
 		st.waiting, len(st.tasks), len(p.workers), suitable, approved, fresh, roomy, kept, st.advice.asking),
 		TaskRef{
 			Step: st.ref,
--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -16,7 +16,7 @@
 	// slowWorker is the slowness from which a worker is used after others. Tasks
 	// of a step differ by less.
 	slowWorker = 1.6
-	// shareOfReserved bounds the workers that are kept for gangs.
+	// shareOfReserved bounds the workers that are kept for steps.
 	shareOfReserved = 0.5
 )
 
--- a/scheduler/preempting.go
+++ b/scheduler/preempting.go
@@ -34,8 +34,8 @@
 }
 
 // makeRoom stops runs of less urgent queues, so that n more tasks of the step
-// find room: as many as possible, or all of a gang. Only runs that can be resumed are stopped. It
-// returns the workers that will have room.
+// find room: as many as possible, or all of a gang. Only runs that can be
+// resumed are stopped. It returns the workers that will have room.
 func (s *Scheduler) makeRoom(st *step, n int, p *pool, now time.Time) []*worker {
 	var places []clearing
 	for _, w := range p.workers {
