coordinator: a small entry joins the group only if no larger one is a member

A new owner asks 116 workers for their runs and has no advice. Ruled out: revocations by the store (the generations rose by joins and leaves, each logged); too little processor time (0.43 of 0.8 cores at most). Change: an entry asks the member that answered last, and all larger entries before it joins.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -95,9 +95,8 @@
 
 	// directoryRequests triggers an immediate read of the directory.
 	directoryRequests chan struct{}
-	// largerMemberSeenAt is the time at which a much larger entry last reported
-	// that it is a member of the group. Only keepMembership uses it.
-	largerMemberSeenAt time.Time
+	// largerFinder is used by keepMembership only.
+	largerFinder largerFinder
 	// joinRequests triggers an immediate join, to learn which partitions are
 	// assigned to this entry.
 	joinRequests chan struct{}
@@ -155,6 +154,10 @@
 	c.receiver = receiver.New(c, bodies, receiver.Logger(c.settings.logger), receiver.Clock(c.settings.clock))
 	c.pool = messenger.NewPool(messenger.Secret(c.settings.secret), messenger.Clock(c.settings.clock))
 	c.entryPool = newEntryPool(c)
+	c.largerFinder = largerFinder{
+		clock: c.settings.clock,
+		ask:   c.askAlive,
+	}
 	c.adviceLimiter = &adviceLimiter{
 		clock:  c.settings.clock,
 		advise: advise,
--- a/coordinator/largerpeers.go
+++ b/coordinator/largerpeers.go
@@ -4,9 +4,12 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"golang.org/x/sync/errgroup"
+
+	"github.com/galenacove/galenacove/timekeeper"
 )
 
 const (
@@ -17,7 +20,8 @@
 	// member is valid: three join intervals. After that, smaller entries own
 	// partitions.
 	largerMemberExpiry = 3 * joinInterval
-	// maxLargerAsked is the number of larger entries that are asked at a time.
+	// maxLargerAsked is the number of larger entries that are asked in each round,
+	// as long as one of them is known to be a member.
 	maxLargerAsked = 2
 	// largeEntryCores is the number of cores from which an entry decides on shards
 	// of the larger size.
@@ -67,36 +71,85 @@
 
 // defersToLarger reports whether a much larger entry was a member of the group
 // within largerMemberExpiry, in which case this entry leaves the partitions to it.
-// It asks up to maxLargerAsked of the larger entries, chosen at random.
 func (c *Coordinator) defersToLarger(ctx context.Context) bool {
-	larger := c.largerPeers()
+	return c.largerFinder.found(ctx, c.largerPeers())
+}
+
+// largerFinder finds out whether one of the much larger entries is a member of the
+// group. It is used by one goroutine.
+type largerFinder struct {
+	clock timekeeper.Clock
+	// ask asks an entry for its state. It returns the zero reply if the entry does
+	// not answer.
+	ask func(ctx context.Context, address string) AliveReply
+	// lastMember is the address of the entry that last reported that it is a
+	// member, and seenAt the time of that report.
+	lastMember string
+	seenAt     time.Time
+}
+
+// found reports whether one of the larger entries was a member within
+// largerMemberExpiry. It asks the last known member and others at random,
+// maxLargerAsked in all. Only if the last report has expired does it ask all of
+// them: each entry that joins the group moves partitions between the members, so it
+// must not join because the few that it asked were no members.
+func (f *largerFinder) found(ctx context.Context, larger []string) bool {
 	if len(larger) == 0 {
 		return false
 	}
+	larger = slices.Clone(larger)
 	rand.Shuffle(len(larger), func(i, j int) { larger[i], larger[j] = larger[j], larger[i] })
-	replies := make([]AliveReply, min(maxLargerAsked, len(larger)))
+	if i := slices.Index(larger, f.lastMember); i > 0 {
+		larger[0], larger[i] = larger[i], larger[0]
+	}
+	asked := min(maxLargerAsked, len(larger))
+	f.askAll(ctx, larger[:asked])
+	if f.expired() {
+		f.askAll(ctx, larger[asked:])
+	}
+	return !f.expired()
+}
+
+// expired reports whether the last report of a member is older than
+// largerMemberExpiry.
+func (f *largerFinder) expired() bool {
+	return f.clock.Now().Sub(f.seenAt) >= largerMemberExpiry
+}
+
+// askAll asks these entries at the same time.
+func (f *largerFinder) askAll(ctx context.Context, addresses []string) {
+	replies := make([]AliveReply, len(addresses))
 	var group errgroup.Group
-	for i := range replies {
+	for i := range addresses {
 		group.Go(func() error {
-			probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
-			defer cancel()
-			// An entry that does not answer counts as no member.
-			if err := c.pool.Call(probeCtx, larger[i], rpcName+".Alive", struct{}{}, &replies[i]); err != nil {
-				replies[i] = AliveReply{}
-			}
+			replies[i] = f.ask(ctx, addresses[i])
 			return nil
 		})
 	}
 	// The functions return no errors.
 	_ = group.Wait()
-	now := c.settings.clock.Now()
-	for _, reply := range replies {
+	for i, reply := range replies {
 		if reply.Member {
-			c.largerMemberSeenAt = now
-			c.store.recordPeerReport(reply.Slow)
+			f.lastMember = addresses[i]
+			f.seenAt = f.clock.Now()
 		}
 	}
-	return now.Sub(c.largerMemberSeenAt) < largerMemberExpiry
+}
+
+// askAlive asks an entry for its state, and records what it reports of the store.
+// It returns the zero reply if the entry does not answer.
+func (c *Coordinator) askAlive(ctx context.Context, address string) AliveReply {
+	probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	var reply AliveReply
+	if err := c.pool.Call(probeCtx, address, rpcName+".Alive", struct{}{}, &reply); err != nil {
+		c.settings.logger.WithError(err).WithField("peer", address).Debug("coordinator: a larger entry does not answer")
+		return AliveReply{}
+	}
+	if reply.Member {
+		c.store.recordPeerReport(reply.Slow)
+	}
+	return reply
 }
 
 // isMember reports whether this entry is a member of the group: its last
--- a/coordinator/largerpeers_test.go
+++ b/coordinator/largerpeers_test.go
@@ -1,9 +1,14 @@
 package coordinator
 
 import (
+	"context"
+	"fmt"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/galenacove/galenacove/timekeeper"
 )
 
 func TestPeerRecords(t *testing.T) {
@@ -81,3 +86,47 @@
 		})
 	}
 }
+
+// TestSmallEntriesStayOutWhileOneLargerEntryIsMember checks that no small entry joins
+// the group while the store turns most of the larger entries away for 30 s, and that
+// all of them do after the last one is no member any more. Each entry that joins or
+// leaves moves partitions between the members.
+func TestSmallEntriesStayOutWhileOneLargerEntryIsMember(t *testing.T) {
+	const smallEntries, largerEntries = 36, 6
+	c := qt.New(t)
+	clock := timekeeper.NewFake(time.Unix(1_700_000_000, 0))
+	var larger []string
+	for i := range largerEntries {
+		larger = append(larger, fmt.Sprint(i))
+	}
+	members := map[string]bool{
+		larger[0]: true,
+	}
+	finders := make([]largerFinder, smallEntries)
+	for i := range finders {
+		finders[i] = largerFinder{
+			clock: clock,
+			ask: func(_ context.Context, address string) AliveReply {
+				return AliveReply{
+					Member: members[address],
+				}
+			},
+		}
+	}
+	joining := func() int {
+		n := 0
+		for i := range finders {
+			if !finders[i].found(context.Background(), larger) {
+				n++
+			}
+		}
+		return n
+	}
+	for range 30 * time.Second / joinInterval {
+		c.Assert(joining(), qt.Equals, 0)
+		clock.Advance(joinInterval)
+	}
+	clear(members)
+	clock.Advance(largerMemberExpiry)
+	c.Assert(joining(), qt.Equals, smallEntries)
+}
--- a/scheduler/load_test.go
+++ b/scheduler/load_test.go
@@ -76,6 +76,9 @@
 	// approvals holds the steps whose approved workers were drawn, and the
 	// approved pairs of step and worker.
 	approvals map[string]bool
+	// shareOfService is the share of the service's workers that the owner has. The
+	// adviser approves enough workers for a step in the whole service only.
+	shareOfService float64
 }
 
 type pendingCall struct {
@@ -103,6 +106,7 @@
 		uncompletedJobs: make(map[string]bool),
 		phases:          make(map[scheduler.StepRef]scheduler.Phase),
 		approvals:       make(map[string]bool),
+		shareOfService:  1,
 	}
 	for i := range workers {
 		sim.workers = append(sim.workers, sim.addWorker(workerName(i), size))
@@ -338,14 +342,15 @@
 
 // approves reports whether the adviser approves a worker for a step. The approved
 // workers of a step are drawn at its first call: a share of them, and always enough
-// for all of its tasks.
+// for all of its tasks in the whole service.
 func (sim *simulation) approves(ref scheduler.StepRef, id string, share float64) bool {
 	if _, drawn := sim.approvals[ref.String()]; !drawn {
 		sim.approvals[ref.String()] = true
 		phase := sim.phases[ref]
 		capacity := 0
+		enough := int(math.Ceil(sim.shareOfService * float64(phase.Tasks)))
 		for _, i := range sim.random.Perm(len(sim.workers)) {
-			if sim.random.Float64() < share || capacity < phase.Tasks {
+			if sim.random.Float64() < share || capacity < enough {
 				w := sim.workers[i]
 				sim.approvals[ref.String()+"/"+w.entry.Ref.ID] = true
 				for free := w.entry.Total; phase.Size.Fits(free); free = free.Sub(phase.Size) {
