--- a/scheduler/gangs_load_test.go
+++ b/scheduler/gangs_load_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"runtime"
 	"testing"
 	"time"
 
@@ -46,6 +47,7 @@
 		size:          drawSize(9.9, 0.45, 20, 0.6, 30, 61),
 		meanWork:      1,
 		workSpread:    0.5,
+		failShare:     0.005,
 		estimateError: 0.5,
 		approvedShare: 0.7,
 		meanValue:     0.431,
@@ -66,6 +68,7 @@
 			size:          drawSize(18, 0.4, 67, 0.5, 30, 130),
 			meanWork:      4,
 			workSpread:    0.5,
+			failShare:     0.005,
 			estimateError: 0.9,
 			gang:          true,
 			checkpoints:   true,
@@ -81,6 +84,7 @@
 			size:          drawSize(6.9, 0.45, 14, 0.6, 21, 43),
 			meanWork:      2.2,
 			workSpread:    0.5,
+			failShare:     0.02,
 			estimateError: 0.9,
 			checkpoints:   true,
 			approvedShare: 0.45,
@@ -97,6 +101,7 @@
 	workers := int(math.Round(valuationWorkers * share))
 	sim := newSimulation(t, seed, workers, sizer.New(64000, 256*gibibyte, 0), valuationWorkloads(share*rate)...)
 	sim.resumeTime = 100 * time.Millisecond
+	sim.speeds = []float64{0.8, 1, 1.25}
 	sim.shareOfService = share
 	longCalls := int(30 * share)
 	quickCalls := int(12 * share)
@@ -115,7 +120,7 @@
 			results := make([][]result, b.N)
 			unfinished := make([]int, b.N)
 			var group errgroup.Group
-			group.SetLimit(3)
+			group.SetLimit(runtime.GOMAXPROCS(0))
 			for seed := range results {
 				group.Go(func() error {
 					sim := newValuationSimulation(&testing.T{}, uint64(seed), share, 1)
--- a/scheduler/load_test.go
+++ b/scheduler/load_test.go
@@ -36,6 +36,8 @@
 	// estimateError.
 	meanWork, workSpread, estimateError float64
 	gang, checkpoints                   bool
+	// failShare is the share of runs that fail, at any moment of their run time.
+	failShare float64
 	// approvedShare is the share of workers that the adviser approves.
 	approvedShare float64
 	// meanValue is the mean value of a job.
@@ -52,6 +54,13 @@
 	// quick and for other calls.
 	adviserFreeAt [2][]time.Time
 	pendingCalls  []pendingCall
+	// failing holds the runs that fail at their end, and gangEndsAt the end of the
+	// slowest member of each gang, by step and attempt.
+	failing    map[scheduler.RunRef]bool
+	gangEndsAt map[scheduler.RunRef]time.Duration
+	// speeds are the speeds of the workers, used in turn. All have speed 1 if it is
+	// empty.
+	speeds []float64
 	// endsAt is the end of each run, on its worker's clock, and runTimes holds the
 	// actual run times of the tasks of each step.
 	endsAt     map[scheduler.RunRef]time.Duration
@@ -100,6 +109,8 @@
 		rig:             newRig(t),
 		random:          rand.New(rand.NewPCG(seed, 1)),
 		workloads:       workloads,
+		failing:         make(map[scheduler.RunRef]bool),
+		gangEndsAt:      make(map[scheduler.RunRef]time.Duration),
 		endsAt:          make(map[scheduler.RunRef]time.Duration),
 		runTimes:        make(map[scheduler.StepRef][]time.Duration),
 		submitted:       make(map[string]submittedJob),
@@ -229,11 +240,19 @@
 				w.end(ref, scheduler.EndLapsed)
 				continue
 			}
-			if w.clock >= sim.endsAt[ref] {
-				w.end(ref, scheduler.EndDone)
-				if sim.workloads[sim.submitted[ref.Task.Step.Job].workload].gang {
-					sim.endGang(ref)
+			isGang := sim.workloads[sim.submitted[ref.Task.Step.Job].workload].gang
+			switch {
+			case w.clock < sim.endsAt[ref]:
+			case sim.failing[ref]:
+				w.end(ref, scheduler.EndFailed)
+				if isGang {
+					sim.endGang(ref, scheduler.EndBroken)
 				}
+			case !isGang:
+				w.end(ref, scheduler.EndDone)
+			case w.clock >= sim.gangEndsAt[gangOf(ref)]:
+				w.end(ref, scheduler.EndDone)
+				sim.endGang(ref, scheduler.EndDone)
 			}
 		}
 	}
@@ -271,7 +290,16 @@
 		case scheduler.StartTask:
 			w := sim.workersByID[effect.Worker.ID]
 			runTime := sim.runTimes[effect.Run.Task.Step][effect.Run.Task.Index]
+			if len(sim.speeds) > 0 {
+				runTime = time.Duration(float64(runTime) / sim.speeds[sim.speedIndex(effect.Worker.ID)])
+			}
 			w.runTimes[effect.Run] = runTime
+			gang := gangOf(effect.Run)
+			sim.gangEndsAt[gang] = max(sim.gangEndsAt[gang], w.clock+runTime)
+			if load := sim.workloads[sim.submitted[effect.Run.Task.Step.Job].workload]; sim.random.Float64() < load.failShare {
+				sim.failing[effect.Run] = true
+				runTime = time.Duration(sim.random.Float64() * float64(runTime))
+			}
 			sim.endsAt[effect.Run] = w.clock + runTime
 		case scheduler.AskAdvice:
 			sim.queueCall(effect)
@@ -305,12 +333,23 @@
 	w.end(order.Run, scheduler.EndStopped)
 }
 
-// endGang ends the other members of a gang as done.
-func (sim *simulation) endGang(ended scheduler.RunRef) {
+// gangOf returns a reference that the members of a gang share.
+func gangOf(ref scheduler.RunRef) scheduler.RunRef {
+	ref.Task.Index = 0
+	return ref
+}
+
+// speedIndex returns the index of a worker's speed.
+func (sim *simulation) speedIndex(id string) int {
+	return slices.IndexFunc(sim.workers, func(w *fakeWorker) bool { return w.entry.Ref.ID == id }) % len(sim.speeds)
+}
+
+// endGang ends the other members of a gang.
+func (sim *simulation) endGang(ended scheduler.RunRef, how scheduler.End) {
 	for _, w := range sim.workers {
 		for ref := range w.activeRuns {
 			if ref.Task.Step == ended.Task.Step {
-				w.end(ref, scheduler.EndDone)
+				w.end(ref, how)
 			}
 		}
 	}
