conductor: a job is found after the store has deleted the history it was in

Cause: catchUp took a read at an offset without history as the end of the partition: it set the next offset to 0 and went on with an empty page whose end is 0, so State said that there is no such job for a stored one that the owner had not read yet (410 to a caller). Ruled out: followJobs, which reads the newest records in that case. Change: both read through readJobs, which falls back to the newest records. Before: the new test finds no job.

--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -298,3 +298,47 @@
 	_ = group.Wait()
 	f.checkNoViolations()
 }
+
+// deafStore is a store whose waiting reads never return a record.
+type deafStore struct {
+	*storer.Memory
+}
+
+func (s deafStore) Read(ctx context.Context, of storer.Partition, from int64, wait time.Duration) (storer.Page, error) {
+	if wait > 0 {
+		<-ctx.Done()
+		return storer.Page{}, storer.ErrUnavailable
+	}
+	return s.Memory.Read(ctx, of, from, wait)
+}
+
+// TestJobIsFoundAfterTheHistoryIsGone checks that the state of a stored job is known
+// to an owner that has not read the job yet, although the store has deleted the
+// history up to its end. To answer that there is no such job would be wrong.
+func TestJobIsFoundAfterTheHistoryIsGone(t *testing.T) {
+	f := newFixture(t, 1)
+	owner := conductor.New(deafStore{
+		Memory: f.store,
+	}, f.fleet, approveAll{}, partition, 1)
+	ctx, stop := context.WithCancel(context.Background())
+	group := new(errgroup.Group)
+	group.Go(func() error { return owner.Run(ctx) })
+	defer func() {
+		stop()
+		f.c.Check(errors.Is(group.Wait(), context.Canceled), qt.IsTrue)
+	}()
+	for {
+		if _, _, err := owner.State(ctx, "none"); err == nil {
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	f.submit("job", tasks(1))
+	f.store.Trim(storer.Partition{
+		Topic:  conductor.JobsTopic,
+		Number: partition,
+	}, 1)
+	_, found, err := owner.State(ctx, "job")
+	f.c.Assert(err, qt.IsNil)
+	f.c.Assert(found, qt.IsTrue)
+}
--- a/conductor/queries.go
+++ b/conductor/queries.go
@@ -3,10 +3,7 @@
 import (
 	"context"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/galenacove/galenacove/scheduler"
-	"github.com/galenacove/galenacove/storer"
 )
 
 // State returns the state of a job, and whether the job exists. Before it reports
@@ -37,17 +34,15 @@
 }
 
 // catchUp waits until all jobs are read that were stored before the call. It
-// returns an error if that takes longer than catchUpTimeout. If records have been
-// deleted at the offset of the next read, it does not wait: it sets the offset to
-// 0 and leaves it to followJobs to read all jobs again.
+// returns an error if that takes longer than catchUpTimeout.
 func (c *Conductor) catchUp(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
 	defer cancel()
 	c.mu.Lock()
 	next := c.next
 	c.mu.Unlock()
-	page, err := c.store.Read(ctx, c.jobsPartition(), next, 0)
-	if err != nil && !errors.Is(err, storer.ErrTrimmed) {
+	page, err := c.readJobs(ctx, next, 0)
+	if err != nil {
 		return err
 	}
 	c.applyPage(next, page)
--- a/conductor/recovery.go
+++ b/conductor/recovery.go
@@ -125,10 +125,7 @@
 		c.mu.Lock()
 		next := c.next
 		c.mu.Unlock()
-		page, err := c.store.Read(ctx, c.jobsPartition(), next, readWait)
-		if errors.Is(err, storer.ErrTrimmed) {
-			page.Records, page.Next, err = storer.AllNewest(ctx, c.store, c.jobsPartition())
-		}
+		page, err := c.readJobs(ctx, next, readWait)
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
@@ -142,6 +139,22 @@
 	}
 }
 
+// readJobs reads the records of the jobs partition from an offset on. If there are
+// none yet, it waits for the first one. If the store no longer has records at the
+// offset, it reads all jobs again.
+func (c *Conductor) readJobs(ctx context.Context, from int64, wait time.Duration) (storer.Page, error) {
+	page, err := c.store.Read(ctx, c.jobsPartition(), from, wait)
+	if !errors.Is(err, storer.ErrTrimmed) {
+		return page, err
+	}
+	records, next, err := storer.AllNewest(ctx, c.store, c.jobsPartition())
+	return storer.Page{
+		Records: records,
+		Next:    next,
+		End:     next,
+	}, err
+}
+
 // applyPage applies the page that was read at offset from, unless a page read at
 // that offset has been applied already.
 func (c *Conductor) applyPage(from int64, page storer.Page) {
