storer, receiver: one winner of a race of AppendAt; 413 for a body over the limit

Cause: Memory.AppendAt compared the end and appended under two locks, so two appends at one offset could both succeed; the receiver answered 400 to a body over the limit. Ruled out: the platform's store, which does both in one call. Change: one lock for both; 413. Before: two winners at offset 31 of 2,000; 400. After: one winner each time; 413.

--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -255,7 +255,14 @@
 		limit = defaultBodyLimit
 	}
 	data, err := io.ReadAll(http.MaxBytesReader(w, request.Body, limit))
-	if err != nil {
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return answer{
+			status: http.StatusRequestEntityTooLarge,
+			err:    err,
+		}
+	case err != nil:
 		return answer{
 			status: http.StatusBadRequest,
 			err:    err,
--- a/storer/memory.go
+++ b/storer/memory.go
@@ -117,6 +117,21 @@
 func (m *Memory) Append(_ context.Context, id Partition, writer *Writer, records ...Record) (int64, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	return m.appendLocked(id, writer, records)
+}
+
+// AppendAt implements Store.
+func (m *Memory) AppendAt(_ context.Context, id Partition, expectedEnd int64, records ...Record) (int64, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.failure == nil && m.partition(id).end() != expectedEnd {
+		return 0, ErrConflict
+	}
+	return m.appendLocked(id, nil, records)
+}
+
+// appendLocked appends records. The caller holds mu.
+func (m *Memory) appendLocked(id Partition, writer *Writer, records []Record) (int64, error) {
 	if m.failure != nil {
 		return 0, m.failure
 	}
@@ -149,17 +164,6 @@
 	return p.end(), nil
 }
 
-// AppendAt implements Store.
-func (m *Memory) AppendAt(ctx context.Context, id Partition, expectedEnd int64, records ...Record) (int64, error) {
-	m.mu.Lock()
-	end := m.partition(id).end()
-	m.mu.Unlock()
-	if end != expectedEnd {
-		return 0, ErrConflict
-	}
-	return m.Append(ctx, id, nil, records...)
-}
-
 // checkWriter checks the epoch and sequence number of an append and returns the
 // writer's state. The state is nil if there is nothing to append; the end offset is
 // then that of the partition if the append is empty, or that of the earlier append
--- a/storer/memory_test.go
+++ b/storer/memory_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/galenacove/galenacove/storer"
 	"github.com/galenacove/galenacove/timekeeper"
@@ -50,6 +52,31 @@
 	c.Assert(err, qt.ErrorIs, storer.ErrConflict)
 }
 
+// TestAppendAtHasOneWinnerOfARace checks that of several appends at the same end
+// offset at the same time one succeeds.
+func TestAppendAtHasOneWinnerOfARace(t *testing.T) {
+	c := qt.New(t)
+	store := storer.NewMemory(timekeeper.System())
+	for end := range int64(2000) {
+		var winners atomic.Int64
+		var group errgroup.Group
+		for range 8 {
+			group.Go(func() error {
+				_, err := store.AppendAt(context.Background(), partition, end, storer.Record{
+					Key:   "k",
+					Value: []byte("v"),
+				})
+				if err == nil {
+					winners.Add(1)
+				}
+				return nil
+			})
+		}
+		c.Assert(group.Wait(), qt.IsNil)
+		c.Assert(winners.Load(), qt.Equals, int64(1), qt.Commentf("at offset %d", end))
+	}
+}
+
 // TestPartitionHasOneHolder checks that a partition never has two owners: when a
 // member joins while another owns all partitions, it gets its share only after
 // the former owner has seen the new generation.
