scheduler: what a worker reports of an occurrence counts before this owner's clock is there

Cause, found by reading while looking for TWICE: an owner takes over from one whose clock was ahead. Workers report runs of an occurrence of a timed job that is not due by the new owner's clock. Its steps do not exist yet, so the runs are stopped as not wanted and ends as done are acknowledged and forgotten; the tasks run once more when it is due. Change: the steps of a reported occurrence are created, not opened. Before: the new test finds no run adopted. After: each task runs once.

--- a/scheduler/recovery_test.go
+++ b/scheduler/recovery_test.go
@@ -378,3 +378,38 @@
 	r.c.Assert(r.workersByID["v"].activeRuns, qt.HasLen, 1)
 	r.c.Assert(asked, qt.HasLen, 2)
 }
+
+// TestEarlyOccurrenceIsNotRunAgain checks that a new owner whose clock is behind that
+// of the former one counts what ran of a timed job, although the occurrence is not due
+// yet by its own clock. Otherwise the tasks would run twice.
+func TestEarlyOccurrenceIsNotRunAgain(t *testing.T) {
+	r := newRig(t)
+	w := r.addWorker("w", cores(4))
+	r.updateDirectory()
+	r.renewLeases()
+	job := r.job("timed", newPhase(3, cores(1)))
+	job.Repetitions = 2
+	job.Start = r.now
+	job.Interval = time.Hour
+	r.s.AddJob(job, nil, false, r.now)
+	r.tick()
+	r.c.Assert(r.activeRuns(), qt.Equals, 3)
+	for ref := range w.activeRuns {
+		if ref.Task.Index == 0 {
+			w.end(ref, scheduler.EndDone)
+		}
+	}
+	r.now = r.now.Add(-2 * time.Second)
+	r.takeOver(job)
+	r.round()
+	r.round()
+	r.c.Assert(r.activeRuns(), qt.Equals, 2)
+	r.endAll(0, scheduler.EndDone)
+	for range 40 {
+		r.round()
+	}
+	for ref, n := range w.startCounts {
+		r.c.Assert(n, qt.Equals, 1, qt.Commentf("%v", ref))
+	}
+	r.c.Assert(r.activeRuns(), qt.Equals, 0)
+}
--- a/scheduler/reports.go
+++ b/scheduler/reports.go
@@ -123,7 +123,7 @@
 // applyEnd updates the task of a run that ended. It reports whether the stored
 // progress of the job changes.
 func (s *Scheduler) applyEnd(w *worker, row EndedRun, now time.Time) bool {
-	st, t := s.findTask(row.Run.Task)
+	st, t := s.findReportedTask(row.Run.Task, now)
 	if t == nil || st.job.state.Final() {
 		return false
 	}
@@ -217,6 +217,7 @@
 func (s *Scheduler) handleActive(w *worker, row ActiveRun, now time.Time) {
 	r := w.runs[row.Run]
 	if r == nil {
+		s.findReportedTask(row.Run.Task, now)
 		r = s.adoptRun(w, row, now)
 	}
 	if r.state == runStarting {
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -18,6 +18,18 @@
 	return st, &st.tasks[ref.Index]
 }
 
+// findReportedTask is like findTask for a task of which a worker reports a run. If the
+// task belongs to an occurrence that is not due yet, the clock of the former owner was
+// ahead of this one. Its steps are then created early, so that what ran counts.
+func (s *Scheduler) findReportedTask(ref TaskRef, now time.Time) (*step, *task) {
+	j := s.jobs[ref.Step.Job]
+	occurrence := ref.Step.Occurrence
+	if j != nil && !j.state.Final() && occurrence >= j.nextOccurrence && occurrence < j.record.occurrences() {
+		s.createSteps(j, occurrence, now)
+	}
+	return s.findTask(ref)
+}
+
 // hasRun reports whether the run is the task's run or its copy.
 func (t *task) hasRun(r *run) bool {
 	return t.run == r || t.copy == r
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -194,9 +194,7 @@
 		if j.record.Repetitions > 0 && dueAt.After(now) {
 			return
 		}
-		for i := range j.record.Phases {
-			s.createStep(j, j.nextOccurrence, i, dueAt, now)
-		}
+		s.createSteps(j, j.nextOccurrence, now)
 		for i := range j.record.Phases {
 			s.openIfReady(j.steps[StepRef{
 				Job:        j.record.ID,
@@ -209,6 +207,21 @@
 	s.completeIfDone(j, now)
 }
 
+// createSteps creates the steps of an occurrence, unless they exist already. It does
+// not open them.
+func (s *Scheduler) createSteps(j *job, occurrence int, now time.Time) {
+	for i := range j.record.Phases {
+		ref := StepRef{
+			Job:        j.record.ID,
+			Occurrence: occurrence,
+			Phase:      i,
+		}
+		if j.steps[ref] == nil {
+			s.createStep(j, occurrence, i, j.record.dueAt(occurrence), now)
+		}
+	}
+}
+
 func (s *Scheduler) createStep(j *job, occurrence, phase int, dueAt, now time.Time) {
 	ref := StepRef{
 		Job:        j.record.ID,
