--- a/coordinator/store.go
+++ b/coordinator/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync/atomic"
 	"time"
 
@@ -100,15 +101,55 @@
 	}
 }
 
-// Append implements storer.Store.
+// firstTryTimeout is how long the first try of a call may take that is repeated if it
+// gets no answer. It is many times the usual latency. Each further try may take twice
+// as long as the one before.
+const firstTryTimeout = 200 * time.Millisecond
+
+// Append implements storer.Store. It repeats an append that gets no answer, on
+// another connection, until the context ends, as a store may lose single answers. The
+// repetition is harmless: the store knows a writer's append by its sequence number,
+// and without a writer the records replace those with the same keys. If the store is
+// slow, it only waits. After a try without an answer, a failure says nothing about
+// whether the records are stored, unless there is a later owner.
 func (s *watchedStore) Append(ctx context.Context, to storer.Partition, writer *storer.Writer, records ...storer.Record) (int64, error) {
-	began := s.clock.Now()
-	end, err := s.Store.Append(ctx, to, writer, records...)
-	s.recordLatency(began, err)
-	s.recordOutcome(ctx, "append", err)
+	var end int64
+	var err error
+	unknown := false
+	s.tryRepeatedly(ctx, func(tryCtx context.Context) bool {
+		began := s.clock.Now()
+		end, err = s.Store.Append(tryCtx, to, writer, records...)
+		s.recordLatency(began, err)
+		s.recordOutcome(ctx, "append", err)
+		if errors.Is(err, storer.ErrUnknown) {
+			unknown = true
+			return false
+		}
+		return true
+	})
+	if unknown && err != nil && !errors.IsAny(err, storer.ErrFenced, storer.ErrConflict) {
+		err = fmt.Errorf("%w: %w", storer.ErrUnknown, errors.Wrap(err, "coordinator: an earlier try had no answer"))
+	}
 	return end, err
 }
 
+// tryRepeatedly calls try until it returns true or the context ends, each time with a
+// longer timeout. While the store is slow, there is only one try.
+func (s *watchedStore) tryRepeatedly(ctx context.Context, try func(context.Context) bool) {
+	for timeout := firstTryTimeout; ; timeout *= 2 {
+		if s.slow() {
+			try(ctx)
+			return
+		}
+		tryCtx, cancel := context.WithTimeout(ctx, timeout)
+		done := try(tryCtx)
+		cancel()
+		if done || ctx.Err() != nil {
+			return
+		}
+	}
+}
+
 // AppendAt implements storer.Store.
 func (s *watchedStore) AppendAt(ctx context.Context, to storer.Partition, at int64, records ...storer.Record) (int64, error) {
 	end, err := s.Store.AppendAt(ctx, to, at, records...)
--- a/coordinator/store_test.go
+++ b/coordinator/store_test.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -39,3 +40,102 @@
 	store.recordPeerReport(true)
 	c.Assert(store.slow(), qt.IsTrue)
 }
+
+// forgetfulStore loses the answers to the first appends: the records are stored, but
+// the call gets no answer.
+type forgetfulStore struct {
+	storer.Store
+	lost, calls int
+	// then is the error of the call after the lost ones, if it is set.
+	then error
+}
+
+func (s *forgetfulStore) Append(ctx context.Context, to storer.Partition, writer *storer.Writer, records ...storer.Record) (int64, error) {
+	s.calls++
+	if s.calls > s.lost && s.then != nil {
+		return 0, s.then
+	}
+	end, err := s.Store.Append(ctx, to, writer, records...)
+	if s.calls <= s.lost {
+		<-ctx.Done()
+		return 0, storer.ErrUnknown
+	}
+	return end, err
+}
+
+// TestAppendOutlivesLostAnswers checks that an append is repeated while the store loses
+// answers, that a writer's records are stored once, and that the outcome is unknown if
+// the store turns the repetition away. A caller who is told that a job is not stored
+// must be able to rely on it.
+func TestAppendOutlivesLostAnswers(t *testing.T) {
+	partition := storer.Partition{
+		Topic: "jobs",
+	}
+	record := storer.Record{
+		Key:   "job",
+		Value: []byte("{}"),
+	}
+	for _, test := range []struct {
+		name      string
+		lost      int
+		then      error
+		want      error
+		wantCalls int
+	}{
+		{
+			name:      "no answer lost",
+			wantCalls: 1,
+		},
+		{
+			name:      "two answers lost",
+			lost:      2,
+			wantCalls: 3,
+		},
+		{
+			name:      "turned away",
+			then:      storer.ErrUnavailable,
+			want:      storer.ErrUnavailable,
+			wantCalls: 1,
+		},
+		{
+			name:      "turned away after a lost answer",
+			lost:      1,
+			then:      storer.ErrUnavailable,
+			want:      storer.ErrUnknown,
+			wantCalls: 2,
+		},
+		{
+			name:      "a later owner after a lost answer",
+			lost:      1,
+			then:      storer.ErrFenced,
+			want:      storer.ErrFenced,
+			wantCalls: 2,
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			memory := storer.NewMemory(timekeeper.System())
+			forgetful := &forgetfulStore{
+				Store: memory,
+				lost:  test.lost,
+				then:  test.then,
+			}
+			store := newWatchedStore(forgetful, timekeeper.System())
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+			defer cancel()
+			_, err := store.Append(ctx, partition, &storer.Writer{
+				Name:  "owner",
+				Epoch: 1,
+			}, record)
+			c.Assert(forgetful.calls, qt.Equals, test.wantCalls)
+			if test.want != nil {
+				c.Assert(err, qt.ErrorIs, test.want)
+				return
+			}
+			c.Assert(err, qt.IsNil)
+			page, err := memory.Read(context.Background(), partition, 0, 0)
+			c.Assert(err, qt.IsNil)
+			c.Assert(page.Records, qt.HasLen, 1)
+		})
+	}
+}
