coordinator: an append that was refused after a try without an answer is not 'not stored'

Cause: wrapped the later refusal into ErrUnknown and so kept its mark for "nothing was stored"; callers were told 503 for jobs that ran. Ruled out: late execution of the first try alone, which the outcome 504 allows. Change: the error carries the mark of an unknown outcome only; the test asks for that.

--- a/coordinator/store.go
+++ b/coordinator/store.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"sync/atomic"
 	"time"
 
@@ -128,7 +127,9 @@
 		return true
 	})
 	if unknown && err != nil && !errors.IsAny(err, storer.ErrFenced, storer.ErrConflict) {
-		err = fmt.Errorf("%w: %w", storer.ErrUnknown, errors.Wrap(err, "coordinator: an earlier try had no answer"))
+		// The error must not carry the mark of the later refusal: that means that
+		// nothing was stored.
+		err = errors.Wrapf(storer.ErrUnknown, "coordinator: an earlier try had no answer, and then: %v", err)
 	}
 	return end, err
 }
--- a/coordinator/store_test.go
+++ b/coordinator/store_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	qt "github.com/frankban/quicktest"
 
 	"github.com/galenacove/galenacove/storer"
@@ -130,6 +131,8 @@
 			c.Assert(forgetful.calls, qt.Equals, test.wantCalls)
 			if test.want != nil {
 				c.Assert(err, qt.ErrorIs, test.want)
+				notStored := errors.Is(err, storer.ErrUnavailable)
+				c.Assert(notStored, qt.Equals, errors.Is(test.want, storer.ErrUnavailable))
 				return
 			}
 			c.Assert(err, qt.IsNil)
