scheduler: an end is acknowledged only once the store has what it says

Cause: an end that changed nothing was acknowledged at once: the second member of a gang whose first one had set it to done, or an end that a worker reported again after the directory had lost and listed it again. Change: an end waits for the write with all changes of its job so far. Before: the new test acknowledges end 1 with nothing stored, in all four cases. After: 0, and 1 once stored. The model of interleavings loses workers from the directory now.

--- a/scheduler/interleaving_test.go
+++ b/scheduler/interleaving_test.go
@@ -62,8 +62,11 @@
 }
 
 type modelWorker struct {
-	entry         scheduler.WorkerEntry
-	up            bool
+	entry scheduler.WorkerEntry
+	up    bool
+	// unlisted is set while the directory does not list the worker although it is
+	// up.
+	unlisted      bool
 	clock         time.Duration
 	leaseEnd      time.Duration
 	token         int64
@@ -154,7 +157,7 @@
 func (m *model) directory() []scheduler.WorkerEntry {
 	var entries []scheduler.WorkerEntry
 	for _, w := range m.workers {
-		if w.up {
+		if w.up && !w.unlisted {
 			entries = append(entries, w.entry)
 		}
 	}
@@ -249,7 +252,10 @@
 }
 
 func (m *model) changeConditions(w *modelWorker) {
-	switch m.draw(6) {
+	switch m.draw(8) {
+	case 6, 7:
+		w.unlisted = !w.unlisted
+		m.current().s.SetWorkers(m.directory())
 	case 0:
 		if len(m.owners) < 5 {
 			m.takeOver()
@@ -504,9 +510,11 @@
 func (m *model) recoverAndFinish() {
 	for _, w := range m.workers {
 		w.unreachableBy = 0
+		w.unlisted = false
 	}
 	o := m.current()
 	o.superseded = false
+	o.s.SetWorkers(m.directory())
 	for range 300 {
 		m.advance(100 * time.Millisecond)
 		for _, w := range m.workers {
--- a/scheduler/recovery_test.go
+++ b/scheduler/recovery_test.go
@@ -1,6 +1,7 @@
 package scheduler_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -413,3 +414,70 @@
 	}
 	r.c.Assert(r.activeRuns(), qt.Equals, 0)
 }
+
+// TestEndIsAcknowledgedOnlyOnceItsTaskIsStoredAsDone checks that no worker forgets an
+// end as done before the store has it, whatever an earlier report has changed already.
+// Otherwise the next owner would run the task again.
+func TestEndIsAcknowledgedOnlyOnceItsTaskIsStoredAsDone(t *testing.T) {
+	gang := newPhase(2, cores(3))
+	gang.Gang = true
+	for _, test := range []struct {
+		name  string
+		phase scheduler.Phase
+		// between happens after the ends were reported first.
+		between func(*rig)
+	}{
+		{
+			name:    "two members of a gang",
+			phase:   gang,
+			between: func(*rig) {},
+		},
+		{
+			name:  "the directory loses the workers, and they are back",
+			phase: newPhase(2, cores(3)),
+			between: func(r *rig) {
+				r.s.SetWorkers(nil)
+				var entries []scheduler.WorkerEntry
+				for _, w := range r.workersByID {
+					entries = append(entries, w.entry)
+				}
+				r.s.SetWorkers(entries)
+			},
+		},
+	} {
+		for _, writing := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, written %t", test.name, writing), func(t *testing.T) {
+				r := newRig(t)
+				r.addWorker("a", cores(4))
+				r.addWorker("b", cores(4))
+				r.updateDirectory()
+				r.renewLeases()
+				r.s.AddJob(r.job("job", test.phase), nil, false, r.now)
+				r.tick()
+				r.c.Assert(r.activeRuns(), qt.Equals, 2)
+				r.write()
+				r.endAll(0, scheduler.EndDone)
+				r.renewLeases()
+				var write scheduler.Write
+				if writing {
+					write = r.s.NextWrite()
+				}
+				test.between(r)
+				r.renewLeases()
+				for id := range r.workersByID {
+					order, _ := r.s.LeaseRenewal(id, r.now)
+					r.c.Assert(order.Acknowledge, qt.Equals, int64(0), qt.Commentf("worker %s", id))
+				}
+				if writing {
+					r.s.Written(write)
+				}
+				r.write()
+				r.renewLeases()
+				for id := range r.workersByID {
+					order, _ := r.s.LeaseRenewal(id, r.now)
+					r.c.Assert(order.Acknowledge, qt.Equals, int64(1), qt.Commentf("worker %s", id))
+				}
+			})
+		}
+	}
+}
--- a/scheduler/reports.go
+++ b/scheduler/reports.go
@@ -108,24 +108,29 @@
 		s.updateWorkerHealth(r, row.End, now)
 		w.removeRun(r)
 	}
-	before := len(s.dirtyJobs)
-	changed := s.applyEnd(w, row, now)
-	batch := int64(0)
-	if changed || len(s.dirtyJobs) > before {
-		batch = s.nextBatch
-	}
+	s.applyEnd(w, row, now)
 	w.pendingAcks = append(w.pendingAcks, pendingAck{
 		endNumber: row.Number,
-		batch:     batch,
+		batch:     s.lastChangeOf(row.Run.Task.Step.Job),
 	})
 }
 
-// applyEnd updates the task of a run that ended. It reports whether the stored
-// progress of the job changes.
-func (s *Scheduler) applyEnd(w *worker, row EndedRun, now time.Time) bool {
+// lastChangeOf returns the number of the write with which all changes of the job so
+// far are stored. An end that changes nothing may still be the only trace that a task
+// is done, if the change was made for an earlier report and is not stored yet: another
+// member of the gang ended before, or the worker was dropped and is back.
+func (s *Scheduler) lastChangeOf(id string) int64 {
+	if s.dirtyJobs[id] {
+		return s.nextBatch
+	}
+	return s.nextBatch - 1
+}
+
+// applyEnd updates the task of a run that ended.
+func (s *Scheduler) applyEnd(w *worker, row EndedRun, now time.Time) {
 	st, t := s.findReportedTask(row.Run.Task, now)
 	if t == nil || st.job.state.Final() {
-		return false
+		return
 	}
 	r := t.findRun(row.Run)
 	current := r != nil
@@ -150,7 +155,6 @@
 		}
 		s.dirtyJobs[id] = true
 		s.finishStepIfDone(st, now)
-		return true
 	case EndFailed:
 		t.avoidWorkers = append(t.avoidWorkers, w.entry.Ref.ID)
 		if !st.phase.Lasting {
@@ -160,13 +164,11 @@
 		if st.phase.Gang && current {
 			s.stopGang(st, "a member failed", now)
 		}
-		return !st.phase.Lasting
 	case EndStopped, EndLapsed, EndBroken, EndAlone, EndUnknown:
 		if st.phase.Gang && current {
 			s.stopGang(st, "a member ended "+row.End.String(), now)
 		}
 	}
-	return false
 }
 
 func (s *Scheduler) markTaskDone(st *step, t *task, now time.Time) {
--- a/scheduler/tables.go
+++ b/scheduler/tables.go
@@ -229,7 +229,7 @@
 }
 
 // pendingAck is an end that may be acknowledged once the write with the number
-// batch is stored. A batch of 0 means that nothing needs to be stored.
+// batch is stored.
 type pendingAck struct {
 	endNumber int64
 	batch     int64
