--- a/scheduler/reports.go
+++ b/scheduler/reports.go
@@ -219,6 +219,7 @@
 func (s *Scheduler) handleActive(w *worker, row ActiveRun, now time.Time) {
 	r := w.runs[row.Run]
 	if r == nil {
+		// The steps of the run may have to be created first.
 		s.findReportedTask(row.Run.Task, now)
 		r = s.adoptRun(w, row, now)
 	}
