coordinator: a repeated append does not give up its earlier tries

An append was cancelled after 0.2 s and sent anew, then after 0.4 s more; a store that takes 0.6 s answered none of the tries within a caller's 0.9 s, and each try took its turn in the partition. Change: tries go on side by side and the first success counts; a store known to be slow gets one. Before: TestAppendWaitsForASlowStore has no answer after 0.9 s. After: it has.

--- a/coordinator/store.go
+++ b/coordinator/store.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/galenacove/galenacove/storer"
 	"github.com/galenacove/galenacove/timekeeper"
@@ -100,54 +101,97 @@
 	}
 }
 
-// firstTryTimeout is how long the first try of a call may take that is repeated if it
-// gets no answer. It is many times the usual latency. Each further try may take twice
-// as long as the one before.
-const firstTryTimeout = 200 * time.Millisecond
+// firstRepeatAfter is how long an append may go without an answer before it is
+// repeated: many times the usual latency. Each further repetition comes after twice the
+// time of the one before.
+const firstRepeatAfter = 200 * time.Millisecond
 
-// Append implements storer.Store. It repeats an append that gets no answer, on
-// another connection, until the context ends, as a store may lose single answers. The
-// repetition is harmless: the store knows a writer's append by its sequence number,
-// and without a writer the records replace those with the same keys. If the store is
-// slow, it only waits. After a try without an answer, a failure says nothing about
-// whether the records are stored, unless there is a later owner.
+// maxAppendTries bounds the tries of one append.
+const maxAppendTries = 4
+
+// appendAnswer is the outcome of one try of an append.
+type appendAnswer struct {
+	end int64
+	err error
+}
+
+// Append implements storer.Store. An append that goes without an answer is repeated on
+// another connection, as a store may lose single answers. Earlier tries go on meanwhile:
+// a store that has just become slow still answers the first one. A store that is known
+// to be slow gets one try. The repetition is harmless: the store knows a writer's append
+// by its sequence number, and without a writer the records replace those with the same
+// keys. After a try without an answer, a refusal says nothing about whether the records
+// are stored, unless there is a later owner.
 func (s *watchedStore) Append(ctx context.Context, to storer.Partition, writer *storer.Writer, records ...storer.Record) (int64, error) {
-	var end int64
-	var err error
+	tryCtx, cancel := context.WithCancel(ctx)
+	var tries errgroup.Group
+	defer func() {
+		cancel()
+		// The functions return no errors.
+		_ = tries.Wait()
+	}()
+	answers := make(chan appendAnswer, maxAppendTries)
+	begin := func() {
+		tries.Go(func() error {
+			began := s.clock.Now()
+			end, err := s.Store.Append(tryCtx, to, writer, records...)
+			s.recordLatency(began, err)
+			s.recordOutcome(tryCtx, "append", err)
+			answers <- appendAnswer{
+				end: end,
+				err: err,
+			}
+			return nil
+		})
+	}
+	begin()
+	begun, answered := 1, 0
+	var refusal error
 	unknown := false
-	s.tryRepeatedly(ctx, func(tryCtx context.Context) bool {
-		began := s.clock.Now()
-		end, err = s.Store.Append(tryCtx, to, writer, records...)
-		s.recordLatency(began, err)
-		s.recordOutcome(ctx, "append", err)
-		if errors.Is(err, storer.ErrUnknown) {
-			unknown = true
-			return false
+	repeatAfter := firstRepeatAfter
+	timer := s.clock.NewTimer(repeatAfter)
+	defer func() { timer.Stop() }()
+	ended := ctx.Done()
+	for {
+		select {
+		case answer := <-answers:
+			answered++
+			switch {
+			case answer.err == nil, errors.IsAny(answer.err, storer.ErrFenced, storer.ErrConflict):
+				return answer.end, answer.err
+			case errors.Is(answer.err, storer.ErrUnknown):
+				unknown = true
+			default:
+				refusal = answer.err
+			}
+		case <-timer.C():
+			repeatAfter *= 2
+			timer = s.clock.NewTimer(repeatAfter)
+			if refusal == nil && begun < maxAppendTries && (answered == begun || !s.slow()) {
+				begun++
+				begin()
+			}
+		case <-ended:
+			// The tries under way end with the context.
+			ended = nil
+		}
+		if answered == begun && (refusal != nil || ctx.Err() != nil || begun == maxAppendTries) {
+			return 0, appendError(refusal, unknown)
 		}
-		return true
-	})
-	if unknown && err != nil && !errors.IsAny(err, storer.ErrFenced, storer.ErrConflict) {
-		// The error must not carry the mark of the later refusal: that means that
-		// nothing was stored.
-		err = errors.Wrapf(storer.ErrUnknown, "coordinator: an earlier try had no answer, and then: %v", err)
 	}
-	return end, err
 }
 
-// tryRepeatedly calls try until it returns true or the context ends, each time with a
-// longer timeout. While the store is slow, there is only one try.
-func (s *watchedStore) tryRepeatedly(ctx context.Context, try func(context.Context) bool) {
-	for timeout := firstTryTimeout; ; timeout *= 2 {
-		if s.slow() {
-			try(ctx)
-			return
-		}
-		tryCtx, cancel := context.WithTimeout(ctx, timeout)
-		done := try(tryCtx)
-		cancel()
-		if done || ctx.Err() != nil {
-			return
-		}
+// appendError returns the error of an append of which no try succeeded. If the outcome
+// of a try is unknown, the error must not carry the mark of a refusal: that means that
+// nothing was stored.
+func appendError(refusal error, unknown bool) error {
+	switch {
+	case refusal == nil:
+		return errors.Wrap(storer.ErrUnknown, "coordinator: the store did not answer an append")
+	case unknown:
+		return errors.Wrapf(storer.ErrUnknown, "coordinator: one try of an append had no answer, another one failed: %v", refusal)
+	default:
+		return refusal
 	}
 }
 
--- a/coordinator/store_test.go
+++ b/coordinator/store_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -43,25 +44,63 @@
 }
 
 // forgetfulStore loses the answers to the first appends: the records are stored, but
-// the call gets no answer.
+// the call gets no answer. It answers other appends after a delay.
 type forgetfulStore struct {
 	storer.Store
-	lost, calls int
-	// then is the error of the call after the lost ones, if it is set.
+	lost  int64
+	delay time.Duration
+	calls atomic.Int64
+	// then is the error of the calls after the lost ones, if it is set.
 	then error
 }
 
 func (s *forgetfulStore) Append(ctx context.Context, to storer.Partition, writer *storer.Writer, records ...storer.Record) (int64, error) {
-	s.calls++
-	if s.calls > s.lost && s.then != nil {
+	call := s.calls.Add(1)
+	if call > s.lost && s.then != nil {
 		return 0, s.then
 	}
 	end, err := s.Store.Append(ctx, to, writer, records...)
-	if s.calls <= s.lost {
+	if call <= s.lost {
 		<-ctx.Done()
 		return 0, storer.ErrUnknown
 	}
-	return end, err
+	select {
+	case <-time.After(s.delay):
+		return end, err
+	case <-ctx.Done():
+		return 0, storer.ErrUnknown
+	}
+}
+
+// TestAppendWaitsForASlowStore checks that an append is not given up while a slow
+// store may still answer it, and that a store known to be slow gets each append once.
+func TestAppendWaitsForASlowStore(t *testing.T) {
+	c := qt.New(t)
+	slow := &forgetfulStore{
+		Store: storer.NewMemory(timekeeper.System()),
+		delay: 600 * time.Millisecond,
+	}
+	store := newWatchedStore(slow, timekeeper.System())
+	partition := storer.Partition{
+		Topic: "jobs",
+	}
+	for range 2 {
+		ctx, cancel := context.WithTimeout(context.Background(), appendTimeout)
+		defer cancel()
+		began := slow.calls.Load()
+		wasSlow := store.slow()
+		_, err := store.Append(ctx, partition, nil, storer.Record{
+			Key:   "job",
+			Value: []byte("{}"),
+		})
+		c.Assert(err, qt.IsNil)
+		c.Assert(store.slow(), qt.IsTrue)
+		if wasSlow {
+			c.Assert(slow.calls.Load()-began, qt.Equals, int64(1))
+		}
+		// The first answer is that to the first try.
+		c.Assert(slow.calls.Load()-began <= 3, qt.IsTrue)
+	}
 }
 
 // TestAppendOutlivesLostAnswers checks that an append is repeated while the store loses
@@ -78,10 +117,10 @@
 	}
 	for _, test := range []struct {
 		name      string
-		lost      int
+		lost      int64
 		then      error
 		want      error
-		wantCalls int
+		wantCalls int64
 	}{
 		{
 			name:      "no answer lost",
@@ -105,6 +144,12 @@
 			want:      storer.ErrUnknown,
 			wantCalls: 2,
 		},
+		{
+			name:      "no answer at all",
+			lost:      maxAppendTries,
+			want:      storer.ErrUnknown,
+			wantCalls: 3,
+		},
 		{
 			name:      "a later owner after a lost answer",
 			lost:      1,
@@ -122,13 +167,13 @@
 				then:  test.then,
 			}
 			store := newWatchedStore(forgetful, timekeeper.System())
-			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 			defer cancel()
 			_, err := store.Append(ctx, partition, &storer.Writer{
 				Name:  "owner",
 				Epoch: 1,
 			}, record)
-			c.Assert(forgetful.calls, qt.Equals, test.wantCalls)
+			c.Assert(forgetful.calls.Load(), qt.Equals, test.wantCalls)
 			if test.want != nil {
 				c.Assert(err, qt.ErrorIs, test.want)
 				notStored := errors.Is(err, storer.ErrUnavailable)
