scheduler: the model of interleavings finds ends that are acknowledged too early

Change: plays with outages, in which the directory loses all workers; one more seeded fault. Random toggles of single workers go, as the outages cover them.

--- a/scheduler/interleaving_test.go
+++ b/scheduler/interleaving_test.go
@@ -28,6 +28,9 @@
 	writesLost fault = "the store loses writes"
 	// acknowledgedEarly lets workers forget ends before they are stored.
 	acknowledgedEarly fault = "ends are acknowledged before they are stored"
+	// acknowledgedAgain lets workers forget ends that they report a second time before
+	// these are stored.
+	acknowledgedAgain fault = "ends are acknowledged when they are reported again"
 	// workersUnnamed hides from the next owner on which workers jobs may run.
 	workersUnnamed fault = "stored jobs name no workers"
 	// leasesUnlimited lets former owners grant leases that outlive the next
@@ -57,6 +60,8 @@
 	// acknowledgedTasks holds the tasks that are done and whose end was
 	// acknowledged.
 	acknowledgedTasks map[scheduler.TaskRef]bool
+	// storeStalled is set while the store takes no writes.
+	storeStalled bool
 	// violation describes the first violated invariant.
 	violation string
 }
@@ -101,6 +106,8 @@
 	pendingWrite *scheduler.Write
 	writeStored  bool
 	superseded   bool
+	// reportedEnds holds the number of the last end that each worker has reported.
+	reportedEnds map[string]int64
 	// storeUnreachable is set if the owner cannot reach the store, and so does
 	// not learn of the next owner.
 	storeUnreachable bool
@@ -172,8 +179,9 @@
 		m.current().storeUnreachable = m.draw(2) == 0
 	}
 	o := &modelOwner{
-		s:     scheduler.New(token, m.now),
-		token: token,
+		s:            scheduler.New(token, m.now),
+		token:        token,
+		reportedEnds: make(map[string]int64),
 	}
 	o.s.AddFormerWorkers(m.workersInUse)
 	o.s.SetWorkers(m.directory())
@@ -252,10 +260,7 @@
 }
 
 func (m *model) changeConditions(w *modelWorker) {
-	switch m.draw(8) {
-	case 6, 7:
-		w.unlisted = !w.unlisted
-		m.current().s.SetWorkers(m.directory())
+	switch m.draw(6) {
 	case 0:
 		if len(m.owners) < 5 {
 			m.takeOver()
@@ -275,6 +280,46 @@
 	}
 }
 
+// playOutage lets the store take no writes for a while. Meanwhile runs end, the
+// directory loses all workers and lists them again, and in the end the partition has a
+// new owner.
+func (m *model) playOutage() {
+	o := m.current()
+	m.storeStalled = true
+	for _, w := range m.workers {
+		w.unreachableBy = 0
+	}
+	act := func(n int) {
+		for range n {
+			w := m.workers[m.draw(len(m.workers))]
+			switch m.draw(5) {
+			case 0:
+				m.advance(time.Duration(20+m.draw(100)) * time.Millisecond)
+			case 1:
+				m.endRandomRun(w)
+			default:
+				m.renewLease(o, w)
+			}
+			m.tick(o)
+		}
+	}
+	act(20)
+	m.setUnlisted(true)
+	act(5)
+	m.setUnlisted(false)
+	act(20)
+	m.takeOver()
+	m.storeStalled = false
+}
+
+// setUnlisted sets whether the directory leaves out all workers.
+func (m *model) setUnlisted(unlisted bool) {
+	for _, w := range m.workers {
+		w.unlisted = unlisted
+	}
+	m.current().s.SetWorkers(m.directory())
+}
+
 func (m *model) tick(o *modelOwner) {
 	if o.superseded {
 		return
@@ -446,6 +491,10 @@
 	if m.fault == acknowledgedEarly {
 		acknowledged = w.lastEndNumber
 	}
+	if m.fault == acknowledgedAgain {
+		acknowledged = max(acknowledged, o.reportedEnds[w.entry.Ref.ID])
+	}
+	o.reportedEnds[w.entry.Ref.ID] = w.lastEndNumber
 	report := scheduler.Report{
 		Clock: w.clock,
 		Ended: slices.Clone(w.ended),
@@ -472,7 +521,7 @@
 // reports it to the owner as stored.
 func (m *model) write(o *modelOwner) {
 	switch {
-	case o.superseded, o.storeUnreachable:
+	case o.superseded, o.storeUnreachable, m.storeStalled:
 	case o.pendingWrite == nil:
 		if pending, _ := o.s.Unwritten(); pending {
 			write := o.s.NextWrite()
@@ -550,6 +599,19 @@
 	return m.violation
 }
 
+// playModelWithOutages is like playModel, with three outages of the store.
+func playModelWithOutages(seeded fault, draw func(int) int) string {
+	m := newModel(seeded, draw)
+	for range 3 {
+		for range 60 {
+			m.doRandomAction()
+		}
+		m.playOutage()
+	}
+	m.recoverAndFinish()
+	return m.violation
+}
+
 // TestAnyInterleavingKeepsInvariants checks that no task runs twice at once or after
 // its end was acknowledged, that no worker has runs beyond its capacity, and that all
 // jobs end, in whatever order owners, workers and the store act. Answers are lost,
@@ -572,6 +634,8 @@
 	for _, test := range []struct {
 		fault fault
 		from  uint64
+		// outages is set if the interleavings have outages of the store.
+		outages bool
 	}{
 		{
 			fault: tokensIgnored,
@@ -585,6 +649,10 @@
 		{
 			fault: acknowledgedEarly,
 		},
+		{
+			fault:   acknowledgedAgain,
+			outages: true,
+		},
 		{
 			fault: workersUnnamed,
 		},
@@ -599,7 +667,11 @@
 		t.Run(string(test.fault), func(t *testing.T) {
 			for seed := test.from; seed < test.from+2000; seed++ {
 				random := rand.New(rand.NewPCG(seed, 7))
-				if violation := playModel(test.fault, random.IntN); violation != "" {
+				play := playModel
+				if test.outages {
+					play = playModelWithOutages
+				}
+				if violation := play(test.fault, random.IntN); violation != "" {
 					t.Logf("seed %d: %s", seed, violation)
 					return
 				}
@@ -616,3 +688,12 @@
 		qt.Assert(t, playModel(noFault, random.IntN), qt.Equals, "", qt.Commentf("seed %d", seed))
 	}
 }
+
+// TestOutagesKeepInvariants runs interleavings with outages of the store, during which
+// the directory loses workers.
+func TestOutagesKeepInvariants(t *testing.T) {
+	for seed := range uint64(2000) {
+		random := rand.New(rand.NewPCG(seed, 7))
+		qt.Assert(t, playModelWithOutages(noFault, random.IntN), qt.Equals, "", qt.Commentf("seed %d", seed))
+	}
+}
