scheduler: the log tells what keeps a lasting task without a run

Cause: the log of a step that waits said neither for how long a task had had no run (its age is that of the job) nor what barred the approved workers, and nothing at all of steps that wait for workers of the former owner.

Change: a note each second for steps of lasting tasks, with the longest time without a run and the approved workers by the first obstacle; a note for steps that wait for the recovery, with the workers that they wait for; a note when a lasting run ends and when the task is in service again after 2 s or more; two gauges. Decisions are the same.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -318,7 +318,7 @@
 // runScheduler ticks the scheduler whenever something has changed, and at
 // intervals, and carries out its effects.
 func (c *Conductor) runScheduler(ctx context.Context, group *errgroup.Group) error {
-	defer c.metrics.deleteAdvice(c.partition)
+	defer c.metrics.deleteLoad(c.partition)
 	var metricsSetAt time.Time
 	for {
 		quick, long := c.adviser.AdviceLimits()
@@ -330,6 +330,7 @@
 		if now := c.clock.Now(); now.Sub(metricsSetAt) >= metricsInterval {
 			metricsSetAt = now
 			c.metrics.setAdvice(c.partition, c.scheduler.AdviceLoad(now))
+			c.metrics.setLasting(c.partition, c.scheduler.LastingLoad(now))
 		}
 		unwritten, _ := c.scheduler.Unwritten()
 		wait := idleTickInterval
--- a/conductor/metrics.go
+++ b/conductor/metrics.go
@@ -20,6 +20,8 @@
 	adviceLimit         *prometheus.GaugeVec
 	adviceDenied        *prometheus.GaugeVec
 	adviceDeniedSeconds *prometheus.GaugeVec
+	lastingWaiting      *prometheus.GaugeVec
+	lastingWaitSeconds  *prometheus.GaugeVec
 }
 
 // NewMetrics returns metrics that are not registered yet.
@@ -67,6 +69,14 @@
 			Name: "galenacove_conductor_advice_denied_seconds",
 			Help: "For how long the first of these steps has waited.",
 		}, []string{"partition"}),
+		lastingWaiting: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "galenacove_conductor_lasting_waiting",
+			Help: "Lasting tasks that have no run.",
+		}, []string{"partition"}),
+		lastingWaitSeconds: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "galenacove_conductor_lasting_wait_seconds",
+			Help: "For how long the first of these tasks has not been in service.",
+		}, []string{"partition"}),
 	}
 }
 
@@ -75,6 +85,7 @@
 	return []prometheus.Collector{
 		m.starts, m.adviceSeconds, m.silentRenewals, m.storeErrors, m.takeoverSeconds,
 		m.adviceCalls, m.adviceInFlight, m.adviceLimit, m.adviceDenied, m.adviceDeniedSeconds,
+		m.lastingWaiting, m.lastingWaitSeconds,
 	}
 }
 
@@ -89,13 +100,20 @@
 	m.adviceDeniedSeconds.WithLabelValues(label).Set(load.LongestWait.Seconds())
 }
 
-// deleteAdvice removes the metrics that setAdvice sets. It is called once the
-// ownership has ended.
-func (m *Metrics) deleteAdvice(partition int) {
+// setLasting sets the metrics of the lasting tasks of the owner of a partition.
+func (m *Metrics) setLasting(partition int, load scheduler.LastingLoad) {
+	label := strconv.Itoa(partition)
+	m.lastingWaiting.WithLabelValues(label).Set(float64(load.Waiting))
+	m.lastingWaitSeconds.WithLabelValues(label).Set(load.LongestWait.Seconds())
+}
+
+// deleteLoad removes the metrics that setAdvice and setLasting set. It is called
+// once the ownership has ended.
+func (m *Metrics) deleteLoad(partition int) {
 	label := prometheus.Labels{
 		"partition": strconv.Itoa(partition),
 	}
-	for _, gauge := range []*prometheus.GaugeVec{m.adviceInFlight, m.adviceLimit, m.adviceDenied, m.adviceDeniedSeconds} {
+	for _, gauge := range []*prometheus.GaugeVec{m.adviceInFlight, m.adviceLimit, m.adviceDenied, m.adviceDeniedSeconds, m.lastingWaiting, m.lastingWaitSeconds} {
 		gauge.DeletePartialMatch(label)
 	}
 }
--- a/scheduler/explaining.go
+++ b/scheduler/explaining.go
@@ -7,20 +7,43 @@
 	"time"
 )
 
-// explainInterval is the interval at which the log explains why a step waits.
-const explainInterval = 5 * time.Second
+const (
+	// explainInterval is the interval at which the log explains why a step waits.
+	explainInterval = 5 * time.Second
+	// lastingExplainInterval is the same for steps of lasting tasks. There are few
+	// of them, and callers depend on them all the time.
+	lastingExplainInterval = time.Second
+	// minOutageNote is the shortest time without a run after which the log says that
+	// a lasting task is in service again.
+	minOutageNote = 2 * time.Second
+	// maxNamedWorkers limits the workers that one note names.
+	maxNamedWorkers = 3
+)
 
-// explain adds a note on why a step waits, once per explainInterval. "Long calls" in
-// the note are calls to the adviser that do not count as quick.
-func (s *Scheduler) explain(st *step, p *pool, now time.Time) {
+// explainDue reports whether the log should explain now why the step waits.
+func (st *step) explainDue(now time.Time) bool {
+	interval := explainInterval
+	if st.phase.Lasting {
+		interval = lastingExplainInterval
+	}
 	if st.explainedAt.IsZero() {
 		st.explainedAt = now
 	}
-	if now.Sub(st.explainedAt) < explainInterval {
-		return
+	if now.Sub(st.explainedAt) < interval {
+		return false
 	}
 	st.explainedAt = now
+	return true
+}
+
+// explain adds a note on why a step waits, once per interval. "Long calls" in
+// the note are calls to the adviser that do not count as quick.
+func (s *Scheduler) explain(st *step, p *pool, now time.Time) {
+	if !st.explainDue(now) {
+		return
+	}
 	suitable, approved, ticketed, fitting, reserved := 0, 0, 0, 0, 0
+	var obstacles [obstacleCount]int
 	for _, w := range p.workers {
 		if !meetsRequirements(st, w) {
 			continue
@@ -38,15 +61,137 @@
 		if _, found := p.reservedUntil[w]; found {
 			reserved++
 		}
+		if s.isApproved(st, w) {
+			obstacles[s.obstacleOn(st, w, p, now)]++
+		}
 	}
-	s.addNote(fmt.Sprintf("step waits: %d of %d tasks, %s, %d workers available, %d suitable, %d approved, %d with a valid ticket, %d with free capacity, %d reserved, call in flight %t, %d calls made, %d of %d long calls in flight, no free call for %v",
+	s.addNote(fmt.Sprintf("step waits: %d of %d tasks, %s, %d workers available, %d suitable, %d approved, %d with a valid ticket, %d with free capacity, %d reserved, call in flight %t, %d calls made, %d of %d long calls in flight, no free call for %v, no run for up to %v; of the approved %s",
 		st.waiting, len(st.tasks), rankName(st.rank(now)), len(p.workers), suitable, approved, ticketed, fitting, reserved,
-		st.adviceState.adviceInFlight, st.adviceState.callCount, s.adviceInFlight[false], s.adviceLimits[false], st.adviceState.deniedDuration(now).Round(time.Millisecond)),
+		st.adviceState.adviceInFlight, st.adviceState.callCount, s.adviceInFlight[false], s.adviceLimits[false], st.adviceState.deniedDuration(now).Round(time.Millisecond),
+		st.longestWait(now).Round(time.Millisecond), describeObstacles(obstacles)),
 		TaskRef{
 			Step: st.ref,
 		}, "", now.Sub(st.dueAt))
 }
 
+// obstacle is the first reason why a step cannot start a task on an approved
+// worker now.
+type obstacle int
+
+const (
+	obstacleNone obstacle = iota
+	// obstacleSibling means that the worker has as many tasks of the step as the
+	// phase allows on one worker.
+	obstacleSibling
+	// obstacleReserved means that the worker is reserved for another step.
+	obstacleReserved
+	// obstacleLasting means that too little would be free even if all runs but
+	// lasting ones ended.
+	obstacleLasting
+	// obstacleBusy means that too little is free.
+	obstacleBusy
+	// obstacleTicket means that only a valid ticket is missing.
+	obstacleTicket
+	obstacleCount
+)
+
+// String implements fmt.Stringer.
+func (o obstacle) String() string {
+	names := []string{"can start", "run the step already", "are reserved for others", "are full of lasting runs", "are busy", "need a new ticket"}
+	if o >= 0 && int(o) < len(names) {
+		return names[o]
+	}
+	return "invalid"
+}
+
+// describeObstacles lists how many workers have each obstacle.
+func describeObstacles(counts [obstacleCount]int) string {
+	parts := make([]string, 0, len(counts))
+	for o, n := range counts {
+		parts = append(parts, fmt.Sprintf("%d %v", n, obstacle(o)))
+	}
+	return strings.Join(parts, ", ")
+}
+
+// obstacleOn returns the first obstacle to a start of the step's tasks on an
+// approved worker.
+func (s *Scheduler) obstacleOn(st *step, w *worker, p *pool, now time.Time) obstacle {
+	if st.phase.PerWorker > 0 && st.runsOn(w) >= st.phase.PerWorker {
+		return obstacleSibling
+	}
+	if holder := p.reservedFor[w]; holder != nil && holder != st {
+		return obstacleReserved
+	}
+	size := taskSize(st.phase)
+	if countFitting(size, w.freeCapacity()) == 0 {
+		unlessLasting := w.freeCapacity()
+		for _, r := range w.runs {
+			if !r.lasting {
+				unlessLasting = unlessLasting.Add(r.size)
+			}
+		}
+		if countFitting(size, unlessLasting) == 0 {
+			return obstacleLasting
+		}
+		return obstacleBusy
+	}
+	if !s.hasValidTicket(st, w, now) {
+		return obstacleTicket
+	}
+	return obstacleNone
+}
+
+// longestWait returns for how long the first of the step's waiting tasks has had
+// no run in service.
+func (st *step) longestWait(now time.Time) time.Duration {
+	var longest time.Duration
+	for i := range st.tasks {
+		if t := &st.tasks[i]; !t.done && t.run == nil && !t.notRunningSince.IsZero() {
+			longest = max(longest, now.Sub(t.notRunningSince))
+		}
+	}
+	return longest
+}
+
+// LastingLoad tells how many lasting tasks have no run.
+type LastingLoad struct {
+	// Waiting is the number of lasting tasks that have no run, and LongestWait the
+	// longest time that one of them has not been in service.
+	Waiting     int
+	LongestWait time.Duration
+}
+
+// LastingLoad returns the lasting tasks that currently have no run.
+func (s *Scheduler) LastingLoad(now time.Time) LastingLoad {
+	var load LastingLoad
+	for _, st := range s.openSteps {
+		if st.phase.Lasting && st.waiting > 0 {
+			load.Waiting += st.waiting
+			load.LongestWait = max(load.LongestWait, st.longestWait(now))
+		}
+	}
+	return load
+}
+
+// explainRecovery adds a note on each step that waits for workers which may have
+// runs of the former owner, once per interval.
+func (s *Scheduler) explainRecovery(now time.Time) {
+	if s.recoveryDone {
+		return
+	}
+	for _, st := range s.rankSteps(now, s.awaitsRecovery) {
+		if !st.explainDue(now) {
+			continue
+		}
+		silent := s.unreportedWorkers(st.job)
+		s.addNote(fmt.Sprintf("step waits for workers that may have runs of the former owner: %d of %d tasks, %s, %d of %d workers of the job have not reported, such as %s",
+			st.waiting, len(st.tasks), rankName(st.rank(now)), len(silent), len(st.job.workers), strings.Join(silent[:min(maxNamedWorkers, len(silent))], " ")),
+			TaskRef{
+				Step: st.ref,
+			}, "", now.Sub(s.ownerSince))
+	}
+}
+
 // rankName returns the name of a rank for the log.
 func rankName(rank int) string {
 	switch rank {
--- a/scheduler/gangs.go
+++ b/scheduler/gangs.go
@@ -28,7 +28,7 @@
 	if chosen = s.chooseGangWorkers(st, p, now, s.isCandidate); chosen != nil {
 		// There is free capacity, but tickets have expired.
 		s.callAdviser(st, distinctWorkers(chosen), now)
-		s.reserve(p, distinctWorkers(chosen), now.Add(st.adviceCost(len(chosen))))
+		s.reserve(st, p, distinctWorkers(chosen), now.Add(st.adviceCost(len(chosen))))
 		return
 	}
 	s.reserveForGang(st, p, now)
@@ -127,7 +127,7 @@
 	}
 	if st.rank(now) == rankInTime && (missing > 0 || completeAt.Sub(now) > minPreemptionGain) {
 		if preempted := s.preempt(st, len(st.tasks), p, now); preempted != nil {
-			s.reserve(p, preempted, now.Add(s.options.stopTimeout))
+			s.reserve(st, p, preempted, now.Add(s.options.stopTimeout))
 			if !s.allHaveTickets(st, preempted, now.Add(s.options.stopTimeout)) {
 				s.callAdviser(st, preempted, now)
 			}
@@ -137,7 +137,7 @@
 	if missing > 0 || float64(len(p.reservedUntil)+len(reserved)) > maxReservedShare*float64(len(p.workers))+1 {
 		return
 	}
-	s.reserve(p, reserved, completeAt)
+	s.reserve(st, p, reserved, completeAt)
 	if st.job.record.Queue.Advice != nil && completeAt.Sub(now) < st.adviceCost(len(reserved)) && !s.allHaveTickets(st, reserved, completeAt) {
 		s.callAdviser(st, reserved, now)
 	}
@@ -180,11 +180,12 @@
 	return freeAt, min(wanted, countFitting(size, freeCapacity))
 }
 
-// reserve reserves the workers until the given time. Their free capacity no
+// reserve reserves the workers for the step until the given time. Their free capacity no
 // longer counts as free in the pool for steps that are placed later in the tick.
-func (s *Scheduler) reserve(p *pool, workers []*worker, until time.Time) {
+func (s *Scheduler) reserve(st *step, p *pool, workers []*worker, until time.Time) {
 	for _, w := range workers {
 		p.reservedUntil[w] = until
+		p.reservedFor[w] = st
 		p.freeCapacity = p.freeCapacity.Sub(w.freeCapacity().Max(sizer.Size{}))
 	}
 }
--- a/scheduler/moving.go
+++ b/scheduler/moving.go
@@ -64,7 +64,7 @@
 		s.addNote("stops a run on a leaving worker", r.ref.Task, r.worker.entry.Ref.ID, now.Sub(r.startedAt))
 		s.stopRun(r, now, "worker leaves")
 		// The worker is reserved, also against the next task to be moved.
-		s.reserve(p, []*worker{w}, now.Add(s.options.stopTimeout))
+		s.reserve(st, p, []*worker{w}, now.Add(s.options.stopTimeout))
 		return
 	}
 	if st.job.record.Queue.Advice != nil {
--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -40,8 +40,10 @@
 	// topPriority is the priority of the most urgent queue of the service.
 	topPriority int
 	// reservedUntil holds the workers that are reserved for a step, and the
-	// time at which that step can probably start there.
+	// time at which that step can probably start there. reservedFor holds the
+	// step, with the same keys.
 	reservedUntil map[*worker]time.Time
+	reservedFor   map[*worker]*step
 	// starvedSteps lists the steps for which no worker has capacity, in the
 	// order of rank.
 	starvedSteps []*step
@@ -61,6 +63,7 @@
 		if p == nil {
 			p = &pool{
 				reservedUntil: make(map[*worker]time.Time),
+				reservedFor:   make(map[*worker]*step),
 			}
 			pools[w.entry.Service] = p
 		}
--- a/scheduler/preempting.go
+++ b/scheduler/preempting.go
@@ -214,7 +214,7 @@
 		soonCount = len(vacancies)
 	}
 	missing := st.waiting
-	reserved := s.reserveVacancies(p, vacancies[:soonCount], &missing)
+	reserved := s.reserveVacancies(st, p, vacancies[:soonCount], &missing)
 	if missing > 0 && (st.phase.Lasting || st.rank(now) == rankInTime) {
 		stoppedAt := now.Add(s.options.stopTimeout)
 		for _, w := range s.preempt(st, missing, p, now) {
@@ -223,10 +223,10 @@
 				freeAt:   stoppedAt,
 				capacity: 1,
 			}
-			reserved = append(reserved, s.reserveVacancies(p, []vacancy{preempted}, &missing)...)
+			reserved = append(reserved, s.reserveVacancies(st, p, []vacancy{preempted}, &missing)...)
 		}
 	}
-	reserved = append(reserved, s.reserveVacancies(p, vacancies[soonCount:], &missing)...)
+	reserved = append(reserved, s.reserveVacancies(st, p, vacancies[soonCount:], &missing)...)
 	if st.job.record.Queue.Advice == nil {
 		return
 	}
@@ -261,10 +261,10 @@
 	s.callAdviser(st, expiring, now)
 }
 
-// reserveVacancies reserves workers until there is capacity for all missing
-// tasks or the limit of reservations is reached. It returns the vacancies that
+// reserveVacancies reserves workers for the step until there is capacity for all
+// missing tasks or the limit of reservations is reached. It returns the vacancies that
 // it reserved, and lowers missing by their capacity.
-func (s *Scheduler) reserveVacancies(p *pool, vacancies []vacancy, missing *int) []vacancy {
+func (s *Scheduler) reserveVacancies(st *step, p *pool, vacancies []vacancy, missing *int) []vacancy {
 	var reserved []vacancy
 	for _, v := range vacancies {
 		if *missing <= 0 || float64(len(p.reservedUntil)) > maxReservedShare*float64(len(p.workers)) {
@@ -273,7 +273,7 @@
 		if _, taken := p.reservedUntil[v.worker]; taken {
 			continue
 		}
-		s.reserve(p, []*worker{v.worker}, v.freeAt)
+		s.reserve(st, p, []*worker{v.worker}, v.freeAt)
 		reserved = append(reserved, v)
 		*missing -= v.capacity
 	}
--- a/scheduler/reports.go
+++ b/scheduler/reports.go
@@ -137,6 +137,9 @@
 	if current {
 		s.unassignRun(st, t, r, now)
 	}
+	if current && st.phase.Lasting {
+		s.addNote("lasting run ended: "+row.End.String(), row.Run.Task, w.entry.Ref.ID, now.Sub(r.startedAt))
+	}
 	if row.Checkpoint != "" && !t.done {
 		st.setCheckpoint(row.Run.Task.Index, row.Checkpoint)
 	}
@@ -242,7 +245,10 @@
 	if row.Checkpoint != "" {
 		st.setCheckpoint(row.Run.Task.Index, row.Checkpoint)
 	}
-	if st.phase.Lasting && row.Percent >= 100 {
+	if st.phase.Lasting && row.Percent >= 100 && !t.notRunningSince.IsZero() {
+		if outage := now.Sub(t.notRunningSince); outage >= minOutageNote {
+			s.addNote("lasting task in service", row.Run.Task, w.entry.Ref.ID, outage)
+		}
 		t.notRunningSince = time.Time{}
 	}
 }
--- a/scheduler/tick.go
+++ b/scheduler/tick.go
@@ -31,6 +31,7 @@
 	s.stopStuckRuns(now)
 	s.sendPlannedStarts(now)
 	s.placeSteps(now)
+	s.explainRecovery(now)
 	s.forgetEndedJobs(now)
 	effects := s.effects
 	s.effects = nil
@@ -144,6 +145,19 @@
 	return false
 }
 
+// unreportedWorkers returns the workers on which tasks of the job may have been
+// started and that have not reported their runs yet, sorted by identity.
+func (s *Scheduler) unreportedWorkers(j *job) []string {
+	var ids []string
+	for id := range j.workers {
+		if w := s.workers[id]; w != nil && !w.reported {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
 // startableSteps returns the steps that may start tasks now, most important
 // first.
 func (s *Scheduler) startableSteps(now time.Time) []*step {
