--- a/conductor/recovery.go
+++ b/conductor/recovery.go
@@ -4,9 +4,11 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
@@ -69,9 +71,28 @@
 	c.applyRecords(jobs, progressByJob, now)
 	c.next = next
 	c.ready = true
+	c.logFormerWorkers(workersInUse)
 	return nil
 }
 
+// logFormerWorkers logs how many workers the former owner used, and how many of
+// them the directory no longer lists. The caller holds mu.
+func (c *Conductor) logFormerWorkers(former []scheduler.WorkerEntry) {
+	unlisted := 0
+	for _, entry := range former {
+		if !slices.ContainsFunc(c.directoryWorkers, func(w scheduler.WorkerEntry) bool { return w.Ref == entry.Ref }) {
+			unlisted++
+		}
+	}
+	c.logger.WithFields(log.Fields{
+		"partition": c.partition,
+		"token":     c.token,
+		"listed":    len(c.directoryWorkers),
+		"former":    len(former),
+		"unlisted":  unlisted,
+	}).Info("conductor: the workers of the former owner were read")
+}
+
 // decodeProgress returns the progress of each job, and the workers in use.
 func (c *Conductor) decodeProgress(records []storer.Record) (map[string]*scheduler.Progress, []scheduler.WorkerEntry) {
 	progressByJob := make(map[string]*scheduler.Progress, len(records))
