scheduler: failing test for tasks that last and are not restarted after takeovers

The last owner reaches all living workers and starts none of the tasks within 3 s: it waits for workers of the job that have ended long before. The bound of 3 s is that of the users' rule on accepted work (LOST).

--- a/scheduler/recovery_test.go
+++ b/scheduler/recovery_test.go
@@ -14,6 +14,7 @@
 // which knows only what is stored.
 func (r *rig) takeOver(jobs ...scheduler.Job) {
 	r.s = scheduler.New(r.s.Token()+1, r.now)
+	r.s.AddFormerWorkers(r.storedWorkers)
 	for _, job := range jobs {
 		r.restoreJob(job)
 	}
--- a/scheduler/rig_test.go
+++ b/scheduler/rig_test.go
@@ -22,6 +22,8 @@
 	workersByID map[string]*fakeWorker
 	// stored is the progress that was written to the store, by job.
 	stored map[string]scheduler.Progress
+	// storedWorkers holds the workers in use that were written to the store.
+	storedWorkers []scheduler.WorkerEntry
 	// effects holds the effects of the last tick.
 	effects []scheduler.Effect
 }
@@ -206,6 +208,9 @@
 	for _, progress := range write.Jobs {
 		r.stored[progress.ID] = progress.Progress
 	}
+	if len(write.Workers) > 0 {
+		r.storedWorkers = write.Workers
+	}
 	return write
 }
 
