scheduler: a new owner starts lasting tasks that cannot run anywhere else at once

Cause: a recovery that waits for far more than it has to, and that begins anew with each owner. A new owner started no task of a recovered job while any worker that the job named had not reported, for up to 6.3 s. A lasting job named every worker that it ever had a ticket for, and the stored list of workers in use was rewritten only when a worker was added, so that workers which had ended long ago stayed on it.

Ruled out: that workers refuse connections cannot stand for their end, as a cut may refuse connections to workers that live.

Change: the store lists for each task of a lasting step the workers on which it may run. A start waits until it is listed; these steps start rarely. A new owner waits only for the workers of the task itself. It also reads the approved workers, which never change, and so needs a short call for tickets in place of a first call about all. The list of workers in use is written again 2 s after it has become outdated. While a new owner waits for the recovery of a gang, of large tasks or of lasting ones, it asks about the workers that were not named in its first call.

--- a/scheduler/advice.go
+++ b/scheduler/advice.go
@@ -290,8 +290,11 @@
 func (s *Scheduler) askAhead(pools map[string]*pool, now time.Time) {
 	for _, st := range s.rankSteps(now, s.awaitsRecovery) {
 		p := pools[st.job.record.Queue.Service]
-		if p != nil && st.job.record.Queue.Advice != nil && len(st.adviceState.askedWorkers) == 0 {
-			p.classifySize(st)
+		if p == nil || st.job.record.Queue.Advice == nil {
+			continue
+		}
+		p.classifySize(st)
+		if wide := st.phase.Gang || st.reservesWorkers(); wide || len(st.adviceState.askedWorkers) == 0 {
 			s.requestAdvice(st, p, now)
 		}
 	}
--- a/scheduler/explaining.go
+++ b/scheduler/explaining.go
@@ -183,9 +183,9 @@
 		if !st.explainDue(now) {
 			continue
 		}
-		silent := s.unreportedWorkers(st.job)
-		s.addNote(fmt.Sprintf("step waits for workers that may have runs of the former owner: %d of %d tasks, %s, %d of %d workers of the job have not reported, such as %s",
-			st.waiting, len(st.tasks), rankName(st.rank(now)), len(silent), len(st.job.workers), strings.Join(silent[:min(maxNamedWorkers, len(silent))], " ")),
+		silent := s.unreportedWorkers(st)
+		s.addNote(fmt.Sprintf("step waits for workers that may have runs of the former owner: %d of %d tasks, %s, %d workers have not reported, such as %s",
+			st.waiting, len(st.tasks), rankName(st.rank(now)), len(silent), strings.Join(silent[:min(maxNamedWorkers, len(silent))], " ")),
 			TaskRef{
 				Step: st.ref,
 			}, "", now.Sub(s.ownerSince))
--- a/scheduler/explaining_test.go
+++ b/scheduler/explaining_test.go
@@ -85,5 +85,5 @@
 	}
 	notes := r.notesWith("step waits for workers that may have runs of the former owner")
 	r.c.Assert(notes, qt.HasLen, 2)
-	r.c.Assert(notes[0], qt.Contains, "1 of 2 tasks, lasting, 1 of 2 workers of the job have not reported, such as w")
+	r.c.Assert(notes[0], qt.Contains, "1 of 2 tasks, lasting, 1 workers have not reported, such as w")
 }
--- a/scheduler/interleaving_test.go
+++ b/scheduler/interleaving_test.go
@@ -33,6 +33,9 @@
 	acknowledgedAgain fault = "ends are acknowledged when they are reported again"
 	// workersUnnamed hides from the next owner on which workers jobs may run.
 	workersUnnamed fault = "stored jobs name no workers"
+	// placementsUnnamed hides from the next owner on which workers lasting tasks may
+	// run.
+	placementsUnnamed fault = "stored placements name no workers"
 	// leasesUnlimited lets former owners grant leases that outlive the next
 	// owner's wait.
 	leasesUnlimited fault = "former owners go on granting leases"
@@ -113,7 +116,7 @@
 	storeUnreachable bool
 }
 
-func newModel(seeded fault, draw func(int) int) *model {
+func newModel(seeded fault, draw func(int) int, opts ...func(*model)) *model {
 	m := &model{
 		fault:             seeded,
 		draw:              draw,
@@ -139,10 +142,29 @@
 			Accepted: m.now,
 		})
 	}
+	for _, opt := range opts {
+		opt(m)
+	}
 	m.takeOver()
 	return m
 }
 
+// withLastingJob adds a job of lasting tasks that run on different workers.
+func withLastingJob(m *model) {
+	phase := newPhase(2, cores(1))
+	phase.Lasting = true
+	phase.PerWorker = 1
+	m.jobs = append(m.jobs, scheduler.Job{
+		ID:       lastingJob,
+		Queue:    deskQueue,
+		Phases:   []scheduler.Phase{phase},
+		Accepted: m.now,
+	})
+}
+
+// lastingJob is the job that withLastingJob adds.
+const lastingJob = "lasting"
+
 func (m *model) addWorker() {
 	id := fmt.Sprintf("w%d", len(m.workers))
 	m.workers = append(m.workers, &modelWorker{
@@ -191,6 +213,12 @@
 			if m.fault == workersUnnamed {
 				stored.Workers = nil
 			}
+			if m.fault == placementsUnnamed {
+				stored.Steps = slices.Clone(stored.Steps)
+				for i := range stored.Steps {
+					stored.Steps[i].Placements = nil
+				}
+			}
 			progress = &stored
 		}
 		o.s.AddJob(job, progress, token > 1, m.now)
@@ -500,7 +528,8 @@
 		Ended: slices.Clone(w.ended),
 	}
 	for len(w.ended) > 0 && w.ended[0].Number <= acknowledged {
-		if w.ended[0].End == scheduler.EndDone && w.ended[0].Number > w.lastStaleEnd {
+		lasting := w.ended[0].Run.Task.Step.Job == lastingJob
+		if w.ended[0].End == scheduler.EndDone && w.ended[0].Number > w.lastStaleEnd && !lasting {
 			m.acknowledgedTasks[w.ended[0].Run.Task] = true
 		}
 		w.ended = w.ended[1:]
@@ -564,6 +593,7 @@
 	o := m.current()
 	o.superseded = false
 	o.s.SetWorkers(m.directory())
+	o.s.Cancel(lastingJob, m.now)
 	for range 300 {
 		m.advance(100 * time.Millisecond)
 		for _, w := range m.workers {
@@ -612,6 +642,20 @@
 	return m.violation
 }
 
+// playModelWithLasting is like playModel, with a job of lasting tasks, which end and
+// are restarted all the time, and many changes of the owner.
+func playModelWithLasting(seeded fault, draw func(int) int) string {
+	m := newModel(seeded, draw, withLastingJob)
+	for range 4 {
+		for range 120 {
+			m.doRandomAction()
+		}
+		m.takeOver()
+	}
+	m.recoverAndFinish()
+	return m.violation
+}
+
 // TestAnyInterleavingKeepsInvariants checks that no task runs twice at once or after
 // its end was acknowledged, that no worker has runs beyond its capacity, and that all
 // jobs end, in whatever order owners, workers and the store act. Answers are lost,
@@ -634,8 +678,8 @@
 	for _, test := range []struct {
 		fault fault
 		from  uint64
-		// outages is set if the interleavings have outages of the store.
-		outages bool
+		// play is playModel unless it is set.
+		play func(fault, func(int) int) string
 	}{
 		{
 			fault: tokensIgnored,
@@ -650,12 +694,16 @@
 			fault: acknowledgedEarly,
 		},
 		{
-			fault:   acknowledgedAgain,
-			outages: true,
+			fault: acknowledgedAgain,
+			play:  playModelWithOutages,
 		},
 		{
 			fault: workersUnnamed,
 		},
+		{
+			fault: placementsUnnamed,
+			play:  playModelWithLasting,
+		},
 		{
 			fault: leasesUnlimited,
 			from:  9000,
@@ -667,9 +715,9 @@
 		t.Run(string(test.fault), func(t *testing.T) {
 			for seed := test.from; seed < test.from+2000; seed++ {
 				random := rand.New(rand.NewPCG(seed, 7))
-				play := playModel
-				if test.outages {
-					play = playModelWithOutages
+				play := test.play
+				if play == nil {
+					play = playModel
 				}
 				if violation := play(test.fault, random.IntN); violation != "" {
 					t.Logf("seed %d: %s", seed, violation)
@@ -697,3 +745,12 @@
 		qt.Assert(t, playModelWithOutages(noFault, random.IntN), qt.Equals, "", qt.Commentf("seed %d", seed))
 	}
 }
+
+// TestLastingTasksKeepInvariants runs interleavings in which lasting tasks end and are
+// restarted while the owner changes.
+func TestLastingTasksKeepInvariants(t *testing.T) {
+	for seed := range uint64(2000) {
+		random := rand.New(rand.NewPCG(seed, 7))
+		qt.Assert(t, playModelWithLasting(noFault, random.IntN), qt.Equals, "", qt.Commentf("seed %d", seed))
+	}
+}
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -272,6 +272,15 @@
 	// Failures lists the attempts that failed, by task index. All failures of a
 	// gang have the key 0.
 	Failures map[int][]int64 `json:"failures,omitempty"`
+	// HasPlacements is set if Placements is complete. It is set for steps of lasting
+	// tasks, which start rarely enough to store where each of them may run.
+	HasPlacements bool `json:"hasPlacements,omitempty"`
+	// Placements lists, by task index, the workers on which a run of the task may
+	// be active. A task that is not listed has no run.
+	Placements map[int][]string `json:"placements,omitempty"`
+	// Approved lists the workers on which the adviser has allowed the step, if
+	// HasPlacements is set. Its decisions do not change.
+	Approved []string `json:"approved,omitempty"`
 }
 
 func newBitSet(n int) []byte {
--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -133,7 +133,7 @@
 func (s *Scheduler) placeTasks(st *step, p *pool, now time.Time) {
 	for i := range st.tasks {
 		t := &st.tasks[i]
-		if t.done || t.run != nil {
+		if t.done || t.run != nil || s.taskAwaitsRecovery(t) {
 			continue
 		}
 		if st.leavesHeadroom(p, now) && p.spareMilliCores < taskSize(st.phase).MilliCores() {
@@ -192,6 +192,9 @@
 		if !s.mayStartOn(st, w, now) || !s.fitsOn(st, w, p, now) {
 			continue
 		}
+		if s.storeStalled && st.tracksPlacements && !slices.Contains(t.storedWorkers, w.entry.Ref.ID) {
+			continue
+		}
 		score := s.score(st, w)
 		if slices.Contains(t.avoidWorkers, w.entry.Ref.ID) {
 			score += 100
@@ -207,7 +210,7 @@
 // worker meets its requirements, and there is a valid ticket if one is needed.
 // While the store is stalled, only workers that are stored for the job qualify.
 func (s *Scheduler) mayStartOn(st *step, w *worker, now time.Time) bool {
-	if !meetsRequirements(st, w) || s.storeStalled && !st.job.storedWorkers[w.entry.Ref.ID] {
+	if !meetsRequirements(st, w) || s.storeStalled && !st.tracksPlacements && !st.job.storedWorkers[w.entry.Ref.ID] {
 		return false
 	}
 	return s.hasValidTicket(st, w, now)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -67,6 +67,12 @@
 	// nextBatch is the number of the next write of progress, and storedBatch
 	// that of the last one that is stored.
 	nextBatch, storedBatch int64
+	// outdatedSince is the time since which the store lists workers in use that are
+	// not in use any more, zero if it lists none. workersOutdated is set if so, and
+	// rewriteWorkers once the list is to be written again.
+	outdatedSince   time.Time
+	workersOutdated bool
+	rewriteWorkers  bool
 	// droppedJobs holds the identities of the jobs that the store can delete.
 	droppedJobs []string
 	effects     []Effect
@@ -243,10 +249,18 @@
 	st.waiting = len(st.tasks)
 	stored := j.storedProgress[ref]
 	delete(j.storedProgress, ref)
+	st.tracksPlacements = st.tasksRunAlone() && (stored.HasPlacements || !j.recovered || s.recoveryDone || len(j.workers) == 0)
+	for _, id := range stored.Approved {
+		// The ticket has expired, but the worker need not be found again.
+		st.adviceState.askedWorkers[id] = true
+		st.adviceState.tickets[id] = ticket{}
+	}
 	for i := range st.tasks {
 		t := &st.tasks[i]
 		t.notRunningSince = now
 		t.failedAttempts = stored.Failures[i]
+		t.storedWorkers = stored.Placements[i]
+		t.formerWorkers = stored.Placements[i]
 		if hasBit(stored.Done, i) {
 			t.done = true
 			st.done++
--- a/scheduler/starting.go
+++ b/scheduler/starting.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 )
 
@@ -31,15 +32,17 @@
 	r.copyPhase(st)
 	w.addRun(r)
 	s.assignRun(st, t, r)
-	if st.job.storedWorkers[w.entry.Ref.ID] {
+	if st.isStored(r, t) {
 		s.sendStart(r, st, now)
 		return
 	}
 	st.job.workers[w.entry.Ref.ID] = true
-	for id := range st.adviceState.tickets {
+	if !st.tracksPlacements {
 		// The same write stores all workers with tickets, so that later starts
 		// on these need no write of their own.
-		st.job.workers[id] = true
+		for id := range st.adviceState.tickets {
+			st.job.workers[id] = true
+		}
 	}
 	s.dirtyJobs[st.job.record.ID] = true
 	s.plannedRuns = append(s.plannedRuns, r)
@@ -92,9 +95,9 @@
 		switch {
 		case !r.worker.available(now) || !s.hasValidTicket(st, r.worker, now):
 			s.markLost(r, "worker unavailable or ticket expired before the start", now)
-		case !st.allWorkersStored() && s.storeStalled && len(st.job.storedWorkers) > 0:
+		case !st.mayBeSent(r, t) && s.storeStalled && len(st.job.storedWorkers) > 0 && !st.tracksPlacements:
 			s.markLost(r, "worker cannot be stored as the store takes no writes", now)
-		case !st.allWorkersStored():
+		case !st.mayBeSent(r, t):
 			stillPlanned = append(stillPlanned, r)
 		default:
 			s.sendStart(r, st, now)
@@ -103,12 +106,25 @@
 	s.plannedRuns = append(s.plannedRuns, stillPlanned...)
 }
 
-// allWorkersStored reports whether the workers of all planned runs of the step
-// are stored.
-func (st *step) allWorkersStored() bool {
+// isStored reports whether the store lists the worker of a run of the task, so that
+// a next owner asks that worker before it starts the task again.
+func (st *step) isStored(r *run, t *task) bool {
+	if st.tracksPlacements {
+		return slices.Contains(t.storedWorkers, r.worker.entry.Ref.ID)
+	}
+	return st.job.storedWorkers[r.worker.entry.Ref.ID]
+}
+
+// mayBeSent reports whether the start of a planned run may be sent. Unless the
+// placements of the step's tasks are stored one by one, that is so once the workers
+// of all of its planned runs are stored.
+func (st *step) mayBeSent(planned *run, t *task) bool {
+	if st.tracksPlacements {
+		return st.isStored(planned, t)
+	}
 	for i := range st.tasks {
 		r := st.tasks[i].run
-		if r != nil && r.state == runPlanned && !st.job.storedWorkers[r.worker.entry.Ref.ID] {
+		if r != nil && r.state == runPlanned && !st.isStored(r, &st.tasks[i]) {
 			return false
 		}
 	}
--- a/scheduler/tables.go
+++ b/scheduler/tables.go
@@ -71,6 +71,11 @@
 	// that at which its first task was started, and endedAt that at which its
 	// last task was done.
 	readyAt, startedAt, endedAt time.Time
+	// tracksPlacements is set if the store lists for each task of the step the
+	// workers on which it may run. A start then waits until its worker is listed for
+	// the task, and after a takeover only the tasks wait whose workers have not
+	// reported.
+	tracksPlacements bool
 	// explainedAt is the time at which the log last explained why the step
 	// waits.
 	explainedAt time.Time
@@ -93,6 +98,10 @@
 	// avoidWorkers lists the workers on which a run of the task failed or made
 	// no progress.
 	avoidWorkers []string
+	// storedWorkers holds the workers that the store lists for the task, and
+	// formerWorkers those that it listed when this owner took over. Both are empty
+	// unless the step's tracksPlacements is set.
+	storedWorkers, formerWorkers []string
 	// notRunningSince is the time since which a lasting task has not been in
 	// service, zero while it is.
 	notRunningSince time.Time
--- a/scheduler/tick.go
+++ b/scheduler/tick.go
@@ -32,6 +32,7 @@
 	s.sendPlannedStarts(now)
 	s.placeSteps(now)
 	s.explainRecovery(now)
+	s.scheduleWorkersWrite(now)
 	s.forgetEndedJobs(now)
 	effects := s.effects
 	s.effects = nil
@@ -52,7 +53,7 @@
 		if !w.silentSince.IsZero() && w.reported && w.leaseExpired(now) {
 			s.markAllLost(w, "lease lapsed", now)
 			if !w.listed {
-				delete(s.workers, id)
+				s.dropWorker(id)
 			}
 			continue
 		}
@@ -81,16 +82,33 @@
 		return
 	}
 	longest := time.Duration(float64(s.options.maxLease)/minClockRate) + recoveryMargin
-	if now.Sub(s.ownerSince) > longest {
-		s.recoveryDone = true
-		return
+	if now.Sub(s.ownerSince) <= longest {
+		for _, w := range s.workers {
+			if !w.reported {
+				return
+			}
+		}
 	}
-	for _, w := range s.workers {
-		if !w.reported {
-			return
+	s.recoveryDone = len(s.workers) > 0 || now.Sub(s.ownerSince) > longest
+	if s.recoveryDone {
+		s.trackAllPlacements()
+	}
+}
+
+// trackAllPlacements begins to store the placements of the lasting tasks for which an
+// older release has stored none. All runs of these tasks are known by now.
+func (s *Scheduler) trackAllPlacements() {
+	for _, j := range s.jobs {
+		for _, st := range j.steps {
+			st.tracksPlacements = st.tasksRunAlone()
 		}
 	}
-	s.recoveryDone = len(s.workers) > 0
+}
+
+// tasksRunAlone reports whether the step consists of lasting tasks that are placed
+// one by one.
+func (st *step) tasksRunAlone() bool {
+	return st.phase.Lasting && !st.phase.Gang
 }
 
 // RecoveryDone reports whether the recovery is over.
@@ -131,45 +149,71 @@
 	}
 }
 
-// awaitsRecovery reports whether a former owner may have runs of the job on a
-// worker that has not reported its runs yet.
-func (s *Scheduler) awaitsRecovery(j *job) bool {
-	if s.recoveryDone || !j.recovered {
+// awaitsRecovery reports whether no waiting task of the step may start, as a former
+// owner may have runs on workers that have not reported theirs yet.
+func (s *Scheduler) awaitsRecovery(st *step) bool {
+	if s.recoveryDone || !st.job.recovered {
 		return false
 	}
-	for id := range j.workers {
-		if w := s.workers[id]; w != nil && !w.reported {
-			return true
+	if !st.tracksPlacements {
+		for id := range st.job.workers {
+			if s.isUnreported(id) {
+				return true
+			}
+		}
+		return false
+	}
+	for i := range st.tasks {
+		if t := &st.tasks[i]; !t.done && t.run == nil && !s.taskAwaitsRecovery(t) {
+			return false
 		}
 	}
-	return false
+	return true
 }
 
-// unreportedWorkers returns the workers on which tasks of the job may have been
-// started and that have not reported their runs yet, sorted by identity.
-func (s *Scheduler) unreportedWorkers(j *job) []string {
+// taskAwaitsRecovery reports whether a former owner may have a run of the task on a
+// worker that has not reported its runs yet.
+func (s *Scheduler) taskAwaitsRecovery(t *task) bool {
+	return !s.recoveryDone && slices.ContainsFunc(t.formerWorkers, s.isUnreported)
+}
+
+// isUnreported reports whether the worker may have runs that it has not reported.
+func (s *Scheduler) isUnreported(id string) bool {
+	w := s.workers[id]
+	return w != nil && !w.reported
+}
+
+// unreportedWorkers returns the workers for which the step's waiting tasks await
+// the recovery, sorted by identity.
+func (s *Scheduler) unreportedWorkers(st *step) []string {
 	var ids []string
-	for id := range j.workers {
-		if w := s.workers[id]; w != nil && !w.reported {
+	if !st.tracksPlacements {
+		for id := range st.job.workers {
 			ids = append(ids, id)
 		}
 	}
+	for i := range st.tasks {
+		if t := &st.tasks[i]; !t.done && t.run == nil {
+			ids = append(ids, t.formerWorkers...)
+		}
+	}
+	ids = slices.DeleteFunc(ids, func(id string) bool { return !s.isUnreported(id) })
 	slices.Sort(ids)
-	return ids
+	return slices.Compact(ids)
 }
 
 // startableSteps returns the steps that may start tasks now, most important
 // first.
 func (s *Scheduler) startableSteps(now time.Time) []*step {
-	return s.rankSteps(now, func(j *job) bool { return !s.awaitsRecovery(j) })
+	return s.rankSteps(now, func(st *step) bool { return !s.awaitsRecovery(st) })
 }
 
-// rankSteps returns the open steps of the jobs for which include returns true,
+// rankSteps returns the open steps for which include returns true,
 // most important first. It leaves out steps whose retryAt is still to come.
-func (s *Scheduler) rankSteps(now time.Time, include func(*job) bool) []*step {
+func (s *Scheduler) rankSteps(now time.Time, include func(*step) bool) []*step {
 	steps := make([]*step, 0, len(s.openSteps))
 	for _, st := range s.openSteps {
-		if st.waiting > 0 && !now.Before(st.retryAt) && include(st.job) {
+		if st.waiting > 0 && !now.Before(st.retryAt) && include(st) {
 			steps = append(steps, st)
 		}
 	}
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -61,11 +61,37 @@
 	}
 	for id, w := range s.workers {
 		if !w.listed && len(w.runs) == 0 && (w.reported || s.recoveryDone) {
-			delete(s.workers, id)
+			s.dropWorker(id)
 		}
 	}
 }
 
+// dropWorker forgets a worker on which there are certainly no runs.
+func (s *Scheduler) dropWorker(id string) {
+	if s.workers[id].recorded {
+		s.workersOutdated = true
+	}
+	delete(s.workers, id)
+}
+
+// maxOutdatedWorkers is the longest time for which the store may list workers that
+// are not in use any more. Each list is as large as some hundred ends of runs, and a
+// new worker rewrites it anyway.
+const maxOutdatedWorkers = 2 * time.Second
+
+// scheduleWorkersWrite has the stored list of workers in use written again if it has
+// been outdated for maxOutdatedWorkers. A next owner would wait for the workers on it.
+func (s *Scheduler) scheduleWorkersWrite(now time.Time) {
+	switch {
+	case !s.workersOutdated:
+		s.outdatedSince = time.Time{}
+	case s.outdatedSince.IsZero():
+		s.outdatedSince = now
+	case now.Sub(s.outdatedSince) >= maxOutdatedWorkers:
+		s.rewriteWorkers = true
+	}
+}
+
 // AddFormerWorkers adds the workers on which the former owner may have runs,
 // whether or not the directory still lists them.
 func (s *Scheduler) AddFormerWorkers(entries []WorkerEntry) {
@@ -169,7 +195,7 @@
 	s.markAllLost(w, "worker ended", now)
 	w.reported = true
 	if !w.listed {
-		delete(s.workers, id)
+		s.dropWorker(id)
 		return
 	}
 	// The directory lists the worker although it has ended, so it lags behind.
--- a/scheduler/writes.go
+++ b/scheduler/writes.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"maps"
 	"slices"
 )
 
@@ -11,8 +12,8 @@
 	Jobs  []JobProgress
 	// Deletions lists the jobs that can be deleted from the store.
 	Deletions []string
-	// Workers replaces the stored list of workers in use. It is nil if no
-	// worker needs to be added.
+	// Workers replaces the stored list of workers in use. It is nil if the list
+	// need not change.
 	Workers []WorkerEntry
 }
 
@@ -38,7 +39,7 @@
 			return true, true
 		}
 	}
-	return len(s.dirtyJobs) > 0 || len(s.droppedJobs) > 0, false
+	return len(s.dirtyJobs) > 0 || len(s.droppedJobs) > 0 || s.rewriteWorkers, false
 }
 
 // NextWrite returns the changes since the last call.
@@ -49,13 +50,19 @@
 	}
 	s.nextBatch++
 	s.droppedJobs = nil
-	if s.hasUnrecordedWorkers() {
+	if s.hasUnrecordedWorkers() || s.rewriteWorkers {
 		write.Workers = s.workersInUse()
+		s.workersOutdated, s.rewriteWorkers = false, false
 	}
 	for id := range s.dirtyJobs {
+		progress := s.progress(s.jobs[id])
+		for _, stepProgress := range progress.Steps {
+			// The write may drop workers from the store at any time from now on.
+			s.jobs[id].updateStoredPlacements(stepProgress, retainStored)
+		}
 		write.Jobs = append(write.Jobs, JobProgress{
 			ID:       id,
-			Progress: s.jobs[id].progress(),
+			Progress: progress,
 		})
 	}
 	slices.SortFunc(write.Jobs, func(a, b JobProgress) int {
@@ -88,6 +95,34 @@
 		for _, id := range stored.Progress.Workers {
 			j.storedWorkers[id] = true
 		}
+		for _, stepProgress := range stored.Progress.Steps {
+			j.updateStoredPlacements(stepProgress, func(_, written []string) []string { return written })
+		}
+	}
+}
+
+// retainStored returns the workers that are both stored and about to be written.
+func retainStored(stored, written []string) []string {
+	return slices.DeleteFunc(slices.Clone(stored), func(id string) bool { return !slices.Contains(written, id) })
+}
+
+// updateStoredPlacements sets the workers that the store lists for each task of a
+// step, given those that it listed before and those of a write.
+func (j *job) updateStoredPlacements(stored StepProgress, merge func(stored, written []string) []string) {
+	if !stored.HasPlacements {
+		return
+	}
+	st := j.steps[StepRef{
+		Job:        j.record.ID,
+		Occurrence: stored.Occurrence,
+		Phase:      stored.Phase,
+	}]
+	if st == nil {
+		return
+	}
+	for i := range st.tasks {
+		t := &st.tasks[i]
+		t.storedWorkers = merge(t.storedWorkers, stored.Placements[i])
 	}
 }
 
@@ -97,7 +132,7 @@
 }
 
 // progress returns the part of the job's state that must be stored.
-func (j *job) progress() Progress {
+func (s *Scheduler) progress(j *job) Progress {
 	p := Progress{
 		State: j.state,
 		Ended: j.endedAt,
@@ -112,8 +147,8 @@
 	for _, stored := range j.storedProgress {
 		p.Steps = append(p.Steps, stored)
 	}
-	for ref, st := range j.steps {
-		if stored, nonEmpty := st.progress(ref); nonEmpty {
+	for _, st := range j.steps {
+		if stored, nonEmpty := s.stepProgress(st); nonEmpty {
 			p.Steps = append(p.Steps, stored)
 		}
 	}
@@ -129,12 +164,12 @@
 	return p
 }
 
-// progress returns the part of the step's state that must be stored, and whether
+// stepProgress returns the part of the step's state that must be stored, and whether
 // there is any.
-func (st *step) progress(ref StepRef) (StepProgress, bool) {
+func (s *Scheduler) stepProgress(st *step) (StepProgress, bool) {
 	stepProgress := StepProgress{
-		Occurrence: ref.Occurrence,
-		Phase:      ref.Phase,
+		Occurrence: st.ref.Occurrence,
+		Phase:      st.ref.Phase,
 	}
 	nonEmpty := false
 	for i := range st.tasks {
@@ -155,9 +190,56 @@
 		stepProgress.setFailures(0, st.gangFailures)
 		nonEmpty = true
 	}
+	if st.tracksPlacements {
+		stepProgress.HasPlacements = true
+		stepProgress.Placements = s.placements(st)
+		stepProgress.Approved = s.approvedWorkers(st)
+		nonEmpty = true
+	}
 	return stepProgress, nonEmpty
 }
 
+// placements returns, by task index, the workers on which a run of the task may be
+// active: those on which this owner knows one, and those of the former owner that
+// have not reported.
+func (s *Scheduler) placements(st *step) map[int][]string {
+	placements := make(map[int][]string)
+	for id := range st.job.workers {
+		w := s.workers[id]
+		if w == nil {
+			continue
+		}
+		for ref := range w.runs {
+			if i := ref.Task.Index; ref.Task.Step == st.ref && !slices.Contains(placements[i], id) {
+				placements[i] = append(placements[i], id)
+			}
+		}
+	}
+	for i := range st.tasks {
+		for _, id := range st.tasks[i].formerWorkers {
+			if !s.recoveryDone && s.isUnreported(id) && !slices.Contains(placements[i], id) {
+				placements[i] = append(placements[i], id)
+			}
+		}
+		slices.Sort(placements[i])
+	}
+	maps.DeleteFunc(placements, func(_ int, ids []string) bool { return len(ids) == 0 })
+	return placements
+}
+
+// approvedWorkers returns the workers in use on which the adviser has allowed the
+// step, sorted by identity.
+func (s *Scheduler) approvedWorkers(st *step) []string {
+	var ids []string
+	for id := range st.adviceState.tickets {
+		if s.workers[id] != nil {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
 func (p *StepProgress) setFailures(i int, attempts []int64) {
 	if p.Failures == nil {
 		p.Failures = make(map[int][]int64)
