scheduler: a recovery goes on where that of the former owner ended

Cause: each owner waited 6.3 s anew for workers to which no owner in between could have granted a lease; a run that was lost stayed in the store until the next start; tickets were asked for only after the wait, and a worker could lose its reservation while its ticket was on the way.

Change: - An owner stores every 0.5 s of its recovery for how long the workers that have not reported have had no lease. The next owner waits for the rest only. A worker that is stored so gets neither lease nor run until that is taken back. - The job is stored again when a lasting run is lost or ends. - Workers are reserved and tickets renewed so that both are there when the wait ends. Of the workers that are free soon, those with a ticket, or one on the way, come first, and a call names eight spare workers, not three.

Ruled out: a shorter longest lease, as runs would lapse in outages of the store.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -48,6 +48,9 @@
 	cancelSuffix = "/cancel"
 	// workersKey is the key under which an owner stores the workers that it uses.
 	workersKey = "/workers"
+	// silentKey is the key under which an owner stores the workers that have not
+	// reported to it.
+	silentKey = "/silent"
 	// writerName names the writer of progress. It is the same for all owners, so
 	// that the store rejects the writes of all owners but the one with the latest
 	// epoch.
@@ -122,6 +125,8 @@
 	token     int64
 	options   []scheduler.Option
 	metrics   *Metrics
+	// placementsAllowed reports whether the placements of lasting tasks may be stored.
+	placementsAllowed func() bool
 
 	// tickRequests triggers a tick of the scheduler, and writeRequests a write of
 	// the progress.
@@ -183,6 +188,15 @@
 	}
 }
 
+// PlacementsAllowed sets the function that reports whether the placements of lasting
+// tasks may be stored, which is so unless an owner of an older release can follow. By
+// default they always may.
+func PlacementsAllowed(allowed func() bool) Option {
+	return func(c *Conductor) {
+		c.placementsAllowed = allowed
+	}
+}
+
 // New returns the owner of a partition with the given fencing token, which must be
 // higher than that of any former owner.
 func New(store storer.Store, workers Workers, adviser Adviser, partition int, token int64, opts ...Option) *Conductor {
@@ -195,13 +209,14 @@
 			Handler: log.HandlerFunc(func(*log.Entry) error { return nil }),
 			Level:   log.FatalLevel,
 		},
-		partition:     partition,
-		token:         token,
-		metrics:       NewMetrics(),
-		tickRequests:  make(chan struct{}, 1),
-		writeRequests: make(chan struct{}, 1),
-		progressed:    make(chan struct{}),
-		leaseKeepers:  make(map[string]*leaseKeeper),
+		partition:         partition,
+		token:             token,
+		metrics:           NewMetrics(),
+		placementsAllowed: func() bool { return true },
+		tickRequests:      make(chan struct{}, 1),
+		writeRequests:     make(chan struct{}, 1),
+		progressed:        make(chan struct{}),
+		leaseKeepers:      make(map[string]*leaseKeeper),
 	}
 	for _, opt := range opts {
 		opt(c)
@@ -322,7 +337,9 @@
 	var metricsSetAt time.Time
 	for {
 		quick, long := c.adviser.AdviceLimits()
+		placementsAllowed := c.placementsAllowed()
 		c.mu.Lock()
+		c.scheduler.AllowPlacements(placementsAllowed)
 		c.scheduler.SetAdviceLimits(quick, long)
 		c.updateLeaseKeepers(ctx, group)
 		effects := c.scheduler.Tick(c.clock.Now())
--- a/conductor/recovery.go
+++ b/conductor/recovery.go
@@ -61,11 +61,13 @@
 	}
 	now := c.clock.Now()
 	s := scheduler.New(c.token, now, c.options...)
-	progressByJob, workersInUse := c.decodeProgress(progress)
+	s.AllowPlacements(c.placementsAllowed())
+	progressByJob, workersInUse, silent := c.decodeProgress(progress)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s.ConfirmOwnership(c.confirmedAt)
 	s.AddFormerWorkers(workersInUse)
+	s.SetFormerSilence(silent)
 	s.SetWorkers(c.directoryWorkers)
 	c.scheduler = s
 	c.applyRecords(jobs, progressByJob, now)
@@ -93,15 +95,20 @@
 	}).Info("conductor: the workers of the former owner were read")
 }
 
-// decodeProgress returns the progress of each job, and the workers in use.
-func (c *Conductor) decodeProgress(records []storer.Record) (map[string]*scheduler.Progress, []scheduler.WorkerEntry) {
+// decodeProgress returns the progress of each job, the workers in use, and those that
+// have been silent.
+func (c *Conductor) decodeProgress(records []storer.Record) (map[string]*scheduler.Progress, []scheduler.WorkerEntry, []scheduler.SilentWorker) {
 	progressByJob := make(map[string]*scheduler.Progress, len(records))
 	var workersInUse []scheduler.WorkerEntry
+	var silent []scheduler.SilentWorker
 	for _, record := range records {
 		var err error
-		if record.Key == workersKey {
+		switch record.Key {
+		case workersKey:
 			err = json.Unmarshal(record.Value, &workersInUse)
-		} else {
+		case silentKey:
+			err = json.Unmarshal(record.Value, &silent)
+		default:
 			progress := new(scheduler.Progress)
 			if err = json.Unmarshal(record.Value, progress); err == nil {
 				progressByJob[record.Key] = progress
@@ -111,7 +118,7 @@
 			c.logger.WithError(err).WithField("id", record.Key).Error("conductor: stored progress cannot be decoded")
 		}
 	}
-	return progressByJob, workersInUse
+	return progressByJob, workersInUse, silent
 }
 
 // applyRecords adds and cancels jobs according to records of the jobs topic.
--- a/conductor/writing.go
+++ b/conductor/writing.go
@@ -39,7 +39,7 @@
 	c.mu.Lock()
 	write := c.scheduler.NextWrite()
 	c.mu.Unlock()
-	records := make([]storer.Record, 0, len(write.Jobs)+len(write.Deletions)+1)
+	records := make([]storer.Record, 0, len(write.Jobs)+len(write.Deletions)+2)
 	for _, job := range write.Jobs {
 		value, err := json.Marshal(job.Progress)
 		if err != nil {
@@ -65,6 +65,16 @@
 			Value: value,
 		})
 	}
+	if write.Silent != nil {
+		value, err := json.Marshal(write.Silent)
+		if err != nil {
+			return errors.Wrap(err, "conductor: encode the silent workers")
+		}
+		records = append(records, storer.Record{
+			Key:   silentKey,
+			Value: value,
+		})
+	}
 	if len(records) > 0 {
 		if err := c.appendProgress(ctx, records); err != nil {
 			return err
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -123,6 +123,9 @@
 	// peers holds what the entries, including this one, have published about
 	// themselves, by name.
 	peers map[string]peer
+	// placementsAllowed is set once the records of the entries have been read, while
+	// every entry keeps the stored placements of lasting tasks up to date.
+	placementsAllowed atomic.Bool
 }
 
 // ownership is the state of a partition that this process owns.
--- a/coordinator/feeds.go
+++ b/coordinator/feeds.go
@@ -222,8 +222,9 @@
 		Topic: peersTopic,
 	}
 	ownRecord, err := encodePeer(peer{
-		Address: c.settings.peerAddress,
-		Cores:   c.settings.cores,
+		Address:    c.settings.peerAddress,
+		Cores:      c.settings.cores,
+		Placements: true,
 	})
 	if err != nil {
 		return err
@@ -254,6 +255,7 @@
 					c.peers[record.Key] = decodePeer(record.Value)
 				}
 			}
+			c.placementsAllowed.Store(allKeepPlacements(c.peers))
 			for name, other := range c.peers {
 				addresses[name] = other.Address
 			}
--- a/coordinator/largerpeers.go
+++ b/coordinator/largerpeers.go
@@ -33,6 +33,20 @@
 	Address string `json:"address"`
 	// Cores is the number of cores that the entry may use, 0 for unknown.
 	Cores float64 `json:"cores,omitempty"`
+	// Placements is set if the entry, as an owner, keeps the stored placements of
+	// lasting tasks up to date. Older releases do not.
+	Placements bool `json:"placements,omitempty"`
+}
+
+// allKeepPlacements reports whether every one of the peers keeps the stored
+// placements of lasting tasks up to date.
+func allKeepPlacements(peers map[string]peer) bool {
+	for _, p := range peers {
+		if !p.Placements {
+			return false
+		}
+	}
+	return true
 }
 
 func encodePeer(p peer) ([]byte, error) {
--- a/coordinator/largerpeers_test.go
+++ b/coordinator/largerpeers_test.go
@@ -130,3 +130,22 @@
 	clock.Advance(largerMemberExpiry)
 	c.Assert(joining(), qt.Equals, smallEntries)
 }
+
+// TestPlacementsAreStoredOnlyIfAllEntriesKeepThem guards against a task that runs twice
+// after an owner of an older release, which does not keep stored placements up to date.
+func TestPlacementsAreStoredOnlyIfAllEntriesKeepThem(t *testing.T) {
+	c := qt.New(t)
+	current := peer{
+		Address:    "10.0.0.1:7",
+		Placements: true,
+	}
+	peers := map[string]peer{
+		"a": current,
+		"b": current,
+	}
+	c.Assert(allKeepPlacements(peers), qt.IsTrue)
+	peers["b"] = decodePeer([]byte(`{"address":"10.0.0.2:7","cores":0.8}`))
+	c.Assert(allKeepPlacements(peers), qt.IsFalse)
+	peers["b"] = decodePeer([]byte("10.0.0.2:7"))
+	c.Assert(allKeepPlacements(peers), qt.IsFalse)
+}
--- a/scheduler/advice.go
+++ b/scheduler/advice.go
@@ -58,7 +58,7 @@
 	if st.phase.Gang || st.reservesWorkers() {
 		// These steps need many workers or whole ones. Workers are reserved for
 		// them while still busy, so the advice is needed before they are free.
-		if unaskedWorkers := s.unaskedWorkers(st, p); len(unaskedWorkers) > 0 {
+		if unaskedWorkers := s.unaskedWorkers(st, p); len(unaskedWorkers) > 0 && !s.hasEnoughApproved(st, p, now) {
 			s.callAdviser(st, unaskedWorkers, now)
 		}
 		return
@@ -78,6 +78,24 @@
 	st.adviceState.expectedTasks = expectedTasks
 }
 
+// approvedFactor is the capacity on approved workers, as a multiple of what a lasting
+// step needs, above which the adviser is not asked about further workers. A call about
+// them would delay the one for tickets.
+const approvedFactor = 2
+
+// hasEnoughApproved reports whether approved workers can probably take the waiting
+// tasks of a lasting step.
+func (s *Scheduler) hasEnoughApproved(st *step, p *pool, now time.Time) bool {
+	if !st.phase.Lasting || st.phase.Gang {
+		return false
+	}
+	capacity := 0
+	for _, v := range s.predictVacancies(st, p, now) {
+		capacity += v.capacity
+	}
+	return capacity >= approvedFactor*st.waiting
+}
+
 // unaskedWorkers returns the workers that meet the step's requirements and about
 // which the adviser was not asked.
 func (s *Scheduler) unaskedWorkers(st *step, p *pool) []*worker {
@@ -169,6 +187,8 @@
 	for i, w := range workers {
 		ids[i] = w.entry.Ref.ID
 	}
+	st.adviceState.inFlightWorkers = ids
+	st.adviceState.answerDueAt = now.Add(cost + adviceDelivery)
 	s.emit(AskAdvice{
 		Step:    st.ref,
 		Workers: ids,
@@ -288,16 +308,7 @@
 // that wait for the leases of the former owner. The adviser's approvals do not
 // change in the meantime.
 func (s *Scheduler) askAhead(pools map[string]*pool, now time.Time) {
-	for _, st := range s.rankSteps(now, s.awaitsRecovery) {
-		p := pools[st.job.record.Queue.Service]
-		if p == nil || st.job.record.Queue.Advice == nil {
-			continue
-		}
-		p.classifySize(st)
-		if wide := st.phase.Gang || st.reservesWorkers(); wide || len(st.adviceState.askedWorkers) == 0 {
-			s.requestAdvice(st, p, now)
-		}
-	}
+	s.askDuringRecovery(pools, now)
 	for _, j := range s.jobs {
 		if j.state != Running || j.record.Queue.Advice == nil || len(j.record.Phases) < 2 {
 			continue
@@ -317,6 +328,24 @@
 	}
 }
 
+// askDuringRecovery calls the adviser for steps that wait for the leases of the former
+// owner, and reserves workers for lasting tasks whose wait is about to end.
+func (s *Scheduler) askDuringRecovery(pools map[string]*pool, now time.Time) {
+	for _, st := range s.rankSteps(now, s.awaitsRecovery) {
+		p := pools[st.job.record.Queue.Service]
+		if p == nil || st.job.record.Queue.Advice == nil {
+			continue
+		}
+		p.classifySize(st)
+		if st.tracksPlacements {
+			s.reserveForTasks(st, p, now)
+		}
+		if wide := st.phase.Gang || st.reservesWorkers(); wide || len(st.adviceState.askedWorkers) == 0 {
+			s.requestAdvice(st, p, now)
+		}
+	}
+}
+
 // readyWithin reports whether the step's dependencies will probably be done
 // within that time.
 func (s *Scheduler) readyWithin(st *step, within time.Duration, now time.Time) bool {
--- a/scheduler/interleaving_test.go
+++ b/scheduler/interleaving_test.go
@@ -36,6 +36,9 @@
 	// placementsUnnamed hides from the next owner on which workers lasting tasks may
 	// run.
 	placementsUnnamed fault = "stored placements name no workers"
+	// silenceOverstated tells the next owner that workers have been silent for longer
+	// than they have.
+	silenceOverstated fault = "stored silence is too long"
 	// leasesUnlimited lets former owners grant leases that outlive the next
 	// owner's wait.
 	leasesUnlimited fault = "former owners go on granting leases"
@@ -60,11 +63,15 @@
 	jobs         []scheduler.Job
 	progress     map[string]scheduler.Progress
 	workersInUse []scheduler.WorkerEntry
+	silent       []scheduler.SilentWorker
 	// acknowledgedTasks holds the tasks that are done and whose end was
 	// acknowledged.
 	acknowledgedTasks map[scheduler.TaskRef]bool
 	// storeStalled is set while the store takes no writes.
 	storeStalled bool
+	// flakyDirectory is set if the directory now and then leaves out a worker that
+	// is up.
+	flakyDirectory bool
 	// violation describes the first violated invariant.
 	violation string
 }
@@ -206,6 +213,13 @@
 		reportedEnds: make(map[string]int64),
 	}
 	o.s.AddFormerWorkers(m.workersInUse)
+	silent := slices.Clone(m.silent)
+	if m.fault == silenceOverstated {
+		for i := range silent {
+			silent[i].For += 5 * time.Second
+		}
+	}
+	o.s.SetFormerSilence(silent)
 	o.s.SetWorkers(m.directory())
 	for _, job := range m.jobs {
 		var progress *scheduler.Progress
@@ -242,6 +256,10 @@
 func (m *model) doRandomAction() {
 	o := m.anyOwner()
 	w := m.workers[m.draw(len(m.workers))]
+	if m.flakyDirectory && m.draw(16) == 0 {
+		w.unlisted = !w.unlisted
+		m.current().s.SetWorkers(m.directory())
+	}
 	switch m.draw(16) {
 	case 0, 1:
 		d := time.Duration(20+m.draw(400)) * time.Millisecond
@@ -572,6 +590,9 @@
 		if o.pendingWrite.Workers != nil {
 			m.workersInUse = o.pendingWrite.Workers
 		}
+		if o.pendingWrite.Silent != nil {
+			m.silent = o.pendingWrite.Silent
+		}
 	default:
 		o.s.Written(*o.pendingWrite)
 		o.pendingWrite, o.writeStored = nil, false
@@ -646,6 +667,7 @@
 // are restarted all the time, and many changes of the owner.
 func playModelWithLasting(seeded fault, draw func(int) int) string {
 	m := newModel(seeded, draw, withLastingJob)
+	m.flakyDirectory = true
 	for range 4 {
 		for range 120 {
 			m.doRandomAction()
@@ -656,6 +678,37 @@
 	return m.violation
 }
 
+// playModelWithSettledOwners is like playModel, but each owner has read the reports of
+// all workers and stored its changes before it is cut off from the store and superseded.
+func playModelWithSettledOwners(seeded fault, draw func(int) int) string {
+	m := newModel(seeded, draw, withLastingJob)
+	for range 4 {
+		m.settle()
+		m.takeOver()
+		for range 120 {
+			m.doRandomAction()
+		}
+	}
+	m.recoverAndFinish()
+	return m.violation
+}
+
+// settle lets the current owner reach all workers and store its changes.
+func (m *model) settle() {
+	o := m.current()
+	for range 3 {
+		for _, w := range m.workers {
+			w.unreachableBy = 0
+			m.renewLease(o, w)
+		}
+		for range 3 {
+			m.write(o)
+		}
+		m.tick(o)
+		m.advance(100 * time.Millisecond)
+	}
+}
+
 // TestAnyInterleavingKeepsInvariants checks that no task runs twice at once or after
 // its end was acknowledged, that no worker has runs beyond its capacity, and that all
 // jobs end, in whatever order owners, workers and the store act. Answers are lost,
@@ -700,13 +753,18 @@
 		{
 			fault: workersUnnamed,
 		},
+		{
+			fault: silenceOverstated,
+			play:  playModelWithSettledOwners,
+		},
 		{
 			fault: placementsUnnamed,
 			play:  playModelWithLasting,
 		},
 		{
 			fault: leasesUnlimited,
-			from:  9000,
+			from:  4000,
+			play:  playModelWithSettledOwners,
 		},
 		{
 			fault: leasesIgnored,
@@ -752,5 +810,7 @@
 	for seed := range uint64(2000) {
 		random := rand.New(rand.NewPCG(seed, 7))
 		qt.Assert(t, playModelWithLasting(noFault, random.IntN), qt.Equals, "", qt.Commentf("seed %d", seed))
+		random = rand.New(rand.NewPCG(seed, 7))
+		qt.Assert(t, playModelWithSettledOwners(noFault, random.IntN), qt.Equals, "", qt.Commentf("settled owners, seed %d", seed))
 	}
 }
--- a/scheduler/placements_test.go
+++ b/scheduler/placements_test.go
@@ -154,9 +154,11 @@
 }
 
 // TestRunOfAnOlderReleaseIsNotStartedTwice guards against placements that are outdated as
-// an owner of an older release, which stores none, has started tasks since.
+// an owner of an older release, which stores none, has started tasks since. None may be
+// stored while there are entries of that release.
 func TestRunOfAnOlderReleaseIsNotStartedTwice(t *testing.T) {
 	r := newRig(t)
+	r.s.AllowPlacements(false)
 	r.addWorker(workerName(0), cores(4)).runTime = time.Hour
 	r.updateDirectory()
 	r.renewLeases()
@@ -172,6 +174,9 @@
 	second := r.workersByID[workerName(1)]
 	r.c.Assert(second.activeRuns, qt.HasLen, 1)
 	r.c.Assert(r.stored["lasting"].Workers, qt.DeepEquals, []string{workerName(0), workerName(1)})
+	for _, step := range r.stored["lasting"].Steps {
+		r.c.Assert(step.HasPlacements, qt.IsFalse)
+	}
 
 	// An owner of an older release starts the task on a worker that is stored for the
 	// job, so it writes nothing.
@@ -183,6 +188,7 @@
 	first.leaseEnd = first.clock + 5*time.Second
 
 	r.takeOver(lasting)
+	r.s.AllowPlacements(true)
 	first.silent = true
 	for first.clock < first.leaseEnd {
 		r.round()
--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -56,7 +56,7 @@
 func (s *Scheduler) pools(now time.Time) map[string]*pool {
 	pools := make(map[string]*pool)
 	for _, w := range s.workers {
-		if !w.available(now) {
+		if !w.available(now) || s.storedSilent[w.entry.Ref.ID] {
 			continue
 		}
 		p := pools[w.entry.Service]
--- a/scheduler/preempting.go
+++ b/scheduler/preempting.go
@@ -19,7 +19,7 @@
 	preemptionSlack = 2 * time.Second
 	// spareWorkers is the maximum number of workers, those that will have
 	// capacity first, that a call which renews expiring tickets also asks about.
-	spareWorkers = 3
+	spareWorkers = 8
 	// maxVictims limits the runs that are stopped on one worker, so that one
 	// task does not undo the work of a whole data centre.
 	maxVictims = 8
@@ -208,12 +208,20 @@
 // runs for the tasks for which no worker will be free soon. It renews tickets
 // that would expire before they can be used.
 func (s *Scheduler) reserveForTasks(st *step, p *pool, now time.Time) {
+	missing := s.startableTasks(st, st.adviceCost(st.waiting), now)
+	if missing == 0 {
+		return
+	}
 	vacancies := s.predictVacancies(st, p, now)
 	soonCount := slices.IndexFunc(vacancies, func(v vacancy) bool { return v.freeAt.Sub(now) > minPreemptionGain })
 	if soonCount < 0 {
 		soonCount = len(vacancies)
 	}
-	missing := st.waiting
+	// Of the workers that are free soon, those come first that can be used first, so
+	// that a worker stays reserved while its ticket is being renewed.
+	slices.SortStableFunc(vacancies[:soonCount], func(a, b vacancy) int {
+		return s.usableAt(st, a, now).Compare(s.usableAt(st, b, now))
+	})
 	reserved := s.reserveVacancies(st, p, vacancies[:soonCount], &missing)
 	if missing > 0 && (st.phase.Lasting || st.rank(now) == rankInTime) {
 		stoppedAt := now.Add(s.options.stopTimeout)
@@ -261,6 +269,25 @@
 	s.callAdviser(st, expiring, now)
 }
 
+// usableAt returns the time at which a vacancy is free and the step probably has a
+// ticket for its worker.
+func (s *Scheduler) usableAt(st *step, v vacancy, now time.Time) time.Time {
+	ticketAt := now
+	switch a := st.adviceState; {
+	case s.hasValidTicket(st, v.worker, v.freeAt):
+	case !a.adviceInFlight:
+		ticketAt = now.Add(st.adviceCost(1))
+	case slices.Contains(a.inFlightWorkers, v.worker.entry.Ref.ID):
+		ticketAt = a.answerDueAt
+	default:
+		ticketAt = a.answerDueAt.Add(st.adviceCost(1))
+	}
+	if ticketAt.Before(v.freeAt) {
+		return v.freeAt
+	}
+	return ticketAt
+}
+
 // reserveVacancies reserves workers for the step until there is capacity for all
 // missing tasks or the limit of reservations is reached. It returns the vacancies that
 // it reserved, and lowers missing by their capacity.
--- a/scheduler/recovery_test.go
+++ b/scheduler/recovery_test.go
@@ -15,6 +15,7 @@
 func (r *rig) takeOver(jobs ...scheduler.Job) {
 	r.s = scheduler.New(r.s.Token()+1, r.now)
 	r.s.AddFormerWorkers(r.storedWorkers)
+	r.s.SetFormerSilence(r.storedSilent)
 	for _, job := range jobs {
 		r.restoreJob(job)
 	}
--- a/scheduler/rig_test.go
+++ b/scheduler/rig_test.go
@@ -24,6 +24,8 @@
 	stored map[string]scheduler.Progress
 	// storedWorkers holds the workers in use that were written to the store.
 	storedWorkers []scheduler.WorkerEntry
+	// storedSilent holds the silent workers that were written to the store.
+	storedSilent []scheduler.SilentWorker
 	// effects holds the effects of the last tick.
 	effects []scheduler.Effect
 }
@@ -211,6 +213,9 @@
 	if len(write.Workers) > 0 {
 		r.storedWorkers = write.Workers
 	}
+	if write.Silent != nil {
+		r.storedSilent = write.Silent
+	}
 	return write
 }
 
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -81,6 +81,10 @@
 		return
 	}
 	st.waiting++
+	if st.tracksPlacements && !st.job.state.Final() {
+		// A next owner need not ask the worker about the task any more.
+		s.dirtyJobs[st.job.record.ID] = true
+	}
 	if t.notRunningSince.IsZero() {
 		t.notRunningSince = now
 	}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -73,6 +73,19 @@
 	outdatedSince   time.Time
 	workersOutdated bool
 	rewriteWorkers  bool
+	// placementsAllowed is set if the placements of lasting tasks may be stored.
+	placementsAllowed bool
+	// storedSilent holds the workers that the store may list as silent. They get no
+	// lease and no run, as a next owner would rely on that.
+	storedSilent map[string]bool
+	// silenceDue is set if the silent workers are to be stored, silenceWrittenAt is
+	// the time of the last such write, and silenceComplete is set once one has been
+	// made since the end of the recovery.
+	silenceDue       bool
+	silenceWrittenAt time.Time
+	silenceComplete  bool
+	// tickedAt is the time of the current or last tick.
+	tickedAt time.Time
 	// droppedJobs holds the identities of the jobs that the store can delete.
 	droppedJobs []string
 	effects     []Effect
@@ -108,6 +121,8 @@
 		lastAttempt:            token * attemptsPerToken,
 		ownerSince:             now,
 		ownershipConfirmedAt:   now,
+		silenceWrittenAt:       now,
+		tickedAt:               now,
 		jobs:                   make(map[string]*job),
 		workers:                make(map[string]*worker),
 		openSteps:              make(map[StepRef]*step),
@@ -119,8 +134,10 @@
 			true:  defaultAdviceCalls,
 			false: defaultAdviceCalls,
 		},
-		dirtyJobs: make(map[string]bool),
-		nextBatch: 1,
+		placementsAllowed: true,
+		storedSilent:      make(map[string]bool),
+		dirtyJobs:         make(map[string]bool),
+		nextBatch:         1,
 	}
 	for _, opt := range opts {
 		opt(&s.options)
@@ -133,6 +150,18 @@
 	return s.token
 }
 
+// AllowPlacements sets whether the placements of lasting tasks and the silent workers
+// may be stored. An owner of an older release would neither keep them up to date nor
+// delete them, so they may not be stored while such an owner can follow. The default
+// is true.
+func (s *Scheduler) AllowPlacements(allowed bool) {
+	changed := allowed && !s.placementsAllowed
+	s.placementsAllowed = allowed
+	if changed && s.recoveryDone {
+		s.trackAllPlacements()
+	}
+}
+
 // ConfirmOwnership records that the ownership held at the given time. Leases are
 // limited relative to the latest such time, so that none outlives the wait of
 // the next owner after its takeover.
@@ -249,7 +278,8 @@
 	st.waiting = len(st.tasks)
 	stored := j.storedProgress[ref]
 	delete(j.storedProgress, ref)
-	st.tracksPlacements = st.tasksRunAlone() && (stored.HasPlacements || !j.recovered || s.recoveryDone || len(j.workers) == 0)
+	complete := !j.recovered || s.recoveryDone || len(j.workers) == 0
+	st.tracksPlacements = st.tasksRunAlone() && (stored.HasPlacements || complete && s.placementsAllowed)
 	for _, id := range stored.Approved {
 		// The ticket has expired, but the worker need not be found again.
 		st.adviceState.askedWorkers[id] = true
--- a/scheduler/tables.go
+++ b/scheduler/tables.go
@@ -117,6 +117,10 @@
 	// adviceInFlight is set while a call awaits its answer, and quickCall is set
 	// if that call counts as quick.
 	adviceInFlight, quickCall bool
+	// inFlightWorkers holds the workers that the last call names, and answerDueAt the
+	// time at which its answer is expected.
+	inFlightWorkers []string
+	answerDueAt     time.Time
 	// expectedTasks is the number of tasks that can probably be placed with the
 	// answer to the call in flight.
 	expectedTasks int
@@ -201,6 +205,14 @@
 	// reported is set once the worker has reported its runs to this owner, or
 	// is known to have ended.
 	reported bool
+	// leasesOver is set for a worker that has not reported once every lease of former
+	// owners has certainly expired. It then has no runs.
+	leasesOver bool
+	// formerSilence is the time before this ownership for which no owner has
+	// granted the worker a lease, as far as the store says.
+	formerSilence time.Duration
+	// former is set if a former owner may have runs on the worker.
+	former bool
 	// recorded is set once the store lists the worker as in use. Nothing is
 	// started on the worker before, so that a next owner asks it for its runs
 	// even if the directory no longer lists it by then.
@@ -268,6 +280,14 @@
 	Read      time.Time
 }
 
+// SilentWorker is a worker to which no owner has granted a lease for some time, since
+// it did not report its runs to them.
+type SilentWorker struct {
+	ID string `json:"id"`
+	// For is the time for which no lease has been granted, at the time of the write.
+	For time.Duration `json:"for"`
+}
+
 func (w *worker) freeCapacity() sizer.Size {
 	return w.entry.Total.Sub(w.used)
 }
--- a/scheduler/tick.go
+++ b/scheduler/tick.go
@@ -25,6 +25,7 @@
 
 // Tick applies all scheduling rules once and returns the effects to carry out.
 func (s *Scheduler) Tick(now time.Time) []Effect {
+	s.tickedAt = now
 	s.createAllDueSteps(now)
 	s.reapRuns(now)
 	s.finishRecovery(now)
@@ -33,6 +34,7 @@
 	s.placeSteps(now)
 	s.explainRecovery(now)
 	s.scheduleWorkersWrite(now)
+	s.scheduleSilenceWrite(now)
 	s.forgetEndedJobs(now)
 	effects := s.effects
 	s.effects = nil
@@ -81,26 +83,41 @@
 	if s.recoveryDone {
 		return
 	}
-	longest := time.Duration(float64(s.options.maxLease)/minClockRate) + recoveryMargin
-	if now.Sub(s.ownerSince) <= longest {
-		for _, w := range s.workers {
-			if !w.reported {
-				return
-			}
-		}
+	pending := false
+	for _, w := range s.workers {
+		w.leasesOver = now.After(s.leasesEnd(w))
+		pending = pending || !w.reported && !w.leasesOver
 	}
-	s.recoveryDone = len(s.workers) > 0 || now.Sub(s.ownerSince) > longest
-	if s.recoveryDone {
+	s.recoveryDone = len(s.workers) > 0 && !pending || now.After(s.recoveryEnd())
+	if s.recoveryDone && s.placementsAllowed {
 		s.trackAllPlacements()
 	}
 }
 
+// recoveryEnd returns the time by which the former owner's leases have certainly
+// expired.
+func (s *Scheduler) recoveryEnd() time.Time {
+	return s.ownerSince.Add(time.Duration(float64(s.options.maxLease)/minClockRate) + recoveryMargin)
+}
+
+// leasesEnd returns the time by which the leases that former owners granted to a
+// worker have certainly expired, if the worker has not reported to this owner.
+func (s *Scheduler) leasesEnd(w *worker) time.Time {
+	return s.recoveryEnd().Add(-w.formerSilence)
+}
+
 // trackAllPlacements begins to store the placements of the lasting tasks for which an
 // older release has stored none. All runs of these tasks are known by now.
 func (s *Scheduler) trackAllPlacements() {
-	for _, j := range s.jobs {
+	for id, j := range s.jobs {
+		if j.state.Final() {
+			continue
+		}
 		for _, st := range j.steps {
-			st.tracksPlacements = st.tasksRunAlone()
+			if st.tasksRunAlone() && !st.tracksPlacements {
+				st.tracksPlacements = true
+				s.dirtyJobs[id] = true
+			}
 		}
 	}
 }
@@ -177,10 +194,28 @@
 	return !s.recoveryDone && slices.ContainsFunc(t.formerWorkers, s.isUnreported)
 }
 
+// startableTasks counts the waiting tasks of the step that may start within the given
+// time as far as the recovery is concerned.
+func (s *Scheduler) startableTasks(st *step, within time.Duration, now time.Time) int {
+	if s.recoveryDone {
+		return st.waiting
+	}
+	awaits := func(id string) bool {
+		return s.isUnreported(id) && s.leasesEnd(s.workers[id]).After(now.Add(within))
+	}
+	n := 0
+	for i := range st.tasks {
+		if t := &st.tasks[i]; !t.done && t.run == nil && !slices.ContainsFunc(t.formerWorkers, awaits) {
+			n++
+		}
+	}
+	return n
+}
+
 // isUnreported reports whether the worker may have runs that it has not reported.
 func (s *Scheduler) isUnreported(id string) bool {
 	w := s.workers[id]
-	return w != nil && !w.reported
+	return w != nil && !w.reported && !w.leasesOver
 }
 
 // unreportedWorkers returns the workers for which the step's waiting tasks await
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -60,7 +60,7 @@
 		w.listed = true
 	}
 	for id, w := range s.workers {
-		if !w.listed && len(w.runs) == 0 && (w.reported || s.recoveryDone) {
+		if !w.listed && len(w.runs) == 0 && (w.reported || w.leasesOver || s.recoveryDone) {
 			s.dropWorker(id)
 		}
 	}
@@ -99,11 +99,57 @@
 		if s.workers[entry.Ref.ID] == nil {
 			w := newWorker(entry)
 			w.recorded = true
+			w.former = true
 			s.workers[entry.Ref.ID] = w
 		}
 	}
 }
 
+// SetFormerSilence sets which workers the store lists as silent. It is called once,
+// after AddFormerWorkers.
+func (s *Scheduler) SetFormerSilence(silent []SilentWorker) {
+	for _, former := range silent {
+		s.storedSilent[former.ID] = true
+		if w := s.workers[former.ID]; w != nil {
+			w.formerSilence = former.For
+		}
+	}
+}
+
+// silenceInterval is the interval at which the silent workers are stored during a
+// recovery. A next owner waits by that much longer than it would have to.
+const silenceInterval = 500 * time.Millisecond
+
+// scheduleSilenceWrite has the silent workers stored: at intervals while there are any
+// during the recovery, and at once when a stored one has reported.
+func (s *Scheduler) scheduleSilenceWrite(now time.Time) {
+	silent, reportedAgain := false, false
+	for id, w := range s.workers {
+		silent = silent || w.former && !w.reported
+		reportedAgain = reportedAgain || w.reported && s.storedSilent[id]
+	}
+	interval := silent && s.placementsAllowed && !s.silenceComplete && now.Sub(s.silenceWrittenAt) >= silenceInterval
+	if reportedAgain || interval {
+		s.silenceDue = true
+	}
+}
+
+// silentWorkers returns the workers of former owners that have not reported to this
+// one, sorted by identity.
+func (s *Scheduler) silentWorkers() []SilentWorker {
+	silent := make([]SilentWorker, 0)
+	for id, w := range s.workers {
+		if w.former && !w.reported {
+			silent = append(silent, SilentWorker{
+				ID:  id,
+				For: w.formerSilence + s.tickedAt.Sub(s.ownerSince),
+			})
+		}
+	}
+	slices.SortFunc(silent, func(a, b SilentWorker) int { return strings.Compare(a.ID, b.ID) })
+	return silent
+}
+
 // hasUnrecordedWorkers reports whether there are workers that the store does
 // not list as in use.
 func (s *Scheduler) hasUnrecordedWorkers() bool {
@@ -162,7 +208,7 @@
 		Acknowledge: w.ackedNumber,
 		Unstored:    len(w.pendingAcks) > 0,
 	}
-	if w.reported && w.silentSince.IsZero() {
+	if w.reported && w.silentSince.IsZero() && !s.storedSilent[id] {
 		order.Lease = s.extendLease(w, now)
 	}
 	return order, true
--- a/scheduler/writes.go
+++ b/scheduler/writes.go
@@ -15,11 +15,14 @@
 	// Workers replaces the stored list of workers in use. It is nil if the list
 	// need not change.
 	Workers []WorkerEntry
+	// Silent replaces the stored list of silent workers. It is nil if the list need
+	// not change, and empty but not nil if no worker is silent.
+	Silent []SilentWorker
 }
 
 // Empty reports whether there is nothing to store.
 func (w Write) Empty() bool {
-	return len(w.Jobs) == 0 && len(w.Deletions) == 0 && len(w.Workers) == 0
+	return len(w.Jobs) == 0 && len(w.Deletions) == 0 && len(w.Workers) == 0 && w.Silent == nil
 }
 
 // JobProgress is the progress of one job.
@@ -31,7 +34,7 @@
 // Unwritten reports whether there is something to store, and whether a start or
 // a caller may be waiting for it.
 func (s *Scheduler) Unwritten() (pending, urgent bool) {
-	if s.hasUnrecordedWorkers() || len(s.plannedRuns) > 0 {
+	if s.hasUnrecordedWorkers() || len(s.plannedRuns) > 0 || s.silenceDue {
 		return true, true
 	}
 	for id := range s.dirtyJobs {
@@ -54,6 +57,16 @@
 		write.Workers = s.workersInUse()
 		s.workersOutdated, s.rewriteWorkers = false, false
 	}
+	if s.silenceDue {
+		s.silenceDue = false
+		s.silenceWrittenAt = s.tickedAt
+		s.silenceComplete = s.recoveryDone
+		write.Silent = s.silentWorkers()
+		for _, silent := range write.Silent {
+			// The write may take effect at any time from now on.
+			s.storedSilent[silent.ID] = true
+		}
+	}
 	for id := range s.dirtyJobs {
 		progress := s.progress(s.jobs[id])
 		for _, stepProgress := range progress.Steps {
@@ -84,6 +97,12 @@
 			w.recorded = true
 		}
 	}
+	if write.Silent != nil {
+		clear(s.storedSilent)
+		for _, silent := range write.Silent {
+			s.storedSilent[silent.ID] = true
+		}
+	}
 	for _, stored := range write.Jobs {
 		j := s.jobs[stored.ID]
 		if j == nil {
