messenger: the test of a silent connection no longer races its relay

Cause, in the test: it closed a channel and went on, while another goroutine of the relay closed the connection to the server a moment later. In between the first call could still be answered, and the test expects an unknown outcome. The failures show the assertion on that call with no error. The pool is not at fault: the call was answered in time.

The relay now gives the test a function that closes the connection to the server and waits until the copying of answers has ended. Once it returns, nothing more reaches the pool, and its connection still stays open. The assertions, the timeouts and the number of calls are unchanged.

--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -167,13 +167,14 @@
 	c.Assert(ctx.Err(), qt.IsNotNil)
 }
 
-// forward starts a TCP proxy to the address and returns the proxy's address. When
-// mute is closed, the first connection to the proxy stops carrying data but stays
-// open.
-func forward(c *qt.C, address string, mute <-chan struct{}) string {
+// forward starts a TCP proxy to the address. It returns the proxy's address and a
+// function that silences the first connection to the proxy: once it has returned,
+// the connection carries no more data but stays open.
+func forward(c *qt.C, address string) (proxyAddress string, silence func()) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
 	var group errgroup.Group
+	silenceFirst := make(chan func(), 1)
 	group.Go(func() error {
 		for i := 0; ; i++ {
 			clientConn, err := listener.Accept()
@@ -192,21 +193,24 @@
 				_, err := io.Copy(serverConn, clientConn)
 				return errors.Join(err, serverConn.Close())
 			})
+			answersEnded := make(chan struct{})
 			group.Go(func() error {
+				defer close(answersEnded)
 				_, err := io.Copy(clientConn, serverConn)
 				return err
 			})
-			if i > 0 {
-				continue
+			if i == 0 {
+				silenceFirst <- func() {
+					serverConn.Close()
+					<-answersEnded
+				}
 			}
-			group.Go(func() error {
-				<-mute
-				return serverConn.Close()
-			})
 		}
 	})
 	c.Cleanup(func() { listener.Close() })
-	return listener.Addr().String()
+	return listener.Addr().String(), func() {
+		(<-silenceFirst)()
+	}
 }
 
 // TestCallGivesUpASilentConnection checks that the pool replaces a connection on
@@ -215,12 +219,11 @@
 func TestCallGivesUpASilentConnection(t *testing.T) {
 	c := qt.New(t)
 	server := serve(c, "127.0.0.1:0", "s")
-	mute := make(chan struct{})
-	address := forward(c, server.address, mute)
+	address, silence := forward(c, server.address)
 	pool := newPool(c, "s")
 	_, err := call(pool, address, "Echo", "hello")
 	c.Assert(err, qt.IsNil)
-	close(mute)
+	silence()
 	for range 3 {
 		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
 		var reply string
