dispatcher: a gang that is being stopped is not taken for started

Cause: updateGang marked a gang as started whenever none of its tasks was idle, also while it was being stopped: once the rest of its tasks had finished, or were reported late and withdrawn, it counted as started, though every holder had been asked to return its tasks. When those came back it was stopped a second time, with a second line in the log and a new wait.

Ruled out: that the state is needed after a new epoch. A task that is reported to a stopping gang is withdrawn again by setHolder, and the gang becomes waiting once no task is held.

Change: a stopping gang stays so until no task is held.

Test: TestStoppingGangIsNotStarted. Before, both cases fail: the state is started (2), want stopping (3).

--- a/dispatcher/gangs.go
+++ b/dispatcher/gangs.go
@@ -288,17 +288,20 @@
 }
 
 // updateGang marks a gang as started once holders have all of its unfinished
-// tasks. If they have only some of them, it stops these.
+// tasks. If they have only some of them, it stops these. A gang that is being
+// stopped stays so until no task is held.
 func (t *tables) updateGang(j *homeJob) {
 	g := j.gang
 	switch {
+	case g.state == gangStopping:
+		// Its holders were asked to return every task.
 	case j.counts[taskUncertain] > 0 || j.counts[taskHeld] == 0:
 		if j.counts[taskHeld] == 0 && g.state == gangStarted && j.counts[taskIdle] > 0 {
 			t.stopGang(j, "its tasks were lost")
 		}
-	case j.counts[taskIdle] > 0 && g.state != gangStopping:
+	case j.counts[taskIdle] > 0:
 		t.stopGang(j, "one of its tasks was lost")
-	case j.counts[taskIdle] == 0:
+	default:
 		g.state = gangStarted
 	}
 }
--- a/dispatcher/gangs_test.go
+++ b/dispatcher/gangs_test.go
@@ -7,7 +7,9 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/galenacove/galenacove/namer"
 	"github.com/galenacove/galenacove/recorder"
+	"github.com/galenacove/galenacove/sizer"
 )
 
 const (
@@ -117,6 +119,88 @@
 	c.Assert(g.retryAt, qt.Equals, tables.now)
 }
 
+// TestStoppingGangIsNotStarted guards against a regression: a gang that was being
+// stopped counted as started once the rest of its tasks were reported or finished,
+// was then stopped a second time and waited again.
+func TestStoppingGangIsNotStarted(t *testing.T) {
+	finished := func(t *tables, j *homeJob) {
+		t.finishTask(j, "entry-0", namer.TaskRef{
+			Task: namer.TaskID{
+				Job:   "gang",
+				Index: 1,
+			},
+		})
+		t.applyHeld("entry-0", Held{
+			Job:     "gang",
+			Indexes: []int{0},
+		})
+	}
+	reported := func(t *tables, _ *homeJob) {
+		t.applyHeld("entry-0", Held{
+			Job:     "gang",
+			Indexes: []int{1},
+		})
+	}
+	for _, test := range []struct {
+		name string
+		rest func(t *tables, j *homeJob)
+	}{
+		{
+			name: "the rest is finished",
+			rest: finished,
+		},
+		{
+			name: "the rest is reported",
+			rest: reported,
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			tables, j := newUnassignedGang(newRig(1), 2, cores(2), Summary{})
+			j.setState(0, taskHeld)
+			j.tasks[0].holder = "entry-0"
+			tables.stopGang(j, "test")
+			test.rest(tables, j)
+			c.Assert(j.gang.state, qt.Equals, gangStopping)
+			planned := j.gang.retryAt
+			tables.applyReturned("entry-0", Returned{
+				Job:     "gang",
+				Indexes: []int{0, 1},
+			})
+			tables.advanceGang(j)
+			c.Assert(j.gang.state, qt.Equals, gangWaiting)
+			c.Assert(j.gang.retryAt, qt.Equals, planned)
+		})
+	}
+}
+
+// newUnassignedGang returns the tables of an entry that is the home of a gang
+// without holders. The first summary is the entry's own, the others are those of
+// its peers, whose names come after its own.
+func newUnassignedGang(r *rig, tasks int, size sizer.Size, summaries ...Summary) (*tables, *homeJob) {
+	tables := r.addEntry("entry-0").tables
+	tables.now = r.clock.Now()
+	tables.epochLearnedAt = tables.now
+	tables.censusComplete = true
+	tables.streams = make(map[string]*memberStream)
+	for i, summary := range summaries {
+		name := fmt.Sprintf("entry-%d", i)
+		tables.members = append(tables.members, name)
+		stream := &tables.selfStream
+		if name != tables.self {
+			stream = &memberStream{
+				member: name,
+			}
+			tables.streams[name] = stream
+		}
+		stream.summaryKnown = true
+		stream.summary = summary
+	}
+	r.append(testJob("gang", recorder.Gang, tasks, size, time.Hour))
+	state, _ := r.logState.Job("gang")
+	return tables, tables.addHome(state, false)
+}
+
 // takenOver returns the number of workers that have been taken over.
 func (r *rig) takenOver() int {
 	n := 0
