dispatcher: a gang is compared with the capacity of all members

Cause: checkFit added up the members' capacities in the order of their names and compared a gang with the total so far at each worker that is large enough for one of its tasks. So the names decided whether a gang counted as too large, and failed after UnfitAfter, or not; the reason given then quoted a total that the gang did not exceed.

Change: the totals are computed first, and then compared. A gang that some orders failed and others let wait now waits in all of them, as the option says (all workers together). A size that no worker can hold still fails.

Test: TestGangFitsAllWorkersTogether. Before, it fails for the order (large, small), with 16 tasks of 8 cores and 132 cores.

--- a/dispatcher/assign.go
+++ b/dispatcher/assign.go
@@ -52,20 +52,21 @@
 // and all workers together for the given number of tasks. Once that has not
 // been so for the time set by UnfitAfter, it fails the job.
 func (t *tables) checkFit(j *homeJob, tasks int) bool {
-	var nearest sizer.Size
-	var total sizer.Size
-	anyShape := false
+	size := j.job.Size
+	var nearest, total sizer.Size
+	anyShape, fitsWorker := false, false
 	for _, summary := range t.knownSummaries() {
 		total = total.Add(summary.Capacity)
 		for _, shape := range summary.Shapes {
-			if j.job.Size.Fits(shape) && (tasks == 1 || j.job.Size.Times(int64(tasks)).Fits(total)) {
-				j.unfitSince = time.Time{}
-				return true
-			}
 			anyShape = true
-			nearest = nearerShape(j.job.Size, nearest, shape)
+			fitsWorker = fitsWorker || size.Fits(shape)
+			nearest = nearerShape(size, nearest, shape)
 		}
 	}
+	if fitsWorker && (tasks == 1 || size.Times(int64(tasks)).Fits(total)) {
+		j.unfitSince = time.Time{}
+		return true
+	}
 	if !anyShape || !t.censusComplete {
 		return false
 	}
--- a/dispatcher/gangs_test.go
+++ b/dispatcher/gangs_test.go
@@ -174,6 +174,44 @@
 	}
 }
 
+// TestGangFitsAllWorkersTogether guards against a regression: a gang was compared
+// with the capacity of the members up to the first one that has a worker large
+// enough, so that the order of their names decided whether it failed.
+func TestGangFitsAllWorkersTogether(t *testing.T) {
+	large := Summary{
+		Capacity: cores(32),
+		Shapes:   []sizer.Size{cores(8)},
+	}
+	small := Summary{
+		Capacity: cores(100),
+		Shapes:   []sizer.Size{cores(4)},
+	}
+	for _, test := range []struct {
+		name  string
+		tasks int
+		fits  bool
+	}{
+		{
+			name:  "all of the workers' capacity",
+			tasks: 16,
+			fits:  true,
+		},
+		{
+			name:  "more",
+			tasks: 17,
+		},
+	} {
+		for _, summaries := range [][]Summary{{large, small}, {small, large}} {
+			t.Run(test.name, func(t *testing.T) {
+				c := qt.New(t)
+				tables, j := newUnassignedGang(newRig(1), test.tasks, cores(8), summaries...)
+				c.Assert(tables.checkFit(j, test.tasks), qt.Equals, test.fits)
+				c.Assert(j.unfitSince.IsZero(), qt.Equals, test.fits)
+			})
+		}
+	}
+}
+
 // newUnassignedGang returns the tables of an entry that is the home of a gang
 // without holders. The first summary is the entry's own, the others are those of
 // its peers, whose names come after its own.
