dispatcher: Why says that a gang is too large for all workers together

Cause: idleReason knew only that a job fits nowhere, not why, and said for every such job that no worker is large enough for one of its tasks, which is false for a gang that is too large for all workers together.

Change: checkFit keeps the reason that failJob would give, and Why answers with it. It also gives the number of tasks that are still to run, no longer that of all tasks of the job.

Test: TestWhyOfAGangThatIsTooLarge. Before, both cases fail with "no worker is large enough for 8 cores, ..." and "... for 9 cores, ...".

--- a/dispatcher/assign.go
+++ b/dispatcher/assign.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"time"
 
-	"github.com/galenacove/galenacove/recorder"
 	"github.com/galenacove/galenacove/sizer"
 )
 
@@ -65,6 +64,7 @@
 	}
 	if fitsWorker && (tasks == 1 || size.Times(int64(tasks)).Fits(total)) {
 		j.unfitSince = time.Time{}
+		j.unfitReason = ""
 		return true
 	}
 	if !anyShape || !t.censusComplete {
@@ -73,8 +73,13 @@
 	if j.unfitSince.IsZero() {
 		j.unfitSince = t.now
 	}
+	if fitsWorker {
+		j.unfitReason = fmt.Sprintf("%d tasks of %s at once are more than all workers have: %s", tasks, size, total)
+	} else {
+		j.unfitReason = fmt.Sprintf("no worker has %s; the nearest has %s", size, nearest)
+	}
 	if t.now.Sub(j.unfitSince) >= t.settings.unfitAfter {
-		t.failJob(j, unfitReason(j.job, nearest, total))
+		t.failJob(j, j.unfitReason)
 	}
 	return false
 }
@@ -86,10 +91,3 @@
 	}
 	return a
 }
-
-func unfitReason(job recorder.Job, nearest, total sizer.Size) string {
-	if !job.Size.Fits(nearest) {
-		return fmt.Sprintf("no worker has %s; the nearest has %s", job.Size, nearest)
-	}
-	return fmt.Sprintf("%d tasks of %s at once are more than all workers have: %s", job.Tasks, job.Size, total)
-}
--- a/dispatcher/gangs_test.go
+++ b/dispatcher/gangs_test.go
@@ -212,6 +212,42 @@
 	}
 }
 
+// TestWhyOfAGangThatIsTooLarge guards against a regression: for a gang that is too
+// large for all workers together, Why said that no worker is large enough.
+func TestWhyOfAGangThatIsTooLarge(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		size sizer.Size
+		want string
+	}{
+		{
+			name: "too large together",
+			size: cores(8),
+			want: "5 tasks of 8 cores.* at once are more than all workers have: 32 cores.*",
+		},
+		{
+			name: "each too large",
+			size: cores(9),
+			want: "no worker has 9 cores.*; the nearest has 8 cores.*",
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			tables, j := newUnassignedGang(newRig(1), 5, test.size, Summary{
+				Capacity: cores(32),
+				Shapes:   []sizer.Size{cores(8)},
+			})
+			c.Assert(tables.checkFit(j, 5), qt.IsFalse)
+			reason, known := tables.why(namer.TaskID{
+				Job:   "gang",
+				Index: 0,
+			})
+			c.Assert(known, qt.IsTrue)
+			c.Assert(reason, qt.Matches, test.want)
+		})
+	}
+}
+
 // newUnassignedGang returns the tables of an entry that is the home of a gang
 // without holders. The first summary is the entry's own, the others are those of
 // its peers, whose names come after its own.
--- a/dispatcher/homes.go
+++ b/dispatcher/homes.go
@@ -96,8 +96,10 @@
 	withdrawSent bool
 	// unfitSince is the time since which no worker is large enough for a task of
 	// the job, or all workers together are too small for a gang. It is zero while
-	// they are large enough.
-	unfitSince time.Time
+	// they are large enough. unfitReason says which of the two, and is empty while
+	// unfitSince is zero.
+	unfitSince  time.Time
+	unfitReason string
 	// gang is nil unless the tasks start together.
 	gang *gang
 }
--- a/dispatcher/views.go
+++ b/dispatcher/views.go
@@ -259,8 +259,7 @@
 }
 
 // idleReason returns why an idle task is not assigned. In its texts, how a member
-// stands is its Summary, and room is free capacity. A gang for which all workers
-// together are too small gets the text about one worker.
+// stands is its Summary, and room is free capacity.
 func (t *tables) idleReason(j *homeJob) string {
 	switch {
 	case j.pendingEnd != nil:
@@ -268,7 +267,7 @@
 	case !t.summariesKnown():
 		return "not every member has said how it stands"
 	case !j.unfitSince.IsZero():
-		return fmt.Sprintf("no worker is large enough for %s", j.job.Size)
+		return j.unfitReason
 	case j.gang != nil && j.gang.reason != "":
 		return "its gang waits: " + j.gang.reason
 	case j.gang != nil:
