dispatcher: the log says why a worker is set aside

Cause: a worker is set aside after 3 runs in a row that failed or after 10 starts in a row that it refused. The log gave the number of failures and the audit trail "everything that it started failed" in both cases, so that after refusals they spoke of 0 failures. The number was also that of the time of the line, not that at which the worker was set aside.

Change: the placer keeps the reason with the worker's health; log and audit trail give it. WorkerView.Failures, used only here, becomes SetAsideReason.

--- a/dispatcher/links.go
+++ b/dispatcher/links.go
@@ -147,8 +147,7 @@
 	// leaving is set while the host list or the worker's report marks the worker
 	// as leaving.
 	leaving bool
-	// isSetAside is set while the placer has set the worker aside after
-	// failures.
+	// isSetAside is set while the placer has set the worker aside.
 	isSetAside bool
 	// placerState is the state that was last passed to the placer.
 	placerState placer.WorkerState
--- a/dispatcher/metrics.go
+++ b/dispatcher/metrics.go
@@ -84,11 +84,9 @@
 		}
 		l.isSetAside = isSetAside
 		if isSetAside {
-			// A worker is also set aside after 10 refused starts in a row. Both
-			// texts name only the failures.
 			t.metrics.setAside.Inc()
-			t.log.Warnf("dispatcher: worker %s is set aside after %d failures in a row", name, worker.Failures())
-			t.audit("set worker "+name+" aside", "everything that it started failed")
+			t.log.Warnf("dispatcher: worker %s is set aside: %s", name, worker.SetAsideReason())
+			t.audit("set worker "+name+" aside", worker.SetAsideReason())
 		} else {
 			t.log.Infof("dispatcher: worker %s takes tasks again", name)
 			t.audit("put worker "+name+" back", "a task that probed it did not fail")
--- a/placer/health.go
+++ b/placer/health.go
@@ -41,6 +41,8 @@
 	lastFailedClass int32
 	// probeDelay is the wait before the next probe.
 	probeDelay time.Duration
+	// reason is why the worker was set aside, empty if it is healthy.
+	reason string
 	// timer is the serial number of the timer that ends that wait.
 	timer uint64
 	// probeStarted reports that the single task of a probe has been placed.
@@ -105,6 +107,7 @@
 	}
 	if h.refusals >= refusalLimit && !h.unhealthy() {
 		h.probeDelay = p.settings.probeInterval
+		h.reason = fmt.Sprintf("%d starts in a row were refused", h.refusals)
 		p.setAside(worker)
 	}
 }
@@ -137,6 +140,7 @@
 	w.health.failures++
 	if w.health.failures >= p.settings.failureLimit && !w.health.unhealthy() {
 		w.health.probeDelay = p.settings.probeInterval
+		w.health.reason = fmt.Sprintf("%d runs in a row failed", w.health.failures)
 		p.setAside(row.worker)
 	}
 }
--- a/placer/views.go
+++ b/placer/views.go
@@ -56,7 +56,8 @@
 	used     sizer.Size
 	claimed  sizer.Size
 	observed sizer.Size
-	failures int
+	// setAsideReason is empty while the worker is healthy.
+	setAsideReason string
 }
 
 // Worker returns the worker.
@@ -74,8 +75,9 @@
 // Observed returns the last observed usage of all tasks.
 func (v WorkerView) Observed() sizer.Size { return v.observed }
 
-// Failures returns the number of failed runs since one finished.
-func (v WorkerView) Failures() int { return v.failures }
+// SetAsideReason returns why the worker was set aside, as text for an operator. It
+// is empty once the worker has passed a probe.
+func (v WorkerView) SetAsideReason() string { return v.setAsideReason }
 
 // TeamView is a snapshot of a team.
 type TeamView struct {
@@ -192,12 +194,12 @@
 		state = Probing
 	}
 	return WorkerView{
-		worker:   w.Worker,
-		state:    state,
-		used:     w.used,
-		claimed:  w.claimed,
-		observed: w.observed,
-		failures: w.health.failures,
+		worker:         w.Worker,
+		state:          state,
+		used:           w.used,
+		claimed:        w.claimed,
+		observed:       w.observed,
+		setAsideReason: w.health.reason,
 	}
 }
 
