replayer: a repeated record of an unknown kind counts once

Cause: a record of an unknown kind has no verdict, by which decide knows a repetition, so storeUnknown counted it once more and replaced the offset of its first occurrence.

Change: a record that is still among the stored ones is ignored. As with verdicts, a repetition that comes after its record was evicted counts again. Nothing else depends on the count.

Test: TestRepeatedUnknownRecordCountsOnce. Before, it fails: 2, want 1.

--- a/replayer/replayer_test.go
+++ b/replayer/replayer_test.go
@@ -212,6 +212,33 @@
 // TestRestoreRefusesWhatIsNotWholeOrNotAhead checks that Restore refuses a
 // snapshot that is incomplete, malformed or not ahead of the state, and takes
 // the parts in any order.
+// TestRepeatedUnknownRecordCountsOnce guards against a regression: a record of an
+// unknown kind that was appended twice was counted twice, also after a snapshot.
+func TestRepeatedUnknownRecordCountsOnce(t *testing.T) {
+	c := qt.New(t)
+	record := func(id string) recorder.Record {
+		return recorder.New(id, "entry1", time.Unix(0, 0), recorder.Unknown{
+			Name: "novelty",
+			Raw:  json.RawMessage("1"),
+		})
+	}
+	state := New()
+	state.Apply(1, record("a"))
+	state.Apply(2, record("a"))
+	c.Assert(state.Unknown(), qt.Equals, uint64(1))
+	state.Apply(3, record("b"))
+	c.Assert(state.Unknown(), qt.Equals, uint64(2))
+
+	parts, err := state.Snapshot()
+	c.Assert(err, qt.IsNil)
+	restored := New()
+	c.Assert(restored.Restore(parts...), qt.IsNil)
+	restored.Apply(4, record("a"))
+	c.Assert(restored.Unknown(), qt.Equals, uint64(2))
+	first, _ := restored.unknown.get("a")
+	c.Assert(first.offset, qt.Equals, namer.Offset(1))
+}
+
 func TestRestoreRefusesWhatIsNotWholeOrNotAhead(t *testing.T) {
 	c := qt.New(t)
 	a := newApplier(New(PartSize(10)))
--- a/replayer/rules.go
+++ b/replayer/rules.go
@@ -190,8 +190,12 @@
 }
 
 // storeUnknown stores a record of an unknown kind unchanged, but without its body
-// if that is longer than maxValueBytes.
+// if that is longer than maxValueBytes. A record that is already stored is a
+// repetition and ignored.
 func (s *State) storeUnknown(offset namer.Offset, r recorder.Record, body recorder.Unknown) {
+	if _, stored := s.unknown.get(r.ID()); stored {
+		return
+	}
 	s.unknownCount++
 	if len(body.Raw) > maxValueBytes {
 		body.Raw = nil
--- a/replayer/state.go
+++ b/replayer/state.go
@@ -65,7 +65,8 @@
 	// unknown holds the latest records of kinds that this version does not
 	// know, by identity.
 	unknown *boundedMap[unknownRecord]
-	// unknownCount is the number of records of unknown kinds ever applied.
+	// unknownCount is the number of records of unknown kinds ever applied. A
+	// repeated record counts once while it is in unknown.
 	unknownCount uint64
 	snapshots    snapshotTracker
 }
@@ -295,7 +296,8 @@
 	return s.jobs.changedSince(since)
 }
 
-// Unknown returns the number of records of unknown kinds that were applied.
+// Unknown returns the number of records of unknown kinds that were applied, leaving
+// aside repetitions of the latest ones.
 func (s *State) Unknown() uint64 {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
