router: a ceded minion without requests is no longer counted

Cause: cedeIfSuperseded removed a minion that has seen a later epoch from the owned ones, but left it among all minions, also without a reservation, until the next host list. The list of endpoints and the metric galenacove_router_minions counted it as ceded.

Change: the rule that removes a minion without owner and reservations is one function, called by all three places that need it.

Test: TestCededMinionIsNotCounted, for a fenced request, a later epoch in an answer and a fenced probe. Before, each case fails: one endpoint in the state ceded with no reservation, want none.

--- a/router/pool.go
+++ b/router/pool.go
@@ -94,9 +94,7 @@
 		}
 		ceded = append(ceded, m.host.Address)
 		m.cede()
-		if len(m.reservations) == 0 {
-			delete(p.minions, name)
-		}
+		p.dropIfUnused(m)
 	}
 	slices.SortFunc(p.owned, func(a, b *minion) int {
 		return strings.Compare(a.host.Name, b.host.Name)
@@ -374,6 +372,7 @@
 	}
 	m.cede()
 	p.owned = slices.DeleteFunc(p.owned, func(other *minion) bool { return other == m })
+	p.dropIfUnused(m)
 	if len(p.owned) == 0 {
 		p.refuseAllMoved()
 	}
@@ -410,8 +409,13 @@
 func (p *pool) release(r *reservation) {
 	r.released = true
 	delete(r.minion.reservations, r)
-	if r.minion.epoch == 0 && len(r.minion.reservations) == 0 {
-		delete(p.minions, r.minion.host.Name)
+	p.dropIfUnused(r.minion)
+}
+
+// dropIfUnused removes a minion that is not owned and has no reservations.
+func (p *pool) dropIfUnused(m *minion) {
+	if m.epoch == 0 && len(m.reservations) == 0 {
+		delete(p.minions, m.host.Name)
 	}
 }
 
--- a/router/pool_test.go
+++ b/router/pool_test.go
@@ -351,3 +351,96 @@
 		})
 	}
 }
+
+// newOwnerPool returns a pool that owns one minion with the given number of slots in
+// epoch 2. The minion has accepted the epoch and runs no older requests.
+func newOwnerPool(clock timekeeper.Clock, slots int) *pool {
+	p := newPool(newSettings([]Option{Clock(clock)}), testService, NewServiceConfig())
+	p.setHosts([]connector.Host{testMinion(slots)}, 2, nil)
+	for _, pr := range p.takeDueProbes() {
+		p.settleProbe(pr, answered{
+			epoch:  2,
+			sentAt: p.settings.sinceStart(clock.Now()),
+		})
+	}
+	return p
+}
+
+func testMinion(slots int) connector.Host {
+	return connector.Host{
+		Name:  "minion",
+		Slots: slots,
+	}
+}
+
+// reserveSlot returns the reservation of a request that is granted a slot at once.
+func reserveSlot(c *qt.C, p *pool) *reservation {
+	w := newTestWaiter(p)
+	c.Assert(p.enqueue(w), qt.Equals, (*RefusedError)(nil))
+	g := <-w.granted
+	c.Assert(g.reservation, qt.IsNotNil)
+	return g.reservation
+}
+
+func newTestWaiter(p *pool) *waiter {
+	return &waiter{
+		deadline: p.settings.clock.Now().Add(10 * time.Second),
+		granted:  make(chan grant, 1),
+	}
+}
+
+// TestCededMinionIsNotCounted guards against a regression: a minion that had seen a
+// later epoch stayed among the owner's minions, and in the metrics, until the next
+// host list.
+func TestCededMinionIsNotCounted(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		cede func(p *pool, r *reservation)
+	}{
+		{
+			name: "a request is fenced",
+			cede: func(p *pool, r *reservation) {
+				p.settle(r, declined{
+					reason: declinedFenced,
+				})
+			},
+		},
+		{
+			name: "an answer has a later epoch",
+			cede: func(p *pool, r *reservation) {
+				p.settle(r, answered{
+					epoch: 3,
+				})
+			},
+		},
+		{
+			name: "a probe is fenced",
+			cede: func(p *pool, r *reservation) {
+				p.settle(r, unused{})
+				p.settleProbe(probe{
+					minion: r.minion,
+					epoch:  r.epoch,
+				}, declined{
+					reason: declinedFenced,
+				})
+			},
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			p := newOwnerPool(timekeeper.NewFake(testStart), testSlots)
+			r := reserveSlot(c, p)
+			other := reserveSlot(c, p)
+			test.cede(p, r)
+			views := p.endpointViews()
+			c.Assert(views, qt.HasLen, 1)
+			c.Check(views[0].State(), qt.Equals, "ceded")
+			p.settle(other, unused{})
+			c.Check(p.endpointViews(), qt.HasLen, 0)
+
+			p = newOwnerPool(timekeeper.NewFake(testStart), testSlots)
+			test.cede(p, reserveSlot(c, p))
+			c.Check(p.endpointViews(), qt.HasLen, 0)
+		})
+	}
+}
