router: the expected capacity of a minion is never below 0

Cause: expectedSlots subtracted the stuck slots from the minion's slots without a bound. When the host list lowers the slots below the number that is stuck, the result is negative; it lowers the capacity of other minions in expectedCapacity, and with a negative sum checkAdmission expects a negative wait and queues requests that nobody can serve.

Change: the lower bound is 0, as in the branch below it.

Test: TestStuckSlotsOfASmallerMinion. Before, it fails: capacity -3, want 0, and the request is queued.

--- a/router/minion.go
+++ b/router/minion.go
@@ -185,7 +185,7 @@
 	case justTakenOver:
 		return m.slots
 	case m.reportsOlder:
-		return m.slots - m.stuckSlots()
+		return max(0, m.slots-m.stuckSlots())
 	default:
 		return max(0, m.slots-m.olderRequests-m.stuckSlots())
 	}
--- a/router/pool_test.go
+++ b/router/pool_test.go
@@ -444,3 +444,19 @@
 		})
 	}
 }
+
+// TestStuckSlotsOfASmallerMinion guards against a regression: once a minion had got
+// fewer slots than were stuck there, its expected capacity was below 0, and requests
+// were queued without any capacity.
+func TestStuckSlotsOfASmallerMinion(t *testing.T) {
+	c := qt.New(t)
+	p := newOwnerPool(timekeeper.NewFake(testStart), 8)
+	for range 5 {
+		p.abandon(reserveSlot(c, p), false)
+	}
+	p.setHosts([]connector.Host{testMinion(2)}, 2, nil)
+	c.Check(p.expectedCapacity(testStart), qt.Equals, 0)
+	refusal := p.enqueue(newTestWaiter(p))
+	c.Assert(refusal, qt.Not(qt.Equals), (*RefusedError)(nil))
+	c.Check(refusal.Reason, qt.Equals, ReasonNoMinion)
+}
