router: overload at a peer is judged by the peer's load

Cause: refuseIfOverloaded compared the peer's expected wait with a limit made of this entry's own average service time, and took the retry time from its own pool. An entry without minions of the service knows no service time, so that it let claims be written for requests that the peer then refused, and told each refused caller to come back at least a second later than the one before, up to a minute.

Change: a load carries the owner's average service time. The limit uses it, and the retry times of callers refused because of a peer are spaced by it, with the rule of the pool, which becomes a type of its own (retryTimes). The field is optional on the wire: from a peer without it, the time is 0, as before, and the retry times are a second apart.

--- a/router/path.go
+++ b/router/path.go
@@ -93,13 +93,19 @@
 		}
 	}
 	p := r.pool(q.service)
-	if to.load.Free <= 0 && to.load.Wait > p.maxAdmittedWait(q.deadline) {
-		return &RefusedError{
-			Reason:     ReasonOverload,
-			RetryAfter: p.minionRetryAfter(),
-		}
+	now := r.settings.clock.Now()
+	if to.load.Free > 0 || to.load.Wait <= min(p.maxWait(), q.deadline.Sub(now)-to.load.ServiceTime) {
+		return nil
 	}
-	return nil
+	refusal := &RefusedError{
+		Reason: ReasonOverload,
+	}
+	if to.peer == nil {
+		refusal.RetryAfter = p.minionRetryAfter()
+	} else {
+		refusal.RetryAfter = to.peer.retryAfter(q.service, to.load, now)
+	}
+	return refusal
 }
 
 func (r *Router) claim(ctx context.Context, q Request) error {
@@ -277,12 +283,12 @@
 	}
 }
 
-// maxAdmittedWait returns the longest expected wait with which a request is admitted.
-func (p *pool) maxAdmittedWait(deadline time.Time) time.Duration {
+// maxWait returns the longest expected wait with which the service's configuration
+// admits a request.
+func (p *pool) maxWait() time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	left := deadline.Sub(p.settings.clock.Now()) - seconds(p.latency)
-	return min(p.config.maxWait, left)
+	return p.config.maxWait
 }
 
 // applyConfig refuses a request that is too large or past its deadline. It sets
--- a/router/peers.go
+++ b/router/peers.go
@@ -38,6 +38,8 @@
 	Queued int
 	// Wait is the expected wait of a new request.
 	Wait time.Duration
+	// ServiceTime is the average service time, 0 if it is not known.
+	ServiceTime time.Duration
 }
 
 // ForwardArgs carries a request to an owner of minions.
@@ -105,6 +107,9 @@
 	// sent to it since then. Both are keyed by service.
 	loads     map[string]Load
 	sentSince map[string]int
+	// retries are the retry times given to callers whose requests were refused
+	// because of the peer's load, by service.
+	retries map[string]retryTimes
 	// answeredAt is when the peer last answered. It starts at the peer's creation.
 	answeredAt time.Time
 	leaving    bool
@@ -118,6 +123,7 @@
 		address:    address,
 		loads:      make(map[string]Load),
 		sentSince:  make(map[string]int),
+		retries:    make(map[string]retryTimes),
 		answeredAt: now,
 		silent:     make(chan struct{}),
 	}
@@ -187,6 +193,21 @@
 	return l, true
 }
 
+// retryAfter returns the retry time for a caller whose request was refused because
+// of the peer's load.
+func (p *peer) retryAfter(service string, l Load, now time.Time) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	wait, step := defaultRetryAfter, defaultRetryAfter
+	if l.Slots > 0 && l.ServiceTime > 0 {
+		wait, step = l.Wait, l.ServiceTime/time.Duration(l.Slots)
+	}
+	times := p.retries[service]
+	after := times.next(now, wait, step)
+	p.retries[service] = times
+	return after
+}
+
 func (p *peer) recordSent(service string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/router/pool.go
+++ b/router/pool.go
@@ -40,9 +40,8 @@
 	latency float64
 	// choiceCount counts the choices of a minion.
 	choiceCount int
-	// lastRetryAt is the retry time given to the caller that was refused last,
-	// without the random part.
-	lastRetryAt time.Time
+	// retries are the retry times given to the refused callers.
+	retries retryTimes
 	// noSlotSince is the time since which waiters can expect no slot, zero if they
 	// can expect one.
 	noSlotSince time.Time
@@ -216,29 +215,40 @@
 	return nil
 }
 
-// newRefusal returns a refusal with a retry time. Each refused caller gets a later
-// time than the one before, spaced at the rate at which requests are served, so
-// that callers refused together do not return together.
+// newRefusal returns a refusal with a retry time.
 func (p *pool) newRefusal(reason Reason, now time.Time) *RefusedError {
-	base := now.Add(defaultRetryAfter)
-	step := defaultRetryAfter
+	wait, step := defaultRetryAfter, defaultRetryAfter
 	if slots := p.expectedCapacity(now); slots > 0 && p.latency > 0 {
 		step = seconds(p.latency / float64(slots))
-		base = now.Add(time.Duration(p.queue.size) * step)
+		wait = time.Duration(p.queue.size) * step
 	}
-	if p.lastRetryAt.Before(base) {
-		p.lastRetryAt = base
+	return &RefusedError{
+		Reason:     reason,
+		RetryAfter: p.retries.next(now, wait, step),
+	}
+}
+
+// retryTimes gives each refused caller a later retry time than the one before,
+// spaced at the rate at which requests are served, so that callers refused together
+// do not return together.
+type retryTimes struct {
+	// last is the retry time given last.
+	last time.Time
+}
+
+// next returns the next retry time, which is after the wait. step is the time in
+// which one request is served.
+func (t *retryTimes) next(now time.Time, wait, step time.Duration) time.Duration {
+	if base := now.Add(wait); t.last.Before(base) {
+		t.last = base
 	}
-	p.lastRetryAt = p.lastRetryAt.Add(step + time.Duration(rand.Float64()*retryAfterSpread*float64(step)))
-	after := p.lastRetryAt.Sub(now)
+	t.last = t.last.Add(step + time.Duration(rand.Float64()*retryAfterSpread*float64(step)))
+	after := t.last.Sub(now)
 	if after > maxRetryAfter {
 		after = maxRetryAfter/2 + rand.N(maxRetryAfter/2)
-		p.lastRetryAt = now.Add(maxRetryAfter)
-	}
-	return &RefusedError{
-		Reason:     reason,
-		RetryAfter: after,
+		t.last = now.Add(maxRetryAfter)
 	}
+	return after
 }
 
 // minionRetryAfter returns the retry time for a caller whose request was refused by
@@ -508,7 +518,8 @@
 	now := p.settings.clock.Now()
 	sinceStart := p.settings.sinceStart(now)
 	l := Load{
-		Queued: p.queue.size,
+		Queued:      p.queue.size,
+		ServiceTime: seconds(p.latency),
 	}
 	for _, m := range p.owned {
 		l.Free += m.freeSlots(now, sinceStart)
