router: errors of claims are logged

Cause: claim turned every error of the Claimer into the same refusal and dropped it, so that nothing said why non-idempotent requests were refused.

Change: the router warns of such an error, at most once in 10 s, with the number of those that it did not log since. Faults of the caller (a bad or an old identity) and callers that have gone are not logged.

Test: TestClaimErrorsAreLogged. Without the call that logs, it fails: no entry, want one.

--- a/router/path.go
+++ b/router/path.go
@@ -23,6 +23,9 @@
 	// claimRetryAfter is the shortest retry time given to a caller when claims
 	// cannot be recorded. Up to as much again is added at random.
 	claimRetryAfter = 2 * time.Second
+	// claimWarnInterval is the shortest time between two warnings of claims that
+	// were not made.
+	claimWarnInterval = 10 * time.Second
 )
 
 // Do runs a request at a minion and returns the complete answer. It returns by the
@@ -112,9 +115,9 @@
 	if r.settings.claimer == nil {
 		return claimsUnavailable()
 	}
-	ctx, stop := r.withLimit(ctx, min(claimTimeout, q.deadline.Sub(r.settings.clock.Now())), nil)
+	claimCtx, stop := r.withLimit(ctx, min(claimTimeout, q.deadline.Sub(r.settings.clock.Now())), nil)
 	defer stop()
-	verdict, err := r.settings.claimer.Claim(ctx, q.identity)
+	verdict, err := r.settings.claimer.Claim(claimCtx, q.identity)
 	switch {
 	case errors.Is(err, ErrIdentity):
 		return &RefusedError{
@@ -125,6 +128,9 @@
 			Reason: ReasonExpired,
 		}
 	case err != nil:
+		if ctx.Err() == nil {
+			r.warnOfClaim(err)
+		}
 		return claimsUnavailable()
 	case !verdict.Won:
 		e := &ClaimedError{
@@ -139,6 +145,22 @@
 	}
 }
 
+// warnOfClaim logs why a claim was not made, at most once in claimWarnInterval.
+func (r *Router) warnOfClaim(err error) {
+	now := r.settings.clock.Now()
+	r.mu.Lock()
+	if now.Before(r.nextClaimWarningAt) {
+		r.unloggedClaims++
+		r.mu.Unlock()
+		return
+	}
+	unlogged := r.unloggedClaims
+	r.unloggedClaims = 0
+	r.nextClaimWarningAt = now.Add(claimWarnInterval)
+	r.mu.Unlock()
+	r.log.WithError(err).WithField("unlogged", unlogged).Warn("router: a claim was not made")
+}
+
 func claimsUnavailable() error {
 	return &RefusedError{
 		Reason:     ReasonNoClaims,
--- a/router/path_test.go
+++ b/router/path_test.go
@@ -1,10 +1,13 @@
 package router
 
 import (
+	"context"
 	"net/http"
 	"testing"
 	"time"
 
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/memory"
 	qt "github.com/frankban/quicktest"
 
 	"github.com/galenacove/galenacove/connector"
@@ -81,3 +84,49 @@
 		c.Check(r.refuseIfOverloaded(request(900*time.Millisecond)), qt.IsNotNil)
 	})
 }
+
+// TestClaimErrorsAreLogged guards against a regression: the error of a claim that
+// was not made was dropped, so that nothing said why requests were refused.
+func TestClaimErrorsAreLogged(t *testing.T) {
+	c := qt.New(t)
+	clock := timekeeper.NewFake(testStart)
+	logged := memory.New()
+	claims := &fixedClaimer{
+		err: ErrNotClaimed,
+	}
+	r := newRouterOfPeer(clock, Load{
+		Free: 8,
+	}, Claims(claims), Logger(&log.Logger{
+		Handler: logged,
+		Level:   log.WarnLevel,
+	}))
+	claim := func(ctx context.Context) {
+		err := r.claim(ctx, NewRequest(testService, http.MethodPost, "/", Identity("id"), Deadline(clock.Now().Add(time.Second))))
+		c.Assert(err, qt.IsNotNil)
+	}
+	claim(t.Context())
+	c.Assert(logged.Entries, qt.HasLen, 1)
+	c.Check(logged.Entries[0].Message, qt.Equals, "router: a claim was not made")
+	c.Check(logged.Entries[0].Fields["error"], qt.Equals, ErrNotClaimed.Error())
+
+	// An unreachable log does not flood the router's log.
+	claim(t.Context())
+	clock.Advance(claimWarnInterval - 1)
+	claim(t.Context())
+	c.Assert(logged.Entries, qt.HasLen, 1)
+	clock.Advance(1)
+	claim(t.Context())
+	c.Assert(logged.Entries, qt.HasLen, 2)
+	c.Check(logged.Entries[1].Fields["unlogged"], qt.Equals, 2)
+
+	// Faults of callers, and callers that have gone, are not logged.
+	clock.Advance(claimWarnInterval)
+	gone, cancel := context.WithCancel(t.Context())
+	cancel()
+	claim(gone)
+	claims.err = ErrExpired
+	claim(t.Context())
+	claims.err = ErrIdentity
+	claim(t.Context())
+	c.Assert(logged.Entries, qt.HasLen, 2)
+}
--- a/router/router.go
+++ b/router/router.go
@@ -78,6 +78,10 @@
 	inFlight  int
 	isLeaving bool
 	idle      chan struct{}
+	// nextClaimWarningAt is the earliest time of the next warning of a claim that
+	// was not made. unloggedClaims counts those since the last warning.
+	nextClaimWarningAt time.Time
+	unloggedClaims     int
 }
 
 // New returns a router for the entry process with the given name. It refuses
