galenacove do: refuse more input than the limit

Cause: do read at most 16 MiB of statements from standard input and dropped the rest without a word. The statements before the cut were run, and the one at the cut could be read as a shorter one.

Change: longer input is an error, and none of it is run.

Test: TestDoRefusesTooMuchInput. Before, it fails: no error for 16 MiB and one byte.

--- a/cmd/galenacove/do.go
+++ b/cmd/galenacove/do.go
@@ -110,8 +110,14 @@
 	if input == nil {
 		input = os.Stdin
 	}
-	data, err := io.ReadAll(io.LimitReader(input, maxInputSize))
-	return string(data), errors.Wrap(err, "read the statements")
+	data, err := io.ReadAll(io.LimitReader(input, maxInputSize+1))
+	if err != nil {
+		return "", errors.Wrap(err, "read the statements")
+	}
+	if len(data) > maxInputSize {
+		return "", errors.Newf("the statements exceed %d bytes; none was run", maxInputSize)
+	}
+	return string(data), nil
 }
 
 // explainUnknown adds to the error of a command whose outcome is unknown how to
--- a/cmd/galenacove/do_test.go
+++ b/cmd/galenacove/do_test.go
@@ -43,3 +43,16 @@
 	code, _ = run("show jobs")
 	c.Check(code, qt.Equals, exitFailure)
 }
+
+// TestDoRefusesTooMuchInput guards against a regression: of statements read from
+// standard input, those beyond the limit were dropped without an error, and the rest
+// was run.
+func TestDoRefusesTooMuchInput(t *testing.T) {
+	c := qt.New(t)
+	_, err := readStatements("-", strings.NewReader(strings.Repeat("x", maxInputSize+1)))
+	c.Assert(err, qt.ErrorMatches, "the statements exceed 16777216 bytes; none was run")
+
+	text, err := readStatements("-", strings.NewReader(strings.Repeat("x", maxInputSize)))
+	c.Assert(err, qt.IsNil)
+	c.Assert(text, qt.HasLen, maxInputSize)
+}
