--- a/scheduler/gangs.go
+++ b/scheduler/gangs.go
@@ -16,21 +16,23 @@
 		return
 	}
 	st.incompleteSince = time.Time{}
-	chosen := s.chooseGangWorkers(st, p, now, s.mayStartOn)
-	if chosen != nil {
+	// Each worker on which the gang may start now is a candidate too.
+	if candidates := s.chooseGangWorkers(st, p, now, s.isCandidate); candidates != nil {
+		chosen := s.chooseGangWorkers(st, p, now, s.mayStartOn)
+		if chosen == nil {
+			// There is free capacity, but tickets have expired.
+			s.callAdviser(st, distinctWorkers(candidates), now)
+			s.reserve(st, p, distinctWorkers(candidates), now.Add(st.adviceCost(len(candidates))))
+			return
+		}
 		newAttempt := s.newAttempt()
 		st.gangAttempt = newAttempt
 		for i, w := range chosen {
 			s.startRun(st, i, w, newAttempt, now)
+			delete(s.endsByWorker, w)
 		}
 		return
 	}
-	if chosen = s.chooseGangWorkers(st, p, now, s.isCandidate); chosen != nil {
-		// There is free capacity, but tickets have expired.
-		s.callAdviser(st, distinctWorkers(chosen), now)
-		s.reserve(st, p, distinctWorkers(chosen), now.Add(st.adviceCost(len(chosen))))
-		return
-	}
 	s.reserveForGang(st, p, now)
 	if st.job.record.Queue.Advice != nil {
 		s.requestAdvice(st, p, now)
@@ -59,8 +61,9 @@
 // prefers workers on one rack.
 func (s *Scheduler) chooseGangWorkers(st *step, p *pool, now time.Time, eligible func(*step, *worker, time.Time) bool) []*worker {
 	var candidates []workerCapacity
+	size := taskSize(st.phase)
 	for _, w := range p.workers {
-		if !eligible(st, w, now) {
+		if !size.Fits(w.freeCapacity()) || !eligible(st, w, now) {
 			continue
 		}
 		if capacity := s.capacityFor(st, w, p, now); capacity > 0 {
@@ -113,6 +116,10 @@
 // reserveForGang reserves the workers on which the gang can start first. If that
 // would take too long and the gang can still be done in time, it preempts runs.
 func (s *Scheduler) reserveForGang(st *step, p *pool, now time.Time) {
+	inTime := st.rank(now) == rankInTime
+	if !inTime && p.reservationsLeft() <= 0 {
+		return
+	}
 	expected := s.predictVacancies(st, p, now)
 	var reserved []*worker
 	var completeAt time.Time
@@ -125,7 +132,7 @@
 		reserved = append(reserved, v.worker)
 		completeAt = v.freeAt
 	}
-	if st.rank(now) == rankInTime && (missing > 0 || completeAt.Sub(now) > minPreemptionGain) {
+	if inTime && (missing > 0 || completeAt.Sub(now) > minPreemptionGain) {
 		if preempted := s.preempt(st, len(st.tasks), p, now); preempted != nil {
 			s.reserve(st, p, preempted, now.Add(s.options.stopTimeout))
 			if !s.allHaveTickets(st, preempted, now.Add(s.options.stopTimeout)) {
@@ -134,7 +141,7 @@
 			return
 		}
 	}
-	if missing > 0 || float64(len(p.reservedUntil)+len(reserved)) > maxReservedShare*float64(len(p.workers))+1 {
+	if missing > 0 || len(reserved) > p.reservationsLeft() {
 		return
 	}
 	s.reserve(st, p, reserved, completeAt)
@@ -143,6 +150,11 @@
 	}
 }
 
+// reservationsLeft returns how many more workers may be reserved for a gang.
+func (p *pool) reservationsLeft() int {
+	return int(maxReservedShare*float64(len(p.workers))+1) - len(p.reservedUntil)
+}
+
 // allHaveTickets reports whether the step's tickets for all workers are valid at
 // the given time.
 func (s *Scheduler) allHaveTickets(st *step, workers []*worker, at time.Time) bool {
@@ -161,25 +173,50 @@
 	if wanted <= 0 {
 		return now, 0
 	}
-	runs := sortedRuns(w)
-	slices.SortStableFunc(runs, func(a, b *run) int {
-		return cmp.Compare(s.remainingTime(a, now), s.remainingTime(b, now))
-	})
 	freeCapacity := w.freeCapacity()
+	if countFitting(size, freeCapacity) >= wanted {
+		return now, wanted
+	}
 	freeAt := now
-	for _, r := range runs {
-		if countFitting(size, freeCapacity) >= wanted {
-			break
-		}
-		if r.lasting {
+	for _, e := range s.expectedEnds(w, now) {
+		if countFitting(size, freeCapacity) >= wanted || e.run.lasting {
 			break
 		}
-		freeCapacity = freeCapacity.Add(r.size)
-		freeAt = now.Add(s.remainingTime(r, now))
+		freeCapacity = freeCapacity.Add(e.run.size)
+		freeAt = now.Add(e.remaining)
 	}
 	return freeAt, min(wanted, countFitting(size, freeCapacity))
 }
 
+// expectedEnd is a run with the time that it will probably still take.
+type expectedEnd struct {
+	run       *run
+	remaining time.Duration
+}
+
+// expectedEnds returns the runs on a worker in the order in which they will probably
+// end.
+func (s *Scheduler) expectedEnds(w *worker, now time.Time) []expectedEnd {
+	if ends, found := s.endsByWorker[w]; found {
+		return ends
+	}
+	ends := make([]expectedEnd, 0, len(w.runs))
+	for _, r := range w.runs {
+		ends = append(ends, expectedEnd{
+			run:       r,
+			remaining: s.remainingTime(r, now),
+		})
+	}
+	slices.SortFunc(ends, func(a, b expectedEnd) int {
+		if c := cmp.Compare(a.remaining, b.remaining); c != 0 {
+			return c
+		}
+		return compareTasks(a.run.ref.Task, b.run.ref.Task)
+	})
+	s.endsByWorker[w] = ends
+	return ends
+}
+
 // reserve reserves the workers for the step until the given time. Their free capacity no
 // longer counts as free in the pool for steps that are placed later in the tick.
 func (s *Scheduler) reserve(st *step, p *pool, workers []*worker, until time.Time) {
--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -106,17 +106,23 @@
 // steps' rank. It then preempts, moves and copies runs, and asks for advice ahead.
 func (s *Scheduler) placeSteps(now time.Time) {
 	pools := s.pools(now)
+	clear(s.endsByWorker)
 	for _, st := range s.startableSteps(now) {
 		p := pools[st.job.record.Queue.Service]
 		if p == nil {
 			continue
 		}
+		effects := len(s.effects)
 		p.classifySize(st)
 		if st.phase.Gang {
 			s.placeGang(st, p, now)
 		} else {
 			s.placeTasks(st, p, now)
 		}
+		if len(s.effects) > effects {
+			// Runs may have been stopped.
+			clear(s.endsByWorker)
+		}
 		if st.waiting > 0 {
 			s.explain(st, p, now)
 		}
@@ -150,6 +156,7 @@
 			continue
 		}
 		s.startRun(st, i, w, s.newAttempt(), now)
+		delete(s.endsByWorker, w)
 		p.spareMilliCores -= taskSize(st.phase).MilliCores()
 	}
 	if st.waiting > 0 && st.reservesWorkers() {
@@ -188,8 +195,9 @@
 func (s *Scheduler) chooseWorker(st *step, t *task, p *pool, now time.Time) *worker {
 	var best *worker
 	var bestScore float64
+	size := taskSize(st.phase)
 	for _, w := range p.workers {
-		if !s.mayStartOn(st, w, now) || !s.fitsOn(st, w, p, now) {
+		if !size.Fits(w.freeCapacity()) || !s.mayStartOn(st, w, now) || !s.fitsOn(st, w, p, now) {
 			continue
 		}
 		score := s.score(st, w)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -69,8 +69,12 @@
 	nextBatch, storedBatch int64
 	// droppedJobs holds the identities of the jobs that the store can delete.
 	droppedJobs []string
-	effects     []Effect
-	notes       []Note
+	// endsByWorker caches the results of expectedEnds during placeSteps. A worker's
+	// entry is dropped when a run is started there, and all entries are when runs
+	// may have been stopped.
+	endsByWorker map[*worker][]expectedEnd
+	effects      []Effect
+	notes        []Note
 }
 
 // queueStats holds the statistics of a queue.
@@ -108,6 +112,7 @@
 		copyableSteps:          make(map[StepRef]*step),
 		jobsWithUncreatedSteps: make(map[string]*job),
 		queues:                 make(map[string]*queueStats),
+		endsByWorker:           make(map[*worker][]expectedEnd),
 		adviceInFlight:         make(map[bool]int),
 		adviceLimits: map[bool]int{
 			true:  defaultAdviceCalls,
