coordinator: an entry of 0.8 cores decides on shards of about 160 workers

Change: the shard size follows from the cores of the deciding entry, 160 from 0.8 cores, 126 from 0.4, else 63. So 350 and 389 workers make two shards, 252 still make two. A service with a record keeps its shards, as records are never replaced.

Before the change TestWideStepFindsEnoughApprovedWorkersInItsShard fails: partition 7 has 117 workers, about 35 approved, 41 are needed.

Ruled out: one shard of 350.

--- a/coordinator/largerpeers.go
+++ b/coordinator/largerpeers.go
@@ -23,9 +23,6 @@
 	// maxLargerAsked is the number of larger entries that are asked in each round,
 	// as long as one of them is known to be a member.
 	maxLargerAsked = 2
-	// largeEntryCores is the number of cores from which an entry decides on shards
-	// of the larger size.
-	largeEntryCores = 0.4
 )
 
 // peer is what an entry publishes about itself.
--- a/coordinator/options.go
+++ b/coordinator/options.go
@@ -57,10 +57,7 @@
 		opt(&s)
 	}
 	if s.shardSize == 0 {
-		s.shardSize = defaultShardSize
-		if s.cores >= largeEntryCores {
-			s.shardSize = largeShardSize
-		}
+		s.shardSize = shardSizeFor(s.cores)
 	}
 	return s
 }
@@ -117,8 +114,9 @@
 }
 
 // ShardSize sets the approximate number of workers that one owner serves. The
-// default is 126 for entries of 0.4 cores or more, and 63 for others. It applies
-// only when the number of shards of a service is first decided.
+// default is 160 for entries of 0.8 cores or more, 126 for other entries of 0.4 cores
+// or more, and 63 for the rest. It applies only when the number of shards of a service
+// is first decided.
 func ShardSize(workers int) Option {
 	return func(s *settings) {
 		s.shardSize = workers
--- a/coordinator/shards.go
+++ b/coordinator/shards.go
@@ -29,10 +29,15 @@
 	// as many as an entry can serve in a burst with a fifth of a core, the
 	// smallest share of a host that an entry gets.
 	defaultShardSize = 63
-	// largeShardSize is the same for entries with twice as many cores. A step that
-	// runs its tasks on separate workers finds more workers in a shard of this
-	// size.
+	// largeShardSize is the same for entries of largeEntryCores or more, and
+	// hugeShardSize for those of hugeEntryCores or more. A step that runs its tasks on
+	// separate workers finds more workers in a larger shard.
 	largeShardSize = 126
+	hugeShardSize  = 160
+	// largeEntryCores and hugeEntryCores are the numbers of cores from which an entry
+	// decides on shards of these sizes.
+	largeEntryCores = 0.4
+	hugeEntryCores  = 0.8
 	// emptyServiceWait is how long a configured service may have no workers before
 	// it gets one shard.
 	emptyServiceWait = 3 * time.Second
@@ -53,6 +58,19 @@
 	Shard int `json:"shard"`
 }
 
+// shardSizeFor returns the approximate number of workers that an owner with that number
+// of cores serves.
+func shardSizeFor(cores float64) int {
+	switch {
+	case cores >= hugeEntryCores:
+		return hugeShardSize
+	case cores >= largeEntryCores:
+		return largeShardSize
+	default:
+		return defaultShardSize
+	}
+}
+
 // shards determines the shard of each job and worker. All entries read the same
 // records, and each record is written on the condition that no record was added
 // since its writer last read, so that all entries agree.
--- a/coordinator/shards_test.go
+++ b/coordinator/shards_test.go
@@ -362,6 +362,87 @@
 	c.Assert(slices.Contains([]int{5, 6}, partition), qt.IsTrue)
 }
 
+// TestWideStepFindsEnoughApprovedWorkersInItsShard guards against a step that waits for
+// good because it keeps its tasks apart, or is a gang, and needs more approved workers
+// than its shard has: 41 tasks in a shard of 117 workers, of which the adviser approves
+// three in ten.
+func TestWideStepFindsEnoughApprovedWorkersInItsShard(t *testing.T) {
+	c := qt.New(t)
+	const (
+		workerCount   = 350
+		widestStep    = 41
+		approvedShare = 0.3
+	)
+	d := newShardDecider(c, storer.NewMemory(timekeeper.NewFake(testStart)))
+	d.shards = newShards(newSettings([]Option{Cores(0.8)}).shardSize, testPartitions)
+	c.Assert(d.read(), qt.HasLen, 0)
+	workers := workersFor("any", 1+workerCount/defaultShardSize)[:workerCount]
+	d.decide(workers)
+	workerCounts := make(map[int]int)
+	for _, worker := range workers {
+		partition, known := d.shards.partitionOfWorker(worker)
+		c.Assert(known, qt.IsTrue)
+		workerCounts[partition]++
+	}
+	for partition, count := range workerCounts {
+		approved := int(approvedShare * float64(count))
+		c.Assert(approved >= widestStep, qt.IsTrue, qt.Commentf("partition %d, %d workers, about %d approved", partition, count, approved))
+	}
+}
+
+// TestShardSizeFollowsTheCores guards against an owner that falls behind because its
+// shard is too large for its cores.
+func TestShardSizeFollowsTheCores(t *testing.T) {
+	for _, test := range []struct {
+		cores float64
+		want  int
+	}{
+		{
+			cores: 0,
+			want:  63,
+		},
+		{
+			cores: 0.192,
+			want:  63,
+		},
+		{
+			cores: 0.4,
+			want:  126,
+		},
+		{
+			cores: 0.79,
+			want:  126,
+		},
+		{
+			cores: 0.8,
+			want:  160,
+		},
+		{
+			cores: 4,
+			want:  160,
+		},
+	} {
+		t.Run(fmt.Sprintf("%g cores", test.cores), func(t *testing.T) {
+			qt.New(t).Assert(newSettings([]Option{Cores(test.cores)}).shardSize, qt.Equals, test.want)
+		})
+	}
+}
+
+// TestServiceWithSmallerShardsKeepsThem guards against jobs that are looked up in
+// another shard after a release that decides on larger shards.
+func TestServiceWithSmallerShardsKeepsThem(t *testing.T) {
+	c := qt.New(t)
+	store := storer.NewMemory(timekeeper.NewFake(testStart))
+	workers := workersFor("any", 5)
+	newShardDecider(c, store).decide(workers)
+	later := newShardDecider(c, store)
+	before := later.shards.partitionsOfService("any")
+	c.Assert(before, qt.HasLen, 5)
+	later.shards.workersPerShard = hugeShardSize
+	later.decide(append(workers, workersFor("any", 6)[len(workers):]...))
+	c.Assert(later.shards.partitionsOfService("any"), qt.DeepEquals, before)
+}
+
 // TestBadRecordsOfShardsAreReported guards against an entry that, because of one
 // invalid record, stops or looks for jobs in partitions where no other entry does.
 func TestBadRecordsOfShardsAreReported(t *testing.T) {
