--- a/conductor/recovery.go
+++ b/conductor/recovery.go
@@ -4,9 +4,11 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
@@ -59,28 +61,54 @@
 	}
 	now := c.clock.Now()
 	s := scheduler.New(c.token, now, c.options...)
-	progressByJob, workersInUse := c.decodeProgress(progress)
+	s.AllowPlacements(c.placementsAllowed())
+	progressByJob, workersInUse, silent := c.decodeProgress(progress)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s.ConfirmOwnership(c.confirmedAt)
 	s.AddFormerWorkers(workersInUse)
+	s.SetFormerSilence(silent)
 	s.SetWorkers(c.directoryWorkers)
 	c.scheduler = s
 	c.applyRecords(jobs, progressByJob, now)
 	c.next = next
 	c.ready = true
+	c.logFormerWorkers(workersInUse)
 	return nil
 }
 
-// decodeProgress returns the progress of each job, and the workers in use.
-func (c *Conductor) decodeProgress(records []storer.Record) (map[string]*scheduler.Progress, []scheduler.WorkerEntry) {
+// logFormerWorkers logs how many workers the former owner used, and how many of
+// them the directory no longer lists. The caller holds mu.
+func (c *Conductor) logFormerWorkers(former []scheduler.WorkerEntry) {
+	unlisted := 0
+	for _, entry := range former {
+		if !slices.ContainsFunc(c.directoryWorkers, func(w scheduler.WorkerEntry) bool { return w.Ref == entry.Ref }) {
+			unlisted++
+		}
+	}
+	c.logger.WithFields(log.Fields{
+		"partition": c.partition,
+		"token":     c.token,
+		"listed":    len(c.directoryWorkers),
+		"former":    len(former),
+		"unlisted":  unlisted,
+	}).Info("conductor: the workers of the former owner were read")
+}
+
+// decodeProgress returns the progress of each job, the workers in use, and those that
+// have been silent.
+func (c *Conductor) decodeProgress(records []storer.Record) (map[string]*scheduler.Progress, []scheduler.WorkerEntry, []scheduler.SilentWorker) {
 	progressByJob := make(map[string]*scheduler.Progress, len(records))
 	var workersInUse []scheduler.WorkerEntry
+	var silent []scheduler.SilentWorker
 	for _, record := range records {
 		var err error
-		if record.Key == workersKey {
+		switch record.Key {
+		case workersKey:
 			err = json.Unmarshal(record.Value, &workersInUse)
-		} else {
+		case silentKey:
+			err = json.Unmarshal(record.Value, &silent)
+		default:
 			progress := new(scheduler.Progress)
 			if err = json.Unmarshal(record.Value, progress); err == nil {
 				progressByJob[record.Key] = progress
@@ -90,7 +118,7 @@
 			c.logger.WithError(err).WithField("id", record.Key).Error("conductor: stored progress cannot be decoded")
 		}
 	}
-	return progressByJob, workersInUse
+	return progressByJob, workersInUse, silent
 }
 
 // applyRecords adds and cancels jobs according to records of the jobs topic.
--- a/coordinator/largerpeers.go
+++ b/coordinator/largerpeers.go
@@ -23,9 +23,6 @@
 	// maxLargerAsked is the number of larger entries that are asked in each round,
 	// as long as one of them is known to be a member.
 	maxLargerAsked = 2
-	// largeEntryCores is the number of cores from which an entry decides on shards
-	// of the larger size.
-	largeEntryCores = 0.4
 )
 
 // peer is what an entry publishes about itself.
@@ -33,6 +30,20 @@
 	Address string `json:"address"`
 	// Cores is the number of cores that the entry may use, 0 for unknown.
 	Cores float64 `json:"cores,omitempty"`
+	// Placements is set if the entry, as an owner, keeps the stored placements of
+	// lasting tasks up to date. Older releases do not.
+	Placements bool `json:"placements,omitempty"`
+}
+
+// allKeepPlacements reports whether every one of the peers keeps the stored
+// placements of lasting tasks up to date.
+func allKeepPlacements(peers map[string]peer) bool {
+	for _, p := range peers {
+		if !p.Placements {
+			return false
+		}
+	}
+	return true
 }
 
 func encodePeer(p peer) ([]byte, error) {
--- a/dispatcher/assign.go
+++ b/dispatcher/assign.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"time"
 
-	"github.com/galenacove/galenacove/recorder"
 	"github.com/galenacove/galenacove/sizer"
 )
 
@@ -52,28 +51,35 @@
 // and all workers together for the given number of tasks. Once that has not
 // been so for the time set by UnfitAfter, it fails the job.
 func (t *tables) checkFit(j *homeJob, tasks int) bool {
-	var nearest sizer.Size
-	var total sizer.Size
-	anyShape := false
+	size := j.job.Size
+	var nearest, total sizer.Size
+	anyShape, fitsWorker := false, false
 	for _, summary := range t.knownSummaries() {
 		total = total.Add(summary.Capacity)
 		for _, shape := range summary.Shapes {
-			if j.job.Size.Fits(shape) && (tasks == 1 || j.job.Size.Times(int64(tasks)).Fits(total)) {
-				j.unfitSince = time.Time{}
-				return true
-			}
 			anyShape = true
-			nearest = nearerShape(j.job.Size, nearest, shape)
+			fitsWorker = fitsWorker || size.Fits(shape)
+			nearest = nearerShape(size, nearest, shape)
 		}
 	}
+	if fitsWorker && (tasks == 1 || size.Times(int64(tasks)).Fits(total)) {
+		j.unfitSince = time.Time{}
+		j.unfitReason = ""
+		return true
+	}
 	if !anyShape || !t.censusComplete {
 		return false
 	}
 	if j.unfitSince.IsZero() {
 		j.unfitSince = t.now
 	}
+	if fitsWorker {
+		j.unfitReason = fmt.Sprintf("%d tasks of %s at once are more than all workers have: %s", tasks, size, total)
+	} else {
+		j.unfitReason = fmt.Sprintf("no worker has %s; the nearest has %s", size, nearest)
+	}
 	if t.now.Sub(j.unfitSince) >= t.settings.unfitAfter {
-		t.failJob(j, unfitReason(j.job, nearest, total))
+		t.failJob(j, j.unfitReason)
 	}
 	return false
 }
@@ -85,10 +91,3 @@
 	}
 	return a
 }
-
-func unfitReason(job recorder.Job, nearest, total sizer.Size) string {
-	if !job.Size.Fits(nearest) {
-		return fmt.Sprintf("no worker has %s; the nearest has %s", job.Size, nearest)
-	}
-	return fmt.Sprintf("%d tasks of %s at once are more than all workers have: %s", job.Tasks, job.Size, total)
-}
--- a/router/path.go
+++ b/router/path.go
@@ -23,6 +23,9 @@
 	// claimRetryAfter is the shortest retry time given to a caller when claims
 	// cannot be recorded. Up to as much again is added at random.
 	claimRetryAfter = 2 * time.Second
+	// claimWarnInterval is the shortest time between two warnings of claims that
+	// were not made.
+	claimWarnInterval = 10 * time.Second
 )
 
 // Do runs a request at a minion and returns the complete answer. It returns by the
@@ -93,22 +96,28 @@
 		}
 	}
 	p := r.pool(q.service)
-	if to.load.Free <= 0 && to.load.Wait > p.maxAdmittedWait(q.deadline) {
-		return &RefusedError{
-			Reason:     ReasonOverload,
-			RetryAfter: p.minionRetryAfter(),
-		}
+	now := r.settings.clock.Now()
+	if to.load.Free > 0 || to.load.Wait <= min(p.maxWait(), q.deadline.Sub(now)-to.load.ServiceTime) {
+		return nil
 	}
-	return nil
+	refusal := &RefusedError{
+		Reason: ReasonOverload,
+	}
+	if to.peer == nil {
+		refusal.RetryAfter = p.minionRetryAfter()
+	} else {
+		refusal.RetryAfter = to.peer.retryAfter(q.service, to.load, now)
+	}
+	return refusal
 }
 
 func (r *Router) claim(ctx context.Context, q Request) error {
 	if r.settings.claimer == nil {
 		return claimsUnavailable()
 	}
-	ctx, stop := r.withLimit(ctx, min(claimTimeout, q.deadline.Sub(r.settings.clock.Now())), nil)
+	claimCtx, stop := r.withLimit(ctx, min(claimTimeout, q.deadline.Sub(r.settings.clock.Now())), nil)
 	defer stop()
-	verdict, err := r.settings.claimer.Claim(ctx, q.identity)
+	verdict, err := r.settings.claimer.Claim(claimCtx, q.identity)
 	switch {
 	case errors.Is(err, ErrIdentity):
 		return &RefusedError{
@@ -119,6 +128,9 @@
 			Reason: ReasonExpired,
 		}
 	case err != nil:
+		if ctx.Err() == nil {
+			r.warnOfClaim(err)
+		}
 		return claimsUnavailable()
 	case !verdict.Won:
 		e := &ClaimedError{
@@ -133,6 +145,22 @@
 	}
 }
 
+// warnOfClaim logs why a claim was not made, at most once in claimWarnInterval.
+func (r *Router) warnOfClaim(err error) {
+	now := r.settings.clock.Now()
+	r.mu.Lock()
+	if now.Before(r.nextClaimWarningAt) {
+		r.unloggedClaims++
+		r.mu.Unlock()
+		return
+	}
+	unlogged := r.unloggedClaims
+	r.unloggedClaims = 0
+	r.nextClaimWarningAt = now.Add(claimWarnInterval)
+	r.mu.Unlock()
+	r.log.WithError(err).WithField("unlogged", unlogged).Warn("router: a claim was not made")
+}
+
 func claimsUnavailable() error {
 	return &RefusedError{
 		Reason:     ReasonNoClaims,
@@ -277,12 +305,12 @@
 	}
 }
 
-// maxAdmittedWait returns the longest expected wait with which a request is admitted.
-func (p *pool) maxAdmittedWait(deadline time.Time) time.Duration {
+// maxWait returns the longest expected wait with which the service's configuration
+// admits a request.
+func (p *pool) maxWait() time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	left := deadline.Sub(p.settings.clock.Now()) - seconds(p.latency)
-	return min(p.config.maxWait, left)
+	return p.config.maxWait
 }
 
 // applyConfig refuses a request that is too large or past its deadline. It sets
--- a/scheduler/interleaving_test.go
+++ b/scheduler/interleaving_test.go
@@ -33,6 +33,12 @@
 	acknowledgedAgain fault = "ends are acknowledged when they are reported again"
 	// workersUnnamed hides from the next owner on which workers jobs may run.
 	workersUnnamed fault = "stored jobs name no workers"
+	// placementsUnnamed hides from the next owner on which workers lasting tasks may
+	// run.
+	placementsUnnamed fault = "stored placements name no workers"
+	// silenceOverstated tells the next owner that workers have been silent for longer
+	// than they have.
+	silenceOverstated fault = "stored silence is too long"
 	// leasesUnlimited lets former owners grant leases that outlive the next
 	// owner's wait.
 	leasesUnlimited fault = "former owners go on granting leases"
@@ -57,11 +63,15 @@
 	jobs         []scheduler.Job
 	progress     map[string]scheduler.Progress
 	workersInUse []scheduler.WorkerEntry
+	silent       []scheduler.SilentWorker
 	// acknowledgedTasks holds the tasks that are done and whose end was
 	// acknowledged.
 	acknowledgedTasks map[scheduler.TaskRef]bool
 	// storeStalled is set while the store takes no writes.
 	storeStalled bool
+	// flakyDirectory is set if the directory now and then leaves out a worker that
+	// is up.
+	flakyDirectory bool
 	// violation describes the first violated invariant.
 	violation string
 }
@@ -113,7 +123,7 @@
 	storeUnreachable bool
 }
 
-func newModel(seeded fault, draw func(int) int) *model {
+func newModel(seeded fault, draw func(int) int, opts ...func(*model)) *model {
 	m := &model{
 		fault:             seeded,
 		draw:              draw,
@@ -139,10 +149,29 @@
 			Accepted: m.now,
 		})
 	}
+	for _, opt := range opts {
+		opt(m)
+	}
 	m.takeOver()
 	return m
 }
 
+// withLastingJob adds a job of lasting tasks that run on different workers.
+func withLastingJob(m *model) {
+	phase := newPhase(2, cores(1))
+	phase.Lasting = true
+	phase.PerWorker = 1
+	m.jobs = append(m.jobs, scheduler.Job{
+		ID:       lastingJob,
+		Queue:    deskQueue,
+		Phases:   []scheduler.Phase{phase},
+		Accepted: m.now,
+	})
+}
+
+// lastingJob is the job that withLastingJob adds.
+const lastingJob = "lasting"
+
 func (m *model) addWorker() {
 	id := fmt.Sprintf("w%d", len(m.workers))
 	m.workers = append(m.workers, &modelWorker{
@@ -184,6 +213,13 @@
 		reportedEnds: make(map[string]int64),
 	}
 	o.s.AddFormerWorkers(m.workersInUse)
+	silent := slices.Clone(m.silent)
+	if m.fault == silenceOverstated {
+		for i := range silent {
+			silent[i].For += 5 * time.Second
+		}
+	}
+	o.s.SetFormerSilence(silent)
 	o.s.SetWorkers(m.directory())
 	for _, job := range m.jobs {
 		var progress *scheduler.Progress
@@ -191,6 +227,12 @@
 			if m.fault == workersUnnamed {
 				stored.Workers = nil
 			}
+			if m.fault == placementsUnnamed {
+				stored.Steps = slices.Clone(stored.Steps)
+				for i := range stored.Steps {
+					stored.Steps[i].Placements = nil
+				}
+			}
 			progress = &stored
 		}
 		o.s.AddJob(job, progress, token > 1, m.now)
@@ -214,6 +256,10 @@
 func (m *model) doRandomAction() {
 	o := m.anyOwner()
 	w := m.workers[m.draw(len(m.workers))]
+	if m.flakyDirectory && m.draw(16) == 0 {
+		w.unlisted = !w.unlisted
+		m.current().s.SetWorkers(m.directory())
+	}
 	switch m.draw(16) {
 	case 0, 1:
 		d := time.Duration(20+m.draw(400)) * time.Millisecond
@@ -500,7 +546,8 @@
 		Ended: slices.Clone(w.ended),
 	}
 	for len(w.ended) > 0 && w.ended[0].Number <= acknowledged {
-		if w.ended[0].End == scheduler.EndDone && w.ended[0].Number > w.lastStaleEnd {
+		lasting := w.ended[0].Run.Task.Step.Job == lastingJob
+		if w.ended[0].End == scheduler.EndDone && w.ended[0].Number > w.lastStaleEnd && !lasting {
 			m.acknowledgedTasks[w.ended[0].Run.Task] = true
 		}
 		w.ended = w.ended[1:]
@@ -543,6 +590,9 @@
 		if o.pendingWrite.Workers != nil {
 			m.workersInUse = o.pendingWrite.Workers
 		}
+		if o.pendingWrite.Silent != nil {
+			m.silent = o.pendingWrite.Silent
+		}
 	default:
 		o.s.Written(*o.pendingWrite)
 		o.pendingWrite, o.writeStored = nil, false
@@ -564,6 +614,7 @@
 	o := m.current()
 	o.superseded = false
 	o.s.SetWorkers(m.directory())
+	o.s.Cancel(lastingJob, m.now)
 	for range 300 {
 		m.advance(100 * time.Millisecond)
 		for _, w := range m.workers {
@@ -612,6 +663,52 @@
 	return m.violation
 }
 
+// playModelWithLasting is like playModel, with a job of lasting tasks, which end and
+// are restarted all the time, and many changes of the owner.
+func playModelWithLasting(seeded fault, draw func(int) int) string {
+	m := newModel(seeded, draw, withLastingJob)
+	m.flakyDirectory = true
+	for range 4 {
+		for range 120 {
+			m.doRandomAction()
+		}
+		m.takeOver()
+	}
+	m.recoverAndFinish()
+	return m.violation
+}
+
+// playModelWithSettledOwners is like playModel, but each owner has read the reports of
+// all workers and stored its changes before it is cut off from the store and superseded.
+func playModelWithSettledOwners(seeded fault, draw func(int) int) string {
+	m := newModel(seeded, draw, withLastingJob)
+	for range 4 {
+		m.settle()
+		m.takeOver()
+		for range 120 {
+			m.doRandomAction()
+		}
+	}
+	m.recoverAndFinish()
+	return m.violation
+}
+
+// settle lets the current owner reach all workers and store its changes.
+func (m *model) settle() {
+	o := m.current()
+	for range 3 {
+		for _, w := range m.workers {
+			w.unreachableBy = 0
+			m.renewLease(o, w)
+		}
+		for range 3 {
+			m.write(o)
+		}
+		m.tick(o)
+		m.advance(100 * time.Millisecond)
+	}
+}
+
 // TestAnyInterleavingKeepsInvariants checks that no task runs twice at once or after
 // its end was acknowledged, that no worker has runs beyond its capacity, and that all
 // jobs end, in whatever order owners, workers and the store act. Answers are lost,
@@ -634,8 +731,8 @@
 	for _, test := range []struct {
 		fault fault
 		from  uint64
-		// outages is set if the interleavings have outages of the store.
-		outages bool
+		// play is playModel unless it is set.
+		play func(fault, func(int) int) string
 	}{
 		{
 			fault: tokensIgnored,
@@ -650,15 +747,24 @@
 			fault: acknowledgedEarly,
 		},
 		{
-			fault:   acknowledgedAgain,
-			outages: true,
+			fault: acknowledgedAgain,
+			play:  playModelWithOutages,
 		},
 		{
 			fault: workersUnnamed,
 		},
+		{
+			fault: silenceOverstated,
+			play:  playModelWithSettledOwners,
+		},
+		{
+			fault: placementsUnnamed,
+			play:  playModelWithLasting,
+		},
 		{
 			fault: leasesUnlimited,
-			from:  9000,
+			from:  4000,
+			play:  playModelWithSettledOwners,
 		},
 		{
 			fault: leasesIgnored,
@@ -667,9 +773,9 @@
 		t.Run(string(test.fault), func(t *testing.T) {
 			for seed := test.from; seed < test.from+2000; seed++ {
 				random := rand.New(rand.NewPCG(seed, 7))
-				play := playModel
-				if test.outages {
-					play = playModelWithOutages
+				play := test.play
+				if play == nil {
+					play = playModel
 				}
 				if violation := play(test.fault, random.IntN); violation != "" {
 					t.Logf("seed %d: %s", seed, violation)
@@ -697,3 +803,14 @@
 		qt.Assert(t, playModelWithOutages(noFault, random.IntN), qt.Equals, "", qt.Commentf("seed %d", seed))
 	}
 }
+
+// TestLastingTasksKeepInvariants runs interleavings in which lasting tasks end and are
+// restarted while the owner changes.
+func TestLastingTasksKeepInvariants(t *testing.T) {
+	for seed := range uint64(2000) {
+		random := rand.New(rand.NewPCG(seed, 7))
+		qt.Assert(t, playModelWithLasting(noFault, random.IntN), qt.Equals, "", qt.Commentf("seed %d", seed))
+		random = rand.New(rand.NewPCG(seed, 7))
+		qt.Assert(t, playModelWithSettledOwners(noFault, random.IntN), qt.Equals, "", qt.Commentf("settled owners, seed %d", seed))
+	}
+}
--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -40,8 +40,10 @@
 	// topPriority is the priority of the most urgent queue of the service.
 	topPriority int
 	// reservedUntil holds the workers that are reserved for a step, and the
-	// time at which that step can probably start there.
+	// time at which that step can probably start there. reservedFor holds the
+	// step, with the same keys.
 	reservedUntil map[*worker]time.Time
+	reservedFor   map[*worker]*step
 	// starvedSteps lists the steps for which no worker has capacity, in the
 	// order of rank.
 	starvedSteps []*step
@@ -54,13 +56,14 @@
 func (s *Scheduler) pools(now time.Time) map[string]*pool {
 	pools := make(map[string]*pool)
 	for _, w := range s.workers {
-		if !w.available(now) {
+		if !w.available(now) || s.storedSilent[w.entry.Ref.ID] {
 			continue
 		}
 		p := pools[w.entry.Service]
 		if p == nil {
 			p = &pool{
 				reservedUntil: make(map[*worker]time.Time),
+				reservedFor:   make(map[*worker]*step),
 			}
 			pools[w.entry.Service] = p
 		}
@@ -103,17 +106,23 @@
 // steps' rank. It then preempts, moves and copies runs, and asks for advice ahead.
 func (s *Scheduler) placeSteps(now time.Time) {
 	pools := s.pools(now)
+	clear(s.endsByWorker)
 	for _, st := range s.startableSteps(now) {
 		p := pools[st.job.record.Queue.Service]
 		if p == nil {
 			continue
 		}
+		effects := len(s.effects)
 		p.classifySize(st)
 		if st.phase.Gang {
 			s.placeGang(st, p, now)
 		} else {
 			s.placeTasks(st, p, now)
 		}
+		if len(s.effects) > effects {
+			// Runs may have been stopped.
+			clear(s.endsByWorker)
+		}
 		if st.waiting > 0 {
 			s.explain(st, p, now)
 		}
@@ -123,6 +132,8 @@
 	}
 	s.moveOffLeavingWorkers(pools, now)
 	s.copySlowRuns(pools, now)
+	// Runs may have been started and stopped.
+	clear(s.endsByWorker)
 	s.askAhead(pools, now)
 }
 
@@ -130,7 +141,7 @@
 func (s *Scheduler) placeTasks(st *step, p *pool, now time.Time) {
 	for i := range st.tasks {
 		t := &st.tasks[i]
-		if t.done || t.run != nil {
+		if t.done || t.run != nil || s.taskAwaitsRecovery(t) {
 			continue
 		}
 		if st.leavesHeadroom(p, now) && p.spareMilliCores < taskSize(st.phase).MilliCores() {
@@ -147,6 +158,7 @@
 			continue
 		}
 		s.startRun(st, i, w, s.newAttempt(), now)
+		delete(s.endsByWorker, w)
 		p.spareMilliCores -= taskSize(st.phase).MilliCores()
 	}
 	if st.waiting > 0 && st.reservesWorkers() {
@@ -185,8 +197,12 @@
 func (s *Scheduler) chooseWorker(st *step, t *task, p *pool, now time.Time) *worker {
 	var best *worker
 	var bestScore float64
+	size := taskSize(st.phase)
 	for _, w := range p.workers {
-		if !s.mayStartOn(st, w, now) || !s.fitsOn(st, w, p, now) {
+		if !size.Fits(w.freeCapacity()) || !s.mayStartOn(st, w, now) || !s.fitsOn(st, w, p, now) {
+			continue
+		}
+		if s.storeStalled && st.tracksPlacements && !slices.Contains(t.storedWorkers, w.entry.Ref.ID) {
 			continue
 		}
 		score := s.score(st, w)
@@ -204,7 +220,7 @@
 // worker meets its requirements, and there is a valid ticket if one is needed.
 // While the store is stalled, only workers that are stored for the job qualify.
 func (s *Scheduler) mayStartOn(st *step, w *worker, now time.Time) bool {
-	if !meetsRequirements(st, w) || s.storeStalled && !st.job.storedWorkers[w.entry.Ref.ID] {
+	if !meetsRequirements(st, w) || s.storeStalled && !st.tracksPlacements && !st.job.storedWorkers[w.entry.Ref.ID] {
 		return false
 	}
 	return s.hasValidTicket(st, w, now)
--- a/scheduler/rig_test.go
+++ b/scheduler/rig_test.go
@@ -22,6 +22,10 @@
 	workersByID map[string]*fakeWorker
 	// stored is the progress that was written to the store, by job.
 	stored map[string]scheduler.Progress
+	// storedWorkers holds the workers in use that were written to the store.
+	storedWorkers []scheduler.WorkerEntry
+	// storedSilent holds the silent workers that were written to the store.
+	storedSilent []scheduler.SilentWorker
 	// effects holds the effects of the last tick.
 	effects []scheduler.Effect
 }
@@ -206,6 +210,12 @@
 	for _, progress := range write.Jobs {
 		r.stored[progress.ID] = progress.Progress
 	}
+	if len(write.Workers) > 0 {
+		r.storedWorkers = write.Workers
+	}
+	if write.Silent != nil {
+		r.storedSilent = write.Silent
+	}
 	return write
 }
 
--- a/scheduler/tables.go
+++ b/scheduler/tables.go
@@ -71,6 +71,11 @@
 	// that at which its first task was started, and endedAt that at which its
 	// last task was done.
 	readyAt, startedAt, endedAt time.Time
+	// tracksPlacements is set if the store lists for each task of the step the
+	// workers on which it may run. A start then waits until its worker is listed for
+	// the task, and after a takeover only the tasks wait whose workers have not
+	// reported.
+	tracksPlacements bool
 	// explainedAt is the time at which the log last explained why the step
 	// waits.
 	explainedAt time.Time
@@ -93,6 +98,10 @@
 	// avoidWorkers lists the workers on which a run of the task failed or made
 	// no progress.
 	avoidWorkers []string
+	// storedWorkers holds the workers that the store lists for the task, and
+	// formerWorkers those that it listed when this owner took over. Both are empty
+	// unless the step's tracksPlacements is set.
+	storedWorkers, formerWorkers []string
 	// notRunningSince is the time since which a lasting task has not been in
 	// service, zero while it is.
 	notRunningSince time.Time
@@ -108,6 +117,10 @@
 	// adviceInFlight is set while a call awaits its answer, and quickCall is set
 	// if that call counts as quick.
 	adviceInFlight, quickCall bool
+	// inFlightWorkers holds the workers that the last call names, and answerDueAt the
+	// time at which its answer is expected.
+	inFlightWorkers []string
+	answerDueAt     time.Time
 	// expectedTasks is the number of tasks that can probably be placed with the
 	// answer to the call in flight.
 	expectedTasks int
@@ -192,6 +205,14 @@
 	// reported is set once the worker has reported its runs to this owner, or
 	// is known to have ended.
 	reported bool
+	// leasesOver is set for a worker that has not reported once every lease of former
+	// owners has certainly expired. It then has no runs.
+	leasesOver bool
+	// formerSilence is the time before this ownership for which no owner has
+	// granted the worker a lease, as far as the store says.
+	formerSilence time.Duration
+	// former is set if a former owner may have runs on the worker.
+	former bool
 	// recorded is set once the store lists the worker as in use. Nothing is
 	// started on the worker before, so that a next owner asks it for its runs
 	// even if the directory no longer lists it by then.
@@ -259,6 +280,14 @@
 	Read      time.Time
 }
 
+// SilentWorker is a worker to which no owner has granted a lease for some time, since
+// it did not report its runs to them.
+type SilentWorker struct {
+	ID string `json:"id"`
+	// For is the time for which no lease has been granted, at the time of the write.
+	For time.Duration `json:"for"`
+}
+
 func (w *worker) freeCapacity() sizer.Size {
 	return w.entry.Total.Sub(w.used)
 }
