--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -154,6 +154,9 @@
 	// a worker has carried out a start since then.
 	assignedAt time.Time
 	startedRun atomic.Bool
+	// organisations and overage are passed on to the scheduler.
+	organisations []scheduler.Organisation
+	overage       float64
 }
 
 // Option changes how a Conductor works.
@@ -273,6 +276,19 @@
 	c.requestWrite()
 }
 
+// SetOrganisations sets the organisations, and the fraction of a maximum by which one
+// may exceed it.
+func (c *Conductor) SetOrganisations(organisations []scheduler.Organisation, overage float64) {
+	c.mu.Lock()
+	c.organisations = organisations
+	c.overage = overage
+	if c.scheduler != nil {
+		c.scheduler.SetOrganisations(organisations, overage)
+	}
+	c.mu.Unlock()
+	c.requestTick()
+}
+
 func (c *Conductor) jobsPartition() storer.Partition {
 	return storer.Partition{
 		Topic:  JobsTopic,
--- a/conductor/recovery.go
+++ b/conductor/recovery.go
@@ -66,6 +66,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s.ConfirmOwnership(c.confirmedAt)
+	s.SetOrganisations(c.organisations, c.overage)
 	s.AddFormerWorkers(workersInUse)
 	s.SetFormerSilence(silent)
 	s.SetWorkers(c.directoryWorkers)
--- a/coordinator/feeds.go
+++ b/coordinator/feeds.go
@@ -123,6 +123,7 @@
 
 func (c *Coordinator) setConfig(config receiver.Config, source string) {
 	if c.receiver.SetConfig(config) {
+		c.setOrganisations()
 		c.requestJoin()
 		c.settings.logger.WithFields(log.Fields{
 			"version": config.Version,
@@ -132,6 +133,27 @@
 	}
 }
 
+// setOrganisations passes the organisations of the configuration to the owners in this
+// process.
+func (c *Coordinator) setOrganisations() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	organisations := c.organisations()
+	for _, own := range c.owned {
+		own.conductor.SetOrganisations(organisations, c.settings.overage)
+	}
+}
+
+// organisations returns the organisations of the configuration in force.
+func (c *Coordinator) organisations() []scheduler.Organisation {
+	config, _ := c.receiver.Config()
+	organisations := make([]scheduler.Organisation, 0, len(config.Organisations))
+	for _, organisation := range config.Organisations {
+		organisations = append(organisations, organisation.Organisation)
+	}
+	return organisations
+}
+
 // configFromPeer asks other entries for the configuration. It is used while the
 // store does not answer this entry.
 func (c *Coordinator) configFromPeer(ctx context.Context) {
--- a/coordinator/membership.go
+++ b/coordinator/membership.go
@@ -185,6 +185,7 @@
 		cancel: cancel,
 		done:   make(chan struct{}),
 	}
+	own.conductor.SetOrganisations(c.organisations(), c.settings.overage)
 	c.owned[partition] = own
 	// The directory may have been read long ago, as an entry that owns nothing
 	// reads it rarely. The new owner gets its workers from the next read.
--- a/coordinator/options.go
+++ b/coordinator/options.go
@@ -29,6 +29,7 @@
 	shardSize                int
 	cores                    float64
 	ttl                      time.Duration
+	overage                  float64
 	grace                    time.Duration
 	clock                    timekeeper.Clock
 	logger                   log.Interface
@@ -123,6 +124,14 @@
 	}
 }
 
+// Overage sets the fraction of its maximum by which an organisation may exceed it. The
+// default is 0.
+func Overage(fraction float64) Option {
+	return func(s *settings) {
+		s.overage = fraction
+	}
+}
+
 // MembershipTTL sets how long an entry may go without a join before its partitions
 // are assigned to other entries. The default is 1.05 s.
 func MembershipTTL(ttl time.Duration) Option {
--- a/receiver/config.go
+++ b/receiver/config.go
@@ -7,6 +7,7 @@
 
 import (
 	"cmp"
+	"crypto/sha256"
 	"slices"
 	"strings"
 
@@ -20,8 +21,20 @@
 	// job, or empty.
 	Prefix string
 	Queue  scheduler.Queue
+	// Public is set if callers need no key.
+	Public bool
 }
 
+// Organisation is an organisation with the digests of its keys.
+type Organisation struct {
+	scheduler.Organisation
+
+	Keys []KeyDigest
+}
+
+// KeyDigest is the SHA-256 digest of a key. Keys themselves are not kept.
+type KeyDigest [sha256.Size]byte
+
 // Config is the configuration that an operator has set.
 type Config struct {
 	// Version increases with each change.
@@ -30,6 +43,9 @@
 	// BodyLimit is the maximum length of a request body in bytes, 0 for the
 	// default of 256 KiB.
 	BodyLimit int64
+	// Organisations holds the organisations whose keys callers may use. If there are
+	// none, callers need no key.
+	Organisations []Organisation
 }
 
 // routeTable finds the route of a request. It is immutable.
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -110,10 +110,13 @@
 
 // Job is a job as a caller submitted it.
 type Job struct {
-	ID     string  `json:"id"`
-	Queue  Queue   `json:"queue"`
-	Spec   string  `json:"spec,omitempty"`
-	Phases []Phase `json:"phases"`
+	ID    string `json:"id"`
+	Queue Queue  `json:"queue"`
+	// Organisation is the name of the organisation that submitted the job, or empty
+	// if the queue is public or there are no organisations.
+	Organisation string  `json:"organisation,omitempty"`
+	Spec         string  `json:"spec,omitempty"`
+	Phases       []Phase `json:"phases"`
 	// Start, Interval and Repetitions are set for a job whose phases run
 	// repeatedly at given times. Repetitions is 0 for any other job.
 	Start       time.Time     `json:"start,omitzero"`
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -94,6 +94,11 @@
 	endsByWorker map[*worker][]expectedEnd
 	effects      []Effect
 	notes        []Note
+
+	// organisations holds the organisations by name, and overage the fraction of a
+	// maximum by which one may exceed it.
+	organisations map[string]Organisation
+	overage       float64
 }
 
 // queueStats holds the statistics of a queue.
@@ -139,6 +144,7 @@
 			true:  defaultAdviceCalls,
 			false: defaultAdviceCalls,
 		},
+		organisations:     make(map[string]Organisation),
 		placementsAllowed: true,
 		storedSilent:      make(map[string]bool),
 		dirtyJobs:         make(map[string]bool),
