Keys of organisations: receiver, platform, coordinator, conductor

A call on a route that is not public needs a key once the configuration has organisations, and is refused before its body is read. Keys are accepted only with evidence that the configuration is recent, from reads of the store or from peers (RPC Evidence, which replaces calls of Config). State and cancel calls carry the organisation, and a cancellation by another organisation has no effect. conductor_test passes the new arguments; its checks are the same.

--- a/cmd/galenacove/host.go
+++ b/cmd/galenacove/host.go
@@ -112,6 +112,8 @@
 		coordinator.Partitions(settings.Partitions()),
 		coordinator.Cores(settings.Cores()),
 		coordinator.Grace(settings.Grace()),
+		coordinator.Overage(settings.Overage()),
+		coordinator.Revocation(settings.StrictRevocation(), settings.RevocationBound()),
 		coordinator.Logger(logs),
 		coordinator.Config(platform.ConfigPartition(), platform.DecodeConfig),
 		coordinator.Directory(platform.DirectoryPartition(), platform.DecodeWorker),
@@ -173,7 +175,14 @@
 			continue
 		}
 		process.SetScheduling(schedulingOptions(settings)...)
-		logs.WithField("file", path).Info("host: settings read again, for the partitions owned from now on")
+		process.SetOverage(settings.Overage())
+		process.SetRevocation(settings.StrictRevocation(), settings.RevocationBound())
+		logs.WithFields(log.Fields{
+			"file":             path,
+			"strictRevocation": settings.StrictRevocation(),
+			"revokeMs":         settings.RevocationBound().Milliseconds(),
+			"overage":          settings.Overage(),
+		}).Info("host: settings read again, scheduling bounds for the partitions owned from now on")
 	}
 }
 
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -315,12 +315,26 @@
 	}, nil
 }
 
-// CancelRecord returns the record that cancels a job.
-func CancelRecord(id string) storer.Record {
+// cancellation is the value of a record that cancels a job.
+type cancellation struct {
+	// Organisation is the organisation that cancels the job, or empty if the caller
+	// belongs to none.
+	Organisation string `json:"organisation,omitempty"`
+}
+
+// CancelRecord returns the record that cancels a job on behalf of an organisation, which
+// may be empty. It has no effect on a job of another organisation.
+func CancelRecord(id, organisation string) (storer.Record, error) {
+	value, err := json.Marshal(cancellation{
+		Organisation: organisation,
+	})
+	if err != nil {
+		return storer.Record{}, errors.Wrap(err, "conductor: encode a cancellation")
+	}
 	return storer.Record{
 		Key:   id + cancelSuffix,
-		Value: []byte("{}"),
-	}
+		Value: value,
+	}, nil
 }
 
 // signalProgress wakes the goroutines that wait on progressed. The caller holds
--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -148,7 +148,7 @@
 // await waits until the owner returns the given state of a job.
 func (f *fixture) await(id string, want scheduler.JobState) {
 	for {
-		state, found, err := f.owner.State(context.Background(), id)
+		state, found, err := f.owner.State(context.Background(), id, "")
 		if err == nil && found && state == want {
 			return
 		}
@@ -181,7 +181,7 @@
 	f := newFixture(t, 1)
 	owner, _ := f.startOwner()
 	for {
-		_, found, err := owner.State(context.Background(), "nobody")
+		_, found, err := owner.State(context.Background(), "nobody", "")
 		if err == nil {
 			f.c.Assert(found, qt.IsFalse)
 			return
@@ -196,7 +196,9 @@
 	f.startOwner()
 	f.submit("j", tasks(4))
 	f.await("j", scheduler.Running)
-	f.append(conductor.CancelRecord("j"))
+	record, err := conductor.CancelRecord("j", "")
+	f.c.Assert(err, qt.IsNil)
+	f.append(record)
 	f.await("j", scheduler.Cancelled)
 	f.checkNoViolations()
 }
@@ -266,7 +268,7 @@
 		time.Sleep(5 * time.Millisecond)
 	}
 	time.Sleep(50 * time.Millisecond)
-	state, found, err := owner.State(context.Background(), "j")
+	state, found, err := owner.State(context.Background(), "j", "")
 	f.c.Assert(err, qt.IsNil)
 	f.c.Assert(found, qt.IsTrue)
 	f.c.Assert(state, qt.Equals, scheduler.Running)
@@ -328,7 +330,7 @@
 		f.c.Check(errors.Is(group.Wait(), context.Canceled), qt.IsTrue)
 	}()
 	for {
-		if _, _, err := owner.State(ctx, "none"); err == nil {
+		if _, _, err := owner.State(ctx, "none", ""); err == nil {
 			break
 		}
 		time.Sleep(time.Millisecond)
@@ -338,7 +340,7 @@
 		Topic:  conductor.JobsTopic,
 		Number: partition,
 	}, 1)
-	_, found, err := owner.State(ctx, "job")
+	_, found, err := owner.State(ctx, "job", "")
 	f.c.Assert(err, qt.IsNil)
 	f.c.Assert(found, qt.IsTrue)
 }
--- a/conductor/queries.go
+++ b/conductor/queries.go
@@ -6,10 +6,11 @@
 	"github.com/galenacove/galenacove/scheduler"
 )
 
-// State returns the state of a job, and whether the job exists. Before it reports
-// that a job does not exist, it reads the jobs partition up to its end.
-func (c *Conductor) State(ctx context.Context, id string) (scheduler.JobState, bool, error) {
-	state, found, ready := c.jobState(id)
+// State returns the state of a job, and whether the job exists for callers of the
+// organisation. Before it reports that a job does not exist, it reads the jobs partition
+// up to its end.
+func (c *Conductor) State(ctx context.Context, id, organisation string) (scheduler.JobState, bool, error) {
+	state, found, ready := c.jobState(id, organisation)
 	if !ready {
 		return "", false, ErrNotReady
 	}
@@ -19,16 +20,19 @@
 	if err := c.catchUp(ctx); err != nil {
 		return "", false, err
 	}
-	state, found, _ = c.jobState(id)
+	state, found, _ = c.jobState(id, organisation)
 	return state, found, nil
 }
 
-func (c *Conductor) jobState(id string) (state scheduler.JobState, found, ready bool) {
+func (c *Conductor) jobState(id, organisation string) (state scheduler.JobState, found, ready bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.ready {
 		return "", false, false
 	}
+	if !c.scheduler.Accessible(id, organisation) {
+		return "", false, true
+	}
 	state, found = c.scheduler.State(id)
 	return state, found, true
 }
--- a/conductor/recovery.go
+++ b/conductor/recovery.go
@@ -125,13 +125,21 @@
 // applyRecords adds and cancels jobs according to records of the jobs topic.
 // progressByJob is nil for records that are read after the takeover.
 func (c *Conductor) applyRecords(records []storer.Record, progressByJob map[string]*scheduler.Progress, now time.Time) {
-	var cancels []string
+	var cancels []jobCancellation
 	for _, record := range records {
 		if record.Value == nil || record.Key == "" {
 			continue
 		}
 		if id, found := strings.CutSuffix(record.Key, cancelSuffix); found {
-			cancels = append(cancels, id)
+			var cancel cancellation
+			if err := json.Unmarshal(record.Value, &cancel); err != nil {
+				c.logger.WithError(err).WithField("id", id).Error("conductor: a stored cancellation cannot be decoded")
+				continue
+			}
+			cancels = append(cancels, jobCancellation{
+				id:           id,
+				organisation: cancel.Organisation,
+			})
 			continue
 		}
 		var job scheduler.Job
@@ -141,13 +149,24 @@
 		}
 		c.scheduler.AddJob(job, progressByJob[job.ID], progressByJob != nil, now)
 	}
-	for _, id := range cancels {
-		if !c.scheduler.Cancel(id, now) {
-			c.logger.WithField("id", id).Warn("conductor: a cancellation names an unknown job")
+	for _, cancel := range cancels {
+		if !c.scheduler.Accessible(cancel.id, cancel.organisation) {
+			c.logger.WithFields(log.Fields{
+				"id":           cancel.id,
+				"organisation": cancel.organisation,
+			}).Warn("conductor: a cancellation names an unknown job or one of another organisation")
+			continue
 		}
+		c.scheduler.Cancel(cancel.id, now)
 	}
 }
 
+// jobCancellation is a stored cancellation together with the job that it names.
+type jobCancellation struct {
+	id           string
+	organisation string
+}
+
 // followJobs reads new jobs.
 func (c *Conductor) followJobs(ctx context.Context) error {
 	for {
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -89,9 +89,12 @@
 	pool          *messenger.Pool
 	entryPool     *entryPool
 	adviceLimiter *adviceLimiter
-	shards        *shards
-	registry      *prometheus.Registry
-	metrics       *conductor.Metrics
+	// evidenceKeeper knows how recently the configuration is known to have been the
+	// newest.
+	evidenceKeeper *evidenceKeeper
+	shards         *shards
+	registry       *prometheus.Registry
+	metrics        *conductor.Metrics
 
 	// directoryRequests triggers an immediate read of the directory.
 	directoryRequests chan struct{}
@@ -154,7 +157,9 @@
 	c.store = newWatchedStore(store, c.settings.clock)
 	c.shards = newShards(c.settings.shardSize, c.settings.partitions)
 	c.submitBatcher = newSubmitBatcher(c.store)
-	c.receiver = receiver.New(c, bodies, receiver.Logger(c.settings.logger), receiver.Clock(c.settings.clock))
+	c.evidenceKeeper = newEvidenceKeeper(c)
+	c.receiver = receiver.New(c, bodies, receiver.Logger(c.settings.logger), receiver.Clock(c.settings.clock),
+		receiver.Evidence(c.evidenceKeeper.evidence))
 	c.pool = messenger.NewPool(messenger.Secret(c.settings.secret), messenger.Clock(c.settings.clock))
 	c.entryPool = newEntryPool(c)
 	c.largerFinder = largerFinder{
@@ -170,6 +175,7 @@
 	c.registry.MustRegister(c.receiver.Collectors()...)
 	c.registry.MustRegister(c.metrics.Collectors()...)
 	c.registry.MustRegister(c.store.collectors()...)
+	c.registry.MustRegister(c.evidenceKeeper.collectors()...)
 	return c
 }
 
@@ -209,6 +215,7 @@
 	group, runCtx := errgroup.WithContext(runCtx)
 	group.Go(func() error { return ignoreCanceled(server.Serve(runCtx, c.settings.peerListener)) })
 	group.Go(func() error { return ignoreCanceled(c.followConfig(runCtx)) })
+	group.Go(func() error { return ignoreCanceled(c.evidenceKeeper.followPeers(runCtx)) })
 	group.Go(func() error { return ignoreCanceled(c.followDirectory(runCtx)) })
 	group.Go(func() error { return ignoreCanceled(c.followPeers(runCtx)) })
 	group.Go(func() error { return ignoreCanceled(c.followShards(runCtx)) })
@@ -303,6 +310,9 @@
 	if !known {
 		return "no configuration yet"
 	}
+	if len(config.Organisations) > 0 && c.evidenceKeeper.evidence.Aging() {
+		return "no recent evidence that the configuration is the newest"
+	}
 	for _, route := range config.Routes {
 		if !c.shards.decided(route.Queue.Service) && c.settings.clock.Now().Sub(c.startedAt) < shardsStartupWait {
 			return "a service has no shards yet"
--- a/coordinator/feeds.go
+++ b/coordinator/feeds.go
@@ -7,6 +7,7 @@
 	"github.com/apex/log"
 	"github.com/cockroachdb/errors"
 
+	"github.com/galenacove/galenacove/authenticator"
 	"github.com/galenacove/galenacove/receiver"
 	"github.com/galenacove/galenacove/scheduler"
 	"github.com/galenacove/galenacove/storer"
@@ -98,27 +99,37 @@
 
 // followConfig applies each new configuration.
 func (c *Coordinator) followConfig(ctx context.Context) error {
+	store, apply := c.evidenceKeeper.observe(c.store)
 	return feed{
-		store:     c.store,
+		store:     store,
 		clock:     c.settings.clock,
 		partition: c.settings.config,
 		wait:      configWait,
-		apply:     func(records []storer.Record, _ int64, _ bool) { c.applyConfig(records) },
-		onError:   c.configFromPeer,
+		apply:     func(records []storer.Record, _ int64, _ bool) { apply(records) },
+		onError:   c.evidenceKeeper.askPeers,
 	}.run(ctx)
 }
 
-func (c *Coordinator) applyConfig(records []storer.Record) {
+// applyConfig applies the configuration records among records. It returns which was the
+// last one.
+func (c *Coordinator) applyConfig(records []storer.Record) authenticator.ReadResult {
+	var result authenticator.ReadResult
 	for _, record := range records {
 		config, found, err := c.settings.decodeConfig(record)
 		if err != nil {
 			c.settings.logger.WithError(err).Error("coordinator: a configuration record cannot be decoded")
+			result.HasConfig = true
+			result.Undecodable = true
 			continue
 		}
 		if found {
 			c.setConfig(config, "store")
+			result.HasConfig = true
+			result.Undecodable = false
+			result.Version = config.Version
 		}
 	}
+	return result
 }
 
 func (c *Coordinator) setConfig(config receiver.Config, source string) {
@@ -154,15 +165,6 @@
 	return organisations
 }
 
-// configFromPeer asks other entries for the configuration. It is used while the
-// store does not answer this entry.
-func (c *Coordinator) configFromPeer(ctx context.Context) {
-	var config receiver.Config
-	if c.callAny(ctx, c.entryPool.reachablePeers(relayTries), "Config", struct{}{}, &config) == nil {
-		c.setConfig(config, "peer")
-	}
-}
-
 // followDirectory passes the workers of the directory on to the owners in this
 // process, and writes the shard records that services and workers still lack.
 func (c *Coordinator) followDirectory(ctx context.Context) error {
--- a/coordinator/jobs.go
+++ b/coordinator/jobs.go
@@ -51,12 +51,25 @@
 }
 
 // Cancel implements receiver.Jobs.
-func (c *Coordinator) Cancel(ctx context.Context, queue scheduler.Queue, id string) error {
-	partition, known := c.shards.partitionOfJob(queue.Service, id)
+func (c *Coordinator) Cancel(ctx context.Context, job receiver.JobRef) error {
+	partition, known := c.shards.partitionOfJob(job.Queue.Service, job.ID)
 	if !known {
 		return fmt.Errorf("%w: %w", receiver.ErrNotStored, errNoShards)
 	}
-	return c.append(ctx, partition, conductor.CancelRecord(id))
+	if c.hasOrganisations() {
+		askCtx, cancel := context.WithTimeout(ctx, peerTimeout)
+		_, err := c.State(askCtx, job)
+		cancel()
+		if errors.Is(err, receiver.ErrNoJob) {
+			return err
+		}
+		// Without an answer the record is stored, and the owner checks it.
+	}
+	record, err := conductor.CancelRecord(job.ID, job.Organisation)
+	if err != nil {
+		return fmt.Errorf("%w: %w", receiver.ErrNotStored, err)
+	}
+	return c.append(ctx, partition, record)
 }
 
 // append stores a record in the jobs topic, through another entry if the store does
@@ -135,19 +148,20 @@
 }
 
 // State implements receiver.Jobs.
-func (c *Coordinator) State(ctx context.Context, queue scheduler.Queue, id string) (scheduler.JobState, error) {
-	partition, known := c.shards.partitionOfJob(queue.Service, id)
+func (c *Coordinator) State(ctx context.Context, job receiver.JobRef) (scheduler.JobState, error) {
+	partition, known := c.shards.partitionOfJob(job.Queue.Service, job.ID)
 	if !known {
 		return "", fmt.Errorf("%w: %w", receiver.ErrOwnerUnreachable, errNoShards)
 	}
 	var reply StateReply
 	err := c.callOwner(ctx, partition, func(ctx context.Context, own *conductor.Conductor) error {
 		var err error
-		reply.State, reply.Found, err = own.State(ctx, id)
+		reply.State, reply.Found, err = own.State(ctx, job.ID, job.Organisation)
 		return err
 	}, "State", StateArgs{
-		Partition: partition,
-		ID:        id,
+		Partition:    partition,
+		ID:           job.ID,
+		Organisation: job.Organisation,
 	}, &reply)
 	if err != nil {
 		return "", fmt.Errorf("%w: %w", receiver.ErrOwnerUnreachable, err)
--- a/coordinator/options.go
+++ b/coordinator/options.go
@@ -30,6 +30,9 @@
 	cores                    float64
 	ttl                      time.Duration
 	overage                  float64
+	strictRevocation         bool
+	revocationBound          time.Duration
+	bootClock                timekeeper.BootClock
 	grace                    time.Duration
 	clock                    timekeeper.Clock
 	logger                   log.Interface
@@ -49,6 +52,7 @@
 		ttl:        defaultTTL,
 		grace:      6 * time.Second,
 		clock:      timekeeper.System(),
+		bootClock:  timekeeper.SystemBoot(),
 		logger: &log.Logger{
 			Handler: log.HandlerFunc(func(*log.Entry) error { return nil }),
 			Level:   log.FatalLevel,
@@ -132,6 +136,24 @@
 	}
 }
 
+// Revocation sets whether keys are accepted only with evidence that the configuration is
+// the newest, and the time within which a revoked key must stop working. By default they
+// are always accepted.
+func Revocation(strict bool, bound time.Duration) Option {
+	return func(s *settings) {
+		s.strictRevocation = strict
+		s.revocationBound = bound
+	}
+}
+
+// BootClock sets the clock on which the age of evidence is measured. The default is the
+// host's boot-time clock.
+func BootClock(clock timekeeper.BootClock) Option {
+	return func(s *settings) {
+		s.bootClock = clock
+	}
+}
+
 // MembershipTTL sets how long an entry may go without a join before its partitions
 // are assigned to other entries. The default is 1.05 s.
 func MembershipTTL(ttl time.Duration) Option {
--- a/coordinator/rpc.go
+++ b/coordinator/rpc.go
@@ -25,6 +25,9 @@
 type StateArgs struct {
 	Partition int
 	ID        string
+	// Organisation is the organisation that asks. For it, a job of another
+	// organisation does not exist.
+	Organisation string
 }
 
 // StateReply answers StateArgs.
@@ -42,7 +45,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
 	defer cancel()
 	var err error
-	reply.State, reply.Found, err = own.State(ctx, args.ID)
+	reply.State, reply.Found, err = own.State(ctx, args.ID, args.Organisation)
 	return err
 }
 
@@ -91,16 +94,20 @@
 	return err
 }
 
-// Config returns the configuration in force.
+// Config returns the configuration in force. Only entries of releases before the RPC
+// Evidence call it.
 func (r *rpc) Config(_ struct{}, reply *receiver.Config) error {
 	config, known := r.coordinator.receiver.Config()
 	if !known {
-		return errors.New("coordinator: no configuration yet")
+		return errNoConfig
 	}
 	*reply = config
 	return nil
 }
 
+// errNoConfig is returned by an entry that has no configuration.
+var errNoConfig = errors.New("coordinator: no configuration yet")
+
 // Nudge has this entry join the group at once, to learn which partitions are
 // assigned to it.
 func (r *rpc) Nudge(_ struct{}, _ *struct{}) error {
--- a/receiver/config.go
+++ b/receiver/config.go
@@ -7,10 +7,10 @@
 
 import (
 	"cmp"
-	"crypto/sha256"
 	"slices"
 	"strings"
 
+	"github.com/galenacove/galenacove/authenticator"
 	"github.com/galenacove/galenacove/scheduler"
 )
 
@@ -33,7 +33,7 @@
 }
 
 // KeyDigest is the SHA-256 digest of a key. Keys themselves are not kept.
-type KeyDigest [sha256.Size]byte
+type KeyDigest = authenticator.Digest
 
 // Config is the configuration that an operator has set.
 type Config struct {
@@ -53,12 +53,18 @@
 	config Config
 	// byHost holds the routes of each host, the longest prefix first.
 	byHost map[string][]Route
+	// keyring holds the keys of the organisations.
+	keyring *authenticator.Keyring
 }
 
 func newRouteTable(config Config) *routeTable {
 	t := &routeTable{
-		config: config,
-		byHost: make(map[string][]Route),
+		config:  config,
+		byHost:  make(map[string][]Route),
+		keyring: authenticator.NewKeyring(),
+	}
+	for _, organisation := range config.Organisations {
+		t.keyring.Add(organisation.Name, organisation.Keys...)
 	}
 	for _, route := range config.Routes {
 		t.byHost[route.Host] = append(t.byHost[route.Host], route)
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/galenacove/galenacove/authenticator"
 	"github.com/galenacove/galenacove/scheduler"
 	"github.com/galenacove/galenacove/timekeeper"
 )
@@ -57,15 +58,26 @@
 	// Submit stores a job. Its errors are marked with ErrNotStored or
 	// ErrUnknown.
 	Submit(ctx context.Context, job scheduler.Job) error
-	// Cancel stores that a job is cancelled.
-	Cancel(ctx context.Context, queue scheduler.Queue, id string) error
+	// Cancel stores that a job is cancelled. Its errors are marked with ErrNoJob,
+	// ErrNotStored or ErrUnknown.
+	Cancel(ctx context.Context, job JobRef) error
 	// State returns the state of a job. Its errors are marked with ErrNoJob or
 	// ErrOwnerUnreachable.
-	State(ctx context.Context, queue scheduler.Queue, id string) (scheduler.JobState, error)
+	State(ctx context.Context, job JobRef) (scheduler.JobState, error)
 	// WaitingJobs returns the number of jobs in a queue that have not started.
 	WaitingJobs(ctx context.Context, queue scheduler.Queue) (int, error)
 }
 
+// JobRef names a job as a caller does.
+type JobRef struct {
+	ID    string
+	Queue scheduler.Queue
+	// Organisation is the organisation on whose behalf the caller asks, empty on a
+	// public route or if there are no organisations. A job of another organisation does
+	// not exist for the caller.
+	Organisation string
+}
+
 // Bodies decodes request bodies and encodes response bodies.
 type Bodies interface {
 	// DecodeJob decodes a job, without its ID and queue. Its errors are marked
@@ -84,6 +96,8 @@
 	clock      timekeeper.Clock
 	logger     log.Interface
 	routeTable atomic.Pointer[routeTable]
+	evidence   KeyEvidence
+	refusals   *refusalLog
 
 	answers   *prometheus.CounterVec
 	durations *prometheus.HistogramVec
@@ -120,6 +134,8 @@
 			Handler: log.HandlerFunc(func(*log.Entry) error { return nil }),
 			Level:   log.FatalLevel,
 		},
+		evidence: authenticator.NewEvidence(timekeeper.SystemBoot()),
+		refusals: newRefusalLog(),
 		answers: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "galenacove_receiver_answers_total",
 			Help: "Answers to callers, by what they asked for and the status.",
@@ -133,12 +149,13 @@
 	for _, opt := range opts {
 		opt(r)
 	}
+	r.refusals.clock = r.clock
 	return r
 }
 
 // Collectors returns the metrics.
 func (r *Receiver) Collectors() []prometheus.Collector {
-	return []prometheus.Collector{r.answers, r.durations}
+	return []prometheus.Collector{r.answers, r.durations, r.refusals.counter}
 }
 
 // SetConfig replaces the configuration, unless the current one has the same or a
@@ -177,18 +194,28 @@
 		"status": got.status,
 		"tookMs": r.clock.Now().Sub(began).Milliseconds(),
 	})
+	if got.organisation != "" {
+		entry = entry.WithField("organisation", got.organisation)
+	}
 	if got.err != nil {
 		entry = entry.WithField("reason", got.err.Error())
 	}
-	if got.status >= http.StatusBadRequest && got.status != http.StatusGone && got.status != http.StatusNotFound {
+	switch {
+	case got.keyRefused:
+		// It is logged by logKeyRefusal.
+		r.answerBeforeBody(w, request)
+	case got.status >= http.StatusBadRequest && got.status != http.StatusGone && got.status != http.StatusNotFound:
 		entry.Warn("receiver: caller refused")
-	} else if call == callSubmit || call == callCancel {
+	case call == callSubmit || call == callCancel:
 		entry.Info("receiver: caller answered")
 	}
 	w.Header().Set("Content-Type", "application/json")
 	if got.retryAfter > 0 {
 		w.Header().Set("Retry-After", strconv.Itoa(int(got.retryAfter/time.Second)))
 	}
+	if got.status == http.StatusUnauthorized {
+		w.Header().Set("WWW-Authenticate", "Bearer")
+	}
 	w.WriteHeader(got.status)
 	if _, err := w.Write(got.body); err != nil {
 		entry.WithError(err).Warn("receiver: caller disconnected before the answer")
@@ -213,10 +240,14 @@
 	retryAfter time.Duration
 	// err is the reason why the request was refused, for the log.
 	err error
+	// organisation is the organisation on whose behalf the call was made, for the log.
+	organisation string
+	// keyRefused is set if the call was refused for its key.
+	keyRefused bool
 }
 
 func (r *Receiver) serve(w http.ResponseWriter, request *http.Request) (call, id string, got answer) {
-	current := r.routeTable.Load()
+	current, accepting := r.currentTable()
 	if current == nil {
 		return callOther, "", unavailable(errors.New("no configuration yet"))
 	}
@@ -227,29 +258,66 @@
 		}
 	}
 	id = request.URL.Path[len(route.Prefix):]
-	ctx := request.Context()
+	call = r.callOf(request.Method, id)
+	organisation, refusal := r.organisationOf(current, accepting, route, request)
+	if refusal != nil {
+		r.logKeyRefusal(call, id, route, refusal)
+		refusal.answer.keyRefused = true
+		return call, id, refusal.answer
+	}
+	job := JobRef{
+		ID:           id,
+		Queue:        route.Queue,
+		Organisation: organisation,
+	}
+	got = r.serveCall(w, request, current.config, call, job)
+	got.organisation = organisation
+	return call, id, got
+}
+
+// callOf returns the kind of a call.
+func (r *Receiver) callOf(method, id string) string {
 	switch {
-	case request.Method == http.MethodGet && id == "":
-		return callWaiting, id, r.waiting(ctx, route.Queue)
+	case method == http.MethodGet && id == "":
+		return callWaiting
 	case !r.bodies.ValidID(id):
-		return callOther, id, answer{
-			status: http.StatusBadRequest,
-			err:    fmt.Errorf("%q is not a valid job ID", id),
-		}
-	case request.Method == http.MethodPost:
-		return callSubmit, id, r.submit(ctx, w, request, current.config, route.Queue, id)
-	case request.Method == http.MethodGet:
-		return callState, id, r.state(ctx, route.Queue, id)
-	case request.Method == http.MethodDelete:
-		return callCancel, id, r.cancel(ctx, route.Queue, id)
+		return callOther
+	case method == http.MethodPost:
+		return callSubmit
+	case method == http.MethodGet:
+		return callState
+	case method == http.MethodDelete:
+		return callCancel
 	default:
-		return callOther, id, answer{
-			status: http.StatusMethodNotAllowed,
+		return callOther
+	}
+}
+
+// serveCall serves a call that may be made on behalf of the job's organisation.
+func (r *Receiver) serveCall(w http.ResponseWriter, request *http.Request, config Config, call string, job JobRef) answer {
+	ctx := request.Context()
+	switch call {
+	case callWaiting:
+		return r.waiting(ctx, job.Queue)
+	case callSubmit:
+		return r.submit(ctx, w, request, config, job)
+	case callState:
+		return r.state(ctx, job)
+	case callCancel:
+		return r.cancel(ctx, job)
+	}
+	if !r.bodies.ValidID(job.ID) {
+		return answer{
+			status: http.StatusBadRequest,
+			err:    fmt.Errorf("%q is not a valid job ID", job.ID),
 		}
 	}
+	return answer{
+		status: http.StatusMethodNotAllowed,
+	}
 }
 
-func (r *Receiver) submit(ctx context.Context, w http.ResponseWriter, request *http.Request, config Config, queue scheduler.Queue, id string) answer {
+func (r *Receiver) submit(ctx context.Context, w http.ResponseWriter, request *http.Request, config Config, ref JobRef) answer {
 	limit := config.BodyLimit
 	if limit <= 0 {
 		limit = defaultBodyLimit
@@ -270,8 +338,9 @@
 	}
 	job, err := r.bodies.DecodeJob(data)
 	if err == nil {
-		job.ID = id
-		job.Queue = queue
+		job.ID = ref.ID
+		job.Queue = ref.Queue
+		job.Organisation = ref.Organisation
 		job.Accepted = r.clock.Now()
 		err = job.Validate()
 	}
@@ -299,10 +368,10 @@
 	}
 }
 
-func (r *Receiver) state(ctx context.Context, queue scheduler.Queue, id string) answer {
+func (r *Receiver) state(ctx context.Context, job JobRef) answer {
 	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
 	defer cancel()
-	state, err := r.jobs.State(ctx, queue, id)
+	state, err := r.jobs.State(ctx, job)
 	switch {
 	case err == nil:
 		return answer{
@@ -318,10 +387,10 @@
 	}
 }
 
-func (r *Receiver) cancel(ctx context.Context, queue scheduler.Queue, id string) answer {
+func (r *Receiver) cancel(ctx context.Context, job JobRef) answer {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), submitTimeout)
 	defer cancel()
-	err := r.jobs.Cancel(ctx, queue, id)
+	err := r.jobs.Cancel(ctx, job)
 	switch {
 	case err == nil:
 		return answer{
--- a/scheduler/organisations.go
+++ b/scheduler/organisations.go
@@ -32,3 +32,11 @@
 func (s *Scheduler) Organisations() map[string]Organisation {
 	return maps.Clone(s.organisations)
 }
+
+// Accessible reports whether a job exists for callers of an organisation: whether it is
+// known, and belongs to that organisation or to none. A caller without an organisation
+// has the empty name.
+func (s *Scheduler) Accessible(id, organisation string) bool {
+	j := s.jobs[id]
+	return j != nil && (j.record.Organisation == "" || j.record.Organisation == organisation)
+}
