--- a/receiver/keys.go
+++ b/receiver/keys.go
@@ -1,7 +1,9 @@
 package receiver
 
 import (
+	"io"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -22,6 +24,9 @@
 	// unreadBodyTimeout bounds how long a connection stays open on which the body of a
 	// refused call is still being sent.
 	unreadBodyTimeout = 5 * time.Second
+	// maxUnreadBody is the length of a body up to which it is read after a refusal. A
+	// longer one costs more than a new connection.
+	maxUnreadBody = 64 << 10
 )
 
 // errNoEvidence is the reason for refusing a key while the configuration in force may
@@ -114,18 +119,36 @@
 	return "", refusal
 }
 
-// answerBeforeBody has a refusal sent before the body of the call has arrived. By default
-// net/http reads the rest of the body first.
-func (r *Receiver) answerBeforeBody(w http.ResponseWriter, request *http.Request) {
+// answerBeforeBody sends a refusal at once, without waiting for the body of the call. By
+// default net/http reads the rest of the body first.
+//
+// A body of moderate length is read after the answer, so that the connection can be used
+// again. It must be read completely by the handler: net/http panics when it finds the end
+// of the body itself after a full-duplex answer. With any other body the connection ends.
+func (r *Receiver) answerBeforeBody(w http.ResponseWriter, request *http.Request, got answer) error {
 	if request.ContentLength == 0 {
-		return
+		return r.write(w, got)
 	}
 	controller := http.NewResponseController(w)
-	// Both fail for a connection that does not support them, such as one of HTTP/1.0. The
-	// answer is then sent once the body has arrived.
-	if err := controller.EnableFullDuplex(); err == nil {
-		_ = controller.SetReadDeadline(r.clock.Now().Add(unreadBodyTimeout))
+	if request.ContentLength < 0 || request.ContentLength > maxUnreadBody || controller.EnableFullDuplex() != nil {
+		w.Header().Set("Connection", "close")
+		return r.write(w, got)
+	}
+	// Without its length the answer would end only when the handler returns.
+	w.Header().Set("Content-Length", strconv.Itoa(len(got.body)))
+	if err := r.write(w, got); err != nil {
+		return err
+	}
+	if err := controller.Flush(); err != nil {
+		return err
+	}
+	if err := controller.SetReadDeadline(r.clock.Now().Add(unreadBodyTimeout)); err != nil {
+		return err
+	}
+	if _, err := io.Copy(io.Discard, request.Body); err != nil {
+		return err
 	}
+	return controller.SetReadDeadline(time.Time{})
 }
 
 // refusalLog counts refusals by reason and bounds the log lines about them.
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -202,13 +202,23 @@
 	}
 	switch {
 	case got.keyRefused:
-		// It is logged by logKeyRefusal.
-		r.answerBeforeBody(w, request)
+		// It has been logged by logKeyRefusal.
+		if err := r.answerBeforeBody(w, request, got); err != nil {
+			entry.WithError(err).Debug("receiver: caller disconnected before the end of a refused call")
+		}
+		return
 	case got.status >= http.StatusBadRequest && got.status != http.StatusGone && got.status != http.StatusNotFound:
 		entry.Warn("receiver: caller refused")
 	case call == callSubmit || call == callCancel:
 		entry.Info("receiver: caller answered")
 	}
+	if err := r.write(w, got); err != nil {
+		entry.WithError(err).Warn("receiver: caller disconnected before the answer")
+	}
+}
+
+// write writes an answer.
+func (r *Receiver) write(w http.ResponseWriter, got answer) error {
 	w.Header().Set("Content-Type", "application/json")
 	if got.retryAfter > 0 {
 		w.Header().Set("Retry-After", strconv.Itoa(int(got.retryAfter/time.Second)))
@@ -217,9 +227,8 @@
 		w.Header().Set("WWW-Authenticate", "Bearer")
 	}
 	w.WriteHeader(got.status)
-	if _, err := w.Write(got.body); err != nil {
-		entry.WithError(err).Warn("receiver: caller disconnected before the answer")
-	}
+	_, err := w.Write(got.body)
+	return err
 }
 
 // The kinds of call, as they appear in logs and metrics.
