--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -203,6 +203,59 @@
 	f.checkNoViolations()
 }
 
+// TestCancellationByAnotherOrganisation guards against a stored cancellation that ends a
+// job of another organisation, and against showing such a job.
+func TestCancellationByAnotherOrganisation(t *testing.T) {
+	f := newFixture(t, 2, emulator.RunTime(func(scheduler.TaskRef) time.Duration { return time.Hour }))
+	f.startOwner()
+	for id, organisation := range map[string]string{
+		"farms": "farm",
+		"free":  "",
+	} {
+		record, err := conductor.JobRecord(scheduler.Job{
+			ID:           id,
+			Organisation: organisation,
+			Queue: scheduler.Queue{
+				Service: service,
+			},
+			Phases:   []scheduler.Phase{tasks(1)},
+			Accepted: time.Now(),
+		})
+		f.c.Assert(err, qt.IsNil)
+		f.append(record)
+	}
+	cancel := func(id, organisation string) {
+		record, err := conductor.CancelRecord(id, organisation)
+		f.c.Assert(err, qt.IsNil)
+		f.append(record)
+	}
+	cancel("farms", "mill")
+	cancel("farms", "")
+	// The records are read in order: once this job is cancelled, the others are read.
+	cancel("free", "mill")
+	await := func(id, organisation string, want scheduler.JobState) {
+		for {
+			state, found, err := f.owner.State(context.Background(), id, organisation)
+			if err == nil && found && state == want {
+				return
+			}
+			time.Sleep(time.Millisecond)
+		}
+	}
+	await("free", "", scheduler.Cancelled)
+	await("farms", "farm", scheduler.Running)
+	for _, stranger := range []string{"mill", ""} {
+		_, found, err := f.owner.State(context.Background(), "farms", stranger)
+		f.c.Assert(err, qt.IsNil)
+		f.c.Assert(found, qt.IsFalse)
+	}
+	// A later owner reads the same records.
+	f.startOwner()
+	await("farms", "farm", scheduler.Running)
+	cancel("farms", "farm")
+	await("farms", "farm", scheduler.Cancelled)
+}
+
 // TestFormerOwnerIsShutOut checks that a former owner that still runs ends once a
 // later one takes over, and that no task runs twice.
 func TestFormerOwnerIsShutOut(t *testing.T) {
--- a/coordinator/cluster_test.go
+++ b/coordinator/cluster_test.go
@@ -41,6 +41,8 @@
 type blockableStore struct {
 	storer.Store
 	blocked atomic.Bool
+	// silent is set while reads of the configuration do not return.
+	silent atomic.Bool
 	// delay is the duration of appends and joins, in nanoseconds, and jobAppends
 	// counts the appends to the jobs topic.
 	delay, jobAppends atomic.Int64
@@ -61,6 +63,11 @@
 	if s.blocked.Load() {
 		return storer.Page{}, storer.ErrUnavailable
 	}
+	for of == configPartition && s.silent.Load() {
+		if timekeeper.Sleep(ctx, timekeeper.System(), 10*time.Millisecond) != nil {
+			return storer.Page{}, storer.ErrUnavailable
+		}
+	}
 	return s.Store.Read(ctx, of, from, wait)
 }
 
