scheduler: count use by organisation and keep its maximum at every start

An organisation could have any amount running. The scheduler now counts the full size of each run from its planned start until its end is certain, in any state, and what former owners may have running on workers that have not reported. Starts of tasks, gangs, copies, moved and planned runs are checked against the allotment; a step that it blocks reserves nothing, preempts nothing and calls no adviser. Demands tells what each organisation uses and wants, the log says which steps wait for a maximum, and gauges show use, allotment, maximum and blocked tasks.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -351,6 +351,8 @@
 func (c *Conductor) runScheduler(ctx context.Context, group *errgroup.Group) error {
 	defer c.metrics.deleteLoad(c.partition)
 	var metricsSetAt time.Time
+	// organisations holds the labels of the organisations whose metrics are set.
+	var organisations []string
 	for {
 		quick, long := c.adviser.AdviceLimits()
 		placementsAllowed := c.placementsAllowed()
@@ -364,6 +366,7 @@
 			metricsSetAt = now
 			c.metrics.setAdvice(c.partition, c.scheduler.AdviceLoad(now))
 			c.metrics.setLasting(c.partition, c.scheduler.LastingLoad(now))
+			organisations = c.metrics.setOrganisations(c.partition, c.scheduler.OrganisationLoads(), organisations)
 		}
 		unwritten, _ := c.scheduler.Unwritten()
 		wait := idleTickInterval
--- a/conductor/metrics.go
+++ b/conductor/metrics.go
@@ -1,11 +1,14 @@
 package conductor
 
 import (
+	"cmp"
+	"slices"
 	"strconv"
 
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/galenacove/galenacove/scheduler"
+	"github.com/galenacove/galenacove/sizer"
 )
 
 // Metrics holds the metrics of all conductors of a process.
@@ -22,6 +25,8 @@
 	adviceDeniedSeconds *prometheus.GaugeVec
 	lastingWaiting      *prometheus.GaugeVec
 	lastingWaitSeconds  *prometheus.GaugeVec
+	organisationUse     *prometheus.GaugeVec
+	organisationBlocked *prometheus.GaugeVec
 }
 
 // NewMetrics returns metrics that are not registered yet.
@@ -77,6 +82,14 @@
 			Name: "galenacove_conductor_lasting_wait_seconds",
 			Help: "For how long the first of these tasks has not been in service.",
 		}, []string{"partition"}),
+		organisationUse: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "galenacove_conductor_organisation_capacity",
+			Help: "What an organisation has running at the owner of a partition (used), may have running there (allotment), and may have running in all (maximum, 0 without a limit). Processors are in thousandths, memory in bytes.",
+		}, []string{"partition", "organisation", "resource", "kind"}),
+		organisationBlocked: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "galenacove_conductor_organisation_blocked",
+			Help: "Tasks of an organisation that wait as its allotment does not cover them.",
+		}, []string{"partition", "organisation"}),
 	}
 }
 
@@ -85,7 +98,7 @@
 	return []prometheus.Collector{
 		m.starts, m.adviceSeconds, m.silentRenewals, m.storeErrors, m.takeoverSeconds,
 		m.adviceCalls, m.adviceInFlight, m.adviceLimit, m.adviceDenied, m.adviceDeniedSeconds,
-		m.lastingWaiting, m.lastingWaitSeconds,
+		m.lastingWaiting, m.lastingWaitSeconds, m.organisationUse, m.organisationBlocked,
 	}
 }
 
@@ -107,13 +120,78 @@
 	m.lastingWaitSeconds.WithLabelValues(label).Set(load.LongestWait.Seconds())
 }
 
-// deleteLoad removes the metrics that setAdvice and setLasting set. It is called
+// maxOrganisationLabels limits the organisations with metrics of their own. Those of the
+// others are added up under the label otherOrganisations.
+const (
+	maxOrganisationLabels = 50
+	otherOrganisations    = "other"
+)
+
+// setOrganisations sets the metrics of the organisations at the owner of a partition, and
+// removes those of organisations in previous that have none any more. It returns the
+// labels of the organisations, which the next call takes as previous.
+func (m *Metrics) setOrganisations(partition int, loads []scheduler.OrganisationLoad, previous []string) []string {
+	label := strconv.Itoa(partition)
+	var names []string
+	for _, load := range boundedLoads(loads) {
+		name := load.Organisation.Name
+		names = append(names, name)
+		for kind, size := range map[string]sizer.Size{
+			"used":      load.Used,
+			"allotment": load.Allotment,
+			"maximum":   load.Organisation.Maximum,
+		} {
+			for resource, amount := range map[string]int64{
+				"processors":   size.MilliCores(),
+				"memory":       size.Bytes(),
+				"accelerators": size.Accelerators(),
+			} {
+				m.organisationUse.WithLabelValues(label, name, resource, kind).Set(float64(amount))
+			}
+		}
+		m.organisationBlocked.WithLabelValues(label, name).Set(float64(load.Blocked))
+	}
+	for _, name := range previous {
+		if !slices.Contains(names, name) {
+			labels := prometheus.Labels{
+				"partition":    label,
+				"organisation": name,
+			}
+			m.organisationUse.DeletePartialMatch(labels)
+			m.organisationBlocked.DeletePartialMatch(labels)
+		}
+	}
+	return names
+}
+
+// boundedLoads returns the loads of the maxOrganisationLabels organisations of the largest
+// weight, and the sum of all others as one load.
+func boundedLoads(loads []scheduler.OrganisationLoad) []scheduler.OrganisationLoad {
+	if len(loads) <= maxOrganisationLabels {
+		return loads
+	}
+	loads = slices.Clone(loads)
+	slices.SortStableFunc(loads, func(a, b scheduler.OrganisationLoad) int {
+		return cmp.Compare(b.Organisation.Weight, a.Organisation.Weight)
+	})
+	var others scheduler.OrganisationLoad
+	others.Organisation.Name = otherOrganisations
+	for _, load := range loads[maxOrganisationLabels:] {
+		others.Organisation.Maximum = others.Organisation.Maximum.Add(load.Organisation.Maximum)
+		others.Used = others.Used.Add(load.Used)
+		others.Allotment = others.Allotment.Add(load.Allotment)
+		others.Blocked += load.Blocked
+	}
+	return append(loads[:maxOrganisationLabels:maxOrganisationLabels], others)
+}
+
+// deleteLoad removes the metrics that setAdvice, setLasting and setOrganisations set. It is called
 // once the ownership has ended.
 func (m *Metrics) deleteLoad(partition int) {
 	label := prometheus.Labels{
 		"partition": strconv.Itoa(partition),
 	}
-	for _, gauge := range []*prometheus.GaugeVec{m.adviceInFlight, m.adviceLimit, m.adviceDenied, m.adviceDeniedSeconds, m.lastingWaiting, m.lastingWaitSeconds} {
+	for _, gauge := range []*prometheus.GaugeVec{m.adviceInFlight, m.adviceLimit, m.adviceDenied, m.adviceDeniedSeconds, m.lastingWaiting, m.lastingWaitSeconds, m.organisationUse, m.organisationBlocked} {
 		gauge.DeletePartialMatch(label)
 	}
 }
--- a/scheduler/advice.go
+++ b/scheduler/advice.go
@@ -55,6 +55,11 @@
 	if st.adviceState.adviceInFlight || now.Before(st.adviceState.retryAt) {
 		return
 	}
+	tasks := min(st.waiting, s.allowedStarts(st))
+	if tasks == 0 && st.waiting > 0 {
+		// The maximum of the organisation allows no start.
+		return
+	}
 	if st.phase.Gang || st.reservesWorkers() {
 		// These steps need many workers or whole ones. Workers are reserved for
 		// them while still busy, so the advice is needed before they are free.
@@ -66,7 +71,7 @@
 	if !taskSize(st.phase).Fits(p.freeCapacity) {
 		return
 	}
-	workers, expectedTasks := s.selectWorkersToAsk(st, p, st.waiting, now)
+	workers, expectedTasks := s.selectWorkersToAsk(st, p, tasks, now)
 	if len(workers) == 0 {
 		return
 	}
@@ -93,7 +98,7 @@
 	for _, v := range s.predictVacancies(st, p, now) {
 		capacity += v.capacity
 	}
-	return capacity >= approvedFactor*st.waiting
+	return capacity >= approvedFactor*min(st.waiting, s.allowedStarts(st))
 }
 
 // unaskedWorkers returns the workers that meet the step's requirements and about
--- a/scheduler/copying.go
+++ b/scheduler/copying.go
@@ -53,7 +53,7 @@
 		if t.done || t.run == nil || t.copy != nil || !s.isSlow(st, t.run, now) {
 			continue
 		}
-		if !taskSize(st.phase).Fits(p.freeCapacity) {
+		if !taskSize(st.phase).Fits(p.freeCapacity) || !s.copyAllowed(st) {
 			return
 		}
 		elsewhere := *t
--- a/scheduler/explaining.go
+++ b/scheduler/explaining.go
@@ -39,7 +39,7 @@
 // explain adds a note on why a step waits, once per interval. "Long calls" in
 // the note are calls to the adviser that do not count as quick.
 func (s *Scheduler) explain(st *step, p *pool, now time.Time) {
-	if !st.explainDue(now) {
+	if !st.explainDue(now) || s.explainMaximum(st, now) {
 		return
 	}
 	suitable, approved, ticketed, fitting, reserved := 0, 0, 0, 0, 0
@@ -74,6 +74,63 @@
 		}, "", now.Sub(st.dueAt))
 }
 
+// maxMaximumNotes limits the notes about the maximum of one organisation within
+// explainInterval, as a flood can leave thousands of steps waiting for it.
+const maxMaximumNotes = 5
+
+// maximumNotes counts the notes about the maximum of one organisation.
+type maximumNotes struct {
+	// since is the beginning of the current interval. logged and omitted count the notes
+	// that were added and left out in it.
+	since           time.Time
+	logged, omitted int
+}
+
+// explainMaximum adds a note if the step waits for the maximum of its organisation. It
+// reports whether the step waits for nothing else.
+func (s *Scheduler) explainMaximum(st *step, now time.Time) bool {
+	organisation, limited := s.limitOf(st.job)
+	if !limited {
+		return false
+	}
+	allowed := s.allowedStarts(st)
+	if allowed >= st.waiting {
+		return false
+	}
+	notes := s.maximumNotes[organisation.Name]
+	if notes == nil {
+		notes = &maximumNotes{}
+		s.maximumNotes[organisation.Name] = notes
+	}
+	if now.Sub(notes.since) >= explainInterval {
+		omitted := notes.omitted
+		*notes = maximumNotes{
+			since:   now,
+			omitted: omitted,
+		}
+	}
+	if notes.logged >= maxMaximumNotes {
+		notes.omitted++
+		return allowed == 0
+	}
+	reason := "step waits for the maximum of organisation"
+	switch {
+	case st.phase.Gang && !s.gangWithinOverage(organisation, st):
+		reason = "step can never start, as its gang is too large for the maximum of organisation"
+	case s.allotment(organisation.Name) != organisation.Maximum:
+		reason = "step waits for the allotment of organisation"
+	}
+	s.addNote(fmt.Sprintf("%s %s: %d of %d tasks of %v each, %s, %d more may start now, used %v, allotment %v, maximum %v, nothing of the job runs %t, %d such notes left out before",
+		reason, organisation.Name, st.waiting, len(st.tasks), st.phase.Size, rankName(st.rank(now)), allowed,
+		s.usedBy(organisation.Name), s.allotment(organisation.Name), organisation.Maximum, s.nothingRuns(st.job), notes.omitted),
+		TaskRef{
+			Step: st.ref,
+		}, "", now.Sub(st.dueAt))
+	notes.logged++
+	notes.omitted = 0
+	return allowed == 0
+}
+
 // obstacle is the first reason why a step cannot start a task on an approved
 // worker now.
 type obstacle int
--- a/scheduler/gangs.go
+++ b/scheduler/gangs.go
@@ -16,9 +16,15 @@
 		return
 	}
 	st.incompleteSince = time.Time{}
+	if s.allowedStarts(st) == 0 {
+		return
+	}
 	// Each worker on which the gang may start now is a candidate too.
 	if candidates := s.chooseGangWorkers(st, p, now, s.isCandidate); candidates != nil {
 		chosen := s.chooseGangWorkers(st, p, now, s.mayStartOn)
+		if chosen == nil && s.hold(st, len(st.tasks)) == 0 {
+			return
+		}
 		if chosen == nil {
 			// There is free capacity, but tickets have expired.
 			s.callAdviser(st, distinctWorkers(candidates), now)
@@ -33,6 +39,9 @@
 		}
 		return
 	}
+	if s.hold(st, len(st.tasks)) == 0 {
+		return
+	}
 	s.reserveForGang(st, p, now)
 	if st.job.record.Queue.Advice != nil {
 		s.requestAdvice(st, p, now)
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -262,6 +262,10 @@
 	Ended time.Time `json:"ended,omitzero"`
 	// Workers lists all workers on which tasks may have been started.
 	Workers []string `json:"workers,omitempty"`
+	// Ending holds, by worker, the full size of the runs that had not ended although
+	// their task is done or the job has ended. They count against the maximum of the
+	// organisation. It is kept only for jobs of an organisation.
+	Ending map[string]sizer.Size `json:"ending,omitempty"`
 	// Steps holds the steps with tasks that are done or have failed.
 	Steps []StepProgress `json:"steps,omitempty"`
 }
--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -47,6 +47,9 @@
 	// starvedSteps lists the steps for which no worker has capacity, in the
 	// order of rank.
 	starvedSteps []*step
+	// preemptible holds, by priority, the total size of the runs that may be stopped for
+	// a step of that priority, where it was computed.
+	preemptible map[int]sizer.Size
 	// maxCapacity is the maximum of each resource that a worker of the service
 	// has.
 	maxCapacity sizer.Size
@@ -107,6 +110,7 @@
 func (s *Scheduler) placeSteps(now time.Time) {
 	pools := s.pools(now)
 	clear(s.endsByWorker)
+	clear(s.waits)
 	for _, st := range s.startableSteps(now) {
 		p := pools[st.job.record.Queue.Service]
 		if p == nil {
@@ -124,6 +128,7 @@
 			clear(s.endsByWorker)
 		}
 		if st.waiting > 0 {
+			s.recordWait(st, p, now)
 			s.explain(st, p, now)
 		}
 	}
@@ -139,7 +144,11 @@
 
 // placeTasks starts the waiting tasks of a step, independently of each other.
 func (s *Scheduler) placeTasks(st *step, p *pool, now time.Time) {
+	allowed := s.allowedStarts(st)
 	for i := range st.tasks {
+		if allowed <= 0 {
+			break
+		}
 		t := &st.tasks[i]
 		if t.done || t.run != nil || s.taskAwaitsRecovery(t) {
 			continue
@@ -160,6 +169,11 @@
 		s.startRun(st, i, w, s.newAttempt(), now)
 		delete(s.endsByWorker, w)
 		p.spareMilliCores -= taskSize(st.phase).MilliCores()
+		allowed--
+	}
+	if allowed <= 0 {
+		// The maximum of the organisation allows no more.
+		return
 	}
 	if st.waiting > 0 && st.reservesWorkers() {
 		s.reserveForTasks(st, p, now)
@@ -167,17 +181,24 @@
 	if st.waiting > 0 && st.job.record.Queue.Advice != nil {
 		s.requestAdvice(st, p, now)
 	}
-	if st.waiting > 0 && !st.adviceState.adviceInFlight && !st.reservesWorkers() && st.rank(now) == rankInTime && !s.fitsSomewhere(st, p, now) {
+	if st.waiting > 0 && !st.adviceState.adviceInFlight && !st.reservesWorkers() && st.rank(now) == rankInTime && !s.fitsSomewhere(st, p, now) && s.holdStarved(st) {
 		p.starvedSteps = append(p.starvedSteps, st)
 	}
 	if st.adviceState.adviceInFlight {
 		// The step will soon take this capacity. For a step that waits for
 		// particular workers, expectedTasks is 0, so nothing is subtracted and
 		// lower-ranked steps can use the capacity.
-		p.freeCapacity = p.freeCapacity.Sub(taskSize(st.phase).Times(int64(min(st.waiting, st.adviceState.expectedTasks))))
+		p.freeCapacity = p.freeCapacity.Sub(taskSize(st.phase).Times(int64(s.hold(st, min(st.waiting, st.adviceState.expectedTasks)))))
 	}
 }
 
+// holdStarved sets the number of tasks for which runs may be preempted for a starved
+// step, and reports whether there are any.
+func (s *Scheduler) holdStarved(st *step) bool {
+	st.starvedTasks = s.hold(st, st.waiting)
+	return st.starvedTasks > 0
+}
+
 // leavesHeadroom reports whether the step's tasks would be preempted by a more
 // urgent queue, and have time to wait instead.
 func (st *step) leavesHeadroom(p *pool, now time.Time) bool {
--- a/scheduler/preempting.go
+++ b/scheduler/preempting.go
@@ -122,7 +122,7 @@
 	}
 	var shortfall sizer.Size
 	for _, st := range p.starvedSteps {
-		shortfall = shortfall.Add(taskSize(st.phase).Times(int64(st.waiting)))
+		shortfall = shortfall.Add(taskSize(st.phase).Times(int64(st.starvedTasks)))
 	}
 	var victims []*run
 	for _, w := range p.workers {
@@ -208,7 +208,7 @@
 // runs for the tasks for which no worker will be free soon. It renews tickets
 // that would expire before they can be used.
 func (s *Scheduler) reserveForTasks(st *step, p *pool, now time.Time) {
-	missing := s.startableTasks(st, st.adviceCost(st.waiting), now)
+	missing := s.hold(st, s.startableTasks(st, st.adviceCost(st.waiting), now))
 	if missing == 0 {
 		return
 	}
--- a/scheduler/reports.go
+++ b/scheduler/reports.go
@@ -72,6 +72,9 @@
 		w.clockReading = report.Clock
 		w.clockReadAt = now
 	}
+	if !w.reported {
+		s.formerUses = nil
+	}
 	w.reported = true
 	w.lastReportAt = now
 	w.silentSince = time.Time{}
@@ -106,7 +109,7 @@
 	w.lastEndNumber = row.Number
 	if r := w.runs[row.Run]; r != nil {
 		s.updateWorkerHealth(r, row.End, now)
-		w.removeRun(r)
+		s.removeRun(r)
 	}
 	s.applyEnd(w, row, now)
 	w.pendingAcks = append(w.pendingAcks, pendingAck{
@@ -267,7 +270,7 @@
 		pace:        100,
 	}
 	s.describeAdopted(r, st)
-	w.addRun(r)
+	s.addRun(r)
 	wanted := t != nil && !t.done && t.acceptsRun(st) && !st.job.state.Final()
 	if wanted && st.phase.Gang && st.gangAttempt != 0 && st.gangAttempt != row.Run.Attempt {
 		wanted = false
@@ -296,15 +299,29 @@
 		return
 	}
 	r.size = r.worker.entry.Total
-	ref := r.ref.Task.Step
-	if j := s.jobs[ref.Job]; j != nil && ref.Phase >= 0 && ref.Phase < len(j.record.Phases) {
-		r.size = taskSize(&j.record.Phases[ref.Phase])
+	if phase := r.setJob(s.jobs[r.ref.Task.Step.Job]); phase != nil {
+		r.size = taskSize(phase)
 	}
 }
 
+// setJob sets the job of the run and, unless the job has no such phase, the full size.
+// It returns the phase, or nil.
+func (r *run) setJob(j *job) *Phase {
+	r.job = j
+	index := r.ref.Task.Step.Phase
+	if j == nil || index < 0 || index >= len(j.record.Phases) {
+		return nil
+	}
+	phase := &j.record.Phases[index]
+	r.fullSize = phase.Size
+	return phase
+}
+
 // copyPhase copies the attributes of the step's phase that matter to the run.
 func (r *run) copyPhase(st *step) {
 	r.size = taskSize(st.phase)
+	r.fullSize = st.phase.Size
+	r.job = st.job
 	r.fills = st.phase.Fills
 	r.serves = st.phase.Lasting && st.phase.TailTarget > 0
 	r.estimate = st.phase.Estimate
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -97,7 +97,7 @@
 // started, but whose end was not reported. That frees its capacity, and its task
 // waits again. The rest of a gang is stopped.
 func (s *Scheduler) markLost(r *run, reason string, now time.Time) {
-	r.worker.removeRun(r)
+	s.removeRun(r)
 	s.addNote("run lost: "+reason, r.ref.Task, r.worker.entry.Ref.ID, now.Sub(r.startedAt))
 	st, t := s.findTask(r.ref.Task)
 	if t == nil || !t.hasRun(r) {
@@ -150,7 +150,7 @@
 func (s *Scheduler) stopRun(r *run, now time.Time, reason string) {
 	if r.state == runPlanned {
 		// The start was not sent, so there is nothing to stop.
-		r.worker.removeRun(r)
+		s.removeRun(r)
 		if st, t := s.findTask(r.ref.Task); t != nil && t.hasRun(r) {
 			s.unassignRun(st, t, r, now)
 		}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -99,6 +99,18 @@
 	// maximum by which one may exceed it.
 	organisations map[string]Organisation
 	overage       float64
+	// uses holds, by organisation, what has a run on a worker. unknownRuns holds the
+	// runs of unknown jobs by the identity of the job.
+	uses        map[string]*organisationUse
+	unknownRuns map[string][]*run
+	// formerUses holds, by organisation, what former owners may have running on
+	// workers that have not reported. It is nil if it has to be computed again.
+	formerUses map[string]sizer.Size
+	// waits holds, by organisation, what waited in the last tick for organisations
+	// with a maximum.
+	waits map[string]*organisationWait
+	// maximumNotes counts, by organisation, the notes on steps that wait for its maximum.
+	maximumNotes map[string]*maximumNotes
 }
 
 // queueStats holds the statistics of a queue.
@@ -145,6 +157,10 @@
 			false: defaultAdviceCalls,
 		},
 		organisations:     make(map[string]Organisation),
+		uses:              make(map[string]*organisationUse),
+		unknownRuns:       make(map[string][]*run),
+		waits:             make(map[string]*organisationWait),
+		maximumNotes:      make(map[string]*maximumNotes),
 		placementsAllowed: true,
 		storedSilent:      make(map[string]bool),
 		dirtyJobs:         make(map[string]bool),
@@ -201,11 +217,14 @@
 		criticalPaths:  record.criticalPaths(),
 	}
 	s.jobs[record.ID] = j
+	s.countUnknownRuns(j)
+	s.formerUses = nil
 	if progress != nil {
 		j.state = progress.State
 		j.endedAt = progress.Ended
 		j.stateStored = progress.State.Final()
 		j.started = progress.State != Pending
+		j.formerEnding = progress.Ending
 		for _, id := range progress.Workers {
 			j.workers[id] = true
 			j.storedWorkers[id] = true
--- a/scheduler/starting.go
+++ b/scheduler/starting.go
@@ -30,7 +30,7 @@
 		pace:       100,
 	}
 	r.copyPhase(st)
-	w.addRun(r)
+	s.addRun(r)
 	s.assignRun(st, t, r)
 	if st.isStored(r, t) {
 		s.sendStart(r, st, now)
@@ -95,6 +95,8 @@
 		switch {
 		case !r.worker.available(now) || !s.hasValidTicket(st, r.worker, now):
 			s.markLost(r, "worker unavailable or ticket expired before the start", now)
+		case !s.startAllowed(st, r):
+			s.markLost(r, "the maximum of the organisation was lowered before the start", now)
 		case !st.mayBeSent(r, t) && s.storeStalled && len(st.job.storedWorkers) > 0 && !st.tracksPlacements:
 			s.markLost(r, "worker cannot be stored as the store takes no writes", now)
 		case !st.mayBeSent(r, t):
--- a/scheduler/tables.go
+++ b/scheduler/tables.go
@@ -33,6 +33,11 @@
 	storedWorkers map[string]bool
 	// started is set once a task of the job has been started.
 	started bool
+	// runCount counts the runs of the job on all workers, in any state. It is kept
+	// only for jobs of an organisation.
+	runCount int
+	// formerEnding is the Ending that a former owner stored.
+	formerEnding map[string]sizer.Size
 	// objective is the time within which an occurrence should be done once it
 	// is due.
 	objective time.Duration
@@ -76,6 +81,13 @@
 	// the task, and after a takeover only the tasks wait whose workers have not
 	// reported.
 	tracksPlacements bool
+	// starvedTasks is the number of tasks for which runs may be preempted, while the
+	// step is one of the starved steps of its pool.
+	starvedTasks int
+	// fitSeenAt is the time at which there was last free capacity for tasks of the step,
+	// and fitCount for how many. They are kept for organisations with a maximum.
+	fitSeenAt time.Time
+	fitCount  int
 	// explainedAt is the time at which the log last explained why the step
 	// waits.
 	explainedAt time.Time
@@ -163,6 +175,11 @@
 	ref    RunRef
 	worker *worker
 	size   sizer.Size
+	// fullSize is the size of the task with the cores of best-effort tasks, which
+	// size leaves out. It counts against the maximum of the organisation.
+	fullSize sizer.Size
+	// job is the job of the run, nil while it is unknown.
+	job *job
 	// fills is set for best-effort tasks, and serves for lasting tasks with a
 	// response time target.
 	fills     bool
@@ -303,6 +320,8 @@
 	return w.clockAt(now) > w.leaseEnd
 }
 
+// addRun adds a run to the worker. It is called by Scheduler.addRun only, which also
+// counts the run for its organisation.
 func (w *worker) addRun(r *run) {
 	w.runs[r.ref] = r
 	w.used = w.used.Add(r.size)
@@ -314,9 +333,12 @@
 	}
 }
 
-func (w *worker) removeRun(r *run) {
-	if _, found := w.runs[r.ref]; !found {
-		return
+// removeRun removes the run with the reference of r. It returns that run, or nil if the
+// worker has none. It is called by Scheduler.removeRun only.
+func (w *worker) removeRun(r *run) *run {
+	found := w.runs[r.ref]
+	if found == nil {
+		return nil
 	}
 	delete(w.runs, r.ref)
 	w.used = w.used.Sub(r.size)
@@ -326,4 +348,5 @@
 	if r.serves {
 		w.servingRuns--
 	}
+	return found
 }
--- a/scheduler/tick.go
+++ b/scheduler/tick.go
@@ -26,6 +26,7 @@
 // Tick applies all scheduling rules once and returns the effects to carry out.
 func (s *Scheduler) Tick(now time.Time) []Effect {
 	s.tickedAt = now
+	s.formerUses = nil
 	s.createAllDueSteps(now)
 	s.reapRuns(now)
 	s.finishRecovery(now)
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -47,6 +47,7 @@
 // SetWorkers sets the current content of the directory. Nothing more is started
 // on workers that it no longer lists.
 func (s *Scheduler) SetWorkers(entries []WorkerEntry) {
+	s.formerUses = nil
 	for _, w := range s.workers {
 		w.listed = false
 	}
@@ -95,6 +96,7 @@
 // AddFormerWorkers adds the workers on which the former owner may have runs,
 // whether or not the directory still lists them.
 func (s *Scheduler) AddFormerWorkers(entries []WorkerEntry) {
+	s.formerUses = nil
 	for _, entry := range entries {
 		if s.workers[entry.Ref.ID] == nil {
 			w := newWorker(entry)
@@ -240,6 +242,7 @@
 	}
 	s.markAllLost(w, "worker ended", now)
 	w.reported = true
+	s.formerUses = nil
 	if !w.listed {
 		s.dropWorker(id)
 		return
--- a/scheduler/writes.go
+++ b/scheduler/writes.go
@@ -3,6 +3,8 @@
 import (
 	"maps"
 	"slices"
+
+	"github.com/galenacove/galenacove/sizer"
 )
 
 // Write is a batch of changes to be stored.
@@ -153,8 +155,9 @@
 // progress returns the part of the job's state that must be stored.
 func (s *Scheduler) progress(j *job) Progress {
 	p := Progress{
-		State: j.state,
-		Ended: j.endedAt,
+		State:  j.state,
+		Ended:  j.endedAt,
+		Ending: s.ending(j),
 	}
 	if j.state.Final() {
 		return p
@@ -183,6 +186,59 @@
 	return p
 }
 
+// ending returns, by worker, the full size of the job's runs that have not ended although
+// their task is done or the job has ended, or nil if there are none. For workers that
+// have not reported it returns what the former owner stored.
+func (s *Scheduler) ending(j *job) map[string]sizer.Size {
+	var ending map[string]sizer.Size
+	add := func(id string, size sizer.Size) {
+		if ending == nil {
+			ending = make(map[string]sizer.Size)
+		}
+		ending[id] = ending[id].Add(size)
+	}
+	if !s.recoveryDone {
+		for id, size := range j.formerEnding {
+			if s.isUnreported(id) {
+				add(id, size)
+			}
+		}
+	}
+	if j.runCount == 0 || !j.state.Final() && j.runCount == j.assignedRuns() {
+		return ending
+	}
+	for id, w := range s.workers {
+		for ref, r := range w.runs {
+			if r.job == j && (j.state.Final() || j.isDone(ref.Task)) {
+				add(id, r.fullSize)
+			}
+		}
+	}
+	return ending
+}
+
+// assignedRuns counts the runs of the job that belong to a task.
+func (j *job) assignedRuns() int {
+	n := 0
+	for _, st := range j.steps {
+		for i := range st.tasks {
+			if st.tasks[i].run != nil {
+				n++
+			}
+			if st.tasks[i].copy != nil {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// isDone reports whether the task is done.
+func (j *job) isDone(ref TaskRef) bool {
+	st := j.steps[ref.Step]
+	return st != nil && ref.Index >= 0 && ref.Index < len(st.tasks) && st.tasks[ref.Index].done
+}
+
 // stepProgress returns the part of the step's state that must be stored, and whether
 // there is any.
 func (s *Scheduler) stepProgress(st *step) (StepProgress, bool) {
