scheduler: keep the runs of silent workers until former leases end, and free planned gangs

A worker that the store lists as silent gets no lease. If it reported to a new owner and went silent again, its runs counted as ended at once, although a lease of the former owner could hold for seconds, so that tasks ran twice. reapRuns now also waits for the former leases of such a worker.

A gang that was planned anew while an earlier run of it was reported as done kept the capacity of its planned members for good. sendPlannedStarts now removes such runs.

--- a/scheduler/recovery_test.go
+++ b/scheduler/recovery_test.go
@@ -483,3 +483,70 @@
 		}
 	}
 }
+
+// TestAdoptedRunIsNotLostBeforeTheFormerLease guards against a task that runs twice after
+// a takeover: its worker is stored as silent, reports the run to the new owner and goes
+// silent again before that owner has granted a lease, while the lease of the former owner
+// still holds.
+func TestAdoptedRunIsNotLostBeforeTheFormerLease(t *testing.T) {
+	r := newRig(t)
+	w := r.addWorker("w", cores(4))
+	r.updateDirectory()
+	r.renewLeases()
+	job := r.job("j", newPhase(1, cores(1)))
+	r.s.AddJob(job, nil, false, r.now)
+	r.tick()
+	r.write()
+	r.c.Assert(w.activeRuns, qt.HasLen, 1)
+
+	r.addWorker("other", cores(4))
+	r.takeOver(job)
+	w.silent = true
+	for range 7 {
+		r.round()
+		r.write()
+	}
+	r.c.Assert(r.storedSilent, qt.HasLen, 1)
+	w.silent = false
+	r.renewLeases()
+	w.silent = true
+	leaseEnd := w.leaseEnd
+	for w.clock < leaseEnd {
+		r.round()
+		r.c.Assert(r.activeRuns(), qt.Equals, 1, qt.Commentf("%v before the end of the lease", leaseEnd-w.clock))
+	}
+	r.rounds(20)
+	r.c.Assert(r.activeRuns(), qt.Equals, 2, qt.Commentf("not started again after the lease"))
+}
+
+// TestPlannedGangThatIsDoneLeavesItsWorkers guards against capacity that is lost for good:
+// while a gang is planned anew, an earlier run of it is reported as done.
+func TestPlannedGangThatIsDoneLeavesItsWorkers(t *testing.T) {
+	r := newRig(t)
+	first := r.addWorker("first", cores(4))
+	r.updateDirectory()
+	r.renewLeases()
+	gang := newPhase(2, cores(2))
+	gang.Gang = true
+	r.s.AddJob(r.job("gang", gang), nil, false, r.now)
+	r.round()
+	r.c.Assert(first.activeRuns, qt.HasLen, 2)
+
+	r.addWorker("second", cores(4))
+	r.updateDirectory()
+	first.silent = true
+	for r.s.PlannedRuns() == 0 {
+		r.advance(100 * time.Millisecond)
+		r.s.ConfirmOwnership(r.now)
+		r.renewLeases()
+		r.carryOut(r.s.Tick(r.now))
+	}
+	first.silent = false
+	r.endAll(0, scheduler.EndDone)
+	r.renewLeases()
+	r.c.Assert(r.s.PlannedRuns(), qt.Equals, 2)
+	r.rounds(2)
+	r.s.AddJob(r.job("next", newPhase(2, cores(4))), nil, false, r.now)
+	r.rounds(3)
+	r.c.Assert(r.runsOf("next"), qt.Equals, 2)
+}
--- a/scheduler/starting.go
+++ b/scheduler/starting.go
@@ -88,8 +88,13 @@
 	s.plannedRuns = nil
 	var stillPlanned []*run
 	for _, r := range plannedRuns {
+		if r.state != runPlanned || r.worker.runs[r.ref] != r {
+			continue
+		}
 		st, t := s.findTask(r.ref.Task)
-		if t == nil || !t.hasRun(r) || r.state != runPlanned {
+		if t == nil || !t.hasRun(r) {
+			// The end of an earlier run has made the members of the gang done.
+			s.removeRun(r)
 			continue
 		}
 		switch {
--- a/scheduler/tick.go
+++ b/scheduler/tick.go
@@ -49,11 +49,12 @@
 	}
 }
 
-// reapRuns removes the runs of silent workers whose leases have expired, and
-// repeats stops that have had no effect.
+// reapRuns removes the runs of silent workers whose leases, also those of former owners,
+// have expired, and repeats stops that have had no effect.
 func (s *Scheduler) reapRuns(now time.Time) {
 	for id, w := range s.workers {
-		if !w.silentSince.IsZero() && w.reported && w.leaseExpired(now) {
+		formerLease := w.former && !now.After(s.leasesEnd(w))
+		if !w.silentSince.IsZero() && w.reported && w.leaseExpired(now) && !formerLease {
 			s.markAllLost(w, "lease lapsed", now)
 			if !w.listed {
 				s.dropWorker(id)
