scheduler: random play of maxima, and runs that end across a takeover

The interleaving model has a play with organisations: cancelled jobs, copies, a gang larger than the maximum, lost starts and stops, and takeovers. It found that runs of done tasks and cancelled jobs were not counted by a next owner on workers that have not reported. The progress of a job of an organisation now lists them by worker, and what was unfinished at the takeover counts until the worker has reported.

--- /dev/null
+++ b/scheduler/export_test.go
@@ -0,0 +1,22 @@
+package scheduler
+
+import "github.com/galenacove/galenacove/sizer"
+
+// UsedBy returns what usedBy returns, to tests.
+func (s *Scheduler) UsedBy(name string) sizer.Size {
+	return s.usedBy(name)
+}
+
+// UncountStoppingRuns takes the stopping runs out of the use of their organisation. It is
+// a fault that a test seeds.
+func (s *Scheduler) UncountStoppingRuns() {
+	for _, w := range s.workers {
+		for _, r := range w.runs {
+			if r.state == runStopping && r.job != nil && r.job.record.Organisation != "" {
+				use := s.uses[r.job.record.Organisation]
+				use.size = use.size.Sub(r.fullSize)
+				r.fullSize = sizer.Size{}
+			}
+		}
+	}
+}
--- a/scheduler/limits.go
+++ b/scheduler/limits.go
@@ -145,19 +145,13 @@
 				})
 			}
 		}
-		if j.state.Final() {
+		if j.formerUnfinished == (formerUse{}) {
 			continue
 		}
-		var unfinished formerUse
-		counted := false
 		for id := range j.workers {
-			if !s.isUnreported(id) {
-				continue
-			}
-			if !counted {
-				unfinished, counted = j.unfinished(), true
+			if s.isUnreported(id) {
+				add(id, j.formerUnfinished)
 			}
-			add(id, unfinished)
 		}
 	}
 	uses := make(map[string]sizer.Size)
@@ -167,6 +161,11 @@
 	return uses
 }
 
+// total returns the whole use.
+func (u formerUse) total() sizer.Size {
+	return u.size.Add(u.filling)
+}
+
 // within returns the part of the use that a worker of the given capacity can have.
 func (u formerUse) within(total sizer.Size) sizer.Size {
 	return sizer.New(
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -249,6 +249,9 @@
 	}
 	s.jobsWithUncreatedSteps[record.ID] = j
 	s.createDueSteps(j, now)
+	if recovered && record.Organisation != "" && !s.recoveryDone {
+		j.formerUnfinished = j.unfinished()
+	}
 }
 
 // createDueSteps creates the steps of those occurrences of a job that have become
--- a/scheduler/tables.go
+++ b/scheduler/tables.go
@@ -38,6 +38,10 @@
 	runCount int
 	// formerEnding is the Ending that a former owner stored.
 	formerEnding map[string]sizer.Size
+	// formerUnfinished is what was unfinished of a job of an organisation when this owner
+	// took over. Tasks that are done or cancelled since may still run on workers that
+	// have not reported.
+	formerUnfinished formerUse
 	// objective is the time within which an occurrence should be done once it
 	// is due.
 	objective time.Duration
--- a/scheduler/writes.go
+++ b/scheduler/writes.go
@@ -188,7 +188,8 @@
 
 // ending returns, by worker, the full size of the job's runs that have not ended although
 // their task is done or the job has ended, or nil if there are none. For workers that
-// have not reported it returns what the former owner stored.
+// have not reported it returns what the former owner stored, and what may run there of
+// the tasks that have ended since.
 func (s *Scheduler) ending(j *job) map[string]sizer.Size {
 	var ending map[string]sizer.Size
 	add := func(id string, size sizer.Size) {
@@ -197,12 +198,22 @@
 		}
 		ending[id] = ending[id].Add(size)
 	}
-	if !s.recoveryDone {
+	if !s.recoveryDone && j.record.Organisation != "" {
 		for id, size := range j.formerEnding {
 			if s.isUnreported(id) {
 				add(id, size)
 			}
 		}
+		ended := j.formerUnfinished.total()
+		if !j.state.Final() {
+			// The next owner counts what is still unfinished.
+			ended = ended.Sub(j.unfinished().total())
+		}
+		for id := range j.workers {
+			if s.isUnreported(id) && !ended.IsZero() {
+				add(id, ended)
+			}
+		}
 	}
 	if j.runCount == 0 || !j.state.Final() && j.runCount == j.assignedRuns() {
 		return ending
