--- a/scheduler/writes.go
+++ b/scheduler/writes.go
@@ -3,8 +3,6 @@
 import (
 	"maps"
 	"slices"
-
-	"github.com/galenacove/galenacove/sizer"
 )
 
 // Write is a batch of changes to be stored.
@@ -186,70 +184,6 @@
 	return p
 }
 
-// ending returns, by worker, the full size of the job's runs that have not ended although
-// their task is done or the job has ended, or nil if there are none. For workers that
-// have not reported it returns what the former owner stored, and what may run there of
-// the tasks that have ended since.
-func (s *Scheduler) ending(j *job) map[string]sizer.Size {
-	var ending map[string]sizer.Size
-	add := func(id string, size sizer.Size) {
-		if ending == nil {
-			ending = make(map[string]sizer.Size)
-		}
-		ending[id] = ending[id].Add(size)
-	}
-	if !s.recoveryDone && j.record.Organisation != "" {
-		for id, size := range j.formerEnding {
-			if s.isUnreported(id) {
-				add(id, size)
-			}
-		}
-		ended := j.formerUnfinished.total()
-		if !j.state.Final() {
-			// The next owner counts what is still unfinished.
-			ended = ended.Sub(j.unfinished().total())
-		}
-		for id := range j.workers {
-			if s.isUnreported(id) && !ended.IsZero() {
-				add(id, ended)
-			}
-		}
-	}
-	if j.runCount == 0 || !j.state.Final() && j.runCount == j.assignedRuns() {
-		return ending
-	}
-	for id, w := range s.workers {
-		for ref, r := range w.runs {
-			if r.job == j && (j.state.Final() || j.isDone(ref.Task)) {
-				add(id, r.fullSize)
-			}
-		}
-	}
-	return ending
-}
-
-// assignedRuns counts the runs of the job that belong to a task.
-func (j *job) assignedRuns() int {
-	n := 0
-	for _, st := range j.steps {
-		for i := range st.tasks {
-			if st.tasks[i].run != nil {
-				n++
-			}
-			if st.tasks[i].copy != nil {
-				n++
-			}
-		}
-	}
-	return n
-}
-
-// isDone reports whether the task is done.
-func (j *job) isDone(ref TaskRef) bool {
-	st := j.steps[ref.Step]
-	return st != nil && ref.Index >= 0 && ref.Index < len(st.tasks) && st.tasks[ref.Index].done
-}
-
 // stepProgress returns the part of the step's state that must be stored, and whether
 // there is any.
 func (s *Scheduler) stepProgress(st *step) (StepProgress, bool) {
