scheduler: approve steps ahead that the maximum blocks, on spare calls only

With an organisation at its maximum, each task that ended left capacity of the maximum idle for the time of a call to the adviser. The most important blocked steps, for a quarter of the allotment, now ask ahead while at most half of the calls are in flight.

--- a/scheduler/advice.go
+++ b/scheduler/advice.go
@@ -57,8 +57,12 @@
 	}
 	tasks := min(st.waiting, s.allowedStarts(st))
 	if tasks == 0 && st.waiting > 0 {
-		// The maximum of the organisation allows no start.
-		return
+		// The maximum of the organisation allows no start. Tasks may start once others
+		// have ended, but no other step may wait for this call.
+		if !s.hasSpareCalls(st) {
+			return
+		}
+		tasks = min(st.waiting, s.blockedTasksAhead(st))
 	}
 	if st.phase.Gang || st.reservesWorkers() {
 		// These steps need many workers or whole ones. Workers are reserved for
@@ -98,7 +102,7 @@
 	for _, v := range s.predictVacancies(st, p, now) {
 		capacity += v.capacity
 	}
-	return capacity >= approvedFactor*min(st.waiting, s.allowedStarts(st))
+	return capacity >= approvedFactor*min(st.waiting, max(1, s.allowedStarts(st)))
 }
 
 // unaskedWorkers returns the workers that meet the step's requirements and about
--- a/scheduler/demands.go
+++ b/scheduler/demands.go
@@ -77,6 +77,10 @@
 	// held is the size of the tasks for which the tick has reserved workers, preempted
 	// runs or kept free capacity. It limits those of later steps.
 	held sizer.Size
+	// blockedSteps counts the steps in the blockedSteps of the scheduler, and ahead is the
+	// size of those for which approvals are or were asked ahead.
+	blockedSteps int
+	ahead        sizer.Size
 	// fitChecks counts the searches for free capacity.
 	fitChecks int
 }
@@ -146,6 +150,10 @@
 	wait := s.waitOf(organisation.Name)
 	allowed := s.allowedStarts(st)
 	wait.blocked += max(0, st.waiting-allowed)
+	if allowed <= 0 && st.job.record.Queue.Advice != nil && wait.blockedSteps < maxBlockedAhead {
+		wait.blockedSteps++
+		s.blockedSteps = append(s.blockedSteps, st)
+	}
 	urgency := st.urgency(now)
 	unneeded := wait.waiting && wait.urgency.Compare(urgency) <= 0 && wait.covers(st.phase.Size, organisation.Maximum)
 	if unneeded {
--- a/scheduler/limits_test.go
+++ b/scheduler/limits_test.go
@@ -601,3 +601,41 @@
 		}
 	}
 }
+
+// TestBlockedStepIsApprovedAhead guards against capacity of the maximum that is idle during
+// a call to the adviser each time a task ends, and against blocked steps that take up all
+// calls.
+func TestBlockedStepIsApprovedAhead(t *testing.T) {
+	r := newLimitedRig(t, 2, cores(4))
+	r.s.SetAdviceLimits(4, 4)
+	for i := range 10 {
+		job := r.limitedJob(fmt.Sprintf("j%d", i), newPhase(2, cores(1)))
+		job.Queue = advisedQueue
+		r.s.AddJob(job, nil, false, r.now)
+	}
+	r.rounds(1)
+	r.answerAdvice(approveAll)
+	for range 2 {
+		r.round()
+		r.answerAdvice(approveAll)
+	}
+	r.c.Assert(r.activeRuns(), qt.Equals, 4)
+	asked := make(map[string]bool)
+	for range 5 {
+		r.round()
+		calls := 0
+		for _, effect := range r.effects {
+			if ask, is := effect.(scheduler.AskAdvice); is {
+				asked[ask.Step.Job] = true
+				calls++
+			}
+		}
+		r.c.Assert(calls <= 2, qt.IsTrue)
+		r.answerAdvice(approveAll)
+	}
+	r.endOne()
+	r.renewLeases()
+	r.tick()
+	r.c.Assert(r.activeRuns(), qt.Equals, 4, qt.Commentf("the next task waits for advice"))
+	r.c.Assert(len(asked) <= 2, qt.IsTrue, qt.Commentf("asked for %v", asked))
+}
--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -111,6 +111,7 @@
 	pools := s.pools(now)
 	clear(s.endsByWorker)
 	clear(s.waits)
+	s.blockedSteps = s.blockedSteps[:0]
 	for _, st := range s.startableSteps(now) {
 		p := pools[st.job.record.Queue.Service]
 		if p == nil {
@@ -139,6 +140,7 @@
 	s.copySlowRuns(pools, now)
 	// Runs may have been started and stopped.
 	clear(s.endsByWorker)
+	s.askForBlocked(pools, now)
 	s.askAhead(pools, now)
 }
 
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -109,6 +109,9 @@
 	// waits holds, by organisation, what waited in the last tick for organisations
 	// with a maximum.
 	waits map[string]*organisationWait
+	// blockedSteps holds the most important steps of each organisation that need advice
+	// and that its maximum blocked in this tick, in the order of rank.
+	blockedSteps []*step
 	// maximumNotes counts, by organisation, the notes on steps that wait for its maximum.
 	maximumNotes map[string]*maximumNotes
 }
