--- a/scheduler/advice.go
+++ b/scheduler/advice.go
@@ -55,6 +55,15 @@
 	if st.adviceState.adviceInFlight || now.Before(st.adviceState.retryAt) {
 		return
 	}
+	tasks := min(st.waiting, s.allowedStarts(st))
+	if tasks == 0 && st.waiting > 0 {
+		// The maximum of the organisation allows no start. Tasks may start once others
+		// have ended, but no other step may wait for this call.
+		if !s.hasSpareCalls(st) {
+			return
+		}
+		tasks = min(st.waiting, s.blockedTasksAhead(st))
+	}
 	if st.phase.Gang || st.reservesWorkers() {
 		// These steps need many workers or whole ones. Workers are reserved for
 		// them while still busy, so the advice is needed before they are free.
@@ -66,7 +75,7 @@
 	if !taskSize(st.phase).Fits(p.freeCapacity) {
 		return
 	}
-	workers, expectedTasks := s.selectWorkersToAsk(st, p, st.waiting, now)
+	workers, expectedTasks := s.selectWorkersToAsk(st, p, tasks, now)
 	if len(workers) == 0 {
 		return
 	}
@@ -93,7 +102,7 @@
 	for _, v := range s.predictVacancies(st, p, now) {
 		capacity += v.capacity
 	}
-	return capacity >= approvedFactor*st.waiting
+	return capacity >= approvedFactor*min(st.waiting, max(1, s.allowedStarts(st)))
 }
 
 // unaskedWorkers returns the workers that meet the step's requirements and about
--- a/scheduler/starting.go
+++ b/scheduler/starting.go
@@ -30,7 +30,7 @@
 		pace:       100,
 	}
 	r.copyPhase(st)
-	w.addRun(r)
+	s.addRun(r)
 	s.assignRun(st, t, r)
 	if st.isStored(r, t) {
 		s.sendStart(r, st, now)
@@ -88,13 +88,20 @@
 	s.plannedRuns = nil
 	var stillPlanned []*run
 	for _, r := range plannedRuns {
+		if r.state != runPlanned || r.worker.runs[r.ref] != r {
+			continue
+		}
 		st, t := s.findTask(r.ref.Task)
-		if t == nil || !t.hasRun(r) || r.state != runPlanned {
+		if t == nil || !t.hasRun(r) {
+			// The end of an earlier run has made the members of the gang done.
+			s.removeRun(r)
 			continue
 		}
 		switch {
 		case !r.worker.available(now) || !s.hasValidTicket(st, r.worker, now):
 			s.markLost(r, "worker unavailable or ticket expired before the start", now)
+		case !s.startAllowed(st, r):
+			s.markLost(r, "the maximum of the organisation was lowered before the start", now)
 		case !st.mayBeSent(r, t) && s.storeStalled && len(st.job.storedWorkers) > 0 && !st.tracksPlacements:
 			s.markLost(r, "worker cannot be stored as the store takes no writes", now)
 		case !st.mayBeSent(r, t):
--- a/scheduler/writes.go
+++ b/scheduler/writes.go
@@ -153,8 +153,9 @@
 // progress returns the part of the job's state that must be stored.
 func (s *Scheduler) progress(j *job) Progress {
 	p := Progress{
-		State: j.state,
-		Ended: j.endedAt,
+		State:  j.state,
+		Ended:  j.endedAt,
+		Ending: s.ending(j),
 	}
 	if j.state.Final() {
 		return p
