Allotments: the parts of a maximum move between owners

An organisation's maximum has to hold over all owners. Package allotter has the ledger of a partition, the decision what to give and when to ask. The scheduler holds the ledger and marks it to be stored, the conductor answers requests once it is stored and asks others while parts are missing, and the coordinator decides the base partitions and carries the calls.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -51,6 +51,9 @@
 	// silentKey is the key under which an owner stores the workers that have not
 	// reported to it.
 	silentKey = "/silent"
+	// allotmentsKey is the key under which an owner stores the ledger of the parts
+	// of maxima that it has given and received.
+	allotmentsKey = "/allotments"
 	// writerName names the writer of progress. It is the same for all owners, so
 	// that the store rejects the writes of all owners but the one with the latest
 	// epoch.
@@ -127,11 +130,16 @@
 	metrics   *Metrics
 	// placementsAllowed reports whether the placements of lasting tasks may be stored.
 	placementsAllowed func() bool
+	// askAllotment calls the owner of another partition. It is nil if the allotments
+	// are not exchanged.
+	askAllotment AskAllotment
 
 	// tickRequests triggers a tick of the scheduler, and writeRequests a write of
 	// the progress.
 	tickRequests  chan struct{}
 	writeRequests chan struct{}
+	// exchangeRequests triggers a check whether parts are to be asked for.
+	exchangeRequests chan struct{}
 
 	mu        sync.Mutex
 	scheduler *scheduler.Scheduler
@@ -157,6 +165,8 @@
 	// organisations and overage are passed on to the scheduler.
 	organisations []scheduler.Organisation
 	overage       float64
+	// exchange is the state of the exchange of allotments.
+	exchange exchange
 }
 
 // Option changes how a Conductor works.
@@ -218,6 +228,8 @@
 		placementsAllowed: func() bool { return true },
 		tickRequests:      make(chan struct{}, 1),
 		writeRequests:     make(chan struct{}, 1),
+		exchangeRequests:  make(chan struct{}, 1),
+		exchange:          newExchange(),
 		progressed:        make(chan struct{}),
 		leaseKeepers:      make(map[string]*leaseKeeper),
 	}
@@ -244,6 +256,7 @@
 		}).Info("conductor: took over the partition")
 		group.Go(func() error { return c.followJobs(ctx) })
 		group.Go(func() error { return c.writeLoop(ctx) })
+		group.Go(func() error { return c.exchangeAllotments(ctx, group) })
 		return c.runScheduler(ctx, group)
 	})
 	return group.Wait()
@@ -374,6 +387,7 @@
 		if unwritten {
 			c.requestWrite()
 		}
+		c.requestExchange()
 		c.logNotes(notes)
 		for _, effect := range effects {
 			group.Go(func() error { return c.carryOut(ctx, effect) })
--- a/conductor/metrics.go
+++ b/conductor/metrics.go
@@ -2,9 +2,11 @@
 
 import (
 	"strconv"
+	"sync"
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/galenacove/galenacove/allotter"
 	"github.com/galenacove/galenacove/scheduler"
 )
 
@@ -22,6 +24,26 @@
 	adviceDeniedSeconds *prometheus.GaugeVec
 	lastingWaiting      *prometheus.GaugeVec
 	lastingWaitSeconds  *prometheus.GaugeVec
+	allotmentCalls      *prometheus.CounterVec
+	allotmentParts      *prometheus.CounterVec
+
+	mu sync.Mutex
+	// labelledOrganisations holds the organisations that have a label of their own.
+	labelledOrganisations map[string]bool
+}
+
+const (
+	// maxLabelledOrganisations limits the organisations with a label of their own, and
+	// otherOrganisations is the label of all further ones.
+	maxLabelledOrganisations = 32
+	otherOrganisations       = "(other)"
+)
+
+// resourceLabels holds the label of each resource, in the order of allotter.Parts.
+var resourceLabels = [...]string{
+	allotter.Cores:        "cores",
+	allotter.Memory:       "memory",
+	allotter.Accelerators: "accelerators",
 }
 
 // NewMetrics returns metrics that are not registered yet.
@@ -77,6 +99,15 @@
 			Name: "galenacove_conductor_lasting_wait_seconds",
 			Help: "For how long the first of these tasks has not been in service.",
 		}, []string{"partition"}),
+		allotmentCalls: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "galenacove_conductor_allotment_calls_total",
+			Help: "Calls that ask other owners for parts of allotments, by their outcome.",
+		}, []string{"outcome"}),
+		allotmentParts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "galenacove_conductor_allotment_parts_total",
+			Help: "Parts of maxima that were given to and received from other owners, in millionths of the maximum.",
+		}, []string{"organisation", "resource", "direction"}),
+		labelledOrganisations: make(map[string]bool),
 	}
 }
 
@@ -85,7 +116,29 @@
 	return []prometheus.Collector{
 		m.starts, m.adviceSeconds, m.silentRenewals, m.storeErrors, m.takeoverSeconds,
 		m.adviceCalls, m.adviceInFlight, m.adviceLimit, m.adviceDenied, m.adviceDeniedSeconds,
-		m.lastingWaiting, m.lastingWaitSeconds,
+		m.lastingWaiting, m.lastingWaitSeconds, m.allotmentCalls, m.allotmentParts,
+	}
+}
+
+// organisationLabel returns the label of an organisation. The number of labels is limited.
+func (m *Metrics) organisationLabel(organisation string) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.labelledOrganisations[organisation] {
+		if len(m.labelledOrganisations) >= maxLabelledOrganisations {
+			return otherOrganisations
+		}
+		m.labelledOrganisations[organisation] = true
+	}
+	return organisation
+}
+
+// countParts counts parts that were given or received.
+func (m *Metrics) countParts(organisation, direction string, parts allotter.Parts) {
+	for i, n := range parts {
+		if n > 0 {
+			m.allotmentParts.WithLabelValues(m.organisationLabel(organisation), resourceLabels[i], direction).Add(float64(n))
+		}
 	}
 }
 
--- a/conductor/recovery.go
+++ b/conductor/recovery.go
@@ -62,19 +62,20 @@
 	now := c.clock.Now()
 	s := scheduler.New(c.token, now, c.options...)
 	s.AllowPlacements(c.placementsAllowed())
-	progressByJob, workersInUse, silent := c.decodeProgress(progress)
+	stored := c.decodeProgress(progress)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s.ConfirmOwnership(c.confirmedAt)
 	s.SetOrganisations(c.organisations, c.overage)
-	s.AddFormerWorkers(workersInUse)
-	s.SetFormerSilence(silent)
+	c.restoreAllotments(s, stored.allotments)
+	s.AddFormerWorkers(stored.workersInUse)
+	s.SetFormerSilence(stored.silent)
 	s.SetWorkers(c.directoryWorkers)
 	c.scheduler = s
-	c.applyRecords(jobs, progressByJob, now)
+	c.applyRecords(jobs, stored.byJob, now)
 	c.next = next
 	c.ready = true
-	c.logFormerWorkers(workersInUse)
+	c.logFormerWorkers(stored.workersInUse)
 	return nil
 }
 
@@ -96,30 +97,42 @@
 	}).Info("conductor: the workers of the former owner were read")
 }
 
-// decodeProgress returns the progress of each job, the workers in use, and those that
-// have been silent.
-func (c *Conductor) decodeProgress(records []storer.Record) (map[string]*scheduler.Progress, []scheduler.WorkerEntry, []scheduler.SilentWorker) {
-	progressByJob := make(map[string]*scheduler.Progress, len(records))
-	var workersInUse []scheduler.WorkerEntry
-	var silent []scheduler.SilentWorker
+// formerProgress is what the former owner stored.
+type formerProgress struct {
+	byJob        map[string]*scheduler.Progress
+	workersInUse []scheduler.WorkerEntry
+	silent       []scheduler.SilentWorker
+	// allotments is the encoded ledger, nil if none is stored.
+	allotments []byte
+}
+
+// decodeProgress decodes what the former owner stored. An older release decodes any key
+// that it does not know as the progress of a job, which it never finds, so the value of a
+// new key must be a JSON object.
+func (c *Conductor) decodeProgress(records []storer.Record) formerProgress {
+	stored := formerProgress{
+		byJob: make(map[string]*scheduler.Progress, len(records)),
+	}
 	for _, record := range records {
 		var err error
 		switch record.Key {
 		case workersKey:
-			err = json.Unmarshal(record.Value, &workersInUse)
+			err = json.Unmarshal(record.Value, &stored.workersInUse)
 		case silentKey:
-			err = json.Unmarshal(record.Value, &silent)
+			err = json.Unmarshal(record.Value, &stored.silent)
+		case allotmentsKey:
+			stored.allotments = record.Value
 		default:
 			progress := new(scheduler.Progress)
 			if err = json.Unmarshal(record.Value, progress); err == nil {
-				progressByJob[record.Key] = progress
+				stored.byJob[record.Key] = progress
 			}
 		}
 		if err != nil {
 			c.logger.WithError(err).WithField("id", record.Key).Error("conductor: stored progress cannot be decoded")
 		}
 	}
-	return progressByJob, workersInUse, silent
+	return stored
 }
 
 // applyRecords adds and cancels jobs according to records of the jobs topic.
--- a/conductor/writing.go
+++ b/conductor/writing.go
@@ -39,7 +39,7 @@
 	c.mu.Lock()
 	write := c.scheduler.NextWrite()
 	c.mu.Unlock()
-	records := make([]storer.Record, 0, len(write.Jobs)+len(write.Deletions)+2)
+	records := make([]storer.Record, 0, len(write.Jobs)+len(write.Deletions)+3)
 	for _, job := range write.Jobs {
 		value, err := json.Marshal(job.Progress)
 		if err != nil {
@@ -75,6 +75,16 @@
 			Value: value,
 		})
 	}
+	if write.Allotments != nil {
+		value, err := json.Marshal(write.Allotments)
+		if err != nil {
+			return errors.Wrap(err, "conductor: encode the allotments")
+		}
+		records = append(records, storer.Record{
+			Key:   allotmentsKey,
+			Value: value,
+		})
+	}
 	if len(records) > 0 {
 		if err := c.appendProgress(ctx, records); err != nil {
 			return err
@@ -96,6 +106,8 @@
 		Epoch:    c.token,
 		Sequence: c.sequence,
 	}
+	c.setAppending(true)
+	defer c.setAppending(false)
 	for {
 		// The store applies an append with the same sequence number only once.
 		attemptCtx, cancel := context.WithTimeout(ctx, storeTimeout)
--- a/coordinator/membership.go
+++ b/coordinator/membership.go
@@ -119,10 +119,14 @@
 }
 
 // usedPartitions returns the partitions of the services that are configured or
-// that have workers. Other partitions hold no jobs, and this process does not own
-// them.
+// that have workers, and those that may hold parts of allotments. Other partitions hold
+// no jobs, and this process does not own them.
 func (c *Coordinator) usedPartitions() map[int]bool {
 	used := make(map[int]bool)
+	_, all := c.shards.allotmentPartitions()
+	for _, partition := range all {
+		used[partition] = true
+	}
 	if config, known := c.receiver.Config(); known {
 		for _, route := range config.Routes {
 			for _, partition := range c.shards.partitionsOfService(route.Queue.Service) {
@@ -181,11 +185,13 @@
 			conductor.Logger(c.settings.logger),
 			conductor.WithMetrics(c.metrics),
 			conductor.PlacementsAllowed(c.placementsAllowed.Load),
+			conductor.ExchangeAllotments(c.askAllotment),
 			conductor.Scheduling(c.settings.scheduling...)),
 		cancel: cancel,
 		done:   make(chan struct{}),
 	}
 	own.conductor.SetOrganisations(c.organisations(), c.settings.overage)
+	own.conductor.SetAllotmentPartitions(c.shards.allotmentPartitions())
 	c.owned[partition] = own
 	// The directory may have been read long ago, as an entry that owns nothing
 	// reads it rarely. The new owner gets its workers from the next read.
--- a/coordinator/shards.go
+++ b/coordinator/shards.go
@@ -25,6 +25,8 @@
 	// serviceKey and workerKey are prefixes of the records' keys.
 	serviceKey = "service/"
 	workerKey  = "worker/"
+	// allotmentsKey is the key of the record of the base partitions.
+	allotmentsKey = "allotments"
 	// defaultShardSize is the approximate number of workers that an owner serves:
 	// as many as an entry can serve in a burst with a fifth of a core, the
 	// smallest share of a host that an entry gets.
@@ -87,6 +89,9 @@
 	// record, and workerShards the shard of each worker, by the worker's identity.
 	servicePartitions map[string][]int
 	workerShards      map[string]int
+	// basePartitions holds the partitions among which the maxima of organisations are
+	// divided at first, in ascending order. It is empty before their record is read.
+	basePartitions []int
 	// undecided holds, for each service without a record, the last number of
 	// workers in the directory and the time at which the service was first seen.
 	undecided map[string]sighting
@@ -268,6 +273,7 @@
 		switch {
 		case len(partitions) > 0:
 			s.servicePartitions[name] = partitions
+		case record.Key == allotmentsKey && s.applyBaseRecord(record.Value):
 		case isWorker && json.Unmarshal(record.Value, &worker) == nil && worker.Shard >= 0:
 			s.workerShards[id] = worker.Shard
 		default:
@@ -403,6 +409,7 @@
 			if len(records) > 0 {
 				c.requestJoin()
 				c.updateOwnerWorkers()
+				c.updateOwnerAllotments()
 			}
 		},
 	}.run(ctx)
@@ -420,7 +427,13 @@
 	for _, route := range config.Routes {
 		services = append(services, route.Queue.Service)
 	}
-	records, offset := c.shards.missingRecords(*workers, services, c.ownedPartitions(), c.settings.clock.Now())
+	owned := c.ownedPartitions()
+	records, offset := c.shards.missingRecords(*workers, services, owned, c.settings.clock.Now())
+	if len(config.Organisations) > 0 {
+		// If other records are read in between, the offset is outdated and the append
+		// has no effect.
+		records = append(records, c.shards.missingBaseRecord(services, owned)...)
+	}
 	if len(records) == 0 {
 		return
 	}
--- /dev/null
+++ b/scheduler/allotments.go
@@ -0,0 +1,330 @@
+package scheduler
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/galenacove/galenacove/allotter"
+	"github.com/galenacove/galenacove/sizer"
+)
+
+// The errors for a request of another owner for parts of an allotment.
+var (
+	// ErrNoAllotments is returned while it is not known what this owner holds.
+	ErrNoAllotments = errors.New("scheduler: the allotments are not known")
+	// ErrAllotmentsUnstored is returned while the ledger cannot be stored.
+	ErrAllotmentsUnstored = errors.New("scheduler: the allotments cannot be stored")
+	// ErrFormerOwner is returned for a request by a former owner of a partition.
+	ErrFormerOwner = errors.New("scheduler: the caller's partition has a later owner")
+)
+
+const (
+	// maxUnstoredLedger is how long a change of the ledger may be unstored before
+	// nothing more is given or asked for. Parts that are given but not stored are of
+	// use to nobody, so this bounds what is lost while the store does not respond.
+	maxUnstoredLedger = 500 * time.Millisecond
+	// unlimitedAmount is the allotment in a resource that is not limited. It leaves room
+	// for multiplication and addition.
+	unlimitedAmount = math.MaxInt64 / 4
+)
+
+var unlimited = sizer.New(unlimitedAmount, unlimitedAmount, unlimitedAmount)
+
+// allotments is what the owner of a partition may have running of each organisation.
+type allotments struct {
+	partition int
+	ledger    *allotter.Ledger
+	// unreadable is set if the stored ledger cannot be decoded. What was given is then
+	// unknown, so the partition holds nothing and the stored ledger is kept as it is.
+	unreadable bool
+	// unwritten is set while the ledger has changes that are in no write, and
+	// unwrittenGift is set if parts were given by one of them.
+	unwritten, unwrittenGift bool
+	// batch is the number of the write with the last change, and batchSince the time
+	// of the first change in it.
+	batch      int64
+	batchSince time.Time
+	// unstoredSince is the time of the first change that is not stored, zero if there
+	// is none.
+	unstoredSince time.Time
+	// callerTokens holds the highest token of each partition that has asked for parts.
+	callerTokens map[int]int64
+	// demands holds the result of Demands at demandsAt. It is computed once for each
+	// tick.
+	demands   map[string]Demand
+	demandsAt time.Time
+}
+
+func newAllotments() allotments {
+	return allotments{
+		ledger:       allotter.NewLedger(),
+		callerTokens: make(map[int]int64),
+	}
+}
+
+// SetBasePartitions sets the partition of this owner and the base partitions, which hold
+// all parts of each maximum at first.
+func (s *Scheduler) SetBasePartitions(partition int, base []int) {
+	s.allotments.partition = partition
+	s.allotments.ledger.SetBase(partition, base)
+}
+
+// RestoreAllotments merges the ledger that a former owner stored. It returns an error for
+// one that cannot be decoded. This owner then holds nothing.
+func (s *Scheduler) RestoreAllotments(stored []byte) error {
+	record, err := allotter.DecodeRecord(stored)
+	if err != nil {
+		s.allotments.unreadable = true
+		return err
+	}
+	s.allotments.ledger.Restore(record)
+	return nil
+}
+
+// AllotmentsKnown reports whether it is known what this owner holds.
+func (s *Scheduler) AllotmentsKnown() bool {
+	return s.allotments.ledger.BaseKnown() && !s.allotments.unreadable
+}
+
+// heldParts returns the parts of an organisation that this owner holds.
+func (s *Scheduler) heldParts(name string) allotter.Parts {
+	if !s.AllotmentsKnown() {
+		return allotter.Parts{}
+	}
+	return s.allotments.ledger.Held(name)
+}
+
+// allotment returns what this owner may have running of an organisation: the fraction of
+// the maximum in force that the held parts represent. It is unlimited in a resource
+// without a maximum. While it is not known what this owner holds, it is negative in each
+// limited resource, so that not even an empty task fits.
+func (s *Scheduler) allotment(name string) sizer.Size {
+	maximum := s.organisations[name].Maximum
+	if s.AllotmentsKnown() {
+		return allotter.SizeOf(s.heldParts(name), maximum, unlimited)
+	}
+	amount := func(limit int64) int64 {
+		if limit > 0 {
+			return -1
+		}
+		return unlimitedAmount
+	}
+	return sizer.New(amount(maximum.MilliCores()), amount(maximum.Bytes()), amount(maximum.Accelerators()))
+}
+
+// holdsAll reports whether this owner holds all parts of an organisation, in the
+// resources that its maximum limits.
+func (s *Scheduler) holdsAll(name string) bool {
+	maximum := s.organisations[name].Maximum
+	whole := allotter.Limited(allotter.Parts{allotter.Whole, allotter.Whole, allotter.Whole}, maximum)
+	return allotter.Limited(s.heldParts(name), maximum) == whole
+}
+
+// HeldAllotment describes what this owner holds and uses of an organisation.
+type HeldAllotment struct {
+	Parts allotter.Parts
+	// All is set if it holds all parts of the resources that the maximum limits.
+	All                      bool
+	Used, Allotment, Maximum sizer.Size
+}
+
+// HeldAllotment returns what this owner holds and uses of an organisation.
+func (s *Scheduler) HeldAllotment(name string) HeldAllotment {
+	return HeldAllotment{
+		Parts:     s.heldParts(name),
+		All:       s.holdsAll(name),
+		Used:      s.usedBy(name),
+		Allotment: s.allotment(name),
+		Maximum:   s.organisations[name].Maximum,
+	}
+}
+
+// Gift is the answer to a request for parts.
+type Gift struct {
+	Reply allotter.Reply
+	// Batch is the number of the write that stores what the reply says. The reply may
+	// be sent once LedgerStored returns true for it.
+	Batch int64
+	// Given holds the parts that are given by this answer, by organisation.
+	Given map[string]allotter.Parts
+}
+
+// Allot decides what to give to the owner of another partition. What is given is no
+// longer held from now on.
+func (s *Scheduler) Allot(request allotter.Request, now time.Time) (Gift, error) {
+	a := &s.allotments
+	switch {
+	case !s.AllotmentsKnown() || request.Partition == a.partition:
+		return Gift{}, ErrNoAllotments
+	case request.Token < a.callerTokens[request.Partition]:
+		return Gift{}, ErrFormerOwner
+	case s.ledgerOverdue(now):
+		return Gift{}, ErrAllotmentsUnstored
+	}
+	a.callerTokens[request.Partition] = request.Token
+	gift := Gift{
+		Given: make(map[string]allotter.Parts),
+	}
+	for _, want := range request.Wants {
+		if given := a.ledger.Give(request.Partition, want.Organisation, s.partsToGive(request.Partition, want, now)); !given.IsZero() {
+			gift.Given[want.Organisation] = given
+			a.unwrittenGift = true
+			s.ledgerChanged(now)
+		}
+		if !request.All {
+			gift.Reply.Given = append(gift.Reply.Given, allotter.Total{
+				Organisation: want.Organisation,
+				Parts:        a.ledger.Given(request.Partition, want.Organisation),
+			})
+		}
+	}
+	if request.All {
+		for organisation, parts := range a.ledger.AllGiven(request.Partition) {
+			gift.Reply.Given = append(gift.Reply.Given, allotter.Total{
+				Organisation: organisation,
+				Parts:        parts,
+			})
+		}
+	}
+	gift.Batch = a.batch
+	return gift, nil
+}
+
+// partsToGive returns the parts to give for a request. It gives nothing of a resource that
+// is not limited by the configuration in force here, as then it is not known what part of
+// the maximum the runs use.
+func (s *Scheduler) partsToGive(partition int, want allotter.Want, now time.Time) allotter.Parts {
+	maximum := s.organisations[want.Organisation].Maximum
+	demand := s.demandsByName(now)[want.Organisation]
+	used := s.usedBy(want.Organisation)
+	need := allotter.Need{
+		Used:       allotter.PartsOf(used, maximum),
+		Wanted:     allotter.PartsOf(used.Max(demand.Wanted), maximum),
+		Waiting:    demand.Waiting,
+		Precedence: s.precedence(demand.Urgency),
+	}
+	held := allotter.Limited(s.heldParts(want.Organisation), maximum)
+	return allotter.Decide(held, s.allotments.ledger.Given(partition, want.Organisation), need, want)
+}
+
+func (s *Scheduler) precedence(urgency Urgency) allotter.Precedence {
+	return allotter.Precedence{
+		Rank:        urgency.Rank,
+		Priority:    urgency.Priority,
+		LatestStart: urgency.LatestStart,
+		Partition:   s.allotments.partition,
+	}
+}
+
+// demandsByName returns the demand of each organisation as of the last tick.
+func (s *Scheduler) demandsByName(now time.Time) map[string]Demand {
+	a := &s.allotments
+	if a.demands == nil || !a.demandsAt.Equal(s.tickedAt) {
+		a.demands = make(map[string]Demand)
+		a.demandsAt = s.tickedAt
+		for _, demand := range s.Demands(now) {
+			a.demands[demand.Organisation] = demand
+		}
+	}
+	return a.demands
+}
+
+// AllotmentWants returns the parts that are missing for the waiting steps of each
+// organisation. There are none while the ledger cannot be stored.
+func (s *Scheduler) AllotmentWants(now time.Time) []allotter.Want {
+	if !s.AllotmentsKnown() || s.ledgerOverdue(now) {
+		return nil
+	}
+	var wants []allotter.Want
+	demands := s.demandsByName(now)
+	for _, name := range slices.Sorted(maps.Keys(demands)) {
+		demand := demands[name]
+		maximum := s.organisations[name].Maximum
+		missing := allotter.PartsOf(demand.Wanted, maximum).Sub(s.heldParts(name)).Max(allotter.Parts{})
+		if !demand.Waiting || missing.IsZero() {
+			continue
+		}
+		wants = append(wants, allotter.Want{
+			Organisation: name,
+			Missing:      missing,
+			Precedence:   s.precedence(demand.Urgency),
+		})
+	}
+	return wants
+}
+
+// AllotmentRequest returns the request to send to the owner of another partition.
+func (s *Scheduler) AllotmentRequest(call allotter.Call, wants []allotter.Want) allotter.Request {
+	request := allotter.Request{
+		Partition: s.allotments.partition,
+		Token:     s.token,
+		All:       call.All,
+	}
+	for _, want := range wants {
+		want.Received = s.allotments.ledger.Received(call.Partition, want.Organisation)
+		request.Wants = append(request.Wants, want)
+	}
+	return request
+}
+
+// ReceiveAllotments merges the totals that another partition's owner says it has given.
+// It returns what was not known before, by organisation.
+func (s *Scheduler) ReceiveAllotments(partition int, reply allotter.Reply, now time.Time) map[string]allotter.Parts {
+	received := make(map[string]allotter.Parts)
+	for _, total := range reply.Given {
+		if parts := s.allotments.ledger.Receive(partition, total.Organisation, total.Parts); !parts.IsZero() {
+			received[total.Organisation] = parts
+			s.ledgerChanged(now)
+		}
+	}
+	return received
+}
+
+// ledgerChanged marks the ledger to be stored with the next write.
+func (s *Scheduler) ledgerChanged(now time.Time) {
+	a := &s.allotments
+	if !a.unwritten {
+		a.unwritten = true
+		a.batch = s.nextBatch
+		a.batchSince = now
+	}
+	if a.unstoredSince.IsZero() {
+		a.unstoredSince = now
+	}
+}
+
+// ledgerOverdue reports whether a change of the ledger has been unstored for too long.
+func (s *Scheduler) ledgerOverdue(now time.Time) bool {
+	since := s.allotments.unstoredSince
+	return !since.IsZero() && now.Sub(since) > maxUnstoredLedger
+}
+
+// LedgerStored reports whether the write with that number is stored.
+func (s *Scheduler) LedgerStored(batch int64) bool {
+	return s.storedBatch >= batch
+}
+
+// nextLedger returns the ledger to be stored with the next write, or nil if it has not
+// changed.
+func (a *allotments) nextLedger() *allotter.Record {
+	if !a.unwritten {
+		return nil
+	}
+	a.unwritten, a.unwrittenGift = false, false
+	record := a.ledger.Record()
+	return &record
+}
+
+// ledgerWritten records that the write with that number is stored.
+func (a *allotments) ledgerWritten(batch int64) {
+	switch {
+	case batch >= a.batch:
+		a.unstoredSince = time.Time{}
+	case !a.unstoredSince.IsZero():
+		a.unstoredSince = a.batchSince
+	}
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -99,6 +99,8 @@
 	// maximum by which one may exceed it.
 	organisations map[string]Organisation
 	overage       float64
+	// allotments is what this owner may have running of each organisation.
+	allotments allotments
 }
 
 // queueStats holds the statistics of a queue.
@@ -149,6 +151,7 @@
 		storedSilent:      make(map[string]bool),
 		dirtyJobs:         make(map[string]bool),
 		nextBatch:         1,
+		allotments:        newAllotments(),
 	}
 	for _, opt := range opts {
 		opt(&s.options)
--- a/scheduler/writes.go
+++ b/scheduler/writes.go
@@ -3,6 +3,8 @@
 import (
 	"maps"
 	"slices"
+
+	"github.com/galenacove/galenacove/allotter"
 )
 
 // Write is a batch of changes to be stored.
@@ -18,11 +20,14 @@
 	// Silent replaces the stored list of silent workers. It is nil if the list need
 	// not change, and empty but not nil if no worker is silent.
 	Silent []SilentWorker
+	// Allotments replaces the stored ledger of allotments. It is nil if the ledger has
+	// not changed.
+	Allotments *allotter.Record
 }
 
 // Empty reports whether there is nothing to store.
 func (w Write) Empty() bool {
-	return len(w.Jobs) == 0 && len(w.Deletions) == 0 && len(w.Workers) == 0 && w.Silent == nil
+	return len(w.Jobs) == 0 && len(w.Deletions) == 0 && len(w.Workers) == 0 && w.Silent == nil && w.Allotments == nil
 }
 
 // JobProgress is the progress of one job.
@@ -34,7 +39,7 @@
 // Unwritten reports whether there is something to store, and whether a start or
 // a caller may be waiting for it.
 func (s *Scheduler) Unwritten() (pending, urgent bool) {
-	if s.hasUnrecordedWorkers() || len(s.plannedRuns) > 0 || s.silenceDue {
+	if s.hasUnrecordedWorkers() || len(s.plannedRuns) > 0 || s.silenceDue || s.allotments.unwrittenGift {
 		return true, true
 	}
 	for id := range s.dirtyJobs {
@@ -42,14 +47,15 @@
 			return true, true
 		}
 	}
-	return len(s.dirtyJobs) > 0 || len(s.droppedJobs) > 0 || s.rewriteWorkers, false
+	return len(s.dirtyJobs) > 0 || len(s.droppedJobs) > 0 || s.rewriteWorkers || s.allotments.unwritten, false
 }
 
 // NextWrite returns the changes since the last call.
 func (s *Scheduler) NextWrite() Write {
 	write := Write{
-		Batch:     s.nextBatch,
-		Deletions: s.droppedJobs,
+		Batch:      s.nextBatch,
+		Deletions:  s.droppedJobs,
+		Allotments: s.allotments.nextLedger(),
 	}
 	s.nextBatch++
 	s.droppedJobs = nil
@@ -92,6 +98,7 @@
 // Written records that a write is stored.
 func (s *Scheduler) Written(write Write) {
 	s.storedBatch = write.Batch
+	s.allotments.ledgerWritten(write.Batch)
 	for _, entry := range write.Workers {
 		if w := s.workers[entry.Ref.ID]; w != nil {
 			w.recorded = true
