--- a/allotter/requests.go
+++ b/allotter/requests.go
@@ -48,6 +48,10 @@
 	Received Parts
 	// Precedence is that of the caller's most urgent waiting step of the organisation.
 	Precedence Precedence
+	// First is the part of Missing that this step needs for its next start, which is
+	// that of all tasks of a gang. It is zero unless the step has waited for so long that
+	// less urgent steps of others are to leave it what they release.
+	First Parts
 }
 
 // Reply answers a Request.
--- a/scheduler/allotments.go
+++ b/scheduler/allotments.go
@@ -53,15 +53,27 @@
 	unstoredSince time.Time
 	// callerTokens holds the highest token of each partition that has asked for parts.
 	callerTokens map[int]int64
+	// waits records for how long steps have waited for parts, and claims what is
+	// withheld from this owner's steps for more urgent ones of other owners.
+	waits  *allotter.Waits
+	claims *allotter.Claims
 	// demands holds the result of Demands at demandsAt. It is computed once for each
 	// tick.
 	demands   map[string]Demand
 	demandsAt time.Time
 }
 
+// firstStart is the next start of the most urgent step of an organisation.
+type firstStart struct {
+	step allotter.Step
+	size sizer.Size
+}
+
 func newAllotments() allotments {
 	return allotments{
 		ledger:       allotter.NewLedger(),
+		waits:        allotter.NewWaits(),
+		claims:       allotter.NewClaims(),
 		callerTokens: make(map[int]int64),
 	}
 }
@@ -105,7 +117,7 @@
 func (s *Scheduler) allotment(name string) sizer.Size {
 	maximum := s.organisations[name].Maximum
 	if s.AllotmentsKnown() {
-		return allotter.SizeOf(s.heldParts(name), maximum, unlimited)
+		return allotter.SizeOf(s.heldParts(name).Sub(s.withheldParts(name)), maximum, unlimited)
 	}
 	amount := func(limit int64) int64 {
 		if limit > 0 {
@@ -116,6 +128,15 @@
 	return sizer.New(amount(maximum.MilliCores()), amount(maximum.Bytes()), amount(maximum.Accelerators()))
 }
 
+// withheldParts returns the parts of an organisation that this owner holds but leaves to
+// the more urgent steps of other owners.
+func (s *Scheduler) withheldParts(name string) allotter.Parts {
+	if !s.allotments.claims.Any(name, s.tickedAt) {
+		return allotter.Parts{}
+	}
+	return s.allotments.claims.Withheld(name, s.need(name, s.tickedAt), s.tickedAt)
+}
+
 // holdsAll reports whether this owner holds all parts of an organisation, in the
 // resources that its maximum limits.
 func (s *Scheduler) holdsAll(name string) bool {
@@ -170,7 +191,9 @@
 		Given: make(map[string]allotter.Parts),
 	}
 	for _, want := range request.Wants {
-		if given := a.ledger.Give(request.Partition, want.Organisation, s.partsToGive(request.Partition, want, now)); !given.IsZero() {
+		given := a.ledger.Give(request.Partition, want.Organisation, s.partsToGive(request.Partition, want, now))
+		a.claims.Update(request.Partition, want, given, now)
+		if !given.IsZero() {
 			gift.Given[want.Organisation] = given
 			a.unwrittenGift = true
 			s.ledgerChanged(now)
@@ -199,16 +222,22 @@
 // the maximum the runs use.
 func (s *Scheduler) partsToGive(partition int, want allotter.Want, now time.Time) allotter.Parts {
 	maximum := s.organisations[want.Organisation].Maximum
-	demand := s.demandsByName(now)[want.Organisation]
-	used := s.usedBy(want.Organisation)
-	need := allotter.Need{
+	held := allotter.Limited(s.heldParts(want.Organisation), maximum)
+	given := s.allotments.ledger.Given(partition, want.Organisation)
+	return allotter.Decide(held, given, s.need(want.Organisation, now), want)
+}
+
+// need returns what this owner needs of an organisation.
+func (s *Scheduler) need(name string, now time.Time) allotter.Need {
+	maximum := s.organisations[name].Maximum
+	demand := s.demandsByName(now)[name]
+	used := s.usedBy(name)
+	return allotter.Need{
 		Used:       allotter.PartsOf(used, maximum),
 		Wanted:     allotter.PartsOf(used.Max(demand.Wanted), maximum),
 		Waiting:    demand.Waiting,
 		Precedence: s.precedence(demand.Urgency),
 	}
-	held := allotter.Limited(s.heldParts(want.Organisation), maximum)
-	return allotter.Decide(held, s.allotments.ledger.Given(partition, want.Organisation), need, want)
 }
 
 func (s *Scheduler) precedence(urgency Urgency) allotter.Precedence {
@@ -239,24 +268,66 @@
 	if !s.AllotmentsKnown() || s.ledgerOverdue(now) {
 		return nil
 	}
-	var wants []allotter.Want
 	demands := s.demandsByName(now)
+	if len(demands) == 0 {
+		s.allotments.waits.Starved(nil, now)
+		return nil
+	}
+	var wants []allotter.Want
+	waiting := make(map[string]allotter.Step)
+	first := s.firstStarts(now)
 	for _, name := range slices.Sorted(maps.Keys(demands)) {
 		demand := demands[name]
-		maximum := s.organisations[name].Maximum
-		missing := allotter.PartsOf(demand.Wanted, maximum).Sub(s.heldParts(name)).Max(allotter.Parts{})
+		missing := s.missingParts(name, demand.Wanted)
 		if !demand.Waiting || missing.IsZero() {
 			continue
 		}
 		wants = append(wants, allotter.Want{
 			Organisation: name,
 			Missing:      missing,
+			First:        s.missingParts(name, demand.Used.Add(first[name].size)).Min(missing),
 			Precedence:   s.precedence(demand.Urgency),
 		})
+		waiting[name] = first[name].step
+	}
+	starved := s.allotments.waits.Starved(waiting, now)
+	for i := range wants {
+		if !starved[wants[i].Organisation] {
+			wants[i].First = allotter.Parts{}
+		}
 	}
 	return wants
 }
 
+// missingParts returns the parts that are missing for a use of an organisation.
+func (s *Scheduler) missingParts(name string, use sizer.Size) allotter.Parts {
+	return allotter.PartsOf(use, s.organisations[name].Maximum).Sub(s.heldParts(name)).Max(allotter.Parts{})
+}
+
+// firstStarts returns the next start of the most urgent step of each organisation. A gang
+// starts all its tasks at once.
+func (s *Scheduler) firstStarts(now time.Time) map[string]firstStart {
+	starts := make(map[string]firstStart)
+	for _, st := range s.startableSteps(now) {
+		name := st.job.record.Organisation
+		if _, found := starts[name]; found {
+			continue
+		}
+		tasks := 1
+		if st.phase.Gang {
+			tasks = st.waiting
+		}
+		starts[name] = firstStart{
+			step: allotter.Step{
+				ID:      st.ref.String(),
+				Waiting: st.waiting,
+			},
+			size: st.phase.Size.Times(int64(tasks)),
+		}
+	}
+	return starts
+}
+
 // AllotmentRequest returns the request to send to the owner of another partition.
 func (s *Scheduler) AllotmentRequest(call allotter.Call, wants []allotter.Want) allotter.Request {
 	request := allotter.Request{
