--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -379,6 +379,7 @@
 			c.metrics.setLasting(c.partition, c.scheduler.LastingLoad(now))
 		}
 		unwritten, _ := c.scheduler.Unwritten()
+		exchanges := len(c.exchange.base) > 0
 		wait := idleTickInterval
 		if c.scheduler.Jobs() > 0 {
 			wait = busyTickInterval
@@ -387,7 +388,9 @@
 		if unwritten {
 			c.requestWrite()
 		}
-		c.requestExchange()
+		if exchanges {
+			c.requestExchange()
+		}
 		c.logNotes(notes)
 		for _, effect := range effects {
 			group.Go(func() error { return c.carryOut(ctx, effect) })
