--- a/conductor/metrics.go
+++ b/conductor/metrics.go
@@ -4,9 +4,11 @@
 	"cmp"
 	"slices"
 	"strconv"
+	"sync"
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/galenacove/galenacove/allotter"
 	"github.com/galenacove/galenacove/scheduler"
 	"github.com/galenacove/galenacove/sizer"
 )
@@ -27,6 +29,19 @@
 	lastingWaitSeconds  *prometheus.GaugeVec
 	organisationUse     *prometheus.GaugeVec
 	organisationBlocked *prometheus.GaugeVec
+	allotmentCalls      *prometheus.CounterVec
+	allotmentParts      *prometheus.CounterVec
+
+	mu sync.Mutex
+	// labelledOrganisations holds the organisations that have a label of their own.
+	labelledOrganisations map[string]bool
+}
+
+// resourceLabels holds the label of each resource, in the order of allotter.Parts.
+var resourceLabels = [...]string{
+	allotter.Cores:        "cores",
+	allotter.Memory:       "memory",
+	allotter.Accelerators: "accelerators",
 }
 
 // NewMetrics returns metrics that are not registered yet.
@@ -90,6 +105,15 @@
 			Name: "galenacove_conductor_organisation_blocked",
 			Help: "Tasks of an organisation that wait as its allotment does not cover them.",
 		}, []string{"partition", "organisation"}),
+		allotmentCalls: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "galenacove_conductor_allotment_calls_total",
+			Help: "Calls that ask other owners for parts of allotments, by their outcome.",
+		}, []string{"outcome"}),
+		allotmentParts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "galenacove_conductor_allotment_parts_total",
+			Help: "Parts of maxima that were given to and received from other owners, in millionths of the maximum.",
+		}, []string{"organisation", "resource", "direction"}),
+		labelledOrganisations: make(map[string]bool),
 	}
 }
 
@@ -99,6 +123,29 @@
 		m.starts, m.adviceSeconds, m.silentRenewals, m.storeErrors, m.takeoverSeconds,
 		m.adviceCalls, m.adviceInFlight, m.adviceLimit, m.adviceDenied, m.adviceDeniedSeconds,
 		m.lastingWaiting, m.lastingWaitSeconds, m.organisationUse, m.organisationBlocked,
+		m.allotmentCalls, m.allotmentParts,
+	}
+}
+
+// organisationLabel returns the label of an organisation. The number of labels is limited.
+func (m *Metrics) organisationLabel(organisation string) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.labelledOrganisations[organisation] {
+		if len(m.labelledOrganisations) >= maxOrganisationLabels {
+			return otherOrganisations
+		}
+		m.labelledOrganisations[organisation] = true
+	}
+	return organisation
+}
+
+// countParts counts parts that were given or received.
+func (m *Metrics) countParts(organisation, direction string, parts allotter.Parts) {
+	for i, n := range parts {
+		if n > 0 {
+			m.allotmentParts.WithLabelValues(m.organisationLabel(organisation), resourceLabels[i], direction).Add(float64(n))
+		}
 	}
 }
 
@@ -142,7 +189,7 @@
 			"maximum":   load.Organisation.Maximum,
 		} {
 			for resource, amount := range map[string]int64{
-				"processors":   size.MilliCores(),
+				"cores":        size.MilliCores(),
 				"memory":       size.Bytes(),
 				"accelerators": size.Accelerators(),
 			} {
--- a/scheduler/export_test.go
+++ b/scheduler/export_test.go
@@ -1,6 +1,9 @@
 package scheduler
 
-import "github.com/galenacove/galenacove/sizer"
+import (
+	"github.com/galenacove/galenacove/allotter"
+	"github.com/galenacove/galenacove/sizer"
+)
 
 // UsedBy returns what usedBy returns, to tests.
 func (s *Scheduler) UsedBy(name string) sizer.Size {
@@ -20,3 +23,13 @@
 		}
 	}
 }
+
+// SetHeldParts sets how many parts of each resource this owner holds of the organisation,
+// as if it had exchanged the others with partition 1.
+func (s *Scheduler) SetHeldParts(name string, n int64) {
+	const other = 1
+	ledger := s.allotments.ledger
+	change := allotter.Parts{n, n, n}.Sub(ledger.Held(name))
+	ledger.Give(other, name, allotter.Parts{}.Sub(change))
+	ledger.Receive(other, name, ledger.Received(other, name).Add(change))
+}
--- a/scheduler/interleaving_test.go
+++ b/scheduler/interleaving_test.go
@@ -235,6 +235,7 @@
 	o.s.SetWorkers(m.directory())
 	if m.organisations != nil {
 		o.s.SetOrganisations(m.organisations, m.overage)
+		o.s.SetBasePartitions(0, []int{0})
 	}
 	for _, job := range m.jobs {
 		var progress *scheduler.Progress
--- a/scheduler/limits_allotted_test.go
+++ b/scheduler/limits_allotted_test.go
@@ -5,6 +5,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/galenacove/galenacove/allotter"
 	"github.com/galenacove/galenacove/scheduler"
 )
 
@@ -46,7 +47,7 @@
 				w.entry.Total = cores(16)
 			}
 			r.updateDirectory()
-			r.s.SetAllotment("a", cores(4), false)
+			r.s.SetHeldParts("a", 0.4*allotter.Whole)
 			r.s.AddJob(r.limitedJob("j", test.phase), nil, false, r.now)
 			r.rounds(3)
 			r.c.Assert(r.activeRuns(), qt.Equals, test.want)
@@ -62,11 +63,11 @@
 // starts while another owner may start tasks, or that never starts.
 func TestGangIsStartedOnceAllPartsAreHeld(t *testing.T) {
 	r := newLimitedRig(t, 2, cores(10))
-	r.s.SetAllotment("a", cores(10), false)
+	r.s.SetHeldParts("a", allotter.Whole-1)
 	r.s.AddJob(r.limitedJob("j", gangPhase(3, cores(4))), nil, false, r.now)
 	r.rounds(3)
 	r.c.Assert(r.activeRuns(), qt.Equals, 0)
-	r.s.SetAllotment("a", cores(10), true)
+	r.s.SetHeldParts("a", allotter.Whole)
 	r.rounds(2)
 	r.c.Assert(r.activeRuns(), qt.Equals, 3)
 }
--- a/scheduler/limits_load_test.go
+++ b/scheduler/limits_load_test.go
@@ -50,6 +50,7 @@
 						Maximum: test.maximum,
 					},
 				}, 0.1)
+				s.SetBasePartitions(0, []int{0})
 			}
 			for _, entry := range entries {
 				s.Report(entry.Ref.ID, scheduler.Report{
--- a/scheduler/limits_test.go
+++ b/scheduler/limits_test.go
@@ -15,7 +15,8 @@
 // has the given maximum and an overage of a tenth.
 func newLimitedRig(t *testing.T, workers int, maximum sizer.Size) *rig {
 	r := newRig(t)
-	r.setMaximum(maximum)
+	r.s.SetBasePartitions(0, []int{0})
+	r.limitTo(maximum)
 	for i := range workers {
 		r.addWorker(workerName(i), cores(8))
 	}
@@ -24,7 +25,7 @@
 	return r
 }
 
-func (r *rig) setMaximum(maximum sizer.Size) {
+func (r *rig) limitTo(maximum sizer.Size) {
 	r.s.SetOrganisations([]scheduler.Organisation{
 		{
 			Name:    "a",
@@ -195,7 +196,7 @@
 	r.s.AddJob(r.limitedJob("j", newPhase(16, cores(1))), nil, false, r.now)
 	r.rounds(3)
 	r.c.Assert(r.activeRuns(), qt.Equals, 6)
-	r.setMaximum(cores(2))
+	r.limitTo(cores(2))
 	for range 10 {
 		r.round()
 		r.c.Assert(r.effects, qt.HasLen, 0)
@@ -212,7 +213,7 @@
 	r.endOne()
 	r.rounds(2)
 	r.c.Assert(r.activeRuns(), qt.Equals, 2)
-	r.setMaximum(cores(3))
+	r.limitTo(cores(3))
 	r.rounds(2)
 	r.c.Assert(r.activeRuns(), qt.Equals, 3)
 	r.s.SetOrganisations(nil, 0.1)
@@ -237,7 +238,7 @@
 	r.s.AddJob(r.limitedJob("j", newPhase(4, cores(1))), nil, false, r.now)
 	r.carryOut(r.s.Tick(r.now))
 	r.c.Assert(r.s.PlannedRuns(), qt.Equals, 4)
-	r.setMaximum(cores(2))
+	r.limitTo(cores(2))
 	r.write()
 	r.rounds(2)
 	r.c.Assert(r.activeRuns(), qt.Equals, 2)
@@ -286,7 +287,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			r := newFullService(t, true, 2)
-			r.setMaximum(test.maximum)
+			r.limitTo(test.maximum)
 			// The organisation has something running, so that no task may run alone.
 			r.addWorker("small", cores(1)).runTime = time.Hour
 			r.updateDirectory()
@@ -451,7 +452,7 @@
 		r.c.Assert(leaving.activeRuns, qt.HasLen, 2)
 		r.addWorker("next", cores(8))
 		r.updateDirectory()
-		r.setMaximum(cores(test.maximum))
+		r.limitTo(cores(test.maximum))
 		r.startLeaving(leaving, 4*time.Second)
 		for range 20 {
 			r.roundAtPercent(100)
@@ -480,7 +481,7 @@
 	}
 	silent.silent = true
 	r.takeOver(old)
-	r.setMaximum(cores(10))
+	r.limitTo(cores(10))
 	next := r.limitedJob("next", newPhase(10, cores(1)))
 	r.s.AddJob(next, nil, false, r.now)
 	// Before any report, each worker may be full.
@@ -512,7 +513,7 @@
 	r.tick()
 	r.write()
 	r.takeOver()
-	r.setMaximum(cores(4))
+	r.limitTo(cores(4))
 	r.renewLeases()
 	r.c.Assert(r.s.UsedBy("a"), qt.Equals, sizer.Size{})
 	r.restoreJob(old)
@@ -546,7 +547,7 @@
 	r.c.Assert(demand.Waiting, qt.IsTrue)
 	r.c.Assert(demand.Urgency.Priority, qt.Equals, 0)
 	// A higher maximum shows that one task has room and the worker is then full.
-	r.setMaximum(cores(20))
+	r.limitTo(cores(20))
 	r.rounds(1)
 	r.c.Assert(r.demand().Used, qt.Equals, cores(8))
 	r.rounds(10)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -114,6 +114,8 @@
 	blockedSteps []*step
 	// maximumNotes counts, by organisation, the notes on steps that wait for its maximum.
 	maximumNotes map[string]*maximumNotes
+	// allotments is what this owner may have running of each organisation.
+	allotments allotments
 }
 
 // queueStats holds the statistics of a queue.
@@ -168,6 +170,7 @@
 		storedSilent:      make(map[string]bool),
 		dirtyJobs:         make(map[string]bool),
 		nextBatch:         1,
+		allotments:        newAllotments(),
 	}
 	for _, opt := range opts {
 		opt(&s.options)
