--- a/coordinator/evidence.go
+++ b/coordinator/evidence.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/prometheus/client_golang/prometheus"
 	"golang.org/x/sync/errgroup"
 
@@ -36,6 +37,17 @@
 	evidencePeers = 3
 )
 
+// evidenceState is the state of the evidence, as it is logged.
+type evidenceState int
+
+const (
+	// evidenceUnlogged is the state before the first line.
+	evidenceUnlogged evidenceState = iota
+	evidenceRecent
+	evidenceAging
+	evidenceEnded
+)
+
 // evidenceKeeper keeps the evidence that the configuration in force is the newest: from
 // the reads of the configuration, and from peers if those fail or do not return.
 type evidenceKeeper struct {
@@ -45,6 +57,8 @@
 	mu sync.Mutex
 	// askedAt is the time of the last round of calls to peers.
 	askedAt time.Time
+	// loggedState is the state that was logged last.
+	loggedState evidenceState
 	// lastSource is the address of the peer that gave evidence last. It is asked again
 	// in the next round.
 	lastSource string
@@ -198,10 +212,11 @@
 // beside the reads of the configuration, since one of them may hang.
 func (k *evidenceKeeper) followPeers(ctx context.Context) error {
 	return timekeeper.Every(ctx, k.coordinator.settings.clock, evidenceCheckInterval, func(ctx context.Context) {
-		_, hasConfig := k.coordinator.receiver.Config()
-		if hasConfig && !k.coordinator.hasOrganisations() {
+		config, hasConfig := k.coordinator.receiver.Config()
+		if hasConfig && len(config.Organisations) == 0 {
 			return
 		}
+		k.logState(config.Version)
 		age, known := k.evidence.Age()
 		if !known || age > k.limitByBound(maxEvidenceAge, evidenceAgeShare) {
 			k.askPeers(ctx)
@@ -209,6 +224,39 @@
 	})
 }
 
+// logState logs that the evidence has become too old, or is recent again. It is called by
+// one goroutine.
+func (k *evidenceKeeper) logState(version int64) {
+	state := evidenceRecent
+	switch {
+	case !k.evidence.Valid():
+		state = evidenceEnded
+	case k.evidence.Aging():
+		state = evidenceAging
+	}
+	if state == k.loggedState {
+		return
+	}
+	k.loggedState = state
+	age, known := k.evidence.Age()
+	k.mu.Lock()
+	entry := k.coordinator.settings.logger.WithFields(log.Fields{
+		"version":  version,
+		"known":    known,
+		"ageMs":    age.Milliseconds(),
+		"lastPeer": k.lastSource,
+	})
+	k.mu.Unlock()
+	switch state {
+	case evidenceRecent:
+		entry.Info("coordinator: the configuration is known to be the newest, keys are accepted")
+	case evidenceAging:
+		entry.Warn("coordinator: the configuration is not known to be the newest, the entry reports itself not ready")
+	default:
+		entry.Warn("coordinator: the configuration is not known to be the newest, keys are refused")
+	}
+}
+
 // askPeers asks some peers for their configuration and evidence, unless this was done
 // within the last evidenceAskInterval.
 func (k *evidenceKeeper) askPeers(ctx context.Context) {
--- a/coordinator/evidence_test.go
+++ b/coordinator/evidence_test.go
@@ -11,6 +11,8 @@
 	"testing"
 	"time"
 
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/memory"
 	qt "github.com/frankban/quicktest"
 	"golang.org/x/sync/errgroup"
 
@@ -550,3 +552,39 @@
 	asker.evidenceKeeper.askPeers(context.Background())
 	s.Assert(peer.asked.Load(), qt.Equals, int64(1))
 }
+
+// TestStateOfTheEvidenceIsNotLogged guards against an entry that refuses keys without a
+// line that says why, and against a line for each check.
+func TestStateOfTheEvidenceIsNotLogged(t *testing.T) {
+	s := newEvidenceSite(t)
+	s.configure(1, "k1")
+	e := s.start("e")
+	logs := memory.New()
+	e.settings.logger = &log.Logger{
+		Handler: logs,
+		Level:   log.InfoLevel,
+	}
+	lines := func() []string {
+		for range 3 {
+			e.evidenceKeeper.logState(1)
+		}
+		var lines []string
+		for _, entry := range logs.Entries {
+			lines = append(lines, entry.Message)
+		}
+		logs.Entries = nil
+		return lines
+	}
+	const unknown = "coordinator: the configuration is not known to be the newest, "
+	s.Assert(lines(), qt.DeepEquals, []string{unknown + "keys are refused"})
+	e.read()
+	logs.Entries = nil
+	recent := []string{"coordinator: the configuration is known to be the newest, keys are accepted"}
+	s.Assert(lines(), qt.DeepEquals, recent)
+	s.pass(3 * time.Second)
+	s.Assert(lines(), qt.DeepEquals, []string{unknown + "the entry reports itself not ready"})
+	s.pass(1500 * time.Millisecond)
+	s.Assert(lines(), qt.DeepEquals, []string{unknown + "keys are refused"})
+	e.read()
+	s.Assert(lines(), qt.DeepEquals, recent)
+}
--- a/coordinator/feeds.go
+++ b/coordinator/feeds.go
@@ -137,9 +137,10 @@
 		c.setOrganisations()
 		c.requestJoin()
 		c.settings.logger.WithFields(log.Fields{
-			"version": config.Version,
-			"routes":  len(config.Routes),
-			"source":  source,
+			"version":       config.Version,
+			"routes":        len(config.Routes),
+			"organisations": len(config.Organisations),
+			"source":        source,
 		}).Info("coordinator: configuration in force")
 	}
 }
