coordinator: say so when the last configuration has an earlier version

Keys were refused without a reason in the log when an operator wrote an older version after the one in force.

--- a/coordinator/evidence.go
+++ b/coordinator/evidence.go
@@ -170,6 +170,14 @@
 		if known || result.HasConfig {
 			k.evidence.ObserveRead(result, config.Version)
 		}
+		if result.HasConfig && !result.Undecodable && result.Version < config.Version {
+			// While a peer is ahead of this entry, the later record follows at once.
+			// Otherwise no key is accepted until one does.
+			k.coordinator.settings.logger.WithFields(log.Fields{
+				"version": result.Version,
+				"inForce": config.Version,
+			}).Warn("coordinator: the last configuration record has an earlier version than the one in force")
+		}
 	}
 }
 
