scheduler: ask the adviser only for as many steps as the maximum allows together

Each of many waiting steps was allowed a task by itself, and they took up all calls. Run: TestBlockedStepsLeaveCallsToOthers, which fails without the change; tests of maxima; golangci-lint.

--- a/scheduler/advice.go
+++ b/scheduler/advice.go
@@ -55,11 +55,11 @@
 	if st.adviceState.adviceInFlight || now.Before(st.adviceState.retryAt) {
 		return
 	}
-	tasks := min(st.waiting, s.allowedStarts(st))
+	tasks := min(st.waiting, s.allowedToAsk(st))
 	if tasks == 0 && st.waiting > 0 {
 		// The maximum of the organisation allows no start. Tasks may start once others
 		// have ended, but no other step may wait for this call.
-		if !s.hasSpareCalls(st) {
+		if !s.hasSpareCalls() {
 			return
 		}
 		tasks = min(st.waiting, s.blockedTasksAhead(st))
--- a/scheduler/advice_blocked.go
+++ b/scheduler/advice_blocked.go
@@ -49,13 +49,9 @@
 }
 
 // hasSpareCalls reports whether at most half of the calls to the adviser would be in flight
-// with one more for the step.
-func (s *Scheduler) hasSpareCalls(st *step) bool {
-	if st.job.record.Queue.Advice == nil {
-		return false
-	}
-	quick := st.job.record.Queue.Advice.Cost(1) <= MaxQuickCallDuration
-	return 2*(s.adviceInFlight[quick]+1) <= s.adviceLimits[quick]
+// with one more of either kind. Which kind a call is follows from the workers that it names.
+func (s *Scheduler) hasSpareCalls() bool {
+	return 2*(s.adviceInFlight[true]+1) <= s.adviceLimits[true] && 2*(s.adviceInFlight[false]+1) <= s.adviceLimits[false]
 }
 
 // blockedTasksAhead returns for how many tasks of a blocked step to ask: the share
--- a/scheduler/demands.go
+++ b/scheduler/demands.go
@@ -77,6 +77,9 @@
 	// held is the size of the tasks for which the tick has reserved workers, preempted
 	// runs or kept free capacity. It limits those of later steps.
 	held sizer.Size
+	// lastHolder is the step of the last of these tasks, and lastHeld their size.
+	lastHolder *step
+	lastHeld   sizer.Size
 	// blockedSteps counts the steps in the blockedSteps of the scheduler, and ahead is the
 	// size of those for which approvals are or were asked ahead.
 	blockedSteps int
--- a/scheduler/limits.go
+++ b/scheduler/limits.go
@@ -138,10 +138,30 @@
 	}
 	wait := s.waitOf(organisation.Name)
 	n = min(n, s.allowedBeside(organisation, st, s.usedBy(organisation.Name).Add(wait.held)))
-	wait.held = wait.held.Add(st.phase.Size.Times(int64(n)))
+	size := st.phase.Size.Times(int64(n))
+	wait.held = wait.held.Add(size)
+	if wait.lastHolder != st {
+		wait.lastHolder, wait.lastHeld = st, sizer.Size{}
+	}
+	wait.lastHeld = wait.lastHeld.Add(size)
 	return n
 }
 
+// allowedToAsk returns for how many waiting tasks of the step the adviser may be called:
+// those that the maximum allows beside what the tick holds for earlier steps.
+func (s *Scheduler) allowedToAsk(st *step) int {
+	organisation, limited := s.limitOf(st.job)
+	if !limited {
+		return unlimitedTasks
+	}
+	wait := s.waitOf(organisation.Name)
+	used := s.usedBy(organisation.Name).Add(wait.held)
+	if wait.lastHolder == st {
+		used = used.Sub(wait.lastHeld)
+	}
+	return s.allowedBeside(organisation, st, used)
+}
+
 // allowedBeside returns how many waiting tasks of the step may start beside what is used:
 // all or none for a gang.
 func (s *Scheduler) allowedBeside(organisation Organisation, st *step, used sizer.Size) int {
