--- a/scheduler/interleaving_limits_test.go
+++ b/scheduler/interleaving_limits_test.go
@@ -107,6 +107,34 @@
 	return m.violation
 }
 
+// playModelWithCancellations is like playModelWithOrganisations, but before each change of
+// the owner some jobs are cancelled, which is stored, while a worker that may have runs of
+// them is cut off.
+func playModelWithCancellations(seeded fault, draw func(int) int) string {
+	m := newModel(seeded, draw, withOrganisations)
+	for range 4 {
+		m.settle()
+		for range 60 {
+			m.doRandomAction()
+			m.write(m.current())
+		}
+		m.workers[m.draw(len(m.workers))].unreachableBy = everyOwner
+		for range 3 {
+			m.cancelRandomJob()
+		}
+		for range 6 {
+			m.write(m.current())
+		}
+		m.takeOver()
+		for range 60 {
+			m.doRandomAction()
+			m.write(m.current())
+		}
+	}
+	m.recoverAndFinish()
+	return m.violation
+}
+
 // TestMaximumIsNeverExceeded guards against an organisation that has more running than
 // its maximum with the overage and one task, in whatever order owners, workers and the
 // store act: jobs are cancelled, starts and stops have no answer or come late, and former
@@ -116,6 +144,10 @@
 		random := rand.New(rand.NewPCG(seed, 7))
 		qt.Assert(t, playModelWithOrganisations(noFault, random.IntN), qt.Equals, "", qt.Commentf("seed %d", seed))
 	}
+	for seed := range uint64(1000) {
+		random := rand.New(rand.NewPCG(seed, 7))
+		qt.Assert(t, playModelWithCancellations(noFault, random.IntN), qt.Equals, "", qt.Commentf("cancellations, seed %d", seed))
+	}
 	rapid.Check(t, func(t *rapid.T) {
 		number := rapid.IntRange(0, 1<<16)
 		violation := playModelWithOrganisations(noFault, func(n int) int { return number.Draw(t, "n") % n })
--- a/scheduler/interleaving_test.go
+++ b/scheduler/interleaving_test.go
@@ -807,7 +807,7 @@
 		},
 		{
 			fault: endingUnnamed,
-			play:  playModelWithOrganisations,
+			play:  playModelWithCancellations,
 		},
 	} {
 		t.Run(string(test.fault), func(t *testing.T) {
--- a/scheduler/limits_test.go
+++ b/scheduler/limits_test.go
@@ -675,3 +675,36 @@
 		})
 	}
 }
+
+// TestRunsOfACancelledJobCountAfterATakeover guards against a new owner that does not know
+// of runs which were told to stop, on a worker that does not report: their job has ended, or
+// is cancelled again by the new owner.
+func TestRunsOfACancelledJobCountAfterATakeover(t *testing.T) {
+	for _, stored := range []bool{true, false} {
+		r := newLimitedRig(t, 2, cores(4))
+		old := r.limitedJob("old", newPhase(4, cores(1)))
+		r.s.AddJob(old, nil, false, r.now)
+		r.tick()
+		r.write()
+		r.c.Assert(r.activeRuns(), qt.Equals, 4)
+		for _, w := range r.workersByID {
+			w.silent = len(w.activeRuns) > 0
+		}
+		if stored {
+			r.s.Cancel("old", r.now)
+			r.tick()
+			r.write()
+			r.c.Assert(r.stored["old"].State, qt.Equals, scheduler.Cancelled)
+		}
+		for range 2 {
+			r.takeOver(old)
+			r.setMaximum(cores(4))
+			r.s.Cancel("old", r.now)
+			r.s.AddJob(r.limitedJob("next", newPhase(4, cores(1))), nil, false, r.now)
+			r.rounds(3)
+			r.write()
+			r.c.Assert(r.s.UsedBy("a"), qt.Equals, cores(4), qt.Commentf("stored by the former owner %t", stored))
+			r.c.Assert(r.runsOf("next"), qt.Equals, 0)
+		}
+	}
+}
