Allotments: calls that fail quickly are repeated less often

A partition may have no owner for long, for example while an older release owns it, and each call that reaches none reads the owners from the store. The interval after such failures doubles up to 1 s. A call that timed out is repeated at once, as the timeout spaces the calls.

--- a/allotter/asker.go
+++ b/allotter/asker.go
@@ -10,13 +10,19 @@
 	// askInterval is the interval at which a partition is asked while parts are
 	// missing and it gives some, counted from the start of a call.
 	askInterval = 100 * time.Millisecond
-	// refusedInterval is the time until a partition that gave nothing, or did not
-	// answer, is asked again.
-	refusedInterval = 250 * time.Millisecond
+	// refusedInterval is the time until a partition that gave nothing, or to which a call
+	// failed sooner than that, is asked again. After such failed calls it doubles, up to
+	// maxFailedInterval: a partition may have no owner for long, and each call that does
+	// not reach one reads the owners from the store. A call that ended by its timeout is
+	// repeated at once.
+	refusedInterval   = 250 * time.Millisecond
+	maxFailedInterval = time.Second
 	// refreshInterval is the interval at which the totals of all organisations are asked
 	// for. A giver may carry out a call after its caller has given up waiting,
 	// and what it gives is of no use to anyone until the caller learns of it.
 	refreshInterval = 5 * time.Second
+	// maxDoublings bounds the exponent of the interval after calls without an answer.
+	maxDoublings = 8
 )
 
 // Asker determines when the owner of a partition asks which other partitions for parts.
@@ -37,6 +43,9 @@
 	nextAsk map[string]time.Time
 	// nextRefresh is the earliest time at which all totals are asked for again.
 	nextRefresh time.Time
+	// failures counts the calls that failed sooner than refusedInterval since the last
+	// answer.
+	failures int
 }
 
 // NewAsker returns an Asker that has asked nobody yet. It asks each partition once for
@@ -116,6 +125,7 @@
 		}
 	}
 	p.inFlight = nil
+	p.failures = 0
 	if p.asksAll {
 		p.nextRefresh = now.Add(refreshInterval)
 	}
@@ -128,9 +138,14 @@
 	if p == nil {
 		return
 	}
+	next := now
+	if now.Sub(p.askedAt) < refusedInterval {
+		next = p.askedAt.Add(min(refusedInterval<<min(p.failures, maxDoublings), maxFailedInterval))
+		p.failures++
+	}
 	for _, organisation := range p.inFlight {
-		p.nextAsk[organisation] = now.Add(refusedInterval)
+		p.nextAsk[organisation] = next
 	}
 	p.inFlight = nil
-	p.nextRefresh = now.Add(refusedInterval)
+	p.nextRefresh = next
 }
