Merge the maximum with the allotments

The stand-ins for each other's functions go. Tests of the maximum set what the owner holds through the ledger, with the same sizes; a test of the allotments gets a worker, as demands count only what could start. Notes and metrics show an allotment as 0 where the organisation has no maximum.

--- a/scheduler/allotments.go
+++ b/scheduler/allotments.go
@@ -128,6 +128,23 @@
 	return sizer.New(amount(maximum.MilliCores()), amount(maximum.Bytes()), amount(maximum.Accelerators()))
 }
 
+// shownAllotment returns the allotment for logs and metrics: 0 in a resource without a
+// maximum.
+func (s *Scheduler) shownAllotment(organisation Organisation) sizer.Size {
+	allotment, maximum := s.allotment(organisation.Name), organisation.Maximum
+	shown := func(amount, limit int64) int64 {
+		if limit == 0 {
+			return 0
+		}
+		return amount
+	}
+	return sizer.New(
+		shown(allotment.MilliCores(), maximum.MilliCores()),
+		shown(allotment.Bytes(), maximum.Bytes()),
+		shown(allotment.Accelerators(), maximum.Accelerators()),
+	)
+}
+
 // withheldParts returns the parts of an organisation that this owner holds but leaves to
 // the more urgent steps of other owners.
 func (s *Scheduler) withheldParts(name string) allotter.Parts {
--- a/scheduler/allotments_test.go
+++ b/scheduler/allotments_test.go
@@ -275,6 +275,9 @@
 // gang needs, and against one that claims parts for a step which is not starved.
 func TestStarvedStepClaimsNothing(t *testing.T) {
 	r := newAllotmentRig(t, eightOfAll)
+	r.addWorker(workerName(0), cores(8))
+	r.updateDirectory()
+	r.renewLeases()
 	gang := newPhase(3, cores(2))
 	gang.Gang = true
 	job := r.job("j", gang)
--- a/scheduler/demands.go
+++ b/scheduler/demands.go
@@ -263,7 +263,7 @@
 			Used:         s.usedBy(name),
 		}
 		if !organisation.Maximum.IsZero() {
-			load.Allotment = s.allotment(name)
+			load.Allotment = s.shownAllotment(organisation)
 		}
 		if wait := s.waits[name]; wait != nil {
 			load.Blocked = wait.blocked
--- a/scheduler/explaining.go
+++ b/scheduler/explaining.go
@@ -117,12 +117,12 @@
 	switch {
 	case st.phase.Gang && !s.gangWithinOverage(organisation, st):
 		reason = "step can never start, as its gang is too large for the maximum of organisation"
-	case s.allotment(organisation.Name) != organisation.Maximum:
+	case !s.holdsAll(organisation.Name):
 		reason = "step waits for the allotment of organisation"
 	}
 	s.addNote(fmt.Sprintf("%s %s: %d of %d tasks of %v each, %s, %d more may start now, used %v, allotment %v, maximum %v, nothing of the job runs %t, %d such notes left out before",
 		reason, organisation.Name, st.waiting, len(st.tasks), st.phase.Size, rankName(st.rank(now)), allowed,
-		s.usedBy(organisation.Name), s.allotment(organisation.Name), organisation.Maximum, s.nothingRuns(st.job), notes.omitted),
+		s.usedBy(organisation.Name), s.shownAllotment(organisation), organisation.Maximum, s.nothingRuns(st.job), notes.omitted),
 		TaskRef{
 			Step: st.ref,
 		}, "", now.Sub(st.dueAt))
--- a/scheduler/interleaving_test.go
+++ b/scheduler/interleaving_test.go
@@ -796,7 +796,6 @@
 		},
 		{
 			fault: leasesUnlimited,
-			from:  4000,
 			play:  playModelWithSettledOwners,
 		},
 		{
--- a/scheduler/limits_test.go
+++ b/scheduler/limits_test.go
@@ -15,7 +15,6 @@
 // has the given maximum and an overage of a tenth.
 func newLimitedRig(t *testing.T, workers int, maximum sizer.Size) *rig {
 	r := newRig(t)
-	r.s.SetBasePartitions(0, []int{0})
 	r.limitTo(maximum)
 	for i := range workers {
 		r.addWorker(workerName(i), cores(8))
@@ -25,7 +24,9 @@
 	return r
 }
 
+// limitTo sets the maximum of organisation "a". The owner is the only one.
 func (r *rig) limitTo(maximum sizer.Size) {
+	r.s.SetBasePartitions(0, []int{0})
 	r.s.SetOrganisations([]scheduler.Organisation{
 		{
 			Name:    "a",
@@ -699,7 +700,7 @@
 		}
 		for range 2 {
 			r.takeOver(old)
-			r.setMaximum(cores(4))
+			r.limitTo(cores(4))
 			r.s.Cancel("old", r.now)
 			r.s.AddJob(r.limitedJob("next", newPhase(4, cores(1))), nil, false, r.now)
 			r.rounds(3)
