conductor: log a job with the identity of another organisation's

Such a job was dropped in silence: its caller has been told that it is stored, and then that it does not exist. After a takeover the stored record is still the later one; to be refused before it is stored.

--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -256,6 +256,41 @@
 	await("farms", "farm", scheduler.Cancelled)
 }
 
+// TestIdentityOfAnotherOrganisationsJob guards against a job that is replaced, at the owner
+// that has it, by one of another organisation with the same identity.
+func TestIdentityOfAnotherOrganisationsJob(t *testing.T) {
+	f := newFixture(t, 2, emulator.RunTime(func(scheduler.TaskRef) time.Duration { return time.Hour }))
+	f.startOwner()
+	for _, job := range []scheduler.Job{
+		{
+			ID:           "same",
+			Organisation: "farm",
+		},
+		{
+			ID:           "same",
+			Organisation: "mill",
+		},
+		{
+			ID: "last",
+		},
+	} {
+		job.Queue.Service = service
+		job.Phases = []scheduler.Phase{tasks(1)}
+		job.Accepted = time.Now()
+		record, err := conductor.JobRecord(job)
+		f.c.Assert(err, qt.IsNil)
+		f.append(record)
+	}
+	// Once the last job is known, the others have been read.
+	f.await("last", scheduler.Running)
+	_, found, err := f.owner.State(context.Background(), "same", "farm")
+	f.c.Assert(err, qt.IsNil)
+	f.c.Assert(found, qt.IsTrue)
+	_, found, err = f.owner.State(context.Background(), "same", "mill")
+	f.c.Assert(err, qt.IsNil)
+	f.c.Assert(found, qt.IsFalse)
+}
+
 // TestFormerOwnerIsShutOut checks that a former owner that still runs ends once a
 // later one takes over, and that no task runs twice.
 func TestFormerOwnerIsShutOut(t *testing.T) {
--- a/conductor/recovery.go
+++ b/conductor/recovery.go
@@ -147,6 +147,12 @@
 			c.logger.WithError(err).WithField("id", record.Key).Error("conductor: a stored job cannot be decoded")
 			continue
 		}
+		if _, known := c.scheduler.State(job.ID); known && !c.scheduler.Accessible(job.ID, job.Organisation) {
+			c.logger.WithFields(log.Fields{
+				"id":           job.ID,
+				"organisation": job.Organisation,
+			}).Warn("conductor: a job has the identity of another organisation's job and does not run")
+		}
 		c.scheduler.AddJob(job, progressByJob[job.ID], progressByJob != nil, now)
 	}
 	for _, cancel := range cancels {
