--- a/coordinator/evidence.go
+++ b/coordinator/evidence.go
@@ -232,9 +232,13 @@
 	})
 }
 
-// logState logs that the evidence has become too old, or is recent again. It is called by
-// one goroutine.
+// logState logs that the evidence has become too old, or is recent again, where keys are
+// accepted only with evidence. It is called by one goroutine.
 func (k *evidenceKeeper) logState(version int64) {
+	if _, strict := k.evidence.Bound(); !strict {
+		k.loggedState = evidenceUnlogged
+		return
+	}
 	state := evidenceRecent
 	switch {
 	case !k.evidence.Valid():
--- a/coordinator/evidence_test.go
+++ b/coordinator/evidence_test.go
@@ -352,6 +352,10 @@
 	}
 	const unknown = "coordinator: the configuration is not known to be the newest, "
 	s.Assert(lines(), qt.DeepEquals, []string{unknown + "keys are refused"})
+	// Keys that need no evidence are not refused.
+	e.SetRevocation(false, testRevocationBound)
+	s.Assert(lines(), qt.HasLen, 0)
+	e.SetRevocation(true, testRevocationBound)
 	e.read()
 	logs.Entries = nil
 	recent := []string{"coordinator: the configuration is known to be the newest, keys are accepted"}
