--- a/scheduler/explaining.go
+++ b/scheduler/explaining.go
@@ -201,6 +201,10 @@
 		return "in time"
 	case rankLate:
 		return "late"
+	case rankExcessInTime:
+		return "in time, beyond the entitled rate"
+	case rankExcessLate:
+		return "late, beyond the entitled rate"
 	default:
 		return "too late"
 	}
--- a/scheduler/preempting.go
+++ b/scheduler/preempting.go
@@ -32,8 +32,9 @@
 	victims []*run
 	// capacity is the number of tasks that fit once the victims have ended.
 	capacity int
-	// lostShare is the size of the victims, as a share of the worker.
-	lostShare float64
+	// lostShare is the size of the victims, as a share of the worker, and
+	// protectedShare the same for those of organisations not above their share.
+	lostShare, protectedShare float64
 }
 
 // preempt stops runs of less urgent queues to free capacity for n more tasks of
@@ -50,7 +51,10 @@
 		}
 	}
 	slices.SortStableFunc(plans, func(a, b preemption) int {
-		return cmp.Compare(a.lostShare/float64(a.capacity), b.lostShare/float64(b.capacity))
+		return cmp.Or(
+			cmp.Compare(a.protectedShare/float64(a.capacity), b.protectedShare/float64(b.capacity)),
+			cmp.Compare(a.lostShare/float64(a.capacity), b.lostShare/float64(b.capacity)),
+		)
 	})
 	missing := n
 	var chosen []preemption
@@ -98,7 +102,7 @@
 		}
 	}
 	slices.SortStableFunc(victims, func(a, b *run) int {
-		return cmp.Compare(b.size.DominantShare(w.entry.Total), a.size.DominantShare(w.entry.Total))
+		return cmp.Or(s.compareShares(a, b), cmp.Compare(b.size.DominantShare(w.entry.Total), a.size.DominantShare(w.entry.Total)))
 	})
 	plan.capacity = min(maxTasksHere, countFitting(size, freeCapacity))
 	for _, r := range victims {
@@ -108,6 +112,9 @@
 		freeCapacity = freeCapacity.Add(r.size)
 		plan.victims = append(plan.victims, r)
 		plan.lostShare += r.size.DominantShare(w.entry.Total)
+		if !s.isAboveShare(r) {
+			plan.protectedShare += r.size.DominantShare(w.entry.Total)
+		}
 		plan.capacity = min(maxTasksHere, countFitting(size, freeCapacity))
 	}
 	return plan
@@ -135,7 +142,7 @@
 		}
 	}
 	slices.SortStableFunc(victims, func(a, b *run) int {
-		return cmp.Compare(s.remainingTime(b, now), s.remainingTime(a, now))
+		return cmp.Or(s.compareShares(a, b), cmp.Compare(s.remainingTime(b, now), s.remainingTime(a, now)))
 	})
 	for _, r := range victims {
 		if shortfall.MilliCores() <= 0 && shortfall.Bytes() <= 0 && shortfall.Accelerators() <= 0 {
@@ -158,7 +165,7 @@
 	if t == nil || !t.hasRun(r) || !st.phase.Checkpoints {
 		return false
 	}
-	return st.job.record.Queue.Priority > urgent.job.record.Queue.Priority && s.remainingTime(r, now) > minPreemptionGain && (st.rank(now.Add(preemptionSlack)) == rankInTime || st.rank(now) == rankTooLate)
+	return st.job.record.Queue.Priority > urgent.job.record.Queue.Priority && s.remainingTime(r, now) > minPreemptionGain && (st.usefulness(now.Add(preemptionSlack)) == rankInTime || st.usefulness(now) == rankTooLate)
 }
 
 // maxLargeFit limits the size of tasks that count as large: at most maxLargeFit of
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -99,6 +99,8 @@
 	// maximum by which one may exceed it.
 	organisations map[string]Organisation
 	overage       float64
+	// shares holds what is known of the organisations' use and rates.
+	shares shareTable
 }
 
 // queueStats holds the statistics of a queue.
@@ -145,6 +147,7 @@
 			false: defaultAdviceCalls,
 		},
 		organisations:     make(map[string]Organisation),
+		shares:            newShareTable(),
 		placementsAllowed: true,
 		storedSilent:      make(map[string]bool),
 		dirtyJobs:         make(map[string]bool),
@@ -201,6 +204,7 @@
 		criticalPaths:  record.criticalPaths(),
 	}
 	s.jobs[record.ID] = j
+	s.recordArrival(j)
 	if progress != nil {
 		j.state = progress.State
 		j.endedAt = progress.Ended
--- a/scheduler/tables.go
+++ b/scheduler/tables.go
@@ -33,6 +33,8 @@
 	storedWorkers map[string]bool
 	// started is set once a task of the job has been started.
 	started bool
+	// excess is set if the job is beyond the entitled rate of its organisation.
+	excess bool
 	// objective is the time within which an occurrence should be done once it
 	// is due.
 	objective time.Duration
--- a/scheduler/tick.go
+++ b/scheduler/tick.go
@@ -252,6 +252,10 @@
 			steps = append(steps, st)
 		}
 	}
+	if len(s.organisations) > 0 {
+		s.sortByShares(steps, now)
+		return steps
+	}
 	slices.SortFunc(steps, func(a, b *step) int {
 		return cmp.Or(
 			cmp.Compare(a.rank(now), b.rank(now)),
@@ -271,6 +275,10 @@
 	rankInTime
 	// rankLate is for steps that can be done within three times the objective.
 	rankLate
+	// rankExcessInTime and rankExcessLate are like rankInTime and rankLate, for jobs
+	// beyond the entitled rate of their organisation.
+	rankExcessInTime
+	rankExcessLate
 	// rankTooLate is for steps whose results are of no more use. They get the
 	// capacity that the steps of all other ranks leave.
 	rankTooLate
@@ -282,6 +290,20 @@
 
 // rank returns the rank of the step.
 func (st *step) rank(now time.Time) int {
+	usefulness := st.usefulness(now)
+	switch {
+	case st.job.excess && usefulness == rankInTime:
+		return rankExcessInTime
+	case st.job.excess && usefulness == rankLate:
+		return rankExcessLate
+	default:
+		return usefulness
+	}
+}
+
+// usefulness returns the rank that the step has if its job is within the entitled
+// rate.
+func (st *step) usefulness(now time.Time) int {
 	remaining := st.job.criticalPathFrom(st.ref.Phase)
 	switch {
 	case st.phase.Lasting:
