--- a/scheduler/admission.go
+++ b/scheduler/admission.go
@@ -6,11 +6,6 @@
 )
 
 const (
-	// usefulShare is the fraction of the time within which the result of a job is of
-	// use that may be expected to pass before an excess job is done, for the job to be
-	// accepted. The rest covers errors of the estimate, and entitled jobs that arrive
-	// later and go first.
-	usefulShare = 0.5
 	// usableCapacity is the fraction of the workers' capacity that work can be
 	// expected to fill. The rest is lost to packing and to waits for advice.
 	usableCapacity = 0.9
@@ -387,11 +382,11 @@
 	return bytes
 }
 
-// spareCapacity returns what entitled jobs leave of the capacity of a service to a
-// queue, in each resource, as far as work can be expected to fill it.
-func (s *Scheduler) spareCapacity(queue Queue, now time.Time) amount {
-	capacity := s.backlogOf(queue.Service).capacity
-	load := s.entitledLoad(queue, now)
+// spareCapacity returns what entitled jobs leave of the capacity of a service, in each
+// resource, as far as work can be expected to fill it.
+func (s *Scheduler) spareCapacity(service string, now time.Time) amount {
+	capacity := s.backlogOf(service).capacity
+	load := s.entitledLoad(service, now)
 	var spare amount
 	for i := range spare {
 		spare[i] = max(minSpareCapacity*capacity[i], usableCapacity*capacity[i]-load[i])
@@ -404,16 +399,17 @@
 // jobs which arrive in the meantime leave.
 func (s *Scheduler) expectedWait(record Job, now time.Time) time.Duration {
 	ahead := s.aheadOf(s.backlogOf(record.Queue.Service), record)
-	seconds := ahead.fractionOf(s.spareCapacity(record.Queue, now))
+	seconds := ahead.fractionOf(s.spareCapacity(record.Queue.Service, now))
 	return time.Duration(min(seconds, time.Hour.Seconds()) * float64(time.Second))
 }
 
 // allowedWait returns how long an excess job may be expected to wait for it to be
-// accepted.
+// accepted: as long as it can still be done within its objective. The time until its
+// result is of no more use is three times as long, which covers entitled jobs that
+// arrive later and go first.
 func (s *Scheduler) allowedWait(record Job) time.Duration {
-	useful := usefulShare * lateFactor * float64(record.objective())
 	factor := s.stats(record.Queue.Name).runTimeFactor
-	return max(0, time.Duration(useful-factor*float64(record.criticalPath())))
+	return max(0, record.objective()-time.Duration(factor*float64(record.criticalPath())))
 }
 
 // retryAfter returns the time after which a refused caller should try again: when the
@@ -427,7 +423,7 @@
 	if at.Before(earliest) || at.After(now.Add(maxRetryAfter)) {
 		at = earliest
 	}
-	seconds := s.workOf(record).fractionOf(s.spareCapacity(record.Queue, now))
+	seconds := s.workOf(record).fractionOf(s.spareCapacity(record.Queue.Service, now))
 	interval := time.Duration(math.Min(seconds, maxRetryInterval.Seconds()) * float64(time.Second))
 	table.nextRetryAt[record.Organisation] = at.Add(max(minRetryInterval, interval))
 	return at.Sub(now)
--- a/scheduler/shares.go
+++ b/scheduler/shares.go
@@ -25,7 +25,8 @@
 	// others leave.
 	minWeight = 1e-6
 	// entitledLoadTime is the time over which the work of entitled jobs is averaged.
-	entitledLoadTime = 10 * time.Second
+	// With 10 s, too many excess jobs are accepted at the beginning of a burst.
+	entitledLoadTime = 5 * time.Second
 	// excessNoteInterval is the interval at which the log tells how many jobs of one
 	// organisation were beyond its entitled rate.
 	excessNoteInterval = time.Second
@@ -99,9 +100,8 @@
 	rates map[string]*entitledRate
 	// arrivals holds the jobs that are not yet compared with the entitled rate.
 	arrivals []*job
-	// entitledLoads holds the work per second of the entitled jobs of each service, by
-	// class.
-	entitledLoads map[string]map[workClass]*averageLoad
+	// entitledLoads holds the work per second of the entitled jobs of each service.
+	entitledLoads map[string]*averageLoad
 	// foreign holds the use that other owners reported, by partition.
 	foreign map[int]foreignUse
 	// services holds the shares of each service as computed at computedAt.
@@ -146,7 +146,7 @@
 	return shareTable{
 		jobPart:       1,
 		rates:         make(map[string]*entitledRate),
-		entitledLoads: make(map[string]map[workClass]*averageLoad),
+		entitledLoads: make(map[string]*averageLoad),
 		foreign:       make(map[int]foreignUse),
 		admissions:    newAdmissionTable(),
 	}
@@ -321,38 +321,26 @@
 // recordEntitledWork adds the work of a job to the average load of its service.
 func (s *Scheduler) recordEntitledWork(j *job, at time.Time) {
 	service := j.record.Queue.Service
-	classes := s.shares.entitledLoads[service]
-	if classes == nil {
-		classes = make(map[workClass]*averageLoad)
-		s.shares.entitledLoads[service] = classes
-	}
-	for i := range j.record.Phases {
-		phase := &j.record.Phases[i]
-		class := s.classOf(&j.record, phase, false)
-		average := classes[class]
-		if average == nil {
-			average = &averageLoad{
-				at: at,
-			}
-			classes[class] = average
+	average := s.shares.entitledLoads[service]
+	if average == nil {
+		average = &averageLoad{
+			at: at,
 		}
-		average.decay(at)
-		average.perSecond = average.perSecond.add(s.workOfPhase(j.record.Queue, phase).times(1 / entitledLoadTime.Seconds()))
+		s.shares.entitledLoads[service] = average
 	}
+	average.decay(at)
+	average.perSecond = average.perSecond.add(s.workOf(j.record).times(1 / entitledLoadTime.Seconds()))
 }
 
-// entitledLoad returns the work per second of the entitled jobs that do not yield to
-// the queue.
-func (s *Scheduler) entitledLoad(queue Queue, now time.Time) amount {
-	var load amount
-	for class, average := range s.shares.entitledLoads[queue.Service] {
-		if class.yields && class.priority > queue.Priority {
-			continue
-		}
-		average.decay(now)
-		load = load.add(average.perSecond)
+// entitledLoad returns the work per second of the entitled jobs of a service. Runs of
+// less urgent queues are not preempted for excess jobs, so all of it counts.
+func (s *Scheduler) entitledLoad(service string, now time.Time) amount {
+	average := s.shares.entitledLoads[service]
+	if average == nil {
+		return amount{}
 	}
-	return load
+	average.decay(now)
+	return average.perSecond
 }
 
 func (l *averageLoad) decay(at time.Time) {
--- a/scheduler/shares_load_test.go
+++ b/scheduler/shares_load_test.go
@@ -277,9 +277,9 @@
 }
 
 func TestTrial(t *testing.T) {
-	for _, load := range []float64{0.75, 0.85} {
-		for _, flood := range []float64{1, 8} {
-			for _, kind := range []string{"before", "admits"} {
+	for _, load := range []float64{0.6, 0.75} {
+		for _, flood := range []float64{1, 4, 8} {
+			for _, kind := range []string{"before", "ordered", "admits"} {
 				m := floodModel()
 				m.load = load
 				m.ordered, m.admits = kind != "before", kind == "admits"
