--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -127,6 +127,9 @@
 	metrics   *Metrics
 	// placementsAllowed reports whether the placements of lasting tasks may be stored.
 	placementsAllowed func() bool
+	// jobPart returns an upper bound of the fraction of an organisation's jobs that the
+	// partition gets.
+	jobPart func() float64
 
 	// tickRequests triggers a tick of the scheduler, and writeRequests a write of
 	// the progress.
@@ -157,6 +160,8 @@
 	// organisations and overage are passed on to the scheduler.
 	organisations []scheduler.Organisation
 	overage       float64
+	// admissionLines limits the log lines on refused jobs.
+	admissionLines lineLimiter
 }
 
 // Option changes how a Conductor works.
@@ -216,6 +221,8 @@
 		token:             token,
 		metrics:           NewMetrics(),
 		placementsAllowed: func() bool { return true },
+		jobPart:           func() float64 { return 1 },
+		admissionLines:    make(lineLimiter),
 		tickRequests:      make(chan struct{}, 1),
 		writeRequests:     make(chan struct{}, 1),
 		progressed:        make(chan struct{}),
@@ -354,9 +361,11 @@
 	for {
 		quick, long := c.adviser.AdviceLimits()
 		placementsAllowed := c.placementsAllowed()
+		jobPart := c.jobPart()
 		c.mu.Lock()
 		c.scheduler.AllowPlacements(placementsAllowed)
 		c.scheduler.SetAdviceLimits(quick, long)
+		c.scheduler.SetJobPart(jobPart)
 		c.updateLeaseKeepers(ctx, group)
 		effects := c.scheduler.Tick(c.clock.Now())
 		notes := c.scheduler.Notes()
@@ -364,6 +373,7 @@
 			metricsSetAt = now
 			c.metrics.setAdvice(c.partition, c.scheduler.AdviceLoad(now))
 			c.metrics.setLasting(c.partition, c.scheduler.LastingLoad(now))
+			c.metrics.organisations.set(c.partition, c.scheduler.OrganisationLoads())
 		}
 		unwritten, _ := c.scheduler.Unwritten()
 		wait := idleTickInterval
--- a/conductor/metrics.go
+++ b/conductor/metrics.go
@@ -22,11 +22,13 @@
 	adviceDeniedSeconds *prometheus.GaugeVec
 	lastingWaiting      *prometheus.GaugeVec
 	lastingWaitSeconds  *prometheus.GaugeVec
+	organisations       *organisationMetrics
 }
 
 // NewMetrics returns metrics that are not registered yet.
 func NewMetrics() *Metrics {
 	return &Metrics{
+		organisations: newOrganisationMetrics(),
 		starts: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "galenacove_conductor_starts_total",
 			Help: "Orders to start a run, by their outcome.",
@@ -82,11 +84,11 @@
 
 // Collectors returns the metrics for registration.
 func (m *Metrics) Collectors() []prometheus.Collector {
-	return []prometheus.Collector{
+	return append([]prometheus.Collector{
 		m.starts, m.adviceSeconds, m.silentRenewals, m.storeErrors, m.takeoverSeconds,
 		m.adviceCalls, m.adviceInFlight, m.adviceLimit, m.adviceDenied, m.adviceDeniedSeconds,
 		m.lastingWaiting, m.lastingWaitSeconds,
-	}
+	}, m.organisations.collectors()...)
 }
 
 // setAdvice sets the metrics of the calls for advice of the owner of a partition.
@@ -110,6 +112,7 @@
 // deleteLoad removes the metrics that setAdvice and setLasting set. It is called
 // once the ownership has ended.
 func (m *Metrics) deleteLoad(partition int) {
+	m.organisations.forget(partition)
 	label := prometheus.Labels{
 		"partition": strconv.Itoa(partition),
 	}
--- a/coordinator/jobs.go
+++ b/coordinator/jobs.go
@@ -47,6 +47,9 @@
 	if !known {
 		return fmt.Errorf("%w: %w", receiver.ErrNotStored, errNoShards)
 	}
+	if err := c.admit(ctx, partition, job); err != nil {
+		return err
+	}
 	return c.append(ctx, partition, record)
 }
 
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -55,7 +55,7 @@
 // Jobs stores jobs and knows their states.
 type Jobs interface {
 	// Submit stores a job. Its errors are marked with ErrNotStored or
-	// ErrUnknown.
+	// ErrUnknown, or are a *RefusedError.
 	Submit(ctx context.Context, job scheduler.Job) error
 	// Cancel stores that a job is cancelled.
 	Cancel(ctx context.Context, queue scheduler.Queue, id string) error
@@ -284,11 +284,14 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), submitTimeout)
 	defer cancel()
 	err = r.jobs.Submit(ctx, job)
+	var refused *RefusedError
 	switch {
 	case err == nil:
 		return answer{
 			status: http.StatusOK,
 		}
+	case errors.As(err, &refused):
+		return tooMany(refused)
 	case errors.Is(err, ErrNotStored):
 		return unavailable(err)
 	default:
--- a/scheduler/admission.go
+++ b/scheduler/admission.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/galenacove/galenacove/sizer"
 )
 
 const (
@@ -99,12 +101,33 @@
 
 // backlog is the work of one service that is still to be done and of use.
 type backlog struct {
-	// work is in sizes times seconds.
-	work map[workClass]amount
+	work map[workClass]waitingWork
+	// free is what the workers have free.
+	free amount
 	// capacity is that of the workers, without the part that lasting runs take.
 	capacity amount
 }
 
+// waitingWork is the size of waiting tasks, and the work of them in sizes times
+// seconds.
+type waitingWork struct {
+	size, work amount
+}
+
+func (w waitingWork) add(v waitingWork) waitingWork {
+	return waitingWork{
+		size: w.size.add(v.size),
+		work: w.work.add(v.work),
+	}
+}
+
+func (w waitingWork) times(factor float64) waitingWork {
+	return waitingWork{
+		size: w.size.times(factor),
+		work: w.work.times(factor),
+	}
+}
+
 // workClass tells which work goes before other work.
 type workClass struct {
 	priority int
@@ -244,6 +267,7 @@
 		}
 		b := s.backlogOf(w.entry.Service)
 		b.capacity = b.capacity.add(amountOf(w.entry.Total, 1))
+		b.free = b.free.add(amountOf(w.freeCapacity().Max(sizer.Size{}), 1))
 		for _, r := range w.runs {
 			if r.lasting {
 				b.capacity = b.capacity.add(amountOf(r.size, -1))
@@ -261,7 +285,7 @@
 	b := s.shares.admissions.backlogs[service]
 	if b == nil {
 		b = &backlog{
-			work: make(map[workClass]amount),
+			work: make(map[workClass]waitingWork),
 		}
 		s.shares.admissions.backlogs[service] = b
 	}
@@ -285,7 +309,13 @@
 	b := s.backlogOf(accepted.record.Queue.Service)
 	for i := range accepted.record.Phases {
 		phase := &accepted.record.Phases[i]
-		b.add(s.classOf(&accepted.record, phase, accepted.excess), s.workOfPhase(accepted.record.Queue, phase))
+		waits := waitingWork{
+			work: s.workOfPhase(accepted.record.Queue, phase),
+		}
+		if len(phase.DependsOn) == 0 {
+			waits.size = amountOf(taskSize(phase), float64(phase.Tasks))
+		}
+		b.add(s.classOf(&accepted.record, phase, accepted.excess), waits)
 	}
 }
 
@@ -305,20 +335,24 @@
 		factor := s.stats(j.record.Queue.Name).runTimeFactor
 		class := s.classOf(&j.record, st.phase, j.excess)
 		class.yields = class.yields && !st.reservesWorkers() && st.latestStart().Sub(now) > preemptionSlack
-		s.backlogOf(j.record.Queue.Service).add(class, amountOf(taskSize(st.phase), float64(st.waiting)*st.phase.Estimate.Seconds()*factor))
+		size := amountOf(taskSize(st.phase), float64(st.waiting))
+		s.backlogOf(j.record.Queue.Service).add(class, waitingWork{
+			size: size,
+			work: size.times(st.phase.Estimate.Seconds() * factor),
+		})
 	}
 }
 
-func (b *backlog) add(class workClass, work amount) {
-	b.work[class] = b.work[class].add(work)
+func (b *backlog) add(class workClass, waits waitingWork) {
+	b.work[class] = b.work[class].add(waits)
 }
 
 // aheadOf returns the work that goes before an excess job of the organisation: all
 // entitled work that does not yield to it, and of the excess work of each organisation
 // as much as goes before it when the organisations take turns by weight.
-func (s *Scheduler) aheadOf(b *backlog, record Job) amount {
-	excess := make(map[string]amount)
-	var ahead amount
+func (s *Scheduler) aheadOf(b *backlog, record Job) waitingWork {
+	excess := make(map[string]waitingWork)
+	var ahead waitingWork
 	for class, work := range b.work {
 		switch {
 		case class.priority > record.Queue.Priority && (class.yields || class.excess):
@@ -329,13 +363,13 @@
 		}
 	}
 	weight := func(name string) float64 { return max(minWeight, s.organisations[name].Weight) }
-	own := excess[record.Organisation].add(s.workOf(record)).fractionOf(b.capacity) / weight(record.Organisation)
+	own := excess[record.Organisation].work.add(s.workOf(record)).fractionOf(b.capacity) / weight(record.Organisation)
 	for name, work := range excess {
 		if name == record.Organisation {
 			ahead = ahead.add(work)
 			continue
 		}
-		turns := work.fractionOf(b.capacity) / weight(name)
+		turns := work.work.fractionOf(b.capacity) / weight(name)
 		if turns > 0 {
 			ahead = ahead.add(work.times(min(1, own/turns)))
 		}
@@ -395,11 +429,18 @@
 }
 
 // expectedWait returns the time until the first task of an excess job can probably
-// start: until the work that goes before it is done with the capacity that entitled
-// jobs which arrive in the meantime leave.
+// start: until the work that goes before it, other than what can start at once, is done
+// with the capacity that entitled jobs which arrive in the meantime leave.
 func (s *Scheduler) expectedWait(record Job, now time.Time) time.Duration {
-	ahead := s.aheadOf(s.backlogOf(record.Queue.Service), record)
-	seconds := ahead.fractionOf(s.spareCapacity(record.Queue.Service, now))
+	b := s.backlogOf(record.Queue.Service)
+	ahead := s.aheadOf(b, record)
+	var blocked amount
+	for i, size := range ahead.size {
+		if size > b.free[i] {
+			blocked[i] = ahead.work[i] * (1 - b.free[i]/size)
+		}
+	}
+	seconds := blocked.fractionOf(s.spareCapacity(record.Queue.Service, now))
 	return time.Duration(min(seconds, time.Hour.Seconds()) * float64(time.Second))
 }
 
@@ -417,7 +458,7 @@
 // were refused before, as far apart as the spare capacity takes to do their jobs.
 func (s *Scheduler) retryAfter(record Job, admission Admission, now time.Time) time.Duration {
 	table := &s.shares.admissions
-	wait := min(max(minRetryAfter, admission.ExpectedWait-admission.AllowedWait), maxRetryAfter-minRetryAfter)
+	wait := min(max(minRetryAfter, admission.ExpectedWait-admission.AllowedWait), maxRetryAfter/2)
 	earliest := now.Add(wait)
 	at := table.nextRetryAt[record.Organisation]
 	if at.Before(earliest) || at.After(now.Add(maxRetryAfter)) {
--- a/scheduler/shares.go
+++ b/scheduler/shares.go
@@ -475,7 +475,9 @@
 	rank     int
 	priority int
 	startBy  time.Time
-	above    bool
+	// above is 0 if all waiting tasks of the step fit its organisation's share, 1 if
+	// some of them do, and 2 if the organisation has its share already.
+	above int
 }
 
 // sortByShares sorts steps where there are organisations: by rank and priority, then
@@ -511,11 +513,19 @@
 			continue
 		}
 		share, found := service.shares[u.organisation]
-		ranked[i].above = found && service.used[u.organisation]+used[u] >= share
-		used[u] += amountOf(taskSize(st.phase), float64(st.waiting))[service.resource]
+		before := service.used[u.organisation] + used[u]
+		wanted := amountOf(taskSize(st.phase), float64(st.waiting))[service.resource]
+		used[u] += wanted
+		switch {
+		case !found || before+wanted <= share:
+		case before < share:
+			ranked[i].above = 1
+		default:
+			ranked[i].above = 2
+		}
 	}
 	slices.SortStableFunc(ranked, func(a, b rankedStep) int {
-		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.priority, b.priority), compareBools(a.above, b.above))
+		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.priority, b.priority), cmp.Compare(a.above, b.above))
 	})
 	for i := range ranked {
 		steps[i] = ranked[i].step
@@ -550,6 +560,9 @@
 // OrganisationLoads returns the state of the organisations that have had jobs,
 // sorted by service and name.
 func (s *Scheduler) OrganisationLoads() []OrganisationLoad {
+	if len(s.organisations) == 0 {
+		return nil
+	}
 	var loads []OrganisationLoad
 	for serviceName, service := range s.shares.services {
 		for name, share := range service.shares {
