--- a/coordinator/admission.go
+++ b/coordinator/admission.go
@@ -66,19 +66,11 @@
 		SpecBytes: len(job.Spec),
 	}
 	args.Job.Spec = ""
-	var reply AdmitReply
-	if own := c.localOwner(partition); own != nil {
-		reply = askAdmission(ctx, own, args)
-	} else {
-		address, found := c.ownerOf(ctx, partition, false)
-		if !found || address == c.settings.peerAddress {
-			return nil
-		}
-		if err := c.pool.Call(ctx, address, rpcName+".Admit", args, &reply); err != nil {
-			// An owner of an older release does not know the call.
-			c.settings.logger.WithError(err).WithField("id", job.ID).Debug("coordinator: job accepted without an answer of its owner")
-			return nil
-		}
+	reply, err := c.askOwner(ctx, args)
+	if err != nil {
+		// An owner of an older release does not know the call.
+		c.settings.logger.WithError(err).WithField("id", job.ID).Debug("coordinator: job accepted without an answer of its owner")
+		return nil
 	}
 	if reply.Refused == "" {
 		return nil
@@ -89,6 +81,30 @@
 	}
 }
 
+// askOwner asks the owner of the partition, in this process or another entry. If that
+// entry fails within the time of the context, it asks once more, after reading the
+// owners again.
+func (c *Coordinator) askOwner(ctx context.Context, args AdmitArgs) (AdmitReply, error) {
+	err := errNotOwner
+	for try := range 2 {
+		if own := c.localOwner(args.Partition); own != nil {
+			return askAdmission(ctx, own, args), nil
+		}
+		address, found := c.ownerOf(ctx, args.Partition, try > 0)
+		if !found || address == c.settings.peerAddress {
+			continue
+		}
+		var reply AdmitReply
+		if err = c.pool.Call(ctx, address, rpcName+".Admit", args, &reply); err == nil {
+			return reply, nil
+		}
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return AdmitReply{}, err
+}
+
 // jobPart returns an upper bound of the fraction of an organisation's jobs that the
 // partition gets. The jobs of a service are spread over its partitions by their
 // identities. A partition that holds shards of several services gets at most the
--- a/coordinator/cluster_test.go
+++ b/coordinator/cluster_test.go
@@ -89,6 +89,7 @@
 }
 
 type entry struct {
+	process   *coordinator.Coordinator
 	store     *blockableStore
 	callers   string
 	readiness string
@@ -187,6 +188,7 @@
 			return worker, err
 		}))
 	process := coordinator.New(e.store, cl.fleet, advise, receiver.JSON{}, options...)
+	e.process = process
 	ctx, stop := context.WithCancel(context.Background())
 	e.stop = stop
 	e.group.Go(func() error { return process.Run(ctx) })
