--- a/scheduler/admission_test.go
+++ b/scheduler/admission_test.go
@@ -8,6 +8,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/galenacove/galenacove/scheduler"
+	"github.com/galenacove/galenacove/sizer"
 )
 
 // flood submits n jobs of an organisation at once, and returns the decisions.
@@ -127,3 +128,22 @@
 	admissions = r.flood(0, 100, 1000)
 	r.c.Assert(admissions[99].Refused, qt.Equals, scheduler.RefusedBytes)
 }
+
+// TestWorkBeyondAMaximumDelaysNoFlood guards against refusals by reason of waiting work
+// that its organisation's maximum keeps from starting.
+func TestWorkBeyondAMaximumDelaysNoFlood(t *testing.T) {
+	for _, limited := range []bool{false, true} {
+		r := newSharesRig(t, 4)
+		organisations := weighted(1, 1)
+		if limited {
+			organisations[0].Maximum = sizer.New(4000, 0, 0)
+		}
+		r.s.SetOrganisations(organisations, 0.1)
+		r.s.AddJob(r.ofOrganisation(0, "org00", 1000, cores(1)), nil, false, r.now)
+		refused := countRefused(r.flood(1, 20, 1))
+		r.c.Assert(refused, qt.Equals, map[bool]int{
+			false: 17,
+			true:  0,
+		}[limited])
+	}
+}
--- a/scheduler/shares_test.go
+++ b/scheduler/shares_test.go
@@ -273,3 +273,23 @@
 	r.tick()
 	r.c.Assert(r.runsOf("org00-quick"), qt.Equals, 1)
 }
+
+// BenchmarkTickOfAFullShard reports the time of a tick of a shard of 160 workers that
+// is full, with 300 steps that wait, without and with organisations.
+func BenchmarkTickOfAFullShard(b *testing.B) {
+	for _, organisations := range []int{0, 20} {
+		b.Run(fmt.Sprint(organisations), func(b *testing.B) {
+			r := newSharesRig(&testing.T{}, 160, slices.Repeat([]float64{20}, organisations)...)
+			for i := range 460 {
+				r.s.AddJob(r.ofOrganisation(i%20, fmt.Sprintf("%s-%04d", organisationName(i%20), i), 8, cores(1)), nil, false, r.now)
+			}
+			r.round()
+			r.c.Assert(r.activeRuns(), qt.Equals, 1280)
+			for b.Loop() {
+				// Shares are computed once for each time.
+				r.now = r.now.Add(time.Nanosecond)
+				r.s.Tick(r.now)
+			}
+		})
+	}
+}
