--- a/conductor/allotments.go
+++ b/conductor/allotments.go
@@ -250,8 +250,8 @@
 
 // recordTransfer counts parts that were given or received. The caller holds mu.
 func (c *Conductor) recordTransfer(organisation string, moved transfer) {
-	c.metrics.countParts(organisation, "given", moved.given)
-	c.metrics.countParts(organisation, "received", moved.received)
+	c.metrics.organisations.countMoved(organisation, "given", moved.given)
+	c.metrics.organisations.countMoved(organisation, "received", moved.received)
 	sum := c.exchange.transfers[organisation]
 	if sum == nil {
 		sum = &transfer{
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -133,6 +133,9 @@
 	// askAllotment calls the owner of another partition. It is nil if the allotments
 	// are not exchanged.
 	askAllotment AskAllotment
+	// jobPart returns an upper bound of the fraction of an organisation's jobs that the
+	// partition gets.
+	jobPart func() float64
 
 	// tickRequests triggers a tick of the scheduler, and writeRequests a write of
 	// the progress.
@@ -167,6 +170,8 @@
 	overage       float64
 	// exchange is the state of the exchange of allotments.
 	exchange exchange
+	// admissionLines limits the log lines on refused jobs.
+	admissionLines lineLimiter
 }
 
 // Option changes how a Conductor works.
@@ -226,6 +231,8 @@
 		token:             token,
 		metrics:           NewMetrics(),
 		placementsAllowed: func() bool { return true },
+		jobPart:           func() float64 { return 1 },
+		admissionLines:    make(lineLimiter),
 		tickRequests:      make(chan struct{}, 1),
 		writeRequests:     make(chan struct{}, 1),
 		exchangeRequests:  make(chan struct{}, 1),
@@ -378,14 +385,14 @@
 func (c *Conductor) runScheduler(ctx context.Context, group *errgroup.Group) error {
 	defer c.metrics.deleteLoad(c.partition)
 	var metricsSetAt time.Time
-	// organisations holds the labels of the organisations whose metrics are set.
-	var organisations []string
 	for {
 		quick, long := c.adviser.AdviceLimits()
 		placementsAllowed := c.placementsAllowed()
+		jobPart := c.jobPart()
 		c.mu.Lock()
 		c.scheduler.AllowPlacements(placementsAllowed)
 		c.scheduler.SetAdviceLimits(quick, long)
+		c.scheduler.SetJobPart(jobPart)
 		c.updateLeaseKeepers(ctx, group)
 		effects := c.scheduler.Tick(c.clock.Now())
 		notes := c.scheduler.Notes()
@@ -393,7 +400,7 @@
 			metricsSetAt = now
 			c.metrics.setAdvice(c.partition, c.scheduler.AdviceLoad(now))
 			c.metrics.setLasting(c.partition, c.scheduler.LastingLoad(now))
-			organisations = c.metrics.setOrganisations(c.partition, c.scheduler.OrganisationLoads(), organisations)
+			c.metrics.organisations.set(c.partition, c.scheduler.OrganisationLoads(), c.scheduler.ShareLoads())
 		}
 		unwritten, _ := c.scheduler.Unwritten()
 		exchanges := len(c.exchange.base) > 0
--- a/conductor/metrics_test.go
+++ b/conductor/metrics_test.go
@@ -17,7 +17,7 @@
 	c := qt.New(t)
 	metrics := NewMetrics()
 	registry := prometheus.NewRegistry()
-	registry.MustRegister(metrics.organisationBlocked, metrics.organisationUse)
+	registry.MustRegister(metrics.organisations.blocked, metrics.organisations.capacity)
 	// blocked returns the value of the gauge by organisation.
 	blocked := func() map[string]float64 {
 		families, err := registry.Gather()
@@ -48,12 +48,12 @@
 			Blocked: 2,
 		})
 	}
-	names := metrics.setOrganisations(3, loads, nil)
+	metrics.organisations.set(3, loads, nil)
 	values := blocked()
 	c.Assert(values, qt.HasLen, 51)
 	c.Assert(values["other"], qt.Equals, 20.0)
 	c.Assert(values["o59"], qt.Equals, 2.0)
-	metrics.setOrganisations(3, loads[:1], names)
+	metrics.organisations.set(3, loads[:1], nil)
 	c.Assert(blocked(), qt.DeepEquals, map[string]float64{
 		"o00": 2,
 	})
--- a/conductor/transfers_test.go
+++ b/conductor/transfers_test.go
@@ -56,9 +56,9 @@
 	c := qt.New(t)
 	metrics := NewMetrics()
 	for i := range 1000 {
-		metrics.countParts(fmt.Sprintf("org%d", i), "given", allotter.Parts{1, 1, 1})
+		metrics.organisations.countMoved(fmt.Sprintf("org%d", i), "given", allotter.Parts{1, 1, 1})
 	}
 	series := make(chan prometheus.Metric, 4000)
-	metrics.allotmentParts.Collect(series)
+	metrics.organisations.moved.Collect(series)
 	c.Assert(series, qt.HasLen, (maxOrganisationLabels+1)*len(allotter.Parts{}))
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -116,6 +116,8 @@
 	maximumNotes map[string]*maximumNotes
 	// allotments is what this owner may have running of each organisation.
 	allotments allotments
+	// shares holds what is known of the organisations' use and rates.
+	shares shareTable
 }
 
 // queueStats holds the statistics of a queue.
@@ -166,6 +168,7 @@
 		unknownRuns:       make(map[string][]*run),
 		waits:             make(map[string]*organisationWait),
 		maximumNotes:      make(map[string]*maximumNotes),
+		shares:            newShareTable(),
 		placementsAllowed: true,
 		storedSilent:      make(map[string]bool),
 		dirtyJobs:         make(map[string]bool),
@@ -225,6 +228,7 @@
 	s.jobs[record.ID] = j
 	s.countUnknownRuns(j)
 	s.formerUses = nil
+	s.recordArrival(j)
 	if progress != nil {
 		j.state = progress.State
 		j.endedAt = progress.Ended
