--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -49,8 +49,13 @@
 	// directoryInterval is the interval at which an owner reads the directory. A
 	// worker that is leaving must get no new runs after 2 s.
 	directoryInterval = 400 * time.Millisecond
-	// directoryIdleInterval is the same for an entry that owns no partition.
+	// directoryIdleInterval is the same for an entry to which the group assigns only
+	// partitions that are not used. It reads the directory for services with workers
+	// that have no shards yet.
 	directoryIdleInterval = 5 * time.Second
+	// assignmentLinger is how long an entry without a partition keeps reading what
+	// only owners need. The store at times removes all members, which then join again.
+	assignmentLinger = 2 * time.Second
 	// configWait is how long a read waits for a new configuration. The connection
 	// may fail silently during the read, and a new configuration must be in force
 	// within 2 s.
@@ -80,21 +85,35 @@
 // returns the approved workers and how long their tickets are valid.
 type Advise func(ctx context.Context, step scheduler.StepRef, workers []string) ([]scheduler.Approval, time.Duration, error)
 
+// peerCaller makes calls to other entries. It is a messenger.Pool, except in tests.
+type peerCaller interface {
+	Call(ctx context.Context, address, method string, args, reply any) error
+	Close()
+}
+
 // Coordinator is one entry process.
 type Coordinator struct {
 	settings      settings
 	store         *watchedStore
 	submitBatcher *submitBatcher
 	receiver      *receiver.Receiver
-	pool          *messenger.Pool
+	pool          peerCaller
 	entryPool     *entryPool
 	adviceLimiter *adviceLimiter
 	shards        *shards
 	registry      *prometheus.Registry
 	metrics       *conductor.Metrics
 
-	// directoryRequests triggers an immediate read of the directory.
-	directoryRequests chan struct{}
+	// directoryRequests triggers an immediate read of the directory, workerShardRequests
+	// one of all records of the shards, and serviceRequests one of those of services.
+	directoryRequests   chan struct{}
+	workerShardRequests chan struct{}
+	serviceRequests     chan struct{}
+	// configRead is closed once the store has answered a read of the configuration, and
+	// peersRead once it has answered one of the records of the entries.
+	configRead, peersRead         chan struct{}
+	configAnswered, peersAnswered sync.Once
+	feedMetrics                   *feedMetrics
 	// largerFinder is used by keepMembership only.
 	largerFinder largerFinder
 	// joinRequests triggers an immediate join, to learn which partitions are
@@ -114,8 +133,14 @@
 	// joinedAt is the time at which the last successful join was sent, zero while
 	// the entry is not a member.
 	joinedAt time.Time
-	// owned holds the partitions that this process owns, by their number.
+	// owned holds the partitions that this process owns, by their number. They are
+	// those of assigned that are used.
 	owned map[int]*ownership
+	// assigned holds the partitions that the last successful join assigned to this
+	// process. It is never modified, only replaced. assignedUntil is the last time at
+	// which there was one.
+	assigned      map[int]bool
+	assignedUntil time.Time
 	// owners holds the addresses of the owners of all partitions, as they were read
 	// at ownersReadAt.
 	owners       map[int]string
@@ -147,7 +172,12 @@
 		peers:        make(map[string]peer),
 		joinRequests: make(chan struct{}, 1),
 
-		directoryRequests: make(chan struct{}, 1),
+		directoryRequests:   make(chan struct{}, 1),
+		workerShardRequests: make(chan struct{}, 1),
+		serviceRequests:     make(chan struct{}, 1),
+		configRead:          make(chan struct{}),
+		peersRead:           make(chan struct{}),
+		feedMetrics:         newFeedMetrics(),
 	}
 	c.startedAt = c.settings.clock.Now()
 	c.settings.workers = workers
@@ -170,6 +200,7 @@
 	c.registry.MustRegister(c.receiver.Collectors()...)
 	c.registry.MustRegister(c.metrics.Collectors()...)
 	c.registry.MustRegister(c.store.collectors()...)
+	c.registry.MustRegister(c.feedMetrics.collectors()...)
 	return c
 }
 
@@ -208,12 +239,7 @@
 	defer cancel()
 	group, runCtx := errgroup.WithContext(runCtx)
 	group.Go(func() error { return ignoreCanceled(server.Serve(runCtx, c.settings.peerListener)) })
-	group.Go(func() error { return ignoreCanceled(c.followConfig(runCtx)) })
-	group.Go(func() error { return ignoreCanceled(c.followDirectory(runCtx)) })
-	group.Go(func() error { return ignoreCanceled(c.followPeers(runCtx)) })
-	group.Go(func() error { return ignoreCanceled(c.followShards(runCtx)) })
-	group.Go(func() error { return ignoreCanceled(c.entryPool.probeEntries(runCtx)) })
-	group.Go(func() error { return ignoreCanceled(c.keepMembership(runCtx, group)) })
+	c.startFollowing(runCtx, group)
 	callers := c.callersServer()
 	group.Go(func() error { return serve(callers, c.settings.callers) })
 	probes := c.probesServer()
@@ -246,6 +272,17 @@
 	return err
 }
 
+// startFollowing starts the goroutines that follow the store and the other entries.
+func (c *Coordinator) startFollowing(ctx context.Context, group *errgroup.Group) {
+	group.Go(func() error { return ignoreCanceled(c.followConfig(ctx)) })
+	group.Go(func() error { return ignoreCanceled(c.followDirectory(ctx)) })
+	group.Go(func() error { return ignoreCanceled(c.followPeers(ctx)) })
+	group.Go(func() error { return ignoreCanceled(c.followServices(ctx)) })
+	group.Go(func() error { return ignoreCanceled(c.followShards(ctx)) })
+	group.Go(func() error { return ignoreCanceled(c.entryPool.probeEntries(ctx)) })
+	group.Go(func() error { return ignoreCanceled(c.keepMembership(ctx, group)) })
+}
+
 // ignoreCanceled returns err, or nil if it is the error of a cancelled context.
 func ignoreCanceled(err error) error {
 	if errors.Is(err, context.Canceled) {
@@ -341,6 +378,7 @@
 	for partition, own := range c.owned {
 		c.dropOwnership(partition, own, reason)
 	}
+	c.assigned = nil
 	c.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
--- a/coordinator/feeds.go
+++ b/coordinator/feeds.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/apex/log"
-	"github.com/cockroachdb/errors"
 
 	"github.com/galenacove/galenacove/receiver"
 	"github.com/galenacove/galenacove/scheduler"
@@ -18,94 +18,41 @@
 	peersTopic = "entries"
 	// peersReadWait is how long a read waits for new records.
 	peersReadWait = 5 * time.Second
+	// peersReadPause is the mean pause after a read that returned records. With 300
+	// entries that start at once, reads without a pause are 300 for each of the 300
+	// records.
+	peersReadPause = 500 * time.Millisecond
+	// directoryMaxGap is the time without an answer from which on the newest records
+	// of the directory are fewer than those written in between: each worker writes a
+	// record every 1.5 s, which takes two thirds of the bytes of its newest one.
+	directoryMaxGap = 3 * time.Second
 )
 
-// feed reads a partition continuously, starting with the newest record of each key.
-type feed struct {
-	store     storer.Store
-	clock     timekeeper.Clock
-	partition storer.Partition
-	// apply is called after each read with the records, of which there may be
-	// none, and the offset after them. If whole is true, these are the newest
-	// records of all keys, else the records that follow the previous read.
-	apply func(records []storer.Record, next int64, whole bool)
-	// wait is how long a read waits for records. pause returns the time between two
-	// reads, which a value on wake cuts short. Both pause and wake may be nil.
-	wait  time.Duration
-	pause func() time.Duration
-	wake  <-chan struct{}
-	// onError is called after a read that failed. It may be nil.
-	onError func(ctx context.Context)
-}
-
-func (f feed) run(ctx context.Context) error {
-	next := int64(-1)
-	for {
-		var err error
-		next, err = f.readOnce(ctx, next)
-		if ctx.Err() != nil {
-			return ctx.Err()
-		}
-		pause := time.Duration(0)
-		switch {
-		case err != nil:
-			pause = retryPause
-			if f.onError != nil {
-				f.onError(ctx)
-			}
-		case f.pause != nil:
-			pause = f.pause()
-		}
-		if pause > 0 {
-			f.sleep(ctx, pause)
-		}
-	}
-}
-
-// sleep waits between two reads.
-func (f feed) sleep(ctx context.Context, pause time.Duration) {
-	timer := f.clock.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C():
-	case <-f.wake:
-	case <-ctx.Done():
-	}
-}
-
-// readOnce reads from an offset or, if next is below 0, the newest record of each
-// key. It returns the offset of the next read, or -1 if records at next have been
-// deleted, so that the newest record of each key must be read.
-func (f feed) readOnce(ctx context.Context, next int64) (int64, error) {
-	if next < 0 {
-		records, end, err := storer.AllNewest(ctx, f.store, f.partition)
-		if err != nil {
-			return next, err
-		}
-		f.apply(records, end, true)
-		return end, nil
-	}
-	page, err := f.store.Read(ctx, f.partition, next, f.wait)
-	if errors.Is(err, storer.ErrTrimmed) {
-		return -1, nil
-	}
-	if err != nil {
-		return next, err
-	}
-	f.apply(page.Records, page.Next, false)
-	return page.Next, nil
-}
-
 // followConfig applies each new configuration.
 func (c *Coordinator) followConfig(ctx context.Context) error {
+	f := c.newFeed("config", c.settings.config)
+	// The configuration has priority: the other feeds wait for it.
+	f.start = nil
+	f.maxBackoff = maxConfigBackoff
+	f.wait = configWait
+	f.apply = func(records []storer.Record, _ int64, _ bool) { c.applyConfig(records) }
+	f.observe = func(feedRead) { c.configAnswered.Do(func() { close(c.configRead) }) }
+	f.onError = c.configFromPeer
+	return f.run(ctx)
+}
+
+// newFeed returns a feed of a partition, without apply.
+func (c *Coordinator) newFeed(name string, partition storer.Partition) feed {
 	return feed{
-		store:     c.store,
-		clock:     c.settings.clock,
-		partition: c.settings.config,
-		wait:      configWait,
-		apply:     func(records []storer.Record, _ int64, _ bool) { c.applyConfig(records) },
-		onError:   c.configFromPeer,
-	}.run(ctx)
+		name:       name,
+		store:      c.store,
+		clock:      c.settings.clock,
+		logger:     c.settings.logger,
+		metrics:    c.feedMetrics,
+		partition:  partition,
+		start:      c.configRead,
+		maxBackoff: maxFeedBackoff,
+	}
 }
 
 func (c *Coordinator) applyConfig(records []storer.Record) {
@@ -125,6 +72,7 @@
 	if c.receiver.SetConfig(config) {
 		c.setOrganisations()
 		c.requestJoin()
+		c.requestShards()
 		c.settings.logger.WithFields(log.Fields{
 			"version": config.Version,
 			"routes":  len(config.Routes),
@@ -167,27 +115,30 @@
 // process, and writes the shard records that services and workers still lack.
 func (c *Coordinator) followDirectory(ctx context.Context) error {
 	workers := make(map[string]scheduler.WorkerEntry)
-	return feed{
-		store:     c.store,
-		clock:     c.settings.clock,
-		partition: c.settings.directory,
-		wake:      c.directoryRequests,
-		pause: func() time.Duration {
-			c.mu.Lock()
-			defer c.mu.Unlock()
-			if len(c.owned) == 0 {
-				return directoryIdleInterval
-			}
-			return directoryInterval
-		},
-		apply: func(records []storer.Record, _ int64, whole bool) {
-			if whole {
-				clear(workers)
-			}
-			c.applyWorkers(workers, records)
-			c.decideShards(ctx)
-		},
-	}.run(ctx)
+	f := c.newFeed("directory", c.settings.directory)
+	f.wake = c.directoryRequests
+	f.active = c.needsDirectory
+	f.maxGap = directoryMaxGap
+	f.pause = func() time.Duration {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if len(c.owned) == 0 {
+			return directoryIdleInterval
+		}
+		return directoryInterval
+	}
+	f.apply = func(records []storer.Record, _ int64, whole bool) {
+		if whole {
+			clear(workers)
+		}
+		c.applyWorkers(workers, records)
+		c.decideShards(ctx)
+	}
+	f.deactivated = func() {
+		clear(workers)
+		c.directory.Store(nil)
+	}
+	return f.run(ctx)
 }
 
 func (c *Coordinator) applyWorkers(workers map[string]scheduler.WorkerEntry, records []storer.Record) {
@@ -216,7 +167,8 @@
 // partition.
 func (c *Coordinator) updateOwnerWorkers() {
 	workers := c.directory.Load()
-	if workers == nil {
+	// Without all records of the shards, workers of the partition would be missing.
+	if workers == nil || !c.shards.complete() {
 		return
 	}
 	c.mu.Lock()
@@ -251,7 +203,7 @@
 	if err != nil {
 		return err
 	}
-	for {
+	for failures := 1; ; failures++ {
 		_, err := c.store.Append(ctx, partition, nil, storer.Record{
 			Key:   c.settings.name,
 			Value: ownRecord,
@@ -259,29 +211,43 @@
 		if err == nil {
 			break
 		}
-		if err := timekeeper.Sleep(ctx, c.settings.clock, retryPause); err != nil {
+		if err := timekeeper.Sleep(ctx, c.settings.clock, backoff(failures, maxFeedBackoff)); err != nil {
 			return err
 		}
 	}
-	return feed{
-		store:     c.store,
-		clock:     c.settings.clock,
-		partition: partition,
-		wait:      peersReadWait,
-		apply: func(records []storer.Record, _ int64, _ bool) {
-			c.mu.Lock()
-			defer c.mu.Unlock()
-			addresses := make(map[string]string)
-			for _, record := range records {
-				if record.Value != nil {
-					c.peers[record.Key] = decodePeer(record.Value)
-				}
-			}
-			c.placementsAllowed.Store(allKeepPlacements(c.peers))
-			for name, other := range c.peers {
-				addresses[name] = other.Address
-			}
-			c.entryPool.setPeers(addresses)
-		},
-	}.run(ctx)
+	f := c.newFeed("entries", partition)
+	f.wait = peersReadWait
+	received := false
+	f.pause = func() time.Duration {
+		if !received {
+			return 0
+		}
+		// Entries that start at the same time append their records one by one, and
+		// each would wake the reads of all others.
+		return peersReadPause/2 + rand.N(peersReadPause)
+	}
+	f.apply = func(records []storer.Record, _ int64, _ bool) {
+		received = len(records) > 0
+		c.applyPeers(records)
+		c.peersAnswered.Do(func() { close(c.peersRead) })
+	}
+	return f.run(ctx)
+}
+
+// applyPeers applies the records of other entries.
+func (c *Coordinator) applyPeers(records []storer.Record) {
+	addresses := make(map[string]string, len(records))
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, record := range records {
+		if record.Value != nil {
+			other := decodePeer(record.Value)
+			c.peers[record.Key] = other
+			addresses[record.Key] = other.Address
+		}
+	}
+	if len(records) > 0 {
+		c.placementsAllowed.Store(allKeepPlacements(c.peers))
+	}
+	c.entryPool.setPeers(addresses)
 }
--- a/coordinator/membership.go
+++ b/coordinator/membership.go
@@ -109,6 +109,7 @@
 		}
 		own.conductor.ConfirmOwnership(sentAt)
 	}
+	c.setAssigned(assigned)
 	used := c.usedPartitions()
 	for partition := range assigned {
 		if c.owned[partition] == nil && used[partition] {
@@ -118,43 +119,70 @@
 	return lost
 }
 
+// setAssigned records the partitions that the group assigns to this process. If there
+// are new ones, the directory and all records of the shards are read at once. The
+// caller holds mu.
+func (c *Coordinator) setAssigned(assigned map[int]bool) {
+	added := false
+	for partition := range assigned {
+		added = added || !c.assigned[partition]
+	}
+	c.assigned = assigned
+	if len(assigned) > 0 {
+		c.assignedUntil = c.settings.clock.Now()
+	}
+	if added {
+		request(c.directoryRequests)
+		request(c.workerShardRequests)
+	}
+}
+
+// needsDirectory reports whether this process reads what only owners need: it does
+// while the group assigns partitions to it, and for assignmentLinger after that. A
+// partition that is not used counts too, as it may be the base partition of a service
+// without shards.
+func (c *Coordinator) needsDirectory() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.assigned) > 0 || len(c.owned) > 0 || !c.assignedUntil.IsZero() && c.settings.clock.Now().Sub(c.assignedUntil) < assignmentLinger
+}
+
 // usedPartitions returns the partitions of the services that are configured or
-// that have workers. Other partitions hold no jobs, and this process does not own
+// that have shards. Other partitions hold no jobs, and this process does not own
 // them.
 func (c *Coordinator) usedPartitions() map[int]bool {
-	used := make(map[int]bool)
+	used := c.shards.usedPartitions()
 	if config, known := c.receiver.Config(); known {
 		for _, route := range config.Routes {
-			for _, partition := range c.shards.partitionsOfService(route.Queue.Service) {
-				used[partition] = true
-			}
-		}
-	}
-	if workers := c.directory.Load(); workers != nil {
-		for _, worker := range *workers {
-			for _, partition := range c.shards.partitionsOfService(worker.Service) {
-				used[partition] = true
+			if !c.shards.decided(route.Queue.Service) {
+				used[c.shards.basePartition(route.Queue.Service)] = true
 			}
 		}
 	}
 	return used
 }
 
-// ownedPartitions returns the partitions that this process owns.
-func (c *Coordinator) ownedPartitions() map[int]bool {
+// assignedPartitions returns the partitions that the group assigns to this process.
+func (c *Coordinator) assignedPartitions() map[int]bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	owned := make(map[int]bool, len(c.owned))
-	for partition := range c.owned {
-		owned[partition] = true
-	}
-	return owned
+	return c.assigned
 }
 
 // requestJoin triggers an immediate join.
 func (c *Coordinator) requestJoin() {
+	request(c.joinRequests)
+}
+
+// requestShards triggers an immediate read of the services' records.
+func (c *Coordinator) requestShards() {
+	request(c.serviceRequests)
+}
+
+// request sends a value, unless one is waiting to be received.
+func request(requests chan<- struct{}) {
 	select {
-	case c.joinRequests <- struct{}{}:
+	case requests <- struct{}{}:
 	default:
 	}
 }
@@ -187,12 +215,9 @@
 	}
 	own.conductor.SetOrganisations(c.organisations(), c.settings.overage)
 	c.owned[partition] = own
-	// The directory may have been read long ago, as an entry that owns nothing
-	// reads it rarely. The new owner gets its workers from the next read.
-	select {
-	case c.directoryRequests <- struct{}{}:
-	default:
-	}
+	// The new owner gets its workers from the next read of the directory, which begins
+	// now.
+	request(c.directoryRequests)
 	group.Go(func() error {
 		defer close(own.done)
 		defer cancel()
--- a/coordinator/shards.go
+++ b/coordinator/shards.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync"
@@ -44,6 +45,9 @@
 	// shardsReadWait is how long a read waits for new records. It adds to the time
 	// during which a new worker gets no runs.
 	shardsReadWait = 700 * time.Millisecond
+	// servicesReadPause is the mean pause between two reads of an entry that waits for
+	// no service's record.
+	servicesReadPause = 2 * time.Second
 )
 
 type serviceRecord struct {
@@ -79,8 +83,8 @@
 	partitionCount  int
 
 	mu sync.Mutex
-	// loaded is set once the records were read, and nextOffset is the offset after
-	// the last one.
+	// loaded is set once all records were read, and nextOffset is the offset after
+	// the last one. An entry without partitions reads only the records of services.
 	loaded     bool
 	nextOffset int64
 	// servicePartitions holds the partitions of the shards of each service with a
@@ -279,6 +283,55 @@
 	return invalid
 }
 
+// applyServices updates the partitions of the services with records that were read. It
+// reports whether there was a new one. Other records are ignored.
+func (s *shards) applyServices(records []storer.Record) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	added := false
+	for _, record := range records {
+		var service serviceRecord
+		name, isService := strings.CutPrefix(record.Key, serviceKey)
+		if !isService || json.Unmarshal(record.Value, &service) != nil {
+			continue
+		}
+		if partitions := s.partitionsOfRecord(name, service); len(partitions) > 0 {
+			added = added || len(s.servicePartitions[name]) == 0
+			s.servicePartitions[name] = partitions
+		}
+	}
+	return added
+}
+
+// complete reports whether all records were read, including those of the workers.
+func (s *shards) complete() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.loaded
+}
+
+// forgetWorkers discards the workers' shards, which are not followed any more.
+func (s *shards) forgetWorkers() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.loaded = false
+	s.workerShards = make(map[string]int)
+	s.undecided = make(map[string]sighting)
+}
+
+// usedPartitions returns the partitions that hold a shard of any service.
+func (s *shards) usedPartitions() map[int]bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	used := make(map[int]bool)
+	for _, partitions := range s.servicePartitions {
+		for _, partition := range partitions {
+			used[partition] = true
+		}
+	}
+	return used
+}
+
 // missingRecords returns the records that this entry should write for the services
 // and workers in the directory and the configuration, and the offset at which they
 // must be appended. The entry that owns the deciding partition of a service writes
@@ -389,27 +442,63 @@
 	}
 }
 
-// followShards follows the records of the shards.
+// followServices follows the records of the services. Those of the workers, of which
+// there are many more, are not applied.
+func (c *Coordinator) followServices(ctx context.Context) error {
+	f := c.newFeed("services", storer.Partition{Topic: shardsTopic})
+	f.until = workerKey
+	f.wait = shardsReadWait
+	f.wake = c.serviceRequests
+	f.pause = func() time.Duration {
+		if !c.servicesDecided() {
+			return 0
+		}
+		// Each new worker's record wakes the reads of all entries.
+		return servicesReadPause/2 + rand.N(servicesReadPause)
+	}
+	f.apply = func(records []storer.Record, _ int64, _ bool) {
+		if c.shards.applyServices(records) {
+			c.requestJoin()
+		}
+	}
+	return f.run(ctx)
+}
+
+// servicesDecided reports whether the configuration is known and all of its services
+// have shards.
+func (c *Coordinator) servicesDecided() bool {
+	config, known := c.receiver.Config()
+	for _, route := range config.Routes {
+		if !c.shards.decided(route.Queue.Service) {
+			return false
+		}
+	}
+	return known
+}
+
+// followShards follows all records of the shards, while the group assigns partitions
+// to this process.
 func (c *Coordinator) followShards(ctx context.Context) error {
-	return feed{
-		store:     c.store,
-		clock:     c.settings.clock,
-		partition: storer.Partition{Topic: shardsTopic},
-		wait:      shardsReadWait,
-		apply: func(records []storer.Record, next int64, _ bool) {
-			for _, key := range c.shards.apply(records, next) {
-				c.settings.logger.WithField("key", key).Error("coordinator: a shard record is invalid")
-			}
-			if len(records) > 0 {
-				c.requestJoin()
-				c.updateOwnerWorkers()
-			}
-		},
-	}.run(ctx)
+	f := c.newFeed("shards", storer.Partition{Topic: shardsTopic})
+	f.wait = shardsReadWait
+	f.wake = c.workerShardRequests
+	f.active = c.needsDirectory
+	f.deactivated = c.shards.forgetWorkers
+	f.apply = func(records []storer.Record, next int64, _ bool) {
+		wasComplete := c.shards.complete()
+		for _, key := range c.shards.apply(records, next) {
+			c.settings.logger.WithField("key", key).Error("coordinator: a shard record is invalid")
+		}
+		if len(records) > 0 || !wasComplete {
+			c.requestJoin()
+			c.updateOwnerWorkers()
+		}
+	}
+	return f.run(ctx)
 }
 
 // decideShards writes the missing records of the services whose deciding partition
-// this entry owns.
+// is assigned to this entry.
 func (c *Coordinator) decideShards(ctx context.Context) {
 	workers := c.directory.Load()
 	config, known := c.receiver.Config()
@@ -420,13 +509,38 @@
 	for _, route := range config.Routes {
 		services = append(services, route.Queue.Service)
 	}
-	records, offset := c.shards.missingRecords(*workers, services, c.ownedPartitions(), c.settings.clock.Now())
+	records, offset := c.shards.missingRecords(*workers, services, c.assignedPartitions(), c.settings.clock.Now())
 	if len(records) == 0 {
 		return
 	}
+	// The records of the services go first, in an append of their own. All entries wait
+	// for these, and would read those of several thousand workers at the same time.
+	var ofServices, ofWorkers []storer.Record
+	for _, record := range records {
+		if strings.HasPrefix(record.Key, serviceKey) {
+			ofServices = append(ofServices, record)
+		} else {
+			ofWorkers = append(ofWorkers, record)
+		}
+	}
+	for _, batch := range [][]storer.Record{ofServices, ofWorkers} {
+		if len(batch) == 0 {
+			continue
+		}
+		end, stored := c.appendShards(ctx, offset, batch)
+		if !stored {
+			return
+		}
+		offset = end
+	}
+}
+
+// appendShards stores records of the shards if nothing was added since offset. It
+// returns the offset after them, and whether they were stored.
+func (c *Coordinator) appendShards(ctx context.Context, offset int64, records []storer.Record) (int64, bool) {
 	appendCtx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
-	_, err := c.store.AppendAt(appendCtx, storer.Partition{Topic: shardsTopic}, offset, records...)
+	end, err := c.store.AppendAt(appendCtx, storer.Partition{Topic: shardsTopic}, offset, records...)
 	logEntry := c.settings.logger.WithFields(log.Fields{
 		"records": len(records),
 		"offset":  offset,
@@ -439,4 +553,5 @@
 	default:
 		logEntry.WithError(err).Warn("coordinator: storing shard records failed")
 	}
+	return end, err == nil
 }
