--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -148,6 +148,9 @@
 	// peers holds what the entries, including this one, have published about
 	// themselves, by name.
 	peers map[string]peer
+	// preferred holds the names of the entries that are to be members of the group. It
+	// is empty if all entries are.
+	preferred []string
 	// placementsAllowed is set once the records of the entries have been read, while
 	// every entry keeps the stored placements of lasting tasks up to date.
 	placementsAllowed atomic.Bool
--- a/coordinator/entrypool.go
+++ b/coordinator/entrypool.go
@@ -45,6 +45,16 @@
 	// bounds one probe: several round trips between data centres.
 	probeInterval = 400 * time.Millisecond
 	probeTimeout  = 250 * time.Millisecond
+	// maxActiveProbes, maxDueProbes, maxRelayProbes and maxSampleProbes bound the probes
+	// of one interval, whatever the number of entries: of entries with calls under way,
+	// of unreachable entries, of entries that can store jobs for this one, and of others
+	// while the store does not answer this entry. If there are more entries of one kind,
+	// they take turns. All of up to 32 entries with calls and, as an unreachable entry is
+	// due every 2 s, all of 40 unreachable ones are probed as often as they are due.
+	maxActiveProbes = 32
+	maxDueProbes    = 8
+	maxRelayProbes  = 4
+	maxSampleProbes = 12
 )
 
 // entryPool holds the known entries, this one included, and their state. It spreads
@@ -55,8 +65,12 @@
 
 	mu sync.Mutex
 	// entries is sorted by name, so that all entry processes divide the entries by
-	// kind alike.
+	// kind alike. byName holds the same entries.
 	entries []*entryState
+	byName  map[string]*entryState
+	// probeCursors holds, for each kind of probe, the index in entries at which the next
+	// round begins.
+	probeCursors [probeKinds]int
 }
 
 type entryState struct {
@@ -120,10 +134,14 @@
 }
 
 func newEntryPool(c *Coordinator) *entryPool {
+	own := newEntryState(c.settings.name, c.settings.peerAddress)
 	return &entryPool{
 		coordinator: c,
 		entries: []*entryState{
-			newEntryState(c.settings.name, c.settings.peerAddress),
+			own,
+		},
+		byName: map[string]*entryState{
+			own.name: own,
 		},
 	}
 }
@@ -133,18 +151,23 @@
 func (p *entryPool) setPeers(peers map[string]string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	added := false
 	for name, address := range peers {
-		i := slices.IndexFunc(p.entries, func(entry *entryState) bool { return entry.name == name })
-		if i < 0 {
-			p.entries = append(p.entries, newEntryState(name, address))
-			continue
-		}
-		if p.entries[i].address != address {
-			p.entries[i].address = address
-			p.entries[i].markReachable()
+		entry := p.byName[name]
+		switch {
+		case entry == nil:
+			entry = newEntryState(name, address)
+			p.byName[name] = entry
+			p.entries = append(p.entries, entry)
+			added = true
+		case entry.address != address:
+			entry.address = address
+			entry.markReachable()
 		}
 	}
-	slices.SortFunc(p.entries, func(a, b *entryState) int { return strings.Compare(a.name, b.name) })
+	if added {
+		slices.SortFunc(p.entries, func(a, b *entryState) int { return strings.Compare(a.name, b.name) })
+	}
 }
 
 // relayPeers returns the addresses of up to n other entries that are reachable and
@@ -194,24 +217,12 @@
 	}
 }
 
-// probeEntries probes, at each interval, the unreachable entries that are due and
-// those with calls under way. A call to an entry that is gone thus ends before its
-// timeout. While the store does not answer this entry, all entries are probed.
+// probeEntries probes other entries at each interval. A call to an entry that is gone
+// thus ends before its timeout. While the store does not answer this entry, the probes
+// find out which others can store jobs for it.
 func (p *entryPool) probeEntries(ctx context.Context) error {
 	return timekeeper.Every(ctx, p.coordinator.settings.clock, probeInterval, func(ctx context.Context) {
-		p.mu.Lock()
-		now := p.coordinator.settings.clock.Now()
-		var addresses []string
-		// While the store does not answer this entry, this entry must know which
-		// others can store jobs for it.
-		cutOff := !p.coordinator.store.reachable(appendMaxAnswerAge)
-		for _, entry := range p.entries {
-			due := entry.unreachable && !now.Before(entry.probeAt)
-			if (cutOff || due || entry.activeCalls > 0) && entry.name != p.coordinator.settings.name {
-				addresses = append(addresses, entry.address)
-			}
-		}
-		p.mu.Unlock()
+		addresses := p.probeTargets(!p.coordinator.store.reachable(appendMaxAnswerAge))
 		var group errgroup.Group
 		for _, address := range addresses {
 			group.Go(func() error {
@@ -228,6 +239,64 @@
 	})
 }
 
+// probeTargets returns the addresses of the entries to probe in this interval: those
+// with calls under way and the unreachable ones that are due. If cutOff is set, the store
+// does not answer this entry: those that can store jobs for it are probed too, and a
+// sample of all others. The number of each kind is bounded.
+func (p *entryPool) probeTargets(cutOff bool) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.coordinator.settings.clock.Now()
+	chosen := map[string]bool{
+		p.coordinator.settings.name: true,
+	}
+	var addresses []string
+	for kind, limit := range [probeKinds]int{maxActiveProbes, maxDueProbes, maxRelayProbes, maxSampleProbes} {
+		if !cutOff && kind >= relayProbes {
+			break
+		}
+		cursor := p.probeCursors[kind]
+		for i := range p.entries {
+			index := (cursor + i) % len(p.entries)
+			entry := p.entries[index]
+			if limit == 0 {
+				break
+			}
+			if chosen[entry.name] || !entry.needsProbe(kind, now) {
+				continue
+			}
+			limit--
+			chosen[entry.name] = true
+			addresses = append(addresses, entry.address)
+			p.probeCursors[kind] = index + 1
+		}
+	}
+	return addresses
+}
+
+// The kinds of probes, in the order in which they are chosen.
+const (
+	activeProbes = iota
+	dueProbes
+	relayProbes
+	sampleProbes
+	probeKinds
+)
+
+// needsProbe reports whether the entry is to be probed for that reason.
+func (e *entryState) needsProbe(kind int, now time.Time) bool {
+	switch kind {
+	case activeProbes:
+		return e.activeCalls > 0
+	case dueProbes:
+		return e.unreachable && !now.Before(e.probeAt)
+	case relayProbes:
+		return e.storeReachable
+	default:
+		return true
+	}
+}
+
 // setStoreReachable records whether the store answers an entry.
 func (p *entryPool) setStoreReachable(address string, storeReachable bool) {
 	p.mu.Lock()
--- a/coordinator/feeds.go
+++ b/coordinator/feeds.go
@@ -248,6 +248,7 @@
 	}
 	if len(records) > 0 {
 		c.placementsAllowed.Store(allKeepPlacements(c.peers))
+		c.preferred = preferredMembers(c.peers)
 	}
 	c.entryPool.setPeers(addresses)
 }
--- a/coordinator/largerpeers.go
+++ b/coordinator/largerpeers.go
@@ -1,12 +1,15 @@
 package coordinator
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/galenacove/galenacove/timekeeper"
@@ -23,6 +26,16 @@
 	// maxLargerAsked is the number of larger entries that are asked in each round,
 	// as long as one of them is known to be a member.
 	maxLargerAsked = 2
+	// maxAskedAtOnce bounds the larger entries that are asked in one round if none of
+	// them is known to be a member. It is above the number of entries of any
+	// installation so far, all of which are asked in one round.
+	maxAskedAtOnce = 48
+	// manyEntries is the number of entries from which on only maxMembers of them are to
+	// be members of the group. Each member joins every joinInterval, which is 1,000 of
+	// the 1,200 writes that the store takes per second if 300 entries are members. There
+	// are 12 partitions, so half of the members can be gone.
+	manyEntries = 48
+	maxMembers  = 24
 )
 
 // peer is what an entry publishes about itself.
@@ -80,10 +93,49 @@
 	return larger
 }
 
-// defersToLarger reports whether a much larger entry was a member of the group
-// within largerMemberExpiry, in which case this entry leaves the partitions to it.
-func (c *Coordinator) defersToLarger(ctx context.Context) bool {
-	return c.largerFinder.found(ctx, c.largerPeers())
+// preferredMembers returns the names of the entries that are to be the members of the
+// group, or none if all entries are: those with the most cores, and among equals those
+// whose names have the lowest hashes, so that they are in all data centres.
+func preferredMembers(peers map[string]peer) []string {
+	if len(peers) < manyEntries {
+		return nil
+	}
+	names := slices.Collect(maps.Keys(peers))
+	slices.SortFunc(names, func(a, b string) int {
+		return cmp.Or(cmp.Compare(peers[b].Cores, peers[a].Cores), cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)), cmp.Compare(a, b))
+	})
+	return names[:maxMembers]
+}
+
+// preferredPeers returns the addresses of the entries that are to be members of the
+// group, or none if all entries are or if this entry is one of them.
+func (c *Coordinator) preferredPeers() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if slices.Contains(c.preferred, c.settings.name) {
+		return nil
+	}
+	return c.addressesOf(c.preferred)
+}
+
+// addressesOf returns the addresses of the named entries. The caller holds mu.
+func (c *Coordinator) addressesOf(names []string) []string {
+	addresses := make([]string, 0, len(names))
+	for _, name := range names {
+		addresses = append(addresses, c.peers[name].Address)
+	}
+	return addresses
+}
+
+// defersToOthers reports whether an entry to which this one leaves the partitions was a
+// member of the group within largerMemberExpiry: a much larger one or, where there are
+// many entries, one that is to be a member.
+func (c *Coordinator) defersToOthers(ctx context.Context) bool {
+	others := c.largerPeers()
+	if len(others) == 0 {
+		others = c.preferredPeers()
+	}
+	return c.largerFinder.found(ctx, others)
 }
 
 // largerFinder finds out whether one of the much larger entries is a member of the
@@ -97,13 +149,17 @@
 	// member, and seenAt the time of that report.
 	lastMember string
 	seenAt     time.Time
+	// asked holds the addresses that have been asked since the last report expired,
+	// while others are still to be asked.
+	asked map[string]bool
 }
 
 // found reports whether one of the larger entries was a member within
 // largerMemberExpiry. It asks the last known member and others at random,
 // maxLargerAsked in all. Only if the last report has expired does it ask all of
 // them: each entry that joins the group moves partitions between the members, so it
-// must not join because the few that it asked were no members.
+// must not join because the few that it asked were no members. If there are more than
+// maxAskedAtOnce, that takes several rounds.
 func (f *largerFinder) found(ctx context.Context, larger []string) bool {
 	if len(larger) == 0 {
 		return false
@@ -115,10 +171,32 @@
 	}
 	asked := min(maxLargerAsked, len(larger))
 	f.askAll(ctx, larger[:asked])
-	if f.expired() {
-		f.askAll(ctx, larger[asked:])
+	if !f.expired() {
+		f.asked = nil
+		return true
+	}
+	if f.asked == nil {
+		f.asked = make(map[string]bool)
+	}
+	for _, address := range larger[:asked] {
+		f.asked[address] = true
+	}
+	rest := slices.DeleteFunc(larger[asked:], func(address string) bool { return f.asked[address] })
+	round := rest[:min(maxAskedAtOnce, len(rest))]
+	f.askAll(ctx, round)
+	if !f.expired() {
+		f.asked = nil
+		return true
+	}
+	if len(round) < len(rest) {
+		for _, address := range round {
+			f.asked[address] = true
+		}
+		return true
 	}
-	return !f.expired()
+	// All were asked, and none is a member. The next round begins anew.
+	f.asked = nil
+	return false
 }
 
 // expired reports whether the last report of a member is older than
@@ -172,7 +250,7 @@
 }
 
 // cedePartitions gives up the partitions of this entry and leaves the group,
-// because a much larger entry is a member.
+// because an entry to which it leaves them is a member.
 func (c *Coordinator) cedePartitions(ctx context.Context) {
 	c.mu.Lock()
 	member := c.joinedAt != time.Time{}
@@ -180,7 +258,7 @@
 	if !member {
 		return
 	}
-	c.handOver(ctx, "left to larger entries")
+	c.handOver(ctx, "left to other entries")
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.joinedAt = time.Time{}
--- a/coordinator/membership.go
+++ b/coordinator/membership.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"slices"
 	"strings"
 	"time"
 
@@ -23,13 +25,25 @@
 	// notifyTimeout bounds one notification. Without it, the peer joins by itself
 	// within joinInterval.
 	notifyTimeout = joinInterval
+	// firstJoinWait bounds how long a starting entry waits for the records of the other
+	// entries before it joins the group.
+	firstJoinWait = time.Second
 )
 
 // keepMembership renews the membership of this process, and takes and drops
 // partitions as the group assigns them.
 func (c *Coordinator) keepMembership(ctx context.Context, group *errgroup.Group) error {
+	// Without the records of the other entries, this one may join though it leaves the
+	// partitions to others, and each member that joins or leaves moves partitions.
+	timer := c.settings.clock.NewTimer(firstJoinWait)
+	select {
+	case <-c.peersRead:
+	case <-timer.C():
+	case <-ctx.Done():
+	}
+	timer.Stop()
 	for {
-		if c.defersToLarger(ctx) {
+		if c.defersToOthers(ctx) {
 			c.cedePartitions(ctx)
 		} else if !c.stopping.Load() && c.join(ctx, group) {
 			// The group assigns a lost partition to its next owner only after the
@@ -53,7 +67,7 @@
 // notifyPeers has the other entries join at once, so that they learn which
 // partitions are assigned to them.
 func (c *Coordinator) notifyPeers(ctx context.Context, group *errgroup.Group) {
-	for _, address := range c.entryPool.reachablePeers(maxNotifiedPeers) {
+	for _, address := range c.notifiedPeers() {
 		group.Go(func() error {
 			callCtx, cancel := context.WithTimeout(ctx, notifyTimeout)
 			defer cancel()
@@ -66,6 +80,19 @@
 	}
 }
 
+// notifiedPeers returns the addresses of the entries that are notified of a change.
+func (c *Coordinator) notifiedPeers() []string {
+	c.mu.Lock()
+	preferred := slices.DeleteFunc(slices.Clone(c.preferred), func(name string) bool { return name == c.settings.name })
+	addresses := c.addressesOf(preferred)
+	c.mu.Unlock()
+	if len(addresses) == 0 {
+		return c.entryPool.reachablePeers(maxNotifiedPeers)
+	}
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	return addresses[:min(maxNotifiedPeers, len(addresses))]
+}
+
 // join renews the membership once. It reports whether this process lost partitions.
 func (c *Coordinator) join(ctx context.Context, group *errgroup.Group) bool {
 	c.mu.Lock()
--- a/storer/memory.go
+++ b/storer/memory.go
@@ -31,11 +31,11 @@
 	failure error
 	parts   map[Partition]*memoryPartition
 	groups  map[string]*memoryGroup
-	// changed is closed and replaced by a new channel at each append.
-	changed chan struct{}
 }
 
 type memoryPartition struct {
+	// changed is closed and replaced by a new channel at each append.
+	changed chan struct{}
 	records []Record
 	// firstOffset is the offset of records[0], or of the next record if there
 	// are none.
@@ -84,7 +84,6 @@
 		partitionsPerTopic: defaultPartitions,
 		parts:              make(map[Partition]*memoryPartition),
 		groups:             make(map[string]*memoryGroup),
-		changed:            make(chan struct{}),
 	}
 	for _, opt := range opts {
 		opt(m)
@@ -159,8 +158,8 @@
 		delete(writerState.endOffsets, writer.Sequence-rememberedAppends)
 		writerState.nextSequence = writer.Sequence + 1
 	}
-	close(m.changed)
-	m.changed = make(chan struct{})
+	close(p.changed)
+	p.changed = make(chan struct{})
 	return p.end(), nil
 }
 
@@ -233,7 +232,7 @@
 	if from < p.end() {
 		page.Records = slices.Clone(p.records[from-p.firstOffset:])
 	}
-	return page, m.changed, nil
+	return page, p.changed, nil
 }
 
 // Newest implements Store.
@@ -389,6 +388,7 @@
 	p := m.parts[id]
 	if p == nil {
 		p = &memoryPartition{
+			changed: make(chan struct{}),
 			newest:  make(map[string]Record),
 			writers: make(map[string]*memoryWriter),
 		}
