--- a/coordinator/feed_test.go
+++ b/coordinator/feed_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -228,11 +229,12 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		f := newFeedTest(c, 10)
-		needed, dropped := false, 0
+		dropped := 0
+		var needed atomic.Bool
 		wake := make(chan struct{}, 1)
 		f.feed.wake = wake
 		f.feed.pause = func() time.Duration { return 400 * time.Millisecond }
-		f.feed.active = func() bool { return needed }
+		f.feed.active = needed.Load
 		f.feed.deactivated = func() {
 			clear(f.values)
 			dropped++
@@ -241,12 +243,12 @@
 		time.Sleep(time.Minute)
 		synctest.Wait()
 		c.Assert(f.store.made(), qt.HasLen, 0)
-		needed = true
+		needed.Store(true)
 		request(wake)
 		synctest.Wait()
 		c.Assert(f.store.made(), qt.DeepEquals, []string{"after "})
 		c.Assert(f.values, qt.HasLen, 10)
-		needed = false
+		needed.Store(false)
 		time.Sleep(time.Second)
 		reads := len(f.store.made())
 		time.Sleep(time.Minute)
@@ -255,7 +257,7 @@
 		c.Assert(f.values, qt.HasLen, 0)
 		c.Assert(dropped, qt.Equals, 1)
 		f.append(c, "key-00003", "second")
-		needed = true
+		needed.Store(true)
 		request(wake)
 		synctest.Wait()
 		c.Assert(f.store.made()[reads:], qt.DeepEquals, []string{"after "})
@@ -272,14 +274,14 @@
 		f := newFeedTest(c, 10)
 		f.feed.maxGap = directoryMaxGap
 		f.feed.pause = func() time.Duration { return 400 * time.Millisecond }
-		down := false
-		f.store.fails = func(int) bool { return down }
+		var down atomic.Bool
+		f.store.fails = func(int) bool { return down.Load() }
 		f.start()
 		time.Sleep(time.Second)
 		c.Assert(slices.Contains(f.store.made()[1:], "after "), qt.IsFalse)
-		down = true
+		down.Store(true)
 		time.Sleep(10 * time.Second)
-		down = false
+		down.Store(false)
 		before := len(f.store.made())
 		time.Sleep(5 * time.Second)
 		f.end(c)
--- a/coordinator/manyentries_test.go
+++ b/coordinator/manyentries_test.go
@@ -8,7 +8,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -25,252 +24,6 @@
 	"github.com/galenacove/galenacove/timekeeper"
 )
 
-const (
-	// The limits of the store in the model: what the platform states of its own.
-	modelReadsPerSecond  = 6000
-	modelWritesPerSecond = 1200
-	modelBytesPerSecond  = 80e6
-	modelLatency         = 4 * time.Millisecond
-	// modelMaxQueue is how long the store queues a call before it refuses it.
-	modelMaxQueue = 2 * time.Second
-	// modelReadLimit and modelCallLimit are the time limits of package platform for the
-	// beginning of an answer: of a read, beyond its wait, and of other calls.
-	modelReadLimit = 500 * time.Millisecond
-	modelCallLimit = 2500 * time.Millisecond
-	// modelConfigBytes is the length of the configuration, some hundred routes.
-	modelConfigBytes = 100_000
-	// modelWorkerBytes is the length of a worker's entry in the directory.
-	modelWorkerBytes = 320
-	modelService     = "desk"
-)
-
-var (
-	modelConfig    = storer.Partition{Topic: "op"}
-	modelDirectory = storer.Partition{Topic: "servers"}
-)
-
-// storeModel is a store whose answers all entries share: it takes a limited number of
-// calls and sends a limited number of bytes per second, in the order of the calls.
-type storeModel struct {
-	storer.Store
-
-	mu sync.Mutex
-	// readsFree, writesFree and bytesFree are the times at which the next read or write
-	// can begin and the next answer can be sent.
-	readsFree, writesFree, bytesFree time.Time
-	down                             bool
-	load                             modelLoad
-}
-
-// modelLoad counts what the entries ask of the store.
-type modelLoad struct {
-	// reads, writes and bytes hold the totals of each second.
-	reads, writes map[int64]int
-	bytes         map[int64]float64
-	// refused counts the calls that waited too long in the queue, and late those whose
-	// answer did not begin within the client's time limit.
-	refused, late int
-}
-
-func newStoreModel() *storeModel {
-	m := &storeModel{
-		Store: storer.NewMemory(timekeeper.System()),
-	}
-	m.resetLoad()
-	return m
-}
-
-func (m *storeModel) resetLoad() {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.load = modelLoad{
-		reads:  make(map[int64]int),
-		writes: make(map[int64]int),
-		bytes:  make(map[int64]float64),
-	}
-}
-
-func (m *storeModel) setDown(down bool) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.down = down
-}
-
-// summary returns the largest totals of a second.
-func (m *storeModel) summary() string {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	reads, writes, bytes := 0, 0, 0.
-	for _, n := range m.load.reads {
-		reads = max(reads, n)
-	}
-	for _, n := range m.load.writes {
-		writes = max(writes, n)
-	}
-	for _, n := range m.load.bytes {
-		bytes = max(bytes, n)
-	}
-	return fmt.Sprintf("most in a second: %d reads, %d writes, %.1f MB; refused %d, late %d", reads, writes, bytes/1e6, m.load.refused, m.load.late)
-}
-
-// entryStore is the store as one entry sees it, over a network link of its own.
-type entryStore struct {
-	*storeModel
-
-	// bytesPerSecond is the rate of the entry's link.
-	bytesPerSecond float64
-	// silent is set if the entry gets no answer while the store is down. Other entries
-	// are refused.
-	silent bool
-
-	linkMu   sync.Mutex
-	linkFree time.Time
-	// directoryReads counts the reads of the directory.
-	directoryReads atomic.Int64
-}
-
-// begin waits until the store takes a call. The time limit is that of the client.
-func (s *entryStore) begin(ctx context.Context, write bool, limit time.Duration) error {
-	s.mu.Lock()
-	now := time.Now()
-	free, rate := &s.readsFree, modelReadsPerSecond
-	if write {
-		free, rate = &s.writesFree, modelWritesPerSecond
-		s.load.writes[now.Unix()]++
-	} else {
-		s.load.reads[now.Unix()]++
-	}
-	down := s.down
-	queued := max(0, free.Sub(now))
-	refused := queued > modelMaxQueue
-	switch {
-	case down:
-		queued = 0
-		if s.silent {
-			queued = limit
-		}
-	case refused:
-		s.load.refused++
-	default:
-		*free = now.Add(queued + time.Second/time.Duration(rate))
-	}
-	s.mu.Unlock()
-	if err := timekeeper.Sleep(ctx, timekeeper.System(), queued+modelLatency); err != nil || down || refused {
-		return storer.ErrUnavailable
-	}
-	return nil
-}
-
-// send waits until an answer has arrived. The time limit is that of its beginning.
-func (s *entryStore) send(ctx context.Context, length float64, limit time.Duration) error {
-	s.mu.Lock()
-	now := time.Now()
-	s.load.bytes[now.Unix()] += length
-	starts := now
-	if s.bytesFree.After(now) {
-		starts = s.bytesFree
-	}
-	s.bytesFree = starts.Add(time.Duration(length / modelBytesPerSecond * float64(time.Second)))
-	late := starts.Sub(now) > limit
-	if late {
-		s.load.late++
-	}
-	s.mu.Unlock()
-	if late {
-		_ = timekeeper.Sleep(ctx, timekeeper.System(), limit)
-		return storer.ErrUnavailable
-	}
-	s.linkMu.Lock()
-	if s.linkFree.After(starts) {
-		starts = s.linkFree
-	}
-	s.linkFree = starts.Add(time.Duration(length / s.bytesPerSecond * float64(time.Second)))
-	arrives := s.linkFree
-	s.linkMu.Unlock()
-	if err := timekeeper.Sleep(ctx, timekeeper.System(), arrives.Sub(now)); err != nil {
-		return storer.ErrUnavailable
-	}
-	return nil
-}
-
-func (s *entryStore) countRead(of storer.Partition) {
-	if of == modelDirectory {
-		s.directoryReads.Add(1)
-	}
-}
-
-func (s *entryStore) Append(ctx context.Context, to storer.Partition, writer *storer.Writer, records ...storer.Record) (int64, error) {
-	if err := s.begin(ctx, true, modelCallLimit); err != nil {
-		return 0, err
-	}
-	return s.Store.Append(ctx, to, writer, records...)
-}
-
-func (s *entryStore) AppendAt(ctx context.Context, to storer.Partition, at int64, records ...storer.Record) (int64, error) {
-	if err := s.begin(ctx, true, modelCallLimit); err != nil {
-		return 0, err
-	}
-	return s.Store.AppendAt(ctx, to, at, records...)
-}
-
-func (s *entryStore) Join(ctx context.Context, group, member string, topics []string, ttl time.Duration, generation int64) (storer.Assignment, error) {
-	if err := s.begin(ctx, true, modelCallLimit); err != nil {
-		return storer.Assignment{}, err
-	}
-	return s.Store.Join(ctx, group, member, topics, ttl, generation)
-}
-
-func (s *entryStore) Leave(ctx context.Context, group, member string) error {
-	if err := s.begin(ctx, true, modelCallLimit); err != nil {
-		return err
-	}
-	return s.Store.Leave(ctx, group, member)
-}
-
-func (s *entryStore) Owners(ctx context.Context, group string) ([]storer.Ownership, error) {
-	if err := s.begin(ctx, false, modelCallLimit); err != nil {
-		return nil, err
-	}
-	return s.Store.Owners(ctx, group)
-}
-
-func (s *entryStore) Read(ctx context.Context, of storer.Partition, from int64, wait time.Duration) (storer.Page, error) {
-	s.countRead(of)
-	if err := s.begin(ctx, false, wait+modelReadLimit); err != nil {
-		return storer.Page{}, err
-	}
-	page, err := s.Store.Read(ctx, of, from, wait)
-	if err != nil {
-		return storer.Page{}, err
-	}
-	// A page of the store holds at most 1 MB.
-	length, n := 16., 0
-	for n < len(page.Records) && length < 1e6 {
-		length += float64(5 + len(page.Records[n].Key) + len(page.Records[n].Value))
-		n++
-	}
-	page.Next -= int64(len(page.Records) - n)
-	page.Records = page.Records[:n]
-	return page, s.send(ctx, length, modelReadLimit)
-}
-
-func (s *entryStore) Newest(ctx context.Context, of storer.Partition, after string) (storer.NewestPage, error) {
-	s.countRead(of)
-	if err := s.begin(ctx, false, modelCallLimit); err != nil {
-		return storer.NewestPage{}, err
-	}
-	page, err := s.Store.Newest(ctx, of, after)
-	length := 60.
-	for _, record := range page.Records {
-		// JSON, with the value in base64.
-		length += 40 + float64(len(record.Key)) + 4./3*float64(len(record.Value))
-	}
-	if err != nil {
-		return page, err
-	}
-	return page, s.send(ctx, length, modelCallLimit)
-}
-
 // modelNetwork carries the calls between the entries of a model.
 type modelNetwork struct {
 	mu      sync.Mutex
@@ -327,7 +80,7 @@
 func (modelWorkers) Pace(context.Context, int64, scheduler.PaceTask) error { return nil }
 
 func (modelWorkers) RenewLease(ctx context.Context, _ int64, _ scheduler.LeaseRenewal, wait time.Duration) (scheduler.Report, error) {
-	return scheduler.Report{}, timekeeper.Sleep(ctx, timekeeper.System(), wait)
+	return scheduler.Report{}, timekeeper.Sleep(ctx, timekeeper.System(), wait+modelLatency)
 }
 
 // modelListener is a listener of which only the address is used.
@@ -403,65 +156,69 @@
 func (s *site) start(entries int) {
 	s.entries = nil
 	for i := range entries {
-		address := fmt.Sprintf("10.0.%d.%d:7", i/250, i%250)
-		store := &entryStore{
-			storeModel:     s.store,
-			bytesPerSecond: []float64{10e6, 20e6, 50e6, 200e6}[i%4] / 8,
-			silent:         i%2 > 0,
-		}
-		listener := modelListener{
-			address: address,
-		}
-		c := New(store, modelWorkers{}, nil, nil,
-			Name(fmt.Sprintf("entry-%03d", i), "here"),
-			Listeners(listener, listener, listener),
-			Config(modelConfig, func(record storer.Record) (receiver.Config, bool, error) {
-				version, err := strconv.ParseInt(strings.TrimSpace(string(record.Value)), 10, 64)
-				return receiver.Config{
-					Version: version,
-					Routes: []receiver.Route{
-						{
-							Queue: scheduler.Queue{
-								Name:    "checks",
-								Service: modelService,
-							},
+		s.addEntry(i, rand.N(300*time.Millisecond))
+	}
+}
+
+// addEntry adds an entry that starts after the delay.
+func (s *site) addEntry(i int, delay time.Duration) {
+	address := fmt.Sprintf("10.0.%d.%d:7", i/250, i%250)
+	store := &entryStore{
+		storeModel:     s.store,
+		bytesPerSecond: []float64{10e6, 20e6, 50e6, 200e6}[i%4] / 8,
+		silent:         i%2 > 0,
+	}
+	listener := modelListener{
+		address: address,
+	}
+	c := New(store, modelWorkers{}, nil, nil,
+		Name(fmt.Sprintf("entry-%03d", i), "here"),
+		Listeners(listener, listener, listener),
+		Config(modelConfig, func(record storer.Record) (receiver.Config, bool, error) {
+			version, err := strconv.ParseInt(strings.TrimSpace(string(record.Value)), 10, 64)
+			return receiver.Config{
+				Version: version,
+				Routes: []receiver.Route{
+					{
+						Queue: scheduler.Queue{
+							Name:    "checks",
+							Service: modelService,
 						},
 					},
-				}, true, err
-			}),
-			Directory(modelDirectory, func(record storer.Record, now time.Time) (scheduler.WorkerEntry, error) {
-				return scheduler.WorkerEntry{
-					Ref: scheduler.WorkerRef{
-						ID: record.Key,
-					},
-					Service: modelService,
-					Total:   sizer.New(8000, 1<<34, 0),
-					Read:    now,
-				}, nil
-			}))
-		c.pool = modelCaller{
-			network: s.network,
-		}
-		ctx, stop := context.WithCancel(context.Background())
-		entry := &siteEntry{
-			coordinator: c,
-			store:       store,
-			stop:        stop,
-		}
-		s.network.mu.Lock()
-		s.network.entries[address] = &rpc{
-			coordinator: c,
-		}
-		s.network.mu.Unlock()
-		s.entries = append(s.entries, entry)
-		delay := rand.N(300 * time.Millisecond)
-		entry.group.Go(func() error {
-			if timekeeper.Sleep(ctx, timekeeper.System(), delay) == nil {
-				c.startFollowing(ctx, &entry.group)
-			}
-			return nil
-		})
+				},
+			}, true, err
+		}),
+		Directory(modelDirectory, func(record storer.Record, now time.Time) (scheduler.WorkerEntry, error) {
+			return scheduler.WorkerEntry{
+				Ref: scheduler.WorkerRef{
+					ID: record.Key,
+				},
+				Service: modelService,
+				Total:   sizer.New(8000, 1<<34, 0),
+				Read:    now,
+			}, nil
+		}))
+	c.pool = modelCaller{
+		network: s.network,
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	entry := &siteEntry{
+		coordinator: c,
+		store:       store,
+		stop:        stop,
 	}
+	s.network.mu.Lock()
+	s.network.entries[address] = &rpc{
+		coordinator: c,
+	}
+	s.network.mu.Unlock()
+	s.entries = append(s.entries, entry)
+	entry.group.Go(func() error {
+		if timekeeper.Sleep(ctx, timekeeper.System(), delay) == nil {
+			c.startFollowing(ctx, &entry.group)
+		}
+		return nil
+	})
 }
 
 func (s *site) stop() {
@@ -523,9 +280,9 @@
 	}
 	accepted += time.Since(began)
 	s.c.Check(accepted <= 5*time.Second, qt.IsTrue, qt.Commentf("%s: jobs accepted after %v", phase, accepted))
-	time.Sleep(5 * time.Second)
+	time.Sleep(3 * time.Second)
 	s.network.mu.Lock()
-	s.c.Logf("%s: jobs accepted after %v; %s; %d calls between entries", phase, accepted, s.store.summary(), s.network.calls-calls)
+	s.c.Logf("%s: jobs accepted after %v; %s; %d calls between entries", phase, accepted, s.store.checkLoad(s.c, phase), s.network.calls-calls)
 	s.network.mu.Unlock()
 	s.store.resetLoad()
 }
@@ -593,3 +350,62 @@
 		})
 	}
 }
+
+// TestTakeoverReadsTheDirectoryOnce guards against a takeover that waits for more than one
+// full read of the directory, which starts with the assignment of the partition. An entry
+// without partitions reads nothing before that, so the new owner begins without workers.
+func TestTakeoverReadsTheDirectoryOnce(t *testing.T) {
+	for _, test := range []struct {
+		workers int
+		reads   int64
+	}{
+		{
+			workers: 60,
+			reads:   1,
+		},
+		{
+			workers: 350,
+			reads:   1,
+		},
+		{
+			workers: 3000,
+			reads:   6,
+		},
+	} {
+		t.Run(fmt.Sprintf("%d workers", test.workers), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newSite(qt.New(t), test.workers)
+				ctx, cancel := context.WithCancel(context.Background())
+				var reports errgroup.Group
+				reports.Go(func() error { return s.report(ctx) })
+				time.Sleep(3 * time.Second)
+				s.start(0)
+				s.addEntry(0, time.Hour)
+				entry := s.entries[0]
+				c := entry.coordinator
+				close(c.configRead)
+				entry.group.Go(func() error { return ignoreCanceled(c.followDirectory(ctx)) })
+				entry.group.Go(func() error { return ignoreCanceled(c.followShards(ctx)) })
+				time.Sleep(10 * time.Second)
+				s.c.Check(entry.store.directoryReads.Load(), qt.Equals, int64(0))
+				began := time.Now()
+				c.mu.Lock()
+				c.setAssigned(map[int]bool{
+					3: true,
+				})
+				c.mu.Unlock()
+				for c.directory.Load() == nil || !c.shards.complete() {
+					time.Sleep(time.Millisecond)
+				}
+				s.c.Logf("workers known %v after the assignment, on a link of 10 Mbit/s", time.Since(began))
+				s.c.Check(*c.directory.Load(), qt.HasLen, test.workers)
+				// One more read returns what was written during the others.
+				reads := entry.store.directoryReads.Load()
+				s.c.Check(reads == test.reads || reads == test.reads+1, qt.IsTrue, qt.Commentf("%d reads", reads))
+				cancel()
+				s.stop()
+				s.c.Assert(reports.Wait(), qt.IsNil)
+			})
+		})
+	}
+}
--- a/coordinator/shards.go
+++ b/coordinator/shards.go
@@ -450,6 +450,11 @@
 	f.wait = shardsReadWait
 	f.wake = c.serviceRequests
 	f.pause = func() time.Duration {
+		// A request from before the last read was sent must not end the pause.
+		select {
+		case <-c.serviceRequests:
+		default:
+		}
 		if !c.servicesDecided() {
 			return 0
 		}
