A silent store: refuse jobs at once, and probe it with one call

Cause: calls that reached their own deadline did not count as unanswered, so an entry took a store that answered no append for reachable, until a read failed after 1.2 s or for good if reads were answered. Records went to peers that had not been probed lately, and records that waited behind an append without an answer were sent as well.

Change: calls without an answer for one second, at least two of them, are evidence that the store is silent; calls that write are judged on their own. A silent store gets no callers' records and no repeated tries; one harmless call every 0.5 s on average detects its return. Records are relayed only to entries whose probe of the last 0.8 s says that the store serves them. The beginning and the end of the silence are logged with the number of records refused.

Run: go test -race ./coordinator; golangci-lint.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -114,6 +114,11 @@
 	configRead, peersRead         chan struct{}
 	configAnswered, peersAnswered sync.Once
 	feedMetrics                   *feedMetrics
+	// storeSilent is whether the last probe found the store silent. It is used by
+	// probeStore only. refusedSubmits counts the records that were refused since
+	// storeSilent changed.
+	storeSilent    bool
+	refusedSubmits atomic.Int64
 	// largerFinder is used by keepMembership only.
 	largerFinder largerFinder
 	// joinRequests triggers an immediate join, to learn which partitions are
@@ -187,6 +192,7 @@
 	c.store = newWatchedStore(store, c.settings.clock)
 	c.shards = newShards(c.settings.shardSize, c.settings.partitions)
 	c.submitBatcher = newSubmitBatcher(c.store)
+	c.submitBatcher.serves = c.store.serves
 	c.receiver = receiver.New(c, bodies, receiver.Logger(c.settings.logger), receiver.Clock(c.settings.clock))
 	c.pool = messenger.NewPool(messenger.Secret(c.settings.secret), messenger.Clock(c.settings.clock))
 	c.entryPool = newEntryPool(c)
@@ -283,6 +289,7 @@
 	group.Go(func() error { return ignoreCanceled(c.followServices(ctx)) })
 	group.Go(func() error { return ignoreCanceled(c.followShards(ctx)) })
 	group.Go(func() error { return ignoreCanceled(c.entryPool.probeEntries(ctx)) })
+	group.Go(func() error { return ignoreCanceled(c.probeStore(ctx)) })
 	group.Go(func() error { return ignoreCanceled(c.keepMembership(ctx, group)) })
 }
 
@@ -348,7 +355,7 @@
 			return "a service has no shards yet"
 		}
 	}
-	if !c.store.reachable(readyStoreAge) && len(c.entryPool.relayPeers(1)) == 0 {
+	if (!c.store.reachable(readyStoreAge) || c.store.silent()) && len(c.entryPool.relayPeers(1)) == 0 {
 		return "cut off from the store, and from every entry that it serves"
 	}
 	return ""
--- a/coordinator/entrypool.go
+++ b/coordinator/entrypool.go
@@ -55,6 +55,10 @@
 	maxDueProbes    = 8
 	maxRelayProbes  = 4
 	maxSampleProbes = 12
+	// relayMaxAge is how long an answer to a probe shows that the store serves the entry:
+	// two intervals. A record that is relayed to an entry that the store has stopped
+	// answering has an unknown outcome.
+	relayMaxAge = 2 * probeInterval
 )
 
 // entryPool holds the known entries, this one included, and their state. It spreads
@@ -93,8 +97,10 @@
 	// through the entry.
 	suspendedUntil time.Time
 	adviceFailures int
-	// storeReachable is whether the store answers the entry, as of its last probe.
-	storeReachable bool
+	// storeReachable is whether the store answers the entry, as of its last probe,
+	// which was answered at storeReachableAt.
+	storeReachable   bool
+	storeReachableAt time.Time
 	// disconnected is closed and replaced when the entry becomes unreachable, which
 	// cancels the calls for advice under way there.
 	disconnected chan struct{}
@@ -173,7 +179,10 @@
 // relayPeers returns the addresses of up to n other entries that are reachable and
 // that the store answers.
 func (p *entryPool) relayPeers(n int) []string {
-	return p.selectPeers(n, func(entry *entryState) bool { return entry.storeReachable })
+	now := p.coordinator.settings.clock.Now()
+	return p.selectPeers(n, func(entry *entryState) bool {
+		return entry.storeReachable && now.Sub(entry.storeReachableAt) < relayMaxAge
+	})
 }
 
 // reachablePeers returns the addresses of up to n other entries that are reachable.
@@ -222,7 +231,7 @@
 // find out which others can store jobs for it.
 func (p *entryPool) probeEntries(ctx context.Context) error {
 	return timekeeper.Every(ctx, p.coordinator.settings.clock, probeInterval, func(ctx context.Context) {
-		addresses := p.probeTargets(!p.coordinator.store.reachable(appendMaxAnswerAge))
+		addresses := p.probeTargets(!p.coordinator.store.serves())
 		var group errgroup.Group
 		for _, address := range addresses {
 			group.Go(func() error {
@@ -304,6 +313,7 @@
 	for _, entry := range p.entries {
 		if entry.address == address {
 			entry.storeReachable = storeReachable
+			entry.storeReachableAt = p.coordinator.settings.clock.Now()
 		}
 	}
 }
--- a/coordinator/jobs.go
+++ b/coordinator/jobs.go
@@ -62,7 +62,7 @@
 // append stores a record in the jobs topic, through another entry if the store does
 // not answer this one or if it is slow.
 func (c *Coordinator) append(ctx context.Context, partition int, record storer.Record) error {
-	if c.store.slow() && c.store.reachable(appendMaxAnswerAge) {
+	if c.store.slow() && c.store.serves() {
 		if done, err := c.appendAtOwner(ctx, partition, record); done {
 			return submitError(err)
 		}
@@ -79,6 +79,7 @@
 	case relayErr == nil:
 		return nil
 	case errors.Is(relayErr, messenger.ErrUnreachable), errors.Is(relayErr, messenger.ErrRefused):
+		c.refusedSubmits.Add(1)
 		return fmt.Errorf("%w: %w", receiver.ErrNotStored, err)
 	default:
 		return fmt.Errorf("%w: %w", receiver.ErrUnknown, relayErr)
@@ -117,8 +118,8 @@
 
 // appendHere stores a record in the jobs topic from this entry.
 func (c *Coordinator) appendHere(ctx context.Context, partition int, record storer.Record) error {
-	if !c.store.reachable(appendMaxAnswerAge) {
-		return fmt.Errorf("%w: %w", storer.ErrUnavailable, errors.New("coordinator: the store has not answered lately"))
+	if !c.store.serves() {
+		return fmt.Errorf("%w: %w", storer.ErrUnavailable, errStoreSilent)
 	}
 	return c.submitBatcher.append(ctx, partition, record)
 }
@@ -191,6 +192,10 @@
 // errNoShards is returned for a service whose shards are not known yet.
 var errNoShards = errors.New("coordinator: the service has no shards yet")
 
+// errStoreSilent is returned for a record that is not sent to the store, as it has not
+// answered this entry lately.
+var errStoreSilent = errors.New("coordinator: the store has not answered lately")
+
 // errNotOwner is returned by an entry that does not own the partition.
 var errNotOwner = errors.New("coordinator: the partition is owned by another entry")
 
--- a/coordinator/rpc.go
+++ b/coordinator/rpc.go
@@ -122,7 +122,7 @@
 func (r *rpc) Alive(_ struct{}, reply *AliveReply) error {
 	reply.Member = r.coordinator.isMember()
 	reply.Slow = r.coordinator.store.slow()
-	reply.Stores = r.coordinator.store.reachable(appendMaxAnswerAge)
+	reply.Stores = r.coordinator.store.serves()
 	return nil
 }
 
--- a/coordinator/store.go
+++ b/coordinator/store.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -22,6 +24,9 @@
 	answeredAt atomic.Int64
 	// failures counts the calls since then that got no answer.
 	failures atomic.Int64
+	// silence tracks the calls without an answer, writeSilence those that write: a store
+	// may answer reads and no writes.
+	silence, writeSilence silence
 	// latency is the duration of the last call of Append or Join, which unlike
 	// Read do not wait for new records, and latencyAt the time at which that call
 	// ended, both in nanoseconds.
@@ -86,8 +91,73 @@
 	return time.Duration(s.latency.Load()) > slowLatency && s.clock.Now().Sub(time.Unix(0, s.latencyAt.Load())) < slowMaxAge
 }
 
+const (
+	// minSilence is how long the calls of an entry must have gone without an answer
+	// before the store counts as silent, and minUnanswered how many of them there must
+	// be. One slow or lost answer is no silence.
+	minSilence    = time.Second
+	minUnanswered = 2
+)
+
+// silence tracks the calls to a store since its last answer.
+type silence struct {
+	mu sync.Mutex
+	// since is the time at which the first call without an answer was sent, counted
+	// from the last answer, and unanswered the number of such calls.
+	since      time.Time
+	unanswered int
+}
+
+// record records the outcome of a call.
+func (s *silence) record(sentAt time.Time, answered bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if answered {
+		s.unanswered = 0
+		return
+	}
+	if s.unanswered == 0 || sentAt.Before(s.since) {
+		s.since = sentAt
+	}
+	s.unanswered++
+}
+
+// lasts reports whether the calls are evidence that the store does not respond.
+func (s *silence) lasts(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.unanswered >= minUnanswered && now.Sub(s.since) >= minSilence
+}
+
+// silent reports whether there is evidence that the store does not respond to this
+// entry: for minSilence it has answered no call, or no call that writes.
+func (s *watchedStore) silent() bool {
+	now := s.clock.Now()
+	return s.silence.lasts(now) || s.writeSilence.lasts(now)
+}
+
+// serves reports whether the store takes the records of this entry, as far as it
+// knows.
+func (s *watchedStore) serves() bool {
+	return s.reachable(appendMaxAnswerAge) && !s.silent()
+}
+
+// recordSilence records whether a call was answered that was sent at that time. A call
+// that was cancelled shows nothing, one that reached its deadline had no answer.
+func (s *watchedStore) recordSilence(ctx context.Context, sentAt time.Time, writes bool, err error) {
+	unanswered := errors.IsAny(err, storer.ErrUnavailable, storer.ErrUnknown)
+	if unanswered && errors.Is(ctx.Err(), context.Canceled) {
+		return
+	}
+	s.silence.record(sentAt, !unanswered)
+	if writes {
+		s.writeSilence.record(sentAt, !unanswered)
+	}
+}
+
 // recordOutcome updates the state of the store and the metric after a call.
-func (s *watchedStore) recordOutcome(ctx context.Context, call string, err error) {
+func (s *watchedStore) recordOutcome(ctx context.Context, call string, sentAt time.Time, err error) {
+	s.recordSilence(ctx, sentAt, call == "append" || call == "join" || call == "leave", err)
 	switch {
 	case errors.Is(err, storer.ErrUnavailable), errors.Is(err, storer.ErrUnknown):
 		if ctx.Err() == nil {
@@ -118,7 +188,7 @@
 // Append implements storer.Store. An append that goes without an answer is repeated on
 // another connection, as a store may lose single answers. Earlier tries go on meanwhile:
 // a store that has just become slow still answers the first one. A store that is known
-// to be slow gets one try. The repetition is harmless: the store knows a writer's append
+// to be slow gets one try, and one that has become silent gets no further one. The repetition is harmless: the store knows a writer's append
 // by its sequence number, and without a writer the records replace those with the same
 // keys. After a try without an answer, a refusal says nothing about whether the records
 // are stored, unless there is a later owner.
@@ -136,7 +206,7 @@
 			began := s.clock.Now()
 			end, err := s.Store.Append(tryCtx, to, writer, records...)
 			s.recordLatency(began, err)
-			s.recordOutcome(tryCtx, "append", err)
+			s.recordOutcome(tryCtx, "append", began, err)
 			answers <- appendAnswer{
 				end: end,
 				err: err,
@@ -167,7 +237,7 @@
 		case <-timer.C():
 			repeatAfter *= 2
 			timer = s.clock.NewTimer(repeatAfter)
-			if refusal == nil && begun < maxAppendTries && (answered == begun || !s.slow()) {
+			if refusal == nil && begun < maxAppendTries && !s.silent() && (answered == begun || !s.slow()) {
 				begun++
 				begin()
 			}
@@ -175,7 +245,7 @@
 			// The tries under way end with the context.
 			ended = nil
 		}
-		if answered == begun && (refusal != nil || ctx.Err() != nil || begun == maxAppendTries) {
+		if answered == begun && (refusal != nil || ctx.Err() != nil || begun == maxAppendTries || s.silent()) {
 			return 0, appendError(refusal, unknown)
 		}
 	}
@@ -197,22 +267,25 @@
 
 // AppendAt implements storer.Store.
 func (s *watchedStore) AppendAt(ctx context.Context, to storer.Partition, at int64, records ...storer.Record) (int64, error) {
+	sentAt := s.clock.Now()
 	end, err := s.Store.AppendAt(ctx, to, at, records...)
-	s.recordOutcome(ctx, "append", err)
+	s.recordOutcome(ctx, "append", sentAt, err)
 	return end, err
 }
 
 // Read implements storer.Store.
 func (s *watchedStore) Read(ctx context.Context, of storer.Partition, from int64, wait time.Duration) (storer.Page, error) {
+	sentAt := s.clock.Now()
 	page, err := s.Store.Read(ctx, of, from, wait)
-	s.recordOutcome(ctx, "read", err)
+	s.recordOutcome(ctx, "read", sentAt, err)
 	return page, err
 }
 
 // Newest implements storer.Store.
 func (s *watchedStore) Newest(ctx context.Context, of storer.Partition, after string) (storer.NewestPage, error) {
+	sentAt := s.clock.Now()
 	page, err := s.Store.Newest(ctx, of, after)
-	s.recordOutcome(ctx, "newest", err)
+	s.recordOutcome(ctx, "newest", sentAt, err)
 	return page, err
 }
 
@@ -221,13 +294,69 @@
 	began := s.clock.Now()
 	assignment, err := s.Store.Join(ctx, group, member, topics, ttl, generation)
 	s.recordLatency(began, err)
-	s.recordOutcome(ctx, "join", err)
+	s.recordOutcome(ctx, "join", began, err)
 	return assignment, err
 }
 
 // Owners implements storer.Store.
 func (s *watchedStore) Owners(ctx context.Context, group string) ([]storer.Ownership, error) {
+	sentAt := s.clock.Now()
 	owners, err := s.Store.Owners(ctx, group)
-	s.recordOutcome(ctx, "owners", err)
+	s.recordOutcome(ctx, "owners", sentAt, err)
 	return owners, err
 }
+
+// Leave implements storer.Store.
+func (s *watchedStore) Leave(ctx context.Context, group, member string) error {
+	sentAt := s.clock.Now()
+	err := s.Store.Leave(ctx, group, member)
+	s.recordOutcome(ctx, "leave", sentAt, err)
+	return err
+}
+
+const (
+	// probeStoreInterval is the mean interval at which a silent store is probed, and
+	// probeStoreTimeout bounds one probe.
+	probeStoreInterval = 500 * time.Millisecond
+	probeStoreTimeout  = joinTimeout
+)
+
+// probeStore makes one call at a time to a silent store, to find out when it takes
+// records again, as no callers' records are sent to it. The call writes nothing: it
+// leaves the group for a member that never joined.
+func (c *Coordinator) probeStore(ctx context.Context) error {
+	for {
+		pause := probeStoreInterval/2 + rand.N(probeStoreInterval)
+		if err := timekeeper.Sleep(ctx, c.settings.clock, pause); err != nil {
+			return err
+		}
+		silent := c.store.silent()
+		if silent {
+			c.probeStoreOnce(ctx)
+		}
+		c.recordStoreSilence(c.store.silent())
+	}
+}
+
+func (c *Coordinator) probeStoreOnce(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, probeStoreTimeout)
+	defer cancel()
+	if err := c.store.Leave(ctx, groupName, c.settings.peerAddress+"/"+c.settings.name+"/probe"); err != nil {
+		c.settings.logger.WithError(err).Debug("coordinator: the store did not answer a probe")
+	}
+}
+
+// recordStoreSilence logs the beginning and the end of the store's silence. It is used by
+// one goroutine.
+func (c *Coordinator) recordStoreSilence(silent bool) {
+	if silent == c.storeSilent {
+		return
+	}
+	c.storeSilent = silent
+	refused := c.refusedSubmits.Swap(0)
+	if silent {
+		c.settings.logger.Warn("coordinator: the store is silent, records are stored through other entries or refused")
+		return
+	}
+	c.settings.logger.WithField("refused", refused).Info("coordinator: the store responds again")
+}
--- a/coordinator/storemodel_test.go
+++ b/coordinator/storemodel_test.go
@@ -9,6 +9,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/galenacove/galenacove/conductor"
 	"github.com/galenacove/galenacove/storer"
 	"github.com/galenacove/galenacove/timekeeper"
 )
@@ -116,8 +117,11 @@
 
 	linkMu   sync.Mutex
 	linkFree time.Time
-	// directoryReads counts the reads of the directory.
-	directoryReads atomic.Int64
+	// directoryReads counts the reads of the directory, and jobAppends the appends to
+	// the topic of jobs.
+	directoryReads, jobAppends atomic.Int64
+	// cutOff is set while the store does not answer this entry.
+	cutOff atomic.Bool
 }
 
 // begin waits until the store takes a call. The time limit is that of the client.
@@ -131,7 +135,7 @@
 	} else {
 		s.load.reads[now.Unix()]++
 	}
-	down := s.down
+	down := s.down || s.cutOff.Load()
 	queued := max(0, free.Sub(now))
 	refused := queued > modelMaxQueue
 	switch {
@@ -191,8 +195,12 @@
 }
 
 func (s *entryStore) Append(ctx context.Context, to storer.Partition, writer *storer.Writer, records ...storer.Record) (int64, error) {
+	if to.Topic == conductor.JobsTopic && len(records) > 0 {
+		s.jobAppends.Add(1)
+	}
 	if err := s.begin(ctx, true, modelCallLimit); err != nil {
-		return 0, err
+		// The record may have been stored.
+		return 0, storer.ErrUnknown
 	}
 	return s.Store.Append(ctx, to, writer, records...)
 }
--- a/coordinator/submits.go
+++ b/coordinator/submits.go
@@ -29,6 +29,8 @@
 // slow store does not get more calls than it can take.
 type submitBatcher struct {
 	store storer.Store
+	// serves reports whether the store takes records. It may be nil.
+	serves func() bool
 
 	mu     sync.Mutex
 	queues map[int]*submitQueue
@@ -139,12 +141,7 @@
 	for i, pending := range batch {
 		records[i] = pending.record
 	}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), appendTimeout)
-	defer cancel()
-	_, err := s.store.Append(ctx, storer.Partition{
-		Topic:  conductor.JobsTopic,
-		Number: partition,
-	}, nil, records...)
+	err := s.send(ctx, partition, records)
 	for _, pending := range batch {
 		pending.err = err
 		close(pending.done)
@@ -157,3 +154,17 @@
 	}
 	q.waiting[0].mustAppend <- struct{}{}
 }
+
+// send appends records, unless the store has stopped answering while they waited.
+func (s *submitBatcher) send(ctx context.Context, partition int, records []storer.Record) error {
+	if s.serves != nil && !s.serves() {
+		return fmt.Errorf("%w: %w", storer.ErrUnavailable, errStoreSilent)
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), appendTimeout)
+	defer cancel()
+	_, err := s.store.Append(ctx, storer.Partition{
+		Topic:  conductor.JobsTopic,
+		Number: partition,
+	}, nil, records...)
+	return err
+}
