Merge the reads of many entries

The feed of the configuration keeps the evidence that it is the newest, and has priority over the others. The record of the base partitions is also applied by entries that follow the services only. The tests of the evidence read through the feed that the process uses.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -49,8 +49,13 @@
 	// directoryInterval is the interval at which an owner reads the directory. A
 	// worker that is leaving must get no new runs after 2 s.
 	directoryInterval = 400 * time.Millisecond
-	// directoryIdleInterval is the same for an entry that owns no partition.
+	// directoryIdleInterval is the same for an entry to which the group assigns only
+	// partitions that are not used. It reads the directory for services with workers
+	// that have no shards yet.
 	directoryIdleInterval = 5 * time.Second
+	// assignmentLinger is how long an entry without a partition keeps reading what
+	// only owners need. The store at times removes all members, which then join again.
+	assignmentLinger = 2 * time.Second
 	// configWait is how long a read waits for a new configuration. The connection
 	// may fail silently during the read, and a new configuration must be in force
 	// within 2 s.
@@ -80,13 +85,19 @@
 // returns the approved workers and how long their tickets are valid.
 type Advise func(ctx context.Context, step scheduler.StepRef, workers []string) ([]scheduler.Approval, time.Duration, error)
 
+// peerCaller makes calls to other entries. It is a messenger.Pool, except in tests.
+type peerCaller interface {
+	Call(ctx context.Context, address, method string, args, reply any) error
+	Close()
+}
+
 // Coordinator is one entry process.
 type Coordinator struct {
 	settings      settings
 	store         *watchedStore
 	submitBatcher *submitBatcher
 	receiver      *receiver.Receiver
-	pool          *messenger.Pool
+	pool          peerCaller
 	entryPool     *entryPool
 	adviceLimiter *adviceLimiter
 	// evidenceKeeper knows how recently the configuration is known to have been the
@@ -96,8 +107,21 @@
 	registry       *prometheus.Registry
 	metrics        *conductor.Metrics
 
-	// directoryRequests triggers an immediate read of the directory.
-	directoryRequests chan struct{}
+	// directoryRequests triggers an immediate read of the directory, workerShardRequests
+	// one of all records of the shards, and serviceRequests one of those of services.
+	directoryRequests   chan struct{}
+	workerShardRequests chan struct{}
+	serviceRequests     chan struct{}
+	// configRead is closed once the store has answered a read of the configuration, and
+	// peersRead once it has answered one of the records of the entries.
+	configRead, peersRead         chan struct{}
+	configAnswered, peersAnswered sync.Once
+	feedMetrics                   *feedMetrics
+	// storeSilent is whether the last probe found the store silent. It is used by
+	// probeStore only. refusedSubmits counts the records that were refused since
+	// storeSilent changed.
+	storeSilent    bool
+	refusedSubmits atomic.Int64
 	// largerFinder is used by keepMembership only.
 	largerFinder largerFinder
 	// joinRequests triggers an immediate join, to learn which partitions are
@@ -117,8 +141,14 @@
 	// joinedAt is the time at which the last successful join was sent, zero while
 	// the entry is not a member.
 	joinedAt time.Time
-	// owned holds the partitions that this process owns, by their number.
+	// owned holds the partitions that this process owns, by their number. They are
+	// those of assigned that are used.
 	owned map[int]*ownership
+	// assigned holds the partitions that the last successful join assigned to this
+	// process. It is never modified, only replaced. assignedUntil is the last time at
+	// which there was one.
+	assigned      map[int]bool
+	assignedUntil time.Time
 	// owners holds the addresses of the owners of all partitions, as they were read
 	// at ownersReadAt.
 	owners       map[int]string
@@ -126,6 +156,9 @@
 	// peers holds what the entries, including this one, have published about
 	// themselves, by name.
 	peers map[string]peer
+	// preferred holds the names of the entries that are to be members of the group. It
+	// is empty if all entries are.
+	preferred []string
 	// placementsAllowed is set once the records of the entries have been read, while
 	// every entry keeps the stored placements of lasting tasks up to date.
 	placementsAllowed atomic.Bool
@@ -150,13 +183,19 @@
 		peers:        make(map[string]peer),
 		joinRequests: make(chan struct{}, 1),
 
-		directoryRequests: make(chan struct{}, 1),
+		directoryRequests:   make(chan struct{}, 1),
+		workerShardRequests: make(chan struct{}, 1),
+		serviceRequests:     make(chan struct{}, 1),
+		configRead:          make(chan struct{}),
+		peersRead:           make(chan struct{}),
+		feedMetrics:         newFeedMetrics(),
 	}
 	c.startedAt = c.settings.clock.Now()
 	c.settings.workers = workers
 	c.store = newWatchedStore(store, c.settings.clock)
 	c.shards = newShards(c.settings.shardSize, c.settings.partitions)
 	c.submitBatcher = newSubmitBatcher(c.store)
+	c.submitBatcher.serves = c.store.serves
 	c.evidenceKeeper = newEvidenceKeeper(c)
 	c.receiver = receiver.New(c, bodies, receiver.Logger(c.settings.logger), receiver.Clock(c.settings.clock),
 		receiver.Evidence(c.evidenceKeeper.evidence))
@@ -176,6 +215,7 @@
 	c.registry.MustRegister(c.metrics.Collectors()...)
 	c.registry.MustRegister(c.store.collectors()...)
 	c.registry.MustRegister(c.evidenceKeeper.collectors()...)
+	c.registry.MustRegister(c.feedMetrics.collectors()...)
 	return c
 }
 
@@ -214,13 +254,8 @@
 	defer cancel()
 	group, runCtx := errgroup.WithContext(runCtx)
 	group.Go(func() error { return ignoreCanceled(server.Serve(runCtx, c.settings.peerListener)) })
-	group.Go(func() error { return ignoreCanceled(c.followConfig(runCtx)) })
+	c.startFollowing(runCtx, group)
 	group.Go(func() error { return ignoreCanceled(c.evidenceKeeper.followPeers(runCtx)) })
-	group.Go(func() error { return ignoreCanceled(c.followDirectory(runCtx)) })
-	group.Go(func() error { return ignoreCanceled(c.followPeers(runCtx)) })
-	group.Go(func() error { return ignoreCanceled(c.followShards(runCtx)) })
-	group.Go(func() error { return ignoreCanceled(c.entryPool.probeEntries(runCtx)) })
-	group.Go(func() error { return ignoreCanceled(c.keepMembership(runCtx, group)) })
 	callers := c.callersServer()
 	group.Go(func() error { return serve(callers, c.settings.callers) })
 	probes := c.probesServer()
@@ -253,6 +288,18 @@
 	return err
 }
 
+// startFollowing starts the goroutines that follow the store and the other entries.
+func (c *Coordinator) startFollowing(ctx context.Context, group *errgroup.Group) {
+	group.Go(func() error { return ignoreCanceled(c.followConfig(ctx)) })
+	group.Go(func() error { return ignoreCanceled(c.followDirectory(ctx)) })
+	group.Go(func() error { return ignoreCanceled(c.followPeers(ctx)) })
+	group.Go(func() error { return ignoreCanceled(c.followServices(ctx)) })
+	group.Go(func() error { return ignoreCanceled(c.followShards(ctx)) })
+	group.Go(func() error { return ignoreCanceled(c.entryPool.probeEntries(ctx)) })
+	group.Go(func() error { return ignoreCanceled(c.probeStore(ctx)) })
+	group.Go(func() error { return ignoreCanceled(c.keepMembership(ctx, group)) })
+}
+
 // ignoreCanceled returns err, or nil if it is the error of a cancelled context.
 func ignoreCanceled(err error) error {
 	if errors.Is(err, context.Canceled) {
@@ -318,7 +365,7 @@
 			return "a service has no shards yet"
 		}
 	}
-	if !c.store.reachable(readyStoreAge) && len(c.entryPool.relayPeers(1)) == 0 {
+	if (!c.store.reachable(readyStoreAge) || c.store.silent()) && len(c.entryPool.relayPeers(1)) == 0 {
 		return "cut off from the store, and from every entry that it serves"
 	}
 	return ""
@@ -351,6 +398,7 @@
 	for partition, own := range c.owned {
 		c.dropOwnership(partition, own, reason)
 	}
+	c.assigned = nil
 	c.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
--- a/coordinator/evidencesite_test.go
+++ b/coordinator/evidencesite_test.go
@@ -81,7 +81,7 @@
 	store *configStore
 	boot  *timekeeper.FakeBoot
 	feed  feed
-	next  int64
+	state feedState
 	// asked counts the calls for evidence by other entries.
 	asked atomic.Int64
 }
@@ -125,7 +125,9 @@
 		},
 		// Hosts have been up for different times.
 		boot: timekeeper.NewFakeBoot(time.Duration(len(s.entries)+1) * time.Hour),
-		next: -1,
+		state: feedState{
+			next: -1,
+		},
 	}
 	var listeners [3]net.Listener
 	for i := range listeners {
@@ -148,13 +150,7 @@
 		asked: &e.asked,
 	}), qt.IsNil)
 	s.serve(server, listeners[2])
-	store, apply := e.evidenceKeeper.observe(e.Coordinator.store)
-	e.feed = feed{
-		store:     store,
-		partition: testConfigPartition,
-		wait:      configWait,
-		apply:     func(records []storer.Record, _ int64, _ bool) { apply(records) },
-	}
+	e.feed = e.configFeed()
 	s.entries = append(s.entries, e)
 	return e
 }
@@ -224,11 +220,10 @@
 
 // read makes the next read of the configuration.
 func (e *evidenceEntry) read() {
-	next, err := e.feed.readOnce(context.Background(), e.next)
+	err := e.feed.readOnce(context.Background(), &e.state)
 	if e.store.failure == nil {
 		e.site.Assert(err, qt.IsNil)
 	}
-	e.next = next
 }
 
 // status returns how a call with a key is answered that asks for the number of waiting
--- a/coordinator/membership.go
+++ b/coordinator/membership.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"slices"
 	"strings"
 	"time"
 
@@ -23,13 +25,25 @@
 	// notifyTimeout bounds one notification. Without it, the peer joins by itself
 	// within joinInterval.
 	notifyTimeout = joinInterval
+	// firstJoinWait bounds how long a starting entry waits for the records of the other
+	// entries before it joins the group.
+	firstJoinWait = time.Second
 )
 
 // keepMembership renews the membership of this process, and takes and drops
 // partitions as the group assigns them.
 func (c *Coordinator) keepMembership(ctx context.Context, group *errgroup.Group) error {
+	// Without the records of the other entries, this one may join though it leaves the
+	// partitions to others, and each member that joins or leaves moves partitions.
+	timer := c.settings.clock.NewTimer(firstJoinWait)
+	select {
+	case <-c.peersRead:
+	case <-timer.C():
+	case <-ctx.Done():
+	}
+	timer.Stop()
 	for {
-		if c.defersToLarger(ctx) {
+		if c.defersToOthers(ctx) {
 			c.cedePartitions(ctx)
 		} else if !c.stopping.Load() && c.join(ctx, group) {
 			// The group assigns a lost partition to its next owner only after the
@@ -53,7 +67,7 @@
 // notifyPeers has the other entries join at once, so that they learn which
 // partitions are assigned to them.
 func (c *Coordinator) notifyPeers(ctx context.Context, group *errgroup.Group) {
-	for _, address := range c.entryPool.reachablePeers(maxNotifiedPeers) {
+	for _, address := range c.notifiedPeers() {
 		group.Go(func() error {
 			callCtx, cancel := context.WithTimeout(ctx, notifyTimeout)
 			defer cancel()
@@ -66,6 +80,19 @@
 	}
 }
 
+// notifiedPeers returns the addresses of the entries that are notified of a change.
+func (c *Coordinator) notifiedPeers() []string {
+	c.mu.Lock()
+	preferred := slices.DeleteFunc(slices.Clone(c.preferred), func(name string) bool { return name == c.settings.name })
+	addresses := c.addressesOf(preferred)
+	c.mu.Unlock()
+	if len(addresses) == 0 {
+		return c.entryPool.reachablePeers(maxNotifiedPeers)
+	}
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	return addresses[:min(maxNotifiedPeers, len(addresses))]
+}
+
 // join renews the membership once. It reports whether this process lost partitions.
 func (c *Coordinator) join(ctx context.Context, group *errgroup.Group) bool {
 	c.mu.Lock()
@@ -109,6 +136,7 @@
 		}
 		own.conductor.ConfirmOwnership(sentAt)
 	}
+	c.setAssigned(assigned)
 	used := c.usedPartitions()
 	for partition := range assigned {
 		if c.owned[partition] == nil && used[partition] {
@@ -118,47 +146,74 @@
 	return lost
 }
 
+// setAssigned records the partitions that the group assigns to this process. If there
+// are new ones, the directory and all records of the shards are read at once. The
+// caller holds mu.
+func (c *Coordinator) setAssigned(assigned map[int]bool) {
+	added := false
+	for partition := range assigned {
+		added = added || !c.assigned[partition]
+	}
+	c.assigned = assigned
+	if len(assigned) > 0 {
+		c.assignedUntil = c.settings.clock.Now()
+	}
+	if added {
+		request(c.directoryRequests)
+		request(c.workerShardRequests)
+	}
+}
+
+// needsDirectory reports whether this process reads what only owners need: it does
+// while the group assigns partitions to it, and for assignmentLinger after that. A
+// partition that is not used counts too, as it may be the base partition of a service
+// without shards.
+func (c *Coordinator) needsDirectory() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.assigned) > 0 || len(c.owned) > 0 || !c.assignedUntil.IsZero() && c.settings.clock.Now().Sub(c.assignedUntil) < assignmentLinger
+}
+
 // usedPartitions returns the partitions of the services that are configured or
-// that have workers, and those that may hold parts of allotments. Other partitions hold
+// that have shards, and those that may hold parts of allotments. Other partitions hold
 // no jobs, and this process does not own them.
 func (c *Coordinator) usedPartitions() map[int]bool {
-	used := make(map[int]bool)
+	used := c.shards.usedPartitions()
 	_, all := c.shards.allotmentPartitions()
 	for _, partition := range all {
 		used[partition] = true
 	}
 	if config, known := c.receiver.Config(); known {
 		for _, route := range config.Routes {
-			for _, partition := range c.shards.partitionsOfService(route.Queue.Service) {
-				used[partition] = true
-			}
-		}
-	}
-	if workers := c.directory.Load(); workers != nil {
-		for _, worker := range *workers {
-			for _, partition := range c.shards.partitionsOfService(worker.Service) {
-				used[partition] = true
+			if !c.shards.decided(route.Queue.Service) {
+				used[c.shards.basePartition(route.Queue.Service)] = true
 			}
 		}
 	}
 	return used
 }
 
-// ownedPartitions returns the partitions that this process owns.
-func (c *Coordinator) ownedPartitions() map[int]bool {
+// assignedPartitions returns the partitions that the group assigns to this process.
+func (c *Coordinator) assignedPartitions() map[int]bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	owned := make(map[int]bool, len(c.owned))
-	for partition := range c.owned {
-		owned[partition] = true
-	}
-	return owned
+	return c.assigned
 }
 
 // requestJoin triggers an immediate join.
 func (c *Coordinator) requestJoin() {
+	request(c.joinRequests)
+}
+
+// requestShards triggers an immediate read of the services' records.
+func (c *Coordinator) requestShards() {
+	request(c.serviceRequests)
+}
+
+// request sends a value, unless one is waiting to be received.
+func request(requests chan<- struct{}) {
 	select {
-	case c.joinRequests <- struct{}{}:
+	case requests <- struct{}{}:
 	default:
 	}
 }
@@ -194,12 +249,9 @@
 	own.conductor.SetOrganisations(c.organisations(), c.settings.overage)
 	own.conductor.SetAllotmentPartitions(c.shards.allotmentPartitions())
 	c.owned[partition] = own
-	// The directory may have been read long ago, as an entry that owns nothing
-	// reads it rarely. The new owner gets its workers from the next read.
-	select {
-	case c.directoryRequests <- struct{}{}:
-	default:
-	}
+	// The new owner gets its workers from the next read of the directory, which begins
+	// now.
+	request(c.directoryRequests)
 	group.Go(func() error {
 		defer close(own.done)
 		defer cancel()
