coordinator: owners exchange what organisations use

Cause: an owner computed shares from its own view only, so an organisation got its share anew from each owner of a service.

--- a/conductor/admission.go
+++ b/conductor/admission.go
@@ -124,3 +124,23 @@
 	omitted, limited.omitted = limited.omitted, 0
 	return omitted, true
 }
+
+// Use returns what organisations use of this owner's workers.
+func (c *Conductor) Use() ([]scheduler.ServiceUse, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.ready {
+		return nil, ErrNotReady
+	}
+	return c.scheduler.Use(), nil
+}
+
+// SetForeignUse records what organisations use of the workers of another partition, as
+// known at the given time.
+func (c *Conductor) SetForeignUse(partition int, services []scheduler.ServiceUse, at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ready {
+		c.scheduler.SetForeignUse(partition, services, at)
+	}
+}
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -212,6 +212,7 @@
 	group.Go(func() error { return ignoreCanceled(c.followDirectory(runCtx)) })
 	group.Go(func() error { return ignoreCanceled(c.followPeers(runCtx)) })
 	group.Go(func() error { return ignoreCanceled(c.followShards(runCtx)) })
+	group.Go(func() error { return ignoreCanceled(c.followUse(runCtx)) })
 	group.Go(func() error { return ignoreCanceled(c.entryPool.probeEntries(runCtx)) })
 	group.Go(func() error { return ignoreCanceled(c.keepMembership(runCtx, group)) })
 	callers := c.callersServer()
