scheduler: small runs above the share do not block preemption

Cause: victims above their organisation's share are taken first and only eight are stopped on a worker, so eight small ones freed too little and the worker was passed over.

Change: a worker's victims are taken by size alone where that frees more.

--- a/scheduler/preempting.go
+++ b/scheduler/preempting.go
@@ -80,16 +80,14 @@
 }
 
 // planPreemption selects the runs on a worker that would have to end for up to n
-// tasks of the step to fit. It takes the largest first, so that few are stopped.
+// tasks of the step to fit. It takes those of organisations above their share first,
+// and the largest first, so that few are stopped.
 func (s *Scheduler) planPreemption(st *step, n int, w *worker, now time.Time) preemption {
 	size := taskSize(st.phase)
 	maxTasksHere := n
 	if st.phase.PerWorker > 0 {
 		maxTasksHere = min(maxTasksHere, st.phase.PerWorker-st.runsOn(w))
 	}
-	plan := preemption{
-		worker: w,
-	}
 	freeCapacity := w.freeCapacity()
 	var victims []*run
 	for _, r := range sortedRuns(w) {
@@ -102,11 +100,30 @@
 		}
 	}
 	slices.SortStableFunc(victims, func(a, b *run) int {
-		return cmp.Or(s.compareShares(a, b), cmp.Compare(b.size.DominantShare(w.entry.Total), a.size.DominantShare(w.entry.Total)))
+		return cmp.Compare(b.size.DominantShare(w.entry.Total), a.size.DominantShare(w.entry.Total))
 	})
-	plan.capacity = min(maxTasksHere, countFitting(size, freeCapacity))
+	bySize := s.selectVictims(size, maxTasksHere, w, freeCapacity, victims)
+	if !slices.ContainsFunc(victims, s.isAboveShare) {
+		return bySize
+	}
+	slices.SortStableFunc(victims, s.compareShares)
+	byShare := s.selectVictims(size, maxTasksHere, w, freeCapacity, victims)
+	if byShare.capacity < bySize.capacity {
+		// The number of victims is limited, and those above their share are small.
+		return bySize
+	}
+	return byShare
+}
+
+// selectVictims selects of the victims on a worker, in their order, those that would
+// have to end for up to maxTasks tasks of the size to fit.
+func (s *Scheduler) selectVictims(size sizer.Size, maxTasks int, w *worker, freeCapacity sizer.Size, victims []*run) preemption {
+	plan := preemption{
+		worker:   w,
+		capacity: min(maxTasks, countFitting(size, freeCapacity)),
+	}
 	for _, r := range victims {
-		if plan.capacity >= maxTasksHere || len(plan.victims) >= maxVictims {
+		if plan.capacity >= maxTasks || len(plan.victims) >= maxVictims {
 			break
 		}
 		freeCapacity = freeCapacity.Add(r.size)
@@ -115,7 +132,7 @@
 		if !s.isAboveShare(r) {
 			plan.protectedShare += r.size.DominantShare(w.entry.Total)
 		}
-		plan.capacity = min(maxTasksHere, countFitting(size, freeCapacity))
+		plan.capacity = min(maxTasks, countFitting(size, freeCapacity))
 	}
 	return plan
 }
--- a/scheduler/shares_test.go
+++ b/scheduler/shares_test.go
@@ -254,6 +254,31 @@
 	r.c.Assert(r.runsOf("org00"), qt.Equals, 4)
 }
 
+// TestSmallRunsAboveTheShareDoNotBlockPreemption guards against a lasting task that gets
+// no worker, as only so many runs are stopped on one and small ones are taken first.
+func TestSmallRunsAboveTheShareDoNotBlockPreemption(t *testing.T) {
+	r := newSharesRig(t, 1, 100, 100, 100)
+	add := func(organisation int, id string, tasks int, size sizer.Size) {
+		job := r.ofOrganisation(organisation, id, tasks, size)
+		job.Queue.Priority = 2
+		job.Phases[0].Checkpoints = true
+		r.s.AddJob(job, nil, false, r.now)
+		r.rounds(2)
+	}
+	add(1, "org01", 1, sizer.New(2000, 0, 0))
+	add(0, "org00", 60, sizer.New(100, 0, 0))
+	r.c.Assert(r.activeRuns(), qt.Equals, 61)
+	add(1, "org01-more", 6, sizer.New(2000, 0, 0))
+	phase := newPhase(1, sizer.New(2000, 0, 0))
+	phase.Lasting = true
+	urgent := r.job("org02-urgent", phase)
+	urgent.Organisation = organisationName(2)
+	r.s.AddJob(urgent, nil, false, r.now)
+	r.rounds(20)
+	r.c.Assert(r.runsOf("org02-urgent"), qt.Equals, 1)
+	r.c.Assert(r.runsOf("org00"), qt.Equals, 60)
+}
+
 // TestLateStepsGoByTheTimeUntilTheyAreOfNoUse guards against a late job that becomes of
 // no use while another late one, which has longer, goes first.
 func TestLateStepsGoByTheTimeUntilTheyAreOfNoUse(t *testing.T) {
