--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -255,7 +255,6 @@
 	group, runCtx := errgroup.WithContext(runCtx)
 	group.Go(func() error { return ignoreCanceled(server.Serve(runCtx, c.settings.peerListener)) })
 	c.startFollowing(runCtx, group)
-	group.Go(func() error { return ignoreCanceled(c.evidenceKeeper.followPeers(runCtx)) })
 	callers := c.callersServer()
 	group.Go(func() error { return serve(callers, c.settings.callers) })
 	probes := c.probesServer()
@@ -291,10 +290,12 @@
 // startFollowing starts the goroutines that follow the store and the other entries.
 func (c *Coordinator) startFollowing(ctx context.Context, group *errgroup.Group) {
 	group.Go(func() error { return ignoreCanceled(c.followConfig(ctx)) })
+	group.Go(func() error { return ignoreCanceled(c.evidenceKeeper.followPeers(ctx)) })
 	group.Go(func() error { return ignoreCanceled(c.followDirectory(ctx)) })
 	group.Go(func() error { return ignoreCanceled(c.followPeers(ctx)) })
 	group.Go(func() error { return ignoreCanceled(c.followServices(ctx)) })
 	group.Go(func() error { return ignoreCanceled(c.followShards(ctx)) })
+	group.Go(func() error { return ignoreCanceled(c.followUse(ctx)) })
 	group.Go(func() error { return ignoreCanceled(c.entryPool.probeEntries(ctx)) })
 	group.Go(func() error { return ignoreCanceled(c.probeStore(ctx)) })
 	group.Go(func() error { return ignoreCanceled(c.keepMembership(ctx, group)) })
