--- a/coordinator/evidencesite_test.go
+++ b/coordinator/evidencesite_test.go
@@ -257,6 +257,7 @@
 		addresses[other.settings.name] = other.settings.peerAddress
 	}
 	e.entryPool.entries = nil
+	clear(e.entryPool.byName)
 	e.entryPool.setPeers(addresses)
 	e.evidenceKeeper.askedAt = time.Time{}
 	e.evidenceKeeper.askPeers(context.Background())
--- a/coordinator/manyentries_test.go
+++ b/coordinator/manyentries_test.go
@@ -57,6 +57,8 @@
 		err = target.Nudge(struct{}{}, nil)
 	case rpcName + ".Config":
 		err = target.Config(struct{}{}, reply.(*receiver.Config))
+	case rpcName + ".Evidence":
+		err = target.Evidence(args.(EvidenceArgs), reply.(*EvidenceReply))
 	case rpcName + ".Append":
 		err = target.Append(args.(AppendArgs), reply.(*AppendReply))
 	default:
