A job with the identity of another organisation's job is refused

The newest record of an identity wins in the store: such a job, which the owner ignored and the caller took for accepted, would have replaced the other one after a takeover. TestIdentityOfAnotherOrganisationIsRefused fails without the change. A job of a public queue is not asked about, so that gap stays.

--- a/scheduler/admission.go
+++ b/scheduler/admission.go
@@ -46,6 +46,10 @@
 	// RefusedBytes means that the waiting jobs of the organisation take too much
 	// memory.
 	RefusedBytes RefusalCause = "waiting bytes"
+	// RefusedIdentity means that a job of another organisation has the identity. The
+	// newest record of an identity wins in the store, so that the job would replace the
+	// other one after a takeover.
+	RefusedIdentity RefusalCause = "identity in use"
 )
 
 // Admission is the decision whether a job is accepted.
@@ -113,7 +117,15 @@
 	}
 	s.classifyArrivals(now)
 	table := &s.shares.admissions
-	if _, pending := table.pending[record.ID]; pending || s.jobs[record.ID] != nil {
+	pending, isPending := table.pending[record.ID]
+	switch {
+	case isPending && pending.record.Organisation != record.Organisation,
+		s.jobs[record.ID] != nil && !s.Accessible(record.ID, record.Organisation):
+		return Admission{
+			Refused:    RefusedIdentity,
+			RetryAfter: maxRetryAfter,
+		}
+	case isPending, s.jobs[record.ID] != nil:
 		return Admission{
 			Known: true,
 		}
--- a/scheduler/admission_test.go
+++ b/scheduler/admission_test.go
@@ -81,6 +81,23 @@
 	}
 }
 
+// TestIdentityOfAnotherOrganisationIsRefused guards against a job that takes the place of
+// another organisation's job with the same identity, whether that one has been read from
+// the store or only accepted.
+func TestIdentityOfAnotherOrganisationIsRefused(t *testing.T) {
+	r := newSharesRig(t, 2, 1, 1)
+	stored := r.ofOrganisation(0, "stored", 1, cores(1))
+	r.s.AddJob(stored, nil, false, r.now)
+	accepted := r.ofOrganisation(0, "accepted", 1, cores(1))
+	r.c.Assert(r.s.Admit(accepted, 0, r.now).Refused, qt.Equals, scheduler.RefusalCause(""))
+	for _, id := range []string{"stored", "accepted"} {
+		foreign := r.ofOrganisation(1, id, 1, cores(1))
+		r.c.Assert(r.s.Admit(foreign, 0, r.now).Refused, qt.Equals, scheduler.RefusedIdentity)
+	}
+	r.c.Assert(r.s.Admit(stored, 0, r.now).Known, qt.IsTrue)
+	r.c.Assert(r.s.Admit(accepted, 0, r.now).Known, qt.IsTrue)
+}
+
 // TestAcceptedJobsCountBeforeTheyAreRead guards against a flood of which all is accepted
 // since the owner has not read any of it from the store yet.
 func TestAcceptedJobsCountBeforeTheyAreRead(t *testing.T) {
