--- a/messenger/server.go
+++ b/messenger/server.go
@@ -70,7 +70,7 @@
 		if errors.IsAny(err, syscall.EMFILE, syscall.ENFILE, syscall.ECONNABORTED, syscall.ENOBUFS, syscall.ENOMEM) {
 			// These pass, unlike the errors of a closed listener.
 			if err := timekeeper.Sleep(ctx, s.options.clock, acceptRetryPause); err != nil {
-				return nil
+				return acceptError(ctx, err)
 			}
 			continue
 		}
