--- a/cmd/galenacove/do_test.go
+++ b/cmd/galenacove/do_test.go
@@ -18,9 +18,11 @@
 // identity, so that it takes effect only once.
 func TestDoUnknownOutcome(t *testing.T) {
 	c := qt.New(t)
-	var sent commander.Request
+	requests := make(chan commander.Request, 3)
 	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
-		c.Check(json.NewDecoder(r.Body).Decode(&sent), qt.IsNil)
+		var request commander.Request
+		c.Check(json.NewDecoder(r.Body).Decode(&request), qt.IsNil)
+		requests <- request
 		panic(http.ErrAbortHandler)
 	}))
 	defer server.Close()
@@ -30,6 +32,7 @@
 		return exitCode(&out, err), out.String()
 	}
 	code, message := run(`submit batch "nightly" team omuti cpu 1`)
+	sent := <-requests
 	c.Check(code, qt.Equals, exitUnknown)
 	c.Check(message, qt.Contains, sent.Statement)
 	statement, err := parser.Parse(sent.Statement)
@@ -38,7 +41,7 @@
 
 	again := sent.Statement
 	_, _ = run(again)
-	c.Check(sent.Statement, qt.Equals, again)
+	c.Check((<-requests).Statement, qt.Equals, again)
 
 	code, _ = run("show jobs")
 	c.Check(code, qt.Equals, exitFailure)
