scheduler: the log and the metrics tell which tasks lose their workers

The lines on lost runs did not tell whether a task had lost a worker before, nor whether it had just started. They now count the workers lost with a run of the task, and say how long after the start the worker fell silent; two metrics count lost workers and runs by reason.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -386,6 +386,7 @@
 		c.updateLeaseKeepers(ctx, group)
 		effects := c.scheduler.Tick(c.clock.Now())
 		notes := c.scheduler.Notes()
+		c.metrics.addLosses(c.scheduler.Losses())
 		if now := c.clock.Now(); now.Sub(metricsSetAt) >= metricsInterval {
 			metricsSetAt = now
 			c.metrics.setAdvice(c.partition, c.scheduler.AdviceLoad(now))
--- a/conductor/metrics.go
+++ b/conductor/metrics.go
@@ -23,6 +23,8 @@
 	lastingWaiting      *prometheus.GaugeVec
 	lastingWaitSeconds  *prometheus.GaugeVec
 	allotmentCalls      *prometheus.CounterVec
+	workersLost         *prometheus.CounterVec
+	runsLost            *prometheus.CounterVec
 	organisations       *organisationMetrics
 }
 
@@ -84,6 +86,14 @@
 			Name: "galenacove_conductor_allotment_calls_total",
 			Help: "Calls that ask other owners for parts of allotments, by their outcome.",
 		}, []string{"outcome"}),
+		workersLost: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "galenacove_conductor_workers_lost_total",
+			Help: "Workers that were lost with runs on them, by the reason.",
+		}, []string{"reason"}),
+		runsLost: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "galenacove_conductor_runs_lost_total",
+			Help: "Runs that were lost with their worker, by the reason.",
+		}, []string{"reason"}),
 	}
 }
 
@@ -92,7 +102,7 @@
 	return append([]prometheus.Collector{
 		m.starts, m.adviceSeconds, m.silentRenewals, m.storeErrors, m.takeoverSeconds,
 		m.adviceCalls, m.adviceInFlight, m.adviceLimit, m.adviceDenied, m.adviceDeniedSeconds,
-		m.lastingWaiting, m.lastingWaitSeconds, m.allotmentCalls,
+		m.lastingWaiting, m.lastingWaitSeconds, m.allotmentCalls, m.workersLost, m.runsLost,
 	}, m.organisations.collectors()...)
 }
 
@@ -114,6 +124,16 @@
 	m.lastingWaitSeconds.WithLabelValues(label).Set(load.LongestWait.Seconds())
 }
 
+// addLosses counts workers and runs that were lost.
+func (m *Metrics) addLosses(losses scheduler.Losses) {
+	for reason, n := range losses.Workers {
+		m.workersLost.WithLabelValues(reason).Add(float64(n))
+	}
+	for reason, n := range losses.Runs {
+		m.runsLost.WithLabelValues(reason).Add(float64(n))
+	}
+}
+
 // deleteLoad removes the gauges of the owner of a partition. It is called once the ownership
 // has ended.
 func (m *Metrics) deleteLoad(partition int) {
--- a/scheduler/explaining.go
+++ b/scheduler/explaining.go
@@ -290,6 +290,42 @@
 	return strings.Join(parts[:min(maxHistorySteps, len(parts))], "; ")
 }
 
+// Losses counts the workers that were lost with runs on them, and these runs, each by
+// the reason.
+type Losses struct {
+	Workers, Runs map[string]int
+}
+
+func newLosses() Losses {
+	return Losses{
+		Workers: make(map[string]int),
+		Runs:    make(map[string]int),
+	}
+}
+
+// Losses returns the losses since the last call.
+func (s *Scheduler) Losses() Losses {
+	losses := s.losses
+	s.losses = newLosses()
+	return losses
+}
+
+// describeLoss counts one more worker that was lost with a run of the run's task, and
+// returns the count for the log with the time from the order to start to the moment
+// since which the worker is silent.
+func (s *Scheduler) describeLoss(r *run) string {
+	_, t := s.findTask(r.ref.Task)
+	if t == nil {
+		return ""
+	}
+	t.lostWorkers++
+	text := fmt.Sprintf(", %d workers lost with a run of the task", t.lostWorkers)
+	if !r.worker.silentSince.IsZero() && r.state != runPlanned {
+		text += fmt.Sprintf(", silent %v after the start", r.worker.silentSince.Sub(r.startedAt).Round(time.Millisecond))
+	}
+	return text
+}
+
 // Note is a log entry on a decision, for operators.
 type Note struct {
 	Text string
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -110,9 +110,14 @@
 	}
 }
 
+// markAllLost removes all runs of a worker that has ended or whose leases have expired.
 func (s *Scheduler) markAllLost(w *worker, reason string, now time.Time) {
+	if len(w.runs) > 0 {
+		s.losses.Workers[reason]++
+	}
 	for _, r := range sortedRuns(w) {
-		s.markLost(r, reason, now)
+		s.losses.Runs[reason]++
+		s.markLost(r, reason+s.describeLoss(r), now)
 	}
 }
 
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -94,6 +94,7 @@
 	endsByWorker map[*worker][]expectedEnd
 	effects      []Effect
 	notes        []Note
+	losses       Losses
 
 	// organisations holds the organisations by name, and overage the fraction of a
 	// maximum by which one may exceed it.
@@ -177,6 +178,7 @@
 		dirtyJobs:         make(map[string]bool),
 		nextBatch:         1,
 		allotments:        newAllotments(),
+		losses:            newLosses(),
 	}
 	for _, opt := range opts {
 		opt(&s.options)
--- a/scheduler/tables.go
+++ b/scheduler/tables.go
@@ -111,6 +111,9 @@
 	run, copy *run
 	// failedAttempts lists the attempts that failed.
 	failedAttempts []int64
+	// lostWorkers counts the workers that were lost with a run of the task under this
+	// owner.
+	lostWorkers int
 	// checkpoint is the last checkpoint that a worker reported.
 	checkpoint string
 	// avoidWorkers lists the workers on which a run of the task failed or made
