platform: a renewal whose connection ended is told from one without an answer

A worker that has crashed and one that is cut off left the same trace in the log and in the scheduler. The moment at which a connection ends while a renewal waits is known to some milliseconds, so the log now says how long after a start the worker was last known to be up. No decision depends on it yet.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -32,6 +32,9 @@
 	ErrWorkerGone = errors.New("conductor: the worker has ended")
 	// ErrUnreachable is returned if a worker gave no usable answer.
 	ErrUnreachable = errors.New("conductor: the worker did not answer")
+	// ErrDisconnected is returned, besides ErrUnreachable, if the connection ended before
+	// the answer, so that the worker's host was up until then.
+	ErrDisconnected = errors.New("conductor: the worker closed the connection")
 	// ErrNotReady is returned while the jobs are being read from the store.
 	ErrNotReady = errors.New("conductor: the jobs are being read")
 )
--- a/conductor/orders.go
+++ b/conductor/orders.go
@@ -258,9 +258,12 @@
 	logEntry := c.logger.WithError(err).WithField("worker", id)
 	now := c.clock.Now()
 	c.mu.Lock()
-	if errors.Is(err, ErrWorkerGone) {
+	switch {
+	case errors.Is(err, ErrWorkerGone):
 		c.scheduler.WorkerGone(id, now)
-	} else {
+	case errors.Is(err, ErrDisconnected):
+		c.scheduler.RenewalBroken(id, now)
+	default:
 		c.scheduler.RenewalFailed(id, now)
 	}
 	c.mu.Unlock()
--- a/scheduler/explaining.go
+++ b/scheduler/explaining.go
@@ -321,7 +321,8 @@
 	t.lostWorkers++
 	text := fmt.Sprintf(", %d workers lost with a run of the task", t.lostWorkers)
 	if !r.worker.silentSince.IsZero() && r.state != runPlanned {
-		text += fmt.Sprintf(", silent %v after the start", r.worker.silentSince.Sub(r.startedAt).Round(time.Millisecond))
+		text += fmt.Sprintf(", silent %v and last known to be up %v after the start",
+			r.worker.silentSince.Sub(r.startedAt).Round(time.Millisecond), r.worker.aliveAt.Sub(r.startedAt).Round(time.Millisecond))
 	}
 	return text
 }
--- a/scheduler/reports.go
+++ b/scheduler/reports.go
@@ -77,6 +77,7 @@
 	}
 	w.reported = true
 	w.lastReportAt = now
+	w.aliveAt = now
 	w.silentSince = time.Time{}
 	ended := make(map[RunRef]bool)
 	for _, row := range report.Ended {
--- a/scheduler/tables.go
+++ b/scheduler/tables.go
@@ -249,6 +249,9 @@
 	clockReadAt  time.Time
 	// lastReportAt is the time at which the last report arrived.
 	lastReportAt time.Time
+	// aliveAt is the latest time at which the worker was certainly up, as far as this
+	// owner knows.
+	aliveAt time.Time
 	// leaseEnd is the latest expiry of a lease that was granted, on the
 	// worker's clock.
 	leaseEnd time.Duration
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -234,6 +234,15 @@
 	}
 }
 
+// RenewalBroken records that the connection to a worker ended while a lease renewal
+// waited for its answer. The worker was up until then.
+func (s *Scheduler) RenewalBroken(id string, now time.Time) {
+	if w := s.workers[id]; w != nil && w.silentSince.IsZero() {
+		w.aliveAt = now
+	}
+	s.RenewalFailed(id, now)
+}
+
 // WorkerGone records that this incarnation of a worker has certainly ended.
 func (s *Scheduler) WorkerGone(id string, now time.Time) {
 	w := s.workers[id]
