scheduler: a task that crashes the workers that start it is given up

Cause: only runs that ended as failed counted towards the attempts of a task. A run that was lost with its worker left no trace, and its task started again as soon as the loss was certain, or at once as a copy, as a run on a silent worker counts as slow.

Change: a crash is recorded with the tasks whose runs had just started, as far as the broken connection tells the moment; the record is stored as soon as the connection breaks, so that a next owner has it, and dropped if the worker reports again. Such a suspect is started alone, on the worker with the least on it, and not copied; a run that its worker outlives acquits it. After the second crash at a start the task is given up and its job fails, with the workers in the log. Workers that are never known to have ended count, but one more is needed. A task that crashes workers later than 0.25 s after the start is given up after the fifth crash. Workers that are cut off, drain or only reset connections make nobody fail.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -35,6 +35,9 @@
 	// ErrDisconnected is returned, besides ErrUnreachable, if the connection ended before
 	// the answer, so that the worker's host was up until then.
 	ErrDisconnected = errors.New("conductor: the worker closed the connection")
+	// ErrNotListening is returned, besides ErrUnreachable, if the worker's host refused
+	// the connection.
+	ErrNotListening = errors.New("conductor: the worker's host refused the connection")
 	// ErrNotReady is returned while the jobs are being read from the store.
 	ErrNotReady = errors.New("conductor: the jobs are being read")
 )
--- a/conductor/metrics.go
+++ b/conductor/metrics.go
@@ -25,6 +25,7 @@
 	allotmentCalls      *prometheus.CounterVec
 	workersLost         *prometheus.CounterVec
 	runsLost            *prometheus.CounterVec
+	tasksGivenUp        prometheus.Counter
 	organisations       *organisationMetrics
 }
 
@@ -94,6 +95,10 @@
 			Name: "galenacove_conductor_runs_lost_total",
 			Help: "Runs that were lost with their worker, by the reason.",
 		}, []string{"reason"}),
+		tasksGivenUp: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "galenacove_conductor_tasks_given_up_total",
+			Help: "Tasks that were given up as workers crashed under them.",
+		}),
 	}
 }
 
@@ -102,7 +107,7 @@
 	return append([]prometheus.Collector{
 		m.starts, m.adviceSeconds, m.silentRenewals, m.storeErrors, m.takeoverSeconds,
 		m.adviceCalls, m.adviceInFlight, m.adviceLimit, m.adviceDenied, m.adviceDeniedSeconds,
-		m.lastingWaiting, m.lastingWaitSeconds, m.allotmentCalls, m.workersLost, m.runsLost,
+		m.lastingWaiting, m.lastingWaitSeconds, m.allotmentCalls, m.workersLost, m.runsLost, m.tasksGivenUp,
 	}, m.organisations.collectors()...)
 }
 
@@ -132,6 +137,7 @@
 	for reason, n := range losses.Runs {
 		m.runsLost.WithLabelValues(reason).Add(float64(n))
 	}
+	m.tasksGivenUp.Add(float64(losses.GivenUp))
 }
 
 // deleteLoad removes the gauges of the owner of a partition. It is called once the ownership
--- a/conductor/orders.go
+++ b/conductor/orders.go
@@ -263,6 +263,8 @@
 		c.scheduler.WorkerGone(id, now)
 	case errors.Is(err, ErrDisconnected):
 		c.scheduler.RenewalBroken(id, now)
+	case errors.Is(err, ErrNotListening):
+		c.scheduler.RenewalRefused(id, now)
 	default:
 		c.scheduler.RenewalFailed(id, now)
 	}
--- a/scheduler/copying.go
+++ b/scheduler/copying.go
@@ -50,7 +50,7 @@
 	unplaced := 0
 	for i := range st.tasks {
 		t := &st.tasks[i]
-		if t.done || t.run == nil || t.copy != nil || !s.isSlow(st, t.run, now) {
+		if t.done || t.run == nil || t.copy != nil || !t.mayCopy() || !s.isSlow(st, t.run, now) {
 			continue
 		}
 		if !taskSize(st.phase).Fits(p.freeCapacity) || !s.copyAllowed(st) {
--- a/scheduler/crashes_test.go
+++ b/scheduler/crashes_test.go
@@ -54,6 +54,7 @@
 func (r *crashRig) play(d time.Duration) {
 	for end := r.now.Add(d); r.now.Before(end); {
 		r.advance(20 * time.Millisecond)
+		r.s.ConfirmOwnership(r.now)
 		r.crash()
 		r.replaceCrashed()
 		r.finishRuns()
--- a/scheduler/explaining.go
+++ b/scheduler/explaining.go
@@ -68,7 +68,7 @@
 	s.addNote(fmt.Sprintf("step waits: %d of %d tasks, %s, %d workers available, %d suitable, %d approved, %d with a valid ticket, %d with free capacity, %d reserved, call in flight %t, %d calls made, %d of %d long calls in flight, no free call for %v, no run for up to %v; of the approved %s",
 		st.waiting, len(st.tasks), rankName(st.rank(now)), len(p.workers), suitable, approved, ticketed, fitting, reserved,
 		st.adviceState.adviceInFlight, st.adviceState.callCount, s.adviceInFlight[false], s.adviceLimits[false], st.adviceState.deniedDuration(now).Round(time.Millisecond),
-		st.longestWait(now).Round(time.Millisecond), describeObstacles(obstacles))+s.describeShare(st),
+		st.longestWait(now).Round(time.Millisecond), describeObstacles(obstacles))+s.describeShare(st)+st.describeSuspects(),
 		TaskRef{
 			Step: st.ref,
 		}, "", now.Sub(st.dueAt))
@@ -290,10 +290,20 @@
 	return strings.Join(parts[:min(maxHistorySteps, len(parts))], "; ")
 }
 
+// describeSuspects tells how many tasks wait to be started alone, if any.
+func (st *step) describeSuspects() string {
+	if n := st.waitingSuspects(); n > 0 {
+		return fmt.Sprintf("; %d may have crashed a worker and are started alone", n)
+	}
+	return ""
+}
+
 // Losses counts the workers that were lost with runs on them, and these runs, each by
 // the reason.
 type Losses struct {
 	Workers, Runs map[string]int
+	// GivenUp is the number of tasks that were given up as they crash their workers.
+	GivenUp int
 }
 
 func newLosses() Losses {
--- a/scheduler/gangs.go
+++ b/scheduler/gangs.go
@@ -16,7 +16,7 @@
 		return
 	}
 	st.incompleteSince = time.Time{}
-	if s.allowedStarts(st) == 0 {
+	if s.allowedStarts(st) == 0 || st.suspected() && !s.mayTry(st, &st.tasks[0], p, now) {
 		return
 	}
 	// Each worker on which the gang may start now is a candidate too.
@@ -37,6 +37,9 @@
 			s.startRun(st, i, w, newAttempt, now)
 			delete(s.endsByWorker, w)
 		}
+		if st.suspected() {
+			p.trials[st.trialGroup(&st.tasks[0])] = true
+		}
 		return
 	}
 	if s.hold(st, len(st.tasks)) == 0 {
@@ -71,8 +74,9 @@
 func (s *Scheduler) chooseGangWorkers(st *step, p *pool, now time.Time, eligible func(*step, *worker, time.Time) bool) []*worker {
 	var candidates []workerCapacity
 	size := taskSize(st.phase)
+	trial := st.suspected()
 	for _, w := range p.workers {
-		if !size.Fits(w.freeCapacity()) || !eligible(st, w, now) {
+		if !size.Fits(w.freeCapacity()) || !eligible(st, w, now) || trial && !s.mayTryOn(w, now) {
 			continue
 		}
 		if capacity := s.capacityFor(st, w, p, now); capacity > 0 {
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -279,6 +279,8 @@
 	// Failures lists the attempts that failed, by task index. All failures of a
 	// gang have the key 0.
 	Failures map[int][]int64 `json:"failures,omitempty"`
+	// Crashes lists the workers that crashed with a run of a task, by task index.
+	Crashes map[int][]Crash `json:"crashes,omitempty"`
 	// HasPlacements is set if Placements is complete. It is set for steps of lasting
 	// tasks, which start rarely enough to store where each of them may run.
 	HasPlacements bool `json:"hasPlacements,omitempty"`
--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -50,6 +50,8 @@
 	// preemptible holds, by priority, the total size of the runs that may be stopped for
 	// a step of that priority, where it was computed.
 	preemptible map[int]sizer.Size
+	// trials holds the crashes for which suspects are tried. It is nil until it is needed.
+	trials map[string]bool
 	// maxCapacity is the maximum of each resource that a worker of the service
 	// has.
 	maxCapacity sizer.Size
@@ -162,13 +164,16 @@
 		w := s.chooseWorker(st, t, p, now)
 		if w == nil {
 			// The tasks of a step are similar, so there is no worker for its next
-			// tasks either, unless this task avoids workers.
-			if len(t.avoidWorkers) == 0 {
+			// tasks either, unless this task avoids workers or is a suspect.
+			if len(t.avoidWorkers) == 0 && !t.suspected() {
 				break
 			}
 			continue
 		}
 		s.startRun(st, i, w, s.newAttempt(), now)
+		if t.suspected() {
+			p.trials[st.trialGroup(t)] = true
+		}
 		delete(s.endsByWorker, w)
 		p.spareMilliCores -= taskSize(st.phase).MilliCores()
 		allowed--
@@ -221,7 +226,14 @@
 	var best *worker
 	var bestScore float64
 	size := taskSize(st.phase)
+	trial := t.suspected()
+	if trial && !s.mayTry(st, t, p, now) {
+		return nil
+	}
 	for _, w := range p.workers {
+		if trial && !s.mayTryOn(w, now) {
+			continue
+		}
 		if !size.Fits(w.freeCapacity()) || !s.mayStartOn(st, w, now) || !s.fitsOn(st, w, p, now) {
 			continue
 		}
@@ -232,6 +244,9 @@
 		if slices.Contains(t.avoidWorkers, w.entry.Ref.ID) {
 			score += 100
 		}
+		if trial {
+			score += w.stake()
+		}
 		if best == nil || score < bestScore {
 			best, bestScore = w, score
 		}
@@ -294,6 +309,9 @@
 			return 0
 		}
 	}
+	if s.hasTrial(w, now) {
+		return 0
+	}
 	n := countFitting(taskSize(st.phase), w.freeCapacity())
 	if st.phase.PerWorker > 0 {
 		n = min(n, st.phase.PerWorker-st.runsOn(w))
--- a/scheduler/reports.go
+++ b/scheduler/reports.go
@@ -79,6 +79,7 @@
 	w.lastReportAt = now
 	w.aliveAt = now
 	w.silentSince = time.Time{}
+	s.clearSuspects(w)
 	ended := make(map[RunRef]bool)
 	for _, row := range report.Ended {
 		ended[row.Run] = true
@@ -91,6 +92,9 @@
 		active[row.Run] = true
 		s.handleActive(w, row, now)
 	}
+	if w.watchedRuns > 0 {
+		s.acquit(w, now)
+	}
 	// A report with the maximum number of ends may leave out further ends, so a
 	// run that is missing may be listed in a later report.
 	if len(report.Ended) >= maxEndsPerReport {
@@ -163,6 +167,8 @@
 		s.dirtyJobs[id] = true
 		s.finishStepIfDone(st, now)
 	case EndFailed:
+		// The worker has outlived the run.
+		s.dropCrashes(row.Run.Task, func(c Crash) bool { return c.AtStart })
 		t.avoidWorkers = append(t.avoidWorkers, w.entry.Ref.ID)
 		if !st.phase.Lasting {
 			s.addTaskFailure(st, t, row.Run.Attempt, now)
@@ -236,6 +242,9 @@
 	if r.confirmedAt.IsZero() {
 		r.confirmedAt = now
 	}
+	if r.presentAt.IsZero() {
+		r.presentAt = now
+	}
 	if row.Percent > r.percent {
 		r.percent = row.Percent
 		r.progressAt = now
@@ -271,6 +280,11 @@
 		pace:        100,
 	}
 	s.describeAdopted(r, st)
+	if row.Percent > 0 {
+		// The run has worked under the former owner, so it did not start just now.
+		r.presentAt = now.Add(-crashDelay)
+	}
+	r.watched = t != nil && len(t.crashes) > 0
 	s.addRun(r)
 	wanted := t != nil && !t.done && t.acceptsRun(st) && !st.job.state.Final()
 	if wanted && st.phase.Gang && st.gangAttempt != 0 && st.gangAttempt != row.Run.Attempt {
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -115,10 +115,14 @@
 	if len(w.runs) > 0 {
 		s.losses.Workers[reason]++
 	}
-	for _, r := range sortedRuns(w) {
+	runs := sortedRuns(w)
+	refs := make([]TaskRef, 0, len(runs))
+	for _, r := range runs {
 		s.losses.Runs[reason]++
 		s.markLost(r, reason+s.describeLoss(r), now)
+		refs = append(refs, r.ref.Task)
 	}
+	s.giveUpCrashing(refs, now)
 }
 
 func sortedRuns(w *worker) []*run {
@@ -207,7 +211,12 @@
 			r.progressAt = now
 		}
 		r.confirmedAt = now
+		if r.presentAt.IsZero() {
+			r.presentAt = now
+		}
+		w.aliveAt = latest(w.aliveAt, now)
 	case StartRefused:
+		s.dropCrashes(ref.Task, func(c Crash) bool { return c.Worker == workerID && !c.Confirmed })
 		s.markLost(r, "start refused", now)
 	case StartUnhealthy:
 		w.setAsideUntil = now.Add(unhealthyPause)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -92,9 +92,11 @@
 	// entry is dropped when a run is started there, and all entries are when runs
 	// may have been stopped.
 	endsByWorker map[*worker][]expectedEnd
-	effects      []Effect
-	notes        []Note
-	losses       Losses
+	// suspects holds, by worker, the tasks that have an unconfirmed crash of that worker.
+	suspects map[string][]TaskRef
+	effects  []Effect
+	notes    []Note
+	losses   Losses
 
 	// organisations holds the organisations by name, and overage the fraction of a
 	// maximum by which one may exceed it.
@@ -179,6 +181,7 @@
 		nextBatch:         1,
 		allotments:        newAllotments(),
 		losses:            newLosses(),
+		suspects:          make(map[string][]TaskRef),
 	}
 	for _, opt := range opts {
 		opt(&s.options)
@@ -339,6 +342,7 @@
 		t.failedAttempts = stored.Failures[i]
 		t.storedWorkers = stored.Placements[i]
 		t.formerWorkers = stored.Placements[i]
+		s.restoreCrashes(st, i, stored.Crashes[i])
 		if hasBit(stored.Done, i) {
 			t.done = true
 			st.done++
--- a/scheduler/starting.go
+++ b/scheduler/starting.go
@@ -30,6 +30,11 @@
 		pace:       100,
 	}
 	r.copyPhase(st)
+	r.watched = len(t.crashes) > 0
+	if st.isTrial(t) {
+		r.watched = true
+		r.trialGroup = st.trialGroup(t)
+	}
 	s.addRun(r)
 	s.assignRun(st, t, r)
 	if st.isStored(r, t) {
--- a/scheduler/tables.go
+++ b/scheduler/tables.go
@@ -114,6 +114,8 @@
 	// lostWorkers counts the workers that were lost with a run of the task under this
 	// owner.
 	lostWorkers int
+	// crashes holds the workers that crashed with a run of the task, one entry each.
+	crashes []Crash
 	// checkpoint is the last checkpoint that a worker reported.
 	checkpoint string
 	// avoidWorkers lists the workers on which a run of the task failed or made
@@ -200,6 +202,14 @@
 	// report. It is zero until then. Reports requested later list the run or its
 	// end.
 	confirmedAt time.Time
+	// presentAt is the first time at which the worker certainly had the run, zero until
+	// then.
+	presentAt time.Time
+	// watched is set if workers have crashed with an earlier run of the task. trialGroup
+	// is not empty if the task was a suspect when it was started, and names the worker
+	// for whose crash it is tried.
+	watched    bool
+	trialGroup string
 	// stopSentAt is the time at which the last stop was sent, and stopInFlight
 	// is set while it is not answered.
 	stopSentAt   time.Time
@@ -228,6 +238,9 @@
 	// servingRuns and fillingRuns count the runs with serves and with fills.
 	servingRuns int
 	fillingRuns int
+	// watchedRuns and trials count the runs with watched and with a trialGroup.
+	watchedRuns int
+	trials      int
 	// reported is set once the worker has reported its runs to this owner, or
 	// is known to have ended.
 	reported bool
@@ -343,6 +356,12 @@
 	if r.serves {
 		w.servingRuns++
 	}
+	if r.watched {
+		w.watchedRuns++
+	}
+	if r.trialGroup != "" {
+		w.trials++
+	}
 }
 
 // removeRun removes the run with the reference of r. It returns that run, or nil if the
@@ -360,5 +379,11 @@
 	if r.serves {
 		w.servingRuns--
 	}
+	if r.watched {
+		w.watchedRuns--
+	}
+	if r.trialGroup != "" {
+		w.trials--
+	}
 	return found
 }
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -240,6 +240,15 @@
 	if w := s.workers[id]; w != nil && w.silentSince.IsZero() {
 		w.aliveAt = now
 	}
+	s.RenewalRefused(id, now)
+}
+
+// RenewalRefused records that a worker's host refused the connection for a lease renewal,
+// so that the worker has probably ended.
+func (s *Scheduler) RenewalRefused(id string, now time.Time) {
+	if w := s.workers[id]; w != nil && w.silentSince.IsZero() {
+		s.suspectStarts(w, now)
+	}
 	s.RenewalFailed(id, now)
 }
 
@@ -249,7 +258,9 @@
 	if w == nil {
 		return
 	}
+	crashed := s.confirmCrash(w, now)
 	s.markAllLost(w, "worker ended", now)
+	s.giveUpCrashing(crashed, now)
 	w.reported = true
 	s.formerUses = nil
 	if !w.listed {
--- a/scheduler/writes.go
+++ b/scheduler/writes.go
@@ -212,6 +212,13 @@
 			stepProgress.setFailures(i, t.failedAttempts)
 			nonEmpty = true
 		}
+		if len(t.crashes) > 0 && !t.done {
+			if stepProgress.Crashes == nil {
+				stepProgress.Crashes = make(map[int][]Crash)
+			}
+			stepProgress.Crashes[i] = slices.Clone(t.crashes)
+			nonEmpty = true
+		}
 	}
 	if len(st.gangFailures) > 0 {
 		stepProgress.setFailures(0, st.gangFailures)
