scheduler: suspects do not queue while most of the service is free

Cause: one suspect for four workers was tried at once, and a deadly one holds its place for the 3 s that its worker is down. Besides, steps of suspects asked the adviser, who is the narrow place, about workers on which they might not start yet.

While less than half of the service is in use, as many suspects are tried as half of the workers, and a step whose waiting tasks may not be tried asks nobody. TestSuspectsAreNotHeldUpOnAnEmptyService failed before.

--- a/scheduler/crashes.go
+++ b/scheduler/crashes.go
@@ -5,6 +5,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/galenacove/galenacove/sizer"
 )
 
 // A task that crashes the workers that start it is told from those that run beside it by
@@ -29,10 +31,13 @@
 	// settledAfter is the time after which a run is taken not to crash its worker.
 	settledAfter = 10 * time.Second
 	// workersPerTrial and minTrials limit the suspects that are tried at once, to one for
-	// so many workers, but not to fewer than minTrials. Suspects of the same crash count
-	// as one, as only one of them can have caused it.
-	workersPerTrial = 4
-	minTrials       = 2
+	// so many available workers, but not to fewer than minTrials. Suspects of the same
+	// crash count as one, as only one of them can have caused it. idleWorkersPerTrial is
+	// used instead of workersPerTrial while less than half of the service is in use, as
+	// what is lost with a worker then starts again at once.
+	workersPerTrial     = 4
+	idleWorkersPerTrial = 2
+	minTrials           = 2
 )
 
 // Crash is a worker that ended, or probably has, while it had a run of a task.
@@ -299,8 +304,38 @@
 func (s *Scheduler) mayTry(st *step, t *task, p *pool, now time.Time) bool {
 	if p.trials == nil {
 		p.trials = s.trials(st.job.record.Queue.Service, now)
+		p.maxTrials = maxTrials(p.workers)
+	}
+	return st.phase.Lasting || p.trials[st.trialGroup(t)] || len(p.trials) < p.maxTrials
+}
+
+// awaitsTrial reports whether all waiting tasks of the step are suspects that may not be
+// tried now. Such a step needs neither advice nor workers yet.
+func (s *Scheduler) awaitsTrial(st *step, p *pool, now time.Time) bool {
+	if st.waiting == 0 || st.waitingSuspects() < st.waiting {
+		return false
+	}
+	for i := range st.tasks {
+		if t := &st.tasks[i]; !t.done && t.run == nil && s.mayTry(st, t, p, now) {
+			return false
+		}
+	}
+	return true
+}
+
+// maxTrials returns how many suspects may be tried at once on the available workers of a
+// service.
+func maxTrials(workers []*worker) int {
+	var used, total sizer.Size
+	for _, w := range workers {
+		used = used.Add(w.used)
+		total = total.Add(w.entry.Total)
+	}
+	perTrial := workersPerTrial
+	if used.DominantShare(total) < 0.5 {
+		perTrial = idleWorkersPerTrial
 	}
-	return st.phase.Lasting || p.trials[st.trialGroup(t)] || len(p.trials) < max(minTrials, len(p.workers)/workersPerTrial)
+	return max(minTrials, len(workers)/perTrial)
 }
 
 // mayTryOn reports whether a suspect may be started on the worker: whether its crash could
--- a/scheduler/crashes_test.go
+++ b/scheduler/crashes_test.go
@@ -363,3 +363,24 @@
 		})
 	}
 }
+
+// TestSuspectsAreNotHeldUpOnAnEmptyService guards against jobs that wait for seconds, with
+// most of the service free, as other suspects are tried before them.
+func TestSuspectsAreNotHeldUpOnAnEmptyService(t *testing.T) {
+	var deadly, good []string
+	for i := range 8 {
+		deadly = append(deadly, fmt.Sprintf("j%d-deadly", i))
+		good = append(good, fmt.Sprintf("j%d-good", i))
+	}
+	r := newCrashRig(t, 16, firstTaskOf(deadly...))
+	for i := range deadly {
+		// The two tasks fill a worker.
+		r.addJob(r.job(deadly[i], newPhase(1, cores(4))))
+		r.addJob(r.job(good[i], newPhase(1, cores(4))))
+	}
+	// A job may have no run for 3 s once it is known that its worker has ended.
+	r.play(r.downFor + 3*time.Second + time.Second)
+	for _, id := range good {
+		r.c.Check(r.state(id), qt.Equals, scheduler.Completed, qt.Commentf("%s", id))
+	}
+}
--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -50,8 +50,10 @@
 	// preemptible holds, by priority, the total size of the runs that may be stopped for
 	// a step of that priority, where it was computed.
 	preemptible map[int]sizer.Size
-	// trials holds the crashes for which suspects are tried. It is nil until it is needed.
-	trials map[string]bool
+	// trials holds the crashes for which suspects are tried, and maxTrials the limit of
+	// their number. trials is nil until it is needed.
+	trials    map[string]bool
+	maxTrials int
 	// maxCapacity is the maximum of each resource that a worker of the service
 	// has.
 	maxCapacity sizer.Size
@@ -182,6 +184,9 @@
 		// The maximum of the organisation allows no more.
 		return
 	}
+	if s.awaitsTrial(st, p, now) {
+		return
+	}
 	if st.waiting > 0 && st.reservesWorkers() {
 		s.reserveForTasks(st, p, now)
 	}
