--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -180,13 +180,16 @@
 		p.spareMilliCores -= taskSize(st.phase).MilliCores()
 		allowed--
 	}
-	if allowed <= 0 {
-		// The maximum of the organisation allows no more.
-		return
-	}
-	if s.awaitsTrial(st, p, now) {
-		return
+	// Otherwise the maximum of the organisation allows no more, or all waiting tasks are
+	// suspects.
+	if allowed > 0 && !s.awaitsTrial(st, p, now) {
+		s.prepareTasks(st, p, now)
 	}
+}
+
+// prepareTasks reserves workers and asks for advice for the tasks of a step that could not
+// start, or has runs preempted for them.
+func (s *Scheduler) prepareTasks(st *step, p *pool, now time.Time) {
 	if st.waiting > 0 && st.reservesWorkers() {
 		s.reserveForTasks(st, p, now)
 	}
