platform, scheduler: the log names the lives of a worker

A worker may start again under its identity; the time of its start, which it says with its reports and in the directory, was not read. The log now says when a worker has started again, up to which number its ends were processed and acknowledged, and both readings of the clock; and it names an end that is skipped although its run is known. A worker of the older protocol leaves the time out and is read as before. No decision depends on it yet.

--- a/scheduler/reports.go
+++ b/scheduler/reports.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"time"
 )
 
@@ -56,7 +57,9 @@
 // Report is a worker's answer to a lease renewal.
 type Report struct {
 	// Clock is the reading of the worker's own clock.
-	Clock  time.Duration
+	Clock time.Duration
+	// Born is as in WorkerEntry.
+	Born   time.Time
 	Active []ActiveRun
 	Ended  []EndedRun
 }
@@ -68,6 +71,7 @@
 	if w == nil {
 		return
 	}
+	s.noteBirth(w, report)
 	if !w.reported || report.Clock > w.clockAt(now) {
 		w.clockReading = report.Clock
 		w.clockReadAt = now
@@ -83,8 +87,12 @@
 	ended := make(map[RunRef]bool)
 	for _, row := range report.Ended {
 		ended[row.Run] = true
-		if row.Number > w.lastEndNumber {
+		switch {
+		case row.Number > w.lastEndNumber:
 			s.handleEnd(w, row, now)
+		case w.runs[row.Run] != nil:
+			s.addNote(fmt.Sprintf("end %d of a run is not processed, as ends up to %d were", row.Number, w.lastEndNumber),
+				row.Run.Task, id, now.Sub(w.runs[row.Run].startedAt))
 		}
 	}
 	active := make(map[RunRef]bool, len(report.Active))
@@ -108,6 +116,18 @@
 	}
 }
 
+// noteBirth notes that a worker has started again under its identity.
+func (s *Scheduler) noteBirth(w *worker, report Report) {
+	if report.Born.IsZero() || report.Born.Equal(w.born) {
+		return
+	}
+	if !w.born.IsZero() {
+		s.addNote(fmt.Sprintf("worker has started again under its identity: ends up to %d were processed, %d are acknowledged, its clock was above %v and is %v",
+			w.lastEndNumber, w.ackedNumber, w.clockReading, report.Clock), TaskRef{}, w.entry.Ref.ID, report.Born.Sub(w.born))
+	}
+	w.born = report.Born
+}
+
 // handleEnd processes the end of one run, and queues its acknowledgement until
 // the changes that it causes are stored.
 func (s *Scheduler) handleEnd(w *worker, row EndedRun, now time.Time) {
--- a/scheduler/tables.go
+++ b/scheduler/tables.go
@@ -231,6 +231,8 @@
 // worker is one incarnation of a worker.
 type worker struct {
 	entry WorkerEntry
+	// born is the latest start that the worker has reported, zero if it reports none.
+	born time.Time
 	// listed is set while the directory lists the worker.
 	listed bool
 	runs   map[RunRef]*run
@@ -309,6 +311,9 @@
 	Ref        WorkerRef
 	Service    string
 	DataCentre string
+	// Born is the time at which this life of the worker began, as the worker says. It is
+	// zero if the worker does not say it; then each life has an identity of its own.
+	Born time.Time `json:",omitzero"`
 	// Total is the whole capacity of the worker.
 	Total  sizer.Size
 	Labels []string
