--- a/scheduler/crashes_test.go
+++ b/scheduler/crashes_test.go
@@ -30,8 +30,10 @@
 	// movesAway lets the next worker have another address, so that nobody learns that the
 	// crashed one has ended.
 	movesAway bool
-	lives     int
-	jobs      []scheduler.Job
+	// restarts lets crashed workers start again under their identity.
+	restarts bool
+	lives    int
+	jobs     []scheduler.Job
 }
 
 func newCrashRig(t *testing.T, workers int, deadly func(scheduler.TaskRef) bool) *crashRig {
@@ -108,6 +110,11 @@
 		}
 		delete(r.downSince, id)
 		r.lives++
+		if r.restarts {
+			r.workersByID[id].silent = false
+			r.workersByID[id].restart()
+			continue
+		}
 		next := r.addWorker(fmt.Sprintf("%s-%d", workerName(0), r.lives), cores(8))
 		next.runTime = time.Second
 		next.entry.Ref.Address = r.workersByID[id].entry.Ref.Address
--- a/scheduler/interleaving_test.go
+++ b/scheduler/interleaving_test.go
@@ -50,6 +50,8 @@
 	// endingUnnamed hides from the next owner the runs that had not ended although their
 	// task was done or their job had ended.
 	endingUnnamed fault = "stored jobs name no ending runs"
+	// birthsUnsaid lets workers that start again under their identity not say so.
+	birthsUnsaid fault = "workers do not say that they have started again"
 )
 
 // model simulates owners, workers and a store, which act in random order. Calls may
@@ -193,6 +195,7 @@
 				Address: id + ":1",
 			},
 			Service: "desk",
+			Born:    m.now,
 			Total:   cores(4),
 		},
 		up:              true,
@@ -206,7 +209,11 @@
 	var entries []scheduler.WorkerEntry
 	for _, w := range m.workers {
 		if w.up && !w.unlisted {
-			entries = append(entries, w.entry)
+			entry := w.entry
+			if m.fault == birthsUnsaid {
+				entry.Born = time.Time{}
+			}
+			entries = append(entries, entry)
 		}
 	}
 	return entries
@@ -274,6 +281,33 @@
 	return m.owners[m.draw(len(m.owners))]
 }
 
+// downTime is how long a worker is down before it starts again under its identity.
+const downTime = 3 * time.Second
+
+// restartWorker lets a worker crash and start again under its identity after downTime. Its
+// process takes orders that it had not carried out along.
+func (m *model) restartWorker(w *modelWorker) {
+	if !w.up {
+		return
+	}
+	clear(w.active)
+	m.lateOrders = nil
+	m.advance(downTime)
+	w.entry.Born = w.entry.Born.Add(downTime)
+	w.clock = time.Duration(m.draw(100)) * time.Millisecond
+	w.leaseEnd = 0
+	w.token = 0
+	w.ended = nil
+	w.lastEndNumber, w.lastStaleEnd = 0, 0
+	clear(w.stoppedAttempts)
+	if m.draw(2) == 0 {
+		m.current().s.SetWorkers(m.directory())
+	}
+}
+
+// maxLease is the longest lease that a worker accepts.
+const maxLease = 6 * time.Second
+
 // doRandomAction performs one random action.
 func (m *model) doRandomAction() {
 	o := m.anyOwner()
@@ -500,7 +534,7 @@
 	case run.Attempt <= w.stoppedAttempts[run.Task] && m.fault != stopsForgotten, order.Lease <= w.clock:
 		return scheduler.StartRefused
 	}
-	w.leaseEnd = max(w.leaseEnd, order.Lease)
+	w.leaseEnd = max(w.leaseEnd, min(order.Lease, w.clock+maxLease))
 	if _, there := w.active[run]; there {
 		return scheduler.StartDone
 	}
@@ -565,7 +599,7 @@
 		o.superseded = true
 		return
 	}
-	w.leaseEnd = max(w.leaseEnd, order.Lease)
+	w.leaseEnd = max(w.leaseEnd, min(order.Lease, w.clock+maxLease))
 	acknowledged := order.Acknowledge
 	if m.fault == acknowledgedEarly {
 		acknowledged = w.lastEndNumber
@@ -578,6 +612,9 @@
 		Clock: w.clock,
 		Ended: slices.Clone(w.ended),
 	}
+	if m.fault != birthsUnsaid {
+		report.Born = w.entry.Born
+	}
 	for len(w.ended) > 0 && w.ended[0].Number <= acknowledged {
 		lasting := w.ended[0].Run.Task.Step.Job == lastingJob
 		if w.ended[0].End == scheduler.EndDone && w.ended[0].Number > w.lastStaleEnd && !lasting {
@@ -751,6 +788,20 @@
 	return m.violation
 }
 
+// playModelWithRestarts is like playModel, with workers that start again under their
+// identity.
+func playModelWithRestarts(seeded fault, draw func(int) int) string {
+	m := newModel(seeded, draw)
+	for range 6 {
+		for range 50 {
+			m.doRandomAction()
+		}
+		m.restartWorker(m.workers[m.draw(len(m.workers))])
+	}
+	m.recoverAndFinish()
+	return m.violation
+}
+
 // settle lets the current owner reach all workers and store its changes.
 func (m *model) settle() {
 	o := m.current()
@@ -832,6 +883,10 @@
 			fault: endingUnnamed,
 			play:  playModelWithCancellations,
 		},
+		{
+			fault: birthsUnsaid,
+			play:  playModelWithRestarts,
+		},
 	} {
 		t.Run(string(test.fault), func(t *testing.T) {
 			for seed := range uint64(2000) {
--- /dev/null
+++ b/scheduler/restarts_test.go
@@ -0,0 +1,261 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/galenacove/galenacove/scheduler"
+)
+
+// newRestartRig returns a rig with workers that say when their life began.
+func newRestartRig(t *testing.T, workers ...string) *rig {
+	r := newRig(t)
+	for _, id := range workers {
+		r.addWorker(id, cores(8)).entry.Born = r.now
+	}
+	r.updateDirectory()
+	r.renewLeases()
+	return r
+}
+
+// finishOn ends all runs on the worker as done, and lets the owner process the ends.
+func (r *rig) finishOn(w *fakeWorker) {
+	for run := range w.activeRuns {
+		w.end(run, scheduler.EndDone)
+	}
+	for range 3 {
+		r.round()
+		r.write()
+	}
+}
+
+// TestEndsOfARestartedWorkerCount guards against ends that are taken for those of the
+// worker's former life: they were acknowledged without being processed, and their tasks ran
+// twice.
+func TestEndsOfARestartedWorkerCount(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// learn lets the owner learn of the restart.
+		learn func(*rig)
+	}{
+		{
+			name:  "by its report",
+			learn: func(r *rig) { r.round() },
+		},
+		{
+			name: "by the directory",
+			learn: func(r *rig) {
+				r.updateDirectory()
+				r.round()
+			},
+		},
+		{
+			name: "by its report, then a stale directory",
+			learn: func(r *rig) {
+				r.round()
+				w := r.workersByID["w"]
+				restarted := w.entry.Born
+				w.entry.Born = restarted.Add(-time.Second)
+				r.updateDirectory()
+				w.entry.Born = restarted
+				r.round()
+			},
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			r := newRestartRig(t, "w")
+			w := r.workersByID["w"]
+			r.s.AddJob(r.job("first", newPhase(4, cores(1))), nil, false, r.now)
+			r.round()
+			r.c.Assert(w.activeRuns, qt.HasLen, 4)
+			r.finishOn(w)
+			r.c.Assert(r.state("first"), qt.Equals, scheduler.Completed)
+			w.silent = true
+			r.round()
+			w.silent = false
+			w.restart()
+			test.learn(r)
+			r.s.AddJob(r.job("second", newPhase(3, cores(1))), nil, false, r.now)
+			r.round()
+			r.c.Assert(w.activeRuns, qt.HasLen, 3)
+			for run := range w.activeRuns {
+				w.end(run, scheduler.EndDone)
+			}
+			r.round()
+			r.c.Assert(w.ended, qt.HasLen, 3, qt.Commentf("acknowledged before they were stored"))
+			for range 3 {
+				r.write()
+				r.round()
+			}
+			r.c.Assert(r.state("second"), qt.Equals, scheduler.Completed)
+			for task, n := range w.startCounts {
+				r.c.Check(n, qt.Equals, 1, qt.Commentf("starts of %s", task))
+			}
+		})
+	}
+}
+
+// TestRunsOfTheFormerLifeStartAgain guards against tasks that wait for runs which ended with
+// their worker, and against ends that were not stored before it did.
+func TestRunsOfTheFormerLifeStartAgain(t *testing.T) {
+	r := newRestartRig(t, "w")
+	w := r.workersByID["w"]
+	r.s.AddJob(r.job("j", newPhase(3, cores(1))), nil, false, r.now)
+	r.round()
+	r.c.Assert(w.activeRuns, qt.HasLen, 3)
+	w.restart()
+	r.round()
+	r.c.Assert(w.activeRuns, qt.HasLen, 3)
+	r.finishOn(w)
+	r.c.Assert(r.state("j"), qt.Equals, scheduler.Completed)
+}
+
+// TestReportOfTheFormerLifeIsIgnored guards against a late report that brings runs back which
+// ended with the worker's former life.
+func TestReportOfTheFormerLifeIsIgnored(t *testing.T) {
+	r := newRestartRig(t, "w")
+	w := r.workersByID["w"]
+	r.s.AddJob(r.job("j", newPhase(1, cores(8))), nil, false, r.now)
+	r.round()
+	var former scheduler.RunRef
+	for run := range w.activeRuns {
+		former = run
+	}
+	late := scheduler.Report{
+		Clock: w.clock,
+		Born:  w.entry.Born,
+		Active: []scheduler.ActiveRun{
+			{
+				Run: former,
+			},
+		},
+		Ended: []scheduler.EndedRun{
+			{
+				Number: 7,
+				Run:    former,
+				End:    scheduler.EndDone,
+			},
+		},
+	}
+	w.restart()
+	r.round()
+	r.s.Report("w", late, r.now, r.now)
+	r.tick()
+	r.write()
+	r.c.Assert(r.state("j"), qt.Equals, scheduler.Running)
+	r.c.Assert(w.activeRuns, qt.HasLen, 1)
+	r.finishOn(w)
+	r.c.Assert(r.state("j"), qt.Equals, scheduler.Completed)
+}
+
+// TestUnansweredStartIsRefusedByTheNextLife guards against a start that had no answer before
+// the worker crashed, and is carried out by its next life while the task runs elsewhere.
+func TestUnansweredStartIsRefusedByTheNextLife(t *testing.T) {
+	r := newRestartRig(t, "v", "w")
+	r.s.AddJob(r.job("j", newPhase(1, cores(8))), nil, false, r.now)
+	for range 2 {
+		r.advance(100 * time.Millisecond)
+		r.renewLeases()
+		effects := r.s.Tick(r.now)
+		r.write()
+		for _, effect := range effects {
+			start, isStart := effect.(scheduler.StartTask)
+			if !isStart {
+				continue
+			}
+			w := r.workersByID[start.Worker.ID]
+			r.s.StartAnswered(start.Worker.ID, start.Run, scheduler.StartUnknown, r.now)
+			r.s.Tick(r.now)
+			w.restart()
+			r.renewLeases()
+			stopped := false
+			for _, effect := range r.s.Tick(r.now) {
+				switch effect := effect.(type) {
+				case scheduler.StopTask:
+					stopped = stopped || effect.Run == start.Run && effect.Worker.ID == start.Worker.ID
+				case scheduler.StartTask:
+					r.c.Check(stopped, qt.IsTrue, qt.Commentf("%v starts on %s before its run on %s is refused", effect.Run, effect.Worker.ID, start.Worker.ID))
+				case scheduler.AskAdvice, scheduler.PaceTask:
+				}
+			}
+			r.c.Assert(stopped, qt.IsTrue)
+			r.c.Assert(r.s.PlannedRuns(), qt.Equals, 0)
+			return
+		}
+	}
+	r.c.Fatal("no start")
+}
+
+// TestCrashesOfARestartedWorkerCount guards against a task that crashes the same worker time
+// and again, as all crashes of one identity are taken for one.
+func TestCrashesOfARestartedWorkerCount(t *testing.T) {
+	r := newCrashRig(t, 1, firstTaskOf("deadly"))
+	r.restarts = true
+	r.workersByID["w00"].entry.Born = r.now
+	r.updateDirectory()
+	r.renewLeases()
+	r.addJob(r.job("deadly", newPhase(1, cores(1))))
+	for i := range 3 {
+		r.addJob(r.job(fmt.Sprintf("good%d", i), newPhase(2, cores(1))))
+	}
+	r.play(30 * time.Second)
+	r.c.Assert(r.state("deadly"), qt.Equals, scheduler.Failed)
+	for task, n := range r.crashes {
+		r.c.Check(n <= 2, qt.IsTrue, qt.Commentf("%d crashes under %s", n, task))
+	}
+	for i := range 3 {
+		r.c.Check(r.state(fmt.Sprintf("good%d", i)), qt.Equals, scheduler.Completed)
+	}
+}
+
+// TestTicketsOfTheFormerLifeAreNotUsed guards against starts that the worker refuses, as a
+// ticket is valid for one life of the worker.
+func TestTicketsOfTheFormerLifeAreNotUsed(t *testing.T) {
+	r := newRestartRig(t, "w")
+	w := r.workersByID["w"]
+	job := r.job("j", newPhase(1, cores(1)))
+	job.Queue.Advice = &scheduler.Advice{
+		Decision: 10 * time.Millisecond,
+		Validity: 10 * time.Second,
+	}
+	r.s.AddJob(job, nil, false, r.now)
+	// approve answers the calls for advice among the effects of the last tick.
+	approve := func() int {
+		n := 0
+		for _, effect := range r.effects {
+			if ask, isAsk := effect.(scheduler.AskAdvice); isAsk {
+				n++
+				r.s.AdviceAnswered(ask.Step, ask.Workers, []scheduler.Approval{
+					{
+						WorkerID: "w",
+						Ticket:   fmt.Sprintf("ticket of %v", w.entry.Born),
+					},
+				}, 10*time.Second, r.now)
+			}
+		}
+		return n
+	}
+	r.round()
+	r.c.Assert(approve(), qt.Equals, 1)
+	r.round()
+	r.c.Assert(w.activeRuns, qt.HasLen, 1)
+	w.restart()
+	r.round()
+	r.c.Assert(w.activeRuns, qt.HasLen, 0, qt.Commentf("started with a ticket of the former life"))
+	r.c.Assert(approve(), qt.Equals, 1)
+	r.round()
+	r.c.Assert(w.activeRuns, qt.HasLen, 1)
+}
+
+// TestRestartedWorkersKeepInvariants runs interleavings in which workers start again under
+// their identity.
+func TestRestartedWorkersKeepInvariants(t *testing.T) {
+	for seed := range uint64(2000) {
+		random := rand.New(rand.NewPCG(seed, 7))
+		qt.Assert(t, playModelWithRestarts(noFault, random.IntN), qt.Equals, "", qt.Commentf("seed %d", seed))
+	}
+}
--- a/scheduler/rig_test.go
+++ b/scheduler/rig_test.go
@@ -109,6 +109,7 @@
 		w.leaseEnd = max(w.leaseEnd, order.Lease)
 		report := scheduler.Report{
 			Clock: w.clock,
+			Born:  w.entry.Born,
 			Ended: append([]scheduler.EndedRun(nil), w.ended...),
 		}
 		for ref, run := range w.activeRuns {
@@ -178,6 +179,17 @@
 	})
 }
 
+// restart starts the worker again under its identity. It knows nothing of its former life,
+// and its numbers and its clock start anew.
+func (w *fakeWorker) restart() {
+	w.entry.Born = w.entry.Born.Add(time.Second)
+	w.clock = time.Second
+	w.leaseEnd = 0
+	w.ended = nil
+	w.lastEndNumber = 0
+	clear(w.activeRuns)
+}
+
 // endAll ends all runs of a phase, anywhere.
 func (r *rig) endAll(phase int, how scheduler.End) {
 	for _, w := range r.workersByID {
