conductor: a start is not sent any more after a pause of the process

An order to start was sent whenever its goroutine came to it. Only the lease that it names kept a late one from doing harm, and a worker that has started again under its identity cannot tell that this lease is of its former clock. Found by the model of interleavings with such workers, where orders of former owners are carried out seconds later.

An order now names the time up to which it may be sent, 0.7 s after the decision.

--- a/conductor/orders.go
+++ b/conductor/orders.go
@@ -26,12 +26,20 @@
 	return nil
 }
 
+// errOrderOutdated is logged for an order that was not sent in time, as after a pause of the
+// process.
+var errOrderOutdated = errors.New("conductor: the order was not sent in time")
+
 func (c *Conductor) start(ctx context.Context, order scheduler.StartTask) error {
 	began := c.clock.Now()
 	var outcome scheduler.StartOutcome
 	var err error
 	uncertain := false
 	for range startTries {
+		if c.clock.Now().After(order.NotAfter) {
+			outcome, err = scheduler.StartRefused, errOrderOutdated
+			break
+		}
 		// Sending the same order again is safe: the worker starts the run at most
 		// once.
 		outcome, err = c.workers.Start(ctx, c.token, order)
--- a/scheduler/effects.go
+++ b/scheduler/effects.go
@@ -21,6 +21,9 @@
 	// Lease is the expiry of the lease, on the worker's clock. The worker ends
 	// the run then unless the lease was renewed.
 	Lease time.Duration
+	// NotAfter is the time after which the order must not be sent any more. A worker that
+	// has started again meanwhile cannot tell that it is outdated.
+	NotAfter time.Time
 }
 
 // StopTask orders a worker to stop a run, or never to start it if the start has
--- a/scheduler/starting.go
+++ b/scheduler/starting.go
@@ -64,6 +64,10 @@
 	return len(s.plannedRuns) > 0 && now.Sub(s.plannedRuns[0].startedAt) > storeStallTimeout
 }
 
+// startValidity is the time for which the order to start a run may be sent. It allows for a
+// slow host, and is shorter than a worker takes to start again.
+const startValidity = 700 * time.Millisecond
+
 // sendStart emits the start of a run.
 func (s *Scheduler) sendStart(r *run, st *step, now time.Time) {
 	s.markJobStarted(st.job)
@@ -81,6 +85,7 @@
 		Checkpoint: st.tasks[r.ref.Task.Index].checkpoint,
 		Ticket:     st.adviceState.tickets[w.entry.Ref.ID].value,
 		Lease:      s.extendLease(w, now),
+		NotAfter:   now.Add(startValidity),
 	})
 }
 
