scheduler: nothing that is known of a worker outlives the life it was learned from

Cause: an owner kept what it knew of a worker by the worker's identity. A new life numbers its ends from 1 again, so that its owner took them for repetitions of ends that it had processed, skipped them, and acknowledged them with its next renewal. The class: a cache whose key stays the same while what it stands for changes.

Change: reports and entries of the directory say when the life began. With a new one the runs of the former life are lost, and the numbers of ends, the acknowledgement, the clock, the leases, the worker's health and its tickets begin anew. A report of a former life is ignored. A start that had no answer is not counted as lost before the new life has refused it. As the new life has seen no fencing token, nothing starts there before the store has taken it from this owner. Numbers are acknowledged only while the worker answers. Crashes are counted by life, so that a task that crashes the same worker twice is given up. Workers that do not say when their life began have a new identity in each, and are handled as before.

--- a/scheduler/advice.go
+++ b/scheduler/advice.go
@@ -269,10 +269,14 @@
 		st.adviceState.askedWorkers[id] = true
 	}
 	for _, a := range approved {
-		st.adviceState.tickets[a.WorkerID] = ticket{
+		granted := ticket{
 			value:     a.Ticket,
 			expiresAt: now.Add(validity - ticketMargin),
 		}
+		if w := s.workers[a.WorkerID]; w != nil {
+			granted.born = w.born
+		}
+		st.adviceState.tickets[a.WorkerID] = granted
 	}
 	if len(askedWorkers) > 0 {
 		q := s.stats(st.job.record.Queue.Name)
--- a/scheduler/crashes.go
+++ b/scheduler/crashes.go
@@ -43,12 +43,19 @@
 // Crash is a worker that ended, or probably has, while it had a run of a task.
 type Crash struct {
 	Worker string `json:"worker"`
+	// Born is as in WorkerEntry, for the life of the worker that ended.
+	Born time.Time `json:"born,omitzero"`
 	// AtStart is set if the run may have crashed the worker by being started.
 	AtStart bool `json:"atStart,omitempty"`
 	// Confirmed is set once the worker has certainly ended.
 	Confirmed bool `json:"confirmed,omitempty"`
 }
 
+// isOf reports whether the crash ended the worker's present life.
+func (c Crash) isOf(w *worker) bool {
+	return c.Worker == w.entry.Ref.ID && c.Born.Equal(w.born)
+}
+
 // suspected reports whether a worker may have crashed because the task was started there.
 func (t *task) suspected() bool {
 	return slices.ContainsFunc(t.crashes, func(c Crash) bool { return c.AtStart })
@@ -64,8 +71,9 @@
 	return t.suspected() || st.phase.Gang && st.suspected()
 }
 
-// trialGroup returns the worker for whose crash the task, or its gang, is tried.
-func (st *step) trialGroup(t *task) string {
+// trialGroup returns the crash for which the task, or its gang, is tried, zero if there is
+// none.
+func (st *step) trialGroup(t *task) crashKey {
 	tasks := []task{*t}
 	if st.phase.Gang {
 		tasks = st.tasks
@@ -73,11 +81,21 @@
 	for i := range tasks {
 		for _, c := range tasks[i].crashes {
 			if c.AtStart {
-				return c.Worker
+				return crashKey{
+					worker: c.Worker,
+					born:   c.Born.UnixMilli(),
+				}
 			}
 		}
 	}
-	return ""
+	return crashKey{}
+}
+
+// crashKey identifies a crash by the life of the worker, which began at a time in
+// milliseconds.
+type crashKey struct {
+	worker string
+	born   int64
 }
 
 // givenUp reports whether the task may not be started any more. A worker that is not known
@@ -140,6 +158,7 @@
 		if st, t := s.findTask(r.ref.Task); t != nil && !t.done && !st.job.state.Final() {
 			s.addCrash(st, t, r.ref.Task, Crash{
 				Worker:  w.entry.Ref.ID,
+				Born:    w.born,
 				AtStart: true,
 			})
 		}
@@ -150,7 +169,7 @@
 func (s *Scheduler) addCrash(st *step, t *task, ref TaskRef, crash Crash) {
 	s.dirtyJobs[st.job.record.ID] = true
 	for i := range t.crashes {
-		if known := &t.crashes[i]; known.Worker == crash.Worker {
+		if known := &t.crashes[i]; known.Worker == crash.Worker && known.Born.Equal(crash.Born) {
 			known.AtStart = known.AtStart || crash.AtStart
 			known.Confirmed = known.Confirmed || crash.Confirmed
 			return
@@ -190,7 +209,7 @@
 // clearSuspects records that a worker which was silent has not crashed.
 func (s *Scheduler) clearSuspects(w *worker) {
 	for _, ref := range s.suspects[w.entry.Ref.ID] {
-		s.dropCrashes(ref, func(c Crash) bool { return c.Worker == w.entry.Ref.ID && !c.Confirmed })
+		s.dropCrashes(ref, func(c Crash) bool { return c.isOf(w) && !c.Confirmed })
 	}
 	delete(s.suspects, w.entry.Ref.ID)
 }
@@ -206,9 +225,11 @@
 	}
 }
 
-// confirmCrash records that a worker has ended although it had not said that it would
-// leave. It is called while its runs are still known, and returns the tasks concerned.
-func (s *Scheduler) confirmCrash(w *worker, now time.Time) []TaskRef {
+// confirmCrash records that the present life of a worker has ended although the worker had
+// not said that it would leave, and so have the lives that began before born, or all lives
+// if born is zero. It is called while the runs of that life are still known, and returns the
+// tasks concerned.
+func (s *Scheduler) confirmCrash(w *worker, born, now time.Time) []TaskRef {
 	if w.entry.Leaving {
 		s.clearSuspects(w)
 		return nil
@@ -218,22 +239,38 @@
 	}
 	refs := s.suspects[w.entry.Ref.ID]
 	delete(s.suspects, w.entry.Ref.ID)
-	for _, r := range w.runs {
-		if r.state != runPlanned && !s.outlived(r, settledAfter, w.aliveAt) {
-			refs = append(refs, r.ref.Task)
+	for _, ref := range refs {
+		if _, t := s.findTask(ref); t != nil {
+			t.confirmCrashes(w.entry.Ref.ID, born)
+			s.dirtyJobs[ref.Step.Job] = true
 		}
 	}
-	for _, ref := range refs {
-		if st, t := s.findTask(ref); t != nil && !t.done && !st.job.state.Final() {
-			s.addCrash(st, t, ref, Crash{
-				Worker:    w.entry.Ref.ID,
-				Confirmed: true,
-			})
+	for _, r := range w.runs {
+		st, t := s.findTask(r.ref.Task)
+		counts := r.state != runPlanned && !s.outlived(r, settledAfter, w.aliveAt)
+		if t == nil || t.done || st.job.state.Final() || !counts {
+			continue
 		}
+		s.addCrash(st, t, r.ref.Task, Crash{
+			Worker:    w.entry.Ref.ID,
+			Born:      w.born,
+			Confirmed: true,
+		})
+		refs = append(refs, r.ref.Task)
 	}
 	return refs
 }
 
+// confirmCrashes marks the crashes of those lives of a worker as confirmed that began before
+// born, or of all its lives if born is zero.
+func (t *task) confirmCrashes(workerID string, born time.Time) {
+	for i := range t.crashes {
+		if c := &t.crashes[i]; c.Worker == workerID && (born.IsZero() || c.Born.Before(born)) {
+			c.Confirmed = true
+		}
+	}
+}
+
 // giveUpCrashing ends the jobs of those tasks that crash their workers.
 func (s *Scheduler) giveUpCrashing(refs []TaskRef, now time.Time) {
 	for _, ref := range refs {
@@ -263,17 +300,16 @@
 	}
 }
 
-// trials returns the crashes for which suspects are tried on workers of the service, each
-// named by the worker that crashed. A trial lasts until the worker has outlived the start,
+// trials returns the crashes for which suspects are tried on workers of the service. A trial lasts until the worker has outlived the start,
 // or until it is known what became of the worker.
-func (s *Scheduler) trials(service string, now time.Time) map[string]bool {
-	trials := make(map[string]bool)
+func (s *Scheduler) trials(service string, now time.Time) map[crashKey]bool {
+	trials := make(map[crashKey]bool)
 	for _, w := range s.workers {
 		if w.trials == 0 || w.entry.Service != service {
 			continue
 		}
 		for _, r := range w.runs {
-			if r.trialGroup != "" && (!w.silentSince.IsZero() || s.isTried(r, now)) {
+			if r.trialGroup != (crashKey{}) && (!w.silentSince.IsZero() || s.isTried(r, now)) {
 				trials[r.trialGroup] = true
 			}
 		}
@@ -292,7 +328,7 @@
 		return false
 	}
 	for _, r := range w.runs {
-		if r.trialGroup != "" && s.isTried(r, now) {
+		if r.trialGroup != (crashKey{}) && s.isTried(r, now) {
 			return true
 		}
 	}
--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -52,7 +52,7 @@
 	preemptible map[int]sizer.Size
 	// trials holds the crashes for which suspects are tried, and maxTrials the limit of
 	// their number. trials is nil until it is needed.
-	trials    map[string]bool
+	trials    map[crashKey]bool
 	maxTrials int
 	// maxCapacity is the maximum of each resource that a worker of the service
 	// has.
@@ -279,7 +279,7 @@
 		return true
 	}
 	granted, found := st.adviceState.tickets[w.entry.Ref.ID]
-	return found && now.Before(granted.expiresAt)
+	return found && now.Before(granted.expiresAt) && granted.born.Equal(w.born)
 }
 
 // meetsRequirements reports whether the worker could run tasks of the step if it
--- a/scheduler/reports.go
+++ b/scheduler/reports.go
@@ -71,7 +71,10 @@
 	if w == nil {
 		return
 	}
-	s.noteBirth(w, report)
+	if !s.beginLife(w, report.Born, now) {
+		// A late answer of a life that has ended.
+		return
+	}
 	if !w.reported || report.Clock > w.clockAt(now) {
 		w.clockReading = report.Clock
 		w.clockReadAt = now
@@ -116,18 +119,6 @@
 	}
 }
 
-// noteBirth notes that a worker has started again under its identity.
-func (s *Scheduler) noteBirth(w *worker, report Report) {
-	if report.Born.IsZero() || report.Born.Equal(w.born) {
-		return
-	}
-	if !w.born.IsZero() {
-		s.addNote(fmt.Sprintf("worker has started again under its identity: ends up to %d were processed, %d are acknowledged, its clock was above %v and is %v",
-			w.lastEndNumber, w.ackedNumber, w.clockReading, report.Clock), TaskRef{}, w.entry.Ref.ID, report.Born.Sub(w.born))
-	}
-	w.born = report.Born
-}
-
 // handleEnd processes the end of one run, and queues its acknowledgement until
 // the changes that it causes are stored.
 func (s *Scheduler) handleEnd(w *worker, row EndedRun, now time.Time) {
--- a/scheduler/restarts_test.go
+++ b/scheduler/restarts_test.go
@@ -79,6 +79,7 @@
 			w.silent = false
 			w.restart()
 			test.learn(r)
+			r.write()
 			r.s.AddJob(r.job("second", newPhase(3, cores(1))), nil, false, r.now)
 			r.round()
 			r.c.Assert(w.activeRuns, qt.HasLen, 3)
@@ -105,10 +106,15 @@
 	r := newRestartRig(t, "w")
 	w := r.workersByID["w"]
 	r.s.AddJob(r.job("j", newPhase(3, cores(1))), nil, false, r.now)
-	r.round()
+	for range 5 {
+		r.round()
+	}
 	r.c.Assert(w.activeRuns, qt.HasLen, 3)
 	w.restart()
-	r.round()
+	for range 3 {
+		r.round()
+		r.write()
+	}
 	r.c.Assert(w.activeRuns, qt.HasLen, 3)
 	r.finishOn(w)
 	r.c.Assert(r.state("j"), qt.Equals, scheduler.Completed)
@@ -142,7 +148,10 @@
 		},
 	}
 	w.restart()
-	r.round()
+	for range 2 {
+		r.round()
+		r.write()
+	}
 	r.s.Report("w", late, r.now, r.now)
 	r.tick()
 	r.write()
@@ -244,7 +253,10 @@
 	r.round()
 	r.c.Assert(w.activeRuns, qt.HasLen, 1)
 	w.restart()
-	r.round()
+	for range 2 {
+		r.round()
+		r.write()
+	}
 	r.c.Assert(w.activeRuns, qt.HasLen, 0, qt.Commentf("started with a ticket of the former life"))
 	r.c.Assert(approve(), qt.Equals, 1)
 	r.round()
--- a/scheduler/tables.go
+++ b/scheduler/tables.go
@@ -160,6 +160,8 @@
 type ticket struct {
 	value     string
 	expiresAt time.Time
+	// born is the time at which the life of the worker began for which the ticket is valid.
+	born time.Time
 }
 
 // runState is the state of a run.
@@ -206,10 +208,10 @@
 	// then.
 	presentAt time.Time
 	// watched is set if workers have crashed with an earlier run of the task. trialGroup
-	// is not empty if the task was a suspect when it was started, and names the worker
-	// for whose crash it is tried.
+	// is the crash for which the task is tried, zero unless it was a suspect when it was
+	// started.
 	watched    bool
-	trialGroup string
+	trialGroup crashKey
 	// stopSentAt is the time at which the last stop was sent, and stopInFlight
 	// is set while it is not answered.
 	stopSentAt   time.Time
@@ -231,7 +233,8 @@
 // worker is one incarnation of a worker.
 type worker struct {
 	entry WorkerEntry
-	// born is the latest start that the worker has reported, zero if it reports none.
+	// born is the time at which the latest life of the worker began that this owner knows
+	// of, zero if the worker does not say it. All that follows is of that life.
 	born time.Time
 	// listed is set while the directory lists the worker.
 	listed bool
@@ -364,7 +367,7 @@
 	if r.watched {
 		w.watchedRuns++
 	}
-	if r.trialGroup != "" {
+	if r.trialGroup != (crashKey{}) {
 		w.trials++
 	}
 }
@@ -387,7 +390,7 @@
 	if r.watched {
 		w.watchedRuns--
 	}
-	if r.trialGroup != "" {
+	if r.trialGroup != (crashKey{}) {
 		w.trials--
 	}
 	return found
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -57,6 +57,8 @@
 			w = newWorker(entry)
 			s.workers[entry.Ref.ID] = w
 		}
+		// The directory may lag behind what the worker has said.
+		s.beginLife(w, entry.Born, s.tickedAt)
 		w.entry = entry
 		w.listed = true
 	}
@@ -168,7 +170,9 @@
 func (s *Scheduler) workersInUse() []WorkerEntry {
 	entries := make([]WorkerEntry, 0, len(s.workers))
 	for _, w := range s.workers {
-		entries = append(entries, w.entry)
+		entry := w.entry
+		entry.Born = w.born
+		entries = append(entries, entry)
 	}
 	slices.SortFunc(entries, func(a, b WorkerEntry) int {
 		return strings.Compare(a.Ref.ID, b.Ref.ID)
@@ -179,6 +183,7 @@
 func newWorker(entry WorkerEntry) *worker {
 	return &worker{
 		entry:      entry,
+		born:       entry.Born,
 		runs:       make(map[RunRef]*run),
 		failedJobs: make(map[string]bool),
 		slowness:   1,
@@ -206,9 +211,12 @@
 		w.pendingAcks = w.pendingAcks[1:]
 	}
 	order := LeaseRenewal{
-		Worker:      w.entry.Ref,
-		Acknowledge: w.ackedNumber,
-		Unstored:    len(w.pendingAcks) > 0,
+		Worker:   w.entry.Ref,
+		Unstored: len(w.pendingAcks) > 0,
+	}
+	if w.silentSince.IsZero() && now.Sub(w.lastReportAt) < maxReportAge {
+		// Otherwise the worker may have started again, and its ends be others.
+		order.Acknowledge = w.ackedNumber
 	}
 	if w.reported && w.silentSince.IsZero() && !s.storedSilent[id] {
 		order.Lease = s.extendLease(w, now)
@@ -258,7 +266,7 @@
 	if w == nil {
 		return
 	}
-	crashed := s.confirmCrash(w, now)
+	crashed := s.confirmCrash(w, time.Time{}, now)
 	s.markAllLost(w, "worker ended", now)
 	s.giveUpCrashing(crashed, now)
 	w.reported = true
