scheduler: a next owner counts a crash of a life that it has not seen

A crash that the former owner stored as unconfirmed stayed so if the directory already showed the worker's next life at the takeover, and the task had one try more than it should. A later life of the worker shows that the one before has ended. TestNextOwnerCountsACrashOfAFormerLife failed before.

--- a/scheduler/crashes.go
+++ b/scheduler/crashes.go
@@ -183,8 +183,13 @@
 
 // restoreCrashes sets the crashes of a task that a former owner stored.
 func (s *Scheduler) restoreCrashes(st *step, index int, stored []Crash) {
-	st.tasks[index].crashes = slices.Clone(stored)
-	for _, c := range stored {
+	crashes := slices.Clone(stored)
+	st.tasks[index].crashes = crashes
+	for i := range crashes {
+		c := &crashes[i]
+		if w := s.workers[c.Worker]; w != nil && c.Born.Before(w.born) {
+			c.Confirmed = true
+		}
 		if !c.Confirmed {
 			s.suspects[c.Worker] = append(s.suspects[c.Worker], TaskRef{
 				Step:  st.ref,
--- a/scheduler/restarts_test.go
+++ b/scheduler/restarts_test.go
@@ -221,6 +221,33 @@
 	}
 }
 
+// TestNextOwnerCountsACrashOfAFormerLife guards against a crash that the next owner never
+// counts, as it has only seen the worker's new life.
+func TestNextOwnerCountsACrashOfAFormerLife(t *testing.T) {
+	r := newCrashRig(t, 2, firstTaskOf("deadly"))
+	r.restarts = true
+	for _, w := range r.workersByID {
+		w.entry.Born = r.now
+	}
+	w := r.workersByID["w00"]
+	r.updateDirectory()
+	r.renewLeases()
+	r.addJob(r.job("deadly", newPhase(1, cores(1))))
+	r.play(time.Second)
+	r.c.Assert(w.silent, qt.IsTrue)
+	delete(r.downSince, "w00")
+	w.silent = false
+	w.restart()
+	// The task fits the other worker better, so that the restarted one does not crash again.
+	r.workersByID["w01"].entry.Total = cores(2)
+	r.takeOver()
+	r.play(30 * time.Second)
+	r.c.Assert(r.state("deadly"), qt.Equals, scheduler.Failed)
+	for task, n := range r.crashes {
+		r.c.Check(n <= 2, qt.IsTrue, qt.Commentf("%d crashes under %s", n, task))
+	}
+}
+
 // TestTicketsOfTheFormerLifeAreNotUsed guards against starts that the worker refuses, as a
 // ticket is valid for one life of the worker.
 func TestTicketsOfTheFormerLifeAreNotUsed(t *testing.T) {
