scheduler: a late confirmation of a crash does not end the owner's process

Found by reading: a worker that is known to have ended long after its suspects' job made that job unwritten again. If the job was forgotten in the same tick, the next write dereferenced a nil job. TestCrashIsConfirmedAfterItsJobEnded panicked before.

--- a/scheduler/crashes.go
+++ b/scheduler/crashes.go
@@ -245,7 +245,7 @@
 	refs := s.suspects[w.entry.Ref.ID]
 	delete(s.suspects, w.entry.Ref.ID)
 	for _, ref := range refs {
-		if _, t := s.findTask(ref); t != nil {
+		if st, t := s.findTask(ref); t != nil && !st.job.state.Final() {
 			t.confirmCrashes(w.entry.Ref.ID, born)
 			s.dirtyJobs[ref.Step.Job] = true
 		}
--- a/scheduler/crashes_test.go
+++ b/scheduler/crashes_test.go
@@ -391,3 +391,23 @@
 		r.c.Check(r.state(id), qt.Equals, scheduler.Completed, qt.Commentf("%s", id))
 	}
 }
+
+// TestCrashIsConfirmedAfterItsJobEnded guards against a crash of the owner: it learned of the
+// end of a worker just as it forgot a job with a run there.
+func TestCrashIsConfirmedAfterItsJobEnded(t *testing.T) {
+	r := newCrashRig(t, 2, firstTaskOf("deadly"))
+	r.downFor = time.Hour
+	r.addJob(r.job("deadly", newPhase(1, cores(1))))
+	r.play(time.Second)
+	r.c.Assert(r.downSince, qt.HasLen, 1)
+	r.s.Cancel("deadly", r.now)
+	r.play(time.Second)
+	for id := range r.downSince {
+		r.advance(131 * time.Second)
+		r.s.WorkerGone(id, r.now)
+	}
+	r.s.Tick(r.now)
+	r.write()
+	_, known := r.s.State("deadly")
+	r.c.Assert(known, qt.IsFalse)
+}
