--- a/scheduler/crashes.go
+++ b/scheduler/crashes.go
@@ -5,8 +5,6 @@
 	"slices"
 	"strings"
 	"time"
-
-	"github.com/galenacove/galenacove/sizer"
 )
 
 // A task that crashes the workers that start it is told from those that run beside it by
@@ -18,9 +16,6 @@
 const (
 	// crashDelay is the time after its start within which a run may crash its worker.
 	crashDelay = 250 * time.Millisecond
-	// trialMargin is added to crashDelay before other runs may start beside a suspect. It
-	// covers the time until a crash is noticed.
-	trialMargin = 50 * time.Millisecond
 	// maxStartCrashes is the number of workers that have crashed at a start of a task at
 	// which it is given up.
 	maxStartCrashes = 2
@@ -30,14 +25,6 @@
 	maxCrashes = 5
 	// settledAfter is the time after which a run is taken not to crash its worker.
 	settledAfter = 10 * time.Second
-	// workersPerTrial and minTrials limit the suspects that are tried at once, to one for
-	// so many available workers, but not to fewer than minTrials. Suspects of the same
-	// crash count as one, as only one of them can have caused it. idleWorkersPerTrial is
-	// used instead of workersPerTrial while less than half of the service is in use, as
-	// what is lost with a worker then starts again at once.
-	workersPerTrial     = 4
-	idleWorkersPerTrial = 2
-	minTrials           = 2
 )
 
 // Crash is a worker that ended, or probably has, while it had a run of a task.
@@ -66,38 +53,6 @@
 	return slices.ContainsFunc(st.tasks, func(t task) bool { return !t.done && t.suspected() })
 }
 
-// isTrial reports whether a start of the task is a trial.
-func (st *step) isTrial(t *task) bool {
-	return t.suspected() || st.phase.Gang && st.suspected()
-}
-
-// trialGroup returns the crash for which the task, or its gang, is tried, zero if there is
-// none.
-func (st *step) trialGroup(t *task) crashKey {
-	tasks := []task{*t}
-	if st.phase.Gang {
-		tasks = st.tasks
-	}
-	for i := range tasks {
-		for _, c := range tasks[i].crashes {
-			if c.AtStart {
-				return crashKey{
-					worker: c.Worker,
-					born:   c.Born.UnixMilli(),
-				}
-			}
-		}
-	}
-	return crashKey{}
-}
-
-// crashKey identifies a crash by the life of the worker, which began at a time in
-// milliseconds.
-type crashKey struct {
-	worker string
-	born   int64
-}
-
 // givenUp reports whether the task may not be started any more. A worker that is not known
 // to have ended may only have been cut off, so such workers count as one less.
 func (t *task) givenUp() bool {
@@ -304,114 +259,3 @@
 		s.dropCrashes(r.ref.Task, func(c Crash) bool { return c.AtStart || settled })
 	}
 }
-
-// trials returns the crashes for which suspects are tried on workers of the service. A trial lasts until the worker has outlived the start,
-// or until it is known what became of the worker.
-func (s *Scheduler) trials(service string, now time.Time) map[crashKey]bool {
-	trials := make(map[crashKey]bool)
-	for _, w := range s.workers {
-		if w.trials == 0 || w.entry.Service != service {
-			continue
-		}
-		for _, r := range w.runs {
-			if r.trialGroup != (crashKey{}) && (!w.silentSince.IsZero() || s.isTried(r, now)) {
-				trials[r.trialGroup] = true
-			}
-		}
-	}
-	return trials
-}
-
-// isTried reports whether the run may still crash its worker by being started.
-func (s *Scheduler) isTried(r *run, now time.Time) bool {
-	return !s.outlived(r, crashDelay+trialMargin, now)
-}
-
-// hasTrial reports whether a suspect is being tried on the worker.
-func (s *Scheduler) hasTrial(w *worker, now time.Time) bool {
-	if w.trials == 0 {
-		return false
-	}
-	for _, r := range w.runs {
-		if r.trialGroup != (crashKey{}) && s.isTried(r, now) {
-			return true
-		}
-	}
-	return false
-}
-
-// mayTry reports whether the task, or its gang, may be tried now. Lasting tasks, on which
-// callers depend all the time, do not wait for others.
-func (s *Scheduler) mayTry(st *step, t *task, p *pool, now time.Time) bool {
-	if p.trials == nil {
-		p.trials = s.trials(st.job.record.Queue.Service, now)
-		p.maxTrials = maxTrials(p.workers)
-	}
-	return st.phase.Lasting || p.trials[st.trialGroup(t)] || len(p.trials) < p.maxTrials
-}
-
-// awaitsTrial reports whether all waiting tasks of the step are suspects that may not be
-// tried now. Such a step needs neither advice nor workers yet.
-func (s *Scheduler) awaitsTrial(st *step, p *pool, now time.Time) bool {
-	if st.waiting == 0 || st.waitingSuspects() < st.waiting {
-		return false
-	}
-	for i := range st.tasks {
-		if t := &st.tasks[i]; !t.done && t.run == nil && s.mayTry(st, t, p, now) {
-			return false
-		}
-	}
-	return true
-}
-
-// maxTrials returns how many suspects may be tried at once on the available workers of a
-// service.
-func maxTrials(workers []*worker) int {
-	var used, total sizer.Size
-	for _, w := range workers {
-		used = used.Add(w.used)
-		total = total.Add(w.entry.Total)
-	}
-	perTrial := workersPerTrial
-	if used.DominantShare(total) < 0.5 {
-		perTrial = idleWorkersPerTrial
-	}
-	return max(minTrials, len(workers)/perTrial)
-}
-
-// mayTryOn reports whether a suspect may be started on the worker: whether its crash could
-// have no other cause.
-func (s *Scheduler) mayTryOn(w *worker, now time.Time) bool {
-	for _, r := range w.runs {
-		if !s.outlived(r, crashDelay, now) {
-			return false
-		}
-	}
-	return true
-}
-
-// mayCopy reports whether a copy of the task's run may be started. One of a task that
-// crashes its workers would crash a second worker before anything is known of the first.
-func (t *task) mayCopy() bool {
-	return !t.suspected() && len(t.crashes) < maxStartCrashes
-}
-
-// stakeWeight is the weight of what runs on a worker when one is chosen for a suspect. It
-// outweighs everything else, as all of it is lost if the worker crashes.
-const stakeWeight = 50
-
-// stake rates what is lost if the worker crashes.
-func (w *worker) stake() float64 {
-	return stakeWeight * w.used.DominantShare(w.entry.Total)
-}
-
-// waitingSuspects counts the waiting tasks of the step that are suspects.
-func (st *step) waitingSuspects() int {
-	n := 0
-	for i := range st.tasks {
-		if t := &st.tasks[i]; !t.done && t.run == nil && t.suspected() {
-			n++
-		}
-	}
-	return n
-}
