scheduler: the usual terms for a worker that starts again

The platform's word for the start of a worker was used outside package platform, and what the glossary calls an incarnation had a second name. Names and comments only.

--- a/scheduler/advice.go
+++ b/scheduler/advice.go
@@ -274,7 +274,7 @@
 			expiresAt: now.Add(validity - ticketMargin),
 		}
 		if w := s.workers[a.WorkerID]; w != nil {
-			granted.born = w.born
+			granted.startedAt = w.startedAt
 		}
 		st.adviceState.tickets[a.WorkerID] = granted
 	}
--- a/scheduler/crashes.go
+++ b/scheduler/crashes.go
@@ -30,17 +30,17 @@
 // Crash is a worker that ended, or probably has, while it had a run of a task.
 type Crash struct {
 	Worker string `json:"worker"`
-	// Born is as in WorkerEntry, for the life of the worker that ended.
-	Born time.Time `json:"born,omitzero"`
+	// StartedAt is as in WorkerEntry, for the incarnation of the worker that ended.
+	StartedAt time.Time `json:"startedAt,omitzero"`
 	// AtStart is set if the run may have crashed the worker by being started.
 	AtStart bool `json:"atStart,omitempty"`
 	// Confirmed is set once the worker has certainly ended.
 	Confirmed bool `json:"confirmed,omitempty"`
 }
 
-// isOf reports whether the crash ended the worker's present life.
+// isOf reports whether the crash ended the worker's present incarnation.
 func (c Crash) isOf(w *worker) bool {
-	return c.Worker == w.entry.Ref.ID && c.Born.Equal(w.born)
+	return c.Worker == w.entry.Ref.ID && c.StartedAt.Equal(w.startedAt)
 }
 
 // suspected reports whether a worker may have crashed because the task was started there.
@@ -112,9 +112,9 @@
 		}
 		if st, t := s.findTask(r.ref.Task); t != nil && !t.done && !st.job.state.Final() {
 			s.addCrash(st, t, r.ref.Task, Crash{
-				Worker:  w.entry.Ref.ID,
-				Born:    w.born,
-				AtStart: true,
+				Worker:    w.entry.Ref.ID,
+				StartedAt: w.startedAt,
+				AtStart:   true,
 			})
 		}
 	}
@@ -124,7 +124,7 @@
 func (s *Scheduler) addCrash(st *step, t *task, ref TaskRef, crash Crash) {
 	s.dirtyJobs[st.job.record.ID] = true
 	for i := range t.crashes {
-		if known := &t.crashes[i]; known.Worker == crash.Worker && known.Born.Equal(crash.Born) {
+		if known := &t.crashes[i]; known.Worker == crash.Worker && known.StartedAt.Equal(crash.StartedAt) {
 			known.AtStart = known.AtStart || crash.AtStart
 			known.Confirmed = known.Confirmed || crash.Confirmed
 			return
@@ -142,7 +142,7 @@
 	st.tasks[index].crashes = crashes
 	for i := range crashes {
 		c := &crashes[i]
-		if w := s.workers[c.Worker]; w != nil && c.Born.Before(w.born) {
+		if w := s.workers[c.Worker]; w != nil && c.StartedAt.Before(w.startedAt) {
 			c.Confirmed = true
 		}
 		if !c.Confirmed {
@@ -185,11 +185,11 @@
 	}
 }
 
-// confirmCrash records that the present life of a worker has ended although the worker had
-// not said that it would leave, and so have the lives that began before born, or all lives
-// if born is zero. It is called while the runs of that life are still known, and returns the
-// tasks concerned.
-func (s *Scheduler) confirmCrash(w *worker, born, now time.Time) []TaskRef {
+// confirmCrash records that the present incarnation of a worker has ended although the
+// worker had not said that it would leave, and so have the incarnations that began before
+// startedAt, or all incarnations if startedAt is zero. It is called while the runs of that
+// incarnation are still known, and returns the tasks concerned.
+func (s *Scheduler) confirmCrash(w *worker, startedAt, now time.Time) []TaskRef {
 	if w.entry.Leaving {
 		s.clearSuspects(w)
 		return nil
@@ -201,7 +201,7 @@
 	delete(s.suspects, w.entry.Ref.ID)
 	for _, ref := range refs {
 		if st, t := s.findTask(ref); t != nil && !st.job.state.Final() {
-			t.confirmCrashes(w.entry.Ref.ID, born)
+			t.confirmCrashes(w.entry.Ref.ID, startedAt)
 			s.dirtyJobs[ref.Step.Job] = true
 		}
 	}
@@ -213,7 +213,7 @@
 		}
 		s.addCrash(st, t, r.ref.Task, Crash{
 			Worker:    w.entry.Ref.ID,
-			Born:      w.born,
+			StartedAt: w.startedAt,
 			Confirmed: true,
 		})
 		refs = append(refs, r.ref.Task)
@@ -221,11 +221,11 @@
 	return refs
 }
 
-// confirmCrashes marks the crashes of those lives of a worker as confirmed that began before
-// born, or of all its lives if born is zero.
-func (t *task) confirmCrashes(workerID string, born time.Time) {
+// confirmCrashes marks the crashes of those incarnations of a worker as confirmed that began
+// before startedAt, or of all its incarnations if startedAt is zero.
+func (t *task) confirmCrashes(workerID string, startedAt time.Time) {
 	for i := range t.crashes {
-		if c := &t.crashes[i]; c.Worker == workerID && (born.IsZero() || c.Born.Before(born)) {
+		if c := &t.crashes[i]; c.Worker == workerID && (startedAt.IsZero() || c.StartedAt.Before(startedAt)) {
 			c.Confirmed = true
 		}
 	}
--- a/scheduler/crashes_test.go
+++ b/scheduler/crashes_test.go
@@ -31,9 +31,9 @@
 	// crashed one has ended.
 	movesAway bool
 	// restarts lets crashed workers start again under their identity.
-	restarts bool
-	lives    int
-	jobs     []scheduler.Job
+	restarts     bool
+	replacements int
+	jobs         []scheduler.Job
 }
 
 func newCrashRig(t *testing.T, workers int, deadly func(scheduler.TaskRef) bool) *crashRig {
@@ -109,13 +109,13 @@
 			continue
 		}
 		delete(r.downSince, id)
-		r.lives++
+		r.replacements++
 		if r.restarts {
 			r.workersByID[id].silent = false
 			r.workersByID[id].restart()
 			continue
 		}
-		next := r.addWorker(fmt.Sprintf("%s-%d", workerName(0), r.lives), cores(8))
+		next := r.addWorker(fmt.Sprintf("%s-%d", workerName(0), r.replacements), cores(8))
 		next.runTime = time.Second
 		next.entry.Ref.Address = r.workersByID[id].entry.Ref.Address
 		if r.movesAway {
@@ -326,7 +326,7 @@
 		{
 			name: "half of the workers crash at once",
 			disturb: func(r *crashRig) {
-				if r.lives > 0 || len(r.downSince) > 0 {
+				if r.replacements > 0 || len(r.downSince) > 0 {
 					return
 				}
 				ids := slices.Sorted(maps.Keys(r.workersByID))
--- /dev/null
+++ b/scheduler/incarnations.go
@@ -0,0 +1,69 @@
+package scheduler
+
+import (
+	"fmt"
+	"time"
+)
+
+// A worker may start again under its identity. Its next incarnation knows nothing of the
+// runs, the ends and the orders of the one before, and its numbers of ends and its clock
+// start anew, so that nothing that was learned from one incarnation may be applied to
+// another. A worker that does not say when its incarnation began has a new identity in each
+// incarnation.
+
+// beginIncarnation records that the worker said when its incarnation began, and reports
+// whether it speaks for its latest incarnation. If that is a new one, the former one has
+// ended.
+func (s *Scheduler) beginIncarnation(w *worker, startedAt, now time.Time) bool {
+	switch {
+	case startedAt.IsZero() || startedAt.Equal(w.startedAt):
+		return true
+	case startedAt.Before(w.startedAt):
+		return false
+	}
+	if !w.startedAt.IsZero() {
+		s.endIncarnation(w, startedAt, now)
+	}
+	w.startedAt = startedAt
+	return true
+}
+
+// endIncarnation ends the runs of a worker that has started again at the given time, and
+// forgets what is known of its former incarnation.
+func (s *Scheduler) endIncarnation(w *worker, startedAt, now time.Time) {
+	s.addNote(fmt.Sprintf("worker has started again under its identity: ends up to %d were processed, %d are acknowledged, its clock was above %v",
+		w.lastEndNumber, w.ackedNumber, w.clockReading), TaskRef{}, w.entry.Ref.ID, startedAt.Sub(w.startedAt))
+	crashed := s.confirmCrash(w, startedAt, now)
+	if len(w.runs) > 0 {
+		s.losses.Workers["worker started again"]++
+	}
+	for _, r := range sortedRuns(w) {
+		switch {
+		case r.state == runPlanned:
+		case r.state == runUncertain || r.state == runStarting && r.confirmedAt.IsZero():
+			// The order may reach the new incarnation, which has forgotten any stop. It
+			// refuses the order once it has been told to stop the run.
+			r.state = runUncertain
+			r.stopInFlight = false
+			s.stopRun(r, now, "worker started again")
+		default:
+			s.losses.Runs["worker started again"]++
+			s.markLost(r, "worker started again"+s.describeLoss(r), now)
+		}
+	}
+	s.giveUpCrashing(crashed, now)
+	w.lastEndNumber, w.ackedNumber, w.pendingAcks = 0, 0, nil
+	// A clock that starts anew is above zero.
+	w.clockReading, w.clockReadAt = 0, now
+	w.leaseEnd = 0
+	// A start that arrives yet names a time of the former clock, so that its run gets the
+	// longest lease.
+	w.formerOrdersEnd = now.Add(startValidity + time.Duration(float64(s.options.maxLease)/minClockRate))
+	w.lastReportAt = time.Time{}
+	// The new incarnation has seen no fencing token. Only the owner that the store knows can
+	// have it stored, and start anything there.
+	w.recorded = false
+	clear(w.failedJobs)
+	w.failureStreak, w.setAsideCount, w.setAsideUntil = 0, 0, time.Time{}
+	w.slowness = 1
+}
--- a/scheduler/interleaving_test.go
+++ b/scheduler/interleaving_test.go
@@ -50,8 +50,8 @@
 	// endingUnnamed hides from the next owner the runs that had not ended although their
 	// task was done or their job had ended.
 	endingUnnamed fault = "stored jobs name no ending runs"
-	// birthsUnsaid lets workers that start again under their identity not say so.
-	birthsUnsaid fault = "workers do not say that they have started again"
+	// restartsUnsaid lets workers that start again under their identity not say so.
+	restartsUnsaid fault = "workers do not say that they have started again"
 )
 
 // model simulates owners, workers and a store, which act in random order. Calls may
@@ -194,9 +194,9 @@
 				ID:      id,
 				Address: id + ":1",
 			},
-			Service: "desk",
-			Born:    m.now,
-			Total:   cores(4),
+			Service:   "desk",
+			StartedAt: m.now,
+			Total:     cores(4),
 		},
 		up:              true,
 		clock:           time.Hour,
@@ -210,8 +210,8 @@
 	for _, w := range m.workers {
 		if w.up && !w.unlisted {
 			entry := w.entry
-			if m.fault == birthsUnsaid {
-				entry.Born = time.Time{}
+			if m.fault == restartsUnsaid {
+				entry.StartedAt = time.Time{}
 			}
 			entries = append(entries, entry)
 		}
@@ -293,7 +293,7 @@
 	clear(w.active)
 	m.lateOrders = nil
 	m.advance(downTime)
-	w.entry.Born = w.entry.Born.Add(downTime)
+	w.entry.StartedAt = w.entry.StartedAt.Add(downTime)
 	w.clock = time.Duration(m.draw(100)) * time.Millisecond
 	w.leaseEnd = 0
 	w.token = 0
@@ -614,8 +614,8 @@
 		Clock: w.clock,
 		Ended: slices.Clone(w.ended),
 	}
-	if m.fault != birthsUnsaid {
-		report.Born = w.entry.Born
+	if m.fault != restartsUnsaid {
+		report.StartedAt = w.entry.StartedAt
 	}
 	for len(w.ended) > 0 && w.ended[0].Number <= acknowledged {
 		lasting := w.ended[0].Run.Task.Step.Job == lastingJob
@@ -886,7 +886,7 @@
 			play:  playModelWithCancellations,
 		},
 		{
-			fault: birthsUnsaid,
+			fault: restartsUnsaid,
 			play:  playModelWithRestarts,
 		},
 	} {
--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -279,7 +279,7 @@
 		return true
 	}
 	granted, found := st.adviceState.tickets[w.entry.Ref.ID]
-	return found && now.Before(granted.expiresAt) && granted.born.Equal(w.born)
+	return found && now.Before(granted.expiresAt) && granted.startedAt.Equal(w.startedAt)
 }
 
 // meetsRequirements reports whether the worker could run tasks of the step if it
--- a/scheduler/reports.go
+++ b/scheduler/reports.go
@@ -58,10 +58,10 @@
 type Report struct {
 	// Clock is the reading of the worker's own clock.
 	Clock time.Duration
-	// Born is as in WorkerEntry.
-	Born   time.Time
-	Active []ActiveRun
-	Ended  []EndedRun
+	// StartedAt is as in WorkerEntry.
+	StartedAt time.Time
+	Active    []ActiveRun
+	Ended     []EndedRun
 }
 
 // Report processes the answer of a worker to a lease renewal that was sent at
@@ -71,8 +71,8 @@
 	if w == nil {
 		return
 	}
-	if !s.beginLife(w, report.Born, now) {
-		// A late answer of a life that has ended.
+	if !s.beginIncarnation(w, report.StartedAt, now) {
+		// A late answer of an incarnation that has ended.
 		return
 	}
 	if !w.reported || report.Clock > w.clockAt(now) {
--- a/scheduler/restarts_test.go
+++ b/scheduler/restarts_test.go
@@ -11,11 +11,11 @@
 	"github.com/galenacove/galenacove/scheduler"
 )
 
-// newRestartRig returns a rig with workers that say when their life began.
+// newRestartRig returns a rig with workers that say when their incarnation began.
 func newRestartRig(t *testing.T, workers ...string) *rig {
 	r := newRig(t)
 	for _, id := range workers {
-		r.addWorker(id, cores(8)).entry.Born = r.now
+		r.addWorker(id, cores(8)).entry.StartedAt = r.now
 	}
 	r.updateDirectory()
 	r.renewLeases()
@@ -34,8 +34,8 @@
 }
 
 // TestEndsOfARestartedWorkerCount guards against ends that are taken for those of the
-// worker's former life: they were acknowledged without being processed, and their tasks ran
-// twice.
+// worker's former incarnation: they were acknowledged without being processed, and their
+// tasks ran twice.
 func TestEndsOfARestartedWorkerCount(t *testing.T) {
 	for _, test := range []struct {
 		name string
@@ -58,10 +58,10 @@
 			learn: func(r *rig) {
 				r.round()
 				w := r.workersByID["w"]
-				restarted := w.entry.Born
-				w.entry.Born = restarted.Add(-time.Second)
+				restarted := w.entry.StartedAt
+				w.entry.StartedAt = restarted.Add(-time.Second)
 				r.updateDirectory()
-				w.entry.Born = restarted
+				w.entry.StartedAt = restarted
 				r.round()
 			},
 		},
@@ -100,9 +100,9 @@
 	}
 }
 
-// TestRunsOfTheFormerLifeStartAgain guards against tasks that wait for runs which ended with
-// their worker, and against ends that were not stored before it did.
-func TestRunsOfTheFormerLifeStartAgain(t *testing.T) {
+// TestRunsOfTheFormerIncarnationStartAgain guards against tasks that wait for runs which
+// ended with their worker, and against ends that were not stored before it did.
+func TestRunsOfTheFormerIncarnationStartAgain(t *testing.T) {
 	r := newRestartRig(t, "w")
 	w := r.workersByID["w"]
 	r.s.AddJob(r.job("j", newPhase(3, cores(1))), nil, false, r.now)
@@ -120,9 +120,9 @@
 	r.c.Assert(r.state("j"), qt.Equals, scheduler.Completed)
 }
 
-// TestReportOfTheFormerLifeIsIgnored guards against a late report that brings runs back which
-// ended with the worker's former life.
-func TestReportOfTheFormerLifeIsIgnored(t *testing.T) {
+// TestReportOfTheFormerIncarnationIsIgnored guards against a late report that brings runs
+// back which ended with the worker's former incarnation.
+func TestReportOfTheFormerIncarnationIsIgnored(t *testing.T) {
 	r := newRestartRig(t, "w")
 	w := r.workersByID["w"]
 	r.s.AddJob(r.job("j", newPhase(1, cores(8))), nil, false, r.now)
@@ -132,8 +132,8 @@
 		former = run
 	}
 	late := scheduler.Report{
-		Clock: w.clock,
-		Born:  w.entry.Born,
+		Clock:     w.clock,
+		StartedAt: w.entry.StartedAt,
 		Active: []scheduler.ActiveRun{
 			{
 				Run: former,
@@ -161,9 +161,10 @@
 	r.c.Assert(r.state("j"), qt.Equals, scheduler.Completed)
 }
 
-// TestUnansweredStartIsRefusedByTheNextLife guards against a start that had no answer before
-// the worker crashed, and is carried out by its next life while the task runs elsewhere.
-func TestUnansweredStartIsRefusedByTheNextLife(t *testing.T) {
+// TestUnansweredStartIsRefusedByTheNextIncarnation guards against a start that had no answer
+// before the worker crashed, and is carried out by its next incarnation while the task runs
+// elsewhere.
+func TestUnansweredStartIsRefusedByTheNextIncarnation(t *testing.T) {
 	r := newRestartRig(t, "v", "w")
 	r.s.AddJob(r.job("j", newPhase(1, cores(8))), nil, false, r.now)
 	for range 2 {
@@ -199,9 +200,10 @@
 	r.c.Fatal("no start")
 }
 
-// TestLeaseOfANextLifeEndsWithTheOwnership guards against a lease that outlives the wait of
-// the next owner, as it is reckoned from what was granted to the worker's former life.
-func TestLeaseOfANextLifeEndsWithTheOwnership(t *testing.T) {
+// TestLeaseOfANextIncarnationEndsWithTheOwnership guards against a lease that outlives the
+// wait of the next owner, as it is reckoned from what was granted to the worker's former
+// incarnation.
+func TestLeaseOfANextIncarnationEndsWithTheOwnership(t *testing.T) {
 	r := newRestartRig(t, "w")
 	w := r.workersByID["w"]
 	r.s.ConfirmOwnership(r.now)
@@ -228,7 +230,7 @@
 func TestCrashesOfARestartedWorkerCount(t *testing.T) {
 	r := newCrashRig(t, 1, firstTaskOf("deadly"))
 	r.restarts = true
-	r.workersByID["w00"].entry.Born = r.now
+	r.workersByID["w00"].entry.StartedAt = r.now
 	r.updateDirectory()
 	r.renewLeases()
 	r.addJob(r.job("deadly", newPhase(1, cores(1))))
@@ -245,13 +247,13 @@
 	}
 }
 
-// TestNextOwnerCountsACrashOfAFormerLife guards against a crash that the next owner never
-// counts, as it has only seen the worker's new life.
-func TestNextOwnerCountsACrashOfAFormerLife(t *testing.T) {
+// TestNextOwnerCountsACrashOfAFormerIncarnation guards against a crash that the next owner
+// never counts, as it has only seen the worker's new incarnation.
+func TestNextOwnerCountsACrashOfAFormerIncarnation(t *testing.T) {
 	r := newCrashRig(t, 2, firstTaskOf("deadly"))
 	r.restarts = true
 	for _, w := range r.workersByID {
-		w.entry.Born = r.now
+		w.entry.StartedAt = r.now
 	}
 	w := r.workersByID["w00"]
 	r.updateDirectory()
@@ -272,9 +274,9 @@
 	}
 }
 
-// TestTicketsOfTheFormerLifeAreNotUsed guards against starts that the worker refuses, as a
-// ticket is valid for one life of the worker.
-func TestTicketsOfTheFormerLifeAreNotUsed(t *testing.T) {
+// TestTicketsOfTheFormerIncarnationAreNotUsed guards against starts that the worker refuses,
+// as a ticket is valid for one incarnation of the worker.
+func TestTicketsOfTheFormerIncarnationAreNotUsed(t *testing.T) {
 	r := newRestartRig(t, "w")
 	w := r.workersByID["w"]
 	job := r.job("j", newPhase(1, cores(1)))
@@ -292,7 +294,7 @@
 				r.s.AdviceAnswered(ask.Step, ask.Workers, []scheduler.Approval{
 					{
 						WorkerID: "w",
-						Ticket:   fmt.Sprintf("ticket of %v", w.entry.Born),
+						Ticket:   fmt.Sprintf("ticket of %v", w.entry.StartedAt),
 					},
 				}, 10*time.Second, r.now)
 			}
@@ -308,7 +310,7 @@
 		r.round()
 		r.write()
 	}
-	r.c.Assert(w.activeRuns, qt.HasLen, 0, qt.Commentf("started with a ticket of the former life"))
+	r.c.Assert(w.activeRuns, qt.HasLen, 0, qt.Commentf("started with a ticket of the former incarnation"))
 	r.c.Assert(approve(), qt.Equals, 1)
 	r.round()
 	r.c.Assert(w.activeRuns, qt.HasLen, 1)
--- a/scheduler/rig_test.go
+++ b/scheduler/rig_test.go
@@ -108,9 +108,9 @@
 		}
 		w.leaseEnd = max(w.leaseEnd, order.Lease)
 		report := scheduler.Report{
-			Clock: w.clock,
-			Born:  w.entry.Born,
-			Ended: append([]scheduler.EndedRun(nil), w.ended...),
+			Clock:     w.clock,
+			StartedAt: w.entry.StartedAt,
+			Ended:     append([]scheduler.EndedRun(nil), w.ended...),
 		}
 		for ref, run := range w.activeRuns {
 			runTime := w.runTime
@@ -179,10 +179,10 @@
 	})
 }
 
-// restart starts the worker again under its identity. It knows nothing of its former life,
-// and its numbers and its clock start anew.
+// restart starts the worker again under its identity. It knows nothing of its former
+// incarnation, and its numbers and its clock start anew.
 func (w *fakeWorker) restart() {
-	w.entry.Born = w.entry.Born.Add(time.Second)
+	w.entry.StartedAt = w.entry.StartedAt.Add(time.Second)
 	w.clock = time.Second
 	w.leaseEnd = 0
 	w.ended = nil
--- a/scheduler/tables.go
+++ b/scheduler/tables.go
@@ -160,8 +160,9 @@
 type ticket struct {
 	value     string
 	expiresAt time.Time
-	// born is the time at which the life of the worker began for which the ticket is valid.
-	born time.Time
+	// startedAt is the time at which the incarnation of the worker began for which the
+	// ticket is valid.
+	startedAt time.Time
 }
 
 // runState is the state of a run.
@@ -233,9 +234,10 @@
 // worker is one incarnation of a worker.
 type worker struct {
 	entry WorkerEntry
-	// born is the time at which the latest life of the worker began that this owner knows
-	// of, zero if the worker does not say it. All that follows is of that life.
-	born time.Time
+	// startedAt is the time at which the latest incarnation of the worker began that this
+	// owner knows of, zero if the worker does not say it. All that follows is of that
+	// incarnation.
+	startedAt time.Time
 	// listed is set while the directory lists the worker.
 	listed bool
 	runs   map[RunRef]*run
@@ -274,7 +276,7 @@
 	// worker's clock.
 	leaseEnd time.Duration
 	// formerOrdersEnd is the time by which runs have certainly ended that the worker may
-	// start on orders to its former life.
+	// start on orders to its former incarnation.
 	formerOrdersEnd time.Time
 	// silentSince is the time since which renewals have had no answer, zero
 	// while they are answered.
@@ -317,9 +319,10 @@
 	Ref        WorkerRef
 	Service    string
 	DataCentre string
-	// Born is the time at which this life of the worker began, as the worker says. It is
-	// zero if the worker does not say it; then each life has an identity of its own.
-	Born time.Time `json:",omitzero"`
+	// StartedAt is the time at which this incarnation of the worker began, as the worker
+	// says. It is zero if the worker does not say it; then each incarnation has an identity
+	// of its own.
+	StartedAt time.Time `json:",omitzero"`
 	// Total is the whole capacity of the worker.
 	Total  sizer.Size
 	Labels []string
--- a/scheduler/trials.go
+++ b/scheduler/trials.go
@@ -36,8 +36,8 @@
 		for _, c := range tasks[i].crashes {
 			if c.AtStart {
 				return crashKey{
-					worker: c.Worker,
-					born:   c.Born.UnixMilli(),
+					worker:    c.Worker,
+					startedAt: c.StartedAt.UnixMilli(),
 				}
 			}
 		}
@@ -45,11 +45,11 @@
 	return crashKey{}
 }
 
-// crashKey identifies a crash by the life of the worker, which began at a time in
+// crashKey identifies a crash by the incarnation of the worker, which began at a time in
 // milliseconds.
 type crashKey struct {
-	worker string
-	born   int64
+	worker    string
+	startedAt int64
 }
 
 // trials returns the crashes for which suspects are tried on workers of the service. A trial
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -58,7 +58,7 @@
 			s.workers[entry.Ref.ID] = w
 		}
 		// The directory may lag behind what the worker has said.
-		s.beginLife(w, entry.Born, s.tickedAt)
+		s.beginIncarnation(w, entry.StartedAt, s.tickedAt)
 		w.entry = entry
 		w.listed = true
 	}
@@ -171,7 +171,7 @@
 	entries := make([]WorkerEntry, 0, len(s.workers))
 	for _, w := range s.workers {
 		entry := w.entry
-		entry.Born = w.born
+		entry.StartedAt = w.startedAt
 		entries = append(entries, entry)
 	}
 	slices.SortFunc(entries, func(a, b WorkerEntry) int {
@@ -183,7 +183,7 @@
 func newWorker(entry WorkerEntry) *worker {
 	return &worker{
 		entry:      entry,
-		born:       entry.Born,
+		startedAt:  entry.StartedAt,
 		runs:       make(map[RunRef]*run),
 		failedJobs: make(map[string]bool),
 		slowness:   1,
--- a/scheduler/writes.go
+++ b/scheduler/writes.go
@@ -100,7 +100,7 @@
 	s.storedBatch = write.Batch
 	s.allotments.ledgerWritten(write.Batch)
 	for _, entry := range write.Workers {
-		if w := s.workers[entry.Ref.ID]; w != nil && w.born.Equal(entry.Born) {
+		if w := s.workers[entry.Ref.ID]; w != nil && w.startedAt.Equal(entry.StartedAt) {
 			w.recorded = true
 		}
 	}
