--- a/scheduler/crashes_test.go
+++ b/scheduler/crashes_test.go
@@ -231,6 +231,15 @@
 				Gang:     true,
 			},
 		},
+		{
+			name: "lasting",
+			phase: scheduler.Phase{
+				Tasks:     2,
+				Size:      cores(1),
+				PerWorker: 1,
+				Lasting:   true,
+			},
+		},
 		{
 			name:      "a new owner after the first crash",
 			phase:     newPhase(1, cores(1)),
