scheduler: a worker that starts again with its clock set back is heard

Found by reading: an incarnation that seemed to have started before the one known was taken for a late answer of a former one, so that the worker was never heard again and its runs hung until the owner changed.

Any start that is not that of an incarnation known to have ended begins a new one now, and only reports do, as the directory may lag behind. TestWorkerRestartsWithItsClockSetBack failed before. A crash that was stored of a former incarnation is confirmed by the first report of a later one.

--- a/scheduler/crashes.go
+++ b/scheduler/crashes.go
@@ -141,11 +141,7 @@
 	crashes := slices.Clone(stored)
 	st.tasks[index].crashes = crashes
 	for i := range crashes {
-		c := &crashes[i]
-		if w := s.workers[c.Worker]; w != nil && c.StartedAt.Before(w.startedAt) {
-			c.Confirmed = true
-		}
-		if !c.Confirmed {
+		if c := crashes[i]; !c.Confirmed {
 			s.suspects[c.Worker] = append(s.suspects[c.Worker], TaskRef{
 				Step:  st.ref,
 				Index: index,
@@ -166,12 +162,19 @@
 	}
 }
 
-// clearSuspects records that a worker which was silent has not crashed.
-func (s *Scheduler) clearSuspects(w *worker) {
-	for _, ref := range s.suspects[w.entry.Ref.ID] {
-		s.dropCrashes(ref, func(c Crash) bool { return c.isOf(w) && !c.Confirmed })
+// clearSuspects records that a worker has not crashed in its present incarnation, as it has
+// reported. A crash that was stored of a former one is confirmed by that.
+func (s *Scheduler) clearSuspects(w *worker, now time.Time) {
+	refs := s.suspects[w.entry.Ref.ID]
+	if len(refs) == 0 {
+		return
 	}
 	delete(s.suspects, w.entry.Ref.ID)
+	for _, ref := range refs {
+		s.dropCrashes(ref, func(c Crash) bool { return c.isOf(w) && !c.Confirmed })
+		s.confirmCrashes(ref, w, w.startedAt)
+	}
+	s.giveUpCrashing(refs, now)
 }
 
 // forgetSuspects removes the tasks of a job from the suspects.
@@ -186,12 +189,12 @@
 }
 
 // confirmCrash records that the present incarnation of a worker has ended although the
-// worker had not said that it would leave, and so have the incarnations that began before
-// startedAt, or all incarnations if startedAt is zero. It is called while the runs of that
-// incarnation are still known, and returns the tasks concerned.
-func (s *Scheduler) confirmCrash(w *worker, startedAt, now time.Time) []TaskRef {
+// worker had not said that it would leave. successor is the start of the incarnation that
+// has followed under the identity, zero if there is none. It is called while the runs of the
+// ended one are still known, and returns the tasks concerned.
+func (s *Scheduler) confirmCrash(w *worker, successor, now time.Time) []TaskRef {
 	if w.entry.Leaving {
-		s.clearSuspects(w)
+		s.clearSuspects(w, now)
 		return nil
 	}
 	if w.silentSince.IsZero() {
@@ -200,10 +203,7 @@
 	refs := s.suspects[w.entry.Ref.ID]
 	delete(s.suspects, w.entry.Ref.ID)
 	for _, ref := range refs {
-		if st, t := s.findTask(ref); t != nil && !st.job.state.Final() {
-			t.confirmCrashes(w.entry.Ref.ID, startedAt)
-			s.dirtyJobs[ref.Step.Job] = true
-		}
+		s.confirmCrashes(ref, w, successor)
 	}
 	for _, r := range w.runs {
 		st, t := s.findTask(r.ref.Task)
@@ -221,12 +221,18 @@
 	return refs
 }
 
-// confirmCrashes marks the crashes of those incarnations of a worker as confirmed that began
-// before startedAt, or of all its incarnations if startedAt is zero.
-func (t *task) confirmCrashes(workerID string, startedAt time.Time) {
+// confirmCrashes marks the crashes of all incarnations of a worker under the task as
+// confirmed but for successor, which may be zero.
+func (s *Scheduler) confirmCrashes(ref TaskRef, w *worker, successor time.Time) {
+	st, t := s.findTask(ref)
+	if t == nil || st.job.state.Final() {
+		return
+	}
 	for i := range t.crashes {
-		if c := &t.crashes[i]; c.Worker == workerID && (startedAt.IsZero() || c.StartedAt.Before(startedAt)) {
+		c := &t.crashes[i]
+		if c.Worker == w.entry.Ref.ID && !c.Confirmed && (successor.IsZero() || !c.StartedAt.Equal(successor)) {
 			c.Confirmed = true
+			s.dirtyJobs[st.job.record.ID] = true
 		}
 	}
 }
--- a/scheduler/incarnations.go
+++ b/scheduler/incarnations.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 )
 
@@ -11,18 +12,23 @@
 // another. A worker that does not say when its incarnation began has a new identity in each
 // incarnation.
 
-// beginIncarnation records that the worker said when its incarnation began, and reports
-// whether it speaks for its latest incarnation. If that is a new one, the former one has
-// ended.
+// maxFormerStarts limits the starts of former incarnations that are kept of a worker.
+const maxFormerStarts = 8
+
+// beginIncarnation records that a worker reported when its incarnation began, and returns
+// false if it is one that has ended. Any other start than the known one begins a new
+// incarnation, also an earlier one, as the clocks of workers may be set back.
 func (s *Scheduler) beginIncarnation(w *worker, startedAt, now time.Time) bool {
-	switch {
-	case startedAt.IsZero() || startedAt.Equal(w.startedAt):
+	if startedAt.IsZero() || startedAt.Equal(w.startedAt) {
 		return true
-	case startedAt.Before(w.startedAt):
+	}
+	if slices.ContainsFunc(w.formerStarts, startedAt.Equal) {
 		return false
 	}
 	if !w.startedAt.IsZero() {
 		s.endIncarnation(w, startedAt, now)
+		w.formerStarts = append(w.formerStarts, w.startedAt)
+		w.formerStarts = w.formerStarts[max(0, len(w.formerStarts)-maxFormerStarts):]
 	}
 	w.startedAt = startedAt
 	return true
--- a/scheduler/reports.go
+++ b/scheduler/reports.go
@@ -86,7 +86,7 @@
 	w.lastReportAt = now
 	w.aliveAt = now
 	w.silentSince = time.Time{}
-	s.clearSuspects(w)
+	s.clearSuspects(w, now)
 	ended := make(map[RunRef]bool)
 	for _, row := range report.Ended {
 		ended[row.Run] = true
--- a/scheduler/restarts_test.go
+++ b/scheduler/restarts_test.go
@@ -100,6 +100,36 @@
 	}
 }
 
+// TestWorkerRestartsWithItsClockSetBack guards against a worker that is never heard again, as
+// its clock was set back and it seems to have started before its former incarnation.
+func TestWorkerRestartsWithItsClockSetBack(t *testing.T) {
+	r := newRestartRig(t, "w")
+	w := r.workersByID["w"]
+	r.s.AddJob(r.job("j", newPhase(2, cores(1))), nil, false, r.now)
+	for range 5 {
+		r.round()
+	}
+	r.c.Assert(w.activeRuns, qt.HasLen, 2)
+	former := w.entry.StartedAt
+	w.restart()
+	w.entry.StartedAt = former.Add(-time.Minute)
+	for range 3 {
+		r.round()
+		r.write()
+	}
+	r.c.Assert(w.activeRuns, qt.HasLen, 2)
+	// The directory still lists the former incarnation.
+	restarted := w.entry.StartedAt
+	w.entry.StartedAt = former
+	r.updateDirectory()
+	w.entry.StartedAt = restarted
+	r.finishOn(w)
+	r.c.Assert(r.state("j"), qt.Equals, scheduler.Completed)
+	for task, n := range w.startCounts {
+		r.c.Check(n, qt.Equals, 2, qt.Commentf("starts of %s", task))
+	}
+}
+
 // TestRunsOfTheFormerIncarnationStartAgain guards against tasks that wait for runs which
 // ended with their worker, and against ends that were not stored before it did.
 func TestRunsOfTheFormerIncarnationStartAgain(t *testing.T) {
--- a/scheduler/tables.go
+++ b/scheduler/tables.go
@@ -238,6 +238,8 @@
 	// owner knows of, zero if the worker does not say it. All that follows is of that
 	// incarnation.
 	startedAt time.Time
+	// formerStarts holds the starts of the last incarnations that have ended.
+	formerStarts []time.Time
 	// listed is set while the directory lists the worker.
 	listed bool
 	runs   map[RunRef]*run
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -57,8 +57,6 @@
 			w = newWorker(entry)
 			s.workers[entry.Ref.ID] = w
 		}
-		// The directory may lag behind what the worker has said.
-		s.beginIncarnation(w, entry.StartedAt, s.tickedAt)
 		w.entry = entry
 		w.listed = true
 	}
