--- a/coordinator/manyentries_test.go
+++ b/coordinator/manyentries_test.go
@@ -166,7 +166,7 @@
 }
 
 // addEntry adds an entry that starts after the delay.
-func (s *site) addEntry(i int, delay time.Duration) {
+func (s *site) addEntry(i int, delay time.Duration, options ...Option) {
 	address := fmt.Sprintf("10.0.%d.%d:7", i/250, i%250)
 	store := &entryStore{
 		storeModel:     s.store,
@@ -176,7 +176,7 @@
 	listener := modelListener{
 		address: address,
 	}
-	c := New(store, modelWorkers{}, nil, nil,
+	c := New(store, modelWorkers{}, nil, nil, append(options,
 		Name(fmt.Sprintf("entry-%03d", i), "here"),
 		Listeners(listener, listener, listener),
 		Config(modelConfig, func(record storer.Record) (receiver.Config, bool, error) {
@@ -202,7 +202,7 @@
 				Total:   sizer.New(8000, 1<<34, 0),
 				Read:    now,
 			}, nil
-		}))
+		}))...)
 	c.pool = modelCaller{
 		network: s.network,
 	}
