scheduler, conductor: log each start of a lasting run and planned ones that wait

The time that a lasting task had no run could not be read from the logs: only an outage of 2 s or more left a line, starts are logged at debug level, and a planned run that waits for its placement to be stored, or that is dropped before its start is sent, left none.

A start order of a lasting task says since when no worker has had a run of the task, and its answer is logged at info with withoutRunMs. A planned run that has waited for longer than storeStallTimeout is named once a second, and the loss of a planned run says that its start was not sent. What the scheduler decides is unchanged.

--- a/conductor/orders.go
+++ b/conductor/orders.go
@@ -64,6 +64,10 @@
 		"outcome": outcome.String(),
 		"tookMs":  now.Sub(began).Milliseconds(),
 	}
+	lasting := !order.WithoutRunSince.IsZero()
+	if lasting {
+		fields["withoutRunMs"] = now.Sub(order.WithoutRunSince).Milliseconds()
+	}
 	if outcome == scheduler.StartDone && c.startedRun.CompareAndSwap(false, true) {
 		c.metrics.takeoverSeconds.Observe(now.Sub(c.assignedAt).Seconds())
 		c.logger.WithFields(fields).WithFields(log.Fields{
@@ -71,9 +75,12 @@
 			"sinceDealtMs": now.Sub(c.assignedAt).Milliseconds(),
 		}).Info("conductor: first start of the ownership")
 	}
-	if err != nil && outcome != scheduler.StartDone {
+	switch {
+	case err != nil && outcome != scheduler.StartDone:
 		c.logger.WithFields(fields).WithError(err).Warn("conductor: a start failed or its outcome is unknown")
-	} else {
+	case lasting:
+		c.logger.WithFields(fields).Info("conductor: start of a lasting run answered")
+	default:
 		c.logger.WithFields(fields).Debug("conductor: start answered")
 	}
 	if ctx.Err() != nil {
--- a/conductor/orders_test.go
+++ b/conductor/orders_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/memory"
 	qt "github.com/frankban/quicktest"
 
 	"github.com/galenacove/galenacove/scheduler"
@@ -56,3 +58,39 @@
 		})
 	}
 }
+
+// doneWorkers carries out each start.
+type doneWorkers struct {
+	Workers
+}
+
+// Start implements Workers.
+func (doneWorkers) Start(context.Context, int64, scheduler.StartTask) (scheduler.StartOutcome, error) {
+	return scheduler.StartDone, nil
+}
+
+// TestStartOfALastingRunIsLogged guards against a lasting task of which the log does not say
+// when it was started and how long it had no run, and against a line for each other start.
+func TestStartOfALastingRunIsLogged(t *testing.T) {
+	c := qt.New(t)
+	clock := timekeeper.NewFake(time.Unix(1_700_000_000, 0))
+	logs := memory.New()
+	owner := New(nil, doneWorkers{}, nil, 0, 1, Clock(clock), Logger(&log.Logger{
+		Handler: logs,
+		Level:   log.InfoLevel,
+	}))
+	owner.scheduler = scheduler.New(1, clock.Now())
+	owner.startedRun.Store(true)
+	order := scheduler.StartTask{
+		NotAfter: clock.Now().Add(time.Second),
+	}
+	c.Assert(owner.start(context.Background(), order), qt.IsNil)
+	c.Assert(logs.Entries, qt.HasLen, 0)
+
+	order.WithoutRunSince = clock.Now().Add(-1234 * time.Millisecond)
+	c.Assert(owner.start(context.Background(), order), qt.IsNil)
+	c.Assert(logs.Entries, qt.HasLen, 1)
+	c.Assert(logs.Entries[0].Message, qt.Equals, "conductor: start of a lasting run answered")
+	c.Assert(logs.Entries[0].Fields["outcome"], qt.Equals, "done")
+	c.Assert(logs.Entries[0].Fields["withoutRunMs"], qt.Equals, int64(1234))
+}
--- a/scheduler/effects.go
+++ b/scheduler/effects.go
@@ -24,6 +24,9 @@
 	// NotAfter is the time after which the order must not be sent any more. A worker that
 	// has started again meanwhile cannot tell that it is outdated.
 	NotAfter time.Time
+	// WithoutRunSince is the time since which a lasting task has had no run, as far as
+	// this owner knows. It is zero for other tasks.
+	WithoutRunSince time.Time
 }
 
 // StopTask orders a worker to stop a run, or never to start it if the start has
--- a/scheduler/explaining.go
+++ b/scheduler/explaining.go
@@ -249,6 +249,24 @@
 	}
 }
 
+// explainPlanned adds a note on the first planned run of a lasting task that has waited
+// for a write for longer than storeStallTimeout, once per interval.
+func (s *Scheduler) explainPlanned(now time.Time) {
+	if now.Sub(s.plannedExplainedAt) < lastingExplainInterval {
+		return
+	}
+	for _, r := range s.plannedRuns {
+		age := now.Sub(r.startedAt)
+		if !r.lasting || age <= storeStallTimeout {
+			continue
+		}
+		s.plannedExplainedAt = now
+		s.addNote(fmt.Sprintf("planned run waits for its placement to be stored: attempt %d, %d planned runs, last stored batch %d of %d",
+			r.ref.Attempt, len(s.plannedRuns), s.storedBatch, s.nextBatch-1), r.ref.Task, r.worker.entry.Ref.ID, age)
+		return
+	}
+}
+
 // rankName returns the name of a rank for the log.
 func rankName(rank int) string {
 	switch rank {
--- a/scheduler/explaining_test.go
+++ b/scheduler/explaining_test.go
@@ -87,3 +87,71 @@
 	r.c.Assert(notes, qt.HasLen, 2)
 	r.c.Assert(notes[0], qt.Contains, "1 of 2 tasks, lasting, 1 workers have not reported, such as w")
 }
+
+// TestTimeWithoutARunCanBeAddedUp guards against an outage of a lasting task that leaves no
+// trace: while its placement cannot be stored, the log says which run waits, and the start
+// says since when the task had no run, also if an earlier run was planned but never sent.
+func TestTimeWithoutARunCanBeAddedUp(t *testing.T) {
+	r := newRig(t)
+	for i := range 3 {
+		r.addWorker(workerName(i), cores(4)).runTime = time.Hour
+	}
+	r.updateDirectory()
+	r.renewLeases()
+	begun := r.now
+	r.s.AddJob(r.job("lasting", newLastingPhase(1)), nil, false, r.now)
+	r.tick()
+	r.c.Assert(r.startOrders(), qt.HasLen, 1)
+	r.c.Assert(r.startOrders()[0].WithoutRunSince, qt.Equals, begun)
+	r.rounds(20)
+	r.s.Notes()
+
+	w := r.workerOf("lasting")
+	w.end(firstRun(w), scheduler.EndLapsed)
+	w.entry.Leaving = true
+	r.s.SetWorkers(r.storedWorkersWith(w.entry))
+	r.advance(100 * time.Millisecond)
+	r.renewLeases()
+	ended := r.now
+	for range 25 {
+		r.carryOut(r.s.Tick(r.now))
+		r.c.Assert(r.startOrders(), qt.HasLen, 0)
+		r.advance(100 * time.Millisecond)
+		r.renewLeases()
+	}
+	r.c.Assert(r.s.PlannedRuns(), qt.Equals, 1)
+	r.c.Assert(r.notesWith("planned run waits for its placement to be stored: attempt"), qt.HasLen, 3)
+
+	// The worker of the planned run leaves as well.
+	planned := r.plannedWorker()
+	planned.entry.Leaving = true
+	r.s.SetWorkers(r.storedWorkersWith(planned.entry))
+	r.carryOut(r.s.Tick(r.now))
+	r.c.Assert(r.notesWith("its start was not sent"), qt.HasLen, 1)
+	r.tick()
+	r.c.Assert(r.startOrders(), qt.HasLen, 1)
+	r.c.Assert(r.startOrders()[0].WithoutRunSince, qt.Equals, ended)
+}
+
+// startOrders returns the starts among the effects of the last tick.
+func (r *rig) startOrders() []scheduler.StartTask {
+	var orders []scheduler.StartTask
+	for _, effect := range r.effects {
+		if order, ok := effect.(scheduler.StartTask); ok {
+			orders = append(orders, order)
+		}
+	}
+	return orders
+}
+
+// plannedWorker returns the worker of the placement that the next write would store first.
+func (r *rig) plannedWorker() *fakeWorker {
+	for _, progress := range r.s.NextWrite().Jobs {
+		for _, step := range progress.Progress.Steps {
+			for _, ids := range step.Placements {
+				return r.workersByID[ids[0]]
+			}
+		}
+	}
+	return nil
+}
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -88,6 +88,9 @@
 	if t.notRunningSince.IsZero() {
 		t.notRunningSince = now
 	}
+	if !r.presentAt.IsZero() {
+		t.withoutRunSince = now
+	}
 	if !st.job.state.Final() && st.dependenciesDone() {
 		s.openSteps[st.ref] = st
 	}
@@ -98,6 +101,9 @@
 // waits again. The rest of a gang is stopped.
 func (s *Scheduler) markLost(r *run, reason string, now time.Time) {
 	s.removeRun(r)
+	if r.lasting && r.state == runPlanned {
+		reason += ", its start was not sent"
+	}
 	s.addNote("run lost: "+reason, r.ref.Task, r.worker.entry.Ref.ID, now.Sub(r.startedAt))
 	st, t := s.findTask(r.ref.Task)
 	if t == nil || !t.hasRun(r) {
@@ -160,6 +166,9 @@
 	if r.state == runPlanned {
 		// The start was not sent, so there is nothing to stop.
 		s.removeRun(r)
+		if r.lasting {
+			s.addNote("planned run dropped: "+reason, r.ref.Task, r.worker.entry.Ref.ID, now.Sub(r.startedAt))
+		}
 		if st, t := s.findTask(r.ref.Task); t != nil && t.hasRun(r) {
 			s.unassignRun(st, t, r, now)
 		}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -62,6 +62,9 @@
 	// plannedRuns holds the runs that are not sent to their worker until the
 	// store lists that worker for the job.
 	plannedRuns []*run
+	// plannedExplainedAt is the time of the last note on a planned run that waits for a
+	// write.
+	plannedExplainedAt time.Time
 	// dirtyJobs holds the identities of the jobs with unwritten progress.
 	dirtyJobs map[string]bool
 	// nextBatch is the number of the next write of progress, and storedBatch
@@ -339,6 +342,7 @@
 	for i := range st.tasks {
 		t := &st.tasks[i]
 		t.notRunningSince = now
+		t.withoutRunSince = now
 		t.failedAttempts = stored.Failures[i]
 		t.storedWorkers = stored.Placements[i]
 		t.formerWorkers = stored.Placements[i]
--- a/scheduler/starting.go
+++ b/scheduler/starting.go
@@ -78,6 +78,10 @@
 	r.startedAt = now
 	r.progressAt = now
 	w := r.worker
+	var withoutRunSince time.Time
+	if st.phase.Lasting {
+		withoutRunSince = latest(st.tasks[r.ref.Task.Index].withoutRunSince, st.readyAt)
+	}
 	s.emit(StartTask{
 		Run:        r.ref,
 		Worker:     w.entry.Ref,
@@ -86,6 +90,8 @@
 		Ticket:     st.adviceState.tickets[w.entry.Ref.ID].value,
 		Lease:      s.extendLease(w, now),
 		NotAfter:   now.Add(startValidity),
+
+		WithoutRunSince: withoutRunSince,
 	})
 }
 
@@ -123,6 +129,7 @@
 		}
 	}
 	s.plannedRuns = append(s.plannedRuns, stillPlanned...)
+	s.explainPlanned(now)
 }
 
 // isStored reports whether the store lists the worker of a run of the task, so that
--- a/scheduler/tables.go
+++ b/scheduler/tables.go
@@ -128,6 +128,9 @@
 	// notRunningSince is the time since which a lasting task has not been in
 	// service, zero while it is.
 	notRunningSince time.Time
+	// withoutRunSince is the time since which no worker has had a run of the task, as
+	// far as this owner knows. It means nothing while a worker has one.
+	withoutRunSince time.Time
 }
 
 // adviceState holds what is known about which workers may run a step.
