conductor: log slow and failed writes of progress, and measure them

A planned run waits until its placement is stored. How long writes took, how large they were and why they were repeated could not be seen: only failed tries were counted, without their error. Runs that are dropped as the store takes no writes were only to be found by the text of their line.

A write of over StoreStallTimeout or with a failed try gets a line, at most one a second for each owner, also while the tries go on. Histograms hold the duration and the number of records of all writes, a gauge the wait of the oldest planned run, and a counter the runs that were dropped.

--- a/conductor/admission.go
+++ b/conductor/admission.go
@@ -107,21 +107,25 @@
 func (l lineLimiter) allow(organisation string, now time.Time) (omitted int, allowed bool) {
 	limited := l[organisation]
 	if limited == nil {
-		limited = &limitedLines{
-			since: now,
-		}
+		limited = &limitedLines{}
 		l[organisation] = limited
 	}
-	if now.Sub(limited.since) >= admissionLineInterval {
-		limited.since = now
-		limited.lines = 0
+	return limited.allow(maxAdmissionLines, admissionLineInterval, now)
+}
+
+// allow is like lineLimiter.allow, for that number of lines in each interval. The first
+// interval begins with the first line.
+func (l *limitedLines) allow(limit int, interval time.Duration, now time.Time) (omitted int, allowed bool) {
+	if now.Sub(l.since) >= interval {
+		l.since = now
+		l.lines = 0
 	}
-	if limited.lines >= maxAdmissionLines {
-		limited.omitted++
+	if l.lines >= limit {
+		l.omitted++
 		return 0, false
 	}
-	limited.lines++
-	omitted, limited.omitted = limited.omitted, 0
+	l.lines++
+	omitted, l.omitted = l.omitted, 0
 	return omitted, true
 }
 
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -165,6 +165,8 @@
 	leaseKeepers map[string]*leaseKeeper
 	// sequence is the sequence number of the next write.
 	sequence int64
+	// writeLines limits the log lines on writes of progress. It is used by writeLoop only.
+	writeLines limitedLines
 	// confirmedAt is the last time at which the ownership is known to have held.
 	confirmedAt time.Time
 	// assignedAt is the time at which the ownership began. startedRun is set once
@@ -397,6 +399,7 @@
 			metricsSetAt = now
 			c.metrics.setAdvice(c.partition, c.scheduler.AdviceLoad(now))
 			c.metrics.setLasting(c.partition, c.scheduler.LastingLoad(now))
+			c.metrics.setPlanned(c.partition, c.scheduler.OldestPlanned(now))
 			c.metrics.organisations.set(c.partition, c.scheduler.OrganisationLoads(), c.scheduler.ShareLoads())
 		}
 		unwritten, _ := c.scheduler.Unwritten()
--- a/conductor/metrics.go
+++ b/conductor/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 
@@ -26,6 +27,10 @@
 	workersLost         *prometheus.CounterVec
 	runsLost            *prometheus.CounterVec
 	tasksGivenUp        prometheus.Counter
+	writeSeconds        prometheus.Histogram
+	writeRecords        prometheus.Histogram
+	plannedSeconds      *prometheus.GaugeVec
+	plannedDropped      prometheus.Counter
 	organisations       *organisationMetrics
 }
 
@@ -99,6 +104,24 @@
 			Name: "galenacove_conductor_tasks_given_up_total",
 			Help: "Tasks that were given up as workers crashed under them.",
 		}),
+		writeSeconds: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name:    "galenacove_conductor_write_seconds",
+			Help:    "Time that a write of progress took with all its tries.",
+			Buckets: prometheus.ExponentialBuckets(0.005, 2, 12),
+		}),
+		writeRecords: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name:    "galenacove_conductor_write_records",
+			Help:    "Records in a write of progress.",
+			Buckets: prometheus.ExponentialBuckets(1, 2, 12),
+		}),
+		plannedSeconds: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "galenacove_conductor_planned_wait_seconds",
+			Help: "For how long the oldest run whose start waits for a write has waited.",
+		}, []string{"partition"}),
+		plannedDropped: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "galenacove_conductor_planned_runs_dropped_total",
+			Help: "Runs that were dropped before their start as the store took no writes.",
+		}),
 	}
 }
 
@@ -108,6 +131,7 @@
 		m.starts, m.adviceSeconds, m.silentRenewals, m.storeErrors, m.takeoverSeconds,
 		m.adviceCalls, m.adviceInFlight, m.adviceLimit, m.adviceDenied, m.adviceDeniedSeconds,
 		m.lastingWaiting, m.lastingWaitSeconds, m.allotmentCalls, m.workersLost, m.runsLost, m.tasksGivenUp,
+		m.writeSeconds, m.writeRecords, m.plannedSeconds, m.plannedDropped,
 	}, m.organisations.collectors()...)
 }
 
@@ -129,6 +153,11 @@
 	m.lastingWaitSeconds.WithLabelValues(label).Set(load.LongestWait.Seconds())
 }
 
+// setPlanned sets the metric of the runs of the owner of a partition that wait for a write.
+func (m *Metrics) setPlanned(partition int, oldest time.Duration) {
+	m.plannedSeconds.WithLabelValues(strconv.Itoa(partition)).Set(oldest.Seconds())
+}
+
 // addLosses counts workers and runs that were lost.
 func (m *Metrics) addLosses(losses scheduler.Losses) {
 	for reason, n := range losses.Workers {
@@ -138,6 +167,7 @@
 		m.runsLost.WithLabelValues(reason).Add(float64(n))
 	}
 	m.tasksGivenUp.Add(float64(losses.GivenUp))
+	m.plannedDropped.Add(float64(losses.Unstored))
 }
 
 // deleteLoad removes the gauges of the owner of a partition. It is called once the ownership
@@ -147,7 +177,7 @@
 	label := prometheus.Labels{
 		"partition": strconv.Itoa(partition),
 	}
-	for _, gauge := range []*prometheus.GaugeVec{m.adviceInFlight, m.adviceLimit, m.adviceDenied, m.adviceDeniedSeconds, m.lastingWaiting, m.lastingWaitSeconds} {
+	for _, gauge := range []*prometheus.GaugeVec{m.adviceInFlight, m.adviceLimit, m.adviceDenied, m.adviceDeniedSeconds, m.lastingWaiting, m.lastingWaitSeconds, m.plannedSeconds} {
 		gauge.DeletePartialMatch(label)
 	}
 }
--- a/conductor/writing.go
+++ b/conductor/writing.go
@@ -4,9 +4,12 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"time"
 
+	"github.com/apex/log"
 	"github.com/cockroachdb/errors"
 
+	"github.com/galenacove/galenacove/scheduler"
 	"github.com/galenacove/galenacove/storer"
 	"github.com/galenacove/galenacove/timekeeper"
 )
@@ -108,27 +111,94 @@
 	}
 	c.setAppending(true)
 	defer c.setAppending(false)
+	w := progressWrite{
+		records: records,
+		began:   c.clock.Now(),
+	}
+	err := c.tryAppend(ctx, writer, &w)
+	c.logWrite(w, err == nil)
+	c.metrics.writeSeconds.Observe(c.clock.Now().Sub(w.began).Seconds())
+	c.metrics.writeRecords.Observe(float64(len(records)))
+	return err
+}
+
+// tryAppend makes the tries of appendProgress.
+func (c *Conductor) tryAppend(ctx context.Context, writer *storer.Writer, w *progressWrite) error {
 	for {
 		// The store applies an append with the same sequence number only once.
 		attemptCtx, cancel := context.WithTimeout(ctx, storeTimeout)
-		_, err := c.store.Append(attemptCtx, c.progressPartition(), writer, records...)
+		_, err := c.store.Append(attemptCtx, c.progressPartition(), writer, w.records...)
 		cancel()
+		w.tries++
 		switch {
 		case err == nil:
 			c.sequence++
 			return nil
 		case errors.Is(err, storer.ErrFenced), errors.Is(err, storer.ErrConflict):
+			w.lastErr = err
 			return fmt.Errorf("%w: %w", ErrSuperseded, err)
 		case ctx.Err() != nil:
 			return ctx.Err()
 		}
+		w.lastErr = err
 		c.metrics.storeErrors.Inc()
+		if c.clock.Now().Sub(w.began) >= writeLineInterval {
+			c.logWrite(*w, false)
+		}
 		if err := timekeeper.Sleep(ctx, c.clock, retryPause); err != nil {
 			return err
 		}
 	}
 }
 
+// writeLineInterval is the shortest time between two log lines on writes of progress.
+const writeLineInterval = time.Second
+
+// progressWrite is a write of progress.
+type progressWrite struct {
+	records []storer.Record
+	began   time.Time
+	// tries counts the tries that have ended, and lastErr is the error of the last one that
+	// failed.
+	tries   int
+	lastErr error
+}
+
+// logWrite logs a write that has taken longer than scheduler.StoreStallTimeout or had a
+// failed try, at most once per writeLineInterval.
+func (c *Conductor) logWrite(w progressWrite, stored bool) {
+	now := c.clock.Now()
+	took := now.Sub(w.began)
+	if took <= scheduler.StoreStallTimeout && w.lastErr == nil {
+		return
+	}
+	omitted, allowed := c.writeLines.allow(1, writeLineInterval, now)
+	if !allowed {
+		return
+	}
+	size := 0
+	for _, record := range w.records {
+		size += len(record.Key) + len(record.Value)
+	}
+	logEntry := c.logger.WithFields(log.Fields{
+		"partition": c.partition,
+		"token":     c.token,
+		"records":   len(w.records),
+		"bytes":     size,
+		"tries":     w.tries,
+		"tookMs":    took.Milliseconds(),
+		"omitted":   omitted,
+	})
+	if w.lastErr != nil {
+		logEntry = logEntry.WithError(w.lastErr)
+	}
+	if stored {
+		logEntry.Info("conductor: a write of progress took long or was repeated")
+	} else {
+		logEntry.Warn("conductor: a write of progress has not succeeded")
+	}
+}
+
 // dropJobs deletes the records of jobs that the scheduler has dropped.
 func (c *Conductor) dropJobs(ctx context.Context, ids []string) error {
 	if len(ids) == 0 {
--- a/scheduler/explaining.go
+++ b/scheduler/explaining.go
@@ -250,14 +250,14 @@
 }
 
 // explainPlanned adds a note on the first planned run of a lasting task that has waited
-// for a write for longer than storeStallTimeout, once per interval.
+// for a write for longer than StoreStallTimeout, once per interval.
 func (s *Scheduler) explainPlanned(now time.Time) {
 	if now.Sub(s.plannedExplainedAt) < lastingExplainInterval {
 		return
 	}
 	for _, r := range s.plannedRuns {
 		age := now.Sub(r.startedAt)
-		if !r.lasting || age <= storeStallTimeout {
+		if !r.lasting || age <= StoreStallTimeout {
 			continue
 		}
 		s.plannedExplainedAt = now
@@ -322,6 +322,9 @@
 	Workers, Runs map[string]int
 	// GivenUp is the number of tasks that were given up as they crash their workers.
 	GivenUp int
+	// Unstored is the number of planned runs that were dropped as the store takes no
+	// writes.
+	Unstored int
 }
 
 func newLosses() Losses {
--- a/scheduler/starting.go
+++ b/scheduler/starting.go
@@ -53,15 +53,15 @@
 	s.plannedRuns = append(s.plannedRuns, r)
 }
 
-// storeStallTimeout is the time that a write may take. After that, a job's tasks
+// StoreStallTimeout is the time that a write may take. After that, a job's tasks
 // are started only on workers that the store already lists for the job. It is
 // several times the duration of a write to a healthy store.
-const storeStallTimeout = 150 * time.Millisecond
+const StoreStallTimeout = 150 * time.Millisecond
 
 // writesOverdue reports whether the oldest planned run has waited for a write
-// for longer than storeStallTimeout.
+// for longer than StoreStallTimeout.
 func (s *Scheduler) writesOverdue(now time.Time) bool {
-	return len(s.plannedRuns) > 0 && now.Sub(s.plannedRuns[0].startedAt) > storeStallTimeout
+	return len(s.plannedRuns) > 0 && now.Sub(s.plannedRuns[0].startedAt) > StoreStallTimeout
 }
 
 // startValidity is the time for which the order to start a run may be sent. It allows for a
@@ -121,6 +121,7 @@
 		case !s.startAllowed(st, r):
 			s.markLost(r, "the maximum of the organisation was lowered before the start", now)
 		case !st.mayBeSent(r, t) && s.storeStalled && len(st.job.storedWorkers) > 0 && !st.tracksPlacements:
+			s.losses.Unstored++
 			s.markLost(r, "worker cannot be stored as the store takes no writes", now)
 		case !st.mayBeSent(r, t):
 			stillPlanned = append(stillPlanned, r)
--- a/scheduler/writes.go
+++ b/scheduler/writes.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"github.com/galenacove/galenacove/allotter"
 )
@@ -157,6 +158,16 @@
 	return len(s.plannedRuns)
 }
 
+// OldestPlanned returns for how long the oldest planned run has waited for a write, 0 if
+// there is none.
+func (s *Scheduler) OldestPlanned(now time.Time) time.Duration {
+	var oldest time.Duration
+	for _, r := range s.plannedRuns {
+		oldest = max(oldest, now.Sub(r.startedAt))
+	}
+	return oldest
+}
+
 // progress returns the part of the job's state that must be stored.
 func (s *Scheduler) progress(j *job) Progress {
 	p := Progress{
