conductor, coordinator: say at a takeover how old the list of workers is

An entry that was cut off is dealt partitions before its feeds have left their back-off. The line on the workers of the former owner then says that none is listed, but not whether the directory or the shard records were read lately, or to their end.

The line gets the time since the last answered read of both, and whether it left nothing to read. The coordinator records this after each answer and forgets it when it stops following them.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -142,6 +142,8 @@
 	// jobPart returns an upper bound of the fraction of an organisation's jobs that the
 	// partition gets.
 	jobPart func() float64
+	// knowledge returns how recent the sources of the workers are.
+	knowledge func() Knowledge
 
 	// tickRequests triggers a tick of the scheduler, and writeRequests a write of
 	// the progress.
@@ -243,6 +245,7 @@
 		metrics:           NewMetrics(),
 		placementsAllowed: func() bool { return true },
 		jobPart:           func() float64 { return 1 },
+		knowledge:         func() Knowledge { return Knowledge{} },
 		admissionLines:    make(lineLimiter),
 		tickRequests:      make(chan struct{}, 1),
 		writeRequests:     make(chan struct{}, 1),
--- a/conductor/recovery.go
+++ b/conductor/recovery.go
@@ -83,8 +83,8 @@
 	return nil
 }
 
-// logFormerWorkers logs how many workers the former owner used, and how many of
-// them the directory no longer lists. The caller holds mu.
+// logFormerWorkers logs how many workers the former owner used, how many of them the
+// directory no longer lists, and how old that knowledge is. The caller holds mu.
 func (c *Conductor) logFormerWorkers(former []scheduler.WorkerEntry) {
 	unlisted := 0
 	for _, entry := range former {
@@ -92,13 +92,15 @@
 			unlisted++
 		}
 	}
+	now := c.clock.Now()
+	knowledge := c.knowledge()
 	c.logger.WithFields(log.Fields{
 		"partition": c.partition,
 		"token":     c.token,
 		"listed":    len(c.directoryWorkers),
 		"former":    len(former),
 		"unlisted":  unlisted,
-	}).Info("conductor: the workers of the former owner were read")
+	}).WithFields(knowledge.Directory.fields("directory", now)).WithFields(knowledge.Shards.fields("shards", now)).Info("conductor: the workers of the former owner were read")
 }
 
 // formerProgress is what the former owner stored.
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -133,6 +133,9 @@
 	stopping atomic.Bool
 	// directory holds the workers that the directory listed when it was last read.
 	directory atomic.Pointer[[]scheduler.WorkerEntry]
+	// directoryRead and shardsRead describe the last answered reads of the directory and
+	// of the records of the shards. They are nil unless these are followed.
+	directoryRead, shardsRead atomic.Pointer[conductor.ReadState]
 
 	mu sync.Mutex
 	// member is the name of this incarnation of the process in the group.
--- a/coordinator/feed_test.go
+++ b/coordinator/feed_test.go
@@ -16,6 +16,7 @@
 	qt "github.com/frankban/quicktest"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/galenacove/galenacove/conductor"
 	"github.com/galenacove/galenacove/storer"
 	"github.com/galenacove/galenacove/timekeeper"
 )
@@ -333,3 +334,28 @@
 		f.end(c)
 	})
 }
+
+// TestKnowledgeAgesWhileReadsFail guards against a takeover with an old list of workers that
+// the log does not show: while reads fail, the last answer stays, with its time.
+func TestKnowledgeAgesWhileReadsFail(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f := newFeedTest(c, 1)
+		coordinator := &Coordinator{
+			settings: newSettings(nil),
+		}
+		f.feed.wait = 100 * time.Millisecond
+		f.feed.observe = coordinator.recordRead(&coordinator.directoryRead)
+		c.Assert(coordinator.knowledge(), qt.Equals, conductor.Knowledge{})
+		// The first read returns the newest records, and the 20 after it wait in vain.
+		f.store.fails = func(call int) bool { return call > 20 }
+		began := time.Now()
+		f.start()
+		time.Sleep(10 * time.Second)
+		f.end(c)
+		knowledge := coordinator.knowledge()
+		c.Assert(knowledge.Directory.Complete, qt.IsTrue)
+		c.Assert(knowledge.Directory.AnsweredAt.Sub(began), qt.Equals, 2*time.Second)
+		c.Assert(knowledge.Shards, qt.Equals, conductor.ReadState{})
+	})
+}
--- a/coordinator/feeds.go
+++ b/coordinator/feeds.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
 
 	"github.com/galenacove/galenacove/authenticator"
+	"github.com/galenacove/galenacove/conductor"
 	"github.com/galenacove/galenacove/receiver"
 	"github.com/galenacove/galenacove/scheduler"
 	"github.com/galenacove/galenacove/storer"
@@ -143,13 +145,38 @@
 		c.applyWorkers(workers, records)
 		c.decideShards(ctx)
 	}
+	f.observe = c.recordRead(&c.directoryRead)
 	f.deactivated = func() {
 		clear(workers)
 		c.directory.Store(nil)
+		c.directoryRead.Store(nil)
 	}
 	return f.run(ctx)
 }
 
+// recordRead returns an observer that stores the state of a feed in state.
+func (c *Coordinator) recordRead(state *atomic.Pointer[conductor.ReadState]) func(feedRead) {
+	return func(read feedRead) {
+		state.Store(&conductor.ReadState{
+			AnsweredAt: c.settings.clock.Now(),
+			Complete:   read.next >= read.end,
+		})
+	}
+}
+
+// knowledge returns how recent the sources are from which the owners in this process get
+// their workers.
+func (c *Coordinator) knowledge() conductor.Knowledge {
+	var knowledge conductor.Knowledge
+	if state := c.directoryRead.Load(); state != nil {
+		knowledge.Directory = *state
+	}
+	if state := c.shardsRead.Load(); state != nil {
+		knowledge.Shards = *state
+	}
+	return knowledge
+}
+
 func (c *Coordinator) applyWorkers(workers map[string]scheduler.WorkerEntry, records []storer.Record) {
 	for _, record := range records {
 		if record.Value == nil {
--- a/coordinator/shardfeeds.go
+++ b/coordinator/shardfeeds.go
@@ -58,7 +58,11 @@
 	f.wait = shardsReadWait
 	f.wake = c.workerShardRequests
 	f.active = c.needsDirectory
-	f.deactivated = c.shards.forgetWorkers
+	f.observe = c.recordRead(&c.shardsRead)
+	f.deactivated = func() {
+		c.shards.forgetWorkers()
+		c.shardsRead.Store(nil)
+	}
 	f.apply = func(records []storer.Record, next int64, _ bool) {
 		wasComplete := c.shards.complete()
 		for _, key := range c.shards.apply(records, next) {
