coordinator: log which entries a slow call for advice was tried through

A call for advice takes up to three tries of up to 4 s. Only the error of the last one was logged, and nothing if it was answered, so that the time which a task lost at entries that did not answer could not be told from that of the adviser.

A call with several tries, or of over 250 ms and twice its cost, gets a line at info with each entry that was tried, its time and its error. An owner logs at most one such line a second of each kind: quick or long, repeated or not. The floor of 250 ms keeps quick calls to other data centres out.

--- a/coordinator/advice_test.go
+++ b/coordinator/advice_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/memory"
 	qt "github.com/frankban/quicktest"
 
 	"github.com/galenacove/galenacove/messenger"
@@ -278,3 +280,88 @@
 	c.Assert(err, qt.ErrorIs, errBusy)
 	c.Assert(pool.entries[0].activeCalls, qt.Equals, 0)
 }
+
+// TestCallForAdviceNamesItsTries guards against a call that loses many seconds at entries of
+// which the log names none, and against a line for each call while many are slow.
+func TestCallForAdviceNamesItsTries(t *testing.T) {
+	c := qt.New(t)
+	clock := timekeeper.NewFake(time.Unix(1_700_000_000, 0))
+	logs := memory.New()
+	pool := newTestEntryPool(clock, 2, "a-1", "b-1")
+	pool.coordinator.settings.logger = &log.Logger{
+		Handler: logs,
+		Level:   log.InfoLevel,
+	}
+	pool.coordinator.pool = promptPeers{
+		clock: clock,
+	}
+	silent := true
+	took := 4 * time.Second
+	pool.coordinator.adviceLimiter = &adviceLimiter{
+		clock: clock,
+		advise: func(context.Context, scheduler.StepRef, []string) ([]scheduler.Approval, time.Duration, error) {
+			clock.Advance(took)
+			if silent {
+				return nil, 0, context.DeadlineExceeded
+			}
+			return nil, time.Second, nil
+		},
+	}
+	adviser := pool.adviserFor(0)
+	advise := func(cost time.Duration) {
+		_, _, err := adviser.Advise(context.Background(), scheduler.AskAdvice{
+			Workers: []string{"w"},
+			Cost:    cost,
+		})
+		c.Assert(err, qt.IsNil)
+	}
+	advise(time.Second)
+	c.Assert(logs.Entries, qt.HasLen, 1)
+	c.Assert(logs.Entries[0].Fields["tries"], qt.Equals, 2)
+	c.Assert(logs.Entries[0].Fields["tookMs"], qt.Equals, int64(4100))
+	c.Assert(logs.Entries[0].Fields["tried"], qt.Equals, "a-1 4s context deadline exceeded; b-1 100ms answered")
+
+	// The entry answers again, slowly at first.
+	silent = false
+	pool.disconnect("b-1")
+	clock.Advance(maxSuspension)
+	for _, test := range []struct {
+		took  time.Duration
+		lines int
+	}{
+		{
+			took:  2 * time.Second,
+			lines: 1,
+		},
+		{
+			took:  2100 * time.Millisecond,
+			lines: 2,
+		},
+		{
+			took:  300 * time.Millisecond,
+			lines: 2,
+		},
+	} {
+		took = test.took
+		advise(time.Second)
+		c.Assert(logs.Entries, qt.HasLen, test.lines, qt.Commentf("%v", test.took))
+	}
+	c.Assert(logs.Entries[1].Fields["tried"], qt.Equals, "a-1 2.1s answered")
+	for range 4 {
+		advise(100 * time.Millisecond)
+	}
+	c.Assert(logs.Entries, qt.HasLen, 3)
+	c.Assert(logs.Entries[2].Fields["omitted"], qt.Equals, 2)
+}
+
+// promptPeers is a pool of peers that all answer after 100 ms.
+type promptPeers struct {
+	peerCaller
+	clock *timekeeper.Fake
+}
+
+// Call implements peerCaller.
+func (p promptPeers) Call(context.Context, string, string, any, any) error {
+	p.clock.Advance(100 * time.Millisecond)
+	return nil
+}
--- a/coordinator/partitionadviser.go
+++ b/coordinator/partitionadviser.go
@@ -21,6 +21,8 @@
 	// window bounds the long calls beyond the owner's share. It is guarded by
 	// entryPool.mu.
 	window window
+	// lines limits the log lines on calls. It is guarded by entryPool.mu.
+	lines map[adviceLineKind]*adviceLines
 }
 
 var _ conductor.Adviser = (*partitionAdviser)(nil)
@@ -30,6 +32,7 @@
 	return &partitionAdviser{
 		entryPool: p,
 		partition: partition,
+		lines:     make(map[adviceLineKind]*adviceLines),
 	}
 }
 
@@ -182,6 +185,10 @@
 // Advise implements conductor.Adviser. A call without an answer is repeated through
 // another entry, up to adviceTries times, as it changes nothing at the adviser.
 func (a *partitionAdviser) Advise(ctx context.Context, order scheduler.AskAdvice) ([]scheduler.Approval, time.Duration, error) {
+	clock := a.entryPool.coordinator.settings.clock
+	began := clock.Now()
+	var tries []adviceTry
+	defer func() { a.logTries(order, began, tries) }()
 	err := errors.New("coordinator: no entry can ask the adviser")
 	for range adviceTries {
 		call, found := a.beginCall(order.Cost)
@@ -191,12 +198,17 @@
 		var reply AdviseReply
 		reply, err = a.entryPool.adviseThrough(ctx, call, order)
 		a.endCall(call, reply, err)
-		switch {
-		case err == nil && !reply.Refused:
-			return reply.Approved, reply.Validity, nil
-		case err == nil:
+		if err == nil && reply.Refused {
 			err = errBusy
 		}
+		tries = append(tries, adviceTry{
+			entry: call.entryState.name,
+			took:  clock.Now().Sub(call.sentAt),
+			err:   err,
+		})
+		if err == nil {
+			return reply.Approved, reply.Validity, nil
+		}
 		if ctx.Err() != nil {
 			break
 		}
