--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -142,6 +142,8 @@
 	// jobPart returns an upper bound of the fraction of an organisation's jobs that the
 	// partition gets.
 	jobPart func() float64
+	// knowledge returns how recent the sources of the workers are.
+	knowledge func() Knowledge
 
 	// tickRequests triggers a tick of the scheduler, and writeRequests a write of
 	// the progress.
@@ -165,6 +167,8 @@
 	leaseKeepers map[string]*leaseKeeper
 	// sequence is the sequence number of the next write.
 	sequence int64
+	// writeLines limits the log lines on writes of progress. It is used by writeLoop only.
+	writeLines limitedLines
 	// confirmedAt is the last time at which the ownership is known to have held.
 	confirmedAt time.Time
 	// assignedAt is the time at which the ownership began. startedRun is set once
@@ -241,6 +245,7 @@
 		metrics:           NewMetrics(),
 		placementsAllowed: func() bool { return true },
 		jobPart:           func() float64 { return 1 },
+		knowledge:         func() Knowledge { return Knowledge{} },
 		admissionLines:    make(lineLimiter),
 		tickRequests:      make(chan struct{}, 1),
 		writeRequests:     make(chan struct{}, 1),
@@ -397,6 +402,7 @@
 			metricsSetAt = now
 			c.metrics.setAdvice(c.partition, c.scheduler.AdviceLoad(now))
 			c.metrics.setLasting(c.partition, c.scheduler.LastingLoad(now))
+			c.metrics.setPlanned(c.partition, c.scheduler.OldestPlanned(now))
 			c.metrics.organisations.set(c.partition, c.scheduler.OrganisationLoads(), c.scheduler.ShareLoads())
 		}
 		unwritten, _ := c.scheduler.Unwritten()
