coordinator: test of an owner that was cut off from the store

Callers saw a lasting task without a run for seconds after a cut of a data centre.

The test cuts one of two entries of the model off, and requires that it has all 350 workers and their shards within 1 s of the assignment: half of the 2 s that a takeover may take until the first start.

--- /dev/null
+++ b/coordinator/cutoff_test.go
@@ -0,0 +1,123 @@
+package coordinator
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/galenacove/galenacove/scheduler"
+)
+
+// workersKnownWithin bounds the time from the assignment of a partition to the moment at
+// which its owner has all workers: half of the 2 s that a takeover may take until the
+// first start.
+const workersKnownWithin = time.Second
+
+// cutOffTest is a site of two entries, one of which the store does not answer for a
+// while, so that all partitions are assigned to the other one.
+type cutOffTest struct {
+	*site
+	// entry is the one that is cut off, and restoredAt the end of that.
+	entry      *siteEntry
+	restoredAt time.Time
+}
+
+// TestOwnerAfterCutOffHasItsWorkers guards against an entry that is assigned partitions
+// right after the store answers it again, and that starts nothing for seconds as its feeds
+// still pause after the reads that failed meanwhile, or wait for the answer to one of them.
+func TestOwnerAfterCutOffHasItsWorkers(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		entry int
+	}{
+		{
+			name:  "refused calls",
+			entry: 0,
+		},
+		{
+			name:  "calls without an answer",
+			entry: 1,
+		},
+	} {
+		for _, lasts := range []time.Duration{3700, 4300, 4900, 5300, 5700, 6100, 6700, 7300} {
+			lasts *= time.Millisecond
+			t.Run(fmt.Sprintf("%s, %v", test.name, lasts), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					s := &cutOffTest{
+						site: newSite(qt.New(t), 350),
+					}
+					s.configure(1)
+					ctx, cancel := context.WithCancel(context.Background())
+					var reports errgroup.Group
+					reports.Go(func() error { return s.report(ctx) })
+					time.Sleep(3 * time.Second)
+					s.start(2)
+					s.entry = s.entries[test.entry]
+					s.awaitWorkers()
+					s.cutOff(lasts)
+					assignedAt := s.awaitAssignment()
+					known := s.awaitWorkers().Sub(assignedAt)
+					s.c.Check(known <= workersKnownWithin, qt.IsTrue, qt.Commentf("workers known %v after the assignment, %v after the end of the cut", known, time.Since(s.restoredAt)))
+					cancel()
+					s.stop()
+					s.c.Assert(reports.Wait(), qt.IsNil)
+				})
+			})
+		}
+	}
+}
+
+// cutOff cuts the entry off for some time.
+func (s *cutOffTest) cutOff(lasts time.Duration) {
+	time.Sleep(2 * time.Second)
+	s.entry.store.cutOff.Store(true)
+	time.Sleep(lasts)
+	s.entry.store.cutOff.Store(false)
+	s.restoredAt = time.Now()
+}
+
+// awaitAssignment waits until the group assigns partitions to the entry after the end of
+// the cut, and returns the time of that.
+func (s *cutOffTest) awaitAssignment() time.Time {
+	c := s.entry.coordinator
+	for {
+		c.mu.Lock()
+		assigned := len(c.owned) > 0 && c.joinedAt.After(s.restoredAt)
+		c.mu.Unlock()
+		if assigned {
+			return time.Now()
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// awaitWorkers waits until the entry has the shards of all workers and a directory that
+// was read after the end of the cut, and returns the time of that.
+func (s *cutOffTest) awaitWorkers() time.Time {
+	c := s.entry.coordinator
+	for {
+		directory := c.directory.Load()
+		if directory != nil && len(*directory) == s.workers && (*directory)[0].Read.After(s.restoredAt) && knowsShards(c.shards, *directory) {
+			return time.Now()
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// knowsShards reports whether the shards of all of the workers are known.
+func knowsShards(shards *shards, workers []scheduler.WorkerEntry) bool {
+	if !shards.complete() {
+		return false
+	}
+	for _, worker := range workers {
+		if _, known := shards.partitionOfWorker(worker); !known {
+			return false
+		}
+	}
+	return true
+}
