coordinator: suspensions for advice end when the store answers again

A new owner needs advice before its first start of a lasting task. While its data centre is cut off, each call for advice that fails suspends an entry, for up to 2 s from the last failure, and each entry that does not answer is probed again only up to 2 s later. Both last beyond the end of the cut: an owner whose entries are all suspended or unreachable makes no call until then.

The first answer to a join after joins that failed, which ends the pauses of the feeds, now ends the suspensions too, and makes the unreachable entries due to be probed; the bound of 8 such probes for each interval stays. The count of failures is kept, so an entry that still gets no answer is suspended for as long as before after one call.

TestSuspensionsEndWithTheCut: without the change no entry makes a call after the join, and none is due to be probed; with it both.

--- a/coordinator/cutoff_test.go
+++ b/coordinator/cutoff_test.go
@@ -192,3 +192,49 @@
 	}
 	return s.Store.Newest(ctx, of, after)
 }
+
+// TestSuspensionsEndWithTheCut guards against a new owner that gets no advice for up to 2 s
+// after a cut, as the calls that failed meanwhile have suspended its own entry, and made
+// the others unreachable until their next probe.
+func TestSuspensionsEndWithTheCut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(qt.New(t), 0)
+		s.start(0)
+		s.addEntry(0, time.Hour)
+		entry := s.entries[0]
+		pool := entry.coordinator.entryPool
+		pool.setPeers(map[string]string{
+			"other-1": "10.1.0.1:7",
+			"other-2": "10.1.0.2:7",
+		})
+		owner := pool.adviserFor(0)
+		// ask makes a call for advice that fails, and reports whether an entry made it.
+		ask := func() bool {
+			call, found := owner.beginCall(time.Second)
+			if found {
+				owner.endCall(call, AdviseReply{}, storer.ErrUnavailable)
+			}
+			return found
+		}
+		join := func() { entry.coordinator.join(context.Background(), &entry.group) }
+		entry.store.cutOff.Store(true)
+		for range 10 {
+			time.Sleep(maxSuspension)
+			pool.disconnect("other-")
+			s.c.Assert(ask(), qt.IsTrue)
+		}
+		join()
+		s.c.Assert(ask(), qt.IsFalse)
+		s.c.Assert(pool.probeTargets(false), qt.HasLen, 0)
+		entry.store.cutOff.Store(false)
+		join()
+		s.c.Check(pool.probeTargets(false), qt.HasLen, 2)
+		s.c.Check(ask(), qt.IsTrue)
+		// If the adviser is still out of reach, the entry is suspended for as long as before,
+		// and further joins do not change that.
+		join()
+		time.Sleep(maxSuspension - 100*time.Millisecond)
+		s.c.Check(ask(), qt.IsFalse)
+		s.stop()
+	})
+}
--- a/coordinator/membership.go
+++ b/coordinator/membership.go
@@ -109,8 +109,8 @@
 	joinCtx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
 	assignment, err := c.store.Join(joinCtx, groupName, member, []string{conductor.JobsTopic}, c.settings.ttl, generation)
-	if ctx.Err() == nil {
-		c.restoration.recordJoin(err)
+	if ctx.Err() == nil && c.restoration.recordJoin(err) {
+		c.entryPool.resume()
 	}
 	if err != nil {
 		if ctx.Err() == nil {
--- a/coordinator/restoration.go
+++ b/coordinator/restoration.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -29,18 +30,37 @@
 	return restored
 }
 
-// recordJoin records the outcome of a join.
-func (r *restoration) recordJoin(err error) {
+// recordJoin records the outcome of a join, and reports whether the store answers again
+// after joins that it did not answer.
+func (r *restoration) recordJoin(err error) (restored bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if errors.IsAny(err, storer.ErrUnavailable, storer.ErrUnknown) {
 		r.lost = true
-		return
+		return false
 	}
-	if r.lost {
-		r.lost = false
-		for _, restored := range r.feeds {
-			request(restored)
+	if !r.lost {
+		return false
+	}
+	r.lost = false
+	for _, feed := range r.feeds {
+		request(feed)
+	}
+	return true
+}
+
+// resume is called when the store answers this entry again. What kept the store from it may
+// have kept the adviser and other entries from it too, so those that are suspended get calls
+// again, and those that are unreachable are due to be probed. The next failure costs as long
+// a pause as before.
+func (p *entryPool) resume() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.coordinator.settings.clock.Now()
+	for _, entry := range p.entries {
+		entry.suspendedUntil = time.Time{}
+		if entry.unreachable {
+			entry.probeAt = now
 		}
 	}
 }
