--- a/coordinator/feeds.go
+++ b/coordinator/feeds.go
@@ -62,6 +62,7 @@
 		partition:  partition,
 		start:      c.configRead,
 		maxBackoff: maxFeedBackoff,
+		restored:   c.restoration.subscribe(),
 	}
 }
 
