scheduler: place lasting tasks while a write of another start is slow

A lasting task waited up to 5.6 s for a run although workers with valid tickets had room.

Cause: once a planned run had waited 150 ms for its write, chooseWorker accepted only workers that the store already listed for the task. A task that has just lost its run has none. So it was placed only after the write had ended, was not in the next write, and waited for the one after that; meanwhile its ticket ran out and a call for advice was due.

Change: such a worker now has a worse score instead. The start still waits until its placement is stored.

Ruled out: that a planned run outlives its ticket (sendPlannedStarts drops it).

--- a/scheduler/load_test.go
+++ b/scheduler/load_test.go
@@ -69,6 +69,10 @@
 	jobRecords []scheduler.Job
 	// storeStalled is set while the store takes no writes.
 	storeStalled bool
+	// writeTime is the time that a write to the store takes. The next one begins
+	// once it has ended.
+	writeTime     time.Duration
+	pendingWrites []pendingWrite
 	// cutFrom and cutTo are the times, after the start of the workloads, between
 	// which a third of the workers is silent.
 	cutFrom, cutTo time.Duration
@@ -95,6 +99,12 @@
 	ask      scheduler.AskAdvice
 }
 
+// pendingWrite is a write that the store has not confirmed.
+type pendingWrite struct {
+	storedAt time.Time
+	write    scheduler.Write
+}
+
 type submittedJob struct {
 	workload   int
 	acceptedAt time.Time
@@ -260,7 +270,7 @@
 	sim.renewLeases()
 	sim.answerCalls()
 	effects := sim.s.Tick(sim.now)
-	if sim.s.PlannedRuns() > 0 && !sim.storeStalled {
+	if sim.s.PlannedRuns() > 0 && !sim.storeStalled && sim.writeTime == 0 {
 		sim.write()
 		effects = append(effects, sim.s.Tick(sim.now)...)
 	}
@@ -306,11 +316,33 @@
 		case scheduler.StopTask, scheduler.PaceTask:
 		}
 	}
-	if !sim.storeStalled {
+	switch {
+	case sim.storeStalled:
+	case sim.writeTime > 0:
+		sim.writeSlowly()
+	default:
 		sim.write()
 	}
 }
 
+// writeSlowly confirms the write under way if it is stored by now, and then begins the
+// next one if there is something to store.
+func (sim *simulation) writeSlowly() {
+	for _, pending := range sim.pendingWrites {
+		if pending.storedAt.After(sim.now) {
+			return
+		}
+		sim.confirm(pending.write)
+	}
+	sim.pendingWrites = nil
+	if unwritten, _ := sim.s.Unwritten(); unwritten {
+		sim.pendingWrites = append(sim.pendingWrites, pendingWrite{
+			storedAt: sim.now.Add(sim.writeTime),
+			write:    sim.s.NextWrite(),
+		})
+	}
+}
+
 // stopDuration is the time that a worker takes to stop a run.
 const stopDuration = 500 * time.Millisecond
 
--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -245,10 +245,12 @@
 		if !size.Fits(w.freeCapacity()) || !s.mayStartOn(st, w, now) || !s.fitsOn(st, w, p, now) {
 			continue
 		}
+		score := s.score(st, w)
 		if s.storeStalled && st.tracksPlacements && !slices.Contains(t.storedWorkers, w.entry.Ref.ID) {
-			continue
+			// The start waits for a write. The next one can store it, so the task need not
+			// wait until the store is no longer stalled.
+			score += 50
 		}
-		score := s.score(st, w)
 		if slices.Contains(t.avoidWorkers, w.entry.Ref.ID) {
 			score += 100
 		}
@@ -264,7 +266,8 @@
 
 // mayStartOn reports whether the step may start tasks on the worker now: the
 // worker meets its requirements, and there is a valid ticket if one is needed.
-// While the store is stalled, only workers that are stored for the job qualify.
+// While the store is stalled, only workers that are stored for the job qualify, unless
+// the placements of the step's tasks are stored one by one.
 func (s *Scheduler) mayStartOn(st *step, w *worker, now time.Time) bool {
 	if !meetsRequirements(st, w) || s.storeStalled && !st.tracksPlacements && !st.job.storedWorkers[w.entry.Ref.ID] {
 		return false
--- a/scheduler/rig_test.go
+++ b/scheduler/rig_test.go
@@ -218,6 +218,12 @@
 // write stores all changes and returns them.
 func (r *rig) write() scheduler.Write {
 	write := r.s.NextWrite()
+	r.confirm(write)
+	return write
+}
+
+// confirm records that a write is stored.
+func (r *rig) confirm(write scheduler.Write) {
 	r.s.Written(write)
 	for _, progress := range write.Jobs {
 		r.stored[progress.ID] = progress.Progress
@@ -228,7 +234,6 @@
 	if write.Silent != nil {
 		r.storedSilent = write.Silent
 	}
-	return write
 }
 
 func (r *rig) activeRuns() int {
