scheduler: call the adviser again for lasting tasks while an answer is overdue

A step made one call for advice at a time.

Change: a call of a step of lasting tasks that is overdue by 500 ms does not bar another one. The entry with the fewest calls under way gets it, so that is another entry. A step has at most three calls in flight, each counts towards the limits of calls, and late answers count. Steps of other tasks still make one call at a time, as they are many and a slow adviser would get more load from each of them. AdviceFailed now names the workers, so that the right one of several calls ends. The log's "call in flight" is a number.

Not mended: with all calls of a step hanging, the fourth waits for the end of the first.

--- a/conductor/orders.go
+++ b/conductor/orders.go
@@ -151,7 +151,7 @@
 	c.mu.Lock()
 	if err != nil {
 		logEntry.WithError(err).Warn("conductor: the call for advice failed")
-		c.scheduler.AdviceFailed(order.Step, now)
+		c.scheduler.AdviceFailed(order.Step, order.Workers, now)
 	} else {
 		logEntry.Debug("conductor: advice received")
 		c.scheduler.AdviceAnswered(order.Step, order.Workers, approved, validity, now)
--- a/scheduler/advice.go
+++ b/scheduler/advice.go
@@ -29,6 +29,11 @@
 	// what is needed, because other steps take some of that capacity in the
 	// meantime.
 	overaskFactor = 1.5
+	// adviceOverdueAfter is the time after which an expected answer counts as overdue. It
+	// allows for a short wait behind the calls of other owners.
+	adviceOverdueAfter = 500 * time.Millisecond
+	// maxCallsPerStep limits the calls in flight of one step of lasting tasks.
+	maxCallsPerStep = 3
 	// adviceDelivery is the time to deliver a call and its answer. It is added to
 	// the cost of a call.
 	adviceDelivery = 20 * time.Millisecond
@@ -52,7 +57,7 @@
 // requestAdvice calls the adviser about workers that could run the step's
 // waiting tasks, unless a call is in flight or has just failed.
 func (s *Scheduler) requestAdvice(st *step, p *pool, now time.Time) {
-	if st.adviceState.adviceInFlight || now.Before(st.adviceState.retryAt) {
+	if !st.mayCall(now) {
 		return
 	}
 	tasks := min(st.waiting, s.allowedToAsk(st))
@@ -169,10 +174,31 @@
 	return workers, int(math.Ceil(expected))
 }
 
+// awaitedCall returns the call whose answer the step waits for, or nil if there is none.
+func (st *step) awaitedCall(now time.Time) *adviceCall {
+	if len(st.adviceState.calls) == 0 {
+		return nil
+	}
+	last := &st.adviceState.calls[len(st.adviceState.calls)-1]
+	if st.phase.Lasting && now.Sub(last.answerDueAt) > adviceOverdueAfter {
+		// The entry that makes the call may have lost touch with the adviser, and the next
+		// call is made through another one. Callers depend on lasting tasks all the time,
+		// and there are few of them, so only they load the adviser with further calls.
+		return nil
+	}
+	return last
+}
+
+// mayCall reports whether a call to the adviser may be made for the step: none is in
+// flight that may be answered soon, and none has just failed.
+func (st *step) mayCall(now time.Time) bool {
+	return st.awaitedCall(now) == nil && len(st.adviceState.calls) < maxCallsPerStep && !now.Before(st.adviceState.retryAt)
+}
+
 // callAdviser calls the adviser about these workers, unless a call is in flight
 // or has just failed. At the limit of calls it records that the call is denied.
 func (s *Scheduler) callAdviser(st *step, workers []*worker, now time.Time) {
-	if st.job.record.Queue.Advice == nil || st.adviceState.adviceInFlight || now.Before(st.adviceState.retryAt) || len(workers) == 0 {
+	if st.job.record.Queue.Advice == nil || !st.mayCall(now) || len(workers) == 0 {
 		return
 	}
 	workers = workers[:min(len(workers), maxAskedWorkers)]
@@ -188,16 +214,18 @@
 	}
 	st.adviceState.deniedSeenAt = time.Time{}
 	st.adviceState.callCount++
-	st.adviceState.adviceInFlight = true
 	st.adviceState.expectedTasks = 0
-	st.adviceState.quickCall = cost <= MaxQuickCallDuration
-	s.adviceInFlight[st.adviceState.quickCall]++
 	ids := make([]string, len(workers))
 	for i, w := range workers {
 		ids[i] = w.entry.Ref.ID
 	}
-	st.adviceState.inFlightWorkers = ids
-	st.adviceState.answerDueAt = now.Add(cost + adviceDelivery)
+	call := adviceCall{
+		workers:     ids,
+		quick:       cost <= MaxQuickCallDuration,
+		answerDueAt: now.Add(cost + adviceDelivery),
+	}
+	st.adviceState.calls = append(st.adviceState.calls, call)
+	s.adviceInFlight[call.quick]++
 	s.emit(AskAdvice{
 		Step:    st.ref,
 		Workers: ids,
@@ -264,7 +292,7 @@
 	if st == nil {
 		return
 	}
-	s.endAdviceCall(st)
+	s.endAdviceCall(st, askedWorkers)
 	for _, id := range askedWorkers {
 		st.adviceState.askedWorkers[id] = true
 	}
@@ -285,20 +313,26 @@
 	}
 }
 
-// AdviceFailed records that a call to the adviser had no answer.
-func (s *Scheduler) AdviceFailed(ref StepRef, now time.Time) {
-	if st := s.findStep(ref); st != nil {
-		s.endAdviceCall(st)
-		st.adviceState.retryAt = now.Add(adviceRetryDelay)
+// AdviceFailed records that a call to the adviser about these workers had no answer.
+func (s *Scheduler) AdviceFailed(ref StepRef, askedWorkers []string, now time.Time) {
+	st := s.findStep(ref)
+	if st == nil {
+		return
 	}
+	s.endAdviceCall(st, askedWorkers)
+	st.adviceState.retryAt = now.Add(adviceRetryDelay)
 }
 
-// endAdviceCall removes the step's call, if any, from the calls in flight.
-func (s *Scheduler) endAdviceCall(st *step) {
-	if st.adviceState.adviceInFlight {
-		st.adviceState.adviceInFlight = false
-		s.adviceInFlight[st.adviceState.quickCall]--
+// endAdviceCall removes the oldest of the step's calls about these workers, if any, from
+// the calls in flight.
+func (s *Scheduler) endAdviceCall(st *step, askedWorkers []string) {
+	calls := st.adviceState.calls
+	i := slices.IndexFunc(calls, func(call adviceCall) bool { return slices.Equal(call.workers, askedWorkers) })
+	if i < 0 {
+		return
 	}
+	s.adviceInFlight[calls[i].quick]--
+	st.adviceState.calls = slices.Delete(calls, i, i+1)
 }
 
 // SetAdviceLimits sets the limits of concurrent calls to the adviser, for quick and
@@ -331,7 +365,7 @@
 			continue
 		}
 		for _, st := range j.steps {
-			if len(st.phase.DependsOn) == 0 || st.done > 0 || st.adviceState.adviceInFlight || len(st.adviceState.askedWorkers) > 0 {
+			if len(st.phase.DependsOn) == 0 || st.done > 0 || len(st.adviceState.calls) > 0 || len(st.adviceState.askedWorkers) > 0 {
 				continue
 			}
 			if s.openSteps[st.ref] == nil && s.readyWithin(st, st.adviceCost(maxAskedWorkersIndependent), now) {
--- a/scheduler/advice_test.go
+++ b/scheduler/advice_test.go
@@ -311,23 +311,21 @@
 		job.Accepted = r.now.Add(time.Duration(i) * time.Millisecond)
 		r.s.AddJob(job, nil, false, r.now)
 	}
-	calls := 0
+	var calls []scheduler.AskAdvice
 	var order []string
 	for range 5 {
 		r.carryOut(r.s.Tick(r.now))
 		for _, effect := range r.effects {
 			if ask, is := effect.(scheduler.AskAdvice); is {
-				calls++
+				calls = append(calls, ask)
 				order = append(order, ask.Step.Job)
 			}
 		}
 	}
-	r.c.Assert(calls, qt.Equals, 2)
+	r.c.Assert(calls, qt.HasLen, 2)
 	r.c.Assert(order, qt.DeepEquals, []string{workerName(0), workerName(1)})
 	// A call that failed no longer counts towards the limit.
-	r.s.AdviceFailed(scheduler.StepRef{
-		Job: workerName(0),
-	}, r.now)
+	r.s.AdviceFailed(calls[0].Step, calls[0].Workers, r.now)
 	r.carryOut(r.s.Tick(r.now))
 	r.c.Assert(r.effects, qt.HasLen, 1)
 }
--- a/scheduler/explaining.go
+++ b/scheduler/explaining.go
@@ -65,9 +65,9 @@
 			obstacles[s.obstacleOn(st, w, p, now)]++
 		}
 	}
-	s.addNote(fmt.Sprintf("step waits: %d of %d tasks, %s, %d workers available, %d suitable, %d approved, %d with a valid ticket, %d with free capacity, %d reserved, call in flight %t, %d calls made, %d of %d long calls in flight, no free call for %v, no run for up to %v; of the approved %s",
+	s.addNote(fmt.Sprintf("step waits: %d of %d tasks, %s, %d workers available, %d suitable, %d approved, %d with a valid ticket, %d with free capacity, %d reserved, %d calls in flight, %d calls made, %d of %d long calls in flight, no free call for %v, no run for up to %v; of the approved %s",
 		st.waiting, len(st.tasks), rankName(st.rank(now)), len(p.workers), suitable, approved, ticketed, fitting, reserved,
-		st.adviceState.adviceInFlight, st.adviceState.callCount, s.adviceInFlight[false], s.adviceLimits[false], st.adviceState.deniedDuration(now).Round(time.Millisecond),
+		len(st.adviceState.calls), st.adviceState.callCount, s.adviceInFlight[false], s.adviceLimits[false], st.adviceState.deniedDuration(now).Round(time.Millisecond),
 		st.longestWait(now).Round(time.Millisecond), describeObstacles(obstacles))+s.describeShare(st)+st.describeSuspects(),
 		TaskRef{
 			Step: st.ref,
--- a/scheduler/preempting.go
+++ b/scheduler/preempting.go
@@ -297,14 +297,14 @@
 // ticket for its worker.
 func (s *Scheduler) usableAt(st *step, v vacancy, now time.Time) time.Time {
 	ticketAt := now
-	switch a := st.adviceState; {
+	switch call := st.awaitedCall(now); {
 	case s.hasValidTicket(st, v.worker, v.freeAt):
-	case !a.adviceInFlight:
+	case call == nil:
 		ticketAt = now.Add(st.adviceCost(1))
-	case slices.Contains(a.inFlightWorkers, v.worker.entry.Ref.ID):
-		ticketAt = a.answerDueAt
+	case slices.Contains(call.workers, v.worker.entry.Ref.ID):
+		ticketAt = call.answerDueAt
 	default:
-		ticketAt = a.answerDueAt.Add(st.adviceCost(1))
+		ticketAt = call.answerDueAt.Add(st.adviceCost(1))
 	}
 	if ticketAt.Before(v.freeAt) {
 		return v.freeAt
--- a/scheduler/tables.go
+++ b/scheduler/tables.go
@@ -137,15 +137,10 @@
 	// tickets holds the last ticket for each approved worker, also after its
 	// expiry.
 	tickets map[string]ticket
-	// adviceInFlight is set while a call awaits its answer, and quickCall is set
-	// if that call counts as quick.
-	adviceInFlight, quickCall bool
-	// inFlightWorkers holds the workers that the last call names, and answerDueAt the
-	// time at which its answer is expected.
-	inFlightWorkers []string
-	answerDueAt     time.Time
+	// calls holds the calls in flight, oldest first. All but the last one are overdue.
+	calls []adviceCall
 	// expectedTasks is the number of tasks that can probably be placed with the
-	// answer to the call in flight.
+	// answer to the last call in flight.
 	expectedTasks int
 	// retryAt is the earliest time of the next call after one that failed.
 	retryAt time.Time
@@ -157,6 +152,15 @@
 	callCount int
 }
 
+// adviceCall is a call to the adviser that awaits its answer.
+type adviceCall struct {
+	workers []string
+	// quick is set if the call counts as quick.
+	quick bool
+	// answerDueAt is the time at which the answer is expected.
+	answerDueAt time.Time
+}
+
 type ticket struct {
 	value     string
 	expiresAt time.Time
