--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -196,10 +196,10 @@
 	if st.waiting > 0 && st.job.record.Queue.Advice != nil {
 		s.requestAdvice(st, p, now)
 	}
-	if st.waiting > 0 && !st.adviceState.adviceInFlight && !st.reservesWorkers() && st.rank(now) == rankInTime && !s.fitsSomewhere(st, p, now) && s.holdStarved(st) {
+	if st.waiting > 0 && st.awaitedCall(now) == nil && !st.reservesWorkers() && st.rank(now) == rankInTime && !s.fitsSomewhere(st, p, now) && s.holdStarved(st) {
 		p.starvedSteps = append(p.starvedSteps, st)
 	}
-	if st.adviceState.adviceInFlight {
+	if st.awaitedCall(now) != nil {
 		// The step will soon take this capacity. For a step that waits for
 		// particular workers, expectedTasks is 0, so nothing is subtracted and
 		// lower-ranked steps can use the capacity.
@@ -245,10 +245,12 @@
 		if !size.Fits(w.freeCapacity()) || !s.mayStartOn(st, w, now) || !s.fitsOn(st, w, p, now) {
 			continue
 		}
+		score := s.score(st, w)
 		if s.storeStalled && st.tracksPlacements && !slices.Contains(t.storedWorkers, w.entry.Ref.ID) {
-			continue
+			// The start waits for a write. The next one can store it, so the task need not
+			// wait until the store is no longer stalled.
+			score += 50
 		}
-		score := s.score(st, w)
 		if slices.Contains(t.avoidWorkers, w.entry.Ref.ID) {
 			score += 100
 		}
@@ -264,7 +266,8 @@
 
 // mayStartOn reports whether the step may start tasks on the worker now: the
 // worker meets its requirements, and there is a valid ticket if one is needed.
-// While the store is stalled, only workers that are stored for the job qualify.
+// While the store is stalled, only workers that are stored for the job qualify, unless
+// the placements of the step's tasks are stored one by one.
 func (s *Scheduler) mayStartOn(st *step, w *worker, now time.Time) bool {
 	if !meetsRequirements(st, w) || s.storeStalled && !st.tracksPlacements && !st.job.storedWorkers[w.entry.Ref.ID] {
 		return false
