--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -117,6 +117,8 @@
 	configRead, peersRead         chan struct{}
 	configAnswered, peersAnswered sync.Once
 	feedMetrics                   *feedMetrics
+	// restoration ends the pauses of the feeds when the store answers again.
+	restoration restoration
 	// storeSilent is whether the last probe found the store silent. It is used by
 	// probeStore only. refusedSubmits counts the records that were refused since
 	// storeSilent changed.
@@ -133,6 +135,9 @@
 	stopping atomic.Bool
 	// directory holds the workers that the directory listed when it was last read.
 	directory atomic.Pointer[[]scheduler.WorkerEntry]
+	// directoryRead and shardsRead describe the last answered reads of the directory and
+	// of the records of the shards. They are nil unless these are followed.
+	directoryRead, shardsRead atomic.Pointer[conductor.ReadState]
 
 	mu sync.Mutex
 	// member is the name of this incarnation of the process in the group.
