coordinator: an entry that starts in a cut joins only once it can know the others

Cause: an entry that starts waits for the records of the other entries for one second. The time counted although the store answered nothing, so that it was over when the cut ended, and the first call that the store answered was the join.

The second now counts from the store's first answer on, which also ends the pauses of the feeds. The append of the entry's own record, which comes before the read of the others', is given up after 0.6 s, as long as a join may take, and a first read that has been under way for 0.2 s is abandoned when the store answers: either may have been sent into the cut, and would wait for its time limit of 2.5 s. A store that serves no records of entries still keeps nobody out: the entry joins a second after its first answer.

TestSmallEntryJoinsAloneAfterACut passes as before. Tests of coordinator and conductor passed beside other processes.

--- a/coordinator/feed.go
+++ b/coordinator/feed.go
@@ -209,22 +209,29 @@
 	return ceiling/2 + rand.N(ceiling/2+1)
 }
 
-// readOrAbandon makes one read. If earlier ones have failed, it abandons the read when the
-// store is restored: it may have been sent while the store did not answer, and would wait
-// for its time limit. That happens once until a read is answered, so that a store that is
-// slow and loses calls has the time to answer.
+// abandonAfter is the time after which a first read that is not answered may be abandoned:
+// many times the usual latency.
+const abandonAfter = firstRepeatAfter
+
+// readOrAbandon makes one read. If earlier ones have failed or none was answered yet, it
+// abandons the read when the store is restored: it may have been sent while the store did
+// not answer, and would wait for its time limit. That happens once until a read is
+// answered, so that a store that is slow and loses calls has the time to answer.
 func (f feed) readOrAbandon(ctx context.Context, state *feedState) (abandoned bool, err error) {
-	if f.restored == nil || state.failures == 0 || state.abandoned {
+	if f.restored == nil || state.failures == 0 && state.next >= 0 || state.abandoned {
 		return false, f.readOnce(ctx, state)
 	}
 	readCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var watch errgroup.Group
+	sentAt := f.clock.Now()
 	watch.Go(func() error {
 		select {
 		case <-f.restored:
-			abandoned = true
-			cancel()
+			if state.failures > 0 || f.clock.Now().Sub(sentAt) >= abandonAfter {
+				abandoned = true
+				cancel()
+			}
 		case <-readCtx.Done():
 		}
 		return nil
--- a/coordinator/feeds.go
+++ b/coordinator/feeds.go
@@ -13,7 +13,6 @@
 	"github.com/galenacove/galenacove/receiver"
 	"github.com/galenacove/galenacove/scheduler"
 	"github.com/galenacove/galenacove/storer"
-	"github.com/galenacove/galenacove/timekeeper"
 )
 
 const (
@@ -240,19 +239,24 @@
 	if err != nil {
 		return err
 	}
+	f := c.newFeed("entries", partition)
 	for failures := 1; ; failures++ {
-		_, err := c.store.Append(ctx, partition, nil, storer.Record{
+		// An entry that starts joins the group soon after the store's first answer, so
+		// an append that gets none must not delay the read for long.
+		appendCtx, cancel := context.WithTimeout(ctx, joinTimeout)
+		_, err := c.store.Append(appendCtx, partition, nil, storer.Record{
 			Key:   c.settings.name,
 			Value: ownRecord,
 		})
+		cancel()
 		if err == nil {
 			break
 		}
-		if err := timekeeper.Sleep(ctx, c.settings.clock, backoff(failures, maxFeedBackoff)); err != nil {
-			return err
+		f.sleep(ctx, backoff(failures, maxFeedBackoff), f.restored)
+		if ctx.Err() != nil {
+			return ctx.Err()
 		}
 	}
-	f := c.newFeed("entries", partition)
 	f.wait = peersReadWait
 	received := false
 	f.pause = func() time.Duration {
--- a/coordinator/membership.go
+++ b/coordinator/membership.go
@@ -26,22 +26,14 @@
 	// within joinInterval.
 	notifyTimeout = joinInterval
 	// firstJoinWait bounds how long a starting entry waits for the records of the other
-	// entries before it joins the group.
+	// entries before it joins the group, from the store's first answer on.
 	firstJoinWait = time.Second
 )
 
 // keepMembership renews the membership of this process, and takes and drops
 // partitions as the group assigns them.
 func (c *Coordinator) keepMembership(ctx context.Context, group *errgroup.Group) error {
-	// Without the records of the other entries, this one may join though it leaves the
-	// partitions to others, and each member that joins or leaves moves partitions.
-	timer := c.settings.clock.NewTimer(firstJoinWait)
-	select {
-	case <-c.peersRead:
-	case <-timer.C():
-	case <-ctx.Done():
-	}
-	timer.Stop()
+	c.awaitPeers(ctx)
 	for {
 		if c.defersToOthers(ctx) {
 			c.cedePartitions(ctx)
@@ -64,6 +56,28 @@
 	}
 }
 
+// awaitPeers waits for the records of the other entries. Without them, this entry may join
+// though it leaves the partitions to others, and each member that joins or leaves moves
+// partitions. The time until the store first answers this entry does not count, as the
+// records cannot be read before.
+func (c *Coordinator) awaitPeers(ctx context.Context) {
+	select {
+	case <-c.peersRead:
+		return
+	case <-c.store.firstAnswer():
+	case <-ctx.Done():
+		return
+	}
+	c.restoration.notify()
+	timer := c.settings.clock.NewTimer(firstJoinWait)
+	defer timer.Stop()
+	select {
+	case <-c.peersRead:
+	case <-timer.C():
+	case <-ctx.Done():
+	}
+}
+
 // leavesJoining reports whether this entry leaves it to others to join the group again
 // when a silent store returns. The members-to-be have no membership then, so all of
 // several hundred entries would join.
--- a/coordinator/restartedincut_test.go
+++ b/coordinator/restartedincut_test.go
@@ -18,7 +18,7 @@
 func TestSmallEntryRestartedInACutStaysOutOfTheGroup(t *testing.T) {
 	for _, lasts := range []time.Duration{300, 700, 1100, 1500, 1900, 2300, 2900, 3500, 4700, 5900} {
 		lasts *= time.Millisecond
-		for i, name := range []string{"refused calls", "calls without an answer"} {
+		for i, name := range []string{"calls without an answer", "refused calls"} {
 			t.Run(fmt.Sprintf("%s, %v", name, lasts), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
 					s := newSite(qt.New(t), 50)
--- a/coordinator/restoration.go
+++ b/coordinator/restoration.go
@@ -10,8 +10,8 @@
 )
 
 // restoration notifies the feeds of an entry when the store answers it again. Only joins
-// count: members alone are assigned partitions and, where there are many entries, few of
-// them are members, so that few read at the same time.
+// count, and the first answer after the start: members alone are assigned partitions and,
+// where there are many entries, few of them are members, so that few read at the same time.
 type restoration struct {
 	mu sync.Mutex
 	// lost is set while the last join had no answer. A store that answers joins and no
@@ -43,10 +43,22 @@
 		return false
 	}
 	r.lost = false
+	r.request()
+	return true
+}
+
+// notify notifies the feeds.
+func (r *restoration) notify() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.request()
+}
+
+// request sends a value to each feed that has none to receive. The caller holds mu.
+func (r *restoration) request() {
 	for _, feed := range r.feeds {
 		request(feed)
 	}
-	return true
 }
 
 // resume is called when the store answers this entry again. What kept the store from it may
--- a/coordinator/store.go
+++ b/coordinator/store.go
@@ -24,6 +24,9 @@
 	answeredAt atomic.Int64
 	// failures counts the calls since then that got no answer.
 	failures atomic.Int64
+	// answered is closed by answerOnce at the first answer.
+	answered   chan struct{}
+	answerOnce sync.Once
 	// silence tracks the calls without an answer, writeSilence those that write: a store
 	// may answer reads and no writes.
 	silence, writeSilence silence
@@ -36,8 +39,9 @@
 
 func newWatchedStore(store storer.Store, clock timekeeper.Clock) *watchedStore {
 	return &watchedStore{
-		Store: store,
-		clock: clock,
+		Store:    store,
+		clock:    clock,
+		answered: make(chan struct{}),
 		calls: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "galenacove_store_calls_total",
 			Help: "Calls to the store, by kind and outcome.",
@@ -55,6 +59,12 @@
 	return s.failures.Load() == 0 || s.clock.Now().Sub(time.Unix(0, s.answeredAt.Load())) < maxAge
 }
 
+// firstAnswer returns a channel that is closed once the store has answered a call of this
+// entry.
+func (s *watchedStore) firstAnswer() <-chan struct{} {
+	return s.answered
+}
+
 const (
 	// slowLatency is the latency above which the store counts as slow: several
 	// times its latency in normal operation.
@@ -177,6 +187,7 @@
 	default:
 		s.failures.Store(0)
 		s.answeredAt.Store(s.clock.Now().UnixNano())
+		s.answerOnce.Do(func() { close(s.answered) })
 		s.calls.WithLabelValues(call, "answered").Inc()
 	}
 }
