coordinator: test of small entries that are cut off together with large ones

The model has two large entries and six small ones; one large and four small ones are cut off from the store and the others.

--- a/coordinator/manyentries_test.go
+++ b/coordinator/manyentries_test.go
@@ -29,11 +29,14 @@
 	mu      sync.Mutex
 	entries map[string]*rpc
 	calls   int
+	// cutOff holds the addresses of the entries that only reach each other.
+	cutOff map[string]bool
 }
 
 // modelCaller makes the calls of one entry.
 type modelCaller struct {
 	network *modelNetwork
+	address string
 }
 
 func (modelCaller) Close() {}
@@ -42,7 +45,12 @@
 	m.network.mu.Lock()
 	m.network.calls++
 	target := m.network.entries[address]
+	cut := m.network.cutOff[m.address] != m.network.cutOff[address]
 	m.network.mu.Unlock()
+	if cut {
+		<-ctx.Done()
+		return messenger.ErrUnknown
+	}
 	if err := timekeeper.Sleep(ctx, timekeeper.System(), 2*time.Millisecond); err != nil {
 		return messenger.ErrUnknown
 	}
@@ -119,6 +127,7 @@
 		store: newStoreModel(),
 		network: &modelNetwork{
 			entries: make(map[string]*rpc),
+			cutOff:  make(map[string]bool),
 		},
 		workers: workers,
 	}
@@ -205,6 +214,7 @@
 		}))...)
 	c.pool = modelCaller{
 		network: s.network,
+		address: address,
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	entry := &siteEntry{
