coordinator: an entry that owns nothing while larger ones do asks the store before it joins

Each such change costs the owner's calls for advice and tickets, and a takeover.

Cause: a small entry joins if none of the larger ones that it can ask is a member. Those that were cut off with it are not, and the others are out of its reach until the end of the cut, at which the store answers the join first.

An entry that leaves the partitions to others, and that is no member, now joins only if the store lists none of these as an owner. A store that does not answer that either does not matter, as it answers no join. Where all larger entries are gone, they own nothing once their membership has expired, and the small ones join as before. The rule for a silent store, which held for the members of sites with 48 entries or more, holds for all entries that leave the partitions to others.

Tried and dropped: to wait for 0.9 s after the store has answered again. Whether the store was silent is known only after a second of calls, which an entry that makes few calls does not have, and answers to calls sent before the end of a cut reset the wait.

TestSmallEntriesOwnAfterACutWithoutLargeOnes passes. go test ./coordinator passed beside other processes.

--- a/coordinator/largerpeers.go
+++ b/coordinator/largerpeers.go
@@ -127,15 +127,20 @@
 	return addresses
 }
 
+// preferredOwners returns the addresses of the entries to which this one leaves the
+// partitions: much larger ones or, where there are many entries, those that are to be
+// members of the group.
+func (c *Coordinator) preferredOwners() []string {
+	if larger := c.largerPeers(); len(larger) > 0 {
+		return larger
+	}
+	return c.preferredPeers()
+}
+
 // defersToOthers reports whether an entry to which this one leaves the partitions was a
-// member of the group within largerMemberExpiry: a much larger one or, where there are
-// many entries, one that is to be a member.
+// member of the group within largerMemberExpiry.
 func (c *Coordinator) defersToOthers(ctx context.Context) bool {
-	others := c.largerPeers()
-	if len(others) == 0 {
-		others = c.preferredPeers()
-	}
-	return c.largerFinder.found(ctx, others)
+	return c.largerFinder.found(ctx, c.preferredOwners())
 }
 
 // largerFinder finds out whether one of the much larger entries is a member of the
--- a/coordinator/membership.go
+++ b/coordinator/membership.go
@@ -37,7 +37,7 @@
 	for {
 		if c.defersToOthers(ctx) {
 			c.cedePartitions(ctx)
-		} else if !c.stopping.Load() && !c.leavesJoining() && c.join(ctx, group) {
+		} else if !c.stopping.Load() && !c.leavesJoining(ctx) && c.join(ctx, group) {
 			// The group assigns a lost partition to its next owner only after the
 			// former owner has joined with the new generation.
 			c.join(ctx, group)
@@ -78,11 +78,29 @@
 	}
 }
 
-// leavesJoining reports whether this entry leaves it to others to join the group again
-// when a silent store returns. The members-to-be have no membership then, so all of
-// several hundred entries would join.
-func (c *Coordinator) leavesJoining() bool {
-	return len(c.preferredPeers()) > 0 && c.store.silent()
+// leavesJoining reports whether this entry leaves it to others to join the group, although
+// it has found none of the entries to which it leaves the partitions to be a member. It may
+// only have been out of their reach, so it asks the store whether they own partitions. While
+// a store is silent it need not be asked: it leaves the members without a membership, so all
+// of several hundred entries would join when it returns.
+func (c *Coordinator) leavesJoining(ctx context.Context) bool {
+	preferred := c.preferredOwners()
+	if len(preferred) == 0 || c.isMember() {
+		return false
+	}
+	if c.store.silent() {
+		return true
+	}
+	ownersCtx, cancel := context.WithTimeout(ctx, joinTimeout)
+	defer cancel()
+	owners, err := c.store.Owners(ownersCtx, groupName)
+	if err != nil {
+		return true
+	}
+	return slices.ContainsFunc(owners, func(owner storer.Ownership) bool {
+		address, _, _ := strings.Cut(owner.Member, "/")
+		return slices.Contains(preferred, address)
+	})
 }
 
 // notifyPeers has the other entries join at once, so that they learn which
