scheduler: renew tickets of lasting tasks beside a call about further workers

Callers saw lasting tasks without a run for 5 to 7 s after a cut, with the rule due at 7 s.

Cause: a step made one call at a time. One about up to 100 further workers, which takes 1.7 s and 2.3 to 3.1 s behind others, went first while no approved worker was free or had reported, and the approved ones that became free meanwhile, which needed only a ticket, waited for its end and for a second call.

A renewal of a step of lasting tasks is now barred by another renewal only, not by a call about further workers. So a step has at most one of each in flight besides those that are overdue, and all count towards the limits as before. Other steps still make one call at a time.

TestTicketsAreRenewedBesideACallAboutFurtherWorkers failed before: 0 of 15 tasks run 1.3 s after their approved workers have reported; all 15 do now.

--- a/scheduler/advice.go
+++ b/scheduler/advice.go
@@ -57,7 +57,7 @@
 // requestAdvice calls the adviser about workers that could run the step's
 // waiting tasks, unless a call is in flight or has just failed.
 func (s *Scheduler) requestAdvice(st *step, p *pool, now time.Time) {
-	if !st.mayCall(now) {
+	if !st.mayCall(false, now) {
 		return
 	}
 	tasks := min(st.waiting, s.allowedToAsk(st))
@@ -174,31 +174,37 @@
 	return workers, int(math.Ceil(expected))
 }
 
-// awaitedCall returns the call whose answer the step waits for, or nil if there is none.
-func (st *step) awaitedCall(now time.Time) *adviceCall {
-	if len(st.adviceState.calls) == 0 {
-		return nil
-	}
-	last := &st.adviceState.calls[len(st.adviceState.calls)-1]
-	if st.phase.Lasting && now.Sub(last.answerDueAt) > adviceOverdueAfter {
-		// The entry that makes the call may have lost touch with the adviser, and the next
-		// call is made through another one. Callers depend on lasting tasks all the time,
-		// and there are few of them, so only they load the adviser with further calls.
-		return nil
+// barringCall returns a call in flight that must be answered before another one is made for
+// the step, or nil if there is none. Only steps of lasting tasks have more than one: callers
+// depend on these all the time, and there are few of them.
+func (st *step) barringCall(renewal bool, now time.Time) *adviceCall {
+	for i := range st.adviceState.calls {
+		call := &st.adviceState.calls[i]
+		// The entry that makes an overdue call may have lost touch with the adviser, and the
+		// next call is made through another one. A call about further workers may take
+		// several times as long as the renewal of the tickets for approved ones.
+		passable := now.Sub(call.answerDueAt) > adviceOverdueAfter || renewal && !call.renewal
+		if !st.phase.Lasting || !passable {
+			return call
+		}
 	}
-	return last
+	return nil
 }
 
-// mayCall reports whether a call to the adviser may be made for the step: none is in
-// flight that may be answered soon, and none has just failed.
-func (st *step) mayCall(now time.Time) bool {
-	return st.awaitedCall(now) == nil && len(st.adviceState.calls) < maxCallsPerStep && !now.Before(st.adviceState.retryAt)
+// mayCall reports whether a call to the adviser may be made for the step: none that bars it
+// is in flight, and none has just failed.
+func (st *step) mayCall(renewal bool, now time.Time) bool {
+	return st.barringCall(renewal, now) == nil && len(st.adviceState.calls) < maxCallsPerStep && !now.Before(st.adviceState.retryAt)
 }
 
-// callAdviser calls the adviser about these workers, unless a call is in flight
-// or has just failed. At the limit of calls it records that the call is denied.
+// callAdviser calls the adviser about these workers, unless a call that bars it is in flight
+// or one has just failed. At the limit of calls it records that the call is denied.
 func (s *Scheduler) callAdviser(st *step, workers []*worker, now time.Time) {
-	if st.job.record.Queue.Advice == nil || !st.mayCall(now) || len(workers) == 0 {
+	if st.job.record.Queue.Advice == nil || len(workers) == 0 {
+		return
+	}
+	purpose := st.callPurpose(workers)
+	if !st.mayCall(purpose == AskRenewal, now) {
 		return
 	}
 	workers = workers[:min(len(workers), maxAskedWorkers)]
@@ -221,6 +227,7 @@
 	}
 	call := adviceCall{
 		workers:     ids,
+		renewal:     purpose == AskRenewal,
 		quick:       cost <= MaxQuickCallDuration,
 		answerDueAt: now.Add(cost + adviceDelivery),
 	}
@@ -230,7 +237,7 @@
 		Step:    st.ref,
 		Workers: ids,
 		Cost:    cost,
-		Purpose: st.callPurpose(workers),
+		Purpose: purpose,
 	})
 }
 
--- a/scheduler/preempting.go
+++ b/scheduler/preempting.go
@@ -297,14 +297,17 @@
 // ticket for its worker.
 func (s *Scheduler) usableAt(st *step, v vacancy, now time.Time) time.Time {
 	ticketAt := now
-	switch call := st.awaitedCall(now); {
+	named := slices.IndexFunc(st.adviceState.calls, func(call adviceCall) bool {
+		return slices.Contains(call.workers, v.worker.entry.Ref.ID)
+	})
+	switch barring := st.barringCall(true, now); {
 	case s.hasValidTicket(st, v.worker, v.freeAt):
-	case call == nil:
+	case named >= 0:
+		ticketAt = st.adviceState.calls[named].answerDueAt
+	case barring == nil:
 		ticketAt = now.Add(st.adviceCost(1))
-	case slices.Contains(call.workers, v.worker.entry.Ref.ID):
-		ticketAt = call.answerDueAt
 	default:
-		ticketAt = call.answerDueAt.Add(st.adviceCost(1))
+		ticketAt = barring.answerDueAt.Add(st.adviceCost(1))
 	}
 	if ticketAt.Before(v.freeAt) {
 		return v.freeAt
--- a/scheduler/tables.go
+++ b/scheduler/tables.go
@@ -140,7 +140,8 @@
 	// tickets holds the last ticket for each approved worker, also after its
 	// expiry.
 	tickets map[string]ticket
-	// calls holds the calls in flight, oldest first. All but the last one are overdue.
+	// calls holds the calls in flight, oldest first: at most one renewal and one other call
+	// that are not overdue.
 	calls []adviceCall
 	// expectedTasks is the number of tasks that can probably be placed with the
 	// answer to the last call in flight.
@@ -158,6 +159,8 @@
 // adviceCall is a call to the adviser that awaits its answer.
 type adviceCall struct {
 	workers []string
+	// renewal is set if the call only renews tickets.
+	renewal bool
 	// quick is set if the call counts as quick.
 	quick bool
 	// answerDueAt is the time at which the answer is expected.
