scheduler: a new owner asks the adviser once its workers have had the time to report

Callers saw lasting tasks without a run for 5 to 7 s after a cut. Such a call costs 0.74 s and brings 0 to 3 approvals; the step needed a further one for the rest, and the calls of all steps of the partition wait behind each other.

Steps that reserve workers (lasting tasks, large ones, gangs) now make no call while workers of the former owner may be about to report: 250 ms from the takeover at most, and only as long as one of them has neither reported nor failed to answer.

TestNewOwnerAsksOnceItsWorkersHaveReported failed before (a call about 1 worker in the first tick), and all 15 of its tasks run 1.3 s after the other workers report.

--- a/scheduler/advice.go
+++ b/scheduler/advice.go
@@ -198,13 +198,14 @@
 }
 
 // callAdviser calls the adviser about these workers, unless a call that bars it is in flight
-// or one has just failed. At the limit of calls it records that the call is denied.
+// or one has just failed. At the limit of calls it records that the call is denied. Steps
+// that reserve workers wait until the workers of a former owner have had the time to report.
 func (s *Scheduler) callAdviser(st *step, workers []*worker, now time.Time) {
 	if st.job.record.Queue.Advice == nil || len(workers) == 0 {
 		return
 	}
 	purpose := st.callPurpose(workers)
-	if !st.mayCall(purpose == AskRenewal, now) {
+	if !st.mayCall(purpose == AskRenewal, now) || s.reportsAwaited && (st.phase.Gang || st.reservesWorkers()) {
 		return
 	}
 	workers = workers[:min(len(workers), maxAskedWorkers)]
--- a/scheduler/lasting_tickets_test.go
+++ b/scheduler/lasting_tickets_test.go
@@ -63,3 +63,22 @@
 	l.steps(1300 * time.Millisecond)
 	l.c.Assert(l.activeRuns(), qt.Equals, 15, qt.Commentf("%v", l.notesWith("step waits")))
 }
+
+// TestNewOwnerAsksOnceItsWorkersHaveReported guards against a new owner whose first calls for
+// advice name only the few workers that have reported by then, so that its lasting tasks need
+// further calls.
+func TestNewOwnerAsksOnceItsWorkersHaveReported(t *testing.T) {
+	l := newRigAfterTakeover(t)
+	first := func(id string) bool { return id == workerName(0) || id == workerName(3) }
+	for range 6 {
+		l.renewLeasesOf(first)
+		l.advance(20 * time.Millisecond)
+		l.carryOut(l.s.Tick(l.now))
+		for _, effect := range l.effects {
+			ask, is := effect.(scheduler.AskAdvice)
+			l.c.Assert(is, qt.IsFalse, qt.Commentf("a call about %d workers", len(ask.Workers)))
+		}
+	}
+	l.steps(1300 * time.Millisecond)
+	l.c.Assert(l.activeRuns(), qt.Equals, 15, qt.Commentf("%v", l.notesWith("step waits")))
+}
--- a/scheduler/rig_test.go
+++ b/scheduler/rig_test.go
@@ -96,7 +96,15 @@
 
 // renewLeases renews the leases of all workers and passes on their reports.
 func (r *rig) renewLeases() {
+	r.renewLeasesOf(func(string) bool { return true })
+}
+
+// renewLeasesOf is renewLeases for the workers for which match returns true.
+func (r *rig) renewLeasesOf(match func(id string) bool) {
 	for _, ref := range r.s.Workers() {
+		if !match(ref.ID) {
+			continue
+		}
 		w := r.workersByID[ref.ID]
 		order, _ := r.s.LeaseRenewal(ref.ID, r.now)
 		if w == nil || w.silent {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -56,6 +56,9 @@
 	// ownershipConfirmedAt is the last time at which the ownership was known to hold.
 	ownershipConfirmedAt time.Time
 
+	// reportsAwaited is set at the beginning of the ownership, while workers of the former
+	// owner may be about to report, as of this tick.
+	reportsAwaited bool
 	// storeStalled is set while writes to the store are overdue, as of this
 	// tick.
 	storeStalled bool
--- a/scheduler/tick.go
+++ b/scheduler/tick.go
@@ -17,6 +17,9 @@
 	// stuckPause is the time for which nothing is started on a worker after a
 	// run got stuck there.
 	stuckPause = 3 * time.Second
+	// firstReportTime is the time within which a worker that can be reached reports to a new
+	// owner: several round trips between data centres.
+	firstReportTime = 250 * time.Millisecond
 	// maxReportAge is the maximum age of a worker's last report for something
 	// to be started there. It is longer than two intervals between renewals, so
 	// that one missing report does not exclude the worker.
@@ -84,6 +87,7 @@
 // finishRecovery ends the recovery once every worker has reported its runs, or
 // the former owner's leases have certainly expired.
 func (s *Scheduler) finishRecovery(now time.Time) {
+	s.reportsAwaited = false
 	if s.recoveryDone {
 		return
 	}
@@ -91,7 +95,9 @@
 	for _, w := range s.workers {
 		w.leasesOver = now.After(s.leasesEnd(w))
 		pending = pending || !w.reported && !w.leasesOver
+		s.reportsAwaited = s.reportsAwaited || w.former && !w.reported && w.silentSince.IsZero()
 	}
+	s.reportsAwaited = s.reportsAwaited && now.Sub(s.ownerSince) < firstReportTime
 	s.recoveryDone = len(s.workers) > 0 && !pending || now.After(s.recoveryEnd())
 	if s.recoveryDone && s.placementsAllowed {
 		s.trackAllPlacements()
