--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -23,6 +23,11 @@
 	// load of these queues within seconds, since a run that is preempted takes
 	// about one second to end.
 	headroomShare = 0.15
+	// unstoredPenalty is added to the score of a worker on which a run cannot be started
+	// before a write that is overdue, and avoidPenalty to that of one that the task avoids.
+	// Each outweighs all that score rates.
+	unstoredPenalty = 50
+	avoidPenalty    = 100
 	// maxReservedShare limits the share of a service's workers that are
 	// reserved.
 	maxReservedShare = 0.5
@@ -249,10 +254,10 @@
 		if s.storeStalled && st.tracksPlacements && !slices.Contains(t.storedWorkers, w.entry.Ref.ID) {
 			// The start waits for a write. The next one can store it, so the task need not
 			// wait until the store is no longer stalled.
-			score += 50
+			score += unstoredPenalty
 		}
 		if slices.Contains(t.avoidWorkers, w.entry.Ref.ID) {
-			score += 100
+			score += avoidPenalty
 		}
 		if trial {
 			score += w.stake()
