--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -25,7 +25,6 @@
 	headroomShare = 0.15
 	// unstoredPenalty is added to the score of a worker on which a run cannot be started
 	// before a write that is overdue, and avoidPenalty to that of one that the task avoids.
-	// Each outweighs all that score rates.
 	unstoredPenalty = 50
 	avoidPenalty    = 100
 	// maxReservedShare limits the share of a service's workers that are
