--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -23,6 +23,10 @@
 	// load of these queues within seconds, since a run that is preempted takes
 	// about one second to end.
 	headroomShare = 0.15
+	// unstoredPenalty is added to the score of a worker on which a run cannot be started
+	// before a write that is overdue, and avoidPenalty to that of one that the task avoids.
+	unstoredPenalty = 50
+	avoidPenalty    = 100
 	// maxReservedShare limits the share of a service's workers that are
 	// reserved.
 	maxReservedShare = 0.5
@@ -196,10 +200,10 @@
 	if st.waiting > 0 && st.job.record.Queue.Advice != nil {
 		s.requestAdvice(st, p, now)
 	}
-	if st.waiting > 0 && st.awaitedCall(now) == nil && !st.reservesWorkers() && st.rank(now) == rankInTime && !s.fitsSomewhere(st, p, now) && s.holdStarved(st) {
+	if st.waiting > 0 && st.barringCall(false, now) == nil && !st.reservesWorkers() && st.rank(now) == rankInTime && !s.fitsSomewhere(st, p, now) && s.holdStarved(st) {
 		p.starvedSteps = append(p.starvedSteps, st)
 	}
-	if st.awaitedCall(now) != nil {
+	if st.barringCall(false, now) != nil {
 		// The step will soon take this capacity. For a step that waits for
 		// particular workers, expectedTasks is 0, so nothing is subtracted and
 		// lower-ranked steps can use the capacity.
@@ -249,10 +253,10 @@
 		if s.storeStalled && st.tracksPlacements && !slices.Contains(t.storedWorkers, w.entry.Ref.ID) {
 			// The start waits for a write. The next one can store it, so the task need not
 			// wait until the store is no longer stalled.
-			score += 50
+			score += unstoredPenalty
 		}
 		if slices.Contains(t.avoidWorkers, w.entry.Ref.ID) {
-			score += 100
+			score += avoidPenalty
 		}
 		if trial {
 			score += w.stake()
