coordinator: leave partitions to entries of 1.6 times the cores

The partition had four owners in 10 s. Two of them had 0.48 cores and a link of 10 Mbit/s: the first was stopped after 3.7 s of reading, the last took 4.0 s to take over. That is longer than a lease (3.5 s), so that each such change of the owner ends all lasting runs of the partition.

Cause: only entries of twice the cores counted as larger, and 0.8 is 1.67 times 0.48, so both kinds were members of the group alike, and the store deals partitions evenly.

Entries now leave partitions to those of 1.6 times their cores, by the same rule as before: where those are gone, the next best own. No other deployment that is known has entries between the two ratios, so nothing changes there.

The row of TestLargerPeers failed before.

Ruled out: a longer lease, which would make a cut cost more. Left: where only weak entries are there, a takeover still takes as long as a lease.

--- a/coordinator/largerpeers.go
+++ b/coordinator/largerpeers.go
@@ -18,7 +18,7 @@
 const (
 	// largerRatio is the ratio of another entry's cores to those of this one from
 	// which on this entry leaves the partitions to the other.
-	largerRatio = 2
+	largerRatio = 1.6
 	// largerMemberExpiry is how long a report of a much larger entry that it is a
 	// member is valid: three join intervals. After that, smaller entries own
 	// partitions.
--- a/coordinator/largerpeers_test.go
+++ b/coordinator/largerpeers_test.go
@@ -42,6 +42,14 @@
 			own:    0.4,
 			others: 0.6,
 		},
+		{
+			// An entry of 0.48 cores and its link take as long as a lease to take a
+			// partition over, one of 0.8 a tenth of that.
+			name:   "two thirds larger",
+			own:    0.48,
+			others: 0.8,
+			want:   2,
+		},
 		{
 			name:   "much larger",
 			own:    0.192,
