coordinator: small entries join though the store lists larger owners that are gone

Found by reading: an entry that leaves the partitions to others does not join while the store lists one of these as an owner. The platform's pages do not say that a member whose membership has expired is no longer listed before another one joins. If it is, and all larger entries are gone, nobody would ever own a partition.

Such an entry now joins once that has been so for the TTL of a membership.

TestSmallEntriesOwnThoughTheStoreListsOwnersThatAreGone failed before (no member after 20 s), and all are within 5 s now.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -124,7 +124,10 @@
 	// storeSilent changed.
 	storeSilent    bool
 	refusedSubmits atomic.Int64
-	// largerFinder is used by keepMembership only.
+	// leavingSince is the time since which the store has listed entries as owners to which
+	// this one leaves the partitions and which it cannot reach. It and largerFinder are used
+	// by keepMembership only.
+	leavingSince time.Time
 	largerFinder largerFinder
 	// joinRequests triggers an immediate join, to learn which partitions are
 	// assigned to this entry.
--- a/coordinator/membership.go
+++ b/coordinator/membership.go
@@ -36,6 +36,7 @@
 	c.awaitPeers(ctx)
 	for {
 		if c.defersToOthers(ctx) {
+			c.leavingSince = time.Time{}
 			c.cedePartitions(ctx)
 		} else if !c.stopping.Load() && !c.leavesJoining(ctx) && c.join(ctx, group) {
 			// The group assigns a lost partition to its next owner only after the
@@ -80,9 +81,11 @@
 
 // leavesJoining reports whether this entry leaves it to others to join the group, although
 // it has found none of the entries to which it leaves the partitions to be a member. It may
-// only have been out of their reach, so it asks the store whether they own partitions. While
-// a store is silent it need not be asked: it leaves the members without a membership, so all
-// of several hundred entries would join when it returns.
+// only have been out of their reach, so it asks the store whether they own partitions. It
+// joins if they still do after the TTL of a membership, as the store need not drop the
+// partitions of a member that is gone before another one joins. While a store is silent it need not be
+// asked: it leaves the members without a membership, so all of several hundred entries would
+// join when it returns.
 func (c *Coordinator) leavesJoining(ctx context.Context) bool {
 	preferred := c.preferredOwners()
 	if len(preferred) == 0 || c.isMember() {
@@ -97,10 +100,19 @@
 	if err != nil {
 		return true
 	}
-	return slices.ContainsFunc(owners, func(owner storer.Ownership) bool {
+	owned := slices.ContainsFunc(owners, func(owner storer.Ownership) bool {
 		address, _, _ := strings.Cut(owner.Member, "/")
 		return slices.Contains(preferred, address)
 	})
+	now := c.settings.clock.Now()
+	if !owned {
+		c.leavingSince = time.Time{}
+		return false
+	}
+	if c.leavingSince.IsZero() {
+		c.leavingSince = now
+	}
+	return now.Sub(c.leavingSince) < c.settings.ttl
 }
 
 // notifyPeers has the other entries join at once, so that they learn which
--- a/coordinator/restartedincut_test.go
+++ b/coordinator/restartedincut_test.go
@@ -121,6 +121,31 @@
 	})
 }
 
+// TestSmallEntriesOwnThoughTheStoreListsOwnersThatAreGone guards against small entries that
+// stay out of the group for good, as the store goes on listing larger entries as owners that
+// are gone, and nobody else joins to whom it could assign their partitions.
+func TestSmallEntriesOwnThoughTheStoreListsOwnersThatAreGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(qt.New(t), 50)
+		s.configure(1)
+		s.addEntry(0, 0, Cores(0.8))
+		for i := range 3 {
+			s.addEntry(1+i, time.Millisecond, Cores(0.192))
+		}
+		time.Sleep(5 * time.Second)
+		owners, err := s.store.Owners(context.Background(), groupName)
+		s.c.Assert(err, qt.IsNil)
+		s.c.Assert(owners, qt.Not(qt.HasLen), 0)
+		s.store.staleOwners = owners
+		s.entries[0].stop()
+		s.c.Assert(s.entries[0].group.Wait(), qt.IsNil)
+		s.entries = s.entries[1:]
+		joinedAfter := s.await("the entries are members", func(c *Coordinator) bool { return c.isMember() })
+		s.c.Assert(joinedAfter <= 5*time.Second, qt.IsTrue, qt.Commentf("joined after %v", joinedAfter))
+		s.stop()
+	})
+}
+
 // TestSmallEntryJoinsAloneAfterACut guards against a small entry that never joins the group,
 // as it waits for the records of larger entries that are not there.
 func TestSmallEntryJoinsAloneAfterACut(t *testing.T) {
--- a/coordinator/storemodel_test.go
+++ b/coordinator/storemodel_test.go
@@ -49,6 +49,8 @@
 	readsFree, writesFree, bytesFree time.Time
 	down                             bool
 	load                             modelLoad
+	// staleOwners are listed as the owners, if there are any, although they have left.
+	staleOwners []storer.Ownership
 }
 
 // modelLoad counts what the entries ask of the store.
@@ -230,6 +232,12 @@
 	if err := s.begin(ctx, false, modelCallLimit); err != nil {
 		return nil, err
 	}
+	s.mu.Lock()
+	stale := s.staleOwners
+	s.mu.Unlock()
+	if len(stale) > 0 {
+		return stale, nil
+	}
 	return s.Store.Owners(ctx, group)
 }
 
