scheduler: start lasting tasks on stored workers that return while a write is slow

Callers could see a lasting task without a run for as long as a write to the store takes, though the worker that the store lists for the task had capacity: since lasting tasks are placed while a write is overdue, a task whose worker is away for a moment gets a planned run on another worker, and keeps it when its own worker is back.

A planned run of such a step is now replaced by one on a worker that the store lists for the task, if that one is available while the store is stalled.

--- a/scheduler/lasting_writes_test.go
+++ b/scheduler/lasting_writes_test.go
@@ -70,3 +70,47 @@
 	}
 	qt.Check(t, longest <= maxRestart, qt.IsTrue, qt.Commentf("%v", longest))
 }
+
+// TestLastingTaskStartsOnAStoredWorkerThatReturns guards against a lasting task whose planned
+// run waits for a slow write while the worker that the store lists for the task is available
+// again and needs no write.
+func TestLastingTaskStartsOnAStoredWorkerThatReturns(t *testing.T) {
+	r := newRig(t)
+	for i := range 2 {
+		r.addWorker(workerName(i), cores(8)).runTime = time.Hour
+	}
+	r.addWorker(workerName(2), cores(1)).runTime = time.Hour
+	r.updateDirectory()
+	r.renewLeases()
+	r.s.AddJob(r.job("lasting", newLastingPhase(1)), nil, false, r.now)
+	r.rounds(3)
+	r.c.Assert(r.runsOf("lasting"), qt.Equals, 1)
+
+	// The store takes no writes, for which a start of another job waits.
+	r.s.AddJob(r.job("other", newPhase(1, cores(1))), nil, false, r.now)
+	r.ticksWithoutWrites(4)
+	r.c.Assert(r.s.PlannedRuns(), qt.Equals, 1)
+
+	w := r.workerOf("lasting")
+	w.end(firstRun(w), scheduler.EndLapsed)
+	w.entry.Leaving = true
+	r.s.SetWorkers(r.storedWorkersWith(w.entry))
+	r.ticksWithoutWrites(5)
+	r.c.Assert(r.s.PlannedRuns(), qt.Equals, 2)
+
+	w.entry.Leaving = false
+	r.s.SetWorkers(r.storedWorkersWith(w.entry))
+	r.ticksWithoutWrites(2)
+	r.c.Assert(w.activeRuns, qt.HasLen, 1)
+	r.c.Assert(r.runsOf("lasting"), qt.Equals, 1)
+	r.c.Assert(r.s.PlannedRuns(), qt.Equals, 1)
+}
+
+// ticksWithoutWrites makes that many ticks, 100 ms apart, while the store takes no writes.
+func (r *rig) ticksWithoutWrites(n int) {
+	for range n {
+		r.advance(100 * time.Millisecond)
+		r.renewLeases()
+		r.carryOut(r.s.Tick(r.now))
+	}
+}
--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -117,6 +117,7 @@
 // steps' rank. It then preempts, moves and copies runs, and asks for advice ahead.
 func (s *Scheduler) placeSteps(now time.Time) {
 	pools := s.pools(now)
+	s.moveToStoredWorkers(pools, now)
 	clear(s.endsByWorker)
 	clear(s.waits)
 	s.blockedSteps = s.blockedSteps[:0]
--- a/scheduler/starting.go
+++ b/scheduler/starting.go
@@ -54,8 +54,9 @@
 }
 
 // StoreStallTimeout is the time that a write may take. After that, a job's tasks
-// are started only on workers that the store already lists for the job. It is
-// several times the duration of a write to a healthy store.
+// are started only on workers that the store already lists for the job, unless the
+// placements of their step are stored one by one. It is several times the duration of a
+// write to a healthy store.
 const StoreStallTimeout = 150 * time.Millisecond
 
 // writesOverdue reports whether the oldest planned run has waited for a write
@@ -133,6 +134,30 @@
 	s.explainPlanned(now)
 }
 
+// moveToStoredWorkers replaces planned runs that wait for a slow write by ones on workers
+// that the store lists for their tasks already, so that these start at once.
+func (s *Scheduler) moveToStoredWorkers(pools map[string]*pool, now time.Time) {
+	if !s.storeStalled {
+		return
+	}
+	for _, r := range slices.Clone(s.plannedRuns) {
+		st, t := s.findTask(r.ref.Task)
+		if t == nil || t.run != r || !st.tracksPlacements || t.suspected() {
+			continue
+		}
+		p := pools[st.job.record.Queue.Service]
+		if p == nil {
+			continue
+		}
+		w := s.chooseWorker(st, t, p, now)
+		if w == nil || !slices.Contains(t.storedWorkers, w.entry.Ref.ID) {
+			continue
+		}
+		s.stopRun(r, now, "a worker that is stored for the task is available")
+		s.startRun(st, r.ref.Task.Index, w, s.newAttempt(), now)
+	}
+}
+
 // isStored reports whether the store lists the worker of a run of the task, so that
 // a next owner asks that worker before it starts the task again.
 func (st *step) isStored(r *run, t *task) bool {
