coordinator: an entry does not take itself for a larger one that is gone

An entry that runs under the address of an earlier, larger one left the group whenever it found itself to be a member, as records of entries stay in the store and it asked its own address whether the larger one is a member.

An entry no longer leaves partitions to its own address. TestEntryOnTheAddressOfAFormerLargerOneStaysAMember failed before. Not mended: entries that each run under the address of an earlier, larger one still leave the partitions to each other.

--- a/coordinator/largerpeers.go
+++ b/coordinator/largerpeers.go
@@ -129,12 +129,13 @@
 
 // preferredOwners returns the addresses of the entries to which this one leaves the
 // partitions: much larger ones or, where there are many entries, those that are to be
-// members of the group.
+// members of the group. The record of an entry that is gone may name the address of this one.
 func (c *Coordinator) preferredOwners() []string {
-	if larger := c.largerPeers(); len(larger) > 0 {
+	isOwn := func(address string) bool { return address == c.settings.peerAddress }
+	if larger := slices.DeleteFunc(c.largerPeers(), isOwn); len(larger) > 0 {
 		return larger
 	}
-	return c.preferredPeers()
+	return slices.DeleteFunc(c.preferredPeers(), isOwn)
 }
 
 // defersToOthers reports whether an entry to which this one leaves the partitions was a
--- a/coordinator/manyentries_test.go
+++ b/coordinator/manyentries_test.go
@@ -424,3 +424,29 @@
 		})
 	}
 }
+
+// TestEntryOnTheAddressOfAFormerLargerOneStaysAMember guards against an entry that takes itself
+// for a larger one, as the record of one that is gone names its address: it leaves the group
+// whenever it finds itself to be a member.
+func TestEntryOnTheAddressOfAFormerLargerOneStaysAMember(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(qt.New(t), 50)
+		s.configure(1)
+		s.addEntry(0, time.Millisecond, Cores(0.192))
+		c := s.entries[0].coordinator
+		s.await("the entry is a member", func(*Coordinator) bool { return c.isMember() })
+		c.mu.Lock()
+		c.peers["gone"] = peer{
+			Address: c.settings.peerAddress,
+			Cores:   0.8,
+		}
+		c.mu.Unlock()
+		member := true
+		for range 10 * time.Second / (5 * time.Millisecond) {
+			time.Sleep(5 * time.Millisecond)
+			member = member && c.isMember()
+		}
+		s.c.Check(member, qt.IsTrue)
+		s.stop()
+	})
+}
