--- a/coordinator/entrypool.go
+++ b/coordinator/entrypool.go
@@ -375,6 +375,22 @@
 	}
 }
 
+// resume is called when the store answers this entry again. What kept the store from it may
+// have kept the adviser and other entries from it too, so those that are suspended get calls
+// again, and those that are unreachable are due to be probed. The next failure costs as long
+// a pause as before.
+func (p *entryPool) resume() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.coordinator.settings.clock.Now()
+	for _, entry := range p.entries {
+		entry.suspendedUntil = time.Time{}
+		if entry.unreachable {
+			entry.probeAt = now
+		}
+	}
+}
+
 // callTimeout returns the timeout of a call with the given expected duration.
 func callTimeout(expected time.Duration) time.Duration {
 	return min(adviceTimeout, expected+adviceMargin)
--- a/coordinator/membership.go
+++ b/coordinator/membership.go
@@ -83,9 +83,9 @@
 // it has found none of the entries to which it leaves the partitions to be a member. It may
 // only have been out of their reach, so it asks the store whether they own partitions. It
 // joins if they still do after the TTL of a membership, as the store need not drop the
-// partitions of a member that is gone before another one joins. While a store is silent it need not be
-// asked: it leaves the members without a membership, so all of several hundred entries would
-// join when it returns.
+// partitions of a member that is gone before another one joins. A silent store is not asked:
+// it leaves the members without a membership, so all of several hundred entries would join
+// when it returns.
 func (c *Coordinator) leavesJoining(ctx context.Context) bool {
 	preferred := c.preferredOwners()
 	if len(preferred) == 0 || c.isMember() {
--- a/coordinator/store.go
+++ b/coordinator/store.go
@@ -209,7 +209,8 @@
 // Append implements storer.Store. An append that goes without an answer is repeated on
 // another connection, as a store may lose single answers. Earlier tries go on meanwhile:
 // a store that has just become slow still answers the first one. A store that is known
-// to be slow gets one try, and one that has become silent gets no further one. The repetition is harmless: the store knows a writer's append
+// to be slow gets one try, and one that has become silent gets no further one. The
+// repetition is harmless: the store knows a writer's append
 // by its sequence number, and without a writer the records replace those with the same
 // keys. After a try without an answer, a refusal says nothing about whether the records
 // are stored, unless there is a later owner.
--- a/scheduler/starting.go
+++ b/scheduler/starting.go
@@ -84,14 +84,13 @@
 		withoutRunSince = latest(st.tasks[r.ref.Task.Index].withoutRunSince, st.readyAt)
 	}
 	s.emit(StartTask{
-		Run:        r.ref,
-		Worker:     w.entry.Ref,
-		Spec:       st.job.record.Spec,
-		Checkpoint: st.tasks[r.ref.Task.Index].checkpoint,
-		Ticket:     st.adviceState.tickets[w.entry.Ref.ID].value,
-		Lease:      s.extendLease(w, now),
-		NotAfter:   now.Add(startValidity),
-
+		Run:             r.ref,
+		Worker:          w.entry.Ref,
+		Spec:            st.job.record.Spec,
+		Checkpoint:      st.tasks[r.ref.Task.Index].checkpoint,
+		Ticket:          st.adviceState.tickets[w.entry.Ref.ID].value,
+		Lease:           s.extendLease(w, now),
+		NotAfter:        now.Add(startValidity),
 		WithoutRunSince: withoutRunSince,
 	})
 }
