scheduler, conductor: use the former owner's workers until the directory is read

After a cut, entries that join the group again are dealt partitions at once, while their feed of the directory is still in back-off.

Cause: the scheduler was given an empty directory at the takeover and starts nothing on a worker that the directory does not list.

Change: the conductor passes no directory on before it has one, and until then the workers of the former owner count as listed if the directory listed them when they were stored. For that, stored workers have a flag Unlisted, and the list is written again, at the usual interval of 2 s, when a worker is no longer listed.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -159,8 +159,10 @@
 	// progressed is closed and replaced after each read of jobs and each write of
 	// progress.
 	progressed chan struct{}
-	// directoryWorkers holds the workers that the directory last listed.
+	// directoryWorkers holds the workers that the directory last listed, if
+	// directoryRead is set.
 	directoryWorkers []scheduler.WorkerEntry
+	directoryRead    bool
 	// leaseKeepers holds the worker leases that are being renewed, by worker.
 	leaseKeepers map[string]*leaseKeeper
 	// sequence is the sequence number of the next write.
@@ -296,7 +298,7 @@
 // SetWorkers sets the workers that the directory lists.
 func (c *Conductor) SetWorkers(directoryWorkers []scheduler.WorkerEntry) {
 	c.mu.Lock()
-	c.directoryWorkers = directoryWorkers
+	c.directoryWorkers, c.directoryRead = directoryWorkers, true
 	if c.scheduler != nil {
 		c.scheduler.SetWorkers(directoryWorkers)
 	}
--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -51,6 +51,8 @@
 	group *errgroup.Group
 	// stopConfirming ends the confirmations of the last owner.
 	stopConfirming context.CancelFunc
+	// directoryUnread is set if the next owner cannot read the directory.
+	directoryUnread bool
 }
 
 func newFixture(t *testing.T, workers int, opts ...emulator.FleetOption) *fixture {
@@ -71,7 +73,9 @@
 	f.token++
 	owner := conductor.New(f.store, f.fleet, approveAll{}, partition, f.token,
 		conductor.Scheduling(scheduler.Lease(time.Second, 1500*time.Millisecond)))
-	owner.SetWorkers(f.fleet.Entries())
+	if !f.directoryUnread {
+		owner.SetWorkers(f.fleet.Entries())
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	group := new(errgroup.Group)
 	group.Go(func() error {
@@ -177,6 +181,20 @@
 	f.checkNoViolations()
 }
 
+// TestNextOwnerUsesTheFormerWorkersBeforeItReadsTheDirectory guards against an owner that
+// starts nothing until it has read the directory.
+func TestNextOwnerUsesTheFormerWorkersBeforeItReadsTheDirectory(t *testing.T) {
+	f := newFixture(t, 3)
+	f.startOwner()
+	f.submit("first", tasks(1))
+	f.await("first", scheduler.Completed)
+	f.directoryUnread = true
+	f.startOwner()
+	f.submit("second", tasks(6))
+	f.await("second", scheduler.Completed)
+	f.checkNoViolations()
+}
+
 func TestUnknownJob(t *testing.T) {
 	f := newFixture(t, 1)
 	owner, _ := f.startOwner()
--- a/conductor/recovery.go
+++ b/conductor/recovery.go
@@ -74,7 +74,9 @@
 	c.restoreAllotments(s, stored.allotments)
 	s.AddFormerWorkers(stored.workersInUse)
 	s.SetFormerSilence(stored.silent)
-	s.SetWorkers(c.directoryWorkers)
+	if c.directoryRead {
+		s.SetWorkers(c.directoryWorkers)
+	}
 	c.scheduler = s
 	c.applyRecords(jobs, stored.byJob, now)
 	c.next = next
--- a/scheduler/tables.go
+++ b/scheduler/tables.go
@@ -244,7 +244,8 @@
 	startedAt time.Time
 	// formerStarts holds the starts of the last incarnations that have ended.
 	formerStarts []time.Time
-	// listed is set while the directory lists the worker.
+	// listed is set while the directory lists the worker, as far as this owner or, before
+	// it has read the directory, the former one knows.
 	listed bool
 	runs   map[RunRef]*run
 	used   sizer.Size
@@ -334,6 +335,8 @@
 	Labels []string
 	// Rack is the label of the worker's rack, or empty if it has none.
 	Rack string
+	// Unlisted is set in a stored entry if the directory no longer listed the worker.
+	Unlisted bool `json:",omitzero"`
 	// Leaving is set if the worker is draining and accepts no new runs.
 	Leaving bool
 	// Remaining is the minimum time for which a leaving worker stays, counted
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -48,7 +48,15 @@
 // on workers that it no longer lists.
 func (s *Scheduler) SetWorkers(entries []WorkerEntry) {
 	s.formerUses = nil
-	for _, w := range s.workers {
+	listed := make(map[string]bool, len(entries))
+	for _, entry := range entries {
+		listed[entry.Ref.ID] = true
+	}
+	for id, w := range s.workers {
+		if w.listed && !listed[id] && w.recorded {
+			// The store lists the worker as one that the directory lists.
+			s.workersOutdated = true
+		}
 		w.listed = false
 	}
 	for _, entry := range entries {
@@ -94,7 +102,9 @@
 }
 
 // AddFormerWorkers adds the workers on which the former owner may have runs,
-// whether or not the directory still lists them.
+// whether or not the directory still lists them. Those that it listed then count as listed
+// until SetWorkers is called, so that the owner can start tasks on the workers that answer
+// before it has read the directory.
 func (s *Scheduler) AddFormerWorkers(entries []WorkerEntry) {
 	s.formerUses = nil
 	for _, entry := range entries {
@@ -102,6 +112,7 @@
 			w := newWorker(entry)
 			w.recorded = true
 			w.former = true
+			w.listed = !entry.Unlisted
 			s.workers[entry.Ref.ID] = w
 		}
 	}
@@ -170,6 +181,7 @@
 	for _, w := range s.workers {
 		entry := w.entry
 		entry.StartedAt = w.startedAt
+		entry.Unlisted = !w.listed
 		entries = append(entries, entry)
 	}
 	slices.SortFunc(entries, func(a, b WorkerEntry) int {
