--- a/scheduler/interleaving_lasting_test.go
+++ b/scheduler/interleaving_lasting_test.go
@@ -78,6 +78,38 @@
 	return m.violation
 }
 
+// playModelWithUnreadDirectory is like playModelWithDirectory, with some owners that begin
+// without the directory.
+func playModelWithUnreadDirectory(draw func(int) int, addJob func(*model)) string {
+	m := newModel(noFault, draw, addJob)
+	for range 4 {
+		for range 140 {
+			m.doRandomAction()
+			m.changeDirectory()
+		}
+		m.directoryUnread = m.draw(3) > 0
+		m.takeOver()
+	}
+	m.recoverAndFinish()
+	return m.violation
+}
+
+// TestUnreadDirectoryKeepsInvariants runs interleavings in which owners start tasks on the
+// workers of the former owner before they have read the directory.
+func TestUnreadDirectoryKeepsInvariants(t *testing.T) {
+	for name, addJob := range map[string]func(*model){
+		"once":     withLastingJob,
+		"repeated": withLastingOccurrences,
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(1000) {
+				random := rand.New(rand.NewPCG(seed, 11))
+				qt.Assert(t, playModelWithUnreadDirectory(random.IntN, addJob), qt.Equals, "", qt.Commentf("seed %d", seed))
+			}
+		})
+	}
+}
+
 // TestPlacementsOfAllReleasesKeepInvariants runs interleavings in which the directory
 // loses workers, and owners begin to store placements that an older release did not.
 func TestPlacementsOfAllReleasesKeepInvariants(t *testing.T) {
--- a/scheduler/interleaving_test.go
+++ b/scheduler/interleaving_test.go
@@ -88,6 +88,9 @@
 	cancelled     []string
 	// violation describes the first violated invariant.
 	violation string
+	// directoryUnread is set if an owner begins without the directory, and has only the
+	// workers that the store lists until the directory changes.
+	directoryUnread bool
 }
 
 type modelWorker struct {
@@ -239,7 +242,9 @@
 		}
 	}
 	o.s.SetFormerSilence(silent)
-	o.s.SetWorkers(m.directory())
+	if !m.directoryUnread {
+		o.s.SetWorkers(m.directory())
+	}
 	if m.organisations != nil {
 		o.s.SetOrganisations(m.organisations, m.overage)
 		o.s.SetBasePartitions(0, []int{0})
