--- a/coordinator/cutoff_test.go
+++ b/coordinator/cutoff_test.go
@@ -238,3 +238,45 @@
 		s.stop()
 	})
 }
+
+// TestFirstReadSentJustBeforeTheRestorationIsAbandoned guards against a first read that was
+// sent into a cut shortly before its end, and that waits for its time limit.
+func TestFirstReadSentJustBeforeTheRestorationIsAbandoned(t *testing.T) {
+	for _, age := range []time.Duration{abandonAfter / 20, abandonAfter / 2, abandonAfter} {
+		t.Run(age.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				f := newFeedTest(c, 1)
+				var r restoration
+				f.feed.restored = r.subscribe()
+				f.feed.wait = time.Second
+				f.feed.store = &lostNewest{
+					Store: f.store,
+				}
+				f.start()
+				time.Sleep(age)
+				r.recordJoin(storer.ErrUnknown)
+				r.recordJoin(nil)
+				time.Sleep(abandonAfter)
+				synctest.Wait()
+				c.Check(f.values, qt.HasLen, 1)
+				f.end(c)
+			})
+		})
+	}
+}
+
+// lostNewest is a store that does not answer the first read of the newest records.
+type lostNewest struct {
+	storer.Store
+	calls int
+}
+
+func (l *lostNewest) Newest(ctx context.Context, of storer.Partition, after string) (storer.NewestPage, error) {
+	l.calls++
+	if l.calls == 1 {
+		<-ctx.Done()
+		return storer.NewestPage{}, storer.ErrUnavailable
+	}
+	return l.Store.Newest(ctx, of, after)
+}
