--- a/review/_kit/kit.go
+++ b/review/_kit/kit.go
@@ -409,6 +409,7 @@
 		"rolling":   caseRolling,
 		"repeated":  caseRepeated,
 		"begun":     caseBegun,
+		"flap":      caseFlap,
 	}
 	play := cases[os.Args[1]]
 	if play == nil {
--- a/review/_kit/repeated.go
+++ b/review/_kit/repeated.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -38,6 +39,9 @@
 	if troubled() {
 		repetitions = many
 	}
+	if n, err := strconv.Atoi(os.Getenv("REPETITIONS")); err == nil {
+		repetitions = n
+	}
 	list := []map[string]any{}
 	for range phases {
 		list = append(list, map[string]any{"task_count": 1, "cpu": 500, "mem_mb": 256, "estimate_ms": 100})
