--- a/review/_kit/kit.go
+++ b/review/_kit/kit.go
@@ -181,7 +181,9 @@
 // newEntry writes the settings of an entry host. The host has a loopback address of its
 // own, as each machine of a deployment has an address of its own.
 func newEntry(rec *recorder, dir string, number int, zone, storeAddr, extraBounds string, statusS int) *entry {
-	ip := fmt.Sprintf("127.0.46.%d", number)
+	// Each run has addresses of its own, so that runs do not meet.
+	pid := os.Getpid()
+	ip := fmt.Sprintf("127.%d.%d.%d", 46+pid>>8%64, pid%256, number)
 	e := &entry{
 		name: fmt.Sprintf("edge-%s-%d", zone, number), ip: ip, dir: dir, rec: rec,
 		front: fmt.Sprintf("%s:%d", ip, freePort(ip)), ready: fmt.Sprintf("%s:%d", ip, freePort(ip)),
--- a/review/_kit/store.go
+++ b/review/_kit/store.go
@@ -37,16 +37,17 @@
 	Late time.Duration
 }
 
-// store is a stand-in for the platform's store: the HTTP interface of PROTOCOL.md over
-// the project's own storer.Memory.
+// store is a stand-in for the platform's store: the HTTP interface of PROTOCOL.md. The
+// records are kept by the project's own storer.Memory, the groups are in group.go.
 type store struct {
 	memory *storer.Memory
 	rec    *recorder
 	parts  int
 	addr   string
 
-	mu    sync.Mutex
-	fault func(storeCall) storeFault
+	mu     sync.Mutex
+	groups map[string]*memberGroup
+	fault  func(storeCall) storeFault
 	// owners holds the members that owned the partition of the last job record, and since
 	// when.
 	owners []ownedBy
@@ -62,14 +63,11 @@
 func (s *store) watchOwners() {
 	for {
 		time.Sleep(5 * time.Millisecond)
-		owners, err := s.memory.Owners(context.Background(), "entries")
-		if err != nil {
-			continue
-		}
+		holders := s.group("entries").owners()
 		s.mu.Lock()
 		name := ""
-		for _, o := range owners {
-			if parts := strings.Split(o.Member, "/"); s.used[o.Partition.Number] && len(parts) > 1 {
+		for p, holder := range holders {
+			if parts := strings.Split(holder, "/"); s.used[p] && len(parts) > 1 {
 				name = parts[1]
 			}
 		}
@@ -81,6 +79,19 @@
 	}
 }
 
+// groupTopic is the one topic whose partitions the groups deal.
+const groupTopic = "jobs"
+
+// group returns the group, which it creates if needed.
+func (s *store) group(name string) *memberGroup {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.groups[name] == nil {
+		s.groups[name] = newMemberGroup()
+	}
+	return s.groups[name]
+}
+
 // usedPartitions returns the partitions in which jobs were stored.
 func (s *store) usedPartitions() map[int]bool {
 	s.mu.Lock()
@@ -110,6 +121,7 @@
 		rec:    rec,
 		parts:  parts,
 		used:   make(map[int]bool),
+		groups: make(map[string]*memberGroup),
 	}
 	go s.watchOwners()
 	s.addr = serve("127.0.0.1", s)
@@ -306,12 +318,13 @@
 		s.join(w, r, body)
 	case "/-/log-owners":
 		time.Sleep(storeDelay)
-		owners, err := s.memory.Owners(r.Context(), r.URL.Query().Get("group"))
-		rows := make([][]any, 0, len(owners))
-		for _, o := range owners {
-			rows = append(rows, []any{"keyed." + o.Partition.Topic, o.Partition.Number, o.Member, 0})
+		rows := [][]any{}
+		for p, name := range s.group(r.URL.Query().Get("group")).owners() {
+			if name != "" {
+				rows = append(rows, []any{"keyed." + groupTopic, p, name, 0})
+			}
 		}
-		s.answer(w, err, rows)
+		s.answer(w, nil, rows)
 	default:
 		w.WriteHeader(http.StatusNotFound)
 	}
@@ -421,18 +434,16 @@
 	}
 	_ = json.Unmarshal(body, &request)
 	time.Sleep(storeDelay)
+	group := s.group(request.Group)
 	if r.URL.Path == "/-/log-leave" {
-		s.answer(w, s.memory.Leave(r.Context(), request.Group, request.MemberID), map[string]any{})
+		group.leave(request.MemberID)
+		s.answer(w, nil, map[string]any{})
 		return
 	}
-	for i, topic := range request.TopicList {
-		request.TopicList[i] = strings.TrimPrefix(topic, "keyed.")
-	}
-	assignment, err := s.memory.Join(r.Context(), request.Group, request.MemberID, request.TopicList,
-		time.Duration(request.TTLMillis)*time.Millisecond, request.Generation)
-	rows := make([][]any, 0, len(assignment.Partitions))
-	for _, p := range assignment.Partitions {
-		rows = append(rows, []any{"keyed." + p.Topic, p.Number, 0})
+	generation, parts := group.join(request.MemberID, time.Duration(request.TTLMillis)*time.Millisecond, request.Generation)
+	rows := make([][]any, 0, len(parts))
+	for _, p := range parts {
+		rows = append(rows, []any{"keyed." + groupTopic, p, 0})
 	}
-	s.answer(w, err, map[string]any{"generation": assignment.Generation, "ttl_ms": request.TTLMillis, "parts": rows})
+	s.answer(w, nil, map[string]any{"generation": generation, "ttl_ms": request.TTLMillis, "parts": rows})
 }
