--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -7,4 +7,4 @@
   echo 'not built: see deploy/system.toml and review/build.sh' >&2
   exit 2
 fi
-exec target/review/kit flap review/3
+exec target/review/kit wide review/3
--- a/review/_kit/kit.go
+++ b/review/_kit/kit.go
@@ -411,7 +411,7 @@
 		"rolling":   caseRolling,
 		"repeated":  caseRepeated,
 		"begun":     caseBegun,
-		"flap":      caseFlap,
+		"wide":      caseWide,
 	}
 	play := cases[os.Args[1]]
 	if play == nil {
@@ -437,3 +437,14 @@
 	}
 	os.Exit(code)
 }
+
+// replaceSetting changes a line of the settings.
+func (e *entry) replaceSetting(old, replacement string) {
+	text, err := os.ReadFile(e.settings)
+	if err != nil {
+		cannotRun("read the settings", err)
+	}
+	if err := os.WriteFile(e.settings, []byte(strings.Replace(string(text), old, replacement, 1)), 0o600); err != nil {
+		cannotRun("write the settings", err)
+	}
+}
