--- a/review/_kit/minion.go
+++ b/review/_kit/minion.go
@@ -43,10 +43,12 @@
 	deadline int64
 	runs     map[string]*minionRun
 	// highest holds, by task, the highest attempt that was stopped or has ended.
-	highest  map[string]int64
-	ends     []minionEnd
-	lastEnd  int64
-	acked    int64
+	highest map[string]int64
+	ends    []minionEnd
+	lastEnd int64
+	acked   int64
+	// lapses counts the times at which the lease was found to have lapsed.
+	lapses   int
 	changed  chan struct{}
 	sequence int64
 }
@@ -64,6 +66,8 @@
 	task    string
 	attempt int64
 	how     string
+	// lapses is the number of lapses of the lease before the end.
+	lapses int
 }
 
 // startMinion starts a minion at the address, or at a free one if that is empty.
@@ -155,6 +159,9 @@
 			return
 		}
 		lapsed := m.now() > m.deadline
+		if lapsed {
+			m.lapses++
+		}
 		for key, r := range m.runs {
 			switch {
 			case lapsed:
@@ -174,7 +181,7 @@
 	}
 	delete(m.runs, key)
 	m.lastEnd++
-	m.ends = append(m.ends, minionEnd{number: m.lastEnd, task: r.task, attempt: r.attempt, how: how})
+	m.ends = append(m.ends, minionEnd{number: m.lastEnd, task: r.task, attempt: r.attempt, how: how, lapses: m.lapses})
 	m.highest[r.task] = max(m.highest[r.task], r.attempt)
 	close(m.changed)
 	m.changed = make(chan struct{})
@@ -286,7 +293,8 @@
 	}
 	if o.AckedThrough > m.acked && o.AckedThrough <= m.lastEnd {
 		for _, e := range m.ends {
-			if e.number <= o.AckedThrough {
+			// An end is not taken note of if the lease lapsed before its acknowledgement.
+			if e.number <= o.AckedThrough && e.lapses == m.lapses {
 				m.judge.noted(m.id, e.task, e.attempt, e.how)
 			}
 		}
