conductor: log lines and metrics that tell the causes of TWICE and UNASKED apart

Each hypothesis now has a line and a metric of its own:

- a cancellation that was read, its offset, and in which state it found the job (unknown, another organisation's, pending, ...): galenacove_conductor_cancellations_total;
- an owner that cannot read the jobs partition for 2 s: jobs_read_timestamp_seconds;
- jobs that a takeover finds without progress, with the oldest: jobs_without_progress_total;
- deletions of ended jobs that were not stored, with partition and first job;
- a write of progress that the store takes for a repetition of an earlier owner's with the same epoch: the end offset of the partition has not grown.
Nothing acts on it yet.

No decision changes. The fake store of TestSlowWriteIsLogged now returns offsets that grow, as a store's do.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -158,6 +158,8 @@
 	ready bool
 	// next is the offset of the next job to read.
 	next int64
+	// jobsReadAt is the time of the last answered read of the jobs partition.
+	jobsReadAt time.Time
 	// progressed is closed and replaced after each read of jobs and each write of
 	// progress.
 	progressed chan struct{}
@@ -169,6 +171,9 @@
 	sequence int64
 	// writeLines limits the log lines on writes of progress. It is used by writeLoop only.
 	writeLines limitedLines
+	// progressEnd is the end of the progress partition after the last write. Like sequence
+	// it is used by takeOver and then by writeLoop only.
+	progressEnd int64
 	// confirmedAt is the last time at which the ownership is known to have held.
 	confirmedAt time.Time
 	// assignedAt is the time at which the ownership began. startedRun is set once
@@ -403,6 +408,7 @@
 			c.metrics.setAdvice(c.partition, c.scheduler.AdviceLoad(now))
 			c.metrics.setLasting(c.partition, c.scheduler.LastingLoad(now))
 			c.metrics.setPlanned(c.partition, c.scheduler.OldestPlanned(now))
+			c.metrics.setJobsRead(c.partition, c.jobsReadAt)
 			c.metrics.organisations.set(c.partition, c.scheduler.OrganisationLoads(), c.scheduler.ShareLoads())
 		}
 		unwritten, _ := c.scheduler.Unwritten()
@@ -441,11 +447,12 @@
 func (c *Conductor) logNotes(notes []scheduler.Note) {
 	for _, note := range notes {
 		c.logger.WithFields(log.Fields{
-			"id":     note.Task.Step.Job,
-			"task":   note.Task.String(),
-			"worker": note.Worker,
-			"ageMs":  note.Age.Milliseconds(),
-			"token":  c.token,
+			"id":        note.Task.Step.Job,
+			"task":      note.Task.String(),
+			"worker":    note.Worker,
+			"ageMs":     note.Age.Milliseconds(),
+			"partition": c.partition,
+			"token":     c.token,
 		}).Info("conductor: " + note.Text)
 	}
 }
--- a/conductor/metrics.go
+++ b/conductor/metrics.go
@@ -31,6 +31,11 @@
 	writeRecords        prometheus.Histogram
 	plannedSeconds      *prometheus.GaugeVec
 	plannedDropped      prometheus.Counter
+	cancellations       *prometheus.CounterVec
+	withoutProgress     prometheus.Counter
+	deletionsFailed     prometheus.Counter
+	repeatedWrites      prometheus.Counter
+	jobsReadAt          *prometheus.GaugeVec
 	organisations       *organisationMetrics
 }
 
@@ -122,6 +127,26 @@
 			Name: "galenacove_conductor_planned_runs_dropped_total",
 			Help: "Runs that were dropped before their start as the store took no writes.",
 		}),
+		cancellations: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "galenacove_conductor_cancellations_total",
+			Help: "Cancellations that owners have read, by what they found.",
+		}, []string{"found"}),
+		withoutProgress: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "galenacove_conductor_jobs_without_progress_total",
+			Help: "Jobs that a takeover found without stored progress, and so took for new.",
+		}),
+		deletionsFailed: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "galenacove_conductor_deletions_failed_total",
+			Help: "Ended jobs whose records were not deleted, as the store did not take the deletion.",
+		}),
+		repeatedWrites: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "galenacove_conductor_repeated_writes_total",
+			Help: "Writes of progress that the store took for a repetition of an earlier one.",
+		}),
+		jobsReadAt: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "galenacove_conductor_jobs_read_timestamp_seconds",
+			Help: "Time of the last answered read of the jobs partition, by partition.",
+		}, []string{"partition"}),
 	}
 }
 
@@ -132,6 +157,7 @@
 		m.adviceCalls, m.adviceInFlight, m.adviceLimit, m.adviceDenied, m.adviceDeniedSeconds,
 		m.lastingWaiting, m.lastingWaitSeconds, m.allotmentCalls, m.workersLost, m.runsLost, m.tasksGivenUp,
 		m.writeSeconds, m.writeRecords, m.plannedSeconds, m.plannedDropped,
+		m.cancellations, m.withoutProgress, m.deletionsFailed, m.repeatedWrites, m.jobsReadAt,
 	}, m.organisations.collectors()...)
 }
 
@@ -170,6 +196,11 @@
 	m.plannedDropped.Add(float64(losses.Unstored))
 }
 
+// setJobsRead sets the time of the last answered read of the jobs partition.
+func (m *Metrics) setJobsRead(partition int, at time.Time) {
+	m.jobsReadAt.WithLabelValues(strconv.Itoa(partition)).Set(float64(at.UnixMilli()) / 1000)
+}
+
 // deleteLoad removes the gauges of the owner of a partition. It is called once the ownership
 // has ended.
 func (m *Metrics) deleteLoad(partition int) {
@@ -177,7 +208,7 @@
 	label := prometheus.Labels{
 		"partition": strconv.Itoa(partition),
 	}
-	for _, gauge := range []*prometheus.GaugeVec{m.adviceInFlight, m.adviceLimit, m.adviceDenied, m.adviceDeniedSeconds, m.lastingWaiting, m.lastingWaitSeconds, m.plannedSeconds} {
+	for _, gauge := range []*prometheus.GaugeVec{m.adviceInFlight, m.adviceLimit, m.adviceDenied, m.adviceDeniedSeconds, m.lastingWaiting, m.lastingWaitSeconds, m.plannedSeconds, m.jobsReadAt} {
 		gauge.DeletePartialMatch(label)
 	}
 }
--- a/conductor/recovery.go
+++ b/conductor/recovery.go
@@ -33,7 +33,7 @@
 }
 
 func (c *Conductor) loadPartition(ctx context.Context) error {
-	_, err := c.store.Append(ctx, c.progressPartition(), &storer.Writer{
+	end, err := c.store.Append(ctx, c.progressPartition(), &storer.Writer{
 		Name:  writerName,
 		Epoch: c.token,
 	})
@@ -43,6 +43,7 @@
 	if err != nil {
 		return err
 	}
+	c.progressEnd = end
 	var jobs, progress []storer.Record
 	var next int64
 	var group errgroup.Group
@@ -76,13 +77,53 @@
 	s.SetFormerSilence(stored.silent)
 	s.SetWorkers(c.directoryWorkers)
 	c.scheduler = s
+	c.logStoredJobs(jobs, stored, now)
 	c.applyRecords(jobs, stored.byJob, now)
 	c.next = next
+	c.jobsReadAt = now
 	c.ready = true
 	c.logFormerWorkers(stored.workersInUse)
 	return nil
 }
 
+// logStoredJobs logs what the takeover has read. A job without stored progress is new, or its
+// progress is gone: the older the oldest of them, the less likely is it new.
+func (c *Conductor) logStoredJobs(records []storer.Record, stored formerProgress, now time.Time) {
+	jobs, cancellations, withoutProgress := 0, 0, 0
+	var oldest time.Duration
+	oldestID := ""
+	for _, record := range records {
+		if strings.HasSuffix(record.Key, cancelSuffix) {
+			cancellations++
+			continue
+		}
+		jobs++
+		if stored.byJob[record.Key] != nil {
+			continue
+		}
+		withoutProgress++
+		var job struct {
+			Accepted time.Time `json:"accepted"`
+		}
+		// A record that cannot be decoded is logged when it is applied.
+		if err := json.Unmarshal(record.Value, &job); err == nil && now.Sub(job.Accepted) > oldest {
+			oldest, oldestID = now.Sub(job.Accepted), record.Key
+		}
+	}
+	c.metrics.withoutProgress.Add(float64(withoutProgress))
+	c.logger.WithFields(log.Fields{
+		"partition":       c.partition,
+		"token":           c.token,
+		"jobs":            jobs,
+		"cancellations":   cancellations,
+		"progress":        len(stored.byJob),
+		"undecodable":     stored.undecodable,
+		"withoutProgress": withoutProgress,
+		"oldestOfTheseMs": oldest.Milliseconds(),
+		"id":              oldestID,
+	}).Info("conductor: the jobs of the partition were read")
+}
+
 // logFormerWorkers logs how many workers the former owner used, how many of them the
 // directory no longer lists, and how old that knowledge is. The caller holds mu.
 func (c *Conductor) logFormerWorkers(former []scheduler.WorkerEntry) {
@@ -110,6 +151,8 @@
 	silent       []scheduler.SilentWorker
 	// allotments is the encoded ledger, nil if none is stored.
 	allotments []byte
+	// undecodable counts the records that could not be decoded.
+	undecodable int
 }
 
 // decodeProgress decodes what the former owner stored. An older release decodes any key
@@ -135,6 +178,7 @@
 			}
 		}
 		if err != nil {
+			stored.undecodable++
 			c.logger.WithError(err).WithField("id", record.Key).Error("conductor: stored progress cannot be decoded")
 		}
 	}
@@ -158,6 +202,7 @@
 			cancels = append(cancels, jobCancellation{
 				id:           id,
 				organisation: cancel.Organisation,
+				offset:       record.Offset,
 			})
 			continue
 		}
@@ -179,13 +224,30 @@
 		c.scheduler.AddJob(job, progressByJob[job.ID], progressByJob != nil, now)
 	}
 	for _, cancel := range cancels {
+		state, known := c.scheduler.State(cancel.id)
+		found := string(state)
+		switch {
+		case !known:
+			found = "unknown"
+		case !c.scheduler.Accessible(cancel.id, cancel.organisation):
+			found = "other organisation"
+		}
+		c.metrics.cancellations.WithLabelValues(found).Inc()
+		logEntry := c.logger.WithFields(log.Fields{
+			"id":           cancel.id,
+			"organisation": cancel.organisation,
+			"partition":    c.partition,
+			"token":        c.token,
+			"offset":       cancel.offset,
+			"found":        found,
+		})
 		if !c.scheduler.Accessible(cancel.id, cancel.organisation) {
-			c.logger.WithFields(log.Fields{
-				"id":           cancel.id,
-				"organisation": cancel.organisation,
-			}).Warn("conductor: a cancellation names an unknown job or one of another organisation")
+			logEntry.Warn("conductor: a cancellation names an unknown job or one of another organisation")
 			continue
 		}
+		if progressByJob == nil {
+			logEntry.Info("conductor: a cancellation was read")
+		}
 		c.scheduler.Cancel(cancel.id, now)
 	}
 }
@@ -194,10 +256,16 @@
 type jobCancellation struct {
 	id           string
 	organisation string
+	offset       int64
 }
 
+// maxJobsAge is the age of the last answered read of the jobs partition from which on the owner
+// says that it is behind: several reads.
+const maxJobsAge = 2 * time.Second
+
 // followJobs reads new jobs.
 func (c *Conductor) followJobs(ctx context.Context) error {
+	behind := false
 	for {
 		c.mu.Lock()
 		next := c.next
@@ -206,12 +274,29 @@
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
+		c.mu.Lock()
+		age := c.clock.Now().Sub(c.jobsReadAt)
+		c.mu.Unlock()
+		logEntry := c.logger.WithFields(log.Fields{
+			"partition": c.partition,
+			"token":     c.token,
+			"next":      next,
+			"ageMs":     age.Milliseconds(),
+		})
 		if err != nil {
+			if !behind && age >= maxJobsAge {
+				behind = true
+				logEntry.WithError(err).Warn("conductor: the jobs partition cannot be read")
+			}
 			if err := timekeeper.Sleep(ctx, c.clock, retryPause); err != nil {
 				return err
 			}
 			continue
 		}
+		if behind || age >= maxJobsAge {
+			behind = false
+			logEntry.WithField("end", page.End).Info("conductor: the jobs partition is read again")
+		}
 		c.applyPage(next, page)
 	}
 }
@@ -240,8 +325,10 @@
 	if c.next != from {
 		return
 	}
-	c.applyRecords(page.Records, nil, c.clock.Now())
+	now := c.clock.Now()
+	c.applyRecords(page.Records, nil, now)
 	c.next = page.Next
+	c.jobsReadAt = now
 	c.signalProgress()
 	if len(page.Records) > 0 {
 		c.requestTick()
--- a/conductor/writing.go
+++ b/conductor/writing.go
@@ -127,11 +127,12 @@
 	for {
 		// The store applies an append with the same sequence number only once.
 		attemptCtx, cancel := context.WithTimeout(ctx, storeTimeout)
-		_, err := c.store.Append(attemptCtx, c.progressPartition(), writer, w.records...)
+		end, err := c.store.Append(attemptCtx, c.progressPartition(), writer, w.records...)
 		cancel()
 		w.tries++
 		switch {
 		case err == nil:
+			c.checkProgressEnd(end, len(w.records))
 			c.sequence++
 			return nil
 		case errors.Is(err, storer.ErrFenced), errors.Is(err, storer.ErrConflict):
@@ -151,6 +152,24 @@
 	}
 }
 
+// checkProgressEnd records the end of the progress partition after a write of n records. If
+// the partition has not grown by as many since the write before, the store has taken the
+// write for a repetition of an earlier one, and its records are not stored.
+func (c *Conductor) checkProgressEnd(end int64, n int) {
+	if end < c.progressEnd+int64(n) {
+		c.metrics.repeatedWrites.Inc()
+		c.logger.WithFields(log.Fields{
+			"partition": c.partition,
+			"token":     c.token,
+			"sequence":  c.sequence,
+			"records":   n,
+			"end":       end,
+			"formerEnd": c.progressEnd,
+		}).Error("conductor: the store took a write of progress for a repetition")
+	}
+	c.progressEnd = max(c.progressEnd, end)
+}
+
 // writeLineInterval is the shortest time between two log lines on writes of progress.
 const writeLineInterval = time.Second
 
@@ -214,7 +233,13 @@
 	}
 	if _, err := c.store.Append(ctx, c.jobsPartition(), nil, records...); err != nil {
 		// The records stay until the next owner deletes them.
-		c.logger.WithError(err).Warn("conductor: deleting the records of ended jobs failed")
+		c.metrics.deletionsFailed.Add(float64(len(ids)))
+		c.logger.WithError(err).WithFields(log.Fields{
+			"partition": c.partition,
+			"token":     c.token,
+			"jobs":      len(ids),
+			"first":     ids[0],
+		}).Warn("conductor: deleting the records of ended jobs failed")
 	}
 	return nil
 }
--- a/conductor/writing_test.go
+++ b/conductor/writing_test.go
@@ -20,16 +20,18 @@
 	storer.Store
 	delay    time.Duration
 	failures int
+	end      int64
 }
 
 // Append implements storer.Store.
-func (s *failingStore) Append(context.Context, storer.Partition, *storer.Writer, ...storer.Record) (int64, error) {
+func (s *failingStore) Append(_ context.Context, _ storer.Partition, _ *storer.Writer, records ...storer.Record) (int64, error) {
 	time.Sleep(s.delay)
 	if s.failures > 0 {
 		s.failures--
 		return 0, errors.New("no quorum")
 	}
-	return 0, nil
+	s.end += int64(len(records))
+	return s.end, nil
 }
 
 // TestSlowWriteIsLogged guards against runs that wait for a write of which the log says
