scheduler: a cancellation that is read before its job is kept for it

Cause: a job and its cancellation are appended by two calls, through two entries as a rule, and the store takes them in any order: an entry freezes, the store is slow or carries an append out late, a record waits in the batcher or with a relay. The owner that read the cancellation first knew no such job, logged that and forgot it. A next owner, which reads all records at once, cancelled the job, so the outcome depended on a takeover.

Ruled out: that the freeze of an entry is needed (a late append is enough), that the job is cancelled late (it ran to its end), and that Receiver.submit stores a job whose client has left: its answer may be lost all the same.

The scheduler now keeps a cancellation whose job it has not read, with its organisation, and applies it when the job is added, before any step can start. Only the job's own organisation counts, as in Accessible. Callers are shown no job that nobody submitted: State knows jobs only. At most 10,000 are kept without a job; beyond that the oldest are forgotten. Log lines on them are limited to 20 a second, the counter is not.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -188,8 +188,10 @@
 	organisationsPending bool
 	// exchange is the state of the exchange of allotments.
 	exchange exchange
-	// admissionLines limits the log lines on refused jobs.
-	admissionLines lineLimiter
+	// admissionLines limits the log lines on refused jobs, and unknownCancelLines those on
+	// cancellations of unknown jobs.
+	admissionLines     lineLimiter
+	unknownCancelLines limitedLines
 }
 
 // Option changes how a Conductor works.
--- a/conductor/recovery.go
+++ b/conductor/recovery.go
@@ -188,7 +188,7 @@
 // applyRecords adds and cancels jobs according to records of the jobs topic.
 // progressByJob is nil for records that are read after the takeover.
 func (c *Conductor) applyRecords(records []storer.Record, progressByJob map[string]*scheduler.Progress, now time.Time) {
-	var cancels []jobCancellation
+	var cancels []storedCancellation
 	for _, record := range records {
 		if record.Value == nil || record.Key == "" {
 			continue
@@ -199,10 +199,12 @@
 				c.logger.WithError(err).WithField("id", id).Error("conductor: a stored cancellation cannot be decoded")
 				continue
 			}
-			cancels = append(cancels, jobCancellation{
-				id:           id,
-				organisation: cancel.Organisation,
-				offset:       record.Offset,
+			cancels = append(cancels, storedCancellation{
+				Cancellation: scheduler.Cancellation{
+					Job:          id,
+					Organisation: cancel.Organisation,
+				},
+				offset: record.Offset,
 			})
 			continue
 		}
@@ -224,41 +226,57 @@
 		c.scheduler.AddJob(job, progressByJob[job.ID], progressByJob != nil, now)
 	}
 	for _, cancel := range cancels {
-		state, known := c.scheduler.State(cancel.id)
-		found := string(state)
-		switch {
-		case !known:
-			found = "unknown"
-		case !c.scheduler.Accessible(cancel.id, cancel.organisation):
-			found = "other organisation"
-		}
-		c.metrics.cancellations.WithLabelValues(found).Inc()
-		logEntry := c.logger.WithFields(log.Fields{
-			"id":           cancel.id,
-			"organisation": cancel.organisation,
-			"partition":    c.partition,
-			"token":        c.token,
-			"offset":       cancel.offset,
-			"found":        found,
-		})
-		if !c.scheduler.Accessible(cancel.id, cancel.organisation) {
-			logEntry.Warn("conductor: a cancellation names an unknown job or one of another organisation")
-			continue
-		}
-		if progressByJob == nil {
-			logEntry.Info("conductor: a cancellation was read")
-		}
-		c.scheduler.Cancel(cancel.id, now)
+		c.logCancellation(cancel, progressByJob != nil)
+		c.scheduler.ApplyCancellation(cancel.Cancellation, now)
 	}
 }
 
-// jobCancellation is a stored cancellation together with the job that it names.
-type jobCancellation struct {
-	id           string
-	organisation string
-	offset       int64
+// storedCancellation is a cancellation together with the offset of its record.
+type storedCancellation struct {
+	scheduler.Cancellation
+	offset int64
+}
+
+// logCancellation logs a cancellation that is about to be applied, and counts it. A takeover
+// reads all cancellations of jobs that are kept, so it logs only those without effect.
+func (c *Conductor) logCancellation(cancel storedCancellation, takeover bool) {
+	state, known := c.scheduler.State(cancel.Job)
+	found := string(state)
+	foreign := known && !c.scheduler.Accessible(cancel.Job, cancel.Organisation)
+	switch {
+	case !known:
+		found = "unknown"
+	case foreign:
+		found = "other organisation"
+	}
+	c.metrics.cancellations.WithLabelValues(found).Inc()
+	logEntry := c.logger.WithFields(log.Fields{
+		"id":           cancel.Job,
+		"organisation": cancel.Organisation,
+		"partition":    c.partition,
+		"token":        c.token,
+		"offset":       cancel.offset,
+		"found":        found,
+	})
+	switch {
+	case foreign:
+		logEntry.Warn("conductor: a cancellation names a job of another organisation")
+	case !known:
+		if omitted, allowed := c.unknownCancelLines.allow(maxUnknownCancelLines, unknownCancelLineInterval, c.clock.Now()); allowed {
+			logEntry.WithField("omittedLines", omitted).Info("conductor: a cancellation names an unknown job and is kept for it")
+		}
+	case !takeover:
+		logEntry.Info("conductor: a cancellation was read")
+	}
 }
 
+// maxUnknownCancelLines limits the log lines on cancellations of unknown jobs in each
+// unknownCancelLineInterval: any caller can cancel jobs that nobody submitted.
+const (
+	maxUnknownCancelLines     = 20
+	unknownCancelLineInterval = time.Second
+)
+
 // maxJobsAge is the age of the last answered read of the jobs partition from which on the owner
 // says that it is behind: several reads.
 const maxJobsAge = 2 * time.Second
--- /dev/null
+++ b/scheduler/cancellations.go
@@ -0,0 +1,111 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+)
+
+// maxEarlyCancellations limits the cancellations that are kept without their job, so that a
+// caller who cancels jobs that never come cannot exhaust the owner's memory. Beyond it the
+// oldest are forgotten.
+const maxEarlyCancellations = 10000
+
+// Cancellation cancels a job on behalf of an organisation.
+type Cancellation struct {
+	// Job is the identity of the job.
+	Job string
+	// Organisation is the organisation of the caller, or empty if it belongs to none.
+	Organisation string
+}
+
+// earlyCancellation is a cancellation that was read before its job. Records may be stored
+// in another order than that in which the callers handed them in.
+type earlyCancellation struct {
+	Cancellation
+}
+
+// earlyCancellations holds the cancellations whose job is not known.
+type earlyCancellations struct {
+	// byJob holds them by the identity of the job, one for each organisation.
+	byJob map[string][]*earlyCancellation
+	// queue holds them in the order in which they were read, and some that are not in byJob any more.
+	queue []*earlyCancellation
+}
+
+func newEarlyCancellations() earlyCancellations {
+	return earlyCancellations{
+		byJob: make(map[string][]*earlyCancellation),
+	}
+}
+
+func (e *earlyCancellations) add(cancellation Cancellation) {
+	e.remove(cancellation)
+	early := &earlyCancellation{
+		Cancellation: cancellation,
+	}
+	e.byJob[cancellation.Job] = append(e.byJob[cancellation.Job], early)
+	e.queue = append(e.queue, early)
+	if len(e.queue) > maxEarlyCancellations {
+		e.dropOldest()
+	}
+}
+
+// remove removes the cancellation from byJob, if it is there.
+func (e *earlyCancellations) remove(cancellation Cancellation) {
+	left := slices.DeleteFunc(e.byJob[cancellation.Job], func(early *earlyCancellation) bool {
+		return early.Cancellation == cancellation
+	})
+	if len(left) == 0 {
+		delete(e.byJob, cancellation.Job)
+		return
+	}
+	e.byJob[cancellation.Job] = left
+}
+
+// current reports whether the element of the queue is in byJob.
+func (e *earlyCancellations) current(early *earlyCancellation) bool {
+	return slices.Contains(e.byJob[early.Job], early)
+}
+
+func (e *earlyCancellations) dropOldest() {
+	oldest := e.queue[0]
+	e.queue[0] = nil
+	e.queue = e.queue[1:]
+	if e.current(oldest) {
+		e.remove(oldest.Cancellation)
+	}
+}
+
+// takeFor returns whether the job is cancelled, and drops the cancellations that name it.
+func (e *earlyCancellations) takeFor(j *job) bool {
+	named := e.byJob[j.record.ID]
+	delete(e.byJob, j.record.ID)
+	return slices.ContainsFunc(named, func(early *earlyCancellation) bool {
+		return j.accessible(early.Organisation)
+	})
+}
+
+// ApplyCancellation cancels a job, unless it belongs to another organisation. If the job is
+// not known, the cancellation is kept and applies to the job once it is added.
+func (s *Scheduler) ApplyCancellation(cancellation Cancellation, now time.Time) {
+	j := s.jobs[cancellation.Job]
+	switch {
+	case j == nil:
+		s.earlyCancellations.add(cancellation)
+	case j.accessible(cancellation.Organisation):
+		s.Cancel(cancellation.Job, now)
+	}
+}
+
+// applyEarlyCancellations cancels a new job that was cancelled before it was added.
+func (s *Scheduler) applyEarlyCancellations(j *job, now time.Time) {
+	if !s.earlyCancellations.takeFor(j) {
+		return
+	}
+	s.addNote("job was cancelled before it was read", TaskRef{
+		Step: StepRef{
+			Job: j.record.ID,
+		},
+	}, "", now.Sub(j.record.Accepted))
+	s.Cancel(j.record.ID, now)
+}
--- a/scheduler/export_test.go
+++ b/scheduler/export_test.go
@@ -33,3 +33,11 @@
 	ledger.Give(other, name, allotter.Parts{}.Sub(change))
 	ledger.Receive(other, name, ledger.Received(other, name).Add(change))
 }
+
+// MaxEarlyCancellations is maxEarlyCancellations.
+const MaxEarlyCancellations = maxEarlyCancellations
+
+// EarlyCancellations counts the cancellations that are kept without their job.
+func (s *Scheduler) EarlyCancellations() int {
+	return len(s.earlyCancellations.byJob)
+}
--- a/scheduler/organisations.go
+++ b/scheduler/organisations.go
@@ -51,5 +51,9 @@
 // has the empty name.
 func (s *Scheduler) Accessible(id, organisation string) bool {
 	j := s.jobs[id]
-	return j != nil && (j.record.Organisation == "" || j.record.Organisation == organisation)
+	return j != nil && j.accessible(organisation)
+}
+
+func (j *job) accessible(organisation string) bool {
+	return j.record.Organisation == "" || j.record.Organisation == organisation
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -39,6 +39,8 @@
 
 	jobs    map[string]*job
 	workers map[string]*worker
+	// earlyCancellations holds the cancellations that were read before their job.
+	earlyCancellations earlyCancellations
 	// openSteps holds the steps that have waiting tasks and whose dependencies
 	// are done.
 	openSteps map[StepRef]*step
@@ -175,19 +177,20 @@
 			true:  defaultAdviceCalls,
 			false: defaultAdviceCalls,
 		},
-		organisations:     make(map[string]Organisation),
-		uses:              make(map[string]*organisationUse),
-		unknownRuns:       make(map[string][]*run),
-		waits:             make(map[string]*organisationWait),
-		maximumNotes:      make(map[string]*maximumNotes),
-		shares:            newShareTable(),
-		placementsAllowed: true,
-		storedSilent:      make(map[string]bool),
-		dirtyJobs:         make(map[string]bool),
-		nextBatch:         1,
-		allotments:        newAllotments(),
-		losses:            newLosses(),
-		suspects:          make(map[string][]TaskRef),
+		organisations:      make(map[string]Organisation),
+		uses:               make(map[string]*organisationUse),
+		unknownRuns:        make(map[string][]*run),
+		waits:              make(map[string]*organisationWait),
+		maximumNotes:       make(map[string]*maximumNotes),
+		shares:             newShareTable(),
+		placementsAllowed:  true,
+		earlyCancellations: newEarlyCancellations(),
+		storedSilent:       make(map[string]bool),
+		dirtyJobs:          make(map[string]bool),
+		nextBatch:          1,
+		allotments:         newAllotments(),
+		losses:             newLosses(),
+		suspects:           make(map[string][]TaskRef),
 	}
 	for _, opt := range opts {
 		opt(&s.options)
@@ -221,13 +224,18 @@
 	}
 }
 
-// AddJob adds a job from the store. It does nothing for a job that is already
-// known. progress is nil if none was stored. recovered reports whether the job
-// was stored before this owner took over.
+// AddJob adds a job from the store, and cancels it if it was cancelled before. It does
+// nothing for a job that is already known. progress is nil if none was stored. recovered
+// reports whether the job was stored before this owner took over.
 func (s *Scheduler) AddJob(record Job, progress *Progress, recovered bool, now time.Time) {
 	if s.jobs[record.ID] != nil {
 		return
 	}
+	j := s.addJob(record, progress, recovered, now)
+	s.applyEarlyCancellations(j, now)
+}
+
+func (s *Scheduler) addJob(record Job, progress *Progress, recovered bool, now time.Time) *job {
 	j := &job{
 		record:         record,
 		state:          Pending,
@@ -262,7 +270,7 @@
 		}
 	}
 	if j.state.Final() {
-		return
+		return j
 	}
 	stats := s.stats(record.Queue.Name)
 	stats.waitingJobs++
@@ -276,6 +284,7 @@
 	if recovered && record.Organisation != "" && !s.recoveryDone {
 		j.formerUnfinished = j.unfinished()
 	}
+	return j
 }
 
 // createDueSteps creates the steps of those occurrences of a job that have become
