conductor: delete the cancellations of jobs that never come

The record of a cancellation without a job stayed in the store for good, as only the deletion of a job deletes its cancellation; each takeover read all of them, and the owner now keeps them in memory as well.

They are outdated after the retention of ended jobs, or at once beyond 5,000 of them. Their records are deleted by an append on the condition that the partition ends where the owner has read to: a repeated cancellation or the job cannot come in between, even if the append is carried out late. A cancellation applies until its record is certainly gone, as a next owner would apply it; a next owner counts the time anew and so finishes what was begun.

With Append instead of AppendAt TestRepeatedCancellationIsNotDeleted would lose the second record; that was read, not run.

--- /dev/null
+++ b/conductor/cancellations.go
@@ -0,0 +1,74 @@
+package conductor
+
+import (
+	"context"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
+
+	"github.com/galenacove/galenacove/storer"
+	"github.com/galenacove/galenacove/timekeeper"
+)
+
+const (
+	// cancellationsInterval is the interval at which the records of outdated cancellations
+	// are deleted. They are few, and nothing waits for it.
+	cancellationsInterval = 10 * time.Second
+	// maxDeletedCancellations limits the records of one such append, and so its size to some
+	// 100 KB.
+	maxDeletedCancellations = 2000
+)
+
+// deleteCancellations deletes the records of cancellations whose job has not come.
+func (c *Conductor) deleteCancellations(ctx context.Context) error {
+	return timekeeper.Every(ctx, c.clock, cancellationsInterval, func(ctx context.Context) {
+		for more := true; more; {
+			more = c.deleteOutdatedCancellations(ctx)
+		}
+	})
+}
+
+// deleteOutdatedCancellations deletes some records of outdated cancellations, and reports
+// whether there may be more. They are deleted only if the partition still ends where this owner
+// has read to, so that neither a repeated cancellation nor the job can have come in between,
+// however late the store carries it out.
+func (c *Conductor) deleteOutdatedCancellations(ctx context.Context) (more bool) {
+	c.mu.Lock()
+	now := c.clock.Now()
+	outdated := c.scheduler.OutdatedCancellations(maxDeletedCancellations, now)
+	next := c.next
+	c.mu.Unlock()
+	if len(outdated) == 0 {
+		return false
+	}
+	records := make([]storer.Record, 0, len(outdated))
+	for _, cancellation := range outdated {
+		records = append(records, storer.Record{
+			Key: cancellation.Job + cancelSuffix,
+		})
+	}
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	_, err := c.store.AppendAt(ctx, c.jobsPartition(), next, records...)
+	logEntry := c.logger.WithFields(log.Fields{
+		"partition":     c.partition,
+		"token":         c.token,
+		"cancellations": len(outdated),
+		"first":         outdated[0].Job,
+	})
+	switch {
+	case err == nil:
+		logEntry.Info("conductor: cancellations whose jobs have not come were deleted")
+	case errors.Is(err, storer.ErrConflict):
+		logEntry.Debug("conductor: cancellations were not deleted as the partition has new records")
+		return false
+	default:
+		logEntry.WithError(err).Info("conductor: deleting cancellations failed, trying again")
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.scheduler.ForgetCancellations(outdated, now)
+	return len(outdated) == maxDeletedCancellations
+}
--- a/conductor/unknowncancellations_test.go
+++ b/conductor/unknowncancellations_test.go
@@ -61,3 +61,41 @@
 		c.Assert(storedKeys(c, store), qt.DeepEquals, []string{"waits"})
 	})
 }
+
+// repeatingStore appends records just before a conditional append.
+type repeatingStore struct {
+	*storer.Memory
+	records []storer.Record
+}
+
+// AppendAt implements storer.Store.
+func (s *repeatingStore) AppendAt(ctx context.Context, partition storer.Partition, expectedEnd int64, records ...storer.Record) (int64, error) {
+	first := s.records
+	s.records = nil
+	if len(first) > 0 {
+		if _, err := s.Append(ctx, partition, nil, first...); err != nil {
+			return 0, err
+		}
+	}
+	return s.Memory.AppendAt(ctx, partition, expectedEnd, records...)
+}
+
+// TestRepeatedCancellationIsNotDeleted guards against a cancellation that is acknowledged again
+// while its first record is being deleted, and then gone.
+func TestRepeatedCancellationIsNotDeleted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		store := &repeatingStore{
+			Memory:  storer.NewMemory(timekeeper.System()),
+			records: []storer.Record{cancelRecord(c, "j", "")},
+		}
+		appendRecords(c, store, JobsTopic, cancelRecord(c, "j", ""))
+		runOwner(c, store, 1, 59*time.Second)
+		c.Assert(storedKeys(c, store), qt.DeepEquals, []string{"j/cancel"})
+		c.Assert(store.records, qt.HasLen, 0)
+		appendRecords(c, store, JobsTopic, jobRecord(c, "j", ""))
+		check := newSteppedOwner(c, store, 2)
+		check.work()
+		c.Assert(check.state("j"), qt.Equals, scheduler.Cancelled)
+	})
+}
--- a/scheduler/cancellations.go
+++ b/scheduler/cancellations.go
@@ -5,10 +5,15 @@
 	"time"
 )
 
-// maxEarlyCancellations limits the cancellations that are kept without their job, so that a
-// caller who cancels jobs that never come cannot exhaust the owner's memory. Beyond it the
-// oldest are forgotten.
-const maxEarlyCancellations = 10000
+const (
+	// maxEarlyCancellations limits the cancellations that are kept without their job, so
+	// that a caller who cancels jobs that never come cannot exhaust the owner's memory.
+	// Beyond it the oldest are forgotten, and their records stay.
+	maxEarlyCancellations = 10000
+	// manyEarlyCancellations is the number beyond which the oldest are outdated at once, so
+	// that their records can be deleted.
+	manyEarlyCancellations = maxEarlyCancellations / 2
+)
 
 // Cancellation cancels a job on behalf of an organisation.
 type Cancellation struct {
@@ -22,13 +27,14 @@
 // in another order than that in which the callers handed them in.
 type earlyCancellation struct {
 	Cancellation
+	readAt time.Time
 }
 
 // earlyCancellations holds the cancellations whose job is not known.
 type earlyCancellations struct {
 	// byJob holds them by the identity of the job, one for each organisation.
 	byJob map[string][]*earlyCancellation
-	// queue holds them in the order in which they were read, and some that are not in byJob any more.
+	// queue holds them in the order of readAt, and some that are not in byJob any more.
 	queue []*earlyCancellation
 }
 
@@ -38,10 +44,11 @@
 	}
 }
 
-func (e *earlyCancellations) add(cancellation Cancellation) {
+func (e *earlyCancellations) add(cancellation Cancellation, now time.Time) {
 	e.remove(cancellation)
 	early := &earlyCancellation{
 		Cancellation: cancellation,
+		readAt:       now,
 	}
 	e.byJob[cancellation.Job] = append(e.byJob[cancellation.Job], early)
 	e.queue = append(e.queue, early)
@@ -76,6 +83,24 @@
 	}
 }
 
+// outdated returns the cancellations that were read before the given time, or are beyond
+// manyEarlyCancellations, oldest first and no more than limit.
+func (e *earlyCancellations) outdated(before time.Time, limit int) []Cancellation {
+	for len(e.queue) > 0 && !e.current(e.queue[0]) {
+		e.dropOldest()
+	}
+	var outdated []Cancellation
+	for i, early := range e.queue {
+		if !early.readAt.Before(before) && len(e.queue)-i <= manyEarlyCancellations || len(outdated) == limit {
+			break
+		}
+		if e.current(early) {
+			outdated = append(outdated, early.Cancellation)
+		}
+	}
+	return outdated
+}
+
 // takeFor returns whether the job is cancelled, and drops the cancellations that name it.
 func (e *earlyCancellations) takeFor(j *job) bool {
 	named := e.byJob[j.record.ID]
@@ -91,7 +116,7 @@
 	j := s.jobs[cancellation.Job]
 	switch {
 	case j == nil:
-		s.earlyCancellations.add(cancellation)
+		s.earlyCancellations.add(cancellation, now)
 	case j.accessible(cancellation.Organisation):
 		s.Cancel(cancellation.Job, now)
 	}
@@ -109,3 +134,24 @@
 	}, "", now.Sub(j.record.Accepted))
 	s.Cancel(j.record.ID, now)
 }
+
+// OutdatedCancellations returns the oldest cancellations whose job has not come for as long as
+// an ended job is kept, or that are too many, no more than limit. They are kept until
+// ForgetCancellations is called, since a next owner applies them for as long as their records
+// are stored.
+func (s *Scheduler) OutdatedCancellations(limit int, now time.Time) []Cancellation {
+	return s.earlyCancellations.outdated(now.Add(-s.options.retention-retentionMargin), limit)
+}
+
+// ForgetCancellations forgets cancellations of which the records that were read up to the
+// given time are deleted.
+func (s *Scheduler) ForgetCancellations(deleted []Cancellation, readUntil time.Time) {
+	for _, cancellation := range deleted {
+		repeated := slices.ContainsFunc(s.earlyCancellations.byJob[cancellation.Job], func(early *earlyCancellation) bool {
+			return early.Cancellation == cancellation && early.readAt.After(readUntil)
+		})
+		if !repeated {
+			s.earlyCancellations.remove(cancellation)
+		}
+	}
+}
--- a/scheduler/cancellations_test.go
+++ b/scheduler/cancellations_test.go
@@ -3,6 +3,7 @@
 import (
 	"strconv"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -19,6 +20,7 @@
 		}, r.now)
 	}
 	r.c.Assert(r.s.EarlyCancellations(), qt.Equals, scheduler.MaxEarlyCancellations)
+	r.c.Assert(r.s.OutdatedCancellations(scheduler.MaxEarlyCancellations, r.now), qt.HasLen, scheduler.MaxEarlyCancellations/2)
 	for id, want := range map[string]scheduler.JobState{
 		"0": scheduler.Pending,
 		"1": scheduler.Cancelled,
@@ -29,3 +31,38 @@
 		r.c.Assert(r.state(id), qt.Equals, want, qt.Commentf(id))
 	}
 }
+
+// TestCancellationIsKeptAsLongAsAnEndedJob guards against a cancellation that is forgotten
+// before its job comes, also one that is repeated, and against one that is kept for ever.
+func TestCancellationIsKeptAsLongAsAnEndedJob(t *testing.T) {
+	r := newRig(t, scheduler.Retention(10*time.Second))
+	cancellations := []scheduler.Cancellation{
+		{
+			Job: "once",
+		},
+		{
+			Job: "twice",
+		},
+	}
+	for _, cancellation := range cancellations {
+		r.s.ApplyCancellation(cancellation, r.now)
+	}
+	r.now = r.now.Add(15 * time.Second)
+	r.s.ApplyCancellation(cancellations[1], r.now)
+	r.now = r.now.Add(4 * time.Second)
+	r.c.Assert(r.s.OutdatedCancellations(9, r.now), qt.HasLen, 0)
+	r.now = r.now.Add(2 * time.Second)
+	r.c.Assert(r.s.OutdatedCancellations(9, r.now), qt.DeepEquals, cancellations[:1])
+	r.c.Assert(r.s.EarlyCancellations(), qt.Equals, 2)
+	r.s.ForgetCancellations(cancellations[:1], r.now)
+	r.c.Assert(r.s.EarlyCancellations(), qt.Equals, 1)
+	// One that was repeated while the first record was being deleted.
+	r.s.ForgetCancellations(cancellations[1:], r.now.Add(-10*time.Second))
+	r.c.Assert(r.s.EarlyCancellations(), qt.Equals, 1)
+	r.now = r.now.Add(20 * time.Second)
+	r.c.Assert(r.s.OutdatedCancellations(9, r.now), qt.DeepEquals, cancellations[1:])
+	// The job takes the cancellation with it.
+	r.s.AddJob(r.job("twice", newPhase(1, cores(1))), nil, false, r.now)
+	r.c.Assert(r.s.OutdatedCancellations(9, r.now), qt.HasLen, 0)
+	r.c.Assert(r.s.EarlyCancellations(), qt.Equals, 0)
+}
