--- a/conductor/cancellations_test.go
+++ b/conductor/cancellations_test.go
@@ -183,3 +183,14 @@
 		checkAllOrders(c, false, job, job, cancelRecord(c, "j", stranger))
 	}
 }
+
+// TestCancellationsOfTwoOrganisations guards against a cancellation that is replaced in the store
+// by that of an organisation to which the job does not belong, so that the job runs after a
+// takeover.
+func TestCancellationsOfTwoOrganisations(t *testing.T) {
+	c := qt.New(t)
+	job := jobRecord(c, "j", "farm")
+	checkAllOrders(c, true, job, cancelRecord(c, "j", "farm"), cancelRecord(c, "j", "mill"))
+	checkAllOrders(c, true, job, job, cancelRecord(c, "j", "farm"), cancelRecord(c, "j", ""))
+	checkAllOrders(c, false, job, cancelRecord(c, "j", ""), cancelRecord(c, "j", "mill"))
+}
