conductor: a key of its own for the cancellation of each organisation

A job's identity may be named by a caller of another organisation. Its cancellation has no effect, but it had the same key, ID/cancel, so the store kept it instead of the one before. An owner that took over before the job's cancellation was applied read the foreign one only, and the job ran although its cancelling was acknowledged.

The organisation is part of the key now: ID/cancel/ORGANISATION. Without one the key is as before. Owners of older releases do not read the new key, so each entry publishes that it does, and the old key is used until all have. The job keeps the cancellations of organisations that name it; when it is forgotten, they count as cancellations of an unknown job and are deleted as those are.

Ruled out: merging both in one record (entries append without reading), and refusing a cancelling while the owner does not answer (it would not be taken for as long as a takeover lasts).

--- a/conductor/cancellations.go
+++ b/conductor/cancellations.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"encoding/json"
+	"strings"
 	"time"
 
 	"github.com/apex/log"
@@ -15,11 +17,59 @@
 	// cancellationsInterval is the interval at which the records of outdated cancellations
 	// are deleted. They are few, and nothing waits for it.
 	cancellationsInterval = 10 * time.Second
-	// maxDeletedCancellations limits the records of one such append, and so its size to some
-	// 100 KB.
-	maxDeletedCancellations = 2000
+	// maxDeletedCancellations limits the cancellations of one such append, and so its size to
+	// some 100 KB.
+	maxDeletedCancellations = 1000
 )
 
+// cancellation is the value of a record that cancels a job.
+type cancellation struct {
+	// Organisation is the organisation that cancels the job, or empty if the caller
+	// belongs to none.
+	Organisation string `json:"organisation,omitempty"`
+}
+
+// CancelRecord returns the record that cancels a job on behalf of an organisation, which
+// may be empty. It has no effect on a job of another organisation. Each organisation has a
+// key of its own, since the store keeps the newest record of a key only.
+func CancelRecord(id, organisation string) (storer.Record, error) {
+	record, err := SharedCancelRecord(id, organisation)
+	record.Key = cancelKey(id, organisation)
+	return record, err
+}
+
+// SharedCancelRecord is like CancelRecord with the key that owners of older releases read, which
+// is the same for all organisations.
+func SharedCancelRecord(id, organisation string) (storer.Record, error) {
+	value, err := json.Marshal(cancellation{
+		Organisation: organisation,
+	})
+	if err != nil {
+		return storer.Record{}, errors.Wrap(err, "conductor: encode a cancellation")
+	}
+	return storer.Record{
+		Key:   cancelKey(id, ""),
+		Value: value,
+	}, nil
+}
+
+func cancelKey(id, organisation string) string {
+	if organisation == "" {
+		return id + cancelSuffix
+	}
+	return id + cancelSuffix + "/" + organisation
+}
+
+// cancelledJob returns the identity of the job that a record with the given key cancels. found
+// is false if the record is not a cancellation.
+func cancelledJob(key string) (id string, found bool) {
+	id, organisation, found := strings.Cut(key, cancelSuffix)
+	if !found || organisation != "" && organisation[0] != '/' {
+		return "", false
+	}
+	return id, true
+}
+
 // deleteCancellations deletes the records of cancellations whose job has not come.
 func (c *Conductor) deleteCancellations(ctx context.Context) error {
 	return timekeeper.Every(ctx, c.clock, cancellationsInterval, func(ctx context.Context) {
@@ -42,11 +92,16 @@
 	if len(outdated) == 0 {
 		return false
 	}
-	records := make([]storer.Record, 0, len(outdated))
+	records := make([]storer.Record, 0, 2*len(outdated))
 	for _, cancellation := range outdated {
 		records = append(records, storer.Record{
-			Key: cancellation.Job + cancelSuffix,
+			Key: cancelKey(cancellation.Job, ""),
 		})
+		if cancellation.Organisation != "" {
+			records = append(records, storer.Record{
+				Key: cancelKey(cancellation.Job, cancellation.Organisation),
+			})
+		}
 	}
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -50,7 +50,7 @@
 	ProgressTopic = "progress"
 
 	// cancelSuffix follows the job's identity in the key of a record that cancels
-	// the job.
+	// the job. A slash and the organisation, if there is one, follow it.
 	cancelSuffix = "/cancel"
 	// workersKey is the key under which an owner stores the workers that it uses.
 	workersKey = "/workers"
@@ -344,28 +344,6 @@
 	}, nil
 }
 
-// cancellation is the value of a record that cancels a job.
-type cancellation struct {
-	// Organisation is the organisation that cancels the job, or empty if the caller
-	// belongs to none.
-	Organisation string `json:"organisation,omitempty"`
-}
-
-// CancelRecord returns the record that cancels a job on behalf of an organisation, which
-// may be empty. It has no effect on a job of another organisation.
-func CancelRecord(id, organisation string) (storer.Record, error) {
-	value, err := json.Marshal(cancellation{
-		Organisation: organisation,
-	})
-	if err != nil {
-		return storer.Record{}, errors.Wrap(err, "conductor: encode a cancellation")
-	}
-	return storer.Record{
-		Key:   id + cancelSuffix,
-		Value: value,
-	}, nil
-}
-
 // signalProgress wakes the goroutines that wait on progressed. The caller holds
 // mu.
 func (c *Conductor) signalProgress() {
--- a/conductor/recovery.go
+++ b/conductor/recovery.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/apex/log"
@@ -93,7 +92,7 @@
 	var oldest time.Duration
 	oldestID := ""
 	for _, record := range records {
-		if strings.HasSuffix(record.Key, cancelSuffix) {
+		if _, found := cancelledJob(record.Key); found {
 			cancellations++
 			continue
 		}
@@ -193,7 +192,7 @@
 		if record.Value == nil || record.Key == "" {
 			continue
 		}
-		if id, found := strings.CutSuffix(record.Key, cancelSuffix); found {
+		if id, found := cancelledJob(record.Key); found {
 			var cancel cancellation
 			if err := json.Unmarshal(record.Value, &cancel); err != nil {
 				c.logger.WithError(err).WithField("id", id).Error("conductor: a stored cancellation cannot be decoded")
--- a/conductor/unknowncancellations_test.go
+++ b/conductor/unknowncancellations_test.go
@@ -99,3 +99,19 @@
 		c.Assert(check.state("j"), qt.Equals, scheduler.Cancelled)
 	})
 }
+
+// TestCancellationsOfOrganisationsAreDeleted guards against cancellations that stay in the store
+// after the job that they name.
+func TestCancellationsOfOrganisationsAreDeleted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		store := storer.NewMemory(timekeeper.System())
+		shared, err := SharedCancelRecord("j", "barn")
+		c.Assert(err, qt.IsNil)
+		appendRecords(c, store, JobsTopic, cancelRecord(c, "j", "mill"), jobRecord(c, "j", "farm"), cancelRecord(c, "j", "farm"), shared)
+		runOwner(c, store, 1, 25*time.Second)
+		c.Assert(storedKeys(c, store), qt.DeepEquals, []string{"j", "j/cancel", "j/cancel/farm", "j/cancel/mill"})
+		runOwner(c, store, 2, 75*time.Second)
+		c.Assert(storedKeys(c, store), qt.DeepEquals, []string{})
+	})
+}
--- a/coordinator/feeds.go
+++ b/coordinator/feeds.go
@@ -232,9 +232,10 @@
 		Topic: peersTopic,
 	}
 	ownRecord, err := encodePeer(peer{
-		Address:    c.settings.peerAddress,
-		Cores:      c.settings.cores,
-		Placements: true,
+		Address:       c.settings.peerAddress,
+		Cores:         c.settings.cores,
+		Placements:    true,
+		OwnCancelKeys: true,
 	})
 	if err != nil {
 		return err
@@ -289,6 +290,7 @@
 	}
 	if len(records) > 0 {
 		c.placementsAllowed.Store(allKeepPlacements(c.peers))
+		c.ownCancelKeys.Store(allReadOwnCancelKeys(c.peers))
 		c.preferred = preferredMembers(c.peers)
 	}
 	c.entryPool.setPeers(addresses)
--- a/coordinator/jobs.go
+++ b/coordinator/jobs.go
@@ -68,13 +68,21 @@
 		}
 		// Without an answer the record is stored, and the owner checks it.
 	}
-	record, err := conductor.CancelRecord(job.ID, job.Organisation)
+	record, err := c.cancelRecord(job)
 	if err != nil {
 		return fmt.Errorf("%w: %w", receiver.ErrNotStored, err)
 	}
 	return c.append(ctx, partition, record)
 }
 
+// cancelRecord returns the record that cancels a job, such that all owners read it.
+func (c *Coordinator) cancelRecord(job receiver.JobRef) (storer.Record, error) {
+	if c.ownCancelKeys.Load() {
+		return conductor.CancelRecord(job.ID, job.Organisation)
+	}
+	return conductor.SharedCancelRecord(job.ID, job.Organisation)
+}
+
 // append stores a record in the jobs topic, through another entry if the store does
 // not answer this one or if it is slow.
 func (c *Coordinator) append(ctx context.Context, partition int, record storer.Record) error {
--- a/coordinator/largerpeers.go
+++ b/coordinator/largerpeers.go
@@ -46,6 +46,9 @@
 	// Placements is set if the entry, as an owner, keeps the stored placements of
 	// lasting tasks up to date. Older releases do not.
 	Placements bool `json:"placements,omitempty"`
+	// OwnCancelKeys is set if the entry, as an owner, reads the cancellations of which the
+	// key contains the organisation. Older releases do not.
+	OwnCancelKeys bool `json:"ownCancelKeys,omitempty"`
 }
 
 // allKeepPlacements reports whether every one of the peers keeps the stored
@@ -59,6 +62,17 @@
 	return true
 }
 
+// allReadOwnCancelKeys reports whether every one of the peers reads the cancellations of
+// which the key contains the organisation.
+func allReadOwnCancelKeys(peers map[string]peer) bool {
+	for _, p := range peers {
+		if !p.OwnCancelKeys {
+			return false
+		}
+	}
+	return true
+}
+
 func encodePeer(p peer) ([]byte, error) {
 	return json.Marshal(p)
 }
--- a/coordinator/largerpeers_test.go
+++ b/coordinator/largerpeers_test.go
@@ -157,3 +157,18 @@
 	peers["b"] = decodePeer([]byte("10.0.0.2:7"))
 	c.Assert(allKeepPlacements(peers), qt.IsFalse)
 }
+
+// TestCancelKeysOfOrganisationsOnlyIfAllEntriesReadThem guards against a job that runs although
+// its cancelling was acknowledged, as its owner is of an older release.
+func TestCancelKeysOfOrganisationsOnlyIfAllEntriesReadThem(t *testing.T) {
+	c := qt.New(t)
+	peers := map[string]peer{
+		"a": {
+			Address:       "10.0.0.1:7",
+			OwnCancelKeys: true,
+		},
+	}
+	c.Assert(allReadOwnCancelKeys(peers), qt.IsTrue)
+	peers["b"] = decodePeer([]byte(`{"address":"10.0.0.2:7","placements":true}`))
+	c.Assert(allReadOwnCancelKeys(peers), qt.IsFalse)
+}
--- a/scheduler/cancellations.go
+++ b/scheduler/cancellations.go
@@ -105,9 +105,12 @@
 func (e *earlyCancellations) takeFor(j *job) bool {
 	named := e.byJob[j.record.ID]
 	delete(e.byJob, j.record.ID)
-	return slices.ContainsFunc(named, func(early *earlyCancellation) bool {
-		return j.accessible(early.Organisation)
-	})
+	cancelled := false
+	for _, early := range named {
+		cancelled = cancelled || j.accessible(early.Organisation)
+		j.addCancellation(early.Cancellation)
+	}
+	return cancelled
 }
 
 // ApplyCancellation cancels a job, unless it belongs to another organisation. If the job is
@@ -120,6 +123,25 @@
 	case j.accessible(cancellation.Organisation):
 		s.Cancel(cancellation.Job, now)
 	}
+	if j != nil {
+		j.addCancellation(cancellation)
+	}
+}
+
+// addCancellation records that the store has a cancellation that names the job. One of no
+// organisation is deleted with the job.
+func (j *job) addCancellation(cancellation Cancellation) {
+	if cancellation.Organisation != "" && !slices.Contains(j.cancellations, cancellation) {
+		j.cancellations = append(j.cancellations, cancellation)
+	}
+}
+
+// outliveJob keeps the cancellations of a job that is forgotten, until their records are
+// deleted.
+func (e *earlyCancellations) outliveJob(j *job, now time.Time) {
+	for _, cancellation := range j.cancellations {
+		e.add(cancellation, now)
+	}
 }
 
 // applyEarlyCancellations cancels a new job that was cancelled before it was added.
--- a/scheduler/tables.go
+++ b/scheduler/tables.go
@@ -42,6 +42,8 @@
 	// took over. Tasks that are done or cancelled since may still run on workers that
 	// have not reported.
 	formerUnfinished formerUse
+	// cancellations holds the stored cancellations that name the job and an organisation.
+	cancellations []Cancellation
 	// excess is set if the job is beyond the entitled rate of its organisation.
 	excess bool
 	// objective is the time within which an occurrence should be done once it
--- a/scheduler/tick.go
+++ b/scheduler/tick.go
@@ -171,6 +171,7 @@
 	for id, j := range s.jobs {
 		if j.state.Final() && j.stateStored && now.Sub(j.endedAt) > s.options.retention+retentionMargin {
 			delete(s.jobs, id)
+			s.earlyCancellations.outliveJob(j, now)
 			s.forgetSuspects(id)
 			s.droppedJobs = append(s.droppedJobs, id)
 		}
