coordinator: a test of cancellings before the job is stored, known red

test: TestCancellingOfAnUnknownJobIsStored

Red on this code: where there are organisations, DELETE of a job that the owner does not know is answered with 410 and nothing is stored. The job is stored then, and runs.

--- a/coordinator/organisations_test.go
+++ b/coordinator/organisations_test.go
@@ -179,3 +179,23 @@
 	}
 	return got.State
 }
+
+// TestCancellingOfAnUnknownJobIsStored guards against a job that runs although its cancelling was
+// answered with 410, as its own append was still under way.
+func TestCancellingOfAnUnknownJobIsStored(t *testing.T) {
+	cl := newStrictCluster(t, 2)
+	lasting := []byte(`{"phases":[{"tasks":1,"lasting":true}]}`)
+	first, second := cl.entries[0], cl.entries[1]
+	for path, key := range map[string]string{
+		"/checks/late": "farm-1",
+		"/open/late2":  "",
+	} {
+		cl.awaitStatus(http.MethodDelete, second.callers+path, key, nil, http.StatusGone)
+		cl.awaitStatus(http.MethodGet, second.callers+path, key, nil, http.StatusGone)
+		cl.awaitStatus(http.MethodPost, first.callers+path, key, lasting, http.StatusOK)
+		for cl.stateWithKey(second, path, key) != scheduler.Cancelled {
+			cl.c.Assert(cl.stateWithKey(second, path, key), qt.Not(qt.Equals), scheduler.Running)
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+}
