coordinator: store the cancellation of a job that its owner does not know yet

Where there are organisations an entry asks the owner before it stores a cancellation. A job whose append was under way was not known, so its cancelling was answered with 410, nothing was stored, and the job ran to its end (PROTOCOL: DELETE cancels the job and returns 2xx or 410).

The owner now says whether it does not know the job or whether the job is another organisation's. In the second case nothing is stored, as before. In the first the cancellation is stored, for the owner to keep until the job comes. Both are answered with 410, so that a caller cannot tell them apart by the answer; if the record is not stored, the caller is refused and asks again. An owner of an older release does not tell; then the record is stored, and checked by the owner.

--- a/conductor/queries.go
+++ b/conductor/queries.go
@@ -37,6 +37,18 @@
 	return state, found, true
 }
 
+// Knows reports whether the job exists for callers of any organisation, as far as the jobs have
+// been read.
+func (c *Conductor) Knows(id string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.ready {
+		return false
+	}
+	_, found := c.scheduler.State(id)
+	return found
+}
+
 // catchUp waits until all jobs are read that were stored before the call. It
 // returns an error if that takes longer than catchUpTimeout.
 func (c *Conductor) catchUp(ctx context.Context) error {
--- a/coordinator/jobs.go
+++ b/coordinator/jobs.go
@@ -59,20 +59,30 @@
 	if !known {
 		return fmt.Errorf("%w: %w", receiver.ErrNotStored, errNoShards)
 	}
+	unknown := false
 	if c.hasOrganisations() {
 		askCtx, cancel := context.WithTimeout(ctx, peerTimeout)
-		_, err := c.State(askCtx, job)
+		reply, err := c.askState(askCtx, partition, job)
 		cancel()
-		if errors.Is(err, receiver.ErrNoJob) {
-			return err
+		if err == nil && reply.Foreign {
+			return receiver.ErrNoJob
 		}
-		// Without an answer the record is stored, and the owner checks it.
+		// The record of an unknown job is stored, as the job may be on its way. Without an
+		// answer it is stored as well, and the owner checks it.
+		unknown = err == nil && !reply.Found
 	}
 	record, err := c.cancelRecord(job)
 	if err != nil {
 		return fmt.Errorf("%w: %w", receiver.ErrNotStored, err)
 	}
-	return c.append(ctx, partition, record)
+	if err := c.append(ctx, partition, record); err != nil {
+		return err
+	}
+	if unknown {
+		// The same answer as for a job of another organisation.
+		return receiver.ErrNoJob
+	}
+	return nil
 }
 
 // cancelRecord returns the record that cancels a job, such that all owners read it.
@@ -165,14 +175,7 @@
 	if !known {
 		return "", fmt.Errorf("%w: %w", receiver.ErrOwnerUnreachable, errNoShards)
 	}
-	reply, err := callOwner(ctx, c, partition, func(ctx context.Context, own *conductor.Conductor) (reply StateReply, err error) {
-		reply.State, reply.Found, err = own.State(ctx, job.ID, job.Organisation)
-		return reply, err
-	}, "State", StateArgs{
-		Partition:    partition,
-		ID:           job.ID,
-		Organisation: job.Organisation,
-	})
+	reply, err := c.askState(ctx, partition, job)
 	if err != nil {
 		return "", fmt.Errorf("%w: %w", receiver.ErrOwnerUnreachable, err)
 	}
@@ -182,6 +185,18 @@
 	return reply.State, nil
 }
 
+// askState asks the owner of the partition for the state of a job.
+func (c *Coordinator) askState(ctx context.Context, partition int, job receiver.JobRef) (StateReply, error) {
+	args := StateArgs{
+		Partition:    partition,
+		ID:           job.ID,
+		Organisation: job.Organisation,
+	}
+	return callOwner(ctx, c, partition, func(ctx context.Context, own *conductor.Conductor) (StateReply, error) {
+		return stateAt(ctx, own, args)
+	}, "State", args)
+}
+
 // WaitingJobs implements receiver.Jobs.
 func (c *Coordinator) WaitingJobs(ctx context.Context, queue scheduler.Queue) (int, error) {
 	partitions := c.shards.partitionsOfService(queue.Service)
--- a/coordinator/organisations_test.go
+++ b/coordinator/organisations_test.go
@@ -76,7 +76,11 @@
 }
 
 func newStrictCluster(t *testing.T, entries int) *cluster {
-	cl := newCluster(t, 0)
+	return newStrictClusterWith(t, 0, entries)
+}
+
+func newStrictClusterWith(t *testing.T, workers, entries int) *cluster {
+	cl := newCluster(t, workers)
 	cl.configureOrganisations(2, map[string][]string{
 		"farm": {"farm-1", "farm-2"},
 		"mill": {"mill-1"},
@@ -183,8 +187,8 @@
 // TestCancellingOfAnUnknownJobIsStored guards against a job that runs although its cancelling was
 // answered with 410, as its own append was still under way.
 func TestCancellingOfAnUnknownJobIsStored(t *testing.T) {
-	cl := newStrictCluster(t, 2)
-	lasting := []byte(`{"phases":[{"tasks":1,"lasting":true}]}`)
+	cl := newStrictClusterWith(t, 1, 2)
+	lasting := []byte(`{"phases":[{"tasks":1,"size":{"milliCores":1000},"lasting":true}]}`)
 	first, second := cl.entries[0], cl.entries[1]
 	for path, key := range map[string]string{
 		"/checks/late": "farm-1",
@@ -194,7 +198,7 @@
 		cl.awaitStatus(http.MethodGet, second.callers+path, key, nil, http.StatusGone)
 		cl.awaitStatus(http.MethodPost, first.callers+path, key, lasting, http.StatusOK)
 		for cl.stateWithKey(second, path, key) != scheduler.Cancelled {
-			cl.c.Assert(cl.stateWithKey(second, path, key), qt.Not(qt.Equals), scheduler.Running)
+			cl.c.Assert(cl.fleet.Starts(), qt.Equals, 0)
 			time.Sleep(10 * time.Millisecond)
 		}
 	}
--- a/coordinator/rpc.go
+++ b/coordinator/rpc.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/galenacove/galenacove/conductor"
 	"github.com/galenacove/galenacove/messenger"
 	"github.com/galenacove/galenacove/receiver"
 	"github.com/galenacove/galenacove/scheduler"
@@ -34,6 +35,9 @@
 type StateReply struct {
 	State scheduler.JobState
 	Found bool
+	// Foreign reports that the job is not found since it belongs to another organisation.
+	// Owners of older releases do not set it.
+	Foreign bool
 }
 
 // State returns the state of a job in a partition that this entry owns.
@@ -45,10 +49,19 @@
 	ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
 	defer cancel()
 	var err error
-	reply.State, reply.Found, err = own.State(ctx, args.ID, args.Organisation)
+	*reply, err = stateAt(ctx, own, args)
 	return err
 }
 
+func stateAt(ctx context.Context, own *conductor.Conductor, args StateArgs) (StateReply, error) {
+	state, found, err := own.State(ctx, args.ID, args.Organisation)
+	return StateReply{
+		State:   state,
+		Found:   found,
+		Foreign: err == nil && !found && own.Knows(args.ID),
+	}, err
+}
+
 // WaitingArgs asks for the number of jobs of a queue that have not begun.
 type WaitingArgs struct {
 	Partition int
