scheduler: a job has begun when a worker has begun one of its tasks

Cause: a job counted as begun as soon as a start was emitted, also one that was refused, failed or was never sent. After a takeover it counted as waiting again unless something else of it had been stored. A job that was cancelled before it began was shown as running until that was stored.

Now the answer to a start or a report of a run, active or ended, says that the job has begun, also where the run is not known any more. It is stored when a run ends, as a next owner learns it from the worker until then; a job whose worker and owner are lost at once is shown as pending again. No write is made that is not made for the end already, except for a run that was lost or stopped.

The workers of conductor's TestCancellation... now answer starts, since their jobs would not be shown as running otherwise; what they assert is unchanged.

--- a/conductor/cancellations_test.go
+++ b/conductor/cancellations_test.go
@@ -15,8 +15,8 @@
 	"github.com/galenacove/galenacove/timekeeper"
 )
 
-// steppedOwner is an owner that a test drives step by step, with one worker that has room
-// and answers no start.
+// steppedOwner is an owner that a test drives step by step, with one worker that has room,
+// takes each start and loses its run at once.
 type steppedOwner struct {
 	c     *qt.C
 	owner *Conductor
@@ -68,6 +68,7 @@
 		for _, effect := range o.owner.scheduler.Tick(o.now) {
 			if start, ok := effect.(scheduler.StartTask); ok {
 				o.starts[start.Run.Task.Step.Job]++
+				o.owner.scheduler.StartAnswered("w", start.Run, scheduler.StartDone, o.now)
 			}
 		}
 		o.c.Assert(o.owner.writeProgress(context.Background()), qt.IsNil)
--- a/scheduler/backlog.go
+++ b/scheduler/backlog.go
@@ -176,7 +176,7 @@
 // backlog. Steps that are too late to be of use do not delay others, so they are left
 // out.
 func (s *Scheduler) addBacklog(j *job, now time.Time) {
-	if name := s.organisationOf(j); name != "" && !j.started {
+	if name := s.organisationOf(j); name != "" && !j.begun {
 		waiting := s.waitingOf(name)
 		waiting.jobs++
 		waiting.bytes += memoryOf(j.record, len(j.record.Spec))
--- a/scheduler/reports.go
+++ b/scheduler/reports.go
@@ -151,6 +151,8 @@
 	if t == nil || st.job.state.Final() {
 		return
 	}
+	s.markJobBegun(row.Run.Task.Step.Job)
+	s.keepBegun(st.job)
 	r := t.findRun(row.Run)
 	current := r != nil
 	if current {
@@ -261,11 +263,11 @@
 		r.progressAt = now
 	}
 	r.tailLatency = int64(row.TailLatency)
+	s.markJobBegun(row.Run.Task.Step.Job)
 	st, t := s.findTask(row.Run.Task)
 	if t == nil || !t.hasRun(r) {
 		return
 	}
-	s.markJobStarted(st.job)
 	if row.Checkpoint != "" {
 		st.setCheckpoint(row.Run.Task.Index, row.Checkpoint)
 	}
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -110,6 +110,7 @@
 		return
 	}
 	s.unassignRun(st, t, r, now)
+	s.keepBegun(st.job)
 	if st.phase.Gang {
 		st.retryAt = now.Add(gangRetryDelay)
 		s.stopGang(st, "a member was lost", now)
@@ -208,6 +209,9 @@
 
 // StartAnswered records the outcome of a start.
 func (s *Scheduler) StartAnswered(workerID string, ref RunRef, outcome StartOutcome, now time.Time) {
+	if outcome == StartDone {
+		s.markJobBegun(ref.Task.Step.Job)
+	}
 	w := s.workers[workerID]
 	if w == nil || w.runs[ref] == nil {
 		return
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -142,7 +142,7 @@
 	// runTimeFactor is the run time as a multiple of the estimate, as an
 	// exponential moving average.
 	runTimeFactor float64
-	// waitingJobs counts the jobs of which no task has started.
+	// waitingJobs counts the jobs that have neither begun nor ended.
 	waitingJobs int
 	// service and priority are those of the last job added to the queue.
 	service  string
@@ -255,7 +255,8 @@
 		j.state = progress.State
 		j.endedAt = progress.Ended
 		j.stateStored = progress.State.Final()
-		j.started = progress.State != Pending
+		j.begun = progress.State != Pending
+		j.begunStored = j.begun
 		j.formerEnding = progress.Ending
 		for _, id := range progress.Workers {
 			j.workers[id] = true
@@ -276,8 +277,8 @@
 	stats.waitingJobs++
 	stats.service = record.Queue.Service
 	stats.priority = record.Queue.Priority
-	if j.started {
-		s.stats(record.Queue.Name).waitingJobs--
+	if j.begun {
+		stats.waitingJobs--
 	}
 	s.jobsWithUncreatedSteps[record.ID] = j
 	s.createDueSteps(j, now)
@@ -410,8 +411,8 @@
 
 // endJob gives a job its final state and stops its runs.
 func (s *Scheduler) endJob(j *job, state JobState, now time.Time) {
-	if !j.started {
-		s.markJobStarted(j)
+	if !j.begun {
+		s.stats(j.record.Queue.Name).waitingJobs--
 	}
 	j.state = state
 	j.endedAt = now
@@ -436,15 +437,22 @@
 	}
 }
 
-// markJobStarted records that a task of the job has started.
-func (s *Scheduler) markJobStarted(j *job) {
-	if j.started {
+// markJobBegun records that a worker has begun a task of the job, if the job is known.
+func (s *Scheduler) markJobBegun(id string) {
+	j := s.jobs[id]
+	if j == nil || j.begun || j.state.Final() {
 		return
 	}
-	j.started = true
+	j.begun = true
+	j.state = Running
 	s.stats(j.record.Queue.Name).waitingJobs--
-	if j.state == Pending {
-		j.state = Running
+}
+
+// keepBegun has it stored that the job has begun, as one of its runs has ended. As long as it
+// runs, a next owner learns it from the worker.
+func (s *Scheduler) keepBegun(j *job) {
+	if j.begun && !j.begunStored && !j.state.Final() {
+		s.dirtyJobs[j.record.ID] = true
 	}
 }
 
@@ -471,7 +479,7 @@
 	if j.state.Final() && !j.stateStored {
 		// The final state is shown only once it is stored, so that no later
 		// owner can show another one. Until then the former state holds.
-		if j.started {
+		if j.begun {
 			return Running, true
 		}
 		return Pending, true
@@ -479,7 +487,7 @@
 	return j.state, true
 }
 
-// WaitingJobs counts the jobs of a queue of which no task has started.
+// WaitingJobs counts the jobs of a queue of which no worker has begun a task.
 func (s *Scheduler) WaitingJobs(queue string) int {
 	return s.stats(queue).waitingJobs
 }
--- a/scheduler/starting.go
+++ b/scheduler/starting.go
@@ -71,7 +71,6 @@
 
 // sendStart emits the start of a run.
 func (s *Scheduler) sendStart(r *run, st *step, now time.Time) {
-	s.markJobStarted(st.job)
 	if st.startedAt.IsZero() {
 		st.startedAt = now
 	}
--- a/scheduler/tables.go
+++ b/scheduler/tables.go
@@ -31,8 +31,9 @@
 	workers map[string]bool
 	// storedWorkers holds those of workers that are stored by now.
 	storedWorkers map[string]bool
-	// started is set once a task of the job has been started.
-	started bool
+	// begun is set once a worker has begun a task of the job, as the answer to a start or a
+	// report says, and begunStored once that is stored.
+	begun, begunStored bool
 	// runCount counts the runs of the job on all workers, in any state. It is kept
 	// only for jobs of an organisation.
 	runCount int
--- a/scheduler/writes.go
+++ b/scheduler/writes.go
@@ -119,6 +119,7 @@
 		if stored.Progress.State.Final() {
 			j.stateStored = true
 		}
+		j.begunStored = j.begunStored || stored.Progress.State != Pending
 		for _, id := range stored.Progress.Workers {
 			j.storedWorkers[id] = true
 		}
