--- a/conductor/cancellations.go
+++ b/conductor/cancellations.go
@@ -9,6 +9,7 @@
 	"github.com/apex/log"
 	"github.com/cockroachdb/errors"
 
+	"github.com/galenacove/galenacove/scheduler"
 	"github.com/galenacove/galenacove/storer"
 	"github.com/galenacove/galenacove/timekeeper"
 )
@@ -20,6 +21,10 @@
 	// maxDeletedCancellations limits the cancellations of one such append, and so its size to
 	// some 100 KB.
 	maxDeletedCancellations = 1000
+	// maxUnknownCancelLines limits the log lines on cancellations of unknown jobs in each
+	// unknownCancelLineInterval: any caller can cancel jobs that nobody submitted.
+	maxUnknownCancelLines     = 20
+	unknownCancelLineInterval = time.Second
 )
 
 // cancellation is the value of a record that cancels a job.
@@ -70,6 +75,45 @@
 	return id, true
 }
 
+// storedCancellation is a cancellation together with the offset of its record.
+type storedCancellation struct {
+	scheduler.Cancellation
+	offset int64
+}
+
+// logCancellation logs a cancellation that is about to be applied, and counts it. A takeover
+// reads all cancellations of jobs that are kept, so it logs only those without effect.
+func (c *Conductor) logCancellation(cancel storedCancellation, takeover bool) {
+	state, known := c.scheduler.State(cancel.Job)
+	found := string(state)
+	foreign := known && !c.scheduler.Accessible(cancel.Job, cancel.Organisation)
+	switch {
+	case !known:
+		found = "unknown"
+	case foreign:
+		found = "other organisation"
+	}
+	c.metrics.cancellations.WithLabelValues(found).Inc()
+	logEntry := c.logger.WithFields(log.Fields{
+		"id":           cancel.Job,
+		"organisation": cancel.Organisation,
+		"partition":    c.partition,
+		"token":        c.token,
+		"offset":       cancel.offset,
+		"found":        found,
+	})
+	switch {
+	case foreign:
+		logEntry.Warn("conductor: a cancellation names a job of another organisation")
+	case !known:
+		if omitted, allowed := c.unknownCancelLines.allow(maxUnknownCancelLines, unknownCancelLineInterval, c.clock.Now()); allowed {
+			logEntry.WithField("omittedLines", omitted).Info("conductor: a cancellation names an unknown job and is kept for it")
+		}
+	case !takeover:
+		logEntry.Info("conductor: a cancellation was read")
+	}
+}
+
 // deleteCancellations deletes the records of cancellations whose job has not come.
 func (c *Conductor) deleteCancellations(ctx context.Context) error {
 	return timekeeper.Every(ctx, c.clock, cancellationsInterval, func(ctx context.Context) {
--- a/conductor/recovery.go
+++ b/conductor/recovery.go
@@ -230,52 +230,6 @@
 	}
 }
 
-// storedCancellation is a cancellation together with the offset of its record.
-type storedCancellation struct {
-	scheduler.Cancellation
-	offset int64
-}
-
-// logCancellation logs a cancellation that is about to be applied, and counts it. A takeover
-// reads all cancellations of jobs that are kept, so it logs only those without effect.
-func (c *Conductor) logCancellation(cancel storedCancellation, takeover bool) {
-	state, known := c.scheduler.State(cancel.Job)
-	found := string(state)
-	foreign := known && !c.scheduler.Accessible(cancel.Job, cancel.Organisation)
-	switch {
-	case !known:
-		found = "unknown"
-	case foreign:
-		found = "other organisation"
-	}
-	c.metrics.cancellations.WithLabelValues(found).Inc()
-	logEntry := c.logger.WithFields(log.Fields{
-		"id":           cancel.Job,
-		"organisation": cancel.Organisation,
-		"partition":    c.partition,
-		"token":        c.token,
-		"offset":       cancel.offset,
-		"found":        found,
-	})
-	switch {
-	case foreign:
-		logEntry.Warn("conductor: a cancellation names a job of another organisation")
-	case !known:
-		if omitted, allowed := c.unknownCancelLines.allow(maxUnknownCancelLines, unknownCancelLineInterval, c.clock.Now()); allowed {
-			logEntry.WithField("omittedLines", omitted).Info("conductor: a cancellation names an unknown job and is kept for it")
-		}
-	case !takeover:
-		logEntry.Info("conductor: a cancellation was read")
-	}
-}
-
-// maxUnknownCancelLines limits the log lines on cancellations of unknown jobs in each
-// unknownCancelLineInterval: any caller can cancel jobs that nobody submitted.
-const (
-	maxUnknownCancelLines     = 20
-	unknownCancelLineInterval = time.Second
-)
-
 // maxJobsAge is the age of the last answered read of the jobs partition from which on the owner
 // says that it is behind: several reads.
 const maxJobsAge = 2 * time.Second
