--- a/conductor/recovery.go
+++ b/conductor/recovery.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/apex/log"
@@ -93,7 +92,7 @@
 	var oldest time.Duration
 	oldestID := ""
 	for _, record := range records {
-		if strings.HasSuffix(record.Key, cancelSuffix) {
+		if _, found := cancelledJob(record.Key); found {
 			cancellations++
 			continue
 		}
@@ -188,21 +187,23 @@
 // applyRecords adds and cancels jobs according to records of the jobs topic.
 // progressByJob is nil for records that are read after the takeover.
 func (c *Conductor) applyRecords(records []storer.Record, progressByJob map[string]*scheduler.Progress, now time.Time) {
-	var cancels []jobCancellation
+	var cancels []storedCancellation
 	for _, record := range records {
 		if record.Value == nil || record.Key == "" {
 			continue
 		}
-		if id, found := strings.CutSuffix(record.Key, cancelSuffix); found {
+		if id, found := cancelledJob(record.Key); found {
 			var cancel cancellation
 			if err := json.Unmarshal(record.Value, &cancel); err != nil {
 				c.logger.WithError(err).WithField("id", id).Error("conductor: a stored cancellation cannot be decoded")
 				continue
 			}
-			cancels = append(cancels, jobCancellation{
-				id:           id,
-				organisation: cancel.Organisation,
-				offset:       record.Offset,
+			cancels = append(cancels, storedCancellation{
+				Cancellation: scheduler.Cancellation{
+					Job:          id,
+					Organisation: cancel.Organisation,
+				},
+				offset: record.Offset,
 			})
 			continue
 		}
@@ -224,41 +225,11 @@
 		c.scheduler.AddJob(job, progressByJob[job.ID], progressByJob != nil, now)
 	}
 	for _, cancel := range cancels {
-		state, known := c.scheduler.State(cancel.id)
-		found := string(state)
-		switch {
-		case !known:
-			found = "unknown"
-		case !c.scheduler.Accessible(cancel.id, cancel.organisation):
-			found = "other organisation"
-		}
-		c.metrics.cancellations.WithLabelValues(found).Inc()
-		logEntry := c.logger.WithFields(log.Fields{
-			"id":           cancel.id,
-			"organisation": cancel.organisation,
-			"partition":    c.partition,
-			"token":        c.token,
-			"offset":       cancel.offset,
-			"found":        found,
-		})
-		if !c.scheduler.Accessible(cancel.id, cancel.organisation) {
-			logEntry.Warn("conductor: a cancellation names an unknown job or one of another organisation")
-			continue
-		}
-		if progressByJob == nil {
-			logEntry.Info("conductor: a cancellation was read")
-		}
-		c.scheduler.Cancel(cancel.id, now)
+		c.logCancellation(cancel, progressByJob != nil)
+		c.scheduler.ApplyCancellation(cancel.Cancellation, now)
 	}
 }
 
-// jobCancellation is a stored cancellation together with the job that it names.
-type jobCancellation struct {
-	id           string
-	organisation string
-	offset       int64
-}
-
 // maxJobsAge is the age of the last answered read of the jobs partition from which on the owner
 // says that it is behind: several reads.
 const maxJobsAge = 2 * time.Second
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -39,6 +39,8 @@
 
 	jobs    map[string]*job
 	workers map[string]*worker
+	// earlyCancellations holds the cancellations that were read before their job.
+	earlyCancellations earlyCancellations
 	// openSteps holds the steps that have waiting tasks and whose dependencies
 	// are done.
 	openSteps map[StepRef]*step
@@ -140,7 +142,7 @@
 	// runTimeFactor is the run time as a multiple of the estimate, as an
 	// exponential moving average.
 	runTimeFactor float64
-	// waitingJobs counts the jobs of which no task has started.
+	// waitingJobs counts the jobs that have neither begun nor ended.
 	waitingJobs int
 	// service and priority are those of the last job added to the queue.
 	service  string
@@ -175,19 +177,20 @@
 			true:  defaultAdviceCalls,
 			false: defaultAdviceCalls,
 		},
-		organisations:     make(map[string]Organisation),
-		uses:              make(map[string]*organisationUse),
-		unknownRuns:       make(map[string][]*run),
-		waits:             make(map[string]*organisationWait),
-		maximumNotes:      make(map[string]*maximumNotes),
-		shares:            newShareTable(),
-		placementsAllowed: true,
-		storedSilent:      make(map[string]bool),
-		dirtyJobs:         make(map[string]bool),
-		nextBatch:         1,
-		allotments:        newAllotments(),
-		losses:            newLosses(),
-		suspects:          make(map[string][]TaskRef),
+		organisations:      make(map[string]Organisation),
+		uses:               make(map[string]*organisationUse),
+		unknownRuns:        make(map[string][]*run),
+		waits:              make(map[string]*organisationWait),
+		maximumNotes:       make(map[string]*maximumNotes),
+		shares:             newShareTable(),
+		placementsAllowed:  true,
+		earlyCancellations: newEarlyCancellations(),
+		storedSilent:       make(map[string]bool),
+		dirtyJobs:          make(map[string]bool),
+		nextBatch:          1,
+		allotments:         newAllotments(),
+		losses:             newLosses(),
+		suspects:           make(map[string][]TaskRef),
 	}
 	for _, opt := range opts {
 		opt(&s.options)
@@ -221,13 +224,18 @@
 	}
 }
 
-// AddJob adds a job from the store. It does nothing for a job that is already
-// known. progress is nil if none was stored. recovered reports whether the job
-// was stored before this owner took over.
+// AddJob adds a job from the store, and cancels it if it was cancelled before. It does
+// nothing for a job that is already known. progress is nil if none was stored. recovered
+// reports whether the job was stored before this owner took over.
 func (s *Scheduler) AddJob(record Job, progress *Progress, recovered bool, now time.Time) {
 	if s.jobs[record.ID] != nil {
 		return
 	}
+	j := s.addJob(record, progress, recovered, now)
+	s.applyEarlyCancellations(j, now)
+}
+
+func (s *Scheduler) addJob(record Job, progress *Progress, recovered bool, now time.Time) *job {
 	j := &job{
 		record:         record,
 		state:          Pending,
@@ -247,7 +255,8 @@
 		j.state = progress.State
 		j.endedAt = progress.Ended
 		j.stateStored = progress.State.Final()
-		j.started = progress.State != Pending
+		j.begun = progress.State != Pending
+		j.begunStored = j.begun
 		j.formerEnding = progress.Ending
 		for _, id := range progress.Workers {
 			j.workers[id] = true
@@ -262,20 +271,21 @@
 		}
 	}
 	if j.state.Final() {
-		return
+		return j
 	}
 	stats := s.stats(record.Queue.Name)
 	stats.waitingJobs++
 	stats.service = record.Queue.Service
 	stats.priority = record.Queue.Priority
-	if j.started {
-		s.stats(record.Queue.Name).waitingJobs--
+	if j.begun {
+		stats.waitingJobs--
 	}
 	s.jobsWithUncreatedSteps[record.ID] = j
 	s.createDueSteps(j, now)
 	if recovered && record.Organisation != "" && !s.recoveryDone {
 		j.formerUnfinished = j.unfinished()
 	}
+	return j
 }
 
 // createDueSteps creates the steps of those occurrences of a job that have become
@@ -401,8 +411,8 @@
 
 // endJob gives a job its final state and stops its runs.
 func (s *Scheduler) endJob(j *job, state JobState, now time.Time) {
-	if !j.started {
-		s.markJobStarted(j)
+	if !j.begun {
+		s.stats(j.record.Queue.Name).waitingJobs--
 	}
 	j.state = state
 	j.endedAt = now
@@ -427,15 +437,22 @@
 	}
 }
 
-// markJobStarted records that a task of the job has started.
-func (s *Scheduler) markJobStarted(j *job) {
-	if j.started {
+// markJobBegun records that a worker has begun a task of the job, if the job is known.
+func (s *Scheduler) markJobBegun(id string) {
+	j := s.jobs[id]
+	if j == nil || j.begun || j.state.Final() {
 		return
 	}
-	j.started = true
+	j.begun = true
+	j.state = Running
 	s.stats(j.record.Queue.Name).waitingJobs--
-	if j.state == Pending {
-		j.state = Running
+}
+
+// keepBegun has it stored that the job has begun, as one of its runs has ended. As long as it
+// runs, a next owner learns it from the worker.
+func (s *Scheduler) keepBegun(j *job) {
+	if j.begun && !j.begunStored && !j.state.Final() {
+		s.dirtyJobs[j.record.ID] = true
 	}
 }
 
@@ -462,7 +479,7 @@
 	if j.state.Final() && !j.stateStored {
 		// The final state is shown only once it is stored, so that no later
 		// owner can show another one. Until then the former state holds.
-		if j.started {
+		if j.begun {
 			return Running, true
 		}
 		return Pending, true
@@ -470,7 +487,7 @@
 	return j.state, true
 }
 
-// WaitingJobs counts the jobs of a queue of which no task has started.
+// WaitingJobs counts the jobs of a queue of which no worker has begun a task.
 func (s *Scheduler) WaitingJobs(queue string) int {
 	return s.stats(queue).waitingJobs
 }
--- a/scheduler/tables.go
+++ b/scheduler/tables.go
@@ -31,8 +31,9 @@
 	workers map[string]bool
 	// storedWorkers holds those of workers that are stored by now.
 	storedWorkers map[string]bool
-	// started is set once a task of the job has been started.
-	started bool
+	// begun is set once a worker has begun a task of the job, as the answer to a start or a
+	// report says, and begunStored once that is stored.
+	begun, begunStored bool
 	// runCount counts the runs of the job on all workers, in any state. It is kept
 	// only for jobs of an organisation.
 	runCount int
@@ -42,6 +43,8 @@
 	// took over. Tasks that are done or cancelled since may still run on workers that
 	// have not reported.
 	formerUnfinished formerUse
+	// cancellations holds the stored cancellations that name the job and an organisation.
+	cancellations []Cancellation
 	// excess is set if the job is beyond the entitled rate of its organisation.
 	excess bool
 	// objective is the time within which an occurrence should be done once it
