storer, platform: a key beyond 255 bytes is rejected

The length of a key is one byte on the wire. That of a longer key was cut off, so that another key was stored, with the rest of the key in front of the value: the shard record of a worker with a long identity was stored again at each read of the directory. Evidence: TestLongKeyIsStoredAsAnother red before; 255 bytes are stored as they are.

--- a/storer/memory.go
+++ b/storer/memory.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/galenacove/galenacove/timekeeper"
 )
 
@@ -134,6 +136,9 @@
 	if m.failure != nil {
 		return 0, m.failure
 	}
+	if slices.ContainsFunc(records, func(r Record) bool { return len(r.Key) > MaxKeyBytes }) {
+		return 0, errors.Wrap(ErrRejected, "storer: the key of a record is too long")
+	}
 	p := m.partition(id)
 	var writerState *memoryWriter
 	if writer != nil {
--- a/storer/storer.go
+++ b/storer/storer.go
@@ -44,9 +44,12 @@
 	Number int
 }
 
+// MaxKeyBytes is the maximum length of the key of a record.
+const MaxKeyBytes = 255
+
 // Record is a record of a keyed topic.
 type Record struct {
-	// Key is at most 255 bytes long.
+	// Key is at most MaxKeyBytes long.
 	Key string
 	// Value is nil in a record that deletes its key.
 	Value []byte
