scheduler: failing tests of odd addresses and of jobs out of proportion

- A worker's entry that names another worker's address for a moment: the other answers that it is another instance, which is taken as proof that the worker has ended.
Its runs start elsewhere while they go on (TWICE).
- A job may have 10,000 tasks in each of its phases and 10,000 occurrences, all due at once.
- Estimates, intervals and times of a queue that wrap around when they are added.

--- /dev/null
+++ b/scheduler/odd_test.go
@@ -0,0 +1,223 @@
+package scheduler_test
+
+import (
+	"math"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/galenacove/galenacove/scheduler"
+	"github.com/galenacove/galenacove/sizer"
+)
+
+// TestWorkerAtAnotherAddressIsTakenForEnded guards against runs that are taken for ended, and
+// started again, when a former or odd entry names another worker's address for a moment, and
+// that worker answers that it is another one (TWICE).
+func TestWorkerAtAnotherAddressIsTakenForEnded(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		odd  func(*scheduler.WorkerEntry, time.Time)
+	}{
+		{
+			name: "another address",
+			odd:  func(*scheduler.WorkerEntry, time.Time) {},
+		},
+		{
+			name: "and another start",
+			odd: func(entry *scheduler.WorkerEntry, now time.Time) {
+				entry.StartedAt = now.Add(-time.Hour)
+			},
+		},
+		{
+			name: "and no start",
+			odd: func(entry *scheduler.WorkerEntry, _ time.Time) {
+				entry.StartedAt = time.Time{}
+			},
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			r := newRestartRig(t, "v", "w")
+			r.s.AddJob(r.job("j", newPhase(16, cores(1))), nil, false, r.now)
+			r.round()
+			r.c.Assert(r.activeRuns(), qt.Equals, 16)
+			r.addWorker("x", cores(16)).entry.StartedAt = r.now
+			w := r.workersByID["w"]
+			valid := w.entry
+			w.entry.Ref.Address = "v:1"
+			test.odd(&w.entry, r.now)
+			r.updateDirectory()
+			order, known := r.s.LeaseRenewal("w", r.now)
+			r.c.Assert(known, qt.IsTrue)
+			if order.Worker.Address != valid.Ref.Address {
+				r.s.WorkerGone("w", r.now)
+			}
+			r.renewLeasesOf(func(id string) bool { return id != "w" })
+			r.tick()
+			w.entry = valid
+			r.updateDirectory()
+			for range 5 {
+				r.round()
+			}
+			r.c.Assert(r.workersByID["x"].startCounts, qt.HasLen, 0)
+			r.c.Assert(r.activeRuns(), qt.Equals, 16)
+		})
+	}
+}
+
+// TestWorkerThatHasMovedIsReached guards against a worker that keeps the address of its former
+// incarnation, at which nobody answers.
+func TestWorkerThatHasMovedIsReached(t *testing.T) {
+	r := newRestartRig(t, "w")
+	r.s.AddJob(r.job("j", newPhase(4, cores(1))), nil, false, r.now)
+	r.round()
+	w := r.workersByID["w"]
+	w.silent = true
+	r.round()
+	w.silent = false
+	w.restart()
+	w.entry.Ref.Address = "w:2"
+	r.updateDirectory()
+	order, known := r.s.LeaseRenewal("w", r.now)
+	r.c.Assert(known, qt.IsTrue)
+	r.c.Assert(order.Worker.Address, qt.Equals, "w:2")
+}
+
+// TestJobOfMoreTasksThanMemory guards against a job of one request that ends the owner of its
+// partition, and each next owner, as its tasks do not fit into memory.
+func TestJobOfMoreTasksThanMemory(t *testing.T) {
+	for _, test := range []struct {
+		name                       string
+		phases, tasks, repetitions int
+		valid                      bool
+	}{
+		{
+			name:   "many phases",
+			phases: 11,
+			tasks:  10_000,
+		},
+		{
+			name:        "many occurrences",
+			phases:      1,
+			tasks:       100,
+			repetitions: 10_000,
+		},
+		{
+			name:        "all that is allowed",
+			phases:      2,
+			tasks:       5,
+			repetitions: 10_000,
+			valid:       true,
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			job := scheduler.Job{
+				ID:          "j",
+				Phases:      slices.Repeat([]scheduler.Phase{newPhase(test.tasks, cores(1))}, test.phases),
+				Repetitions: test.repetitions,
+				Interval:    time.Second,
+			}
+			err := job.Validate()
+			if test.valid {
+				qt.Assert(t, err, qt.IsNil)
+				return
+			}
+			qt.Assert(t, err, qt.ErrorIs, scheduler.ErrBadJob)
+			qt.Assert(t, err, qt.ErrorMatches, `.*tasks.*`)
+		})
+	}
+}
+
+// TestTimesOfAJobOverflow guards against times of a job that wrap around when they are added, so
+// that it counts as too late or as due at once.
+func TestTimesOfAJobOverflow(t *testing.T) {
+	const century = 100 * 365 * 24 * time.Hour
+	phase := newPhase(1, cores(1))
+	for name, change := range map[string]func(*scheduler.Job){
+		"a long estimate":       func(j *scheduler.Job) { j.Phases[0].Estimate = century },
+		"a negative estimate":   func(j *scheduler.Job) { j.Phases[0].Estimate = -1 },
+		"a long interval":       func(j *scheduler.Job) { j.Repetitions, j.Interval = 1000, century },
+		"a negative interval":   func(j *scheduler.Job) { j.Repetitions, j.Interval = 2, -1 },
+		"a negative per worker": func(j *scheduler.Job) { j.Phases[0].PerWorker = -1 },
+		"a negative away":       func(j *scheduler.Job) { j.Phases[0].MaxAway = -1 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			job := scheduler.Job{
+				ID:     "j",
+				Phases: []scheduler.Phase{phase},
+			}
+			qt.Assert(t, job.Validate(), qt.IsNil)
+			change(&job)
+			qt.Assert(t, job.Validate(), qt.ErrorIs, scheduler.ErrBadJob)
+		})
+	}
+	// A queue with such times must not harm its jobs either.
+	r := newRig(t)
+	r.addWorker("w", cores(4))
+	r.updateDirectory()
+	r.renewLeases()
+	job := r.job("j", slices.Repeat([]scheduler.Phase{phase}, 3)...)
+	job.Queue.SlackFactor = math.MaxFloat64
+	job.Queue.Target = century
+	r.s.AddJob(job, nil, false, r.now)
+	r.tick()
+	r.c.Assert(r.activeRuns(), qt.Equals, 1)
+	advice := scheduler.Advice{
+		Decision:  century,
+		PerWorker: century,
+	}
+	r.c.Assert(advice.Cost(100) > 0, qt.IsTrue)
+}
+
+// TestApprovalOfAWorkerThatWasNotAsked guards against approvals that fill the progress of a job,
+// until its record is larger than the store takes.
+func TestApprovalOfAWorkerThatWasNotAsked(t *testing.T) {
+	r := newRig(t)
+	r.addWorker("w", cores(4))
+	r.updateDirectory()
+	r.renewLeases()
+	phase := newPhase(1, cores(1))
+	phase.Lasting = true
+	job := r.job("j", phase)
+	job.Queue.Advice = &scheduler.Advice{
+		Decision: 10 * time.Millisecond,
+		Validity: time.Hour,
+	}
+	r.s.AddJob(job, nil, false, r.now)
+	r.tick()
+	var asked scheduler.AskAdvice
+	for _, effect := range r.effects {
+		if call, found := effect.(scheduler.AskAdvice); found {
+			asked = call
+		}
+	}
+	r.c.Assert(asked.Workers, qt.DeepEquals, []string{"w"})
+	approved := []scheduler.Approval{
+		{
+			WorkerID: "w",
+			Ticket:   "t",
+		},
+	}
+	for range 1000 {
+		approved = append(approved, scheduler.Approval{
+			WorkerID: "x" + string(rune('a'+len(approved)%26)) + time.Duration(len(approved)).String(),
+			Ticket:   "t",
+		})
+	}
+	r.s.AdviceAnswered(asked.Step, asked.Workers, approved, time.Hour, r.now)
+	for range 3 {
+		r.round()
+		r.write()
+	}
+	r.c.Assert(r.activeRuns(), qt.Equals, 1)
+	r.c.Assert(r.stored["j"].Steps[0].Approved, qt.DeepEquals, []string{"w"})
+}
+
+// TestSizesOfOddWorkersOverflow guards against capacities of odd workers that add up to less than
+// nothing.
+func TestSizesOfOddWorkersOverflow(t *testing.T) {
+	largest := sizer.New(1e9, 1e8<<20, 1e6)
+	total := largest.Times(10_000)
+	qt.Assert(t, total.IsNegative(), qt.IsFalse)
+}
