scheduler: a worker that may have runs keeps its address

What callers saw: tasks ran twice (TWICE). Cause: an owner calls a worker at the address in its latest directory entry, and takes the answer that another instance is there as proof that the worker has ended. If another writer names another worker's address in the entry for a moment, that proof is none: the runs go on. Fix: an address is kept as long as the worker answers there, or may have runs there, of this owner or of a former one whose leases may not have ended. A worker whose entry names another start may have another address once it answers no more at the old one. Ruled out: an entry that cannot be read. The worker is then unlisted, and its runs stay. Left: an entry with another start and another address while the worker is silent.

--- a/scheduler/odd_test.go
+++ b/scheduler/odd_test.go
@@ -66,6 +66,30 @@
 	}
 }
 
+// TestFormerWorkerAtAnotherAddressIsTakenForEnded guards against the same after a takeover: the
+// tasks that may run on a worker of the former owner would start elsewhere at once.
+func TestFormerWorkerAtAnotherAddressIsTakenForEnded(t *testing.T) {
+	r := newRestartRig(t, "w")
+	valid := r.workersByID["w"].entry
+	odd := valid
+	odd.Ref.Address = "v:1"
+	r.s = scheduler.New(2, r.now)
+	r.s.AddFormerWorkers([]scheduler.WorkerEntry{valid})
+	r.s.SetWorkers([]scheduler.WorkerEntry{odd})
+	order, known := r.s.LeaseRenewal("w", r.now)
+	r.c.Assert(known, qt.IsTrue)
+	r.c.Assert(order.Worker.Address, qt.Equals, valid.Ref.Address)
+	// Once no lease can be left, the directory decides.
+	r.s.Tick(r.now)
+	r.now = r.now.Add(10 * time.Second)
+	r.s.ConfirmOwnership(r.now)
+	r.s.Tick(r.now)
+	r.s.SetWorkers([]scheduler.WorkerEntry{odd})
+	order, known = r.s.LeaseRenewal("w", r.now)
+	r.c.Assert(known, qt.IsTrue)
+	r.c.Assert(order.Worker.Address, qt.Equals, "v:1")
+}
+
 // TestWorkerThatHasMovedIsReached guards against a worker that keeps the address of its former
 // incarnation, at which nobody answers.
 func TestWorkerThatHasMovedIsReached(t *testing.T) {
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -57,6 +57,9 @@
 			w = newWorker(entry)
 			s.workers[entry.Ref.ID] = w
 		}
+		if w.keepsAddress(entry) {
+			entry.Ref.Address = w.entry.Ref.Address
+		}
 		w.entry = entry
 		w.listed = true
 	}
@@ -67,6 +70,17 @@
 	}
 }
 
+// keepsAddress reports whether the worker is still called at the address at which it was called
+// so far: it answers there, or may have runs there that have not ended. At another address, the
+// answer that it is not there would be taken as proof that it has ended. Another incarnation may
+// have another address.
+func (w *worker) keepsAddress(entry WorkerEntry) bool {
+	answers := w.reported && w.silentSince.IsZero()
+	mayHaveRuns := len(w.runs) > 0 || w.former && !w.reported && !w.leasesOver
+	restarted := !entry.StartedAt.IsZero() && !entry.StartedAt.Equal(w.startedAt)
+	return answers || mayHaveRuns && !restarted
+}
+
 // dropWorker forgets a worker on which there are certainly no runs.
 func (s *Scheduler) dropWorker(id string) {
 	if s.workers[id].recorded {
