scheduler: a job has at most 100,000 tasks in all

The tasks of a phase and the occurrences of a job were limited, but not what they come to: a request of 256 KB may have some 10,000 phases of 10,000 tasks, and 10,000 occurrences may all be due at once. Each task takes 216 bytes in its owner (measured), which is out of memory then, and so is each next owner. Such a job is a bad job now (400); one of an older release that is stored does not run.

--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -34,8 +34,10 @@
 	// maxTasksPerPhase limits the tasks of one phase, so that a single job cannot
 	// exhaust the memory of its owner.
 	maxTasksPerPhase = 10000
-	// maxOccurrences limits the occurrences of one job, for the same reason.
+	// maxOccurrences limits the occurrences of one job, and maxTasks the tasks of all of its
+	// phases and occurrences, for the same reason.
 	maxOccurrences = 10000
+	maxTasks       = 100_000
 )
 
 // Queue describes a queue of jobs that are scheduled under the same rules.
@@ -139,6 +141,7 @@
 	if j.Repetitions < 0 || j.Repetitions > maxOccurrences {
 		return errors.Wrapf(ErrBadJob, "%d repetitions, want 0 to %d", j.Repetitions, maxOccurrences)
 	}
+	tasks := 0
 	for i, phase := range j.Phases {
 		if phase.Tasks < 1 || phase.Tasks > maxTasksPerPhase {
 			return errors.Wrapf(ErrBadJob, "phase %d has %d tasks, want 1 to %d", i, phase.Tasks, maxTasksPerPhase)
@@ -146,6 +149,10 @@
 		if phase.Size.IsNegative() {
 			return errors.Wrapf(ErrBadJob, "phase %d has a negative size", i)
 		}
+		tasks += phase.Tasks
+		if tasks > maxTasks/j.occurrences() {
+			return errors.Wrapf(ErrBadJob, "more than %d tasks in all phases and occurrences", maxTasks)
+		}
 		for _, on := range phase.DependsOn {
 			if on < 0 || on >= i {
 				return errors.Wrapf(ErrBadJob, "phase %d depends on phase %d, want an earlier one", i, on)
