scheduler: times of a job and of its queue do not wrap around

Estimates along the critical path, the slack factor, intervals and the cost of a call for advice were added and multiplied without a limit, so that a job with a huge estimate counted as due long ago, or an interval as negative. Estimates and the time between occurrences are at most 10 years, or the job is a bad one, as are negative estimates, intervals and limits; sums are limited to the same.

--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -38,6 +38,9 @@
 	// phases and occurrences, for the same reason.
 	maxOccurrences = 10000
 	maxTasks       = 100_000
+	// maxTime limits the times of a job and of its queue, and the time between the first and
+	// the last occurrence. Sums of a few such times do not overflow.
+	maxTime = 10 * 365 * 24 * time.Hour
 )
 
 // Queue describes a queue of jobs that are scheduled under the same rules.
@@ -69,7 +72,7 @@
 
 // Cost returns how long a call for n workers takes.
 func (a Advice) Cost(n int) time.Duration {
-	return a.Decision + time.Duration(n)*a.PerWorker
+	return min(a.Decision, maxTime) + time.Duration(n)*min(a.PerWorker, maxTime/time.Duration(max(n, 1)))
 }
 
 // Phase is a part of a job that consists of similar tasks.
@@ -141,6 +144,9 @@
 	if j.Repetitions < 0 || j.Repetitions > maxOccurrences {
 		return errors.Wrapf(ErrBadJob, "%d repetitions, want 0 to %d", j.Repetitions, maxOccurrences)
 	}
+	if j.Repetitions > 0 && (j.Interval < 0 || j.Interval > maxTime/time.Duration(j.Repetitions)) {
+		return errors.Wrapf(ErrBadJob, "%d repetitions with an interval of %v", j.Repetitions, j.Interval)
+	}
 	tasks := 0
 	for i, phase := range j.Phases {
 		if phase.Tasks < 1 || phase.Tasks > maxTasksPerPhase {
@@ -149,6 +155,12 @@
 		if phase.Size.IsNegative() {
 			return errors.Wrapf(ErrBadJob, "phase %d has a negative size", i)
 		}
+		if phase.Estimate < 0 || phase.Estimate > maxTime {
+			return errors.Wrapf(ErrBadJob, "phase %d has an estimate of %v", i, phase.Estimate)
+		}
+		if phase.PerWorker < 0 || phase.MaxAway < 0 {
+			return errors.Wrapf(ErrBadJob, "phase %d has a negative limit", i)
+		}
 		tasks += phase.Tasks
 		if tasks > maxTasks/j.occurrences() {
 			return errors.Wrapf(ErrBadJob, "more than %d tasks in all phases and occurrences", maxTasks)
@@ -184,7 +196,7 @@
 		for _, on := range phase.DependsOn {
 			ends[i] = max(ends[i], ends[on])
 		}
-		ends[i] += phase.Estimate
+		ends[i] = min(ends[i]+phase.Estimate, maxTime)
 		longest = max(longest, ends[i])
 	}
 	return longest
@@ -196,7 +208,7 @@
 	criticalPaths := make([]time.Duration, len(j.Phases))
 	downstream := make([]time.Duration, len(j.Phases))
 	for i := len(j.Phases) - 1; i >= 0; i-- {
-		criticalPaths[i] = j.Phases[i].Estimate + downstream[i]
+		criticalPaths[i] = min(j.Phases[i].Estimate+downstream[i], maxTime)
 		for _, on := range j.Phases[i].DependsOn {
 			downstream[on] = max(downstream[on], criticalPaths[i])
 		}
@@ -207,7 +219,8 @@
 // objective returns the time within which an occurrence should be done, counted
 // from the time at which the occurrence is due.
 func (j Job) objective() time.Duration {
-	return time.Duration(j.Queue.SlackFactor*float64(j.criticalPath())) + j.Queue.Target
+	slack := j.Queue.SlackFactor * float64(j.criticalPath())
+	return time.Duration(min(max(slack, 0), float64(maxTime))) + min(j.Queue.Target, maxTime)
 }
 
 // StepRef identifies a step: one phase in one occurrence of a job.
--- a/scheduler/odd_test.go
+++ b/scheduler/odd_test.go
@@ -191,7 +191,9 @@
 		Decision:  century,
 		PerWorker: century,
 	}
-	r.c.Assert(advice.Cost(100) > 0, qt.IsTrue)
+	const year = 365 * 24 * time.Hour
+	r.c.Assert(advice.Cost(100) > year && advice.Cost(100) <= century, qt.IsTrue, qt.Commentf("%v", advice.Cost(100)))
+	r.c.Assert(advice.Cost(0) > year, qt.IsTrue)
 }
 
 // TestApprovalOfAWorkerThatWasNotAsked guards against approvals that fill the progress of a job,
