coordinator: a worker counts at most four times the median in its shard

What callers saw: the jobs of a shard never started (LOST). Cause: new workers go to the shard with the least capacity. One entry of another writer that says to have a million cores makes its shard the fullest, so that all other workers are assigned to the other shards, and such a record is never replaced. Sums of such figures wrapped around besides. A worker's weight is limited to four times the median of its service; the sum of all cannot overflow. Kinds of workers that differ by less are assigned as before.

--- a/coordinator/shards.go
+++ b/coordinator/shards.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"encoding/json"
 	"maps"
+	"math"
 	"slices"
 	"strings"
 	"sync"
@@ -407,25 +408,32 @@
 // assignWorkers assigns each worker without a record to the shard with the least
 // total weight.
 func (s *shards) assignWorkers(workers []scheduler.WorkerEntry, count int) []storer.Record {
-	load := make([]int64, count)
 	var unassigned []scheduler.WorkerEntry
 	for _, worker := range workers {
-		if shard, found := s.workerShards[worker.Ref.ID]; found && shard < count {
-			load[shard] += workerWeight(worker)
-		} else {
+		if shard, found := s.workerShards[worker.Ref.ID]; !found || shard >= count {
 			unassigned = append(unassigned, worker)
 		}
 	}
-	slices.SortFunc(unassigned, func(a, b scheduler.WorkerEntry) int {
-		if workerWeight(a) != workerWeight(b) {
-			return int(workerWeight(b) - workerWeight(a))
+	if len(unassigned) == 0 {
+		return nil
+	}
+	maxWeight := maxWorkerWeight(workers)
+	weight := func(worker scheduler.WorkerEntry) int64 {
+		return min(workerWeight(worker), maxWeight)
+	}
+	load := make([]int64, count)
+	for _, worker := range workers {
+		if shard, found := s.workerShards[worker.Ref.ID]; found && shard < count {
+			load[shard] += weight(worker)
 		}
-		return strings.Compare(a.Ref.ID, b.Ref.ID)
+	}
+	slices.SortFunc(unassigned, func(a, b scheduler.WorkerEntry) int {
+		return cmp.Or(cmp.Compare(weight(b), weight(a)), strings.Compare(a.Ref.ID, b.Ref.ID))
 	})
 	records := make([]storer.Record, 0, len(unassigned))
 	for _, worker := range unassigned {
 		least := slices.Index(load, slices.Min(load))
-		load[least] += workerWeight(worker)
+		load[least] += weight(worker)
 		records = append(records, encodeRecord(workerKey+worker.Ref.ID, workerRecord{
 			Shard: least,
 		}))
@@ -439,6 +447,21 @@
 	return max(1, worker.Total.MilliCores())
 }
 
+// maxWeightRatio limits the weight of a worker as a multiple of the median. A worker may say to
+// have any capacity, and would otherwise have a shard to itself, for good.
+const maxWeightRatio = 4
+
+// maxWorkerWeight returns the highest weight that counts among the workers, of which there is at
+// least one.
+func maxWorkerWeight(workers []scheduler.WorkerEntry) int64 {
+	weights := make([]int64, 0, len(workers))
+	for _, worker := range workers {
+		weights = append(weights, workerWeight(worker))
+	}
+	slices.Sort(weights)
+	return maxWeightRatio * min(weights[len(weights)/2], math.MaxInt64/maxWeightRatio/int64(len(weights)))
+}
+
 func encodeRecord(key string, value any) storer.Record {
 	data, err := json.Marshal(value)
 	if err != nil {
