coordinator: only services that are configured get shards

The service that any directory entry named got shards, in partitions that no other service had, for good; services that were configured later had to share partitions with each other. With 12 odd services all partitions were taken. A service of 248 bytes or more gave a record whose key is too long, which is rejected now with all records beside it, at each read. Shards are decided for services with a route, and for others that the configuration defines once they have workers, as before. The configuration's list of services is decoded for that; an older peer does not pass it on, so that only services with routes count until the store is read. Services that have a record are served as before.

--- a/coordinator/odd_test.go
+++ b/coordinator/odd_test.go
@@ -90,6 +90,15 @@
 	c.Assert(records[0].Key, qt.Equals, "worker/desk/new")
 }
 
+// TestServiceWithoutARouteNorWorkersIsDecided guards against a service that gets one shard for good
+// before its workers and its route are there.
+func TestServiceWithoutARouteNorWorkersIsDecided(t *testing.T) {
+	c := qt.New(t)
+	workers := workersFor("lab", 1)
+	c.Assert(withWorkers([]string{"desk"}, []string{"desk", "lab", "rest"}, workers), qt.DeepEquals, []string{"desk", "lab"})
+	c.Assert(withWorkers([]string{"desk"}, []string{"rest"}, nil), qt.DeepEquals, []string{"desk"})
+}
+
 // TestOddPeerIsCalled guards against records of entries that are called although they name no
 // address, and against one that voids what the entry has published before.
 func TestOddPeerIsCalled(t *testing.T) {
--- a/coordinator/shardfeeds.go
+++ b/coordinator/shardfeeds.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"time"
 
 	"github.com/apex/log"
 	"github.com/cockroachdb/errors"
 
+	"github.com/galenacove/galenacove/scheduler"
 	"github.com/galenacove/galenacove/storer"
 )
 
@@ -90,7 +92,7 @@
 		services = append(services, route.Queue.Service)
 	}
 	assigned := c.assignedPartitions()
-	records, offset := c.shards.missingRecords(*workers, services, assigned, c.settings.clock.Now())
+	records, offset := c.shards.missingRecords(*workers, withWorkers(services, config.Services, *workers), assigned, c.settings.clock.Now())
 	if len(config.Organisations) > 0 {
 		// If other records are read in between, the offset is outdated and the append
 		// has no effect.
@@ -121,6 +123,18 @@
 	}
 }
 
+// withWorkers adds to the services with routes those of the others that have workers already, so
+// that a new route finds the shards of its service.
+func withWorkers(routed, others []string, workers []scheduler.WorkerEntry) []string {
+	services := slices.Clone(routed)
+	for _, service := range others {
+		if slices.ContainsFunc(workers, func(w scheduler.WorkerEntry) bool { return w.Service == service }) {
+			services = append(services, service)
+		}
+	}
+	return services
+}
+
 // appendShards stores records of the shards if nothing was added since offset. It
 // returns the offset after them, and whether they were stored.
 func (c *Coordinator) appendShards(ctx context.Context, offset int64, records []storer.Record) (int64, bool) {
--- a/coordinator/shards.go
+++ b/coordinator/shards.go
@@ -343,10 +343,11 @@
 }
 
 // missingRecords returns the records that this entry should write for the services
-// and workers in the directory and the configuration, and the offset at which they
+// in the configuration and the workers in the directory, and the offset at which they
 // must be appended. The entry that owns the deciding partition of a service writes
 // the records of that service and its workers. Services that are decided in one
-// call avoid each other's partitions.
+// call avoid each other's partitions. Workers of a service that is neither configured
+// nor has a record are ignored, as another writer may have left them in the directory.
 func (s *shards) missingRecords(allWorkers []scheduler.WorkerEntry, services []string, owned map[int]bool, now time.Time) ([]storer.Record, int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -355,10 +356,17 @@
 	}
 	byService := make(map[string][]scheduler.WorkerEntry)
 	for _, service := range services {
+		if len(serviceKey+service) <= storer.MaxKeyBytes {
+			byService[service] = nil
+		}
+	}
+	for service := range s.servicePartitions {
 		byService[service] = nil
 	}
 	for _, worker := range allWorkers {
-		byService[worker.Service] = append(byService[worker.Service], worker)
+		if _, known := byService[worker.Service]; known && len(workerKey+worker.Ref.ID) <= storer.MaxKeyBytes {
+			byService[worker.Service] = append(byService[worker.Service], worker)
+		}
 	}
 	var records []storer.Record
 	shardCounts := s.shardCounts()
--- a/receiver/config.go
+++ b/receiver/config.go
@@ -40,6 +40,8 @@
 	// Version increases with each change.
 	Version int64
 	Routes  []Route
+	// Services holds the names of the services, also of those without a route.
+	Services []string
 	// BodyLimit is the maximum length of a request body in bytes, 0 for the
 	// default of 256 KiB.
 	BodyLimit int64
