coordinator: at most one log line a second on records of other writers

Each read of the directory logged each entry that cannot be used, and each read of the shards each record. The lines say as before which record it is and why; others within a second are counted. Evidence: TestOddEntriesFloodTheLog red before with 12,000 lines in a minute for 200 entries.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -132,6 +132,8 @@
 	// joinRequests triggers an immediate join, to learn which partitions are
 	// assigned to this entry.
 	joinRequests chan struct{}
+	// oddLines limits the log lines on records that cannot be used.
+	oddLines lineLimiter
 	// startedAt is the time at which the Coordinator was created.
 	startedAt time.Time
 	// stopping is set once the process has begun to stop.
--- a/coordinator/feeds.go
+++ b/coordinator/feeds.go
@@ -185,7 +185,7 @@
 		}
 		worker, err := c.settings.decodeWorker(record, c.settings.clock.Now())
 		if err != nil {
-			c.settings.logger.WithError(err).Warn("coordinator: a worker's directory entry cannot be decoded")
+			c.logOdd(err)
 			delete(workers, record.Key)
 			continue
 		}
--- a/coordinator/odd_test.go
+++ b/coordinator/odd_test.go
@@ -154,6 +154,8 @@
 		Handler: logs,
 		Level:   log.InfoLevel,
 	}
+	clock := timekeeper.NewFake(testStart)
+	e.settings.clock = clock
 	e.settings.decodeWorker = func(record storer.Record, now time.Time) (scheduler.WorkerEntry, error) {
 		if strings.HasPrefix(record.Key, "odd") {
 			return scheduler.WorkerEntry{}, errors.New("no worker " + record.Key)
@@ -181,7 +183,7 @@
 	for range minute {
 		e.applyWorkers(workers, records)
 		c.Assert(workers, qt.HasLen, 1)
-		s.pass(time.Second)
+		clock.Advance(time.Second)
 	}
 	c.Assert(len(logs.Entries) >= minute/2, qt.IsTrue, qt.Commentf("%d lines", len(logs.Entries)))
 	c.Assert(len(logs.Entries) <= 2*minute, qt.IsTrue, qt.Commentf("%d lines", len(logs.Entries)))
--- a/coordinator/shardfeeds.go
+++ b/coordinator/shardfeeds.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -68,7 +69,7 @@
 	f.apply = func(records []storer.Record, next int64, _ bool) {
 		wasComplete := c.shards.complete()
 		for _, key := range c.shards.apply(records, next) {
-			c.settings.logger.WithField("key", key).Error("coordinator: a shard record is invalid")
+			c.logOdd(fmt.Errorf("coordinator: the shard record %.60q is invalid", key))
 		}
 		if len(records) > 0 || !wasComplete {
 			c.requestJoin()
