coordinator: a record of an entry without an address is ignored

Any bytes that are not the record of an entry were taken for the plain address of an older release's, however long; they were called, and an entry whose record was overwritten was lost to the others. A record of 1e300 cores made all others leave the partitions to it. Records without a host and a port, or with cores that are negative or more than 4,096, are ignored now, and what the entry published before holds.

--- a/coordinator/feeds.go
+++ b/coordinator/feeds.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
@@ -281,11 +282,16 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, record := range records {
-		if record.Value != nil {
-			other := decodePeer(record.Value)
-			c.peers[record.Key] = other
-			addresses[record.Key] = other.Address
+		if record.Value == nil {
+			continue
+		}
+		other, valid := decodePeer(record.Value)
+		if !valid {
+			c.logOdd(fmt.Errorf("coordinator: the record of entry %.60q names no address", record.Key))
+			continue
 		}
+		c.peers[record.Key] = other
+		addresses[record.Key] = other.Address
 	}
 	if len(records) > 0 {
 		c.placementsAllowed.Store(allKeepPlacements(c.peers))
--- a/coordinator/largerpeers.go
+++ b/coordinator/largerpeers.go
@@ -6,7 +6,9 @@
 	"encoding/json"
 	"maps"
 	"math/rand/v2"
+	"net"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -63,16 +65,31 @@
 	return json.Marshal(p)
 }
 
+// maxPeerCores limits the cores that an entry may publish.
+const maxPeerCores = 4096
+
 // decodePeer decodes what encodePeer returns. It also accepts the record of an
-// older release, which is the plain address.
-func decodePeer(data []byte) peer {
+// older release, which is the plain address. It returns false if the record names no
+// address that can be called.
+func decodePeer(data []byte) (peer, bool) {
 	var p peer
-	if err := json.Unmarshal(data, &p); err != nil || p.Address == "" {
-		return peer{
+	if json.Unmarshal(data, &p) != nil || p.Address == "" {
+		p = peer{
 			Address: string(data),
 		}
 	}
-	return p
+	return p, canCall(p.Address) && p.Cores >= 0 && p.Cores <= maxPeerCores
+}
+
+// canCall reports whether an address is a host and a port.
+func canCall(address string) bool {
+	const maxLength = 300
+	host, port, err := net.SplitHostPort(address)
+	if err != nil || host == "" || len(address) > maxLength {
+		return false
+	}
+	number, err := strconv.ParseUint(port, 10, 16)
+	return err == nil && number > 0
 }
 
 // largerPeers returns the addresses of the entries that are much larger than this
--- a/coordinator/largerpeers_test.go
+++ b/coordinator/largerpeers_test.go
@@ -19,9 +19,14 @@
 	}
 	data, err := encodePeer(known)
 	c.Assert(err, qt.IsNil)
-	c.Assert(decodePeer(data), qt.Equals, known)
+	decode := func(data []byte) peer {
+		p, valid := decodePeer(data)
+		c.Assert(valid, qt.IsTrue)
+		return p
+	}
+	c.Assert(decode(data), qt.Equals, known)
 	// The record of an older release is the plain address.
-	c.Assert(decodePeer([]byte("10.0.0.1:7")), qt.Equals, peer{
+	c.Assert(decode([]byte("10.0.0.1:7")), qt.Equals, peer{
 		Address: "10.0.0.1:7",
 	})
 }
@@ -152,8 +157,11 @@
 		"b": current,
 	}
 	c.Assert(allKeepPlacements(peers), qt.IsTrue)
-	peers["b"] = decodePeer([]byte(`{"address":"10.0.0.2:7","cores":0.8}`))
+	var valid bool
+	peers["b"], valid = decodePeer([]byte(`{"address":"10.0.0.2:7","cores":0.8}`))
+	c.Assert(valid, qt.IsTrue)
 	c.Assert(allKeepPlacements(peers), qt.IsFalse)
-	peers["b"] = decodePeer([]byte("10.0.0.2:7"))
+	peers["b"], valid = decodePeer([]byte("10.0.0.2:7"))
+	c.Assert(valid, qt.IsTrue)
 	c.Assert(allKeepPlacements(peers), qt.IsFalse)
 }
