conductor: at most five lines in 10 s on a worker that does not answer

A worker that never answers, such as one of another writer, was logged five times a second for as long as the directory listed it; one at whose address another worker answers, as often. The first lines are as before, and the next one says how many were left out. The metric counts all. The test plays 59 s, in which six intervals begin: at most 30 lines.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -167,6 +167,8 @@
 	directoryWorkers []scheduler.WorkerEntry
 	// leaseKeepers holds the worker leases that are being renewed, by worker.
 	leaseKeepers map[string]*leaseKeeper
+	// renewalLines limits the log lines on failed renewals, by worker.
+	renewalLines map[string]*limitedLines
 	// sequence is the sequence number of the next write.
 	sequence int64
 	// writeLines limits the log lines on writes of progress. It is used by writeLoop only.
@@ -258,6 +260,7 @@
 		exchange:          newExchange(),
 		progressed:        make(chan struct{}),
 		leaseKeepers:      make(map[string]*leaseKeeper),
+		renewalLines:      make(map[string]*limitedLines),
 	}
 	for _, opt := range opts {
 		opt(c)
--- a/conductor/odd_test.go
+++ b/conductor/odd_test.go
@@ -41,7 +41,7 @@
 				}
 				c.Assert(owner.loadPartition(context.Background()), qt.IsNil)
 				logs.Entries = nil
-				ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+				ctx, cancel := context.WithTimeout(context.Background(), time.Minute-time.Second)
 				defer cancel()
 				for ctx.Err() == nil {
 					// The directory is read again.
--- a/conductor/orders.go
+++ b/conductor/orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/apex/log"
@@ -267,12 +268,34 @@
 	return order.Unstored, progressed
 }
 
+const (
+	// maxRenewalLines limits the log lines on the failed renewals of one worker in each
+	// renewalLineInterval.
+	maxRenewalLines     = 5
+	renewalLineInterval = 10 * time.Second
+)
+
+// allowRenewalLine reports whether a line on a failed renewal of the worker may be logged, and how
+// many were omitted since the last one. The caller holds mu.
+func (c *Conductor) allowRenewalLine(id string, now time.Time) (omitted int, allowed bool) {
+	lines := c.renewalLines[id]
+	if lines == nil {
+		// Workers come and go.
+		maps.DeleteFunc(c.renewalLines, func(_ string, l *limitedLines) bool {
+			return now.Sub(l.since) >= renewalLineInterval
+		})
+		lines = &limitedLines{}
+		c.renewalLines[id] = lines
+	}
+	return lines.allow(maxRenewalLines, renewalLineInterval, now)
+}
+
 // recordRenewalFailure records that a worker gave no usable answer to a renewal,
 // or that it has ended.
 func (c *Conductor) recordRenewalFailure(id string, err error) {
-	logEntry := c.logger.WithError(err).WithField("worker", id)
 	now := c.clock.Now()
 	c.mu.Lock()
+	omitted, allowed := c.allowRenewalLine(id, now)
 	switch {
 	case errors.Is(err, ErrWorkerGone):
 		c.scheduler.WorkerGone(id, now)
@@ -284,11 +307,20 @@
 		c.scheduler.RenewalFailed(id, now)
 	}
 	c.mu.Unlock()
-	if errors.Is(err, ErrWorkerGone) {
-		logEntry.Info("conductor: worker has ended")
-	} else {
+	gone := errors.Is(err, ErrWorkerGone)
+	if !gone {
 		c.metrics.silentRenewals.Inc()
-		logEntry.Warn("conductor: worker does not answer")
+	}
+	if allowed {
+		logEntry := c.logger.WithError(err).WithFields(log.Fields{
+			"worker":  id,
+			"omitted": omitted,
+		})
+		if gone {
+			logEntry.Info("conductor: worker has ended")
+		} else {
+			logEntry.Warn("conductor: worker does not answer")
+		}
 	}
 	c.requestTick()
 }
