--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -149,26 +149,34 @@
 	}
 	tasks := 0
 	for i, phase := range j.Phases {
-		if phase.Tasks < 1 || phase.Tasks > maxTasksPerPhase {
-			return errors.Wrapf(ErrBadJob, "phase %d has %d tasks, want 1 to %d", i, phase.Tasks, maxTasksPerPhase)
-		}
-		if phase.Size.IsNegative() {
-			return errors.Wrapf(ErrBadJob, "phase %d has a negative size", i)
-		}
-		if phase.Estimate < 0 || phase.Estimate > maxTime {
-			return errors.Wrapf(ErrBadJob, "phase %d has an estimate of %v", i, phase.Estimate)
-		}
-		if phase.PerWorker < 0 || phase.MaxAway < 0 {
-			return errors.Wrapf(ErrBadJob, "phase %d has a negative limit", i)
+		if err := phase.validate(i); err != nil {
+			return err
 		}
 		tasks += phase.Tasks
 		if tasks > maxTasks/j.occurrences() {
 			return errors.Wrapf(ErrBadJob, "more than %d tasks in all phases and occurrences", maxTasks)
 		}
-		for _, on := range phase.DependsOn {
-			if on < 0 || on >= i {
-				return errors.Wrapf(ErrBadJob, "phase %d depends on phase %d, want an earlier one", i, on)
-			}
+	}
+	return nil
+}
+
+// validate is Job.Validate for the phase with that index.
+func (p Phase) validate(index int) error {
+	if p.Tasks < 1 || p.Tasks > maxTasksPerPhase {
+		return errors.Wrapf(ErrBadJob, "phase %d has %d tasks, want 1 to %d", index, p.Tasks, maxTasksPerPhase)
+	}
+	if p.Size.IsNegative() {
+		return errors.Wrapf(ErrBadJob, "phase %d has a negative size", index)
+	}
+	if p.Estimate < 0 || p.Estimate > maxTime {
+		return errors.Wrapf(ErrBadJob, "phase %d has an estimate of %v", index, p.Estimate)
+	}
+	if p.PerWorker < 0 || p.MaxAway < 0 {
+		return errors.Wrapf(ErrBadJob, "phase %d has a negative limit", index)
+	}
+	for _, on := range p.DependsOn {
+		if on < 0 || on >= index {
+			return errors.Wrapf(ErrBadJob, "phase %d depends on phase %d, want an earlier one", index, on)
 		}
 	}
 	return nil
