review kit: a case with odd records in all topics

3,300 odd records in all topics, the entries of ten minions overwritten with odd ones again and again, figures that are no numbers in half of the reports, and entries restarted meanwhile.

--- a/review/_kit/kit.go
+++ b/review/_kit/kit.go
@@ -412,6 +412,7 @@
 		"repeated":  caseRepeated,
 		"begun":     caseBegun,
 		"wide":      caseWide,
+		"odd":       caseOdd,
 	}
 	play := cases[os.Args[1]]
 	if play == nil {
--- a/review/_kit/minion.go
+++ b/review/_kit/minion.go
@@ -27,6 +27,8 @@
 	// refuses is set while the minion is unhealthy: it answers each start with 503 and
 	// does nothing.
 	refuses bool
+	// odd is set if the minion reports its runs with figures that are no numbers of a float64.
+	odd bool
 	// refused counts the starts that were refused so.
 	refused int
 	store   *store
@@ -322,6 +324,10 @@
 		if run.takes > 0 {
 			percent = int(min(99, 100*time.Since(run.started)/run.takes))
 		}
+		if m.odd {
+			active = append(active, []any{run.task, run.attempt, "", percent, oddFigure})
+			continue
+		}
 		active = append(active, []any{run.task, run.attempt, "", percent, 0})
 	}
 	finished := [][]any{}
