--- a/conductor/odd_test.go
+++ b/conductor/odd_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -76,3 +78,38 @@
 	}
 	return omitted
 }
+
+// TestOddJobsFloodTheLog guards against a log line for each record of another writer among the jobs,
+// at each takeover, and against none that names the record.
+func TestOddJobsFloodTheLog(t *testing.T) {
+	c := qt.New(t)
+	store := storer.NewMemory(timekeeper.System())
+	for i := range 3000 {
+		appendRecords(c, store, JobsTopic, storer.Record{
+			Key:   fmt.Sprintf("odd%d", i),
+			Value: []byte([]string{"{}", "[", `{"phases":7}`}[i%3]),
+		}, storer.Record{
+			Key:   fmt.Sprintf("odd%d/cancel", i),
+			Value: []byte("7"),
+		})
+	}
+	owner, logs := loggedOwner(store)
+	c.Assert(owner.loadPartition(context.Background()), qt.IsNil)
+	named := 0
+	for _, logEntry := range logs.Entries {
+		if id, found := logEntry.Fields["id"].(string); found && strings.HasPrefix(id, "odd") {
+			named++
+		}
+	}
+	c.Assert(named >= 5, qt.IsTrue, qt.Commentf("%d lines", named))
+	c.Assert(named < 100, qt.IsTrue, qt.Commentf("%d lines", named))
+	// The next line says how many were left out.
+	owner.clock = timekeeper.NewFake(time.Now().Add(time.Hour))
+	owner.applyRecords([]storer.Record{
+		{
+			Key:   "odd",
+			Value: []byte("["),
+		},
+	}, nil, time.Now().Add(time.Hour))
+	c.Assert(omittedLines(logs) > 5900, qt.IsTrue)
+}
