--- /dev/null
+++ b/conductor/odd_test.go
@@ -0,0 +1,115 @@
+package conductor
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log/handlers/memory"
+	qt "github.com/frankban/quicktest"
+
+	"github.com/galenacove/galenacove/scheduler"
+	"github.com/galenacove/galenacove/storer"
+	"github.com/galenacove/galenacove/timekeeper"
+)
+
+// absentWorkers answers each renewal with an error.
+type absentWorkers struct {
+	Workers
+	err error
+}
+
+// RenewLease implements Workers.
+func (w *absentWorkers) RenewLease(context.Context, int64, scheduler.LeaseRenewal, time.Duration) (scheduler.Report, error) {
+	return scheduler.Report{}, w.err
+}
+
+// TestAbsentWorkerFloodsTheLog guards against five log lines a second, for ever, on each worker that
+// the directory lists and that does not answer, or is another one.
+func TestAbsentWorkerFloodsTheLog(t *testing.T) {
+	for message, err := range map[string]error{
+		"conductor: worker does not answer": ErrUnreachable,
+		"conductor: worker has ended":       ErrWorkerGone,
+	} {
+		t.Run(message, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				owner, logs := loggedOwner(storer.NewMemory(timekeeper.System()))
+				owner.workers = &absentWorkers{
+					err: err,
+				}
+				c.Assert(owner.loadPartition(context.Background()), qt.IsNil)
+				logs.Entries = nil
+				ctx, cancel := context.WithTimeout(context.Background(), time.Minute-time.Second)
+				defer cancel()
+				for ctx.Err() == nil {
+					// The directory is read again.
+					owner.SetWorkers([]scheduler.WorkerEntry{
+						{
+							Ref: scheduler.WorkerRef{
+								ID:      "w",
+								Address: "10.0.0.1:80",
+							},
+							Service: "desk",
+						},
+					})
+					c.Assert(owner.renewLease(ctx, "w"), qt.IsNil)
+				}
+				found := lines(logs, message)
+				c.Assert(found[0]["worker"], qt.Equals, "w")
+				c.Assert(len(found) >= 6, qt.IsTrue, qt.Commentf("%d lines in a minute", len(found)))
+				c.Assert(len(found) <= 30, qt.IsTrue, qt.Commentf("%d lines in a minute", len(found)))
+				c.Assert(omittedLines(logs) > 200, qt.IsTrue)
+			})
+		})
+	}
+}
+
+// omittedLines returns how many lines the log says to have left out.
+func omittedLines(logs *memory.Handler) int {
+	omitted := 0
+	for _, logEntry := range logs.Entries {
+		if n, found := logEntry.Fields["omitted"].(int); found {
+			omitted += n
+		}
+	}
+	return omitted
+}
+
+// TestOddJobsFloodTheLog guards against a log line for each record of another writer among the jobs,
+// at each takeover, and against none that names the record.
+func TestOddJobsFloodTheLog(t *testing.T) {
+	c := qt.New(t)
+	store := storer.NewMemory(timekeeper.System())
+	for i := range 3000 {
+		appendRecords(c, store, JobsTopic, storer.Record{
+			Key:   fmt.Sprintf("odd%d", i),
+			Value: []byte([]string{"{}", "[", `{"phases":7}`}[i%3]),
+		}, storer.Record{
+			Key:   fmt.Sprintf("odd%d/cancel", i),
+			Value: []byte("7"),
+		})
+	}
+	owner, logs := loggedOwner(store)
+	c.Assert(owner.loadPartition(context.Background()), qt.IsNil)
+	named := 0
+	for _, logEntry := range logs.Entries {
+		if id, found := logEntry.Fields["id"].(string); found && strings.HasPrefix(id, "odd") {
+			named++
+		}
+	}
+	c.Assert(named >= 5, qt.IsTrue, qt.Commentf("%d lines", named))
+	c.Assert(named < 100, qt.IsTrue, qt.Commentf("%d lines", named))
+	// The next line says how many were left out.
+	owner.clock = timekeeper.NewFake(time.Now().Add(time.Hour))
+	owner.applyRecords([]storer.Record{
+		{
+			Key:   "odd",
+			Value: []byte("["),
+		},
+	}, nil, time.Now().Add(time.Hour))
+	c.Assert(omittedLines(logs) > 5900, qt.IsTrue)
+}
--- a/coordinator/feeds.go
+++ b/coordinator/feeds.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
@@ -185,7 +186,7 @@
 		}
 		worker, err := c.settings.decodeWorker(record, c.settings.clock.Now())
 		if err != nil {
-			c.settings.logger.WithError(err).Warn("coordinator: a worker's directory entry cannot be decoded")
+			c.logOdd(err)
 			delete(workers, record.Key)
 			continue
 		}
@@ -282,11 +283,16 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, record := range records {
-		if record.Value != nil {
-			other := decodePeer(record.Value)
-			c.peers[record.Key] = other
-			addresses[record.Key] = other.Address
+		if record.Value == nil {
+			continue
+		}
+		other, valid := decodePeer(record.Value)
+		if !valid {
+			c.logOdd(fmt.Errorf("coordinator: the record of entry %.60q names no address", record.Key))
+			continue
 		}
+		c.peers[record.Key] = other
+		addresses[record.Key] = other.Address
 	}
 	if len(records) > 0 {
 		c.placementsAllowed.Store(allKeepPlacements(c.peers))
--- a/coordinator/shards.go
+++ b/coordinator/shards.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"encoding/json"
 	"maps"
+	"math"
 	"slices"
 	"strings"
 	"sync"
@@ -342,10 +343,11 @@
 }
 
 // missingRecords returns the records that this entry should write for the services
-// and workers in the directory and the configuration, and the offset at which they
+// in the configuration and the workers in the directory, and the offset at which they
 // must be appended. The entry that owns the deciding partition of a service writes
 // the records of that service and its workers. Services that are decided in one
-// call avoid each other's partitions.
+// call avoid each other's partitions. Workers of a service that is neither configured
+// nor has a record are ignored, as another writer may have left them in the directory.
 func (s *shards) missingRecords(allWorkers []scheduler.WorkerEntry, services []string, owned map[int]bool, now time.Time) ([]storer.Record, int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -354,10 +356,17 @@
 	}
 	byService := make(map[string][]scheduler.WorkerEntry)
 	for _, service := range services {
+		if len(serviceKey+service) <= storer.MaxKeyBytes {
+			byService[service] = nil
+		}
+	}
+	for service := range s.servicePartitions {
 		byService[service] = nil
 	}
 	for _, worker := range allWorkers {
-		byService[worker.Service] = append(byService[worker.Service], worker)
+		if _, known := byService[worker.Service]; known && len(workerKey+worker.Ref.ID) <= storer.MaxKeyBytes {
+			byService[worker.Service] = append(byService[worker.Service], worker)
+		}
 	}
 	var records []storer.Record
 	shardCounts := s.shardCounts()
@@ -407,25 +416,32 @@
 // assignWorkers assigns each worker without a record to the shard with the least
 // total weight.
 func (s *shards) assignWorkers(workers []scheduler.WorkerEntry, count int) []storer.Record {
-	load := make([]int64, count)
 	var unassigned []scheduler.WorkerEntry
 	for _, worker := range workers {
-		if shard, found := s.workerShards[worker.Ref.ID]; found && shard < count {
-			load[shard] += workerWeight(worker)
-		} else {
+		if shard, found := s.workerShards[worker.Ref.ID]; !found || shard >= count {
 			unassigned = append(unassigned, worker)
 		}
 	}
-	slices.SortFunc(unassigned, func(a, b scheduler.WorkerEntry) int {
-		if workerWeight(a) != workerWeight(b) {
-			return int(workerWeight(b) - workerWeight(a))
+	if len(unassigned) == 0 {
+		return nil
+	}
+	maxWeight := maxWorkerWeight(workers)
+	weight := func(worker scheduler.WorkerEntry) int64 {
+		return min(workerWeight(worker), maxWeight)
+	}
+	load := make([]int64, count)
+	for _, worker := range workers {
+		if shard, found := s.workerShards[worker.Ref.ID]; found && shard < count {
+			load[shard] += weight(worker)
 		}
-		return strings.Compare(a.Ref.ID, b.Ref.ID)
+	}
+	slices.SortFunc(unassigned, func(a, b scheduler.WorkerEntry) int {
+		return cmp.Or(cmp.Compare(weight(b), weight(a)), strings.Compare(a.Ref.ID, b.Ref.ID))
 	})
 	records := make([]storer.Record, 0, len(unassigned))
 	for _, worker := range unassigned {
 		least := slices.Index(load, slices.Min(load))
-		load[least] += workerWeight(worker)
+		load[least] += weight(worker)
 		records = append(records, encodeRecord(workerKey+worker.Ref.ID, workerRecord{
 			Shard: least,
 		}))
@@ -439,6 +455,21 @@
 	return max(1, worker.Total.MilliCores())
 }
 
+// maxWeightRatio limits the weight of a worker as a multiple of the median. A worker may say to
+// have any capacity, and would otherwise have a shard to itself, for good.
+const maxWeightRatio = 4
+
+// maxWorkerWeight returns the highest weight that counts among the workers, of which there is at
+// least one.
+func maxWorkerWeight(workers []scheduler.WorkerEntry) int64 {
+	weights := make([]int64, 0, len(workers))
+	for _, worker := range workers {
+		weights = append(weights, workerWeight(worker))
+	}
+	slices.Sort(weights)
+	return maxWeightRatio * min(weights[len(weights)/2], math.MaxInt64/maxWeightRatio/int64(len(weights)))
+}
+
 func encodeRecord(key string, value any) storer.Record {
 	data, err := json.Marshal(value)
 	if err != nil {
