--- a/coordinator/largerpeers_test.go
+++ b/coordinator/largerpeers_test.go
@@ -177,6 +177,8 @@
 		},
 	}
 	c.Assert(allReadOwnCancelKeys(peers), qt.IsTrue)
-	peers["b"] = decodePeer([]byte(`{"address":"10.0.0.2:7","placements":true}`))
+	older, valid := decodePeer([]byte(`{"address":"10.0.0.2:7","placements":true}`))
+	c.Assert(valid, qt.IsTrue)
+	peers["b"] = older
 	c.Assert(allReadOwnCancelKeys(peers), qt.IsFalse)
 }
