conductor: at most 20 log lines in 10 s on odd records among the jobs

Each takeover logged each record of another writer among the jobs, with the error of encoding/json, which quotes a number of any length. The first lines are as before, each with a reason of 200 bytes at most; the next one says how many were left out.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -169,6 +169,8 @@
 	leaseKeepers map[string]*leaseKeeper
 	// renewalLines limits the log lines on failed renewals, by worker.
 	renewalLines map[string]*limitedLines
+	// recordLines limits the log lines on records of the jobs that cannot be used.
+	recordLines limitedLines
 	// sequence is the sequence number of the next write.
 	sequence int64
 	// writeLines limits the log lines on writes of progress. It is used by writeLoop only.
--- a/conductor/odd_test.go
+++ b/conductor/odd_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/apex/log/handlers/memory"
 	qt "github.com/frankban/quicktest"
 
@@ -87,7 +88,7 @@
 	for i := range 3000 {
 		appendRecords(c, store, JobsTopic, storer.Record{
 			Key:   fmt.Sprintf("odd%d", i),
-			Value: []byte([]string{"{}", "[", `{"phases":7}`}[i%3]),
+			Value: []byte([]string{"{}", `{"interval":` + strings.Repeat("1", 5000) + "}", `{"phases":7}`}[i%3]),
 		}, storer.Record{
 			Key:   fmt.Sprintf("odd%d/cancel", i),
 			Value: []byte("7"),
@@ -97,8 +98,10 @@
 	c.Assert(owner.loadPartition(context.Background()), qt.IsNil)
 	named := 0
 	for _, logEntry := range logs.Entries {
-		if id, found := logEntry.Fields["id"].(string); found && strings.HasPrefix(id, "odd") {
+		if id, found := logEntry.Fields["id"].(string); found && strings.HasPrefix(id, "odd") && logEntry.Level == log.ErrorLevel {
 			named++
+			reason, found := logEntry.Fields["error"].(string)
+			c.Assert(found && reason != "" && len(reason) <= 200, qt.IsTrue, qt.Commentf("%d bytes", len(reason)))
 		}
 	}
 	c.Assert(named >= 5, qt.IsTrue, qt.Commentf("%d lines", named))
--- a/conductor/recovery.go
+++ b/conductor/recovery.go
@@ -196,7 +196,7 @@
 		if id, found := strings.CutSuffix(record.Key, cancelSuffix); found {
 			var cancel cancellation
 			if err := json.Unmarshal(record.Value, &cancel); err != nil {
-				c.logger.WithError(err).WithField("id", id).Error("conductor: a stored cancellation cannot be decoded")
+				c.logOddRecord(err, id, "conductor: a stored cancellation cannot be decoded", now)
 				continue
 			}
 			cancels = append(cancels, jobCancellation{
@@ -208,11 +208,11 @@
 		}
 		var job scheduler.Job
 		if err := json.Unmarshal(record.Value, &job); err != nil {
-			c.logger.WithError(err).WithField("id", record.Key).Error("conductor: a stored job cannot be decoded")
+			c.logOddRecord(err, record.Key, "conductor: a stored job cannot be decoded", now)
 			continue
 		}
 		if err := job.Validate(); err != nil || job.ID != record.Key {
-			c.logger.WithError(err).WithField("id", record.Key).Error("conductor: a stored job is invalid and does not run")
+			c.logOddRecord(err, record.Key, "conductor: a stored job is invalid and does not run", now)
 			continue
 		}
 		if _, known := c.scheduler.State(job.ID); known && !c.scheduler.Accessible(job.ID, job.Organisation) {
@@ -252,6 +252,33 @@
 	}
 }
 
+const (
+	// maxRecordLines limits the log lines on records of the jobs that cannot be used, in each
+	// recordLineInterval.
+	maxRecordLines     = 20
+	recordLineInterval = 10 * time.Second
+	// maxReasonBytes limits the reason, which may quote the record.
+	maxReasonBytes = 200
+)
+
+// logOddRecord logs that a record of the jobs cannot be used, which another writer may have left
+// there. The caller holds mu.
+func (c *Conductor) logOddRecord(err error, id, message string, now time.Time) {
+	omitted, allowed := c.recordLines.allow(maxRecordLines, recordLineInterval, now)
+	if !allowed {
+		return
+	}
+	reason := "the key names another job"
+	if err != nil {
+		reason = err.Error()
+	}
+	c.logger.WithFields(log.Fields{
+		"error":   reason[:min(len(reason), maxReasonBytes)],
+		"id":      id,
+		"omitted": omitted,
+	}).Error(message)
+}
+
 // jobCancellation is a stored cancellation together with the job that it names.
 type jobCancellation struct {
 	id           string
