--- a/review/_kit/odd.go
+++ b/review/_kit/odd.go
@@ -80,6 +80,11 @@
 		st.putRaw("op", 0, fmt.Sprint("odd/", i), values["types"])
 		n++
 	}
+	// More than a page of keys that are no UTF-8.
+	for i := range 600 {
+		st.putRaw("servers", 0, fmt.Sprintf("\xffi-%03d", i), values["bytes"])
+		n++
+	}
 	st.putRaw("shards", 0, "service/odd", `{"shards":-1e300}`)
 	st.putRaw("shards", 0, "worker/"+m.id, `{"shard":99}`)
 	st.putRaw("entries", 0, "odd-large", `{"address":"127.0.0.1:9","cores":1e300,"placements":true}`)
