coordinator: a failing test of a directory that changes with each read

A service gets shards once two reads have listed as many workers. An odd entry that comes and goes, or a sound one that is overwritten now and then, may keep that from happening.

--- a/coordinator/odd_test.go
+++ b/coordinator/odd_test.go
@@ -196,3 +196,23 @@
 	}
 	c.Assert(omitted > 200*minute*9/10, qt.IsTrue, qt.Commentf("%d", omitted))
 }
+
+// TestUnsteadyDirectoryLeavesAServiceUndecided guards against a service that never gets shards, so
+// that all of its jobs are refused, as an odd entry comes and goes between the reads.
+func TestUnsteadyDirectoryLeavesAServiceUndecided(t *testing.T) {
+	c := qt.New(t)
+	d := newShardDecider(c, storer.NewMemory(timekeeper.System()))
+	workers := workersFor("desk", 2)
+	var decidedAfter time.Duration
+	for i := range 60 {
+		elapsed := time.Duration(i) * 500 * time.Millisecond
+		listed := workers[:len(workers)-i%2]
+		if records, _ := d.shards.missingRecords(listed, []string{"desk"}, d.owned, testStart.Add(elapsed)); len(records) > 0 {
+			decidedAfter = elapsed
+			c.Assert(string(records[0].Value), qt.Contains, `"shards":2`)
+			break
+		}
+	}
+	c.Assert(decidedAfter > emptyServiceWait, qt.IsTrue, qt.Commentf("%v", decidedAfter))
+	c.Assert(decidedAfter <= 2*emptyServiceWait, qt.IsTrue, qt.Commentf("%v", decidedAfter))
+}
--- a/review/_kit/odd.go
+++ b/review/_kit/odd.go
@@ -109,6 +109,9 @@
 	}
 	if troubled() {
 		rec.say("%d odd records were left in all topics", putOdd(st, minions[0], minions[1].addr))
+		ctx, stop := context.WithCancel(context.Background())
+		defer stop()
+		go shiftEntries(ctx, st, minions)
 	}
 	var entries []*entry
 	for i, zone := range []string{"zone-a", "zone-b", "zone-c"} {
@@ -118,11 +121,6 @@
 		e.start()
 	}
 	awaitReady(entries...)
-	ctx, stop := context.WithCancel(context.Background())
-	defer stop()
-	if troubled() {
-		go shiftEntries(ctx, st, minions)
-	}
 	accepted := map[string]bool{}
 	submit := func(from, to int) {
 		for i := from; i < to; i++ {
