coordinator: a service whose number of workers keeps changing gets shards after 5 s

What callers saw: all jobs of a service were refused, as it had no shards (503). Cause: the number of its workers had to be the same in two reads of the directory. With an entry that comes and goes it may never be. Fix: after 5 s the number of the latest read counts. A service without workers still gets one shard after 3 s.

--- a/coordinator/shards.go
+++ b/coordinator/shards.go
@@ -41,6 +41,9 @@
 	// emptyServiceWait is how long a configured service may have no workers before
 	// it gets one shard.
 	emptyServiceWait = 3 * time.Second
+	// unsteadyServiceWait is how long the number of a service's workers may change from read
+	// to read before the service gets shards nevertheless.
+	unsteadyServiceWait = 5 * time.Second
 	// shardsReadWait is how long a read waits for new records. It adds to the time
 	// during which a new worker gets no runs.
 	shardsReadWait = 700 * time.Millisecond
@@ -393,8 +396,8 @@
 }
 
 // decideShardCount returns the number of shards that a service should have, once
-// the directory has listed the same number of workers twice. It returns 0 before
-// that.
+// the directory has listed the same number of workers twice, or has changed for
+// unsteadyServiceWait. It returns 0 before that.
 func (s *shards) decideShardCount(service string, workerCount int, now time.Time) int {
 	previous, found := s.undecided[service]
 	if !found {
@@ -407,7 +410,9 @@
 		workerCount: workerCount,
 		firstSeen:   previous.firstSeen,
 	}
-	if previous.workerCount != workerCount || workerCount == 0 && now.Sub(previous.firstSeen) < emptyServiceWait {
+	age := now.Sub(previous.firstSeen)
+	unsteady := previous.workerCount != workerCount && age < unsteadyServiceWait
+	if unsteady || workerCount == 0 && age < emptyServiceWait {
 		return 0
 	}
 	return min(max(1, (workerCount+s.workersPerShard/2)/s.workersPerShard), s.partitionCount)
