--- a/conductor/odd_test.go
+++ b/conductor/odd_test.go
@@ -20,14 +20,72 @@
 // absentWorkers answers each renewal with an error.
 type absentWorkers struct {
 	Workers
-	err error
+	err   error
+	calls int
 }
 
 // RenewLease implements Workers.
 func (w *absentWorkers) RenewLease(context.Context, int64, scheduler.LeaseRenewal, time.Duration) (scheduler.Report, error) {
+	w.calls++
 	return scheduler.Report{}, w.err
 }
 
+// TestAbsentWorkerIsCalledWithoutAPause guards against five calls a second, for ever, to each worker
+// that the directory lists and that has never answered. A worker that may have runs is called as
+// often as before.
+func TestAbsentWorkerIsCalledWithoutAPause(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		former bool
+		least  int
+		most   int
+	}{
+		{
+			name:  "never answered",
+			least: 15,
+			most:  30,
+		},
+		{
+			name:   "a former owner's",
+			former: true,
+			least:  290,
+			most:   300,
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				store := storer.NewMemory(timekeeper.System())
+				if test.former {
+					appendRecords(c, store, ProgressTopic, storer.Record{
+						Key:   workersKey,
+						Value: []byte(`[{"Ref":{"ID":"w","Address":"10.0.0.1:80"},"Service":"desk"}]`),
+					})
+				}
+				owner, _ := loggedOwner(store)
+				workers := &absentWorkers{
+					err: ErrUnreachable,
+				}
+				owner.workers = workers
+				owner.SetWorkers([]scheduler.WorkerEntry{
+					{
+						Ref: scheduler.WorkerRef{
+							ID:      "w",
+							Address: "10.0.0.1:80",
+						},
+						Service: "desk",
+					},
+				})
+				c.Assert(owner.loadPartition(context.Background()), qt.IsNil)
+				ctx, cancel := context.WithTimeout(context.Background(), time.Minute-time.Second)
+				defer cancel()
+				c.Assert(owner.renewLease(ctx, "w"), qt.IsNil)
+				c.Assert(workers.calls >= test.least && workers.calls <= test.most, qt.IsTrue, qt.Commentf("%d calls", workers.calls))
+			})
+		})
+	}
+}
+
 // TestAbsentWorkerFloodsTheLog guards against five log lines a second, for ever, on each worker that
 // the directory lists and that does not answer, or is another one.
 func TestAbsentWorkerFloodsTheLog(t *testing.T) {
