conductor: calls to a worker that has never answered get rarer

A listed worker that answers nobody was called five times a second for ever. The pause doubles up to 3.2 s now while the worker has answered neither this owner nor is among the workers of a former one; such a worker has no runs and no lease. All others are called as before.

--- a/conductor/orders.go
+++ b/conductor/orders.go
@@ -212,6 +212,7 @@
 // until the scheduler drops the worker.
 func (c *Conductor) renewLease(ctx context.Context, id string) error {
 	wait := time.Duration(0)
+	failures := 0
 	for ctx.Err() == nil {
 		c.mu.Lock()
 		sentAt := c.clock.Now()
@@ -221,7 +222,12 @@
 			break
 		}
 		report, err := c.workers.RenewLease(ctx, c.token, order, wait)
-		if wait = c.handleRenewal(ctx, id, report, err, sentAt); errors.Is(err, ErrSuperseded) {
+		if err == nil || !order.Unseen {
+			failures = 0
+		} else {
+			failures++
+		}
+		if wait = c.handleRenewal(ctx, id, report, err, sentAt, renewalPause(failures)); errors.Is(err, ErrSuperseded) {
 			return ErrSuperseded
 		}
 	}
@@ -229,16 +235,27 @@
 	return nil
 }
 
-// handleRenewal handles the outcome of a renewal, and pauses if the renewal failed
+// maxUnseenPause is the longest pause before a call to a worker that has never answered is
+// repeated. Another writer may have left it in the directory, and there may be hundreds of them.
+const maxUnseenPause = 3200 * time.Millisecond
+
+// renewalPause returns the pause after a number of consecutive failures with a worker that has never
+// answered, 0 for any other worker.
+func renewalPause(failures int) time.Duration {
+	const maxDoublings = 8
+	return min(renewalRetryPause<<min(max(0, failures-1), maxDoublings), maxUnseenPause)
+}
+
+// handleRenewal handles the outcome of a renewal, and pauses for pause if the renewal failed,
 // or if progress must be stored first. It returns how long the worker may wait for
 // the end of a run at the next renewal.
-func (c *Conductor) handleRenewal(ctx context.Context, id string, report scheduler.Report, err error, sentAt time.Time) time.Duration {
+func (c *Conductor) handleRenewal(ctx context.Context, id string, report scheduler.Report, err error, sentAt time.Time, pause time.Duration) time.Duration {
 	if ctx.Err() != nil || errors.Is(err, ErrSuperseded) {
 		return 0
 	}
 	if err != nil {
 		c.recordRenewalFailure(id, err)
-		c.pauseRenewal(ctx)
+		c.pauseRenewal(ctx, pause)
 		return 0
 	}
 	if unstored, progressed := c.applyReport(id, report, sentAt); unstored {
@@ -326,8 +343,8 @@
 }
 
 // pauseRenewal waits before a failed renewal is repeated.
-func (c *Conductor) pauseRenewal(ctx context.Context) {
-	timer := c.clock.NewTimer(renewalRetryPause)
+func (c *Conductor) pauseRenewal(ctx context.Context, pause time.Duration) {
+	timer := c.clock.NewTimer(pause)
 	defer timer.Stop()
 	select {
 	case <-timer.C():
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -42,6 +42,9 @@
 	Acknowledge int64
 	// Unstored reports whether there are reported ends that are not stored yet.
 	Unstored bool
+	// Unseen is set if the worker has reported to no owner, as far as this one knows, so that it
+	// has no runs.
+	Unseen bool
 }
 
 // SetWorkers sets the current content of the directory. Nothing more is started
@@ -225,6 +228,7 @@
 	order := LeaseRenewal{
 		Worker:   w.entry.Ref,
 		Unstored: len(w.pendingAcks) > 0,
+		Unseen:   !w.reported && !w.former,
 	}
 	if w.silentSince.IsZero() && now.Sub(w.lastReportAt) < maxReportAge {
 		// Otherwise the worker may have started again, and its ends be others.
