--- a/conductor/odd_test.go
+++ b/conductor/odd_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/apex/log/handlers/memory"
 	qt "github.com/frankban/quicktest"
 
@@ -19,14 +20,72 @@
 // absentWorkers answers each renewal with an error.
 type absentWorkers struct {
 	Workers
-	err error
+	err   error
+	calls int
 }
 
 // RenewLease implements Workers.
 func (w *absentWorkers) RenewLease(context.Context, int64, scheduler.LeaseRenewal, time.Duration) (scheduler.Report, error) {
+	w.calls++
 	return scheduler.Report{}, w.err
 }
 
+// TestAbsentWorkerIsCalledWithoutAPause guards against five calls a second, for ever, to each worker
+// that the directory lists and that has never answered. A worker that may have runs is called as
+// often as before.
+func TestAbsentWorkerIsCalledWithoutAPause(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		former bool
+		least  int
+		most   int
+	}{
+		{
+			name:  "never answered",
+			least: 15,
+			most:  30,
+		},
+		{
+			name:   "a former owner's",
+			former: true,
+			least:  290,
+			most:   300,
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				store := storer.NewMemory(timekeeper.System())
+				if test.former {
+					appendRecords(c, store, ProgressTopic, storer.Record{
+						Key:   workersKey,
+						Value: []byte(`[{"Ref":{"ID":"w","Address":"10.0.0.1:80"},"Service":"desk"}]`),
+					})
+				}
+				owner, _ := loggedOwner(store)
+				workers := &absentWorkers{
+					err: ErrUnreachable,
+				}
+				owner.workers = workers
+				owner.SetWorkers([]scheduler.WorkerEntry{
+					{
+						Ref: scheduler.WorkerRef{
+							ID:      "w",
+							Address: "10.0.0.1:80",
+						},
+						Service: "desk",
+					},
+				})
+				c.Assert(owner.loadPartition(context.Background()), qt.IsNil)
+				ctx, cancel := context.WithTimeout(context.Background(), time.Minute-time.Second)
+				defer cancel()
+				c.Assert(owner.renewLease(ctx, "w"), qt.IsNil)
+				c.Assert(workers.calls >= test.least && workers.calls <= test.most, qt.IsTrue, qt.Commentf("%d calls", workers.calls))
+			})
+		})
+	}
+}
+
 // TestAbsentWorkerFloodsTheLog guards against five log lines a second, for ever, on each worker that
 // the directory lists and that does not answer, or is another one.
 func TestAbsentWorkerFloodsTheLog(t *testing.T) {
@@ -37,7 +96,13 @@
 		t.Run(message, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				c := qt.New(t)
-				owner, logs := loggedOwner(storer.NewMemory(timekeeper.System()))
+				store := storer.NewMemory(timekeeper.System())
+				// A worker that may have runs is called without longer pauses.
+				appendRecords(c, store, ProgressTopic, storer.Record{
+					Key:   workersKey,
+					Value: []byte(`[{"Ref":{"ID":"w","Address":"10.0.0.1:80"},"Service":"desk"}]`),
+				})
+				owner, logs := loggedOwner(store)
 				owner.workers = &absentWorkers{
 					err: err,
 				}
@@ -87,7 +152,7 @@
 	for i := range 3000 {
 		appendRecords(c, store, JobsTopic, storer.Record{
 			Key:   fmt.Sprintf("odd%d", i),
-			Value: []byte([]string{"{}", "[", `{"phases":7}`}[i%3]),
+			Value: []byte([]string{"{}", `{"interval":` + strings.Repeat("1", 5000) + "}", `{"phases":7}`}[i%3]),
 		}, storer.Record{
 			Key:   fmt.Sprintf("odd%d/cancel", i),
 			Value: []byte("7"),
@@ -97,8 +162,10 @@
 	c.Assert(owner.loadPartition(context.Background()), qt.IsNil)
 	named := 0
 	for _, logEntry := range logs.Entries {
-		if id, found := logEntry.Fields["id"].(string); found && strings.HasPrefix(id, "odd") {
+		if id, found := logEntry.Fields["id"].(string); found && strings.HasPrefix(id, "odd") && logEntry.Level == log.ErrorLevel {
 			named++
+			reason, found := logEntry.Fields["error"].(string)
+			c.Assert(found && reason != "" && len(reason) <= 200, qt.IsTrue, qt.Commentf("%d bytes", len(reason)))
 		}
 	}
 	c.Assert(named >= 5, qt.IsTrue, qt.Commentf("%d lines", named))
--- a/review/_kit/odd.go
+++ b/review/_kit/odd.go
@@ -80,6 +80,11 @@
 		st.putRaw("op", 0, fmt.Sprint("odd/", i), values["types"])
 		n++
 	}
+	// More than a page of keys that are no UTF-8.
+	for i := range 600 {
+		st.putRaw("servers", 0, fmt.Sprintf("\xffi-%03d", i), values["bytes"])
+		n++
+	}
 	st.putRaw("shards", 0, "service/odd", `{"shards":-1e300}`)
 	st.putRaw("shards", 0, "worker/"+m.id, `{"shard":99}`)
 	st.putRaw("entries", 0, "odd-large", `{"address":"127.0.0.1:9","cores":1e300,"placements":true}`)
@@ -104,6 +109,9 @@
 	}
 	if troubled() {
 		rec.say("%d odd records were left in all topics", putOdd(st, minions[0], minions[1].addr))
+		ctx, stop := context.WithCancel(context.Background())
+		defer stop()
+		go shiftEntries(ctx, st, minions)
 	}
 	var entries []*entry
 	for i, zone := range []string{"zone-a", "zone-b", "zone-c"} {
@@ -113,11 +121,6 @@
 		e.start()
 	}
 	awaitReady(entries...)
-	ctx, stop := context.WithCancel(context.Background())
-	defer stop()
-	if troubled() {
-		go shiftEntries(ctx, st, minions)
-	}
 	accepted := map[string]bool{}
 	submit := func(from, to int) {
 		for i := from; i < to; i++ {
