conductor, scheduler: delete an ended job before its progress

Callers saw ended jobs run again, all of their tasks (TWICE), after a takeover. Ten seconds after status_s the owner deleted the progress, which tells that a job has ended, and then the job, with a second append that was made once. Refused, lost, late or not made before the next owner, it left a job without progress: a new one. An owner that forgot a job whose record was still there ran it itself, once it had to read all jobs again as the history was gone.

Now the job's record is deleted first, in a loop of its own, again until the owner reads the deletion in the partition. Only then it forgets the job and deletes the progress. The deletion is not fenced: carried out late, also under the next owner, it deletes a job that has ended for good. The next owner finds either an ended job, which it deletes again, or progress whose job is gone, which it deletes. An append in flight shows nothing by its answer, the reading does, so a lost answer, a repetition and a late append need no cases. A partition of jobs that takes no writes holds up no progress (TestDeletionsHoldUpNoProgress: the former code hung); what waits are the jobs that are stored anyway. An identity that is used again after the deletion is a new job, and its progress replaces the former one.

Ruled out: a conditional append (each submit moves the end), one append for both (two partitions), marking the job as deleted in progress (stays for ever).

TestCrashIsConfirmedAfterItsJobEnded expected a job to be forgotten by the clock alone; it now also checks that the job has expired, and forgets it when its deletion is read.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -282,6 +282,7 @@
 		}).Info("conductor: took over the partition")
 		group.Go(func() error { return c.followJobs(ctx) })
 		group.Go(func() error { return c.writeLoop(ctx) })
+		group.Go(func() error { return c.deleteJobs(ctx) })
 		group.Go(func() error { return c.exchangeAllotments(ctx, group) })
 		return c.runScheduler(ctx, group)
 	})
--- a/conductor/deletion_test.go
+++ b/conductor/deletion_test.go
@@ -158,7 +158,7 @@
 		return i.store.Append(ctx, to, writer, records...)
 	}
 	s.mu.Lock()
-	s.isCut = i.interruption.cut
+	s.isCut = i.cut
 	if i.forgets {
 		s.unreadableUntil = time.Now().Add(lateBy)
 		time.AfterFunc(lateBy, i.forgetJobs)
@@ -462,3 +462,49 @@
 	}
 	return !c.Failed()
 }
+
+// keepingStore answers no deletion of a record of the jobs partition.
+type keepingStore struct {
+	storer.Store
+}
+
+// Append implements storer.Store.
+func (s keepingStore) Append(ctx context.Context, to storer.Partition, writer *storer.Writer, records ...storer.Record) (int64, error) {
+	if to.Topic == conductor.JobsTopic {
+		<-ctx.Done()
+		return 0, storer.ErrUnknown
+	}
+	return s.Store.Append(ctx, to, writer, records...)
+}
+
+// TestDeletionsHoldUpNoProgress guards against jobs whose progress is not stored while the
+// deletion of ended jobs has no answer.
+func TestDeletionsHoldUpNoProgress(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 2)
+		owner := conductor.New(keepingStore{
+			Store: f.store,
+		}, f.fleet, approveAll{}, partition, 1, conductor.Scheduling(scheduler.Retention(time.Second)))
+		owner.SetWorkers(f.fleet.Entries())
+		ctx, stop := context.WithCancel(context.Background())
+		var group errgroup.Group
+		group.Go(func() error { return owner.Run(ctx) })
+		f.owner = owner
+		f.submit("first", tasks(2))
+		f.await("first", scheduler.Completed)
+		for i := range 10 {
+			for range 20 {
+				owner.ConfirmOwnership(time.Now())
+				time.Sleep(100 * time.Millisecond)
+			}
+			id := fmt.Sprintf("job%d", i)
+			f.submit(id, tasks(2))
+			submittedAt := time.Now()
+			f.await(id, scheduler.Completed)
+			// The fleet reports an end with the next renewal of a lease, after a second at most.
+			f.c.Check(time.Since(submittedAt) < 2*time.Second, qt.IsTrue, qt.Commentf("%s took %v", id, time.Since(submittedAt)))
+		}
+		stop()
+		f.c.Assert(group.Wait(), qt.ErrorIs, context.Canceled)
+	})
+}
--- a/conductor/metrics.go
+++ b/conductor/metrics.go
@@ -137,7 +137,7 @@
 		}),
 		deletionsFailed: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "galenacove_conductor_deletions_failed_total",
-			Help: "Ended jobs whose records were not deleted, as the store did not take the deletion.",
+			Help: "Ended jobs whose records a try did not delete, as the store did not take the deletion.",
 		}),
 		repeatedWrites: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "galenacove_conductor_repeated_writes_total",
--- a/conductor/recovery.go
+++ b/conductor/recovery.go
@@ -79,6 +79,7 @@
 	c.scheduler = s
 	c.logStoredJobs(jobs, stored, now)
 	c.applyRecords(jobs, stored.byJob, now)
+	s.DropProgress(orphans(progress, jobs))
 	c.next = next
 	c.jobsReadAt = now
 	c.ready = true
@@ -190,7 +191,11 @@
 func (c *Conductor) applyRecords(records []storer.Record, progressByJob map[string]*scheduler.Progress, now time.Time) {
 	var cancels []jobCancellation
 	for _, record := range records {
-		if record.Value == nil || record.Key == "" {
+		if record.Key == "" {
+			continue
+		}
+		if record.Value == nil {
+			c.scheduler.JobDeleted(record.Key)
 			continue
 		}
 		if id, found := strings.CutSuffix(record.Key, cancelSuffix); found {
--- a/conductor/writing.go
+++ b/conductor/writing.go
@@ -98,7 +98,7 @@
 	c.signalProgress()
 	c.mu.Unlock()
 	c.requestTick()
-	return c.dropJobs(ctx, write.Deletions)
+	return nil
 }
 
 // appendProgress appends records as the owner. It tries again until the append
@@ -217,29 +217,3 @@
 		logEntry.Warn("conductor: a write of progress has not succeeded")
 	}
 }
-
-// dropJobs deletes the records of jobs that the scheduler has dropped.
-func (c *Conductor) dropJobs(ctx context.Context, ids []string) error {
-	if len(ids) == 0 {
-		return nil
-	}
-	var records []storer.Record
-	for _, id := range ids {
-		records = append(records, storer.Record{
-			Key: id,
-		}, storer.Record{
-			Key: id + cancelSuffix,
-		})
-	}
-	if _, err := c.store.Append(ctx, c.jobsPartition(), nil, records...); err != nil {
-		// The records stay until the next owner deletes them.
-		c.metrics.deletionsFailed.Add(float64(len(ids)))
-		c.logger.WithError(err).WithFields(log.Fields{
-			"partition": c.partition,
-			"token":     c.token,
-			"jobs":      len(ids),
-			"first":     ids[0],
-		}).Warn("conductor: deleting the records of ended jobs failed")
-	}
-	return nil
-}
--- a/scheduler/crashes_test.go
+++ b/scheduler/crashes_test.go
@@ -416,6 +416,8 @@
 		r.s.WorkerGone(id, r.now)
 	}
 	r.s.Tick(r.now)
+	r.c.Assert(r.s.ExpiredJobs(1, r.now), qt.DeepEquals, []string{"deadly"})
+	r.s.JobDeleted("deadly")
 	r.write()
 	_, known := r.s.State("deadly")
 	r.c.Assert(known, qt.IsFalse)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -92,8 +92,11 @@
 	silenceComplete  bool
 	// tickedAt is the time of the current or last tick.
 	tickedAt time.Time
-	// droppedJobs holds the identities of the jobs that the store can delete.
-	droppedJobs []string
+	// expiredJobs holds the identities of the jobs that have expired, in that order, until
+	// ExpiredJobs finds that they have been deleted.
+	expiredJobs []string
+	// droppedJobs holds the identities of the jobs whose progress the store can delete.
+	droppedJobs map[string]bool
 	// endsByWorker caches the results of expectedEnds during placeSteps. A worker's
 	// entry is dropped when a run is started there, and all entries are when runs
 	// may have been stopped.
@@ -184,6 +187,7 @@
 		placementsAllowed: true,
 		storedSilent:      make(map[string]bool),
 		dirtyJobs:         make(map[string]bool),
+		droppedJobs:       make(map[string]bool),
 		nextBatch:         1,
 		allotments:        newAllotments(),
 		losses:            newLosses(),
@@ -240,6 +244,11 @@
 		criticalPaths:  record.criticalPaths(),
 	}
 	s.jobs[record.ID] = j
+	if s.droppedJobs[record.ID] {
+		// The store has progress of a former job with that identity.
+		delete(s.droppedJobs, record.ID)
+		s.dirtyJobs[record.ID] = true
+	}
 	s.countUnknownRuns(j)
 	s.formerUses = nil
 	s.recordArrival(j)
--- a/scheduler/tables.go
+++ b/scheduler/tables.go
@@ -15,6 +15,11 @@
 	// stateStored is set once the final state is in the store. Only then is it
 	// shown to callers.
 	stateStored bool
+	// expired is set once the state need not be kept any longer, and deletionDueAt is the
+	// earliest time at which the deletion of the job's records is to be stored, again if it
+	// has not been read.
+	expired       bool
+	deletionDueAt time.Time
 	// nextOccurrence is the lowest occurrence that has no steps yet.
 	nextOccurrence int
 	// steps holds the steps of the occurrences that have become due. Steps that
--- a/scheduler/tick.go
+++ b/scheduler/tick.go
@@ -41,7 +41,7 @@
 	s.explainRecovery(now)
 	s.scheduleWorkersWrite(now)
 	s.scheduleSilenceWrite(now)
-	s.forgetEndedJobs(now)
+	s.expireEndedJobs(now)
 	effects := s.effects
 	s.effects = nil
 	return effects
@@ -166,17 +166,6 @@
 	}
 }
 
-// forgetEndedJobs drops ended jobs after the retention of their state.
-func (s *Scheduler) forgetEndedJobs(now time.Time) {
-	for id, j := range s.jobs {
-		if j.state.Final() && j.stateStored && now.Sub(j.endedAt) > s.options.retention+retentionMargin {
-			delete(s.jobs, id)
-			s.forgetSuspects(id)
-			s.droppedJobs = append(s.droppedJobs, id)
-		}
-	}
-}
-
 // awaitsRecovery reports whether no waiting task of the step may start, as a former
 // owner may have runs on workers that have not reported theirs yet.
 func (s *Scheduler) awaitsRecovery(st *step) bool {
--- a/scheduler/writes.go
+++ b/scheduler/writes.go
@@ -13,7 +13,7 @@
 	// Batch is the number of the write, which rises with each.
 	Batch int64
 	Jobs  []JobProgress
-	// Deletions lists the jobs that can be deleted from the store.
+	// Deletions lists the jobs whose progress can be deleted from the store.
 	Deletions []string
 	// Workers replaces the stored list of workers in use. It is nil if the list
 	// need not change.
@@ -55,11 +55,11 @@
 func (s *Scheduler) NextWrite() Write {
 	write := Write{
 		Batch:      s.nextBatch,
-		Deletions:  s.droppedJobs,
+		Deletions:  slices.Sorted(maps.Keys(s.droppedJobs)),
 		Allotments: s.allotments.nextLedger(),
 	}
 	s.nextBatch++
-	s.droppedJobs = nil
+	clear(s.droppedJobs)
 	if s.hasUnrecordedWorkers() || s.rewriteWorkers {
 		write.Workers = s.workersInUse()
 		s.workersOutdated, s.rewriteWorkers = false, false
