conductor, scheduler: a job whose progress cannot be decoded does not run anew

Such a record was logged and passed over, and its job, which may have ended, ran as a new one. A state that this release does not know counts too: a final one of a later release was taken for a running job. Now the job is held: nothing of it starts, what workers report of it is stopped, and its record stays for an owner that can decode it, until the job is cancelled. It is shown as running. What cannot be helped: ends of its runs are acknowledged and not stored, as holding them back would hold back all later ends of their worker.

--- a/conductor/recovery.go
+++ b/conductor/recovery.go
@@ -99,7 +99,7 @@
 			continue
 		}
 		jobs++
-		if stored.byJob[record.Key] != nil {
+		if _, found := stored.byJob[record.Key]; found {
 			continue
 		}
 		withoutProgress++
@@ -147,6 +147,7 @@
 
 // formerProgress is what the former owner stored.
 type formerProgress struct {
+	// byJob holds the progress of jobs, nil where it cannot be decoded.
 	byJob        map[string]*scheduler.Progress
 	workersInUse []scheduler.WorkerEntry
 	silent       []scheduler.SilentWorker
@@ -173,10 +174,7 @@
 		case allotmentsKey:
 			stored.allotments = record.Value
 		default:
-			progress := new(scheduler.Progress)
-			if err = json.Unmarshal(record.Value, progress); err == nil {
-				stored.byJob[record.Key] = progress
-			}
+			stored.byJob[record.Key], err = decodeJobProgress(record.Value)
 		}
 		if err != nil {
 			stored.undecodable++
@@ -186,6 +184,19 @@
 	return stored
 }
 
+// decodeJobProgress decodes the progress of a job. A state that this release does not know may
+// be a final one.
+func decodeJobProgress(value []byte) (*scheduler.Progress, error) {
+	progress := new(scheduler.Progress)
+	if err := json.Unmarshal(value, progress); err != nil {
+		return nil, err
+	}
+	if !progress.State.Known() {
+		return nil, errors.Newf("conductor: unknown state %q of a job", progress.State)
+	}
+	return progress, nil
+}
+
 // applyRecords adds and cancels jobs according to records of the jobs topic.
 // progressByJob is nil for records that are read after the takeover.
 func (c *Conductor) applyRecords(records []storer.Record, progressByJob map[string]*scheduler.Progress, now time.Time) {
@@ -226,7 +237,13 @@
 				"organisation": job.Organisation,
 			}).Warn("conductor: a job has the identity of another organisation's job and does not run")
 		}
-		c.scheduler.AddJob(job, progressByJob[job.ID], progressByJob != nil, now)
+		progress, stored := progressByJob[job.ID]
+		if stored && progress == nil {
+			c.logger.WithField("id", job.ID).Error("conductor: a job does not run, as its progress cannot be decoded")
+			c.scheduler.HoldJob(job)
+			continue
+		}
+		c.scheduler.AddJob(job, progress, progressByJob != nil, now)
 	}
 	for _, cancel := range cancels {
 		state, known := c.scheduler.State(cancel.id)
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -250,6 +250,11 @@
 	Cancelled JobState = "cancelled"
 )
 
+// Known reports whether this release knows the state.
+func (s JobState) Known() bool {
+	return s == Pending || s == Running || s.Final()
+}
+
 // Final reports whether the state never changes again.
 func (s JobState) Final() bool {
 	return s == Completed || s == Failed || s == Cancelled
--- a/scheduler/recovery_test.go
+++ b/scheduler/recovery_test.go
@@ -550,3 +550,24 @@
 	r.rounds(3)
 	r.c.Assert(r.runsOf("next"), qt.Equals, 2)
 }
+
+// TestRunOfAHeldJobIsStopped guards against a run of a job whose progress cannot be decoded
+// that goes on, or has its task started again.
+func TestRunOfAHeldJobIsStopped(t *testing.T) {
+	r := newRig(t)
+	w := r.addWorker("w", cores(4))
+	r.updateDirectory()
+	r.renewLeases()
+	job := r.job("j", newPhase(2, cores(1)))
+	r.s.AddJob(job, nil, false, r.now)
+	r.tick()
+	r.c.Assert(w.activeRuns, qt.HasLen, 2)
+	w.end(firstRun(w), scheduler.EndDone)
+	r.s = scheduler.New(2, r.now)
+	r.s.HoldJob(job)
+	r.updateDirectory()
+	r.rounds(30)
+	r.c.Assert(w.activeRuns, qt.HasLen, 0)
+	r.c.Assert(totalStarts(r, "j"), qt.Equals, 2)
+	r.c.Assert(r.state("j"), qt.Equals, scheduler.Running)
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -232,17 +232,8 @@
 	if s.jobs[record.ID] != nil {
 		return
 	}
-	j := &job{
-		record:         record,
-		state:          Pending,
-		steps:          make(map[StepRef]*step),
-		storedProgress: make(map[StepRef]StepProgress),
-		recovered:      recovered,
-		workers:        make(map[string]bool),
-		storedWorkers:  make(map[string]bool),
-		objective:      record.objective(),
-		criticalPaths:  record.criticalPaths(),
-	}
+	j := newJob(record)
+	j.recovered = recovered
 	s.jobs[record.ID] = j
 	if s.droppedJobs[record.ID] {
 		// The store has progress of a former job with that identity.
@@ -287,6 +278,35 @@
 	}
 }
 
+// HoldJob adds a job from the store whose stored progress cannot be decoded. As it may have
+// ended, nothing of it starts, and what workers report of it is stopped. It is shown as running
+// until it is cancelled.
+func (s *Scheduler) HoldJob(record Job) {
+	if s.jobs[record.ID] != nil {
+		return
+	}
+	j := newJob(record)
+	j.state = Running
+	j.started = true
+	j.recovered = true
+	j.held = true
+	s.jobs[record.ID] = j
+	s.countUnknownRuns(j)
+}
+
+func newJob(record Job) *job {
+	return &job{
+		record:         record,
+		state:          Pending,
+		steps:          make(map[StepRef]*step),
+		storedProgress: make(map[StepRef]StepProgress),
+		workers:        make(map[string]bool),
+		storedWorkers:  make(map[string]bool),
+		objective:      record.objective(),
+		criticalPaths:  record.criticalPaths(),
+	}
+}
+
 // createDueSteps creates the steps of those occurrences of a job that have become
 // due, and adds the steps that are ready to openSteps.
 func (s *Scheduler) createDueSteps(j *job, now time.Time) {
--- a/scheduler/tables.go
+++ b/scheduler/tables.go
@@ -20,6 +20,9 @@
 	// has not been read.
 	expired       bool
 	deletionDueAt time.Time
+	// held is set if it is not known what of the job has run. It has no steps, and its stored
+	// progress is not replaced unless it is cancelled.
+	held bool
 	// nextOccurrence is the lowest occurrence that has no steps yet.
 	nextOccurrence int
 	// steps holds the steps of the occurrences that have become due. Steps that
