--- a/conductor/recovery.go
+++ b/conductor/recovery.go
@@ -222,28 +222,7 @@
 			})
 			continue
 		}
-		var job scheduler.Job
-		if err := json.Unmarshal(record.Value, &job); err != nil {
-			c.logger.WithError(err).WithField("id", record.Key).Error("conductor: a stored job cannot be decoded")
-			continue
-		}
-		if err := job.Validate(); err != nil || job.ID != record.Key {
-			c.logger.WithError(err).WithField("id", record.Key).Error("conductor: a stored job is invalid and does not run")
-			continue
-		}
-		if _, known := c.scheduler.State(job.ID); known && !c.scheduler.Accessible(job.ID, job.Organisation) {
-			c.logger.WithFields(log.Fields{
-				"id":           job.ID,
-				"organisation": job.Organisation,
-			}).Warn("conductor: a job has the identity of another organisation's job and does not run")
-		}
-		progress, stored := progressByJob[job.ID]
-		if stored && progress == nil {
-			c.logger.WithField("id", job.ID).Error("conductor: a job does not run, as its progress cannot be decoded")
-			c.scheduler.HoldJob(job)
-			continue
-		}
-		c.scheduler.AddJob(job, progress, progressByJob != nil, now)
+		c.applyJob(record, progressByJob, now)
 	}
 	for _, cancel := range cancels {
 		state, known := c.scheduler.State(cancel.id)
@@ -274,6 +253,32 @@
 	}
 }
 
+// applyJob adds the job of a record, as applyRecords does.
+func (c *Conductor) applyJob(record storer.Record, progressByJob map[string]*scheduler.Progress, now time.Time) {
+	var job scheduler.Job
+	if err := json.Unmarshal(record.Value, &job); err != nil {
+		c.logger.WithError(err).WithField("id", record.Key).Error("conductor: a stored job cannot be decoded")
+		return
+	}
+	if err := job.Validate(); err != nil || job.ID != record.Key {
+		c.logger.WithError(err).WithField("id", record.Key).Error("conductor: a stored job is invalid and does not run")
+		return
+	}
+	if _, known := c.scheduler.State(job.ID); known && !c.scheduler.Accessible(job.ID, job.Organisation) {
+		c.logger.WithFields(log.Fields{
+			"id":           job.ID,
+			"organisation": job.Organisation,
+		}).Warn("conductor: a job has the identity of another organisation's job and does not run")
+	}
+	progress, stored := progressByJob[job.ID]
+	if stored && progress == nil {
+		c.logger.WithField("id", job.ID).Error("conductor: a job does not run, as its progress cannot be decoded")
+		c.scheduler.HoldJob(job)
+		return
+	}
+	c.scheduler.AddJob(job, progress, progressByJob != nil, now)
+}
+
 // jobCancellation is a stored cancellation together with the job that it names.
 type jobCancellation struct {
 	id           string
