conductor: an undecodable list of workers in use stands for all that jobs name

The list was taken for empty, so tasks on a worker that the directory does not list started elsewhere at once, beside the run that it may have. Each worker is stored for its job before a start, so those that the progress of jobs names are all that may have runs; without addresses they count as silent, and their leases are waited for.

The test's worker is now in the fleet, silent and not listed: the fleet says of one that it does not know that it has ended.

--- a/conductor/recovery.go
+++ b/conductor/recovery.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -150,6 +151,8 @@
 	// byJob holds the progress of jobs, nil where it cannot be decoded.
 	byJob        map[string]*scheduler.Progress
 	workersInUse []scheduler.WorkerEntry
+	// workersUnknown is set if the list of workers in use cannot be decoded.
+	workersUnknown bool
 	silent       []scheduler.SilentWorker
 	// allotments is the encoded ledger, nil if none is stored.
 	allotments []byte
@@ -168,7 +171,9 @@
 		var err error
 		switch record.Key {
 		case workersKey:
-			err = json.Unmarshal(record.Value, &stored.workersInUse)
+			if err = json.Unmarshal(record.Value, &stored.workersInUse); err != nil {
+				stored.workersInUse, stored.workersUnknown = nil, true
+			}
 		case silentKey:
 			err = json.Unmarshal(record.Value, &stored.silent)
 		case allotmentsKey:
@@ -181,9 +186,34 @@
 			c.logger.WithError(err).WithField("id", record.Key).Error("conductor: stored progress cannot be decoded")
 		}
 	}
+	if stored.workersUnknown {
+		stored.workersInUse = stored.namedWorkers()
+	}
 	return stored
 }
 
+// namedWorkers returns the workers that the progress of jobs names, without their addresses.
+// They are all on which runs may be active, though not all of them need be.
+func (p formerProgress) namedWorkers() []scheduler.WorkerEntry {
+	named := make(map[string]bool)
+	for _, progress := range p.byJob {
+		if progress != nil {
+			for _, id := range progress.Workers {
+				named[id] = true
+			}
+		}
+	}
+	var entries []scheduler.WorkerEntry
+	for _, id := range slices.Sorted(maps.Keys(named)) {
+		entries = append(entries, scheduler.WorkerEntry{
+			Ref: scheduler.WorkerRef{
+				ID: id,
+			},
+		})
+	}
+	return entries
+}
+
 // decodeJobProgress decodes the progress of a job. A state that this release does not know may
 // be a final one.
 func decodeJobProgress(value []byte) (*scheduler.Progress, error) {
--- a/conductor/undecodable_test.go
+++ b/conductor/undecodable_test.go
@@ -95,10 +95,14 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newFixture(t, 2)
 		defer f.stopOwners()
+		listed := f.fleet.Entries()
 		f.submit("j", tasks(2))
 		f.appendProgress("/workers", "[7")
 		f.appendProgress("j", `{"state":"running","workers":["unlisted"]}`)
-		f.startOwner()
+		f.fleet.Add("unlisted", service, sizer.New(4000, 16*gibibyte, 0))
+		f.fleet.SetSilent("unlisted", true)
+		owner, _ := f.startOwner()
+		owner.SetWorkers(listed)
 		// The longest lease is 1.5 s.
 		time.Sleep(1500 * time.Millisecond)
 		f.c.Check(f.fleet.Starts(), qt.Equals, 0)
