conductor, scheduler: replace a list of silent workers that cannot be decoded before any lease

An owner that could not decode the list took it for empty and granted leases to workers that it may hold. The next owner, of a later release, may decode it and wait by as much less, while such a lease runs. Now no worker gets a lease or a run until another list is stored.

--- a/conductor/recovery.go
+++ b/conductor/recovery.go
@@ -75,7 +75,11 @@
 	}
 	c.restoreAllotments(s, stored.allotments)
 	s.AddFormerWorkers(stored.workersInUse)
-	s.SetFormerSilence(stored.silent)
+	if stored.silenceUnknown {
+		s.ReplaceFormerSilence()
+	} else {
+		s.SetFormerSilence(stored.silent)
+	}
 	s.SetWorkers(c.directoryWorkers)
 	c.scheduler = s
 	c.logStoredJobs(jobs, stored, now)
@@ -153,7 +157,9 @@
 	workersInUse []scheduler.WorkerEntry
 	// workersUnknown is set if the list of workers in use cannot be decoded.
 	workersUnknown bool
-	silent       []scheduler.SilentWorker
+	silent         []scheduler.SilentWorker
+	// silenceUnknown is set if the list of silent workers cannot be decoded.
+	silenceUnknown bool
 	// allotments is the encoded ledger, nil if none is stored.
 	allotments []byte
 	// undecodable counts the records that could not be decoded.
@@ -175,7 +181,9 @@
 				stored.workersInUse, stored.workersUnknown = nil, true
 			}
 		case silentKey:
-			err = json.Unmarshal(record.Value, &stored.silent)
+			if err = json.Unmarshal(record.Value, &stored.silent); err != nil {
+				stored.silent, stored.silenceUnknown = nil, true
+			}
 		case allotmentsKey:
 			stored.allotments = record.Value
 		default:
--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -67,7 +67,7 @@
 func (s *Scheduler) pools(now time.Time) map[string]*pool {
 	pools := make(map[string]*pool)
 	for _, w := range s.workers {
-		if !w.available(now) || s.storedSilent[w.entry.Ref.ID] {
+		if !w.available(now) || s.storedAsSilent(w.entry.Ref.ID) {
 			continue
 		}
 		p := pools[w.entry.Service]
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -84,6 +84,9 @@
 	// storedSilent holds the workers that the store may list as silent. They get no
 	// lease and no run, as a next owner would rely on that.
 	storedSilent map[string]bool
+	// silenceUnknown is set while the store has a list of silent workers that cannot be
+	// decoded, which may hold any worker.
+	silenceUnknown bool
 	// silenceDue is set if the silent workers are to be stored, silenceWrittenAt is
 	// the time of the last such write, and silenceComplete is set once one has been
 	// made since the end of the recovery.
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -118,6 +118,19 @@
 	}
 }
 
+// ReplaceFormerSilence is called instead of SetFormerSilence if the stored list of silent
+// workers cannot be decoded. A next owner may rely on it, so no worker gets a lease or a run
+// until another list is stored.
+func (s *Scheduler) ReplaceFormerSilence() {
+	s.silenceUnknown = true
+	s.silenceDue = true
+}
+
+// storedAsSilent reports whether the store may list the worker as silent.
+func (s *Scheduler) storedAsSilent(id string) bool {
+	return s.silenceUnknown || s.storedSilent[id]
+}
+
 // silenceInterval is the interval at which the silent workers are stored during a
 // recovery. A next owner waits by that much longer than it would have to.
 const silenceInterval = 500 * time.Millisecond
@@ -216,7 +229,7 @@
 		// Otherwise the worker may have started again, and its ends be others.
 		order.Acknowledge = w.ackedNumber
 	}
-	if w.reported && w.silentSince.IsZero() && !s.storedSilent[id] {
+	if w.reported && w.silentSince.IsZero() && !s.storedAsSilent(id) {
 		order.Lease = s.extendLease(w, now)
 	}
 	return order, true
--- a/scheduler/writes.go
+++ b/scheduler/writes.go
@@ -106,6 +106,7 @@
 		}
 	}
 	if write.Silent != nil {
+		s.silenceUnknown = false
 		clear(s.storedSilent)
 		for _, silent := range write.Silent {
 			s.storedSilent[silent.ID] = true
