coordinator, conductor: an owner that may have had a successor is confirmed by the store only

An owner that is cut off from the store for longer than its membership lasts (1.05 s) loses its partitions to another entry. If that one ends, or all partitions are dealt anew, before the former owner's next join is answered, the join lists the partition as before: the owner went on with its old token, confirmed itself, granted leases to all workers that had not seen the later token and started tasks beside those of its successor (TWICE, all tasks of a partition at a time). The next owner's wait also assumes that nobody with a lower token granted leases.

A partition that moves away and back takes two changes of the group, so after two generations or more an owner's confirmation waits for an append with its epoch. The store takes it, and the owner goes on as it is (a takeover that restarts would cost callers most), or it has seen a later epoch, and the partition is taken with the new generation. One append for each partition and change; none while an outage only pauses the memberships.

Ruled out: a check by the gap alone (all partitions may be dealt anew without one), dropping the ownership after each gap (takes over anew though nobody succeeded).

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -60,6 +60,9 @@
 	// allotmentsKey is the key under which an owner stores the ledger of the parts
 	// of maxima that it has given and received.
 	allotmentsKey = "/allotments"
+	// checkKey is the key of a deletion that an owner appends to find out whether there was
+	// a later one. It has never a value.
+	checkKey = "/check"
 	// writerName names the writer of progress. It is the same for all owners, so
 	// that the store rejects the writes of all owners but the one with the latest
 	// epoch.
@@ -149,6 +152,8 @@
 	// the progress.
 	tickRequests  chan struct{}
 	writeRequests chan struct{}
+	// checkRequests triggers a check whether there is a later owner.
+	checkRequests chan struct{}
 	// exchangeRequests triggers a check whether parts are to be asked for.
 	exchangeRequests chan struct{}
 
@@ -176,6 +181,9 @@
 	progressEnd int64
 	// confirmedAt is the last time at which the ownership is known to have held.
 	confirmedAt time.Time
+	// doubtedAt is the last time at which there may have been a later owner, zero if there
+	// has certainly been none.
+	doubtedAt time.Time
 	// assignedAt is the time at which the ownership began. startedRun is set once
 	// a worker has carried out a start since then.
 	assignedAt time.Time
@@ -254,6 +262,7 @@
 		admissionLines:    make(lineLimiter),
 		tickRequests:      make(chan struct{}, 1),
 		writeRequests:     make(chan struct{}, 1),
+		checkRequests:     make(chan struct{}, 1),
 		exchangeRequests:  make(chan struct{}, 1),
 		exchange:          newExchange(),
 		progressed:        make(chan struct{}),
@@ -294,10 +303,52 @@
 	return c.token
 }
 
-// ConfirmOwnership records that the ownership held at the given time.
+// ConfirmOwnership records that the ownership held at the given time, unless there may have been
+// a later owner since then.
 func (c *Conductor) ConfirmOwnership(at time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.doubtedAt.IsZero() {
+		c.confirm(at)
+	}
+}
+
+// DoubtOwnership records that the partition may have had a later owner although it is assigned
+// to this one again. The ownership is not confirmed until the store has shown that no later
+// epoch was announced.
+func (c *Conductor) DoubtOwnership() {
+	c.mu.Lock()
+	c.doubtedAt = c.clock.Now()
+	c.mu.Unlock()
+	select {
+	case c.checkRequests <- struct{}{}:
+	default:
+	}
+}
+
+// checkOwnership ends the doubt of the ownership. It returns ErrSuperseded if there was a later
+// owner.
+func (c *Conductor) checkOwnership(ctx context.Context) error {
+	began := c.clock.Now()
+	// The store rejects the append if there was a later owner.
+	if err := c.appendProgress(ctx, []storer.Record{
+		{
+			Key: checkKey,
+		},
+	}); err != nil {
+		return err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.doubtedAt.After(began) {
+		c.doubtedAt = time.Time{}
+		c.confirm(began)
+	}
+	return nil
+}
+
+// confirm records that the ownership held at the given time. The caller holds mu.
+func (c *Conductor) confirm(at time.Time) {
 	c.confirmedAt = at
 	if c.scheduler != nil {
 		c.scheduler.ConfirmOwnership(at)
--- a/conductor/writing.go
+++ b/conductor/writing.go
@@ -14,11 +14,17 @@
 	"github.com/galenacove/galenacove/timekeeper"
 )
 
-// writeLoop stores the progress on each write request.
+// writeLoop stores the progress on each write request, and checks the ownership when that is
+// requested.
 func (c *Conductor) writeLoop(ctx context.Context) error {
 	for {
 		select {
 		case <-c.writeRequests:
+		case <-c.checkRequests:
+			if err := c.checkOwnership(ctx); err != nil {
+				return err
+			}
+			continue
 		case <-ctx.Done():
 			return ctx.Err()
 		}
--- a/coordinator/membership.go
+++ b/coordinator/membership.go
@@ -173,6 +173,7 @@
 			"partitions": len(assignment.Partitions),
 		}).Info("coordinator: membership changed")
 	}
+	mayHaveMoved := assignment.Generation > c.generation+1
 	c.generation = assignment.Generation
 	c.joinedAt = sentAt
 	assigned := make(map[int]bool)
@@ -188,6 +189,11 @@
 			lost = true
 			continue
 		}
+		if mayHaveMoved {
+			// One generation may have dealt the partition to another member, and the
+			// next one back.
+			own.conductor.DoubtOwnership()
+		}
 		own.conductor.ConfirmOwnership(sentAt)
 	}
 	c.setAssigned(assigned)
