conductor, coordinator: tests of two ownerships with one epoch, red

The token of an ownership is the generation of the group, and sequence numbers begin at 0. The store takes the first writes of a second ownership with the same epoch for repetitions: it acknowledges and drops them. An owner that fails takes its partition again in the same generation.

--- a/coordinator/gap_test.go
+++ b/coordinator/gap_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	qt "github.com/frankban/quicktest"
 	"golang.org/x/sync/errgroup"
 
@@ -142,3 +143,32 @@
 		s.c.Check(until > time.Since(recorders[0].began), qt.IsTrue)
 	})
 }
+
+// TestPartitionIsNotOwnedTwiceInOneGeneration guards against two ownerships with one token, whose
+// writes the store cannot tell apart: an owner fails, and takes the same partition again.
+func TestPartitionIsNotOwnedTwiceInOneGeneration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, _, stop := gapSite(t)
+		defer stop()
+		c := s.entries[0].coordinator
+		c.mu.Lock()
+		failed := make(map[int]*ownership)
+		for partition, own := range c.owned {
+			failed[partition] = own
+		}
+		c.mu.Unlock()
+		s.c.Assert(len(failed) > 0, qt.IsTrue)
+		for partition, own := range failed {
+			own.cancel()
+			c.endFailedOwnership(partition, own, errors.New("the progress cannot be encoded"))
+		}
+		time.Sleep(3 * time.Second)
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		for partition, former := range failed {
+			own := c.owned[partition]
+			s.c.Assert(own, qt.IsNotNil)
+			s.c.Check(own.conductor.Token() > former.conductor.Token(), qt.IsTrue)
+		}
+	})
+}
