conductor, coordinator: the writes of a second ownership with one epoch are never lost

An ownership's epoch is the generation of the group and its sequence numbers began at 0. The store takes the first five writes of a second ownership with that epoch for repetitions: ends were acknowledged to workers and not stored, and the next owner ran the tasks again (TWICE). An entry did that itself: an owner that failed with anything but ErrSuperseded was followed by another one in the same generation; the group may too, if it deals a partition twice in one.

- A write that the store still takes for a repetition ends the ownership instead of a log line alone.
- An entry whose owner failed with the present generation as its token joins as a new member, whatever the error was, and takes the partition with a later one.

TestWriteTakenForRepetitionIsLogged expected the lost write to succeed with a log line. It is replaced by TestWriteTakenForRepetitionEndsTheOwnership: the same line, and the write fails.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -11,6 +11,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -96,6 +97,8 @@
 	// renewalRetryPause is the pause before a failed renewal of a lease is
 	// repeated. It also bounds the wait for a write between two renewals.
 	renewalRetryPause = 200 * time.Millisecond
+	// maxFirstSequence bounds the sequence number of the first write of an ownership.
+	maxFirstSequence = 1 << 31
 	// startTries is how many times a start without an answer is sent.
 	startTries = 2
 	// storeTimeout bounds one try to store progress.
@@ -172,7 +175,8 @@
 	directoryWorkers []scheduler.WorkerEntry
 	// leaseKeepers holds the worker leases that are being renewed, by worker.
 	leaseKeepers map[string]*leaseKeeper
-	// sequence is the sequence number of the next write.
+	// sequence is the sequence number of the next write. It begins at random, so that the
+	// store rejects the writes of another ownership with the same epoch.
 	sequence int64
 	// writeLines limits the log lines on writes of progress. It is used by writeLoop only.
 	writeLines limitedLines
@@ -255,6 +259,7 @@
 		},
 		partition:         partition,
 		token:             token,
+		sequence:          rand.Int64N(maxFirstSequence),
 		metrics:           NewMetrics(),
 		placementsAllowed: func() bool { return true },
 		jobPart:           func() float64 { return 1 },
--- a/conductor/evidence_test.go
+++ b/conductor/evidence_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/memory"
+	"github.com/cockroachdb/errors"
 	qt "github.com/frankban/quicktest"
 
 	"github.com/galenacove/galenacove/scheduler"
@@ -86,20 +87,22 @@
 	c.Assert(found[0]["oldestOfTheseMs"].(int64) >= time.Hour.Milliseconds(), qt.IsTrue)
 }
 
-// TestWriteTakenForRepetitionIsLogged guards against records that the store acknowledges and
-// does not keep, as an earlier owner with the same epoch wrote with the same sequence number.
-func TestWriteTakenForRepetitionIsLogged(t *testing.T) {
+// TestWriteTakenForRepetitionEndsTheOwnership guards against records that the store acknowledges
+// and does not keep, as an earlier owner with the same epoch wrote with the same sequence number.
+func TestWriteTakenForRepetitionEndsTheOwnership(t *testing.T) {
 	c := qt.New(t)
 	store := storer.NewMemory(timekeeper.System())
 	for attempt, want := range []int{0, 1} {
 		owner, logs := loggedOwner(store)
+		owner.sequence = 0
 		c.Assert(owner.loadPartition(context.Background()), qt.IsNil)
-		c.Assert(owner.appendProgress(context.Background(), []storer.Record{
+		err := owner.appendProgress(context.Background(), []storer.Record{
 			{
 				Key:   "job",
 				Value: []byte{byte('0' + attempt)},
 			},
-		}), qt.IsNil)
+		})
+		c.Assert(errors.Is(err, ErrSuperseded), qt.Equals, want > 0)
 		c.Assert(lines(logs, "conductor: the store took a write of progress for a repetition"), qt.HasLen, want)
 	}
 }
--- a/conductor/recovery.go
+++ b/conductor/recovery.go
@@ -35,8 +35,9 @@
 
 func (c *Conductor) loadPartition(ctx context.Context) error {
 	end, err := c.store.Append(ctx, c.progressPartition(), &storer.Writer{
-		Name:  writerName,
-		Epoch: c.token,
+		Name:     writerName,
+		Epoch:    c.token,
+		Sequence: c.sequence,
 	})
 	if errors.Is(err, storer.ErrFenced) {
 		return fmt.Errorf("%w: %w", ErrSuperseded, err)
--- a/conductor/writing.go
+++ b/conductor/writing.go
@@ -138,9 +138,8 @@
 		w.tries++
 		switch {
 		case err == nil:
-			c.checkProgressEnd(end, len(w.records))
 			c.sequence++
-			return nil
+			return c.checkProgressEnd(end, len(w.records))
 		case errors.Is(err, storer.ErrFenced), errors.Is(err, storer.ErrConflict):
 			w.lastErr = err
 			return fmt.Errorf("%w: %w", ErrSuperseded, err)
@@ -158,22 +157,25 @@
 	}
 }
 
-// checkProgressEnd records the end of the progress partition after a write of n records. If
-// the partition has not grown by as many since the write before, the store has taken the
-// write for a repetition of an earlier one, and its records are not stored.
-func (c *Conductor) checkProgressEnd(end int64, n int) {
-	if end < c.progressEnd+int64(n) {
-		c.metrics.repeatedWrites.Inc()
-		c.logger.WithFields(log.Fields{
-			"partition": c.partition,
-			"token":     c.token,
-			"sequence":  c.sequence,
-			"records":   n,
-			"end":       end,
-			"formerEnd": c.progressEnd,
-		}).Error("conductor: the store took a write of progress for a repetition")
-	}
-	c.progressEnd = max(c.progressEnd, end)
+// checkProgressEnd records the end of the progress partition after a write of n records. It
+// returns ErrSuperseded if the partition has not grown by as many since the write before: the
+// store has taken the write for a repetition of another ownership's with the same epoch, and its
+// records are not stored.
+func (c *Conductor) checkProgressEnd(end int64, n int) error {
+	if end >= c.progressEnd+int64(n) {
+		c.progressEnd = end
+		return nil
+	}
+	c.metrics.repeatedWrites.Inc()
+	c.logger.WithFields(log.Fields{
+		"partition": c.partition,
+		"token":     c.token,
+		"sequence":  c.sequence,
+		"records":   n,
+		"end":       end,
+		"formerEnd": c.progressEnd,
+	}).Error("conductor: the store took a write of progress for a repetition")
+	return errors.Wrap(ErrSuperseded, "conductor: another ownership has the same epoch")
 }
 
 // writeLineInterval is the shortest time between two log lines on writes of progress.
--- a/coordinator/membership.go
+++ b/coordinator/membership.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/apex/log"
-	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/galenacove/galenacove/conductor"
@@ -329,8 +328,9 @@
 }
 
 // endFailedOwnership ends an ownership whose conductor failed, usually because the
-// store or a worker has reported a later one. If the group still assigns the
-// partition to this process, it joins as a new member, to get a later token.
+// store or a worker has reported a later one. If its token is the present generation, this
+// process joins as a new member to get a later one: the store cannot tell two ownerships with
+// one token apart.
 func (c *Coordinator) endFailedOwnership(partition int, own *ownership, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -342,7 +342,7 @@
 		"partition": partition,
 		"token":     own.conductor.Token(),
 	}).Warn("coordinator: lost the ownership of a partition")
-	if errors.Is(err, conductor.ErrSuperseded) && own.conductor.Token() == c.generation {
+	if own.conductor.Token() == c.generation {
 		c.renewMember()
 	}
 }
