--- a/storer/memory_test.go
+++ b/storer/memory_test.go
@@ -9,6 +9,7 @@
 
 	qt "github.com/frankban/quicktest"
 	"golang.org/x/sync/errgroup"
+	"pgregory.net/rapid"
 
 	"github.com/galenacove/galenacove/storer"
 	"github.com/galenacove/galenacove/timekeeper"
@@ -103,3 +104,58 @@
 	clock.Advance(200 * time.Millisecond)
 	c.Assert(join("a", first.Generation).Partitions, qt.HasLen, 4)
 }
+
+// TestPartitionIsDealtOnceInAGeneration guards against a model of the store that is worse than
+// the store: a partition that moves twice within a heartbeat was listed to two members in one
+// generation, which then wrote with the same epoch.
+func TestPartitionIsDealtOnceInAGeneration(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		type dealt struct {
+			generation int64
+			partition  storer.Partition
+		}
+		const group, ttl = "g", time.Second
+		clock := timekeeper.NewFake(time.Unix(0, 0))
+		store := storer.NewMemory(clock, storer.Partitions(4))
+		ctx := context.Background()
+		generations := make(map[string]int64)
+		holders := make(map[dealt]string)
+		member := rapid.SampledFrom([]string{"a", "b", "c", "d"})
+		t.Repeat(map[string]func(*rapid.T){
+			"join": func(t *rapid.T) {
+				name := member.Draw(t, "member")
+				assignment, err := store.Join(ctx, group, name, []string{"t"}, ttl, generations[name])
+				if err != nil {
+					t.Fatal(err)
+				}
+				if assignment.Generation < generations[name] {
+					t.Fatalf("generation %d after %d", assignment.Generation, generations[name])
+				}
+				if rapid.Bool().Draw(t, "answered") {
+					generations[name] = assignment.Generation
+				}
+				for _, part := range assignment.Partitions {
+					key := dealt{
+						generation: assignment.Generation,
+						partition:  part,
+					}
+					if other, found := holders[key]; found && other != name {
+						t.Fatalf("%v is dealt to %s and %s in generation %d", part, other, name, assignment.Generation)
+					}
+					holders[key] = name
+				}
+			},
+			"leave": func(t *rapid.T) {
+				if err := store.Leave(ctx, group, member.Draw(t, "member")); err != nil {
+					t.Fatal(err)
+				}
+			},
+			"wait": func(t *rapid.T) {
+				clock.Advance(time.Duration(rapid.IntRange(1, 700).Draw(t, "ms")) * time.Millisecond)
+			},
+			"revoke": func(*rapid.T) {
+				store.Revoke(group)
+			},
+		})
+	})
+}
