storer: Memory deals a partition to one member in a generation

A member was listed its partition in the new generation until it had seen that generation, and the next member in the same one: the store in memory was worse than the users' store, and tests with it lost writes that the users' store cannot lose.

--- a/storer/memory.go
+++ b/storer/memory.go
@@ -280,12 +280,12 @@
 	current.topics = topics
 	current.expiresAt = now.Add(ttl)
 	current.seenGeneration = generation
-	m.assignPartitions(g)
+	targets := m.assignPartitions(g)
 	assignment := Assignment{
 		Generation: g.generation,
 	}
 	for part, owner := range g.owners {
-		if owner == member {
+		if owner == member && targets[part] == member {
 			assignment.Partitions = append(assignment.Partitions, part)
 		}
 	}
@@ -349,9 +349,11 @@
 }
 
 // assignPartitions distributes the partitions evenly over the members, in the
-// order of their names. A partition moves to another member only once its owner has
-// seen the current generation or is no longer in the group.
-func (m *Memory) assignPartitions(g *memoryGroup) {
+// order of their names, and returns the member that each belongs to by the current
+// generation. A partition moves to another member only once its owner has seen that
+// generation or is no longer in the group. Until then it is listed to nobody, so that only one
+// member is listed a partition in a generation.
+func (m *Memory) assignPartitions(g *memoryGroup) map[Partition]string {
 	names := make([]string, 0, len(g.members))
 	topics := make(map[string]bool)
 	for name, member := range g.members {
@@ -366,8 +368,9 @@
 			delete(g.owners, part)
 		}
 	}
+	targets := make(map[Partition]string)
 	if len(names) == 0 {
-		return
+		return targets
 	}
 	for topic := range topics {
 		for number := range m.partitionsPerTopic {
@@ -376,12 +379,14 @@
 				Number: number,
 			}
 			assignee := names[number%len(names)]
+			targets[part] = assignee
 			owner, owned := g.owners[part]
 			if !owned || owner == assignee || g.members[owner].seenGeneration >= g.generation {
 				g.owners[part] = assignee
 			}
 		}
 	}
+	return targets
 }
 
 func (m *Memory) partition(id Partition) *memoryPartition {
