--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -11,6 +11,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -60,6 +61,9 @@
 	// allotmentsKey is the key under which an owner stores the ledger of the parts
 	// of maxima that it has given and received.
 	allotmentsKey = "/allotments"
+	// checkKey is the key of a deletion that an owner appends to find out whether there was
+	// a later one. It has never a value.
+	checkKey = "/check"
 	// writerName names the writer of progress. It is the same for all owners, so
 	// that the store rejects the writes of all owners but the one with the latest
 	// epoch.
@@ -93,6 +97,8 @@
 	// renewalRetryPause is the pause before a failed renewal of a lease is
 	// repeated. It also bounds the wait for a write between two renewals.
 	renewalRetryPause = 200 * time.Millisecond
+	// maxFirstSequence bounds the sequence number of the first write of an ownership.
+	maxFirstSequence = 1 << 31
 	// startTries is how many times a start without an answer is sent.
 	startTries = 2
 	// storeTimeout bounds one try to store progress.
@@ -149,6 +155,8 @@
 	// the progress.
 	tickRequests  chan struct{}
 	writeRequests chan struct{}
+	// checkRequests triggers a check whether there is a later owner.
+	checkRequests chan struct{}
 	// exchangeRequests triggers a check whether parts are to be asked for.
 	exchangeRequests chan struct{}
 
@@ -171,7 +179,8 @@
 	renewalLines map[string]*limitedLines
 	// recordLines limits the log lines on records of the jobs that cannot be used.
 	recordLines limitedLines
-	// sequence is the sequence number of the next write.
+	// sequence is the sequence number of the next write. It begins at random, so that the
+	// store rejects the writes of another ownership with the same epoch.
 	sequence int64
 	// writeLines limits the log lines on writes of progress. It is used by writeLoop only.
 	writeLines limitedLines
@@ -180,6 +189,9 @@
 	progressEnd int64
 	// confirmedAt is the last time at which the ownership is known to have held.
 	confirmedAt time.Time
+	// doubtedAt is the last time at which there may have been a later owner, zero if there
+	// has certainly been none.
+	doubtedAt time.Time
 	// assignedAt is the time at which the ownership began. startedRun is set once
 	// a worker has carried out a start since then.
 	assignedAt time.Time
@@ -253,6 +265,7 @@
 		},
 		partition:         partition,
 		token:             token,
+		sequence:          rand.Int64N(maxFirstSequence),
 		metrics:           NewMetrics(),
 		placementsAllowed: func() bool { return true },
 		jobPart:           func() float64 { return 1 },
@@ -260,6 +273,7 @@
 		admissionLines:    make(lineLimiter),
 		tickRequests:      make(chan struct{}, 1),
 		writeRequests:     make(chan struct{}, 1),
+		checkRequests:     make(chan struct{}, 1),
 		exchangeRequests:  make(chan struct{}, 1),
 		exchange:          newExchange(),
 		progressed:        make(chan struct{}),
@@ -290,6 +304,7 @@
 		group.Go(func() error { return c.followJobs(ctx) })
 		group.Go(func() error { return c.writeLoop(ctx) })
 		group.Go(func() error { return c.deleteCancellations(ctx) })
+		group.Go(func() error { return c.deleteJobs(ctx) })
 		group.Go(func() error { return c.exchangeAllotments(ctx, group) })
 		return c.runScheduler(ctx, group)
 	})
@@ -301,10 +316,52 @@
 	return c.token
 }
 
-// ConfirmOwnership records that the ownership held at the given time.
+// ConfirmOwnership records that the ownership held at the given time, unless there may have been
+// a later owner since then.
 func (c *Conductor) ConfirmOwnership(at time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.doubtedAt.IsZero() {
+		c.confirm(at)
+	}
+}
+
+// DoubtOwnership records that the partition may have had a later owner although it is assigned
+// to this one again. The ownership is not confirmed until the store has shown that no later
+// epoch was announced.
+func (c *Conductor) DoubtOwnership() {
+	c.mu.Lock()
+	c.doubtedAt = c.clock.Now()
+	c.mu.Unlock()
+	select {
+	case c.checkRequests <- struct{}{}:
+	default:
+	}
+}
+
+// checkOwnership ends the doubt of the ownership. It returns ErrSuperseded if there was a later
+// owner.
+func (c *Conductor) checkOwnership(ctx context.Context) error {
+	began := c.clock.Now()
+	// The store rejects the append if there was a later owner.
+	if err := c.appendProgress(ctx, []storer.Record{
+		{
+			Key: checkKey,
+		},
+	}); err != nil {
+		return err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.doubtedAt.After(began) {
+		c.doubtedAt = time.Time{}
+		c.confirm(began)
+	}
+	return nil
+}
+
+// confirm records that the ownership held at the given time. The caller holds mu.
+func (c *Conductor) confirm(at time.Time) {
 	c.confirmedAt = at
 	if c.scheduler != nil {
 		c.scheduler.ConfirmOwnership(at)
--- a/conductor/recovery.go
+++ b/conductor/recovery.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -33,8 +34,9 @@
 
 func (c *Conductor) loadPartition(ctx context.Context) error {
 	end, err := c.store.Append(ctx, c.progressPartition(), &storer.Writer{
-		Name:  writerName,
-		Epoch: c.token,
+		Name:     writerName,
+		Epoch:    c.token,
+		Sequence: c.sequence,
 	})
 	if errors.Is(err, storer.ErrFenced) {
 		return fmt.Errorf("%w: %w", ErrSuperseded, err)
@@ -73,11 +75,16 @@
 	}
 	c.restoreAllotments(s, stored.allotments)
 	s.AddFormerWorkers(stored.workersInUse)
-	s.SetFormerSilence(stored.silent)
+	if stored.silenceUnknown {
+		s.ReplaceFormerSilence()
+	} else {
+		s.SetFormerSilence(stored.silent)
+	}
 	s.SetWorkers(c.directoryWorkers)
 	c.scheduler = s
 	c.logStoredJobs(jobs, stored, now)
 	c.applyRecords(jobs, stored.byJob, now)
+	s.DropProgress(orphans(progress, jobs))
 	c.next = next
 	c.jobsReadAt = now
 	c.ready = true
@@ -97,7 +104,7 @@
 			continue
 		}
 		jobs++
-		if stored.byJob[record.Key] != nil {
+		if _, found := stored.byJob[record.Key]; found {
 			continue
 		}
 		withoutProgress++
@@ -145,9 +152,14 @@
 
 // formerProgress is what the former owner stored.
 type formerProgress struct {
+	// byJob holds the progress of jobs, nil where it cannot be decoded.
 	byJob        map[string]*scheduler.Progress
 	workersInUse []scheduler.WorkerEntry
-	silent       []scheduler.SilentWorker
+	// workersUnknown is set if the list of workers in use cannot be decoded.
+	workersUnknown bool
+	silent         []scheduler.SilentWorker
+	// silenceUnknown is set if the list of silent workers cannot be decoded.
+	silenceUnknown bool
 	// allotments is the encoded ledger, nil if none is stored.
 	allotments []byte
 	// undecodable counts the records that could not be decoded.
@@ -165,31 +177,74 @@
 		var err error
 		switch record.Key {
 		case workersKey:
-			err = json.Unmarshal(record.Value, &stored.workersInUse)
+			if err = json.Unmarshal(record.Value, &stored.workersInUse); err != nil {
+				stored.workersInUse, stored.workersUnknown = nil, true
+			}
 		case silentKey:
-			err = json.Unmarshal(record.Value, &stored.silent)
+			if err = json.Unmarshal(record.Value, &stored.silent); err != nil {
+				stored.silent, stored.silenceUnknown = nil, true
+			}
 		case allotmentsKey:
 			stored.allotments = record.Value
 		default:
-			progress := new(scheduler.Progress)
-			if err = json.Unmarshal(record.Value, progress); err == nil {
-				stored.byJob[record.Key] = progress
-			}
+			stored.byJob[record.Key], err = decodeJobProgress(record.Value)
 		}
 		if err != nil {
 			stored.undecodable++
 			c.logger.WithError(err).WithField("id", record.Key).Error("conductor: stored progress cannot be decoded")
 		}
 	}
+	if stored.workersUnknown {
+		stored.workersInUse = stored.namedWorkers()
+	}
 	return stored
 }
 
+// namedWorkers returns the workers that the progress of jobs names, without their addresses.
+// They are all on which runs may be active, though not all of them need be.
+func (p formerProgress) namedWorkers() []scheduler.WorkerEntry {
+	named := make(map[string]bool)
+	for _, progress := range p.byJob {
+		if progress != nil {
+			for _, id := range progress.Workers {
+				named[id] = true
+			}
+		}
+	}
+	var entries []scheduler.WorkerEntry
+	for _, id := range slices.Sorted(maps.Keys(named)) {
+		entries = append(entries, scheduler.WorkerEntry{
+			Ref: scheduler.WorkerRef{
+				ID: id,
+			},
+		})
+	}
+	return entries
+}
+
+// decodeJobProgress decodes the progress of a job. A state that this release does not know may
+// be a final one.
+func decodeJobProgress(value []byte) (*scheduler.Progress, error) {
+	progress := new(scheduler.Progress)
+	if err := json.Unmarshal(value, progress); err != nil {
+		return nil, err
+	}
+	if !progress.State.Known() {
+		return nil, errors.Newf("conductor: unknown state %q of a job", progress.State)
+	}
+	return progress, nil
+}
+
 // applyRecords adds and cancels jobs according to records of the jobs topic.
 // progressByJob is nil for records that are read after the takeover.
 func (c *Conductor) applyRecords(records []storer.Record, progressByJob map[string]*scheduler.Progress, now time.Time) {
 	var cancels []storedCancellation
 	for _, record := range records {
-		if record.Value == nil || record.Key == "" {
+		if record.Key == "" {
+			continue
+		}
+		if record.Value == nil {
+			c.scheduler.JobDeleted(record.Key, now)
 			continue
 		}
 		if id, found := cancelledJob(record.Key); found {
@@ -207,22 +262,7 @@
 			})
 			continue
 		}
-		var job scheduler.Job
-		if err := json.Unmarshal(record.Value, &job); err != nil {
-			c.logOddRecord(err, record.Key, "conductor: a stored job cannot be decoded", now)
-			continue
-		}
-		if err := job.Validate(); err != nil || job.ID != record.Key {
-			c.logOddRecord(err, record.Key, "conductor: a stored job is invalid and does not run", now)
-			continue
-		}
-		if _, known := c.scheduler.State(job.ID); known && !c.scheduler.Accessible(job.ID, job.Organisation) {
-			c.logger.WithFields(log.Fields{
-				"id":           job.ID,
-				"organisation": job.Organisation,
-			}).Warn("conductor: a job has the identity of another organisation's job and does not run")
-		}
-		c.scheduler.AddJob(job, progressByJob[job.ID], progressByJob != nil, now)
+		c.applyJob(record, progressByJob, now)
 	}
 	for _, cancel := range cancels {
 		c.logCancellation(cancel, progressByJob != nil)
@@ -257,6 +297,32 @@
 	}).Error(message)
 }
 
+// applyJob adds the job of a record, as applyRecords does.
+func (c *Conductor) applyJob(record storer.Record, progressByJob map[string]*scheduler.Progress, now time.Time) {
+	var job scheduler.Job
+	if err := json.Unmarshal(record.Value, &job); err != nil {
+		c.logOddRecord(err, record.Key, "conductor: a stored job cannot be decoded", now)
+		return
+	}
+	if err := job.Validate(); err != nil || job.ID != record.Key {
+		c.logOddRecord(err, record.Key, "conductor: a stored job is invalid and does not run", now)
+		return
+	}
+	if _, known := c.scheduler.State(job.ID); known && !c.scheduler.Accessible(job.ID, job.Organisation) {
+		c.logger.WithFields(log.Fields{
+			"id":           job.ID,
+			"organisation": job.Organisation,
+		}).Warn("conductor: a job has the identity of another organisation's job and does not run")
+	}
+	progress, stored := progressByJob[job.ID]
+	if stored && progress == nil {
+		c.logger.WithField("id", job.ID).Error("conductor: a job does not run, as its progress cannot be decoded")
+		c.scheduler.HoldJob(job)
+		return
+	}
+	c.scheduler.AddJob(job, progress, progressByJob != nil, now)
+}
+
 // maxJobsAge is the age of the last answered read of the jobs partition from which on the owner
 // says that it is behind: several reads.
 const maxJobsAge = 2 * time.Second
--- a/conductor/writing.go
+++ b/conductor/writing.go
@@ -14,11 +14,17 @@
 	"github.com/galenacove/galenacove/timekeeper"
 )
 
-// writeLoop stores the progress on each write request.
+// writeLoop stores the progress on each write request, and checks the ownership when that is
+// requested.
 func (c *Conductor) writeLoop(ctx context.Context) error {
 	for {
 		select {
 		case <-c.writeRequests:
+		case <-c.checkRequests:
+			if err := c.checkOwnership(ctx); err != nil {
+				return err
+			}
+			continue
 		case <-ctx.Done():
 			return ctx.Err()
 		}
@@ -98,7 +104,7 @@
 	c.signalProgress()
 	c.mu.Unlock()
 	c.requestTick()
-	return c.dropJobs(ctx, write.Deletions)
+	return nil
 }
 
 // appendProgress appends records as the owner. It tries again until the append
@@ -132,9 +138,8 @@
 		w.tries++
 		switch {
 		case err == nil:
-			c.checkProgressEnd(end, len(w.records))
 			c.sequence++
-			return nil
+			return c.checkProgressEnd(end, len(w.records))
 		case errors.Is(err, storer.ErrFenced), errors.Is(err, storer.ErrConflict):
 			w.lastErr = err
 			return fmt.Errorf("%w: %w", ErrSuperseded, err)
@@ -152,22 +157,25 @@
 	}
 }
 
-// checkProgressEnd records the end of the progress partition after a write of n records. If
-// the partition has not grown by as many since the write before, the store has taken the
-// write for a repetition of an earlier one, and its records are not stored.
-func (c *Conductor) checkProgressEnd(end int64, n int) {
-	if end < c.progressEnd+int64(n) {
-		c.metrics.repeatedWrites.Inc()
-		c.logger.WithFields(log.Fields{
-			"partition": c.partition,
-			"token":     c.token,
-			"sequence":  c.sequence,
-			"records":   n,
-			"end":       end,
-			"formerEnd": c.progressEnd,
-		}).Error("conductor: the store took a write of progress for a repetition")
-	}
-	c.progressEnd = max(c.progressEnd, end)
+// checkProgressEnd records the end of the progress partition after a write of n records. It
+// returns ErrSuperseded if the partition has not grown by as many since the write before: the
+// store has taken the write for a repetition of another ownership's with the same epoch, and its
+// records are not stored.
+func (c *Conductor) checkProgressEnd(end int64, n int) error {
+	if end >= c.progressEnd+int64(n) {
+		c.progressEnd = end
+		return nil
+	}
+	c.metrics.repeatedWrites.Inc()
+	c.logger.WithFields(log.Fields{
+		"partition": c.partition,
+		"token":     c.token,
+		"sequence":  c.sequence,
+		"records":   n,
+		"end":       end,
+		"formerEnd": c.progressEnd,
+	}).Error("conductor: the store took a write of progress for a repetition")
+	return errors.Wrap(ErrSuperseded, "conductor: another ownership has the same epoch")
 }
 
 // writeLineInterval is the shortest time between two log lines on writes of progress.
@@ -217,29 +225,3 @@
 		logEntry.Warn("conductor: a write of progress has not succeeded")
 	}
 }
-
-// dropJobs deletes the records of jobs that the scheduler has dropped.
-func (c *Conductor) dropJobs(ctx context.Context, ids []string) error {
-	if len(ids) == 0 {
-		return nil
-	}
-	var records []storer.Record
-	for _, id := range ids {
-		records = append(records, storer.Record{
-			Key: id,
-		}, storer.Record{
-			Key: id + cancelSuffix,
-		})
-	}
-	if _, err := c.store.Append(ctx, c.jobsPartition(), nil, records...); err != nil {
-		// The records stay until the next owner deletes them.
-		c.metrics.deletionsFailed.Add(float64(len(ids)))
-		c.logger.WithError(err).WithFields(log.Fields{
-			"partition": c.partition,
-			"token":     c.token,
-			"jobs":      len(ids),
-			"first":     ids[0],
-		}).Warn("conductor: deleting the records of ended jobs failed")
-	}
-	return nil
-}
--- a/coordinator/membership.go
+++ b/coordinator/membership.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/apex/log"
-	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/galenacove/galenacove/conductor"
@@ -173,6 +172,7 @@
 			"partitions": len(assignment.Partitions),
 		}).Info("coordinator: membership changed")
 	}
+	mayHaveMoved := assignment.Generation > c.generation+1
 	c.generation = assignment.Generation
 	c.joinedAt = sentAt
 	assigned := make(map[int]bool)
@@ -188,6 +188,11 @@
 			lost = true
 			continue
 		}
+		if mayHaveMoved {
+			// One generation may have dealt the partition to another member, and the
+			// next one back.
+			own.conductor.DoubtOwnership()
+		}
 		own.conductor.ConfirmOwnership(sentAt)
 	}
 	c.setAssigned(assigned)
@@ -323,8 +328,9 @@
 }
 
 // endFailedOwnership ends an ownership whose conductor failed, usually because the
-// store or a worker has reported a later one. If the group still assigns the
-// partition to this process, it joins as a new member, to get a later token.
+// store or a worker has reported a later one. If its token is the present generation, this
+// process joins as a new member to get a later one: the store cannot tell two ownerships with
+// one token apart.
 func (c *Coordinator) endFailedOwnership(partition int, own *ownership, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -336,7 +342,7 @@
 		"partition": partition,
 		"token":     own.conductor.Token(),
 	}).Warn("coordinator: lost the ownership of a partition")
-	if errors.Is(err, conductor.ErrSuperseded) && own.conductor.Token() == c.generation {
+	if own.conductor.Token() == c.generation {
 		c.renewMember()
 	}
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -86,6 +86,9 @@
 	// storedSilent holds the workers that the store may list as silent. They get no
 	// lease and no run, as a next owner would rely on that.
 	storedSilent map[string]bool
+	// silenceUnknown is set while the store has a list of silent workers that cannot be
+	// decoded, which may hold any worker.
+	silenceUnknown bool
 	// silenceDue is set if the silent workers are to be stored, silenceWrittenAt is
 	// the time of the last such write, and silenceComplete is set once one has been
 	// made since the end of the recovery.
@@ -94,8 +97,11 @@
 	silenceComplete  bool
 	// tickedAt is the time of the current or last tick.
 	tickedAt time.Time
-	// droppedJobs holds the identities of the jobs that the store can delete.
-	droppedJobs []string
+	// expiredJobs holds the identities of the jobs that have expired, in that order, until
+	// ExpiredJobs finds that they have been deleted.
+	expiredJobs []string
+	// droppedJobs holds the identities of the jobs whose progress the store can delete.
+	droppedJobs map[string]bool
 	// endsByWorker caches the results of expectedEnds during placeSteps. A worker's
 	// entry is dropped when a run is started there, and all entries are when runs
 	// may have been stopped.
@@ -187,6 +193,7 @@
 		earlyCancellations: newEarlyCancellations(),
 		storedSilent:       make(map[string]bool),
 		dirtyJobs:          make(map[string]bool),
+		droppedJobs:        make(map[string]bool),
 		nextBatch:          1,
 		allotments:         newAllotments(),
 		losses:             newLosses(),
@@ -236,18 +243,14 @@
 }
 
 func (s *Scheduler) addJob(record Job, progress *Progress, recovered bool, now time.Time) *job {
-	j := &job{
-		record:         record,
-		state:          Pending,
-		steps:          make(map[StepRef]*step),
-		storedProgress: make(map[StepRef]StepProgress),
-		recovered:      recovered,
-		workers:        make(map[string]bool),
-		storedWorkers:  make(map[string]bool),
-		objective:      record.objective(),
-		criticalPaths:  record.criticalPaths(),
-	}
+	j := newJob(record)
+	j.recovered = recovered
 	s.jobs[record.ID] = j
+	if s.droppedJobs[record.ID] {
+		// The store has progress of a former job with that identity.
+		delete(s.droppedJobs, record.ID)
+		s.dirtyJobs[record.ID] = true
+	}
 	s.countUnknownRuns(j)
 	s.formerUses = nil
 	s.recordArrival(j)
@@ -288,6 +291,35 @@
 	return j
 }
 
+// HoldJob adds a job from the store whose stored progress cannot be decoded. As it may have
+// ended, nothing of it starts, and what workers report of it is stopped. It is shown as running
+// until it is cancelled.
+func (s *Scheduler) HoldJob(record Job) {
+	if s.jobs[record.ID] != nil {
+		return
+	}
+	j := newJob(record)
+	j.state = Running
+	j.begun = true
+	j.recovered = true
+	j.held = true
+	s.jobs[record.ID] = j
+	s.countUnknownRuns(j)
+}
+
+func newJob(record Job) *job {
+	return &job{
+		record:         record,
+		state:          Pending,
+		steps:          make(map[StepRef]*step),
+		storedProgress: make(map[StepRef]StepProgress),
+		workers:        make(map[string]bool),
+		storedWorkers:  make(map[string]bool),
+		objective:      record.objective(),
+		criticalPaths:  record.criticalPaths(),
+	}
+}
+
 // createDueSteps creates the steps of those occurrences of a job that have become
 // due, and adds the steps that are ready to openSteps.
 func (s *Scheduler) createDueSteps(j *job, now time.Time) {
