--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -44,11 +44,13 @@
 type fixture struct {
 	c     *qt.C
 	store *storer.Memory
-	fleet *emulator.Fleet
-	token int64
-	owner *conductor.Conductor
-	stop  context.CancelFunc
-	group *errgroup.Group
+	// ownerStore is the store as the owners see it.
+	ownerStore storer.Store
+	fleet      *emulator.Fleet
+	token      int64
+	owner      *conductor.Conductor
+	stop       context.CancelFunc
+	group      *errgroup.Group
 	// stopConfirming ends the confirmations of the last owner.
 	stopConfirming context.CancelFunc
 }
@@ -59,6 +61,7 @@
 		store: storer.NewMemory(timekeeper.System()),
 		fleet: emulator.NewFleet(timekeeper.System(), opts...),
 	}
+	f.ownerStore = f.store
 	for i := range workers {
 		f.fleet.Add(string(rune('a'+i)), service, sizer.New(4000, 16*gibibyte, 0))
 	}
@@ -69,7 +72,7 @@
 // startOwner starts the next owner. The former owner is not notified.
 func (f *fixture) startOwner() (*conductor.Conductor, *errgroup.Group) {
 	f.token++
-	owner := conductor.New(f.store, f.fleet, approveAll{}, partition, f.token,
+	owner := conductor.New(f.ownerStore, f.fleet, approveAll{}, partition, f.token,
 		conductor.Scheduling(scheduler.Lease(time.Second, 1500*time.Millisecond)))
 	owner.SetWorkers(f.fleet.Entries())
 	ctx, stop := context.WithCancel(context.Background())
