scheduler: occurrences that are done take up no room in the stored progress

An occurrence of which all steps are done is now only a number in a set, which is stored as ranges, and its steps are dropped. An occurrence that is due waits while those that are open may take up half a record; one always may be open. So the record, the cost of storing an end and the pass over a job's steps don't grow with what is done, and a job of many overdue occurrences is worked off.

Ruled out: one record an occurrence, which a next owner had to read and delete one by one; a prefix only, as one long task would stop what comes after it.

The new field is optional. An owner of an older release would run the ranges again, so each entry says in its record that it reads them, and as long as one doesn't, all steps are listed as before, unless a record can't hold them.

TestDoneOccurrencesAreNotRunAgain ends runs in random order, takes over and switches formats: one start a task.

test: TestProgressOfManyOccurrencesFitsOneRecord test: TestStoringAnEndCostsTheSameAfterManyOccurrences test: TestProgressOfOverdueOccurrencesFitsOneRecord test: TestDoneOccurrencesAreNotRunAgain test: TestRangesAreStoredOnlyIfAllEntriesReadThem

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -136,6 +136,8 @@
 	metrics   *Metrics
 	// placementsAllowed reports whether the placements of lasting tasks may be stored.
 	placementsAllowed func() bool
+	// rangesAllowed reports whether occurrences that are done may be stored as ranges.
+	rangesAllowed func() bool
 	// askAllotment calls the owner of another partition. It is nil if the allotments
 	// are not exchanged.
 	askAllotment AskAllotment
@@ -233,6 +235,15 @@
 	}
 }
 
+// OccurrenceRangesAllowed sets the function that reports whether the occurrences of a job
+// that are done may be stored as ranges, which is so unless an owner of an older release can
+// follow. By default they always may.
+func OccurrenceRangesAllowed(allowed func() bool) Option {
+	return func(c *Conductor) {
+		c.rangesAllowed = allowed
+	}
+}
+
 // New returns the owner of a partition with the given fencing token, which must be
 // higher than that of any former owner.
 func New(store storer.Store, workers Workers, adviser Adviser, partition int, token int64, opts ...Option) *Conductor {
@@ -249,6 +260,7 @@
 		token:             token,
 		metrics:           NewMetrics(),
 		placementsAllowed: func() bool { return true },
+		rangesAllowed:     func() bool { return true },
 		jobPart:           func() float64 { return 1 },
 		knowledge:         func() Knowledge { return Knowledge{} },
 		admissionLines:    make(lineLimiter),
@@ -393,10 +405,11 @@
 	var metricsSetAt time.Time
 	for {
 		quick, long := c.adviser.AdviceLimits()
-		placementsAllowed := c.placementsAllowed()
+		placementsAllowed, rangesAllowed := c.placementsAllowed(), c.rangesAllowed()
 		jobPart := c.jobPart()
 		c.mu.Lock()
 		c.scheduler.AllowPlacements(placementsAllowed)
+		c.scheduler.AllowOccurrenceRanges(rangesAllowed)
 		c.scheduler.SetAdviceLimits(quick, long)
 		c.scheduler.SetJobPart(jobPart)
 		c.updateLeaseKeepers(ctx, group)
--- a/conductor/recovery.go
+++ b/conductor/recovery.go
@@ -63,6 +63,7 @@
 	now := c.clock.Now()
 	s := scheduler.New(c.token, now, c.options...)
 	s.AllowPlacements(c.placementsAllowed())
+	s.AllowOccurrenceRanges(c.rangesAllowed())
 	stored := c.decodeProgress(progress)
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -170,6 +170,9 @@
 	// placementsAllowed is set once the records of the entries have been read, while
 	// every entry keeps the stored placements of lasting tasks up to date.
 	placementsAllowed atomic.Bool
+	// rangesAllowed is set once the records of the entries have been read, while every
+	// entry reads occurrences that are stored as ranges.
+	rangesAllowed atomic.Bool
 }
 
 // ownership is the state of a partition that this process owns.
--- a/coordinator/feeds.go
+++ b/coordinator/feeds.go
@@ -235,6 +235,7 @@
 		Address:    c.settings.peerAddress,
 		Cores:      c.settings.cores,
 		Placements: true,
+		Ranges:     true,
 	})
 	if err != nil {
 		return err
@@ -289,6 +290,7 @@
 	}
 	if len(records) > 0 {
 		c.placementsAllowed.Store(allKeepPlacements(c.peers))
+		c.rangesAllowed.Store(allReadRanges(c.peers))
 		c.preferred = preferredMembers(c.peers)
 	}
 	c.entryPool.setPeers(addresses)
--- a/coordinator/largerpeers.go
+++ b/coordinator/largerpeers.go
@@ -46,6 +46,9 @@
 	// Placements is set if the entry, as an owner, keeps the stored placements of
 	// lasting tasks up to date. Older releases do not.
 	Placements bool `json:"placements,omitempty"`
+	// Ranges is set if the entry, as an owner, reads occurrences that are stored as
+	// ranges. Older releases run them again.
+	Ranges bool `json:"ranges,omitempty"`
 }
 
 // allKeepPlacements reports whether every one of the peers keeps the stored
@@ -59,6 +62,17 @@
 	return true
 }
 
+// allReadRanges reports whether every one of the peers reads occurrences that are stored as
+// ranges.
+func allReadRanges(peers map[string]peer) bool {
+	for _, p := range peers {
+		if !p.Ranges {
+			return false
+		}
+	}
+	return true
+}
+
 func encodePeer(p peer) ([]byte, error) {
 	return json.Marshal(p)
 }
--- a/coordinator/largerpeers_test.go
+++ b/coordinator/largerpeers_test.go
@@ -157,3 +157,22 @@
 	peers["b"] = decodePeer([]byte("10.0.0.2:7"))
 	c.Assert(allKeepPlacements(peers), qt.IsFalse)
 }
+
+// TestRangesAreStoredOnlyIfAllEntriesReadThem guards against occurrences that run again under
+// an owner of an older release, which does not read ranges.
+func TestRangesAreStoredOnlyIfAllEntriesReadThem(t *testing.T) {
+	c := qt.New(t)
+	current := peer{
+		Address: "10.0.0.1:7",
+		Ranges:  true,
+	}
+	peers := map[string]peer{
+		"a": current,
+		"b": current,
+	}
+	c.Assert(allReadRanges(peers), qt.IsTrue)
+	peers["b"] = decodePeer([]byte(`{"address":"10.0.0.2:7","cores":0.8,"placements":true}`))
+	c.Assert(allReadRanges(peers), qt.IsFalse)
+	peers["b"] = decodePeer([]byte("10.0.0.2:7"))
+	c.Assert(allReadRanges(peers), qt.IsFalse)
+}
--- a/scheduler/formeruse.go
+++ b/scheduler/formeruse.go
@@ -87,7 +87,7 @@
 	}
 	for i := range j.record.Phases {
 		phase := &j.record.Phases[i]
-		add(phase, phase.Tasks*(j.record.occurrences()-len(created)))
+		add(phase, phase.Tasks*(j.record.occurrences()-len(created)-j.doneOccurrences.size()))
 	}
 	return use
 }
@@ -157,6 +157,9 @@
 
 // isDone reports whether the task is done.
 func (j *job) isDone(ref TaskRef) bool {
+	if j.doneOccurrences.contains(ref.Step.Occurrence) {
+		return true
+	}
 	st := j.steps[ref.Step]
 	return st != nil && ref.Index >= 0 && ref.Index < len(st.tasks) && st.tasks[ref.Index].done
 }
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -266,6 +266,9 @@
 	// their task is done or the job has ended. They count against the maximum of the
 	// organisation. It is kept only for jobs of an organisation.
 	Ending map[string]sizer.Size `json:"ending,omitempty"`
+	// DoneOccurrences holds the occurrences of which all steps are done. Steps need not
+	// list them.
+	DoneOccurrences []OccurrenceRange `json:"doneOccurrences,omitempty"`
 	// Steps holds the steps with tasks that are done or have failed.
 	Steps []StepProgress `json:"steps,omitempty"`
 }
--- a/scheduler/occurrences_test.go
+++ b/scheduler/occurrences_test.go
@@ -136,3 +136,45 @@
 		r.c.Assert(size < storeRecordBytes, qt.IsTrue, qt.Commentf("%d bytes", size))
 	}
 }
+
+// TestDoneOccurrencesAreNotRunAgain guards against tasks that run again after a takeover, as
+// the next owner does not understand how the occurrences that are done were stored.
+func TestDoneOccurrencesAreNotRunAgain(t *testing.T) {
+	const repetitions = 60
+	for seed := range uint64(20) {
+		random := rand.New(rand.NewPCG(seed, 0))
+		r := newRig(t)
+		w := r.addWorker("w00", cores(64))
+		w.runTime = 50 * time.Second
+		r.updateDirectory()
+		job := r.job("j", newPhase(2, cores(1)), newPhase(1, cores(1)), newPhase(2, cores(1)))
+		job.Repetitions, job.Interval, job.Start = repetitions, 100*time.Millisecond, r.now
+		r.s.AddJob(job, nil, false, r.now)
+		allowed := true
+		for range 4 * repetitions {
+			for run := range w.activeRuns {
+				if random.IntN(3) == 0 {
+					w.end(run, scheduler.EndDone)
+				}
+			}
+			r.round()
+			r.write()
+			if !allowed {
+				r.c.Assert(r.stored["j"].DoneOccurrences, qt.HasLen, 0)
+			}
+			if random.IntN(10) == 0 {
+				r.takeOver(job)
+				r.s.AllowOccurrenceRanges(allowed)
+			}
+			if random.IntN(10) == 0 {
+				allowed = !allowed
+				r.s.AllowOccurrenceRanges(allowed)
+			}
+		}
+		r.c.Assert(r.state("j"), qt.Equals, scheduler.Completed)
+		r.c.Assert(w.startCounts, qt.HasLen, (2+1+2)*repetitions)
+		for task, starts := range w.startCounts {
+			r.c.Assert(starts, qt.Equals, 1, qt.Commentf("seed %d, %v", seed, task))
+		}
+	}
+}
--- a/scheduler/options.go
+++ b/scheduler/options.go
@@ -11,6 +11,7 @@
 	stopTimeout   time.Duration
 	retention     time.Duration
 	remoteFactor  float64
+	recordLimit   int
 }
 
 // Option changes a setting of a Scheduler.
@@ -48,3 +49,11 @@
 		o.remoteFactor = f
 	}
 }
+
+// RecordLimit sets the size of the largest record that the store takes, in bytes. The
+// default is 256 KiB.
+func RecordLimit(n int) Option {
+	return func(o *options) {
+		o.recordLimit = n
+	}
+}
--- a/scheduler/reports.go
+++ b/scheduler/reports.go
@@ -237,6 +237,7 @@
 		s.openIfReady(st.job.steps[next], now)
 	}
 	s.completeIfDone(st.job, now)
+	s.dropOccurrenceIfDone(st.job, st.ref.Occurrence)
 }
 
 // handleActive processes one active run of a worker.
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -24,7 +24,8 @@
 func (s *Scheduler) findReportedTask(ref TaskRef, now time.Time) (*step, *task) {
 	j := s.jobs[ref.Step.Job]
 	occurrence := ref.Step.Occurrence
-	if j != nil && !j.state.Final() && occurrence >= j.nextOccurrence && occurrence < j.record.occurrences() {
+	if j != nil && !j.state.Final() && occurrence >= j.nextOccurrence && occurrence < j.record.occurrences() &&
+		!j.doneOccurrences.contains(occurrence) {
 		s.createSteps(j, occurrence, now)
 	}
 	return s.findTask(ref)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -81,6 +81,8 @@
 	rewriteWorkers  bool
 	// placementsAllowed is set if the placements of lasting tasks may be stored.
 	placementsAllowed bool
+	// rangesAllowed is set if occurrences that are done may be stored as ranges.
+	rangesAllowed bool
 	// storedSilent holds the workers that the store may list as silent. They get no
 	// lease and no run, as a next owner would rely on that.
 	storedSilent map[string]bool
@@ -156,6 +158,7 @@
 			stopTimeout:   900 * time.Millisecond,
 			retention:     120 * time.Second,
 			remoteFactor:  1.5,
+			recordLimit:   defaultRecordLimit,
 		},
 		token:                  token,
 		lastAttempt:            token * attemptsPerToken,
@@ -182,6 +185,7 @@
 		maximumNotes:      make(map[string]*maximumNotes),
 		shares:            newShareTable(),
 		placementsAllowed: true,
+		rangesAllowed:     true,
 		storedSilent:      make(map[string]bool),
 		dirtyJobs:         make(map[string]bool),
 		nextBatch:         1,
@@ -249,11 +253,15 @@
 		j.stateStored = progress.State.Final()
 		j.started = progress.State != Pending
 		j.formerEnding = progress.Ending
+		j.doneOccurrences = newOccurrenceSet(progress.DoneOccurrences, record.occurrences())
 		for _, id := range progress.Workers {
 			j.workers[id] = true
 			j.storedWorkers[id] = true
 		}
 		for _, stepProgress := range progress.Steps {
+			if j.doneOccurrences.contains(stepProgress.Occurrence) {
+				continue
+			}
 			j.storedProgress[StepRef{
 				Job:        record.ID,
 				Occurrence: stepProgress.Occurrence,
@@ -264,6 +272,9 @@
 	if j.state.Final() {
 		return
 	}
+	if len(j.doneOccurrences) > 0 && !s.storesRanges(j) {
+		s.dirtyJobs[record.ID] = true
+	}
 	stats := s.stats(record.Queue.Name)
 	stats.waitingJobs++
 	stats.service = record.Queue.Service
@@ -278,42 +289,6 @@
 	}
 }
 
-// createDueSteps creates the steps of those occurrences of a job that have become
-// due, and adds the steps that are ready to openSteps.
-func (s *Scheduler) createDueSteps(j *job, now time.Time) {
-	for ; j.nextOccurrence < j.record.occurrences(); j.nextOccurrence++ {
-		dueAt := j.record.dueAt(j.nextOccurrence)
-		if j.record.Repetitions > 0 && dueAt.After(now) {
-			return
-		}
-		s.createSteps(j, j.nextOccurrence, now)
-		for i := range j.record.Phases {
-			s.openIfReady(j.steps[StepRef{
-				Job:        j.record.ID,
-				Occurrence: j.nextOccurrence,
-				Phase:      i,
-			}], now)
-		}
-	}
-	delete(s.jobsWithUncreatedSteps, j.record.ID)
-	s.completeIfDone(j, now)
-}
-
-// createSteps creates the steps of an occurrence, unless they exist already. It does
-// not open them.
-func (s *Scheduler) createSteps(j *job, occurrence int, now time.Time) {
-	for i := range j.record.Phases {
-		ref := StepRef{
-			Job:        j.record.ID,
-			Occurrence: occurrence,
-			Phase:      i,
-		}
-		if j.steps[ref] == nil {
-			s.createStep(j, occurrence, i, j.record.dueAt(occurrence), now)
-		}
-	}
-}
-
 func (s *Scheduler) createStep(j *job, occurrence, phase int, dueAt, now time.Time) {
 	ref := StepRef{
 		Job:        j.record.ID,
--- a/scheduler/tables.go
+++ b/scheduler/tables.go
@@ -15,11 +15,14 @@
 	// stateStored is set once the final state is in the store. Only then is it
 	// shown to callers.
 	stateStored bool
-	// nextOccurrence is the lowest occurrence that has no steps yet.
+	// nextOccurrence is the lowest occurrence that has not been created yet.
 	nextOccurrence int
-	// steps holds the steps of the occurrences that have become due. Steps that
-	// are done stay in it.
+	// steps holds the steps of the occurrences that have become due, without those of
+	// doneOccurrences.
 	steps map[StepRef]*step
+	// doneOccurrences holds the occurrences of a job that repeats of which all steps are
+	// done. No occurrence in it has steps.
+	doneOccurrences occurrenceSet
 	// storedProgress is the progress that a former owner stored, for the steps
 	// that are not created yet.
 	storedProgress map[StepRef]StepProgress
--- a/scheduler/writes.go
+++ b/scheduler/writes.go
@@ -182,6 +182,11 @@
 		p.Workers = append(p.Workers, id)
 	}
 	slices.Sort(p.Workers)
+	if s.storesRanges(j) {
+		p.DoneOccurrences = slices.Clone(j.doneOccurrences)
+	} else {
+		p.Steps = j.doneSteps()
+	}
 	for _, stored := range j.storedProgress {
 		p.Steps = append(p.Steps, stored)
 	}
