conductor: a write that the store never takes holds up nothing but its job

Callers saw all jobs of a partition stand still: an owner stored all changes with one call, and repeated that call for ever whatever the store said. A record or a call above the store's limits, or a record that it refuses, was such a call.

A write is now a sequence of parts, the records, of which each call takes as many as the store's limit allows; the scheduler is told of each call, and ends are acknowledged after the last. If the store rejects a call, although it takes an empty one of the same writer, each half is stored on its own. A job of which the record is too large, or rejected alone twice, fails, with a log line that names the job and the size: that state is small, and as it is stored before any end of that write is acknowledged, no next owner runs the tasks again. Anything else that is rejected is repeated as before. The list of workers in use takes further records (/workers/1 and so on) where one is too small; older releases read the first.

Ruled out: to set the record aside and go on. Ends are acknowledged in the order of a worker, so those of the other jobs there would never be.

Sequence numbers: a call that is divided keeps its number for the first half. If the undivided call was carried out all the same, the store answers that half as a repetition, and the records are stored either way.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -134,6 +134,7 @@
 	token     int64
 	options   []scheduler.Option
 	metrics   *Metrics
+	limits    storer.Limits
 	// placementsAllowed reports whether the placements of lasting tasks may be stored.
 	placementsAllowed func() bool
 	// rangesAllowed reports whether occurrences that are done may be stored as ranges.
@@ -176,6 +177,9 @@
 	// progressEnd is the end of the progress partition after the last write. Like sequence
 	// it is used by takeOver and then by writeLoop only.
 	progressEnd int64
+	// workerRecords is the number of records among which the store may have divided the list
+	// of the workers in use. It is used like progressEnd.
+	workerRecords int
 	// confirmedAt is the last time at which the ownership is known to have held.
 	confirmedAt time.Time
 	// assignedAt is the time at which the ownership began. startedRun is set once
@@ -235,6 +239,14 @@
 	}
 }
 
+// StoreLimits sets the sizes that the store accepts. The default is that of
+// storer.NewLimits.
+func StoreLimits(limits storer.Limits) Option {
+	return func(c *Conductor) {
+		c.limits = limits
+	}
+}
+
 // OccurrenceRangesAllowed sets the function that reports whether the occurrences of a job
 // that are done may be stored as ranges, which is so unless an owner of an older release can
 // follow. By default they always may.
@@ -259,6 +271,7 @@
 		partition:         partition,
 		token:             token,
 		metrics:           NewMetrics(),
+		limits:            storer.NewLimits(0, 0),
 		placementsAllowed: func() bool { return true },
 		rangesAllowed:     func() bool { return true },
 		jobPart:           func() float64 { return 1 },
--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -46,11 +46,13 @@
 	store *storer.Memory
 	// ownerStore is the store as the owners see it.
 	ownerStore storer.Store
-	fleet      *emulator.Fleet
-	token      int64
-	owner      *conductor.Conductor
-	stop       context.CancelFunc
-	group      *errgroup.Group
+	// ownerOptions are given to owners besides those that all have.
+	ownerOptions []conductor.Option
+	fleet        *emulator.Fleet
+	token        int64
+	owner        *conductor.Conductor
+	stop         context.CancelFunc
+	group        *errgroup.Group
 	// stopConfirming ends the confirmations of the last owner.
 	stopConfirming context.CancelFunc
 }
@@ -73,7 +75,9 @@
 func (f *fixture) startOwner() (*conductor.Conductor, *errgroup.Group) {
 	f.token++
 	owner := conductor.New(f.ownerStore, f.fleet, approveAll{}, partition, f.token,
-		conductor.Scheduling(scheduler.Lease(time.Second, 1500*time.Millisecond)))
+		append([]conductor.Option{
+			conductor.Scheduling(scheduler.Lease(time.Second, 1500*time.Millisecond)),
+		}, f.ownerOptions...)...)
 	owner.SetWorkers(f.fleet.Entries())
 	ctx, stop := context.WithCancel(context.Background())
 	group := new(errgroup.Group)
--- a/conductor/recovery.go
+++ b/conductor/recovery.go
@@ -61,10 +61,11 @@
 		return err
 	}
 	now := c.clock.Now()
-	s := scheduler.New(c.token, now, c.options...)
+	s := scheduler.New(c.token, now, append(slices.Clone(c.options), scheduler.RecordLimit(c.limits.Record()))...)
 	s.AllowPlacements(c.placementsAllowed())
 	s.AllowOccurrenceRanges(c.rangesAllowed())
 	stored := c.decodeProgress(progress)
+	c.workerRecords = stored.workerRecords
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s.ConfirmOwnership(c.confirmedAt)
@@ -149,7 +150,9 @@
 type formerProgress struct {
 	byJob        map[string]*scheduler.Progress
 	workersInUse []scheduler.WorkerEntry
-	silent       []scheduler.SilentWorker
+	// workerRecords is one more than the highest index of a record of workersInUse.
+	workerRecords int
+	silent        []scheduler.SilentWorker
 	// allotments is the encoded ledger, nil if none is stored.
 	allotments []byte
 	// undecodable counts the records that could not be decoded.
@@ -165,12 +168,20 @@
 	}
 	for _, record := range records {
 		var err error
-		switch record.Key {
-		case workersKey:
-			err = json.Unmarshal(record.Value, &stored.workersInUse)
-		case silentKey:
+		listIndex, listed := isWorkersKey(record.Key)
+		switch {
+		case record.Key == workersKey:
+			var workers []scheduler.WorkerEntry
+			err = json.Unmarshal(record.Value, &workers)
+			stored.workersInUse = append(stored.workersInUse, workers...)
+		case listed:
+			var list workerList
+			err = json.Unmarshal(record.Value, &list)
+			stored.workersInUse = append(stored.workersInUse, list.Workers...)
+			stored.workerRecords = max(stored.workerRecords, listIndex+1)
+		case record.Key == silentKey:
 			err = json.Unmarshal(record.Value, &stored.silent)
-		case allotmentsKey:
+		case record.Key == allotmentsKey:
 			stored.allotments = record.Value
 		default:
 			progress := new(scheduler.Progress)
--- a/conductor/rejections_test.go
+++ b/conductor/rejections_test.go
@@ -8,6 +8,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/memory"
 	"github.com/cockroachdb/errors"
 	qt "github.com/frankban/quicktest"
 
@@ -81,6 +83,50 @@
 			f.awaitWithin(3*time.Second, fmt.Sprintf("job%d", i), scheduler.Completed)
 		}
 		f.awaitWithin(3*time.Second, "big", scheduler.Failed)
+		f.startOwner()
+		f.awaitWithin(3*time.Second, "big", scheduler.Failed)
+		f.checkNoViolations()
+		f.stopOwners()
+	})
+}
+
+// TestProgressAboveTheRecordLimitIsNotSent guards against a write that can only be rejected,
+// and against a job that fails so without a log line that names it and the size.
+func TestProgressAboveTheRecordLimitIsNotSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const limit = 1200
+		logs := memory.New()
+		f := newFixture(t, 3)
+		f.ownerStore = &pickyStore{
+			Store: f.store,
+			rejects: func(records []storer.Record) bool {
+				for i := range records {
+					f.c.Check(totalBytes(records[i:i+1]) <= limit, qt.IsTrue)
+				}
+				return false
+			},
+		}
+		f.ownerOptions = []conductor.Option{
+			conductor.StoreLimits(storer.NewLimits(limit, 0)),
+			conductor.Logger(&log.Logger{
+				Handler: logs,
+				Level:   log.ErrorLevel,
+			}),
+		}
+		f.startOwner()
+		var phases []scheduler.Phase
+		for range 60 {
+			phases = append(phases, tasks(1))
+		}
+		f.submit("big", phases...)
+		f.submit("small", tasks(1))
+		f.awaitWithin(3*time.Second, "small", scheduler.Completed)
+		f.awaitWithin(20*time.Second, "big", scheduler.Failed)
+		f.c.Assert(logs.Entries, qt.HasLen, 1)
+		fields := logs.Entries[0].Fields
+		f.c.Assert(fields["id"], qt.Equals, "big")
+		f.c.Assert(fields["limit"], qt.Equals, limit)
+		f.c.Assert(fields["bytes"].(int) > limit, qt.IsTrue)
 		f.checkNoViolations()
 		f.stopOwners()
 	})
--- a/conductor/writing.go
+++ b/conductor/writing.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"time"
 
@@ -42,67 +41,32 @@
 	c.mu.Lock()
 	write := c.scheduler.NextWrite()
 	c.mu.Unlock()
-	records := make([]storer.Record, 0, len(write.Jobs)+len(write.Deletions)+3)
-	for _, job := range write.Jobs {
-		value, err := json.Marshal(job.Progress)
-		if err != nil {
-			return errors.Wrap(err, "conductor: encode progress")
-		}
-		records = append(records, storer.Record{
-			Key:   job.ID,
-			Value: value,
-		})
-	}
-	for _, id := range write.Deletions {
-		records = append(records, storer.Record{
-			Key: id,
-		})
-	}
-	if len(write.Workers) > 0 {
-		value, err := json.Marshal(write.Workers)
-		if err != nil {
-			return errors.Wrap(err, "conductor: encode the workers in use")
-		}
-		records = append(records, storer.Record{
-			Key:   workersKey,
-			Value: value,
-		})
-	}
-	if write.Silent != nil {
-		value, err := json.Marshal(write.Silent)
-		if err != nil {
-			return errors.Wrap(err, "conductor: encode the silent workers")
-		}
-		records = append(records, storer.Record{
-			Key:   silentKey,
-			Value: value,
-		})
-	}
-	if write.Allotments != nil {
-		value, err := json.Marshal(write.Allotments)
-		if err != nil {
-			return errors.Wrap(err, "conductor: encode the allotments")
-		}
-		records = append(records, storer.Record{
-			Key:   allotmentsKey,
-			Value: value,
+	parts, err := c.encodeWrite(write)
+	if err != nil {
+		return err
+	}
+	unstorable, err := c.storeParts(ctx, parts)
+	if err != nil {
+		return err
+	}
+	if unstorable > 0 {
+		// The ends in this write are acknowledged once the next one has stored that these
+		// jobs have failed.
+		c.requestWrite()
+	} else {
+		c.mu.Lock()
+		c.scheduler.Written(scheduler.Write{
+			Batch: write.Batch,
 		})
+		c.signalProgress()
+		c.mu.Unlock()
 	}
-	if len(records) > 0 {
-		if err := c.appendProgress(ctx, records); err != nil {
-			return err
-		}
-	}
-	c.mu.Lock()
-	c.scheduler.Written(write)
-	c.signalProgress()
-	c.mu.Unlock()
 	c.requestTick()
 	return c.dropJobs(ctx, write.Deletions)
 }
 
-// appendProgress appends records as the owner. It tries again until the append
-// succeeds or there is a later owner.
+// appendProgress appends records as the owner. It tries again until the append succeeds, there
+// is a later owner, or the store rejects the records although it takes writes of this owner.
 func (c *Conductor) appendProgress(ctx context.Context, records []storer.Record) error {
 	writer := &storer.Writer{
 		Name:     writerName,
@@ -140,6 +104,10 @@
 			return fmt.Errorf("%w: %w", ErrSuperseded, err)
 		case ctx.Err() != nil:
 			return ctx.Err()
+		case errors.Is(err, storer.ErrRejected) && c.servesWriter(ctx):
+			w.lastErr = err
+			c.metrics.storeErrors.Inc()
+			return err
 		}
 		w.lastErr = err
 		c.metrics.storeErrors.Inc()
--- a/conductor/writing_test.go
+++ b/conductor/writing_test.go
@@ -1,7 +1,10 @@
 package conductor
 
 import (
+	"cmp"
 	"context"
+	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -11,7 +14,9 @@
 	"github.com/cockroachdb/errors"
 	qt "github.com/frankban/quicktest"
 
+	"github.com/galenacove/galenacove/scheduler"
 	"github.com/galenacove/galenacove/storer"
+	"github.com/galenacove/galenacove/timekeeper"
 )
 
 // failingStore answers each append after delay, and the first failures ones with an error.
@@ -131,3 +136,42 @@
 		})
 	}
 }
+
+// TestWorkersInUseAreDividedAmongRecords guards against a next owner that does not know all
+// workers on which there may be runs, as their list needs several records or fewer than before.
+func TestWorkersInUseAreDividedAmongRecords(t *testing.T) {
+	c := qt.New(t)
+	store := storer.NewMemory(timekeeper.System())
+	limits := storer.NewLimits(2000, 0)
+	token := int64(0)
+	for _, n := range []int{1, 3, 100, 200, 40, 1} {
+		var workers []scheduler.WorkerEntry
+		for i := range n {
+			workers = append(workers, scheduler.WorkerEntry{
+				Ref: scheduler.WorkerRef{
+					ID:      fmt.Sprintf("i-%08x", i),
+					Address: "10.0.0.1:7000",
+				},
+				Service: "desk",
+			})
+		}
+		token++
+		owner := New(store, nil, nil, 0, token, StoreLimits(limits))
+		c.Assert(owner.loadPartition(t.Context()), qt.IsNil)
+		parts, err := owner.encodeWorkers(workers)
+		c.Assert(err, qt.IsNil)
+		for _, part := range parts {
+			c.Assert(limits.Fits(part.record), qt.IsTrue)
+			c.Assert(owner.appendProgress(t.Context(), []storer.Record{part.record}), qt.IsNil)
+		}
+		records, _, err := storer.AllNewest(t.Context(), store, owner.progressPartition())
+		c.Assert(err, qt.IsNil)
+		read := owner.decodeProgress(records)
+		c.Assert(read.undecodable, qt.Equals, 0)
+		c.Assert(read.workersInUse, qt.HasLen, n)
+		slices.SortFunc(read.workersInUse, func(a, b scheduler.WorkerEntry) int { return cmp.Compare(a.Ref.ID, b.Ref.ID) })
+		for i, entry := range read.workersInUse {
+			c.Assert(entry.Ref.ID, qt.Equals, workers[i].Ref.ID)
+		}
+	}
+}
--- a/scheduler/writes.go
+++ b/scheduler/writes.go
@@ -100,6 +100,12 @@
 func (s *Scheduler) Written(write Write) {
 	s.storedBatch = write.Batch
 	s.allotments.ledgerWritten(write.Batch)
+	s.PartWritten(write)
+}
+
+// PartWritten records that a part of a write is stored. The ends of runs that the write
+// contains are acknowledged only after Written.
+func (s *Scheduler) PartWritten(write Write) {
 	for _, entry := range write.Workers {
 		if w := s.workers[entry.Ref.ID]; w != nil && w.startedAt.Equal(entry.StartedAt) {
 			w.recorded = true
@@ -128,6 +134,17 @@
 	}
 }
 
+// RejectProgress ends a job whose progress can never be stored, since a next owner would
+// run its tasks again. It reports whether there is such a job that had not ended.
+func (s *Scheduler) RejectProgress(id string, now time.Time) bool {
+	j := s.jobs[id]
+	if j == nil || j.state.Final() {
+		return false
+	}
+	s.endJob(j, Failed, now)
+	return true
+}
+
 // retainStored returns the workers that are both stored and about to be written.
 func retainStored(stored, written []string) []string {
 	return slices.DeleteFunc(slices.Clone(stored), func(id string) bool { return !slices.Contains(written, id) })
