Failing tests: limits of the store that are not read, and jobs accepted beyond them

A job is accepted with 200 although the store can't take it or its progress, jobs are sent together in one call whatever their size, and the settings record_bytes and request_bytes are not read. All three fail on this code.

test: TestJobThatCannotBeStoredIsRefused test: TestSubmitsAreDividedAmongAppends test: TestSettingsWithFaults

--- a/coordinator/cluster_test.go
+++ b/coordinator/cluster_test.go
@@ -486,3 +486,38 @@
 	status, _ = cl.call(http.MethodGet, cl.entries[0].callers+"/checks/during", nil)
 	cl.c.Assert(status, qt.Equals, http.StatusGone, qt.Commentf("a job that was refused is known"))
 }
+
+// TestJobThatCannotBeStoredIsRefused guards against a job that is accepted, although the store
+// takes no record of its size or of that of its progress, so that it never ends.
+func TestJobThatCannotBeStoredIsRefused(t *testing.T) {
+	cl := newCluster(t, 2)
+	e := cl.entries[0]
+	many := scheduler.Job{}
+	for range 10 {
+		many.Phases = append(many.Phases, scheduler.Phase{
+			Tasks:   5000,
+			Size:    sizer.New(1, 1, 0),
+			Lasting: true,
+		})
+	}
+	long := scheduler.Job{
+		Spec: strings.Repeat("x", 262_000),
+		Phases: []scheduler.Phase{
+			{
+				Tasks: 1,
+				Size:  sizer.New(1, 1, 0),
+			},
+		},
+	}
+	for id, job := range map[string]scheduler.Job{
+		"many": many,
+		"long": long,
+	} {
+		data, err := json.Marshal(job)
+		cl.c.Assert(err, qt.IsNil)
+		status, _ := cl.call(http.MethodPost, e.callers+"/checks/"+id, data)
+		cl.c.Assert(status, qt.Equals, http.StatusRequestEntityTooLarge, qt.Commentf("%s", id))
+	}
+	cl.submit(e, "job", 2)
+	cl.await(e, "job", scheduler.Completed)
+}
--- a/coordinator/submits_test.go
+++ b/coordinator/submits_test.go
@@ -101,3 +101,39 @@
 	c.Assert(group.Wait(), qt.IsNil)
 	c.Assert(store.entered, qt.HasLen, 0)
 }
+
+// TestSubmitsAreDividedAmongAppends guards against an append that the store rejects as too
+// large, with jobs that it would take one by one.
+func TestSubmitsAreDividedAmongAppends(t *testing.T) {
+	c := qt.New(t)
+	store := &slowStore{
+		Store:   storer.NewMemory(timekeeper.System()),
+		release: make(chan error),
+		entered: make(chan int, 10),
+	}
+	s := newSubmitBatcher(store)
+	var group errgroup.Group
+	submit := func(i int) {
+		group.Go(func() error {
+			return s.append(context.Background(), 3, storer.Record{
+				Key:   fmt.Sprintf("job%d", i),
+				Value: make([]byte, 250_000),
+			})
+		})
+	}
+	submit(0)
+	c.Assert(<-store.entered, qt.Equals, 1)
+	for i := 1; i <= 9; i++ {
+		submit(i)
+	}
+	for s.queued(3) < 9 {
+		time.Sleep(time.Millisecond)
+	}
+	store.release <- nil
+	// A call takes 2 MiB.
+	for _, records := range []int{8, 1} {
+		c.Assert(<-store.entered, qt.Equals, records)
+		store.release <- nil
+	}
+	c.Assert(group.Wait(), qt.IsNil)
+}
