Limits of the store are read from the settings, and what is above them is refused

Callers got 200 for jobs that the store could not take, or whose progress it could not: such a job never ends, or fails late. record_bytes and request_bytes are now read (defaults as on the platform's sheets). The jobs of several callers are divided among calls of request_bytes; they were 200 of any size to a call.

--- a/cmd/galenacove/host.go
+++ b/cmd/galenacove/host.go
@@ -110,6 +110,7 @@
 		coordinator.Name(settings.Name(), settings.DataCentre()),
 		coordinator.Listeners(listeners[0], listeners[1], listeners[2]),
 		coordinator.Partitions(settings.Partitions()),
+		coordinator.StoreLimits(settings.StoreLimits()),
 		coordinator.Cores(settings.Cores()),
 		coordinator.Grace(settings.Grace()),
 		coordinator.Overage(settings.Overage()),
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -206,6 +206,7 @@
 	c.store = newWatchedStore(store, c.settings.clock)
 	c.shards = newShards(c.settings.shardSize, c.settings.partitions)
 	c.submitBatcher = newSubmitBatcher(c.store)
+	c.submitBatcher.limits = c.settings.storeLimits
 	c.submitBatcher.serves = c.store.serves
 	c.evidenceKeeper = newEvidenceKeeper(c)
 	c.receiver = receiver.New(c, bodies, receiver.Logger(c.settings.logger), receiver.Clock(c.settings.clock),
--- a/coordinator/jobs.go
+++ b/coordinator/jobs.go
@@ -43,6 +43,13 @@
 	if err != nil {
 		return fmt.Errorf("%w: %w", receiver.ErrNotStored, err)
 	}
+	limits := c.settings.storeLimits
+	if !limits.Fits(record) {
+		return errors.Wrapf(receiver.ErrTooLarge, "coordinator: the job takes %d bytes, a record at most %d", storer.Size(record), limits.Record())
+	}
+	if !job.Storable(limits.Record()) {
+		return errors.Wrapf(receiver.ErrTooLarge, "coordinator: the progress of %d phases may need a record of more than %d bytes", len(job.Phases), limits.Record())
+	}
 	partition, known := c.shards.partitionOfJob(job.Queue.Service, job.ID)
 	if !known {
 		return fmt.Errorf("%w: %w", receiver.ErrNotStored, errNoShards)
--- a/coordinator/options.go
+++ b/coordinator/options.go
@@ -29,6 +29,7 @@
 	shardSize                int
 	cores                    float64
 	ttl                      time.Duration
+	storeLimits              storer.Limits
 	overage                  float64
 	strictRevocation         bool
 	revocationBound          time.Duration
@@ -48,11 +49,12 @@
 
 func newSettings(opts []Option) settings {
 	s := settings{
-		partitions: 12,
-		ttl:        defaultTTL,
-		grace:      6 * time.Second,
-		clock:      timekeeper.System(),
-		bootClock:  timekeeper.SystemBoot(),
+		partitions:  12,
+		ttl:         defaultTTL,
+		storeLimits: storer.NewLimits(0, 0),
+		grace:       6 * time.Second,
+		clock:       timekeeper.System(),
+		bootClock:   timekeeper.SystemBoot(),
 		logger: &log.Logger{
 			Handler: log.HandlerFunc(func(*log.Entry) error { return nil }),
 			Level:   log.FatalLevel,
@@ -109,6 +111,14 @@
 	}
 }
 
+// StoreLimits sets the sizes that the store accepts. The default is that of
+// storer.NewLimits.
+func StoreLimits(limits storer.Limits) Option {
+	return func(s *settings) {
+		s.storeLimits = limits
+	}
+}
+
 // Cores sets the number of processor cores that the process may use. An entry
 // leaves the partitions to entries with at least twice as many cores. The default
 // is 0, which means unknown.
--- a/coordinator/submits.go
+++ b/coordinator/submits.go
@@ -13,8 +13,7 @@
 )
 
 const (
-	// maxAppendRecords bounds the records of one append. The store takes 2 MB, and
-	// a job is a few KB at most.
+	// maxAppendRecords bounds the records of one append.
 	maxAppendRecords = 200
 	// abandonTimeout is how long a caller's record may wait for an append before
 	// it is removed from the queue without being stored.
@@ -28,7 +27,8 @@
 // each partition, with all records that arrived during the one before, so that a
 // slow store does not get more calls than it can take.
 type submitBatcher struct {
-	store storer.Store
+	store  storer.Store
+	limits storer.Limits
 	// serves reports whether the store takes records. It may be nil.
 	serves func() bool
 
@@ -55,6 +55,7 @@
 func newSubmitBatcher(store storer.Store) *submitBatcher {
 	return &submitBatcher{
 		store:  store,
+		limits: storer.NewLimits(0, 0),
 		queues: make(map[int]*submitQueue),
 	}
 }
@@ -128,12 +129,19 @@
 	return false
 }
 
-// flush appends the waiting records, up to maxAppendRecords, and hands the next
-// append to the caller of the first record left in the queue.
+// flush appends the waiting records, as many as the store takes and up to maxAppendRecords, and
+// hands the next append to the caller of the first record left in the queue.
 func (s *submitBatcher) flush(ctx context.Context, partition int) {
 	s.mu.Lock()
 	q := s.queues[partition]
-	n := min(len(q.waiting), maxAppendRecords)
+	n, size := 0, 0
+	for n < min(len(q.waiting), maxAppendRecords) {
+		size += storer.Size(q.waiting[n].record)
+		if n > 0 && !s.limits.FitsRequest(size) {
+			break
+		}
+		n++
+	}
 	batch := q.waiting[:n:n]
 	q.waiting = q.waiting[n:]
 	s.mu.Unlock()
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -23,6 +23,8 @@
 	// ErrNotStored means that the call had no effect: a submitted job was not
 	// stored and will not run.
 	ErrNotStored = errors.New("receiver: the job was not stored")
+	// ErrTooLarge means that the store cannot hold the job or its progress.
+	ErrTooLarge = errors.New("receiver: the job is too large to be stored")
 	// ErrUnknown means that the call may have taken effect: a submitted job
 	// may have been stored.
 	ErrUnknown = errors.New("receiver: outcome unknown, the job may have been stored")
@@ -54,7 +56,7 @@
 
 // Jobs stores jobs and knows their states.
 type Jobs interface {
-	// Submit stores a job. Its errors are marked with ErrNotStored or
+	// Submit stores a job. Its errors are marked with ErrNotStored, ErrTooLarge or
 	// ErrUnknown, or are a *RefusedError.
 	Submit(ctx context.Context, job scheduler.Job) error
 	// Cancel stores that a job is cancelled. Its errors are marked with ErrNoJob,
@@ -327,6 +329,11 @@
 		}
 	case errors.As(err, &refused):
 		return tooMany(refused)
+	case errors.Is(err, ErrTooLarge):
+		return answer{
+			status: http.StatusRequestEntityTooLarge,
+			err:    err,
+		}
 	case errors.Is(err, ErrNotStored):
 		return unavailable(err)
 	default:
