scheduler: a call for advice of an occurrence that is done ends

Seen in review of, not by callers: a step whose tasks were done before the answer to its call was dropped, and the call counted as in flight for ever. After as many as the limit allows, no step of the owner would get advice.

The steps of an occurrence are now kept until its calls have ended.

test: TestCallForADoneOccurrenceIsCounted (red on, green after)

--- a/scheduler/advice.go
+++ b/scheduler/advice.go
@@ -341,6 +341,7 @@
 	}
 	s.adviceInFlight[calls[i].quick]--
 	st.adviceState.calls = slices.Delete(calls, i, i+1)
+	s.dropOccurrenceIfDone(st.job, st.ref.Occurrence)
 }
 
 // SetAdviceLimits sets the limits of concurrent calls to the adviser, for quick and
--- a/scheduler/occurrences.go
+++ b/scheduler/occurrences.go
@@ -132,8 +132,8 @@
 	return len(j.steps) >= most*len(j.record.Phases)
 }
 
-// dropOccurrenceIfDone drops the steps of an occurrence if all of them are done. Only the
-// number of the occurrence is kept.
+// dropOccurrenceIfDone drops the steps of an occurrence if all of them are done and no call for
+// advice is in flight. Only the number of the occurrence is kept.
 func (s *Scheduler) dropOccurrenceIfDone(j *job, occurrence int) {
 	if j.record.Repetitions == 0 || j.state.Final() {
 		return
@@ -143,7 +143,7 @@
 		Occurrence: occurrence,
 	}
 	for ref.Phase = range j.record.Phases {
-		if st := j.steps[ref]; st == nil || st.done < len(st.tasks) {
+		if st := j.steps[ref]; st == nil || st.done < len(st.tasks) || len(st.adviceState.calls) > 0 {
 			return
 		}
 	}
--- a/scheduler/occurrences_test.go
+++ b/scheduler/occurrences_test.go
@@ -178,3 +178,39 @@
 		}
 	}
 }
+
+// TestCallForADoneOccurrenceIsCounted guards against calls for advice that count as in flight
+// for ever, as their step was done before the answer, so that no other step gets any.
+func TestCallForADoneOccurrenceIsCounted(t *testing.T) {
+	for _, answered := range []bool{true, false} {
+		r := newRig(t)
+		w := r.addWorker("w00", cores(8))
+		r.updateDirectory()
+		r.renewLeases()
+		job := r.job("j", newPhase(1, cores(1)))
+		job.Queue.Advice = &scheduler.Advice{
+			Decision: 10 * time.Millisecond,
+			Validity: time.Second,
+		}
+		job.Repetitions, job.Interval, job.Start = 2, time.Hour, r.now
+		r.s.AddJob(job, nil, false, r.now)
+		r.tick()
+		r.c.Assert(r.effects, qt.HasLen, 1)
+		call := r.effects[0].(scheduler.AskAdvice)
+		r.c.Assert(r.s.AdviceLoad(r.now).InFlight[true], qt.Equals, 1)
+		// The run was started by a former owner.
+		w.end(scheduler.RunRef{
+			Task: scheduler.TaskRef{
+				Step: call.Step,
+			},
+			Attempt: 1,
+		}, scheduler.EndDone)
+		r.round()
+		if answered {
+			r.s.AdviceAnswered(call.Step, call.Workers, nil, time.Second, r.now)
+		} else {
+			r.s.AdviceFailed(call.Step, call.Workers, r.now)
+		}
+		r.c.Assert(r.s.AdviceLoad(r.now).InFlight[true], qt.Equals, 0)
+	}
+}
