--- a/coordinator/feed_test.go
+++ b/coordinator/feed_test.go
@@ -359,3 +359,35 @@
 		c.Assert(knowledge.Shards, qt.Equals, conductor.ReadState{})
 	})
 }
+
+// TestNewOwnerReadsSoonAfterAFailure guards against a new owner without workers: an entry
+// without partitions whose read of the directory has failed waits for its long interval, also
+// after it has got a partition.
+func TestNewOwnerReadsSoonAfterAFailure(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f := newFeedTest(c, 1)
+		wake := make(chan struct{}, 1)
+		f.feed.wake = wake
+		var owns atomic.Bool
+		f.feed.pause = func() time.Duration {
+			if owns.Load() {
+				return directoryInterval
+			}
+			return directoryIdleInterval
+		}
+		f.store.fails = func(call int) bool { return call == 1 }
+		var at []time.Time
+		f.feed.beforeRead = func() { at = append(at, time.Now()) }
+		f.start()
+		time.Sleep(directoryIdleInterval + time.Second)
+		c.Assert(at, qt.HasLen, 2)
+		owns.Store(true)
+		request(wake)
+		ownsSince := time.Now()
+		time.Sleep(directoryIdleInterval)
+		f.end(c)
+		took := at[2].Sub(ownsSince)
+		c.Assert(took <= directoryInterval, qt.IsTrue, qt.Commentf("%v", took))
+	})
+}
--- a/coordinator/manyentries_test.go
+++ b/coordinator/manyentries_test.go
@@ -16,6 +16,7 @@
 	qt "github.com/frankban/quicktest"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/galenacove/galenacove/conductor"
 	"github.com/galenacove/galenacove/messenger"
 	"github.com/galenacove/galenacove/receiver"
 	"github.com/galenacove/galenacove/scheduler"
@@ -112,6 +113,8 @@
 	network *modelNetwork
 	entries []*siteEntry
 	workers int
+	// fleet is what the entries call.
+	fleet conductor.Workers
 }
 
 type siteEntry struct {
@@ -130,6 +133,7 @@
 			cutOff:  make(map[string]bool),
 		},
 		workers: workers,
+		fleet:   modelWorkers{},
 	}
 }
 
@@ -185,7 +189,7 @@
 	listener := modelListener{
 		address: address,
 	}
-	c := New(store, modelWorkers{}, nil, nil, append(options,
+	c := New(store, s.fleet, nil, nil, append(options,
 		Name(fmt.Sprintf("entry-%03d", i), "here"),
 		Listeners(listener, listener, listener),
 		Config(modelConfig, func(record storer.Record) (receiver.Config, bool, error) {
--- a/coordinator/storemodel_test.go
+++ b/coordinator/storemodel_test.go
@@ -48,6 +48,9 @@
 	// can begin and the next answer can be sent.
 	readsFree, writesFree, bytesFree time.Time
 	down                             bool
+	// partDown reports whether the store refuses calls that name the partition. It may be
+	// nil.
+	partDown func(partition storer.Partition) bool
 	load                             modelLoad
 	// staleOwners are listed as the owners, if there are any, although they have left.
 	staleOwners []storer.Ownership
@@ -81,6 +84,14 @@
 	}
 }
 
+// setPartDown has the store refuse the calls that name a partition for which refuses returns
+// true.
+func (m *storeModel) setPartDown(refuses func(partition storer.Partition) bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.partDown = refuses
+}
+
 func (m *storeModel) setDown(down bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -126,6 +137,19 @@
 	cutOff atomic.Bool
 }
 
+// beginAt is begin for a call that names a partition.
+func (s *entryStore) beginAt(ctx context.Context, partition storer.Partition, write bool, limit time.Duration) error {
+	s.mu.Lock()
+	refused := s.partDown != nil && s.partDown(partition)
+	s.mu.Unlock()
+	if refused {
+		// The caller fails in any case.
+		_ = timekeeper.Sleep(ctx, timekeeper.System(), modelLatency)
+		return storer.ErrUnavailable
+	}
+	return s.begin(ctx, write, limit)
+}
+
 // begin waits until the store takes a call. The time limit is that of the client.
 func (s *entryStore) begin(ctx context.Context, write bool, limit time.Duration) error {
 	s.mu.Lock()
@@ -200,7 +224,7 @@
 	if to.Topic == conductor.JobsTopic && len(records) > 0 {
 		s.jobAppends.Add(1)
 	}
-	if err := s.begin(ctx, true, modelCallLimit); err != nil {
+	if err := s.beginAt(ctx, to, true, modelCallLimit); err != nil {
 		// The record may have been stored.
 		return 0, storer.ErrUnknown
 	}
@@ -208,7 +232,7 @@
 }
 
 func (s *entryStore) AppendAt(ctx context.Context, to storer.Partition, at int64, records ...storer.Record) (int64, error) {
-	if err := s.begin(ctx, true, modelCallLimit); err != nil {
+	if err := s.beginAt(ctx, to, true, modelCallLimit); err != nil {
 		return 0, err
 	}
 	return s.Store.AppendAt(ctx, to, at, records...)
@@ -243,7 +267,7 @@
 
 func (s *entryStore) Read(ctx context.Context, of storer.Partition, from int64, wait time.Duration) (storer.Page, error) {
 	s.countRead(of)
-	if err := s.begin(ctx, false, wait+modelReadLimit); err != nil {
+	if err := s.beginAt(ctx, of, false, wait+modelReadLimit); err != nil {
 		return storer.Page{}, err
 	}
 	page, err := s.Store.Read(ctx, of, from, wait)
@@ -263,7 +287,7 @@
 
 func (s *entryStore) Newest(ctx context.Context, of storer.Partition, after string) (storer.NewestPage, error) {
 	s.countRead(of)
-	if err := s.begin(ctx, false, modelCallLimit); err != nil {
+	if err := s.beginAt(ctx, of, false, modelCallLimit); err != nil {
 		return storer.NewestPage{}, err
 	}
 	page, err := s.Store.Newest(ctx, of, after)
