coordinator: a new owner reads the directory soon after a failed read

Callers would see accepted jobs of a partition stand still with workers idle for up to 5 s after a loss of the store in which memberships are renewed but reads fail. An entry to which the group assigns only unused partitions reads the directory every 5 s; after a failed read it slept that long too, and neither the request of the takeover nor anything but a lost join ended the pause.

A wake now shortens the pause to the interval that holds by then, never below the backoff. A pause that a wake may end was ruled out: a store that refuses calls would be called more often (TestFailedReadsBackOff, which stays as it is).

--- a/coordinator/feed.go
+++ b/coordinator/feed.go
@@ -148,9 +148,7 @@
 			if f.onError != nil {
 				f.onError(ctx)
 			}
-			// A wake does not shorten this pause, so that a store that refuses calls
-			// is not called more often.
-			f.sleep(ctx, max(pause, backoff(state.failures, f.maxBackoff)), f.restored)
+			f.sleepAfterFailure(ctx, pause, backoff(state.failures, f.maxBackoff))
 			continue
 		}
 		// The store was restored before it answered this read.
@@ -201,6 +199,29 @@
 	}
 }
 
+// sleepAfterFailure waits after a failed read for the longer of both times, or until the store
+// is restored. A wake only shortens the time to what pause returns by then, so that a store
+// that refuses calls is not called more often.
+func (f feed) sleepAfterFailure(ctx context.Context, pause, backoff time.Duration) {
+	began := f.clock.Now()
+	for {
+		timer := f.clock.NewTimer(max(pause, backoff) - f.clock.Now().Sub(began))
+		select {
+		case <-f.wake:
+			timer.Stop()
+			if pause > 0 {
+				pause = min(pause, f.pause())
+			}
+			continue
+		case <-timer.C():
+		case <-f.restored:
+		case <-ctx.Done():
+		}
+		timer.Stop()
+		return
+	}
+}
+
 // backoff returns the pause after that number of consecutive failures. Its upper end
 // doubles with each failure, up to limit. Half of it is random, so that entries whose
 // reads fail at the same time do not repeat them at the same time.
