--- a/coordinator/storemodel_test.go
+++ b/coordinator/storemodel_test.go
@@ -51,7 +51,7 @@
 	// partDown reports whether the store refuses calls that name the partition. It may be
 	// nil.
 	partDown func(partition storer.Partition) bool
-	load                             modelLoad
+	load     modelLoad
 	// staleOwners are listed as the owners, if there are any, although they have left.
 	staleOwners []storer.Ownership
 }
