--- a/scheduler/allotments_test.go
+++ b/scheduler/allotments_test.go
@@ -342,3 +342,73 @@
 	r.rounds(1)
 	r.c.Assert(r.runsOf("j"), qt.Equals, 4)
 }
+
+// askLessUrgently asks for all parts for a step that is less urgent than any other, each
+// 100 ms for the given time, and returns the cores that were given.
+func (r *rig) askLessUrgently(d time.Duration) int64 {
+	var received allotter.Parts
+	for range d / (100 * time.Millisecond) {
+		r.rounds(1)
+		r.s.AllotmentWants(r.now)
+		gift := r.allot(allotter.Want{
+			Organisation: acme,
+			Missing:      parts(allotter.Whole).Sub(received),
+			Received:     received,
+			Precedence: allotter.Precedence{
+				Rank: math.MaxInt,
+			},
+		})
+		r.write()
+		received = received.Add(gift.Given[acme])
+	}
+	return received[allotter.Cores]
+}
+
+// addGang adds a gang whose tasks keep apart, of the organisation acme.
+func (r *rig) addGang(n int, size sizer.Size) {
+	gang := newPhase(n, size)
+	gang.Gang = true
+	gang.PerWorker = 1
+	job := r.job("gang", gang)
+	job.Organisation = acme
+	r.s.AddJob(job, nil, false, r.now)
+}
+
+// TestPartsThatAreNotUsedAreKept guards against a step of another owner that waits for ever
+// for parts which this owner keeps for a more urgent gang, although that gang does not start
+// for another reason.
+func TestPartsThatAreNotUsedAreKept(t *testing.T) {
+	r := newAllotmentRig(t, eightOfAll)
+	r.addWorker(workerName(0), cores(8))
+	r.updateDirectory()
+	r.renewLeases()
+	// There is one worker for the three tasks.
+	r.addGang(3, cores(1))
+	r.c.Assert(r.askLessUrgently(800*time.Millisecond), qt.Equals, int64(125_000))
+	r.c.Assert(r.askLessUrgently(700*time.Millisecond), qt.Equals, int64(375_000))
+	// Once it can start, the parts are asked for again.
+	for i := range 2 {
+		r.addWorker(workerName(i+1), cores(8))
+	}
+	r.updateDirectory()
+	asked := false
+	for range 25 {
+		r.rounds(1)
+		asked = asked || len(r.s.AllotmentWants(r.now)) > 0
+	}
+	r.c.Assert(asked, qt.IsTrue)
+}
+
+// TestPartsThatAreCollectedAreGiven guards against a gang that never gets all the parts that
+// it needs, since others get those that it has.
+func TestPartsThatAreCollectedAreGiven(t *testing.T) {
+	r := newAllotmentRig(t, eightOfAll)
+	for i := range 6 {
+		r.addWorker(workerName(i), cores(8))
+	}
+	r.updateDirectory()
+	r.renewLeases()
+	// This owner holds four of the six cores.
+	r.addGang(6, cores(1))
+	r.c.Assert(r.askLessUrgently(5*time.Second), qt.Equals, int64(0))
+}
