--- a/coordinator/aftertheoutage_test.go
+++ b/coordinator/aftertheoutage_test.go
@@ -369,3 +369,38 @@
 		return true
 	})
 }
+
+// TestOwnerReadsTheDirectorySoonAfterAnOutage guards against an owner that goes on with an old
+// list of workers for seconds, as the store refuses reads of the directory for long and renews
+// memberships all the time.
+func TestOwnerReadsTheDirectorySoonAfterAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(qt.New(t), 20)
+		s.configure(1)
+		ctx, cancel := context.WithCancel(context.Background())
+		var reports errgroup.Group
+		reports.Go(func() error { return s.report(ctx) })
+		s.addEntry(0, time.Millisecond)
+		c := s.entries[0].coordinator
+		s.await("the entry is an owner", func(*Coordinator) bool {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			return len(c.owned) > 0
+		})
+		for range 10 {
+			s.store.setPartDown(refusesTopics("servers", "shards"))
+			time.Sleep(10*time.Second + rand.N(time.Second))
+			s.store.setPartDown(nil)
+			endedAt := time.Now()
+			for !c.directoryRead.Load().AnsweredAt.After(endedAt) || !c.shardsRead.Load().AnsweredAt.After(endedAt) {
+				time.Sleep(10 * time.Millisecond)
+			}
+			// A read of the shards waits for records.
+			took := time.Since(endedAt)
+			s.c.Check(took <= maxConfigBackoff+shardsReadWait+100*time.Millisecond, qt.IsTrue, qt.Commentf("%v", took))
+		}
+		s.stop()
+		cancel()
+		s.c.Check(reports.Wait(), qt.IsNil)
+	})
+}
