coordinator: what an owner needs is read again within 0.6 s after a loss of reads

Callers could see jobs wait for up to 3 s more than the store's loss: a feed backs off up to 3 s, and only a lost join that is answered again ends the pause. A store that refuses reads of the directory or of the shards and renews memberships leaves owners, old and new, with an old list of workers as long.

An owner's pause after a failed read of the directory and of the shards is bounded by 0.6 s, as that of the configuration; an entry that becomes an owner during a longer pause shortens it.

--- a/coordinator/aftertheoutage_test.go
+++ b/coordinator/aftertheoutage_test.go
@@ -397,7 +397,7 @@
 			}
 			// A read of the shards waits for records.
 			took := time.Since(endedAt)
-			s.c.Check(took <= maxConfigBackoff+shardsReadWait+100*time.Millisecond, qt.IsTrue, qt.Commentf("%v", took))
+			s.c.Check(took <= maxUrgentBackoff+shardsReadWait+100*time.Millisecond, qt.IsTrue, qt.Commentf("%v", took))
 		}
 		s.stop()
 		cancel()
--- a/coordinator/feed.go
+++ b/coordinator/feed.go
@@ -15,9 +15,9 @@
 )
 
 const (
-	// maxConfigBackoff bounds the pause after a failed read of the configuration, and
-	// maxFeedBackoff the pause after a failed read of another feed.
-	maxConfigBackoff = 600 * time.Millisecond
+	// maxUrgentBackoff bounds the pause after a failed read of the configuration, and of what
+	// the owner of a partition needs. maxFeedBackoff bounds that of other feeds.
+	maxUrgentBackoff = 600 * time.Millisecond
 	maxFeedBackoff   = 3 * time.Second
 	// lossFailures is the number of consecutive failures from which on a feed counts
 	// as lost. A store that refuses every second call would otherwise cause two log
@@ -65,8 +65,9 @@
 	// maxGap is the time since the last answer after which the newest records are
 	// read instead of all records since then. 0 means no limit.
 	maxGap time.Duration
-	// maxBackoff bounds the pause after a failed read.
-	maxBackoff time.Duration
+	// maxBackoff returns the bound of the pause after a failed read. A value on wake lowers a
+	// pause to a bound that is lower by then.
+	maxBackoff func() time.Duration
 	// restored gets a value when the store answers this entry again, which ends the pause
 	// after a failed read. It may be nil.
 	restored <-chan struct{}
@@ -148,7 +149,7 @@
 			if f.onError != nil {
 				f.onError(ctx)
 			}
-			f.sleepAfterFailure(ctx, pause, backoff(state.failures, f.maxBackoff))
+			f.sleepAfterFailure(ctx, pause, backoff(state.failures, f.maxBackoff()))
 			continue
 		}
 		// The store was restored before it answered this read.
@@ -200,8 +201,8 @@
 }
 
 // sleepAfterFailure waits after a failed read for the longer of both times, or until the store
-// is restored. A wake only shortens the time to what pause returns by then, so that a store
-// that refuses calls is not called more often.
+// is restored. A wake only shortens the times to what pause and maxBackoff return by then, so
+// that a store that refuses calls is not called more often.
 func (f feed) sleepAfterFailure(ctx context.Context, pause, backoff time.Duration) {
 	began := f.clock.Now()
 	for {
@@ -212,6 +213,7 @@
 			if pause > 0 {
 				pause = min(pause, f.pause())
 			}
+			backoff = min(backoff, f.maxBackoff())
 			continue
 		case <-timer.C():
 		case <-f.restored:
--- a/coordinator/feed_test.go
+++ b/coordinator/feed_test.go
@@ -96,7 +96,7 @@
 		},
 		metrics:    newFeedMetrics(),
 		partition:  feedPartition,
-		maxBackoff: maxFeedBackoff,
+		maxBackoff: func() time.Duration { return maxFeedBackoff },
 		apply: func(records []storer.Record, _ int64, whole bool) {
 			if whole {
 				clear(f.values)
@@ -194,8 +194,8 @@
 		}
 		c.Check(len(different) > 6, qt.IsTrue, qt.Commentf("%v", at))
 		for failures := range 100 {
-			pause := backoff(failures, maxConfigBackoff)
-			c.Check(pause >= retryPause && pause <= maxConfigBackoff, qt.IsTrue, qt.Commentf("%v", pause))
+			pause := backoff(failures, maxUrgentBackoff)
+			c.Check(pause >= retryPause && pause <= maxUrgentBackoff, qt.IsTrue, qt.Commentf("%v", pause))
 		}
 	})
 }
--- a/coordinator/feeds.go
+++ b/coordinator/feeds.go
@@ -42,7 +42,7 @@
 	f.store = store
 	// The configuration has priority: the other feeds wait for it.
 	f.start = nil
-	f.maxBackoff = maxConfigBackoff
+	f.maxBackoff = func() time.Duration { return maxUrgentBackoff }
 	f.wait = configWait
 	f.apply = func(records []storer.Record, _ int64, _ bool) { apply(records) }
 	f.observe = func(feedRead) { c.configAnswered.Do(func() { close(c.configRead) }) }
@@ -60,7 +60,7 @@
 		metrics:    c.feedMetrics,
 		partition:  partition,
 		start:      c.configRead,
-		maxBackoff: maxFeedBackoff,
+		maxBackoff: func() time.Duration { return maxFeedBackoff },
 		restored:   c.restoration.subscribe(),
 	}
 }
@@ -130,6 +130,7 @@
 	f.wake = c.directoryRequests
 	f.active = c.needsDirectory
 	f.maxGap = directoryMaxGap
+	f.maxBackoff = c.ownerBackoff
 	f.pause = func() time.Duration {
 		c.mu.Lock()
 		defer c.mu.Unlock()
@@ -154,6 +155,16 @@
 	return f.run(ctx)
 }
 
+// ownerBackoff returns the bound of the pause after a failed read of what only owners need.
+func (c *Coordinator) ownerBackoff() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.owned) > 0 {
+		return maxUrgentBackoff
+	}
+	return maxFeedBackoff
+}
+
 // recordRead returns an observer that stores the state of a feed in state.
 func (c *Coordinator) recordRead(state *atomic.Pointer[conductor.ReadState]) func(feedRead) {
 	return func(read feedRead) {
--- a/coordinator/membership.go
+++ b/coordinator/membership.go
@@ -313,6 +313,7 @@
 	// The new owner gets its workers from the next read of the directory, which begins
 	// now.
 	request(c.directoryRequests)
+	request(c.workerShardRequests)
 	group.Go(func() error {
 		defer close(own.done)
 		defer cancel()
--- a/coordinator/shardfeeds.go
+++ b/coordinator/shardfeeds.go
@@ -58,6 +58,7 @@
 	f.wait = shardsReadWait
 	f.wake = c.workerShardRequests
 	f.active = c.needsDirectory
+	f.maxBackoff = c.ownerBackoff
 	f.observe = c.recordRead(&c.shardsRead)
 	f.deactivated = func() {
 		c.shards.forgetWorkers()
