allotter: parts that an owner does not use go to any owner that asks

A giver keeps what its waiting steps need from all that are less urgent, however long they wait for something else: workers, room or advice.

Parts are idle once all that the most urgent step needs for its next start have been held for 1 s without that start. For 1.5 s they are given to any owner that asks, and not asked for; then they are asked for again, so that a step that can start by then waits no longer than the 3 s of a job. A step that still collects parts, or waits for its first answer of the adviser, keeps what it has (TestPartsThatAreCollectedAreGiven).

Ruled out: to count unused parts without regard to the step that waits: a large gang that collects parts would lose them before it has all.

Shown in a test only.

--- a/scheduler/allotments.go
+++ b/scheduler/allotments.go
@@ -57,6 +57,8 @@
 	// withheld from this owner's steps for more urgent ones of other owners.
 	waits  *allotter.Waits
 	claims *allotter.Claims
+	// idle records which parts this owner holds for a step that does not use them.
+	idle *allotter.Idle
 	// demands holds the result of Demands as of the end of the last tick, or nil before
 	// it is needed. It is not computed within a tick, when only a part of the steps has
 	// been placed.
@@ -67,6 +69,8 @@
 type firstStart struct {
 	step allotter.Step
 	size sizer.Size
+	// awaitsAdvice is set if the first call to the adviser has no answer yet.
+	awaitsAdvice bool
 }
 
 func newAllotments() allotments {
@@ -74,6 +78,7 @@
 		ledger:       allotter.NewLedger(),
 		waits:        allotter.NewWaits(),
 		claims:       allotter.NewClaims(),
+		idle:         allotter.NewIdle(),
 		callerTokens: make(map[int]int64),
 	}
 }
@@ -260,7 +265,7 @@
 	return allotter.Need{
 		Used:       allotter.PartsOf(used, maximum),
 		Wanted:     allotter.PartsOf(used.Max(demand.Wanted), maximum),
-		Waiting:    demand.Waiting,
+		Waiting:    demand.Waiting && !s.allotments.idle.Is(name, now),
 		Precedence: s.precedence(demand.Urgency),
 	}
 }
@@ -295,15 +300,17 @@
 	demands := s.demandsByName(now)
 	if len(demands) == 0 {
 		s.allotments.waits.Starved(nil, now)
+		s.allotments.idle.Update(nil, nil, now)
 		return nil
 	}
 	var wants []allotter.Want
 	waiting := make(map[string]allotter.Step)
 	first := s.firstStarts(now)
+	s.updateIdle(demands, first, now)
 	for _, name := range slices.Sorted(maps.Keys(demands)) {
 		demand := demands[name]
 		missing := s.missingParts(name, demand.Wanted)
-		if !demand.Waiting || missing.IsZero() {
+		if !demand.Waiting || missing.IsZero() || s.allotments.idle.Is(name, now) {
 			continue
 		}
 		wants = append(wants, allotter.Want{
@@ -323,6 +330,22 @@
 	return wants
 }
 
+// updateIdle records which organisations' parts this owner holds for the next start of a step
+// that waits for something else.
+func (s *Scheduler) updateIdle(demands map[string]Demand, first map[string]firstStart, now time.Time) {
+	steps := make(map[string]allotter.Step)
+	held := make(map[string]bool)
+	for name, demand := range demands {
+		start, found := first[name]
+		if !demand.Waiting || !found {
+			continue
+		}
+		steps[name] = start.step
+		held[name] = !start.awaitsAdvice && s.missingParts(name, demand.Used.Add(start.size)).IsZero()
+	}
+	s.allotments.idle.Update(steps, held, now)
+}
+
 // missingParts returns the parts that are missing for a use of an organisation.
 func (s *Scheduler) missingParts(name string, use sizer.Size) allotter.Parts {
 	return allotter.PartsOf(use, s.organisations[name].Maximum).Sub(s.heldParts(name)).Max(allotter.Parts{})
@@ -346,7 +369,8 @@
 				ID:      st.ref.String(),
 				Waiting: st.waiting,
 			},
-			size: st.phase.Size.Times(int64(tasks)),
+			size:         st.phase.Size.Times(int64(tasks)),
+			awaitsAdvice: len(st.adviceState.calls) > 0 && len(st.adviceState.askedWorkers) == 0,
 		}
 	}
 	return starts
