--- a/scheduler/occurrences_test.go
+++ b/scheduler/occurrences_test.go
@@ -214,3 +214,27 @@
 		r.c.Assert(r.s.AdviceLoad(r.now).InFlight[true], qt.Equals, 0)
 	}
 }
+
+// TestWorkersThatAreGoneAreNotStored guards against a job that repeats for long, of which the
+// stored progress lists every worker that it ever used and becomes too large for the store.
+func TestWorkersThatAreGoneAreNotStored(t *testing.T) {
+	const lives = 200
+	r := newRig(t)
+	r.addRepeatedJob(1, 2*lives, 300*time.Millisecond)
+	for i := range lives {
+		w := r.addWorker(workerName(i), cores(8))
+		r.updateDirectory()
+		r.renewLeases()
+		for range 3 {
+			r.round()
+		}
+		for run := range w.activeRuns {
+			w.end(run, scheduler.EndDone)
+		}
+		r.renewLeases()
+		r.write()
+		r.renewLeases()
+		delete(r.workersByID, workerName(i))
+	}
+	r.c.Assert(len(r.stored["j"].Workers) <= 3, qt.IsTrue, qt.Commentf("%d workers", len(r.stored["j"].Workers)))
+}
