scheduler: workers that are gone are not stored for a job any more

A job that repeats for weeks named every worker that it ever used in its stored progress, which grew beyond the largest record as the steps did: callers would see the job fail now, and its partition stand still before.

A worker that this owner has dropped, which it does only once there are certainly no runs on it, is taken out with the next write of the job. If it comes back, it is stored again before anything starts there.

test: TestWorkersThatAreGoneAreNotStored (red before: 200 workers, green after); the interleaving models, which hide and return workers, hold.

--- a/scheduler/writes.go
+++ b/scheduler/writes.go
@@ -75,6 +75,7 @@
 		}
 	}
 	for id := range s.dirtyJobs {
+		s.forgetDroppedWorkers(s.jobs[id])
 		progress := s.progress(s.jobs[id])
 		for _, stepProgress := range progress.Steps {
 			// The write may drop workers from the store at any time from now on.
@@ -96,6 +97,18 @@
 	return write
 }
 
+// forgetDroppedWorkers removes the workers that this owner has dropped from those that are
+// stored for the job. A next owner does not wait for them, as there are certainly no runs on
+// them. If one comes back, it is stored again before anything starts there.
+func (s *Scheduler) forgetDroppedWorkers(j *job) {
+	for id := range j.workers {
+		if s.workers[id] == nil {
+			delete(j.workers, id)
+			delete(j.storedWorkers, id)
+		}
+	}
+}
+
 // Written records that a write is stored.
 func (s *Scheduler) Written(write Write) {
 	s.storedBatch = write.Batch
