--- a/scheduler/interleaving_test.go
+++ b/scheduler/interleaving_test.go
@@ -36,6 +36,8 @@
 	// placementsUnnamed hides from the next owner on which workers lasting tasks may
 	// run.
 	placementsUnnamed fault = "stored placements name no workers"
+	// rangesUnnamed hides from the next owner which occurrences are done.
+	rangesUnnamed fault = "stored jobs name no occurrences that are done"
 	// silenceOverstated tells the next owner that workers have been silent for longer
 	// than they have.
 	silenceOverstated fault = "stored silence is too long"
@@ -256,6 +258,9 @@
 					stored.Steps[i].Placements = nil
 				}
 			}
+			if m.fault == rangesUnnamed {
+				stored.DoneOccurrences = nil
+			}
 			if m.fault == endingUnnamed {
 				stored.Ending = nil
 			}
@@ -881,6 +886,10 @@
 			fault: stoppingUncounted,
 			play:  playModelWithOrganisations,
 		},
+		{
+			fault: rangesUnnamed,
+			play:  playModelWithRepetitions,
+		},
 		{
 			fault: endingUnnamed,
 			play:  playModelWithCancellations,
