--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -140,8 +140,11 @@
 	token     int64
 	options   []scheduler.Option
 	metrics   *Metrics
+	limits    storer.Limits
 	// placementsAllowed reports whether the placements of lasting tasks may be stored.
 	placementsAllowed func() bool
+	// rangesAllowed reports whether occurrences that are done may be stored as ranges.
+	rangesAllowed func() bool
 	// askAllotment calls the owner of another partition. It is nil if the allotments
 	// are not exchanged.
 	askAllotment AskAllotment
@@ -187,6 +190,9 @@
 	// progressEnd is the end of the progress partition after the last write. Like sequence
 	// it is used by takeOver and then by writeLoop only.
 	progressEnd int64
+	// workerRecords is the number of records among which the store may have divided the list
+	// of the workers in use. It is used like progressEnd.
+	workerRecords int
 	// confirmedAt is the last time at which the ownership is known to have held.
 	confirmedAt time.Time
 	// doubtedAt is the last time at which there may have been a later owner, zero if there
@@ -251,6 +257,23 @@
 	}
 }
 
+// StoreLimits sets the sizes that the store accepts. The default is that of
+// storer.NewLimits.
+func StoreLimits(limits storer.Limits) Option {
+	return func(c *Conductor) {
+		c.limits = limits
+	}
+}
+
+// OccurrenceRangesAllowed sets the function that reports whether the occurrences of a job
+// that are done may be stored as ranges, which is so unless an owner of an older release can
+// follow. By default they always may.
+func OccurrenceRangesAllowed(allowed func() bool) Option {
+	return func(c *Conductor) {
+		c.rangesAllowed = allowed
+	}
+}
+
 // New returns the owner of a partition with the given fencing token, which must be
 // higher than that of any former owner.
 func New(store storer.Store, workers Workers, adviser Adviser, partition int, token int64, opts ...Option) *Conductor {
@@ -267,7 +290,9 @@
 		token:             token,
 		sequence:          rand.Int64N(maxFirstSequence),
 		metrics:           NewMetrics(),
+		limits:            storer.NewLimits(0, 0),
 		placementsAllowed: func() bool { return true },
+		rangesAllowed:     func() bool { return true },
 		jobPart:           func() float64 { return 1 },
 		knowledge:         func() Knowledge { return Knowledge{} },
 		admissionLines:    make(lineLimiter),
@@ -436,10 +461,11 @@
 	var metricsSetAt time.Time
 	for {
 		quick, long := c.adviser.AdviceLimits()
-		placementsAllowed := c.placementsAllowed()
+		placementsAllowed, rangesAllowed := c.placementsAllowed(), c.rangesAllowed()
 		jobPart := c.jobPart()
 		c.mu.Lock()
 		c.scheduler.AllowPlacements(placementsAllowed)
+		c.scheduler.AllowOccurrenceRanges(rangesAllowed)
 		c.scheduler.SetAdviceLimits(quick, long)
 		c.scheduler.SetJobPart(jobPart)
 		c.updateLeaseKeepers(ctx, group)
--- a/conductor/recovery.go
+++ b/conductor/recovery.go
@@ -62,9 +62,11 @@
 		return err
 	}
 	now := c.clock.Now()
-	s := scheduler.New(c.token, now, c.options...)
+	s := scheduler.New(c.token, now, append(slices.Clone(c.options), scheduler.RecordLimit(c.limits.Record()))...)
 	s.AllowPlacements(c.placementsAllowed())
+	s.AllowOccurrenceRanges(c.rangesAllowed())
 	stored := c.decodeProgress(progress)
+	c.workerRecords = stored.workerRecords
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s.ConfirmOwnership(c.confirmedAt)
@@ -155,9 +157,11 @@
 	// byJob holds the progress of jobs, nil where it cannot be decoded.
 	byJob        map[string]*scheduler.Progress
 	workersInUse []scheduler.WorkerEntry
-	// workersUnknown is set if the list of workers in use cannot be decoded.
+	// workersUnknown is set if a list of workers in use cannot be decoded.
 	workersUnknown bool
-	silent         []scheduler.SilentWorker
+	// workerRecords is one more than the highest index of a record of workersInUse.
+	workerRecords int
+	silent        []scheduler.SilentWorker
 	// silenceUnknown is set if the list of silent workers cannot be decoded.
 	silenceUnknown bool
 	// allotments is the encoded ledger, nil if none is stored.
@@ -175,16 +179,26 @@
 	}
 	for _, record := range records {
 		var err error
-		switch record.Key {
-		case workersKey:
-			if err = json.Unmarshal(record.Value, &stored.workersInUse); err != nil {
-				stored.workersInUse, stored.workersUnknown = nil, true
+		listIndex, listed := isWorkersKey(record.Key)
+		switch {
+		case record.Key == workersKey:
+			var workers []scheduler.WorkerEntry
+			if err = json.Unmarshal(record.Value, &workers); err != nil {
+				workers, stored.workersUnknown = nil, true
 			}
-		case silentKey:
+			stored.workersInUse = append(stored.workersInUse, workers...)
+		case listed:
+			var list workerList
+			if err = json.Unmarshal(record.Value, &list); err != nil {
+				list.Workers, stored.workersUnknown = nil, true
+			}
+			stored.workersInUse = append(stored.workersInUse, list.Workers...)
+			stored.workerRecords = max(stored.workerRecords, listIndex+1)
+		case record.Key == silentKey:
 			if err = json.Unmarshal(record.Value, &stored.silent); err != nil {
 				stored.silent, stored.silenceUnknown = nil, true
 			}
-		case allotmentsKey:
+		case record.Key == allotmentsKey:
 			stored.allotments = record.Value
 		default:
 			stored.byJob[record.Key], err = decodeJobProgress(record.Value)
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -175,6 +175,9 @@
 	// ownCancelKeys is set likewise, while every entry reads the cancellations of which the
 	// key contains the organisation.
 	ownCancelKeys atomic.Bool
+	// rangesAllowed is set once the records of the entries have been read, while every
+	// entry reads occurrences that are stored as ranges.
+	rangesAllowed atomic.Bool
 }
 
 // ownership is the state of a partition that this process owns.
@@ -208,6 +211,7 @@
 	c.store = newWatchedStore(store, c.settings.clock)
 	c.shards = newShards(c.settings.shardSize, c.settings.partitions)
 	c.submitBatcher = newSubmitBatcher(c.store)
+	c.submitBatcher.limits = c.settings.storeLimits
 	c.submitBatcher.serves = c.store.serves
 	c.evidenceKeeper = newEvidenceKeeper(c)
 	c.receiver = receiver.New(c, bodies, receiver.Logger(c.settings.logger), receiver.Clock(c.settings.clock),
--- a/coordinator/feeds.go
+++ b/coordinator/feeds.go
@@ -43,7 +43,7 @@
 	f.store = store
 	// The configuration has priority: the other feeds wait for it.
 	f.start = nil
-	f.maxBackoff = maxConfigBackoff
+	f.maxBackoff = func() time.Duration { return maxUrgentBackoff }
 	f.wait = configWait
 	f.apply = func(records []storer.Record, _ int64, _ bool) { apply(records) }
 	f.observe = func(feedRead) { c.configAnswered.Do(func() { close(c.configRead) }) }
@@ -61,7 +61,7 @@
 		metrics:    c.feedMetrics,
 		partition:  partition,
 		start:      c.configRead,
-		maxBackoff: maxFeedBackoff,
+		maxBackoff: func() time.Duration { return maxFeedBackoff },
 		restored:   c.restoration.subscribe(),
 	}
 }
@@ -131,6 +131,7 @@
 	f.wake = c.directoryRequests
 	f.active = c.needsDirectory
 	f.maxGap = directoryMaxGap
+	f.maxBackoff = c.ownerBackoff
 	f.pause = func() time.Duration {
 		c.mu.Lock()
 		defer c.mu.Unlock()
@@ -155,6 +156,16 @@
 	return f.run(ctx)
 }
 
+// ownerBackoff returns the bound of the pause after a failed read of what only owners need.
+func (c *Coordinator) ownerBackoff() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.owned) > 0 {
+		return maxUrgentBackoff
+	}
+	return maxFeedBackoff
+}
+
 // recordRead returns an observer that stores the state of a feed in state.
 func (c *Coordinator) recordRead(state *atomic.Pointer[conductor.ReadState]) func(feedRead) {
 	return func(read feedRead) {
@@ -237,6 +248,7 @@
 		Cores:         c.settings.cores,
 		Placements:    true,
 		OwnCancelKeys: true,
+		Ranges:        true,
 	})
 	if err != nil {
 		return err
@@ -297,6 +309,7 @@
 	if len(records) > 0 {
 		c.placementsAllowed.Store(allKeepPlacements(c.peers))
 		c.ownCancelKeys.Store(allReadOwnCancelKeys(c.peers))
+		c.rangesAllowed.Store(allReadRanges(c.peers))
 		c.preferred = preferredMembers(c.peers)
 	}
 	c.entryPool.setPeers(addresses)
--- a/coordinator/largerpeers.go
+++ b/coordinator/largerpeers.go
@@ -51,6 +51,9 @@
 	// OwnCancelKeys is set if the entry, as an owner, reads the cancellations of which the
 	// key contains the organisation. Older releases do not.
 	OwnCancelKeys bool `json:"ownCancelKeys,omitempty"`
+	// Ranges is set if the entry, as an owner, reads occurrences that are stored as
+	// ranges. Older releases run them again.
+	Ranges bool `json:"ranges,omitempty"`
 }
 
 // allKeepPlacements reports whether every one of the peers keeps the stored
@@ -75,6 +78,17 @@
 	return true
 }
 
+// allReadRanges reports whether every one of the peers reads occurrences that are stored as
+// ranges.
+func allReadRanges(peers map[string]peer) bool {
+	for _, p := range peers {
+		if !p.Ranges {
+			return false
+		}
+	}
+	return true
+}
+
 func encodePeer(p peer) ([]byte, error) {
 	return json.Marshal(p)
 }
--- a/coordinator/membership.go
+++ b/coordinator/membership.go
@@ -299,9 +299,11 @@
 			conductor.Logger(c.settings.logger),
 			conductor.WithMetrics(c.metrics),
 			conductor.PlacementsAllowed(c.placementsAllowed.Load),
+			conductor.OccurrenceRangesAllowed(c.rangesAllowed.Load),
 			conductor.ExchangeAllotments(c.askAllotment),
 			conductor.JobPart(func() float64 { return c.shards.jobPart(partition) }),
 			conductor.WithKnowledge(c.knowledge),
+			conductor.StoreLimits(c.settings.storeLimits),
 			conductor.Scheduling(c.settings.scheduling...)),
 		cancel: cancel,
 		done:   make(chan struct{}),
@@ -316,6 +318,7 @@
 	// The new owner gets its workers from the next read of the directory, which begins
 	// now.
 	request(c.directoryRequests)
+	request(c.workerShardRequests)
 	group.Go(func() error {
 		defer close(own.done)
 		defer cancel()
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -37,7 +37,7 @@
 	// maxOccurrences limits the occurrences of one job, and maxTasks the tasks of all of its
 	// phases and occurrences, for the same reason.
 	maxOccurrences = 10000
-	maxTasks       = 100_000
+	maxTasks       = 250_000
 	// maxTime limits the times of a job and of its queue, and the time between the first and
 	// the last occurrence. Sums of a few such times do not overflow.
 	maxTime = 10 * 365 * 24 * time.Hour
@@ -299,6 +299,9 @@
 	// their task is done or the job has ended. They count against the maximum of the
 	// organisation. It is kept only for jobs of an organisation.
 	Ending map[string]sizer.Size `json:"ending,omitempty"`
+	// DoneOccurrences holds the occurrences of which all steps are done. Steps need not
+	// list them.
+	DoneOccurrences []OccurrenceRange `json:"doneOccurrences,omitempty"`
 	// Steps holds the steps with tasks that are done or have failed.
 	Steps []StepProgress `json:"steps,omitempty"`
 }
--- a/scheduler/writes.go
+++ b/scheduler/writes.go
@@ -75,6 +75,7 @@
 		}
 	}
 	for id := range s.dirtyJobs {
+		s.forgetDroppedWorkers(s.jobs[id])
 		progress := s.progress(s.jobs[id])
 		for _, stepProgress := range progress.Steps {
 			// The write may drop workers from the store at any time from now on.
@@ -96,10 +97,28 @@
 	return write
 }
 
+// forgetDroppedWorkers removes the workers that this owner has dropped from those that are
+// stored for the job. A next owner does not wait for them, as there are certainly no runs on
+// them. If one comes back, it is stored again before anything starts there.
+func (s *Scheduler) forgetDroppedWorkers(j *job) {
+	for id := range j.workers {
+		if s.workers[id] == nil {
+			delete(j.workers, id)
+			delete(j.storedWorkers, id)
+		}
+	}
+}
+
 // Written records that a write is stored.
 func (s *Scheduler) Written(write Write) {
 	s.storedBatch = write.Batch
 	s.allotments.ledgerWritten(write.Batch)
+	s.PartWritten(write)
+}
+
+// PartWritten records that a part of a write is stored. The ends of runs that the write
+// contains are acknowledged only after Written.
+func (s *Scheduler) PartWritten(write Write) {
 	for _, entry := range write.Workers {
 		if w := s.workers[entry.Ref.ID]; w != nil && w.startedAt.Equal(entry.StartedAt) {
 			w.recorded = true
@@ -130,6 +149,17 @@
 	}
 }
 
+// RejectProgress ends a job whose progress can never be stored, since a next owner would
+// run its tasks again. It reports whether there is such a job that had not ended.
+func (s *Scheduler) RejectProgress(id string, now time.Time) bool {
+	j := s.jobs[id]
+	if j == nil || j.state.Final() {
+		return false
+	}
+	s.endJob(j, Failed, now)
+	return true
+}
+
 // retainStored returns the workers that are both stored and about to be written.
 func retainStored(stored, written []string) []string {
 	return slices.DeleteFunc(slices.Clone(stored), func(id string) bool { return !slices.Contains(written, id) })
@@ -184,6 +214,11 @@
 		p.Workers = append(p.Workers, id)
 	}
 	slices.Sort(p.Workers)
+	if s.storesRanges(j) {
+		p.DoneOccurrences = slices.Clone(j.doneOccurrences)
+	} else {
+		p.Steps = j.doneSteps()
+	}
 	for _, stored := range j.storedProgress {
 		p.Steps = append(p.Steps, stored)
 	}
