--- a/scheduler/odd_test.go
+++ b/scheduler/odd_test.go
@@ -247,3 +247,42 @@
 	total := largest.Times(10_000)
 	qt.Assert(t, total.IsNegative(), qt.IsFalse)
 }
+
+// TestReportOfManyUnknownRunsStopsAllAtOnce guards against a worker that reports any number of runs
+// of unknown tasks: each was stopped at once by a call of its own, which uses up the connections and
+// the memory of its owner.
+func TestReportOfManyUnknownRunsStopsAllAtOnce(t *testing.T) {
+	r := newRig(t)
+	r.addWorker("v", cores(4))
+	w := r.addWorker("w", cores(4))
+	r.updateDirectory()
+	r.renewLeases()
+	r.s.AddJob(r.job("j", newPhase(1, cores(1))), nil, false, r.now)
+	const runs = 3000
+	for i := range runs {
+		ref := scheduler.RunRef{
+			Task: scheduler.TaskRef{
+				Step: scheduler.StepRef{
+					Job: []string{"odd", "j"}[i%2],
+				},
+				Index: 1 + i,
+			},
+			Attempt: 1,
+		}
+		w.activeRuns[ref] = scheduler.ActiveRun{
+			Run: ref,
+		}
+	}
+	const mostAtOnce = 1000
+	for range 3 * runs / mostAtOnce {
+		r.round()
+		stops := 0
+		for _, effect := range r.effects {
+			if _, isStop := effect.(scheduler.StopTask); isStop {
+				stops++
+			}
+		}
+		r.c.Assert(stops <= mostAtOnce, qt.IsTrue, qt.Commentf("%d stops at once", stops))
+	}
+	r.c.Assert(r.activeRuns(), qt.Equals, 1, qt.Commentf("the task of the job"))
+}
