scheduler: at most 1,000 runs of unknown tasks are stopped on a worker at once

A report of 8 MB, the longest that is read, may list 100,000 active runs. Each run of an unknown task was adopted and stopped at once, each by a call of its own, which is more than the connections and the memory of an entry. From 1,000 runs on a worker on, further runs of unknown tasks are stopped once others have ended; the worker gets nothing meanwhile, as before. Runs of tasks of known jobs are adopted in any number: one that is passed over would start again. That an entry ends of 100,000 was not played.

--- a/scheduler/reports.go
+++ b/scheduler/reports.go
@@ -239,12 +239,19 @@
 	s.completeIfDone(st.job, now)
 }
 
+// maxUnknownRuns is the number of runs on a worker from which on no further run of an unknown task
+// is stopped before others have ended. Each stop is a call of its own.
+const maxUnknownRuns = 1000
+
 // handleActive processes one active run of a worker.
 func (s *Scheduler) handleActive(w *worker, row ActiveRun, now time.Time) {
 	r := w.runs[row.Run]
 	if r == nil {
 		// The steps of the run may have to be created first.
-		s.findReportedTask(row.Run.Task, now)
+		_, t := s.findReportedTask(row.Run.Task, now)
+		if t == nil && len(w.runs) >= maxUnknownRuns {
+			return
+		}
 		r = s.adoptRun(w, row, now)
 	}
 	if r.state == runStarting {
