--- a/conductor/orders.go
+++ b/conductor/orders.go
@@ -239,16 +239,16 @@
 // repeated. Another writer may have left it in the directory, and there may be hundreds of them.
 const maxUnseenPause = 3200 * time.Millisecond
 
-// renewalPause returns the pause after a number of consecutive failures with a worker that has never
-// answered, 0 for any other worker.
+// renewalPause returns the pause after that number of consecutive failures with a worker that has
+// never answered. For any other worker the number is 0.
 func renewalPause(failures int) time.Duration {
 	const maxDoublings = 8
 	return min(renewalRetryPause<<min(max(0, failures-1), maxDoublings), maxUnseenPause)
 }
 
-// handleRenewal handles the outcome of a renewal, and pauses for pause if the renewal failed,
-// or if progress must be stored first. It returns how long the worker may wait for
-// the end of a run at the next renewal.
+// handleRenewal handles the outcome of a renewal. It waits for pause if the renewal failed, and for
+// a write if progress must be stored first. It returns how long the worker may wait for the end of a
+// run at the next renewal.
 func (c *Conductor) handleRenewal(ctx context.Context, id string, report scheduler.Report, err error, sentAt time.Time, pause time.Duration) time.Duration {
 	if ctx.Err() != nil || errors.Is(err, ErrSuperseded) {
 		return 0
