scheduler: a test of a former worker without an address, red

If the list of the workers in use cannot be decoded, the next owner takes the workers that the progress of jobs names, without addresses. A worker that may have runs keeps its address, so such a worker is called nowhere until its leases are over, though the directory lists it: all runs of the partition lapse.

test: TestFormerWorkerWithoutAnAddressIsNotReached

--- a/scheduler/odd_test.go
+++ b/scheduler/odd_test.go
@@ -247,3 +247,25 @@
 	total := largest.Times(10_000)
 	qt.Assert(t, total.IsNegative(), qt.IsFalse)
 }
+
+// TestFormerWorkerWithoutAnAddressIsNotReached guards against runs that lapse, as an owner that
+// knows of a former worker only its name does not call it where the directory lists it.
+func TestFormerWorkerWithoutAnAddressIsNotReached(t *testing.T) {
+	r := newRestartRig(t, "w")
+	listed := r.workersByID["w"].entry
+	for _, startedAt := range []time.Time{{}, listed.StartedAt} {
+		listed.StartedAt = startedAt
+		s := scheduler.New(2, r.now)
+		s.AddFormerWorkers([]scheduler.WorkerEntry{
+			{
+				Ref: scheduler.WorkerRef{
+					ID: "w",
+				},
+			},
+		})
+		s.SetWorkers([]scheduler.WorkerEntry{listed})
+		order, known := s.LeaseRenewal("w", r.now)
+		r.c.Assert(known, qt.IsTrue)
+		r.c.Assert(order.Worker.Address, qt.Equals, listed.Ref.Address, qt.Commentf("started at %v", startedAt))
+	}
+}
