scheduler: a former worker of which only the name is known is called where it is listed

Callers saw: after a takeover with a list of workers in use that cannot be decoded, all runs of the partition lapse where directory entries have no time of start. Cause: two fixes of this incident met, namedWorkers (no addresses) and keepsAddress (the address stays while there may be runs). An empty address is none to keep.

Evidence: TestFormerWorkerWithoutAnAddressIsNotReached was red (address "", want "w:1"), green now; the package's tests of former workers and addresses are green.

--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -81,7 +81,8 @@
 	answers := w.reported && w.silentSince.IsZero()
 	mayHaveRuns := len(w.runs) > 0 || w.former && !w.reported && !w.leasesOver
 	restarted := !entry.StartedAt.IsZero() && !entry.StartedAt.Equal(w.startedAt)
-	return answers || mayHaveRuns && !restarted
+	// A former worker has no address if only its name is known.
+	return w.entry.Ref.Address != "" && (answers || mayHaveRuns && !restarted)
 }
 
 // dropWorker forgets a worker on which there are certainly no runs.
