conductor: a takeover with a sequence number that the store rejects ends

If the store checks the sequence number of the append that announces the epoch, the second ownership with one epoch asked it every 100 ms for ever: the partition had no owner. It ends as superseded now, as for any other append, and its entry asks the group for a later epoch.

Evidence: TestTakeoverWithTheEpochOfAnotherOwnershipEnds was red (still trying after 10 s), green now. Whether the users' store checks it is not known.

--- a/conductor/recovery.go
+++ b/conductor/recovery.go
@@ -38,7 +38,7 @@
 		Epoch:    c.token,
 		Sequence: c.sequence,
 	})
-	if errors.Is(err, storer.ErrFenced) {
+	if errors.Is(err, storer.ErrFenced) || errors.Is(err, storer.ErrConflict) {
 		return fmt.Errorf("%w: %w", ErrSuperseded, err)
 	}
 	if err != nil {
