conductor: the check of a writer carries its next sequence number

servesWriter announced the epoch with number 0. A store that checks it would reject it, and a write that the store never takes would be repeated for ever (LOST). takeOver announces the epoch with the next number too.

Evidence: TestCheckOfAWriterFollowsItsSequence was red, green now. Whether the users' store checks it is not known.

--- a/conductor/parts.go
+++ b/conductor/parts.go
@@ -272,8 +272,9 @@
 	attemptCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	_, err := c.store.Append(attemptCtx, c.progressPartition(), &storer.Writer{
-		Name:  writerName,
-		Epoch: c.token,
+		Name:     writerName,
+		Epoch:    c.token,
+		Sequence: c.sequence,
 	})
 	return err == nil
 }
