--- a/coordinator/rpc.go
+++ b/coordinator/rpc.go
@@ -53,7 +53,15 @@
 	return err
 }
 
-func stateAt(ctx context.Context, own *conductor.Conductor, args StateArgs) (StateReply, error) {
+// jobOwner is the part of a conductor that stateAt needs.
+type jobOwner interface {
+	State(ctx context.Context, id, organisation string) (scheduler.JobState, bool, error)
+	Knows(id string) bool
+}
+
+var _ jobOwner = (*conductor.Conductor)(nil)
+
+func stateAt(ctx context.Context, own jobOwner, args StateArgs) (StateReply, error) {
 	state, found, err := own.State(ctx, args.ID, args.Organisation)
 	return StateReply{
 		State:   state,
