conductor, coordinator: a job read during a cancel is not taken for another organisation's

Cause: whether a job is foreign was concluded from "not found for this caller" at one time and "known" at a later one. The owner now looks at both at one time: a job is foreign only if it is known and not accessible to the caller. A job read in between is neither found nor foreign, so the cancellation is stored.

The window is more than that between two calls: a tick that holds the lock while the look and the new records wait lets in the records before the second look. How often it occurs was not measured.

TestOrganisationsOfJobs' checks of Knows became checks of Foreign for the same callers, and for the job's own organisation.

Evidence: TestJobReadDuringACancelIsNotForeign was red for the own and the public job, green now.

--- a/conductor/organisations_test.go
+++ b/conductor/organisations_test.go
@@ -57,9 +57,10 @@
 		_, found, err := f.owner.State(context.Background(), "farms", stranger)
 		f.c.Assert(err, qt.IsNil)
 		f.c.Assert(found, qt.IsFalse)
-		f.c.Assert(f.owner.Knows("farms"), qt.IsTrue)
+		f.c.Assert(f.owner.Foreign("farms", stranger), qt.IsTrue)
 	}
-	f.c.Assert(f.owner.Knows("nobodys"), qt.IsFalse)
+	f.c.Assert(f.owner.Foreign("farms", "farm"), qt.IsFalse)
+	f.c.Assert(f.owner.Foreign("nobodys", "mill"), qt.IsFalse)
 	// A later owner reads the same records.
 	f.startOwner()
 	await("farms", "farm", scheduler.Running)
--- a/conductor/queries.go
+++ b/conductor/queries.go
@@ -37,16 +37,16 @@
 	return state, found, true
 }
 
-// Knows reports whether the job exists for callers of any organisation, as far as the jobs have
-// been read.
-func (c *Conductor) Knows(id string) bool {
+// Foreign reports whether the job exists only for callers of another organisation, as far as the
+// jobs have been read.
+func (c *Conductor) Foreign(id, organisation string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.ready {
 		return false
 	}
-	_, found := c.scheduler.State(id)
-	return found
+	_, known := c.scheduler.State(id)
+	return known && !c.scheduler.Accessible(id, organisation)
 }
 
 // catchUp waits until all jobs are read that were stored before the call. It
--- a/coordinator/foreign_test.go
+++ b/coordinator/foreign_test.go
@@ -29,10 +29,10 @@
 	read func()
 }
 
-// Knows implements jobOwner.
-func (r lateReader) Knows(id string) bool {
+// Foreign implements jobOwner.
+func (r lateReader) Foreign(id, organisation string) bool {
 	r.read()
-	return r.Conductor.Knows(id)
+	return r.Conductor.Foreign(id, organisation)
 }
 
 // TestJobReadDuringACancelIsNotForeign guards against a cancellation that is acknowledged and not
--- a/coordinator/rpc.go
+++ b/coordinator/rpc.go
@@ -56,7 +56,7 @@
 // jobOwner is the part of a conductor that stateAt needs.
 type jobOwner interface {
 	State(ctx context.Context, id, organisation string) (scheduler.JobState, bool, error)
-	Knows(id string) bool
+	Foreign(id, organisation string) bool
 }
 
 var _ jobOwner = (*conductor.Conductor)(nil)
@@ -66,7 +66,7 @@
 	return StateReply{
 		State:   state,
 		Found:   found,
-		Foreign: err == nil && !found && own.Knows(args.ID),
+		Foreign: err == nil && !found && own.Foreign(args.ID, args.Organisation),
 	}, err
 }
 
