conductor, scheduler: a slow takeover does not confirm the ownership

The scheduler of a new owner took the end of its reading for the last time at which the ownership held. In a loss of the store the reading may take seconds (calls were refused as 'the jobs are being read'), and the partition may have been dealt on since the epoch was announced. The next owner waits for leases from its own takeover on; the former one, which knew nothing of it, granted leases up to 5.7 s after the end of its reading, so tasks ran on a worker that only it reached and elsewhere (TWICE, all tasks of a worker or a partition). Now the announcement of the epoch, as it was sent, or a later join counts.

Ruled out: writing the epoch again after the reading, which costs a call and says less than the next join, 0.3 s later.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -183,7 +183,8 @@
 	// progressEnd is the end of the progress partition after the last write. Like sequence
 	// it is used by takeOver and then by writeLoop only.
 	progressEnd int64
-	// confirmedAt is the last time at which the ownership is known to have held.
+	// confirmedAt is the last time at which the ownership is known to have held, beside that
+	// at which its epoch was announced. It is zero until then.
 	confirmedAt time.Time
 	// doubtedAt is the last time at which there may have been a later owner, zero if there
 	// has certainly been none.
@@ -276,8 +277,7 @@
 	for _, opt := range opts {
 		opt(c)
 	}
-	c.confirmedAt = c.clock.Now()
-	c.assignedAt = c.confirmedAt
+	c.assignedAt = c.clock.Now()
 	return c
 }
 
--- a/conductor/recovery.go
+++ b/conductor/recovery.go
@@ -34,6 +34,7 @@
 }
 
 func (c *Conductor) loadPartition(ctx context.Context) error {
+	announcedAt := c.clock.Now()
 	end, err := c.store.Append(ctx, c.progressPartition(), &storer.Writer{
 		Name:     writerName,
 		Epoch:    c.token,
@@ -63,7 +64,8 @@
 		return err
 	}
 	now := c.clock.Now()
-	s := scheduler.New(c.token, now, c.options...)
+	// There may be a later owner since the epoch was announced.
+	s := scheduler.New(c.token, now, append(slices.Clone(c.options), scheduler.ConfirmedAt(announcedAt))...)
 	s.AllowPlacements(c.placementsAllowed())
 	stored := c.decodeProgress(progress)
 	c.mu.Lock()
--- a/scheduler/options.go
+++ b/scheduler/options.go
@@ -11,6 +11,8 @@
 	stopTimeout   time.Duration
 	retention     time.Duration
 	remoteFactor  float64
+	// confirmedAt is zero if the ownership is confirmed when it begins.
+	confirmedAt time.Time
 }
 
 // Option changes a setting of a Scheduler.
@@ -48,3 +50,11 @@
 		o.remoteFactor = f
 	}
 }
+
+// ConfirmedAt sets the last time at which the ownership was known to hold when it begins. The
+// default is the time at which it begins.
+func ConfirmedAt(at time.Time) Option {
+	return func(o *options) {
+		o.confirmedAt = at
+	}
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -199,6 +199,9 @@
 	for _, opt := range opts {
 		opt(&s.options)
 	}
+	if !s.options.confirmedAt.IsZero() {
+		s.ownershipConfirmedAt = s.options.confirmedAt
+	}
 	return s
 }
 
