scheduler: model of chains of owners that read their partition slowly

Owners announce their epoch one after the other, read their partition up to seconds later and in any order, and only former ones reach one of the workers, whose lease they renew as long as they may. 2,000 seeds keep the invariants.

--- a/scheduler/interleaving_test.go
+++ b/scheduler/interleaving_test.go
@@ -1,6 +1,7 @@
 package scheduler_test
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -50,6 +51,9 @@
 	// endingUnnamed hides from the next owner the runs that had not ended although their
 	// task was done or their job had ended.
 	endingUnnamed fault = "stored jobs name no ending runs"
+	// readingConfirms lets an owner that has read its partition slowly take its ownership for
+	// confirmed.
+	readingConfirms fault = "reading the partition confirms the ownership"
 	// restartsUnsaid lets workers that start again under their identity not say so.
 	restartsUnsaid fault = "workers do not say that they have started again"
 )
@@ -64,6 +68,10 @@
 	now     time.Time
 	workers []*modelWorker
 	owners  []*modelOwner
+	// epoch is the highest token that was announced to the store, and reading holds the owners
+	// that have announced theirs and not read their partition yet.
+	epoch   int64
+	reading []announcement
 	// lateOrders holds the orders that had no answer and may be carried out
 	// later.
 	lateOrders []func()
@@ -114,6 +122,12 @@
 	unreachableBy int64
 }
 
+// announcement is that of an owner's epoch.
+type announcement struct {
+	token int64
+	at    time.Time
+}
+
 // everyOwner stands for all owners in unreachableBy.
 const everyOwner = -1
 
@@ -222,12 +236,32 @@
 // takeOver adds a new owner, which starts from what is stored. The former owner is
 // not notified.
 func (m *model) takeOver() {
-	token := int64(len(m.owners) + 1)
-	if token > 1 {
+	m.announce()
+	m.read(len(m.reading) - 1)
+}
+
+// announce fences off the current owner.
+func (m *model) announce() {
+	m.epoch++
+	if len(m.owners) > 0 {
 		m.current().storeUnreachable = m.draw(2) == 0
 	}
+	m.reading = append(m.reading, announcement{
+		token: m.epoch,
+		at:    m.now,
+	})
+}
+
+// read lets an owner that has announced its epoch read its partition. It does not learn of
+// owners that have followed it.
+func (m *model) read(i int) {
+	token, confirmedAt := m.reading[i].token, m.reading[i].at
+	m.reading = slices.Delete(m.reading, i, i+1)
+	if m.fault == readingConfirms {
+		confirmedAt = m.now
+	}
 	o := &modelOwner{
-		s:            scheduler.New(token, m.now),
+		s:            scheduler.New(token, m.now, scheduler.ConfirmedAt(confirmedAt)),
 		token:        token,
 		reportedEnds: make(map[string]int64),
 	}
@@ -267,6 +301,7 @@
 		o.s.Cancel(id, m.now)
 	}
 	m.owners = append(m.owners, o)
+	slices.SortFunc(m.owners, func(a, b *modelOwner) int { return cmp.Compare(a.token, b.token) })
 }
 
 func (m *model) current() *modelOwner {
@@ -429,7 +464,7 @@
 	if o.superseded {
 		return
 	}
-	if o == m.current() || m.fault == leasesUnlimited {
+	if o.token == m.epoch || m.fault == leasesUnlimited {
 		o.s.ConfirmOwnership(m.now)
 	}
 	if m.fault == stoppingUncounted {
@@ -647,7 +682,7 @@
 			o.pendingWrite = &write
 		}
 	case !o.writeStored:
-		if o != m.current() {
+		if o.token != m.epoch {
 			// The store rejects the write, as it knows a later owner.
 			o.superseded = true
 			return
@@ -790,6 +825,42 @@
 	return m.violation
 }
 
+// playModelWithSlowReaders is like playModel, with chains of owners that take long to read their
+// partition, some longer than their successors. Only the former ones reach one of the workers, and
+// renew its lease for as long as they may.
+func playModelWithSlowReaders(seeded fault, draw func(int) int) string {
+	m := newModel(seeded, draw)
+	for range 4 {
+		m.settle()
+		for range 30 {
+			m.doRandomAction()
+			m.write(m.current())
+		}
+		for range 1 + m.draw(3) {
+			m.announce()
+			m.advance(time.Duration(m.draw(400)) * time.Millisecond)
+		}
+		hidden := slices.MaxFunc(m.workers, func(a, b *modelWorker) int { return cmp.Compare(len(a.active), len(b.active)) })
+		for len(m.reading) > 0 {
+			m.read(m.draw(len(m.reading)))
+			former := m.owners[len(m.owners)-2]
+			actions := 25
+			if len(m.reading) == 0 {
+				actions = 80
+			}
+			for range actions {
+				hidden.unreachableBy = m.epoch
+				m.doRandomAction()
+				m.write(m.current())
+				m.renewLease(former, hidden)
+				m.tick(former)
+			}
+		}
+	}
+	m.recoverAndFinish()
+	return m.violation
+}
+
 // playModelWithRestarts is like playModel, with workers that start again under their
 // identity.
 func playModelWithRestarts(seeded fault, draw func(int) int) string {
@@ -885,6 +956,10 @@
 			fault: endingUnnamed,
 			play:  playModelWithCancellations,
 		},
+		{
+			fault: readingConfirms,
+			play:  playModelWithSlowReaders,
+		},
 		{
 			fault: restartsUnsaid,
 			play:  playModelWithRestarts,
@@ -933,6 +1008,15 @@
 	}
 }
 
+// TestSlowReadersKeepInvariants runs interleavings with chains of owners that take long to read
+// their partition.
+func TestSlowReadersKeepInvariants(t *testing.T) {
+	for seed := range uint64(2000) {
+		random := rand.New(rand.NewPCG(seed, 7))
+		qt.Assert(t, playModelWithSlowReaders(noFault, random.IntN), qt.Equals, "", qt.Commentf("seed %d", seed))
+	}
+}
+
 // TestLastingTasksKeepInvariants runs interleavings in which lasting tasks end and are
 // restarted while the owner changes.
 func TestLastingTasksKeepInvariants(t *testing.T) {
