--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -193,7 +193,8 @@
 	// workerRecords is the number of records among which the store may have divided the list
 	// of the workers in use. It is used like progressEnd.
 	workerRecords int
-	// confirmedAt is the last time at which the ownership is known to have held.
+	// confirmedAt is the last time at which the ownership is known to have held, beside that
+	// at which its epoch was announced. It is zero until then.
 	confirmedAt time.Time
 	// doubtedAt is the last time at which there may have been a later owner, zero if there
 	// has certainly been none.
@@ -308,8 +309,7 @@
 	for _, opt := range opts {
 		opt(c)
 	}
-	c.confirmedAt = c.clock.Now()
-	c.assignedAt = c.confirmedAt
+	c.assignedAt = c.clock.Now()
 	return c
 }
 
--- a/conductor/recovery.go
+++ b/conductor/recovery.go
@@ -33,6 +33,7 @@
 }
 
 func (c *Conductor) loadPartition(ctx context.Context) error {
+	announcedAt := c.clock.Now()
 	end, err := c.store.Append(ctx, c.progressPartition(), &storer.Writer{
 		Name:     writerName,
 		Epoch:    c.token,
@@ -62,7 +63,8 @@
 		return err
 	}
 	now := c.clock.Now()
-	s := scheduler.New(c.token, now, append(slices.Clone(c.options), scheduler.RecordLimit(c.limits.Record()))...)
+	// There may be a later owner since the epoch was announced.
+	s := scheduler.New(c.token, now, append(slices.Clone(c.options), scheduler.RecordLimit(c.limits.Record()), scheduler.ConfirmedAt(announcedAt))...)
 	s.AllowPlacements(c.placementsAllowed())
 	s.AllowOccurrenceRanges(c.rangesAllowed())
 	stored := c.decodeProgress(progress)
@@ -331,7 +333,7 @@
 	progress, stored := progressByJob[job.ID]
 	if stored && progress == nil {
 		c.logger.WithField("id", job.ID).Error("conductor: a job does not run, as its progress cannot be decoded")
-		c.scheduler.HoldJob(job)
+		c.scheduler.HoldJob(job, now)
 		return
 	}
 	c.scheduler.AddJob(job, progress, progressByJob != nil, now)
--- a/scheduler/options.go
+++ b/scheduler/options.go
@@ -12,6 +12,8 @@
 	retention     time.Duration
 	remoteFactor  float64
 	recordLimit   int
+	// confirmedAt is zero if the ownership is confirmed when it begins.
+	confirmedAt time.Time
 }
 
 // Option changes a setting of a Scheduler.
@@ -57,3 +59,11 @@
 		o.recordLimit = n
 	}
 }
+
+// ConfirmedAt sets the last time at which the ownership was known to hold when it begins. The
+// default is the time at which it begins.
+func ConfirmedAt(at time.Time) Option {
+	return func(o *options) {
+		o.confirmedAt = at
+	}
+}
--- a/scheduler/recovery_test.go
+++ b/scheduler/recovery_test.go
@@ -564,7 +564,7 @@
 	r.c.Assert(w.activeRuns, qt.HasLen, 2)
 	w.end(firstRun(w), scheduler.EndDone)
 	r.s = scheduler.New(2, r.now)
-	r.s.HoldJob(job)
+	r.s.HoldJob(job, r.now)
 	r.updateDirectory()
 	r.rounds(30)
 	r.c.Assert(w.activeRuns, qt.HasLen, 0)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -206,6 +206,9 @@
 	for _, opt := range opts {
 		opt(&s.options)
 	}
+	if !s.options.confirmedAt.IsZero() {
+		s.ownershipConfirmedAt = s.options.confirmedAt
+	}
 	return s
 }
 
@@ -305,17 +308,19 @@
 // HoldJob adds a job from the store whose stored progress cannot be decoded. As it may have
 // ended, nothing of it starts, and what workers report of it is stopped. It is shown as running
 // until it is cancelled.
-func (s *Scheduler) HoldJob(record Job) {
+func (s *Scheduler) HoldJob(record Job, now time.Time) {
 	if s.jobs[record.ID] != nil {
 		return
 	}
 	j := newJob(record)
 	j.state = Running
 	j.begun = true
+	j.begunStored = true
 	j.recovered = true
 	j.held = true
 	s.jobs[record.ID] = j
 	s.countUnknownRuns(j)
+	s.applyEarlyCancellations(j, now)
 }
 
 func newJob(record Job) *job {
