--- a/conductor/undecodable_test.go
+++ b/conductor/undecodable_test.go
@@ -152,3 +152,31 @@
 		f.c.Check(leases > 0, qt.IsTrue)
 	})
 }
+
+// TestProgressOfAnUndecodableJobIsKept guards against a job that runs anew once an owner of a
+// later release can decode it: its progress was deleted as that of a job that is gone. Only
+// progress without any record of its job is deleted.
+func TestProgressOfAnUndecodableJobIsKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 1)
+		defer f.stopOwners()
+		const progress = `{"state":"completed"}`
+		f.append(storer.Record{
+			Key:   "undecodable",
+			Value: []byte("["),
+		})
+		for _, key := range []string{"undecodable", "gone", "/later", "job/later"} {
+			f.appendProgress(key, progress)
+		}
+		f.startOwner()
+		time.Sleep(10 * time.Second)
+		for key, want := range map[string]string{
+			"undecodable": progress,
+			"gone":        "",
+			"/later":      progress,
+			"job/later":   progress,
+		} {
+			f.c.Check(f.storedProgress(key), qt.Equals, want, qt.Commentf("%s", key))
+		}
+	})
+}
