conductor: the records of a divided list of workers are stored with one call

Callers could have seen: tasks that run twice after a takeover, as the next owner did not know all workers on which runs were active. Cause: the records that replace the list of the workers in use belong together, and a call that was full ended between them. They now go to the next call together, unless they exceed a call by themselves or the store rejects the call.

--- a/conductor/parts.go
+++ b/conductor/parts.go
@@ -1,6 +1,7 @@
 package conductor
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -24,6 +25,9 @@
 	record storer.Record
 	// job is the identity of the job whose progress this is, empty for other records.
 	job string
+	// joined is set if the part replaces a record together with the part before, so that both
+	// are stored with one call if one call can hold them.
+	joined bool
 	// stored is what the scheduler is told once the record is stored.
 	stored scheduler.Write
 }
@@ -120,6 +124,7 @@
 		}
 		parts = append(parts, writePart{
 			record: record,
+			joined: len(parts) > 0,
 			stored: scheduler.Write{
 				Workers: rest[:n],
 			},
@@ -132,6 +137,7 @@
 			record: storer.Record{
 				Key: workersKeyOf(i),
 			},
+			joined: true,
 		})
 	}
 	c.workerRecords = used
@@ -172,13 +178,7 @@
 func (c *Conductor) storeParts(ctx context.Context, parts []writePart) (int, error) {
 	unstorable := 0
 	for len(parts) > 0 {
-		n, size := 0, 0
-		for ; n < len(parts); n++ {
-			size += storer.Size(parts[n].record)
-			if n > 0 && !c.limits.FitsRequest(size) {
-				break
-			}
-		}
+		n := c.partsOfCall(parts)
 		failed, err := c.storeCall(ctx, parts[:n])
 		if err != nil {
 			return unstorable, err
@@ -191,6 +191,21 @@
 	return unstorable, nil
 }
 
+// partsOfCall returns how many of the parts, at least one, the next call stores.
+func (c *Conductor) partsOfCall(parts []writePart) int {
+	size, whole := 0, 0
+	for n, part := range parts {
+		if n > 0 && !part.joined {
+			whole = n
+		}
+		size += storer.Size(part.record)
+		if n > 0 && !c.limits.FitsRequest(size) {
+			return cmp.Or(whole, n)
+		}
+	}
+	return len(parts)
+}
+
 // storeCall stores parts with one call. If the store rejects it, each half is stored on its
 // own. The progress of a job that the store rejects alone makes the job fail, and anything
 // else is tried again.
