--- a/coordinator/feed_test.go
+++ b/coordinator/feed_test.go
@@ -381,6 +381,7 @@
 		f.feed.beforeRead = func() { at = append(at, time.Now()) }
 		f.start()
 		time.Sleep(directoryIdleInterval + time.Second)
+		synctest.Wait()
 		c.Assert(at, qt.HasLen, 2)
 		owns.Store(true)
 		request(wake)
