--- a/review/_kit/kit.go
+++ b/review/_kit/kit.go
@@ -142,6 +142,9 @@
 	return starts
 }
 
+// program is the path of the project's program.
+var program = "target/galenacove"
+
 // entry is a process of the project.
 type entry struct {
 	name, ip, dir  string
@@ -261,7 +264,7 @@
 	if err != nil {
 		cannotRun("open the log", err)
 	}
-	cmd := exec.Command("target/galenacove", "host")
+	cmd := exec.Command(program, "host")
 	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "GALENACOVE_SETTINGS=" + e.settings}
 	cmd.Stdout, cmd.Stderr = logs, logs
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
@@ -396,8 +399,8 @@
 const limit = 118 * time.Second
 
 func main() {
-	if len(os.Args) != 3 {
-		cannotRun("usage", fmt.Errorf("kit CASE FOLDER"))
+	if len(os.Args) < 3 || len(os.Args) > 3 && os.Args[1] != "storm" {
+		cannotRun("usage", fmt.Errorf("kit CASE FOLDER, or kit storm FOLDER OPTIONS"))
 	}
 	folder := os.Args[2]
 	dir, err := os.MkdirTemp("", "review46-")
@@ -414,13 +417,18 @@
 		"wide":      caseWide,
 	}
 	play := cases[os.Args[1]]
+	limit := limit
+	if os.Args[1] == "storm" {
+		options := parseStormOptions(os.Args[3:])
+		limit = stormLimit(options)
+		play = func(rec *recorder, _ string) int { return caseStorm(rec, folder, options) }
+	}
 	if play == nil {
 		cannotRun("usage", fmt.Errorf("no case %q", os.Args[1]))
 	}
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
 	go func() { cannotRun("run to the end", fmt.Errorf("signal %v", <-signals)) }()
-	limit := limit
 	if os.Getenv("STATUS_S") != "" {
 		// A longer trial of a case, not the case itself.
 		limit *= 3
--- /dev/null
+++ b/review/_kit/storm.go
@@ -0,0 +1,374 @@
+package main
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// labService is the service whose workers guard their capacity, and whose steps need
+// advice if the storm has an adviser.
+const labService = "lab"
+
+// stormOptions are the options of the case.
+type stormOptions struct {
+	seed             uint64
+	entries, workers int
+	// status is status_s.
+	status int
+	// length is how long jobs are handed in, and tail how long jobs may take after that.
+	length, tail time.Duration
+	// jobs is the number of jobs a second.
+	jobs float64
+	// faults is how many faults go on at once.
+	faults int
+	// leavers is the percentage of clients that give up and cancel elsewhere.
+	leavers         int
+	advice, tenants bool
+	// only names the one kind of fault to play, if it is not empty.
+	only string
+}
+
+// storm is a run of the case: jobs beside random faults.
+type storm struct {
+	options  stormOptions
+	rec      *recorder
+	dir      string
+	store    *store
+	weather  *weather
+	network  *network
+	calendar *calendar
+	ledger   *ledger
+	adviser  *adviser
+	clients  *stormClients
+
+	mu      sync.Mutex
+	entries []*entry
+	// busy holds the entries and workers with a fault.
+	busy    map[string]bool
+	workers []*worker
+	over    chan struct{}
+	nextID  int
+}
+
+func parseStormOptions(arguments []string) stormOptions {
+	var o stormOptions
+	flags := flag.NewFlagSet("storm", flag.ExitOnError)
+	flags.Uint64Var(&o.seed, "seed", 1, "seed of the faults and jobs")
+	flags.IntVar(&o.entries, "entries", 6, "entries")
+	flags.IntVar(&o.workers, "workers", 24, "workers")
+	flags.IntVar(&o.status, "status", 120, "status_s")
+	flags.DurationVar(&o.length, "length", time.Minute, "how long jobs are handed in")
+	flags.DurationVar(&o.tail, "tail", 30*time.Second, "how long jobs may take after that")
+	flags.Float64Var(&o.jobs, "jobs", 20, "jobs a second")
+	flags.IntVar(&o.faults, "faults", 2, "faults at once")
+	flags.IntVar(&o.leavers, "leavers", 15, "percentage of clients that give up and cancel elsewhere")
+	flags.BoolVar(&o.advice, "advice", false, "play an adviser")
+	flags.BoolVar(&o.tenants, "tenants", false, "play organisations")
+	flags.StringVar(&o.only, "only", "", "play one kind of fault only")
+	flags.StringVar(&program, "program", program, "path of the program")
+	_ = flags.Parse(arguments)
+	return o
+}
+
+// stormConfig returns the configuration of a storm.
+func stormConfig(o stormOptions, a *adviser) map[string]any {
+	c := config(1, "svc", labService)
+	routes := c["routes"].([]map[string]any)
+	urgent := map[string]any{}
+	for name, value := range routes[0] {
+		urgent[name] = value
+	}
+	urgent["name"], urgent["path_prefix"], urgent["priority"] = "q-urgent", "/urgent/", 0
+	routes[1]["priority"] = 1
+	if a != nil {
+		routes[1]["recommendation"] = map[string]any{
+			"decision_ms": a.decision.Milliseconds(), "period_ms": a.period.Milliseconds(), "validity_ms": a.validity.Milliseconds(),
+		}
+	}
+	c["routes"] = append(routes, urgent)
+	c["services"].([]map[string]any)[1]["preconditions"] = true
+	if o.tenants {
+		c["tenants"] = []map[string]any{
+			{"name": "first", "api_keys": []string{"key-first"}, "weight": 2, "maximum": map[string]any{"cpu": 200000, "mem_mb": 4000000, "gpu": 0}},
+			{"name": "second", "api_keys": []string{"key-second"}, "weight": 1, "maximum": map[string]any{"cpu": 100000, "mem_mb": 4000000, "gpu": 0}},
+		}
+	}
+	return c
+}
+
+// caseStorm plays jobs beside random faults, and checks the rules from what clients,
+// workers and the store see.
+func caseStorm(rec *recorder, dir string, o stormOptions) int {
+	s := &storm{
+		options:  o,
+		rec:      rec,
+		dir:      dir,
+		weather:  newWeather(),
+		network:  newNetwork(),
+		calendar: &calendar{},
+		busy:     make(map[string]bool),
+		over:     make(chan struct{}),
+	}
+	s.store = newStore(rec, 12)
+	s.ledger = newLedger(rec, s.calendar, time.Duration(o.status)*time.Second)
+	s.clients = &stormClients{
+		storm: s,
+		client: &http.Client{
+			Transport: &http.Transport{
+				MaxIdleConnsPerHost: 32,
+			},
+		},
+	}
+	rng := rand.New(rand.NewPCG(o.seed, 1))
+	adviserAddress := ""
+	if o.advice {
+		s.adviser = newAdviser(s)
+		adviserAddress = serve("127.0.0.1", s.adviser)
+		s.network.up(adviserAddress)
+	}
+	s.store.put("op", "config", stormConfig(o, s.adviser))
+	for i := range o.workers {
+		service := "svc"
+		if i%3 == 2 {
+			service = labService
+		}
+		s.addWorker(s.startWorker(service, s.workerID(), "", fmt.Sprintf("r1-%d", i%4)))
+	}
+	for i := range o.entries {
+		s.addEntry(i+1, adviserAddress)
+	}
+	for _, e := range s.entries {
+		e.start()
+	}
+	awaitReady(s.entries...)
+	time.Sleep(3 * time.Second)
+
+	rec.say("the storm begins: %+v, %s", o, program)
+	var group errgroup.Group
+	group.Go(func() error {
+		s.playJobs(&group, rng)
+		return nil
+	})
+	s.playFaults(rand.New(rand.NewPCG(o.seed, 2)))
+	rec.say("the storm is over")
+	_ = group.Wait()
+	s.recover()
+	calmSince := time.Now()
+	rec.say("all disruptions have ended")
+	code := s.verdict(calmSince)
+	return code
+}
+
+// addEntry adds an entry with a way to the store of its own.
+func (s *storm) addEntry(number int, adviserAddress string) *entry {
+	zones := []string{"zone-a", "zone-b", "zone-c"}
+	name := fmt.Sprintf("edge-%s-%d", zones[number%3], number)
+	link := newUplink(s.store, s.weather, s.network, s.ledger, name)
+	e := newEntry(s.rec, s.dir, number, zones[number%3], link.addr, "", s.options.status)
+	if e.name != name {
+		cannotRun("add an entry", fmt.Errorf("name %s, want %s", e.name, name))
+	}
+	s.network.addEntry(e.name, e.ip, peerAddressOf(e))
+	if adviserAddress != "" {
+		e.replaceSetting(`recommendation = ""`, fmt.Sprintf("recommendation = %q", s.network.seenFrom(e.name, adviserAddress)))
+	}
+	s.mu.Lock()
+	s.entries = append(s.entries, e)
+	s.mu.Unlock()
+	return e
+}
+
+// peerAddressOf returns the address of an entry for its peers, which its settings hold.
+func peerAddressOf(e *entry) string {
+	text, err := os.ReadFile(e.settings)
+	if err != nil {
+		cannotRun("read the settings", err)
+	}
+	var port int
+	for line := range strings.Lines(string(text)) {
+		if _, err := fmt.Sscanf(line, "internal_ports = [%d,", &port); err == nil {
+			break
+		}
+	}
+	return fmt.Sprintf("%s:%d", e.ip, port)
+}
+
+func (s *storm) workerID() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.nextID++
+	return fmt.Sprintf("i-%08x", 0x1a2b3c00+s.nextID)
+}
+
+func (s *storm) addWorker(w *worker) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.workers = append(s.workers, w)
+}
+
+// replaceWorker has a life take the place of another one.
+func (s *storm) replaceWorker(former, w *worker) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if i := slices.Index(s.workers, former); i >= 0 {
+		s.workers[i] = w
+	}
+}
+
+// workerNamed returns the present life of a worker, or nil.
+func (s *storm) workerNamed(id string) *worker {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, w := range s.workers {
+		if w.id == id {
+			return w
+		}
+	}
+	return nil
+}
+
+// entriesInOrder returns the entries in random order.
+func (s *storm) entriesInOrder(rng *rand.Rand) []*entry {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	entries := slices.Clone(s.entries)
+	rng.Shuffle(len(entries), func(i, k int) { entries[i], entries[k] = entries[k], entries[i] })
+	return entries
+}
+
+func (s *storm) isOver() bool {
+	select {
+	case <-s.over:
+		return true
+	default:
+		return false
+	}
+}
+
+// playJobs hands jobs in until the storm is over.
+func (s *storm) playJobs(group *errgroup.Group, rng *rand.Rand) {
+	keys := []string{""}
+	if s.options.tenants {
+		keys = []string{"key-first", "key-second"}
+	}
+	end := time.Now().Add(s.options.length)
+	for number := 0; time.Now().Before(end); number++ {
+		job := s.drawJob(rng, number)
+		key := keys[number%len(keys)]
+		clientRNG := rand.New(rand.NewPCG(s.options.seed, uint64(number)+100))
+		group.Go(func() error {
+			s.clients.play(clientRNG, job, key)
+			return nil
+		})
+		time.Sleep(time.Duration(rng.ExpFloat64() / s.options.jobs * float64(time.Second)))
+	}
+	close(s.over)
+}
+
+// recover ends all disruptions, and starts what is down.
+func (s *storm) recover() {
+	s.network.heal()
+	s.weather.setWorkersOut(false)
+	s.mu.Lock()
+	entries, workers := slices.Clone(s.entries), slices.Clone(s.workers)
+	s.mu.Unlock()
+	for _, w := range workers {
+		w.setMode(workerMode{})
+	}
+	for _, e := range entries {
+		select {
+		case <-e.done:
+			e.start()
+		default:
+			_ = e.cmd.Process.Signal(syscall.SIGCONT)
+		}
+	}
+}
+
+// verdict waits for the jobs, makes the last checks and reports.
+func (s *storm) verdict(calmSince time.Time) int {
+	deadline := calmSince.Add(s.options.tail)
+	settled := calmSince.Add(stormContact + stormCancel + stormStop + 2*time.Second)
+	for time.Now().Before(deadline) && (len(s.ledger.unfinished()) > 0 || time.Now().Before(settled)) {
+		time.Sleep(200 * time.Millisecond)
+	}
+	s.rec.say("%d accepted jobs have not ended %.1f s after the last disruption", len(s.ledger.unfinished()), time.Since(calmSince).Seconds())
+	s.askForAll()
+	s.ledger.finish(calmSince)
+	return s.report()
+}
+
+// askForAll asks for the state of each accepted job that must still be known.
+func (s *storm) askForAll() {
+	var group errgroup.Group
+	group.SetLimit(8)
+	rng := rand.New(rand.NewPCG(s.options.seed, 3))
+	for _, id := range s.ledger.accepted() {
+		job, _ := s.ledger.job(id)
+		e := s.entriesInOrder(rng)[0]
+		key := ""
+		if s.options.tenants {
+			number := 0
+			_, _ = fmt.Sscanf(id[8:], "%x", &number)
+			key = []string{"key-first", "key-second"}[number%2]
+		}
+		group.Go(func() error {
+			s.clients.ask(&job, key, e)
+			return nil
+		})
+	}
+	_ = group.Wait()
+}
+
+// report prints the breaches and returns the exit code.
+func (s *storm) report() int {
+	s.ledger.mu.Lock()
+	defer s.ledger.mu.Unlock()
+	counts := map[string]int{}
+	first := map[string]string{}
+	for _, b := range s.ledger.breaches {
+		key := b.rule + ", " + b.class
+		counts[key]++
+		if first[key] == "" {
+			first[key] = b.text
+		}
+	}
+	accepted, cancelled := 0, 0
+	for _, j := range s.ledger.jobs {
+		if !j.accepted.IsZero() {
+			accepted++
+		}
+		if !j.cancelled.IsZero() {
+			cancelled++
+		}
+	}
+	s.rec.say("%d jobs, %d accepted, %d cancelled, %d starts, %d breaches; logs in %s", len(s.ledger.jobs), accepted, cancelled, s.ledger.starts, len(s.ledger.breaches), filepath.Clean(s.dir))
+	keys := make([]string, 0, len(counts))
+	for key := range counts {
+		keys = append(keys, key)
+	}
+	slices.Sort(keys)
+	for _, key := range keys {
+		s.rec.say("%s: %d, first: %s", key, counts[key], first[key])
+	}
+	if len(counts) > 0 {
+		return broken
+	}
+	return held
+}
+
+// stormLimit is the longest time that a storm may take.
+func stormLimit(o stormOptions) time.Duration {
+	return o.length + o.tail + time.Minute
+}
