--- a/review/_kit/storm.go
+++ b/review/_kit/storm.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"os"
@@ -16,14 +17,28 @@
 	"golang.org/x/sync/errgroup"
 )
 
-// labService is the service whose workers guard their capacity, and whose steps need
-// advice if the storm has an adviser.
-const labService = "lab"
+// stormServices returns the names of the services. Each has a partition of its own.
+func stormServices(n int) []string {
+	names := make([]string, 0, n)
+	for i := range n {
+		kind := "open"
+		if i%2 == 1 {
+			kind = "lab"
+		}
+		names = append(names, fmt.Sprintf("%s%d", kind, i))
+	}
+	return names
+}
+
+// isLab reports whether the workers of a service guard their capacity. The steps of its
+// jobs need advice if the storm has an adviser.
+func isLab(service string) bool { return strings.HasPrefix(service, "lab") }
 
 // stormOptions are the options of the case.
 type stormOptions struct {
-	seed             uint64
-	entries, workers int
+	seed uint64
+	// services is the number of services, among which the workers are divided.
+	entries, workers, services int
 	// status is status_s.
 	status int
 	// length is how long jobs are handed in, and tail how long jobs may take after that.
@@ -67,9 +82,10 @@
 	flags.Uint64Var(&o.seed, "seed", 1, "seed of the faults and jobs")
 	flags.IntVar(&o.entries, "entries", 6, "entries")
 	flags.IntVar(&o.workers, "workers", 24, "workers")
+	flags.IntVar(&o.services, "services", 4, "services")
 	flags.IntVar(&o.status, "status", 120, "status_s")
 	flags.DurationVar(&o.length, "length", time.Minute, "how long jobs are handed in")
-	flags.DurationVar(&o.tail, "tail", 30*time.Second, "how long jobs may take after that")
+	flags.DurationVar(&o.tail, "tail", 50*time.Second, "how long jobs may take after that")
 	flags.Float64Var(&o.jobs, "jobs", 20, "jobs a second")
 	flags.IntVar(&o.faults, "faults", 2, "faults at once")
 	flags.IntVar(&o.leavers, "leavers", 15, "percentage of clients that give up and cancel elsewhere")
@@ -83,25 +99,28 @@
 
 // stormConfig returns the configuration of a storm.
 func stormConfig(o stormOptions, a *adviser) map[string]any {
-	c := config(1, "svc", labService)
+	c := config(1, stormServices(o.services)...)
 	routes := c["routes"].([]map[string]any)
-	urgent := map[string]any{}
-	for name, value := range routes[0] {
-		urgent[name] = value
-	}
-	urgent["name"], urgent["path_prefix"], urgent["priority"] = "q-urgent", "/urgent/", 0
-	routes[1]["priority"] = 1
-	if a != nil {
-		routes[1]["recommendation"] = map[string]any{
-			"decision_ms": a.decision.Milliseconds(), "period_ms": a.period.Milliseconds(), "validity_ms": a.validity.Milliseconds(),
+	for i, service := range c["services"].([]map[string]any) {
+		route := routes[i]
+		if isLab(service["name"].(string)) {
+			service["preconditions"] = true
+			if a != nil {
+				route["recommendation"] = map[string]any{
+					"decision_ms": a.decision.Milliseconds(), "period_ms": a.period.Milliseconds(), "validity_ms": a.validity.Milliseconds(),
+				}
+			}
+			continue
 		}
+		urgent := maps.Clone(route)
+		urgent["name"], urgent["path_prefix"], urgent["priority"] = "urgent-"+service["name"].(string), "/urgent-"+service["name"].(string)+"/", 0
+		routes = append(routes, urgent)
 	}
-	c["routes"] = append(routes, urgent)
-	c["services"].([]map[string]any)[1]["preconditions"] = true
+	c["routes"] = routes
 	if o.tenants {
 		c["tenants"] = []map[string]any{
-			{"name": "first", "api_keys": []string{"key-first"}, "weight": 2, "maximum": map[string]any{"cpu": 200000, "mem_mb": 4000000, "gpu": 0}},
-			{"name": "second", "api_keys": []string{"key-second"}, "weight": 1, "maximum": map[string]any{"cpu": 100000, "mem_mb": 4000000, "gpu": 0}},
+			{"name": "first", "api_keys": []string{"key-first"}, "weight": 2, "maximum": map[string]any{"cpu": 300000, "mem_mb": 4000000, "gpu": 0}},
+			{"name": "second", "api_keys": []string{"key-second"}, "weight": 1, "maximum": map[string]any{"cpu": 200000, "mem_mb": 4000000, "gpu": 0}},
 		}
 	}
 	return c
@@ -138,12 +157,9 @@
 		s.network.up(adviserAddress)
 	}
 	s.store.put("op", "config", stormConfig(o, s.adviser))
+	services := stormServices(o.services)
 	for i := range o.workers {
-		service := "svc"
-		if i%3 == 2 {
-			service = labService
-		}
-		s.addWorker(s.startWorker(service, s.workerID(), "", fmt.Sprintf("r1-%d", i%4)))
+		s.addWorker(s.startWorker(services[i%len(services)], s.workerID(), "", fmt.Sprintf("r1-%d", i%4)))
 	}
 	for i := range o.entries {
 		s.addEntry(i+1, adviserAddress)
@@ -300,15 +316,25 @@
 func (s *storm) verdict(calmSince time.Time) int {
 	deadline := calmSince.Add(s.options.tail)
 	settled := calmSince.Add(stormContact + stormCancel + stormStop + 2*time.Second)
-	for time.Now().Before(deadline) && (len(s.ledger.unfinished()) > 0 || time.Now().Before(settled)) {
+	stuck := false
+	for time.Now().Before(deadline) {
 		time.Sleep(200 * time.Millisecond)
+		open := len(s.ledger.unfinished()) > 0
+		stuck = open && s.ledger.sinceStart() > stuckAfter
+		if time.Now().After(settled) && (stuck || !open) {
+			break
+		}
 	}
-	s.rec.say("%d accepted jobs have not ended %.1f s after the last disruption", len(s.ledger.unfinished()), time.Since(calmSince).Seconds())
 	s.askForAll()
-	s.ledger.finish(calmSince)
+	s.rec.say("%d accepted jobs have not ended %.1f s after the last disruption, stuck: %v", len(s.ledger.unfinished()), time.Since(calmSince).Seconds(), stuck)
+	s.ledger.finish(calmSince, stuck)
 	return s.report()
 }
 
+// stuckAfter is the time without a start after which jobs that have not ended are taken to
+// be lost. The longest run takes 15 s.
+const stuckAfter = 16 * time.Second
+
 // askForAll asks for the state of each accepted job that must still be known.
 func (s *storm) askForAll() {
 	var group errgroup.Group
--- a/review/_kit/stormclient.go
+++ b/review/_kit/stormclient.go
@@ -70,15 +70,16 @@
 		return time.Duration(least+rng.IntN(most-least+1)) * time.Millisecond
 	}
 	id := fmt.Sprintf("%08x%08x", rng.Uint32(), number)
-	routes := []string{"svc", "svc", "urgent", labService}
+	services := stormServices(s.options.services)
+	service := services[rng.IntN(len(services))]
 	j := &stormJob{
-		id:    id,
-		route: routes[rng.IntN(len(routes))],
-		spec:  fmt.Sprintf("spec of %s", id),
+		id:      id,
+		route:   service,
+		service: service,
+		spec:    fmt.Sprintf("spec of %s", id),
 	}
-	j.service = "svc"
-	if j.route == labService {
-		j.service = labService
+	if !isLab(service) && rng.IntN(3) == 0 {
+		j.route = "urgent-" + service
 	}
 	p := stormPhase{
 		tasks: 1 + rng.IntN(6),
--- a/review/_kit/stormfaults.go
+++ b/review/_kit/stormfaults.go
@@ -468,7 +468,7 @@
 func (s *storm) crashWorkers(rng *rand.Rand) {
 	s.onWorkers(rng, 1+rng.IntN(max(1, s.options.workers/4)), "crashed", func(workers []*worker) {
 		for _, w := range workers {
-			w.end("crashed")
+			w.end(crashedEnd)
 		}
 		time.Sleep(between(rng, 100*time.Millisecond, 3*time.Second))
 		reuse := rng.IntN(2) == 0
@@ -491,7 +491,7 @@
 func (s *storm) rebirth(rng *rand.Rand) {
 	s.onWorkers(rng, 1+rng.IntN(max(1, s.options.workers/3)), "reborn", func(workers []*worker) {
 		for _, w := range workers {
-			w.end("crashed, to be reborn")
+			w.end(crashedEnd)
 		}
 		time.Sleep(between(rng, 5*time.Millisecond, 2*time.Second))
 		for _, w := range workers {
--- a/review/_kit/stormledger.go
+++ b/review/_kit/stormledger.go
@@ -162,8 +162,9 @@
 	active map[runID]time.Time
 	starts []taskStart
 	dones  []doneEnd
-	// failedNoted counts the ends as failed that were taken note of.
-	failedNoted int
+	// failedNoted counts the ends as failed that were taken note of, and crashes the runs
+	// that ended with their worker.
+	failedNoted, crashes int
 }
 
 // gangRun is one attempt of a gang.
@@ -199,6 +200,8 @@
 	checkpoints map[string]checkpoint
 	breaches    []breach
 	starts      int
+	// startedAt is the time of the last start of a task that does not last.
+	startedAt time.Time
 }
 
 func newLedger(rec *recorder, calendar *calendar, status time.Duration) *ledger {
@@ -371,6 +374,9 @@
 	if job.handIns > 0 && job.refusals == job.handIns {
 		l.rec.printf("%s was started though all %d hand-ins so far were refused", task, job.handIns)
 	}
+	if !p.lasting {
+		l.startedAt = now
+	}
 	t.starts = append(t.starts, start)
 	t.active[run] = now
 }
@@ -428,6 +434,9 @@
 		return
 	}
 	job.lastEnd = now
+	if how == crashedEnd {
+		t.crashes++
+	}
 	if how == "done" {
 		t.dones = append(t.dones, doneEnd{
 			at:  now,
@@ -589,7 +598,7 @@
 		if job.failed.IsZero() {
 			job.failed = now
 		}
-		if !job.fails() {
+		if !job.fails() && !l.mayBeGivenUp(job) {
 			l.broken("LOST", id, "failed", "%s showed %s as failed", entry, id)
 		}
 	case "canceled":
@@ -599,6 +608,27 @@
 	}
 }
 
+// crashedEnd is how runs end with a worker that crashes.
+const crashedEnd = "crashed"
+
+// mayBeGivenUp reports whether a job may be shown as failed as two workers have crashed
+// under one of its tasks. The caller holds mu.
+func (l *ledger) mayBeGivenUp(job *stormJob) bool {
+	for name, t := range l.tasks {
+		if t.crashes >= 2 && strings.HasPrefix(name, job.id+".") {
+			return true
+		}
+	}
+	return false
+}
+
+// mustEnd reports whether a job was accepted, and must be completed in the end. The caller
+// holds mu.
+func (l *ledger) mustEnd(job *stormJob) bool {
+	givenUp := !job.failed.IsZero() && l.mayBeGivenUp(job)
+	return !job.accepted.IsZero() && job.cancelSent.IsZero() && !job.fails() && !givenUp
+}
+
 // unfinished returns the accepted jobs that nobody has cancelled and that have not ended.
 func (l *ledger) unfinished() []string {
 	l.mu.Lock()
@@ -606,7 +636,7 @@
 	var ids []string
 	for _, id := range l.order {
 		job := l.jobs[id]
-		if !job.accepted.IsZero() && job.cancelSent.IsZero() && !job.lasts() && !job.fails() && !l.isFinished(job) {
+		if l.mustEnd(job) && !job.lasts() && !l.isFinished(job) {
 			ids = append(ids, id)
 		}
 	}
@@ -614,8 +644,8 @@
 }
 
 // finish makes the checks that need the whole storm. calmSince is the end of the last
-// disruption.
-func (l *ledger) finish(calmSince time.Time) {
+// disruption. stuck is whether jobs that have not ended no longer start.
+func (l *ledger) finish(calmSince time.Time, stuck bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
@@ -638,7 +668,7 @@
 		if ran && job.handIns > 0 && job.refusals == job.handIns {
 			l.broken("REFUSED", id, "refused", "%s ran, and all its %d hand-ins were refused", id, job.handIns)
 		}
-		if job.accepted.IsZero() || !job.cancelSent.IsZero() {
+		if !l.mustEnd(job) {
 			continue
 		}
 		if job.lasts() {
@@ -649,7 +679,7 @@
 					}
 				}
 			}
-		} else if !job.fails() && !l.isFinished(job) {
+		} else if stuck && !l.isFinished(job) {
 			l.broken("LOST", id, "unfinished", "%s, accepted %.1f s before the end, has not ended: %s", id, now.Sub(job.accepted).Seconds(), l.describe(job))
 		}
 	}
@@ -715,3 +745,10 @@
 	}
 	return ids
 }
+
+// sinceStart returns the time since the last start of a task that does not last.
+func (l *ledger) sinceStart() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return time.Since(l.startedAt)
+}
--- a/review/_kit/stormworker.go
+++ b/review/_kit/stormworker.go
@@ -102,7 +102,7 @@
 		label:   "kind-" + service,
 		rack:    rack,
 		cpu:     16000,
-		guards:  service == labService,
+		guards:  isLab(service),
 		rate:    1,
 		born:    time.Now(),
 		storm:   s,
@@ -423,7 +423,7 @@
 		return
 	}
 	run.phase = phase
-	if w.service == labService && w.storm.adviser != nil && !w.storm.adviser.valid(o.Ticket, stepOf(o.Task), w) {
+	if isLab(w.service) && w.storm.adviser != nil && !w.storm.adviser.valid(o.Ticket, stepOf(o.Task), w) {
 		w.refuse(answer, "ticket")
 		return
 	}
