--- a/review/_kit/storm.go
+++ b/review/_kit/storm.go
@@ -50,8 +50,9 @@
 	// leavers is the percentage of clients that give up and cancel elsewhere.
 	leavers         int
 	advice, tenants bool
-	// only names the one kind of fault to play, if it is not empty.
-	only string
+	// only names the kinds of faults to play, if it is not empty, and without those not to
+	// play.
+	only, without string
 }
 
 // storm is a run of the case: jobs beside random faults.
@@ -74,6 +75,9 @@
 	workers []*worker
 	over    chan struct{}
 	nextID  int
+
+	// background runs what lasts until the process ends.
+	background errgroup.Group
 }
 
 func parseStormOptions(arguments []string) stormOptions {
@@ -91,7 +95,8 @@
 	flags.IntVar(&o.leavers, "leavers", 15, "percentage of clients that give up and cancel elsewhere")
 	flags.BoolVar(&o.advice, "advice", false, "play an adviser")
 	flags.BoolVar(&o.tenants, "tenants", false, "play organisations")
-	flags.StringVar(&o.only, "only", "", "play one kind of fault only")
+	flags.StringVar(&o.only, "only", "", "kinds of faults to play, separated by commas")
+	flags.StringVar(&o.without, "without", "", "kinds of faults not to play")
 	flags.StringVar(&program, "program", program, "path of the program")
 	_ = flags.Parse(arguments)
 	return o
@@ -134,11 +139,11 @@
 		rec:      rec,
 		dir:      dir,
 		weather:  newWeather(),
-		network:  newNetwork(),
 		calendar: &calendar{},
 		busy:     make(map[string]bool),
 		over:     make(chan struct{}),
 	}
+	s.network = newNetwork(&s.background)
 	s.store = newStore(rec, 12)
 	s.ledger = newLedger(rec, s.calendar, time.Duration(o.status)*time.Second)
 	s.clients = &stormClients{
@@ -182,8 +187,7 @@
 	s.recover()
 	calmSince := time.Now()
 	rec.say("all disruptions have ended")
-	code := s.verdict(calmSince)
-	return code
+	return s.verdict(calmSince)
 }
 
 // addEntry adds an entry with a way to the store of its own.
@@ -341,7 +345,7 @@
 	group.SetLimit(8)
 	rng := rand.New(rand.NewPCG(s.options.seed, 3))
 	for _, id := range s.ledger.accepted() {
-		job, _ := s.ledger.job(id)
+		job := s.ledger.job(id)
 		e := s.entriesInOrder(rng)[0]
 		key := ""
 		if s.options.tenants {
--- a/review/_kit/stormclient.go
+++ b/review/_kit/stormclient.go
@@ -19,7 +19,8 @@
 	objective = 250 * time.Millisecond
 	// patience is how long other clients wait for an answer.
 	patience = 3 * time.Second
-	// cancelTries limits the tries of a cancelling.
+	// handInTries and cancelTries limit the tries of a hand-in and of a cancelling.
+	handInTries = 6
 	cancelTries = 12
 )
 
@@ -153,98 +154,116 @@
 
 func (j *stormJob) path() string { return "/" + j.route + "/" + j.id }
 
+// jobClient is one client, with one job.
+type jobClient struct {
+	*stormClients
+	rng     *rand.Rand
+	job     *stormJob
+	key     string
+	entries []*entry
+	next    int
+}
+
 // play plays one client with a job: it waits, or gives up and hands in again elsewhere, or
 // gives up and cancels elsewhere, or cancels a job that may run.
 func (c *stormClients) play(rng *rand.Rand, j *stormJob, key string) {
-	s := c.storm
-	s.ledger.addJob(j)
-	entries := s.entriesInOrder(rng)
-	next := 0
-	entry := func() *entry {
-		next++
-		return entries[next%len(entries)]
-	}
-	handIn := func(timeout time.Duration) int {
-		e := entry()
-		s.ledger.update(j.id, func(j *stormJob) { j.handIns++ })
-		status, _ := c.call(e, http.MethodPost, j.path(), key, j.body(), timeout)
-		s.ledger.update(j.id, func(j *stormJob) {
-			switch {
-			case status >= 200 && status < 300:
-				if j.accepted.IsZero() {
-					j.accepted = time.Now()
-				}
-			case status == 429 || status == 503 || status == 404:
-				j.refusals++
-			}
-		})
-		return status
-	}
-	cancel := func() {
-		s.ledger.update(j.id, func(j *stormJob) { j.cancelSent = time.Now() })
-		for range cancelTries {
-			status, _ := c.call(entry(), http.MethodDelete, j.path(), key, nil, patience)
-			switch {
-			case status >= 200 && status < 300:
-				s.ledger.update(j.id, func(j *stormJob) { j.cancelled = time.Now() })
-				return
-			case status == 410:
-				s.ledger.update(j.id, func(j *stormJob) { j.cancelGone = true })
-				return
-			}
-			time.Sleep(time.Duration(100+rng.IntN(500)) * time.Millisecond)
-		}
-	}
-	persist := func(first time.Duration) bool {
-		timeout := first
-		for range 6 {
-			if status := handIn(timeout); status >= 200 && status < 300 {
-				return true
-			}
-			timeout = patience
-			time.Sleep(time.Duration(50+rng.IntN(700)) * time.Millisecond)
-		}
-		return false
+	c.storm.ledger.addJob(j)
+	client := &jobClient{
+		stormClients: c,
+		rng:          rng,
+		job:          j,
+		key:          key,
+		entries:      c.storm.entriesInOrder(rng),
 	}
 	switch draw := rng.IntN(100); {
 	case draw < 40:
-		if !persist(patience) {
-			return
-		}
-		if rng.IntN(4) == 0 {
+		if client.persist(patience) && rng.IntN(4) == 0 {
 			// A request that was sent before the answer arrives late.
-			time.Sleep(time.Duration(rng.IntN(4000)) * time.Millisecond)
-			handIn(patience)
+			client.pause(0, 4*time.Second)
+			client.handIn(patience)
 		}
 	case draw < 60:
-		if !persist(objective / 2) {
+		client.persist(objective / 2)
+	case draw < 60+c.storm.options.leavers:
+		if client.handIn(objective/2) == 0 {
+			client.cancel()
 			return
 		}
-	case draw < 60+s.options.leavers:
-		if status := handIn(objective / 2); status != 0 {
-			break
-		}
-		cancel()
-		return
 	default:
-		if !persist(patience) {
-			return
+		if client.persist(patience) {
+			client.pause(0, 4*time.Second)
+			client.cancel()
 		}
-		time.Sleep(time.Duration(rng.IntN(4000)) * time.Millisecond)
-		cancel()
 		return
 	}
-	c.follow(rng, j, key, entries)
-	if known, _ := s.ledger.job(j.id); known.lasts() && rng.IntN(2) == 0 {
-		cancel()
+	client.follow()
+	if j.lasts() && rng.IntN(2) == 0 {
+		client.cancel()
+	}
+}
+
+func (c *jobClient) pause(least, most time.Duration) {
+	time.Sleep(between(c.rng, least, most))
+}
+
+// nextEntry returns another entry than the last one.
+func (c *jobClient) nextEntry() *entry {
+	c.next++
+	return c.entries[c.next%len(c.entries)]
+}
+
+// handIn hands the job in once and returns the status of the answer, 0 without one.
+func (c *jobClient) handIn(timeout time.Duration) int {
+	ledger := c.storm.ledger
+	ledger.update(c.job.id, func(j *stormJob) { j.handIns++ })
+	status, _ := c.call(c.nextEntry(), http.MethodPost, c.job.path(), c.key, c.job.body(), timeout)
+	ledger.update(c.job.id, func(j *stormJob) {
+		switch {
+		case status == http.StatusOK && j.accepted.IsZero():
+			j.accepted = time.Now()
+		case status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable || status == http.StatusNotFound:
+			j.refusals++
+		}
+	})
+	return status
+}
+
+// persist hands the job in until it is accepted, and waits that long for the first answer.
+func (c *jobClient) persist(first time.Duration) bool {
+	timeout := first
+	for range handInTries {
+		if c.handIn(timeout) == http.StatusOK {
+			return true
+		}
+		timeout = patience
+		c.pause(50*time.Millisecond, 750*time.Millisecond)
+	}
+	return false
+}
+
+// cancel cancels the job until that is acknowledged.
+func (c *jobClient) cancel() {
+	ledger := c.storm.ledger
+	ledger.update(c.job.id, func(j *stormJob) { j.cancelSent = time.Now() })
+	for range cancelTries {
+		status, _ := c.call(c.nextEntry(), http.MethodDelete, c.job.path(), c.key, nil, patience)
+		switch status {
+		case http.StatusOK:
+			ledger.update(c.job.id, func(j *stormJob) { j.cancelled = time.Now() })
+			return
+		case http.StatusGone:
+			ledger.update(c.job.id, func(j *stormJob) { j.cancelGone = true })
+			return
+		}
+		c.pause(100*time.Millisecond, 600*time.Millisecond)
 	}
 }
 
-// follow asks for the state of a job until it has ended or the storm is over.
-func (c *stormClients) follow(rng *rand.Rand, j *stormJob, key string, entries []*entry) {
+// follow asks for the state of the job until it has ended or the storm is over.
+func (c *jobClient) follow() {
 	for asked := 0; asked < 25 && !c.storm.isOver(); asked++ {
-		time.Sleep(time.Duration(300+rng.IntN(1500)) * time.Millisecond)
-		if c.ask(j, key, entries[rng.IntN(len(entries))]) {
+		c.pause(300*time.Millisecond, 1800*time.Millisecond)
+		if c.ask(c.job, c.key, c.entries[c.rng.IntN(len(c.entries))]) {
 			return
 		}
 	}
--- a/review/_kit/stormfaults.go
+++ b/review/_kit/stormfaults.go
@@ -46,10 +46,9 @@
 
 // playFaults plays random faults until the storm is over, and waits for their ends.
 func (s *storm) playFaults(rng *rand.Rand) {
-	faults := stormFaults
-	if s.options.only != "" {
-		faults = slices.DeleteFunc(slices.Clone(faults), func(f stormFault) bool { return !strings.Contains(s.options.only, f.name) })
-	}
+	faults := slices.DeleteFunc(slices.Clone(stormFaults), func(f stormFault) bool {
+		return s.options.only != "" && !strings.Contains(s.options.only, f.name) || strings.Contains(s.options.without, f.name)
+	})
 	total := 0
 	for _, f := range faults {
 		total += f.weight
--- a/review/_kit/stormledger.go
+++ b/review/_kit/stormledger.go
@@ -71,19 +71,6 @@
 	return true
 }
 
-// near returns the disruptions that went on between two times.
-func (c *calendar) near(from, to time.Time) []string {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	var found []string
-	for _, s := range c.spans {
-		if s.from.Before(to) && (s.to.IsZero() || s.to.After(from)) {
-			found = append(found, s.what+" "+s.target)
-		}
-	}
-	return found
-}
-
 // stormPhase is a phase of a job of a storm.
 type stormPhase struct {
 	tasks         int
@@ -156,8 +143,12 @@
 	late bool
 	// inTouch is whether the entry was in touch then.
 	inTouch bool
+	text    string
 }
 
+// isTimely reports whether the rules with a time bound hold for the start.
+func (s taskStart) isTimely() bool { return s.inTouch && !s.late }
+
 type stormTask struct {
 	active map[runID]time.Time
 	starts []taskStart
@@ -232,17 +223,15 @@
 	}
 }
 
-// job returns a copy of what is known of a job.
-func (l *ledger) job(id string) (stormJob, bool) {
+// job returns a copy of what is known of a job that was added.
+func (l *ledger) job(id string) stormJob {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if job := l.jobs[id]; job != nil {
-		return *job, true
-	}
-	return stormJob{}, false
+	return *l.jobs[id]
 }
 
-// break records that a rule is broken. The caller holds mu.
+// broken records that a rule is broken. class tells breaches of one rule apart by their
+// likely cause. The caller holds mu.
 func (l *ledger) broken(rule, job, class, format string, args ...any) {
 	text := fmt.Sprintf(format, args...)
 	l.breaches = append(l.breaches, breach{
@@ -266,6 +255,15 @@
 
 func stepOf(task string) string { return task[:strings.LastIndex(task, ".")] }
 
+// subjectOf returns what a checkpoint of a run of the task is valid for: the task, or the
+// step of a gang.
+func subjectOf(task string, gang bool) string {
+	if gang {
+		return stepOf(task)
+	}
+	return task
+}
+
 // phaseOf returns the phase of a task, or false if nobody sent it.
 func (l *ledger) phaseOf(task string) (stormPhase, bool) {
 	l.mu.Lock()
@@ -310,75 +308,99 @@
 		late:    late,
 		inTouch: l.calendar.inTouch(entry, now),
 	}
-	described := fmt.Sprintf("%s attempt %d on %s by %s (late %v, in touch %v, token %d)", task, run.attempt, run.worker.id, entry, late, start.inTouch, o.FencingToken)
+	start.text = fmt.Sprintf("%s attempt %d on %s by %s (late %v, in touch %v, token %d)",
+		task, run.attempt, run.worker.id, entry, late, start.inTouch, o.FencingToken)
+	l.checkContent(job, p, task, o, start)
+	l.checkPlace(job, p, task, start)
+	l.checkTwice(job, p, t, start)
+	l.checkOrder(job, p, occurrence, start)
+	if !p.lasting && t.failedNoted >= stormMaxAttempts && !p.speculative {
+		l.broken("BUDGET", id, "attempts", "%s after %d ends as failed", start.text, t.failedNoted)
+	}
+	if start.isTimely() && !job.cancelled.IsZero() && now.Sub(job.cancelled) > stormCancel {
+		l.broken("UNASKED", id, l.cancelClass(job), "%s, %.2f s after its cancelling was acknowledged", start.text, now.Sub(job.cancelled).Seconds())
+	}
+	if !p.lasting {
+		l.startedAt = now
+	}
+	t.starts = append(t.starts, start)
+	t.active[run] = now
+}
+
+// checkContent checks that an order carries what the client sent, and a checkpoint of its
+// task. The caller holds mu.
+func (l *ledger) checkContent(job *stormJob, p stormPhase, task string, o stormOrder, start taskStart) {
 	if o.Spec != job.spec {
-		l.broken("UNASKED", id, "spec", "%s: spec %q", described, o.Spec)
+		l.broken("UNASKED", job.id, "spec", "%s: spec %q", start.text, o.Spec)
 	}
-	if o.Checkpoint != "" {
-		subject := task
-		if p.gang {
-			subject = stepOf(task)
-		}
-		if l.checkpoints[o.Checkpoint].subject != subject {
-			l.broken("UNASKED", id, "checkpoint", "%s: checkpoint %q is of %q", described, o.Checkpoint, l.checkpoints[o.Checkpoint].subject)
-		}
+	if o.Checkpoint == "" {
+		return
 	}
-	if job.service != run.worker.service {
-		l.broken("ROUTE", id, "service", "%s: a worker of %s", described, run.worker.service)
+	if saved := l.checkpoints[o.Checkpoint]; saved.subject != subjectOf(task, p.gang) {
+		l.broken("UNASKED", job.id, "checkpoint", "%s: checkpoint %q is of %q", start.text, o.Checkpoint, saved.subject)
 	}
-	if p.antiAffinity > 0 {
-		beside := 0
-		for i := range p.tasks {
-			for other := range l.task(fmt.Sprintf("%s.%d", stepOf(task), i)).active {
-				if other.worker == run.worker {
-					beside++
-				}
+}
+
+// checkPlace checks the worker of a start. The caller holds mu.
+func (l *ledger) checkPlace(job *stormJob, p stormPhase, task string, start taskStart) {
+	if job.service != start.run.worker.service {
+		l.broken("ROUTE", job.id, "service", "%s: a worker of %s", start.text, start.run.worker.service)
+	}
+	if p.antiAffinity == 0 {
+		return
+	}
+	beside := 0
+	for i := range p.tasks {
+		for other := range l.task(fmt.Sprintf("%s.%d", stepOf(task), i)).active {
+			if other.worker == start.run.worker {
+				beside++
 			}
 		}
-		if beside >= p.antiAffinity {
-			l.broken("ROUTE", id, "anti_affinity", "%s: beside %d others of its step", described, beside)
-		}
 	}
-	if len(t.active) > 0 && !p.speculative {
+	if beside >= p.antiAffinity {
+		l.broken("ROUTE", job.id, "anti_affinity", "%s: beside %d others of its step", start.text, beside)
+	}
+}
+
+// checkTwice checks a start against the runs of its task that go on, and where that does
+// not wait for the end of the storm, against those that have ended. The caller holds mu.
+func (l *ledger) checkTwice(job *stormJob, p stormPhase, t *stormTask, start taskStart) {
+	if !p.speculative {
 		for other, since := range t.active {
-			l.broken("TWICE", id, l.twiceClass(job, now), "%s beside attempt %d on %s, which has run for %.2f s", described, other.attempt, other.worker.id, now.Sub(since).Seconds())
+			l.broken("TWICE", job.id, l.twiceClass(job, start.at), "%s beside attempt %d on %s, which has run for %.2f s",
+				start.text, other.attempt, other.worker.id, start.at.Sub(since).Seconds())
 		}
 	}
+	if !start.isTimely() {
+		return
+	}
 	for _, done := range t.dones {
-		if p.speculative && !late && start.inTouch && !done.noted.IsZero() && now.Sub(done.noted) > time.Second {
-			l.broken("TWICE", id, l.twiceClass(job, now), "%s, %.2f s after an end done was taken note of", described, now.Sub(done.noted).Seconds())
+		if p.speculative && !done.noted.IsZero() && start.at.Sub(done.noted) > time.Second {
+			l.broken("TWICE", job.id, l.twiceClass(job, start.at), "%s, %.2f s after an end done was taken note of", start.text, start.at.Sub(done.noted).Seconds())
 		}
 	}
-	if !job.completed.IsZero() && !late && start.inTouch && now.Sub(job.completed) > time.Second {
-		l.broken("TWICE", id, l.twiceClass(job, now), "%s, %.2f s after the job was shown as completed", described, now.Sub(job.completed).Seconds())
+	if !job.completed.IsZero() && start.at.Sub(job.completed) > time.Second {
+		l.broken("TWICE", job.id, l.twiceClass(job, start.at), "%s, %.2f s after the job was shown as completed", start.text, start.at.Sub(job.completed).Seconds())
 	}
+}
+
+// checkOrder checks that the phases before are done, and that the time has come. The caller
+// holds mu.
+func (l *ledger) checkOrder(job *stormJob, p stormPhase, occurrence int, start taskStart) {
 	for _, on := range p.dependsOn {
 		for i := range job.phases[on].tasks {
-			if !l.hasDone(fmt.Sprintf("%s.%d.%d.%d", id, occurrence, on, i), job.phases[on]) {
-				l.broken("ORDER", id, "depends", "%s before task %d of phase %d was done", described, i, on)
+			if !l.hasDone(fmt.Sprintf("%s.%d.%d.%d", job.id, occurrence, on, i), job.phases[on]) {
+				l.broken("ORDER", job.id, "depends_on", "%s before task %d of phase %d was done", start.text, i, on)
 				break
 			}
 		}
 	}
-	if job.repetitions > 0 {
-		if early := job.start.Add(time.Duration(occurrence) * job.interval).Sub(now); early > stormEarly && !late {
-			l.broken("ORDER", id, "early", "%s, %.2f s early", described, early.Seconds())
-		}
-	}
-	if !p.lasting && t.failedNoted >= stormMaxAttempts && !p.speculative {
-		l.broken("BUDGET", id, "attempts", "%s after %d ends as failed", described, t.failedNoted)
-	}
-	if !late && start.inTouch && !job.cancelled.IsZero() && now.Sub(job.cancelled) > stormCancel {
-		l.broken("UNASKED", id, l.cancelClass(job), "%s, %.2f s after its cancelling was acknowledged", described, now.Sub(job.cancelled).Seconds())
-	}
-	if job.handIns > 0 && job.refusals == job.handIns {
-		l.rec.printf("%s was started though all %d hand-ins so far were refused", task, job.handIns)
+	if job.repetitions == 0 || start.late {
+		return
 	}
-	if !p.lasting {
-		l.startedAt = now
+	if early := job.start.Add(time.Duration(occurrence) * job.interval).Sub(start.at); early > stormEarly {
+		l.broken("ORDER", job.id, "early", "%s, %.2f s early", start.text, early.Seconds())
 	}
-	t.starts = append(t.starts, start)
-	t.active[run] = now
 }
 
 // hasDone reports whether a task has ended done. One such end represents a whole gang. The
@@ -523,13 +545,9 @@
 func (l *ledger) save(task string, gang bool, share float64) string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	subject := task
-	if gang {
-		subject = stepOf(task)
-	}
 	value := fmt.Sprintf("%08x%s", len(l.checkpoints)+1, task[:8])
 	l.checkpoints[value] = checkpoint{
-		subject: subject,
+		subject: subjectOf(task, gang),
 		share:   share,
 	}
 	return value
@@ -599,7 +617,7 @@
 			job.failed = now
 		}
 		if !job.fails() && !l.mayBeGivenUp(job) {
-			l.broken("LOST", id, "failed", "%s showed %s as failed", entry, id)
+			l.broken("LOST", id, "failed", "%s showed %s as failed, under whose tasks %d workers crashed at most", entry, id, l.mostCrashes(job))
 		}
 	case "canceled":
 		if job.cancelSent.IsZero() {
@@ -611,17 +629,22 @@
 // crashedEnd is how runs end with a worker that crashes.
 const crashedEnd = "crashed"
 
-// mayBeGivenUp reports whether a job may be shown as failed as two workers have crashed
-// under one of its tasks. The caller holds mu.
-func (l *ledger) mayBeGivenUp(job *stormJob) bool {
+// mostCrashes returns how many workers have crashed under one of the tasks of a job. The
+// caller holds mu.
+func (l *ledger) mostCrashes(job *stormJob) int {
+	most := 0
 	for name, t := range l.tasks {
-		if t.crashes >= 2 && strings.HasPrefix(name, job.id+".") {
-			return true
+		if strings.HasPrefix(name, job.id+".") {
+			most = max(most, t.crashes)
 		}
 	}
-	return false
+	return most
 }
 
+// mayBeGivenUp reports whether a job may be shown as failed as two workers have crashed
+// under one of its tasks. The caller holds mu.
+func (l *ledger) mayBeGivenUp(job *stormJob) bool { return l.mostCrashes(job) >= 2 }
+
 // mustEnd reports whether a job was accepted, and must be completed in the end. The caller
 // holds mu.
 func (l *ledger) mustEnd(job *stormJob) bool {
@@ -648,7 +671,6 @@
 func (l *ledger) finish(calmSince time.Time, stuck bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	now := time.Now()
 	for _, id := range l.order {
 		job := l.jobs[id]
 		ran := false
@@ -658,29 +680,44 @@
 			}
 			ran = ran || len(t.starts) > 0
 			l.checkStartsAfterDone(job, name, t)
-			if len(t.active) > 0 && !job.cancelled.IsZero() && now.Sub(calmSince) > stormContact+stormCancel+stormStop && now.Sub(job.cancelled) > stormCancel+stormStop {
-				l.broken("UNASKED", id, l.cancelClass(job), "%s still runs %.1f s after its cancelling was acknowledged", name, now.Sub(job.cancelled).Seconds())
-			}
-			if len(t.active) > 0 && job.cancelled.IsZero() && job.cancelGone && job.accepted.IsZero() {
-				l.broken("UNASKED", id, "cancelling answered 410", "%s still runs", name)
-			}
+			l.checkRunsOn(job, name, t, calmSince)
 		}
 		if ran && job.handIns > 0 && job.refusals == job.handIns {
 			l.broken("REFUSED", id, "refused", "%s ran, and all its %d hand-ins were refused", id, job.handIns)
 		}
-		if !l.mustEnd(job) {
-			continue
+		if l.mustEnd(job) {
+			l.checkLost(job, stuck)
 		}
-		if job.lasts() {
-			for i, p := range job.phases {
-				for n := range p.tasks {
-					if name := fmt.Sprintf("%s.0.%d.%d", id, i, n); p.lasting && len(l.task(name).active) == 0 {
-						l.broken("LOST", id, "lasting", "%s does not run", name)
-					}
-				}
+	}
+}
+
+// checkRunsOn checks that nothing runs of a cancelled job. The caller holds mu.
+func (l *ledger) checkRunsOn(job *stormJob, name string, t *stormTask, calmSince time.Time) {
+	if len(t.active) == 0 || time.Since(calmSince) <= stormContact+stormCancel+stormStop {
+		return
+	}
+	if !job.cancelled.IsZero() && time.Since(job.cancelled) > stormCancel+stormStop {
+		l.broken("UNASKED", job.id, l.cancelClass(job), "%s still runs %.1f s after its cancelling was acknowledged", name, time.Since(job.cancelled).Seconds())
+	}
+	if job.cancelled.IsZero() && job.cancelGone && job.accepted.IsZero() {
+		l.broken("UNASKED", job.id, "cancelling answered 410", "%s still runs", name)
+	}
+}
+
+// checkLost checks a job that must end, or of which lasting tasks must run. The caller
+// holds mu.
+func (l *ledger) checkLost(job *stormJob, stuck bool) {
+	if !job.lasts() {
+		if stuck && !l.isFinished(job) {
+			l.broken("LOST", job.id, "unfinished", "%s, accepted %.1f s before the end, has not ended: %s", job.id, time.Since(job.accepted).Seconds(), l.describe(job))
+		}
+		return
+	}
+	for i, p := range job.phases {
+		for n := range p.tasks {
+			if name := fmt.Sprintf("%s.0.%d.%d", job.id, i, n); p.lasting && len(l.task(name).active) == 0 {
+				l.broken("LOST", job.id, "lasting", "%s does not run", name)
 			}
-		} else if stuck && !l.isFinished(job) {
-			l.broken("LOST", id, "unfinished", "%s, accepted %.1f s before the end, has not ended: %s", id, now.Sub(job.accepted).Seconds(), l.describe(job))
 		}
 	}
 }
--- a/review/_kit/stormnetwork.go
+++ b/review/_kit/stormnetwork.go
@@ -5,6 +5,8 @@
 	"net"
 	"regexp"
 	"sync"
+
+	"golang.org/x/sync/errgroup"
 )
 
 // addressPattern finds addresses in records.
@@ -13,6 +15,8 @@
 // network carries the connections from entries to entries, workers and the adviser
 // through proxies, one for each pair, so that each pair can be cut.
 type network struct {
+	background *errgroup.Group
+
 	mu sync.Mutex
 	// entries holds the names of the entries by their IP.
 	entries map[string]string
@@ -26,13 +30,14 @@
 	real    map[string]string
 }
 
-func newNetwork() *network {
+func newNetwork(background *errgroup.Group) *network {
 	return &network{
-		entries: make(map[string]string),
-		ips:     make(map[string]string),
-		known:   make(map[string]string),
-		proxies: make(map[[2]string]*proxy),
-		real:    make(map[string]string),
+		background: background,
+		entries:    make(map[string]string),
+		ips:        make(map[string]string),
+		known:      make(map[string]string),
+		proxies:    make(map[[2]string]*proxy),
+		real:       make(map[string]string),
 	}
 }
 
@@ -87,7 +92,7 @@
 	key := [2]string{entry, address}
 	p := n.proxies[key]
 	if p == nil {
-		p = newProxy(n.ips[entry], address)
+		p = newProxy(n.background, n.ips[entry], address)
 		n.proxies[key] = p
 		n.real[p.address] = address
 	}
@@ -135,6 +140,7 @@
 
 // proxy forwards the connections of one entry to one address.
 type proxy struct {
+	background        *errgroup.Group
 	address, from, to string
 
 	mu       sync.Mutex
@@ -143,10 +149,11 @@
 	healed chan struct{}
 }
 
-func newProxy(from, to string) *proxy {
+func newProxy(background *errgroup.Group, from, to string) *proxy {
 	p := &proxy{
-		from: from,
-		to:   to,
+		background: background,
+		from:       from,
+		to:         to,
 	}
 	p.listen()
 	return p
@@ -168,7 +175,10 @@
 	}
 	p.listener = listener
 	p.address = listener.Addr().String()
-	go p.serve(listener)
+	p.background.Go(func() error {
+		p.serve(listener)
+		return nil
+	})
 }
 
 func (p *proxy) close() {
@@ -211,7 +221,10 @@
 		if err != nil {
 			return
 		}
-		go p.forward(conn)
+		p.background.Go(func() error {
+			p.forward(conn)
+			return nil
+		})
 	}
 }
 
@@ -228,24 +241,27 @@
 		return
 	}
 	defer behind.Close()
-	done := make(chan struct{}, 2)
-	copyAll := func(to, from net.Conn) {
-		defer func() { done <- struct{}{} }()
+	var group errgroup.Group
+	copyAll := func(to, from net.Conn) error {
+		// The end of one direction ends the other.
+		defer conn.Close()
+		defer behind.Close()
 		buffer := make([]byte, 32<<10)
 		for {
 			n, err := from.Read(buffer)
 			p.pass()
 			if n > 0 {
 				if _, err := to.Write(buffer[:n]); err != nil {
-					return
+					return err
 				}
 			}
 			if err != nil {
-				return
+				return err
 			}
 		}
 	}
-	go copyAll(behind, conn)
-	go copyAll(conn, behind)
-	<-done
+	group.Go(func() error { return copyAll(behind, conn) })
+	group.Go(func() error { return copyAll(conn, behind) })
+	// A connection that ends with an error has ended.
+	_ = group.Wait()
 }
--- a/review/_kit/stormuplink.go
+++ b/review/_kit/stormuplink.go
@@ -146,10 +146,11 @@
 			w.WriteHeader(d.status)
 			return
 		case d.late > 0 && r.Method == http.MethodPost:
-			go func() {
+			u.network.background.Go(func() error {
 				time.Sleep(d.late/2 + rand.N(d.late))
 				u.carryOut(httptest.NewRecorder(), r, body, partition)
-			}()
+				return nil
+			})
 			panic(http.ErrAbortHandler)
 		case d.lost:
 			noAnswer = true
--- a/review/_kit/stormworker.go
+++ b/review/_kit/stormworker.go
@@ -128,10 +128,20 @@
 	w.server = &http.Server{
 		Handler: w,
 	}
-	go func() { _ = w.server.Serve(listener) }()
+	// Serve returns when the life ends.
+	s.background.Go(func() error {
+		_ = w.server.Serve(listener)
+		return nil
+	})
 	s.network.up(w.addr)
-	go w.beat()
-	go w.reap()
+	s.background.Go(func() error {
+		w.beat()
+		return nil
+	})
+	s.background.Go(func() error {
+		w.reap()
+		return nil
+	})
 	s.rec.printf("worker %s: up at %s, service %s, born %d", id, w.addr, service, w.born.UnixMilli())
 	return w
 }
@@ -177,12 +187,12 @@
 	}
 }
 
-// end ends the life of the worker and returns the number of runs that end with it.
-func (w *worker) end(how string) int {
+// end ends the life of the worker, and all runs with it.
+func (w *worker) end(how string) {
 	w.mu.Lock()
 	if w.dead {
 		w.mu.Unlock()
-		return 0
+		return
 	}
 	w.dead = true
 	close(w.gone)
@@ -195,7 +205,6 @@
 	_ = w.server.Close()
 	w.storm.network.down(w.addr)
 	w.storm.rec.printf("worker %s: %s with %d runs", w.id, how, runs)
-	return runs
 }
 
 // drain has the worker report that it leaves after the time.
@@ -338,10 +347,11 @@
 	case mode.silent:
 		w.leave(r)
 	case mode.late > 0:
-		go func() {
+		w.storm.background.Go(func() error {
 			time.Sleep(mode.late/2 + rand.N(mode.late))
 			w.carryOut(httptest.NewRecorder(), r, o, entry, true)
-		}()
+			return nil
+		})
 		w.leave(r)
 	case mode.lost:
 		w.carryOut(httptest.NewRecorder(), r, o, entry, false)
@@ -464,7 +474,7 @@
 		}
 		r.stopped = true
 		w.storm.rec.printf("worker %s: %s attempt %d is told to stop by token %d of %s", w.id, r.task, r.attempt, o.FencingToken, entry)
-		go func() {
+		w.storm.background.Go(func() error {
 			time.Sleep(stopTakes)
 			w.mu.Lock()
 			defer w.mu.Unlock()
@@ -472,7 +482,8 @@
 				r.saved = w.storm.ledger.save(r.task, r.phase.gang, float64(w.percent(r))/100)
 			}
 			w.endRun(key, r, "stopped")
-		}()
+			return nil
+		})
 	}
 	w.write(answer, http.StatusOK, map[string]any{})
 }
