--- a/review/_kit/storm.go
+++ b/review/_kit/storm.go
@@ -74,7 +74,9 @@
 	busy    map[string]bool
 	workers []*worker
 	over    chan struct{}
-	nextID  int
+	// nextID, nextEntry and version number the workers, the entries and the configurations.
+	nextID, nextEntry, version int
+	adviserAddress             string
 
 	// background runs what lasts until the process ends.
 	background errgroup.Group
@@ -155,19 +157,18 @@
 		},
 	}
 	rng := rand.New(rand.NewPCG(o.seed, 1))
-	adviserAddress := ""
 	if o.advice {
 		s.adviser = newAdviser(s)
-		adviserAddress = serve("127.0.0.1", s.adviser)
-		s.network.up(adviserAddress)
+		s.adviserAddress = serve("127.0.0.1", s.adviser)
+		s.network.up(s.adviserAddress)
 	}
-	s.store.put("op", "config", stormConfig(o, s.adviser))
+	s.putConfig()
 	services := stormServices(o.services)
 	for i := range o.workers {
 		s.addWorker(s.startWorker(services[i%len(services)], s.workerID(), "", fmt.Sprintf("r1-%d", i%4)))
 	}
-	for i := range o.entries {
-		s.addEntry(i+1, adviserAddress)
+	for range o.entries {
+		s.addEntry(rng)
 	}
 	for _, e := range s.entries {
 		e.start()
@@ -190,8 +191,32 @@
 	return s.verdict(calmSince)
 }
 
+// putConfig writes the next version of the configuration. Every other one has a further
+// route.
+func (s *storm) putConfig() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	c := stormConfig(s.options, s.adviser)
+	c["version"] = s.version
+	if s.version%2 == 0 {
+		further := maps.Clone(c["routes"].([]map[string]any)[0])
+		further["name"], further["path_prefix"] = "further", "/further/"
+		c["routes"] = append(c["routes"].([]map[string]any), further)
+	}
+	s.store.put("op", "config", c)
+}
+
+// stormCores holds the processor shares of entries. An entry leaves partitions to those
+// with 1.6 times its share.
+var stormCores = []string{"0.192", "0.3", "0.4", "0.48", "0.8"}
+
 // addEntry adds an entry with a way to the store of its own.
-func (s *storm) addEntry(number int, adviserAddress string) *entry {
+func (s *storm) addEntry(rng *rand.Rand) *entry {
+	s.mu.Lock()
+	s.nextEntry++
+	number := s.nextEntry
+	s.mu.Unlock()
 	zones := []string{"zone-a", "zone-b", "zone-c"}
 	name := fmt.Sprintf("edge-%s-%d", zones[number%3], number)
 	link := newUplink(s.store, s.weather, s.network, s.ledger, name)
@@ -200,8 +225,9 @@
 		cannotRun("add an entry", fmt.Errorf("name %s, want %s", e.name, name))
 	}
 	s.network.addEntry(e.name, e.ip, peerAddressOf(e))
-	if adviserAddress != "" {
-		e.replaceSetting(`recommendation = ""`, fmt.Sprintf("recommendation = %q", s.network.seenFrom(e.name, adviserAddress)))
+	e.replaceSetting("cpu_fraction = 0.4", "cpu_fraction = "+stormCores[rng.IntN(len(stormCores))])
+	if s.adviserAddress != "" {
+		e.replaceSetting(`recommendation = ""`, fmt.Sprintf("recommendation = %q", s.network.seenFrom(e.name, s.adviserAddress)))
 	}
 	s.mu.Lock()
 	s.entries = append(s.entries, e)
--- a/review/_kit/stormfaults.go
+++ b/review/_kit/stormfaults.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"net/http"
 	"slices"
 	"strings"
 	"syscall"
@@ -40,6 +41,9 @@
 	{"workers grey", 3, (*storm).greyWorkers},
 	{"workers crash", 5, (*storm).crashWorkers},
 	{"workers reborn", 6, (*storm).rebirth},
+	{"power lost", 2, (*storm).losePower},
+	{"entries replaced", 3, (*storm).replaceEntries},
+	{"configuration changed", 3, (*storm).changeConfig},
 	{"workers drain", 4, (*storm).drainWorkers},
 	{"entries of the directory lapse", 4, (*storm).lapse},
 }
@@ -252,16 +256,22 @@
 	return names
 }
 
-// refusal returns a disturbance that answers 503, or does not answer.
+// refusal returns a disturbance that answers 503 or 429, breaks connections, or does not
+// answer.
 func refusal(rng *rand.Rand, affects func(string, storeCall) bool) *disturbance {
 	d := &disturbance{
 		affects:     affects,
 		probability: 1,
 	}
-	if rng.IntN(2) == 0 {
+	switch rng.IntN(5) {
+	case 0:
+		d.status = http.StatusTooManyRequests
+	case 1:
+		d.reset = true
+	case 2:
+		d.status = http.StatusServiceUnavailable
+	default:
 		d.silent = true
-	} else {
-		d.status = 503
 	}
 	return d
 }
@@ -486,6 +496,61 @@
 	})
 }
 
+// losePower has all entries and workers lose power at once. Some workers start again under
+// their identities.
+func (s *storm) losePower(rng *rand.Rand) {
+	s.onEntries(rng, len(s.entries), "without power", func(entries []*entry) {
+		s.onWorkers(rng, s.options.workers, "without power", func(workers []*worker) {
+			for _, e := range entries {
+				s.signal(e, syscall.SIGKILL)
+			}
+			for _, w := range workers {
+				w.end(crashedEnd)
+			}
+			time.Sleep(between(rng, 100*time.Millisecond, 2*time.Second))
+			for _, w := range workers {
+				id := w.id
+				if rng.IntN(2) == 0 {
+					id = s.workerID()
+					s.store.put("servers", w.id, nil)
+				}
+				s.replaceWorker(w, s.startWorker(w.service, id, w.addr, w.rack))
+			}
+			s.kill(entries, 0)
+		})
+	})
+}
+
+// replaceEntries removes an entry for good, and adds one at another address.
+func (s *storm) replaceEntries(rng *rand.Rand) {
+	s.onEntries(rng, 1, "replaced", func(entries []*entry) {
+		for _, e := range entries {
+			s.signal(e, []syscall.Signal{syscall.SIGKILL, syscall.SIGTERM}[rng.IntN(2)])
+			s.mu.Lock()
+			s.entries = slices.DeleteFunc(s.entries, func(other *entry) bool { return other == e })
+			s.mu.Unlock()
+			added := s.addEntry(rng)
+			added.start()
+			select {
+			case <-e.done:
+			case <-time.After(6 * time.Second):
+				s.signal(e, syscall.SIGKILL)
+				<-e.done
+			}
+		}
+	})
+}
+
+// changeConfig writes configurations that add and remove a route in quick succession.
+func (s *storm) changeConfig(rng *rand.Rand) {
+	s.onStore("configuration changed", func() {
+		for _, pause := range times(rng) {
+			s.putConfig()
+			time.Sleep(pause)
+		}
+	})
+}
+
 // rebirth crashes workers that start again under their identities.
 func (s *storm) rebirth(rng *rand.Rand) {
 	s.onWorkers(rng, 1+rng.IntN(max(1, s.options.workers/3)), "reborn", func(workers []*worker) {
--- a/review/_kit/stormuplink.go
+++ b/review/_kit/stormuplink.go
@@ -24,8 +24,9 @@
 	probability float64
 	// status is answered, with nothing done, unless it is 0.
 	status int
-	// silent: the call is not carried out and gets no answer until the end.
-	silent bool
+	// silent: the call is not carried out and gets no answer until the end. reset: its
+	// connection is broken.
+	silent, reset bool
 	// lost: the call is carried out and gets no answer.
 	lost bool
 	// late is the time after which the call is carried out. It gets no answer.
@@ -141,6 +142,8 @@
 		case d.silent:
 			awaitEnd(r, d)
 			panic(http.ErrAbortHandler)
+		case d.reset:
+			panic(http.ErrAbortHandler)
 		case d.status != 0:
 			time.Sleep(storeDelay)
 			w.WriteHeader(d.status)
