--- a/review/_kit/storm.go
+++ b/review/_kit/storm.go
@@ -34,6 +34,9 @@
 // jobs need advice if the storm has an adviser.
 func isLab(service string) bool { return strings.HasPrefix(service, "lab") }
 
+// minServiceWorkers is the number of workers that a service has at least.
+const minServiceWorkers = 6
+
 // stormOptions are the options of the case.
 type stormOptions struct {
 	seed uint64
@@ -101,6 +104,9 @@
 	flags.StringVar(&o.without, "without", "", "kinds of faults not to play")
 	flags.StringVar(&program, "program", program, "path of the program")
 	_ = flags.Parse(arguments)
+	// Each service has workers enough for a step that keeps its tasks apart, and for the
+	// adviser's refusals.
+	o.services = max(1, min(o.services, o.workers/minServiceWorkers))
 	return o
 }
 
--- a/review/_kit/stormledger.go
+++ b/review/_kit/stormledger.go
@@ -367,6 +367,9 @@
 func (l *ledger) checkTwice(job *stormJob, p stormPhase, t *stormTask, start taskStart) {
 	if !p.speculative {
 		for other, since := range t.active {
+			if other.worker.leaseOver() {
+				continue
+			}
 			l.broken("TWICE", job.id, l.twiceClass(job, start.at), "%s beside attempt %d on %s, which has run for %.2f s",
 				start.text, other.attempt, other.worker.id, start.at.Sub(since).Seconds())
 		}
--- a/review/_kit/stormworker.go
+++ b/review/_kit/stormworker.go
@@ -3,11 +3,13 @@
 import (
 	"encoding/json"
 	"fmt"
+	"hash/fnv"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -48,12 +50,14 @@
 	server *http.Server
 	gone   chan struct{}
 
+	// deadline is the end of the lease, on the worker's clock in milliseconds.
+	deadline atomic.Int64
+
 	mu       sync.Mutex
 	dead     bool
 	draining time.Time
 	mode     workerMode
 	fence    int64
-	deadline int64
 	runs     map[string]*workerRun
 	// highest holds, by task, the highest attempt that was stopped or has ended.
 	highest  map[string]int64
@@ -230,12 +234,11 @@
 			w.mu.Unlock()
 			return
 		}
-		lapsed := w.clock() > w.deadline
-		if lapsed {
-			w.lapses++
+		if w.leaseOver() {
+			w.lapse()
 		}
 		for key, r := range w.runs {
-			if how := w.endOf(r, lapsed); how != "" {
+			if how := w.endOf(r); how != "" {
 				w.endRun(key, r, how)
 			}
 		}
@@ -244,10 +247,7 @@
 }
 
 // endOf returns how a run ends now, or nothing. The caller holds mu.
-func (w *worker) endOf(r *workerRun, lapsed bool) string {
-	if lapsed {
-		return "lapsed"
-	}
+func (w *worker) endOf(r *workerRun) string {
 	if r.stopped {
 		return ""
 	}
@@ -399,8 +399,24 @@
 	}
 }
 
+// extend extends the lease. The caller holds mu. A lease that has lapsed ends the runs, also
+// if reap has not yet done so.
 func (w *worker) extend(deadline int64) {
-	w.deadline = max(w.deadline, min(deadline, w.clock()+holdLimitMS))
+	if w.leaseOver() {
+		w.lapse()
+	}
+	w.deadline.Store(max(w.deadline.Load(), min(deadline, w.clock()+holdLimitMS)))
+}
+
+// leaseOver reports whether the lease has lapsed, so that nothing runs any more.
+func (w *worker) leaseOver() bool { return w.clock() > w.deadline.Load() }
+
+// lapse ends all runs. The caller holds mu.
+func (w *worker) lapse() {
+	w.lapses++
+	for key, r := range w.runs {
+		w.endRun(key, r, "lapsed")
+	}
 }
 
 func (w *worker) start(answer http.ResponseWriter, o stormOrder, entry string, late bool) {
@@ -576,11 +592,9 @@
 
 // approves reports whether a worker may run a step, which does not change.
 func approves(step, worker string) bool {
-	sum := 0
-	for _, c := range step + worker {
-		sum = sum*31 + int(c)
-	}
-	return sum&7 < 6
+	hash := fnv.New32a()
+	_, _ = hash.Write([]byte(step + worker))
+	return hash.Sum32()%8 != 0
 }
 
 func (a *adviser) ServeHTTP(w http.ResponseWriter, r *http.Request) {
