--- a/review/_kit/storm.go
+++ b/review/_kit/storm.go
@@ -415,7 +415,7 @@
 			cancelled++
 		}
 	}
-	s.rec.say("%d jobs, %d accepted, %d cancelled, %d starts, %d breaches; logs in %s", len(s.ledger.jobs), accepted, cancelled, s.ledger.starts, len(s.ledger.breaches), filepath.Clean(s.dir))
+	s.rec.say("%d jobs, %d accepted, %d cancelled, %d starts by %d tokens, %d breaches; logs in %s", len(s.ledger.jobs), accepted, cancelled, s.ledger.starts, len(s.ledger.tokens), len(s.ledger.breaches), filepath.Clean(s.dir))
 	keys := make([]string, 0, len(counts))
 	for key := range counts {
 		keys = append(keys, key)
--- a/review/_kit/stormledger.go
+++ b/review/_kit/stormledger.go
@@ -191,6 +191,8 @@
 	checkpoints map[string]checkpoint
 	breaches    []breach
 	starts      int
+	// tokens holds the fencing tokens of the owners that ordered starts.
+	tokens map[int64]bool
 	// startedAt is the time of the last start of a task that does not last.
 	startedAt time.Time
 }
@@ -204,6 +206,7 @@
 		tasks:       make(map[string]*stormTask),
 		gangs:       make(map[string]*gangRun),
 		checkpoints: make(map[string]checkpoint),
+		tokens:      make(map[int64]bool),
 	}
 }
 
@@ -293,6 +296,7 @@
 	defer l.mu.Unlock()
 	now := time.Now()
 	l.starts++
+	l.tokens[o.FencingToken] = true
 	id, occurrence, phase, index := taskParts(task)
 	job := l.jobs[id]
 	if job == nil || phase >= len(job.phases) || index >= job.phases[phase].tasks || occurrence >= job.occurrences() {
@@ -601,7 +605,8 @@
 	}
 	inTouch := l.calendar.inTouch(entry, now)
 	if status == 410 {
-		kept := job.finished.IsZero() && job.failed.IsZero() || !job.finished.IsZero() && asked.Sub(job.finished) < l.status-time.Second
+		ended := l.endedAt(job)
+		kept := ended.IsZero() || asked.Sub(ended) < l.status-time.Second
 		if !job.accepted.IsZero() && asked.Sub(job.accepted) > stormVisible && inTouch && job.cancelSent.IsZero() && kept {
 			l.broken("LOST", id, "410", "%s answered 410 for %s, accepted %.2f s before", entry, id, now.Sub(job.accepted).Seconds())
 		}
@@ -648,6 +653,15 @@
 // under one of its tasks. The caller holds mu.
 func (l *ledger) mayBeGivenUp(job *stormJob) bool { return l.mostCrashes(job) >= 2 }
 
+// endedAt returns the time at which a job ended, or at the earliest may have been given up.
+// It is zero before. The caller holds mu.
+func (l *ledger) endedAt(job *stormJob) time.Time {
+	if job.finished.IsZero() && (job.fails() || l.mayBeGivenUp(job)) {
+		return job.lastEnd
+	}
+	return job.finished
+}
+
 // mustEnd reports whether a job was accepted, and must be completed in the end. The caller
 // holds mu.
 func (l *ledger) mustEnd(job *stormJob) bool {
