--- a/review/_kit/stormledger.go
+++ b/review/_kit/stormledger.go
@@ -17,6 +17,8 @@
 	stormEarly       = 250 * time.Millisecond
 	stormGangTimeout = 3 * time.Second
 	stormMaxAttempts = 3
+	// stormLastingGap is how long a task that lasts may have no run.
+	stormLastingGap = 6 * time.Second
 	// deletedAfter is added to status_s before the owner deletes an ended job.
 	deletedAfter = 10 * time.Second
 )
@@ -151,8 +153,10 @@
 
 type stormTask struct {
 	active map[runID]time.Time
-	starts []taskStart
-	dones  []doneEnd
+	// lastEnd is the time of the last end of a run.
+	lastEnd time.Time
+	starts  []taskStart
+	dones   []doneEnd
 	// failedNoted counts the ends as failed that were taken note of, and crashes the runs
 	// that ended with their worker.
 	failedNoted, crashes int
@@ -457,6 +461,7 @@
 	now := time.Now()
 	t := l.task(task)
 	delete(t.active, run)
+	t.lastEnd = now
 	id, _, phase, _ := taskParts(task)
 	job := l.jobs[id]
 	if job == nil {
@@ -732,8 +737,11 @@
 	}
 	for i, p := range job.phases {
 		for n := range p.tasks {
-			if name := fmt.Sprintf("%s.0.%d.%d", job.id, i, n); p.lasting && len(l.task(name).active) == 0 {
-				l.broken("LOST", job.id, "lasting", "%s does not run", name)
+			name := fmt.Sprintf("%s.0.%d.%d", job.id, i, n)
+			t := l.task(name)
+			without := min(time.Since(t.lastEnd), time.Since(job.accepted))
+			if p.lasting && len(t.active) == 0 && without > stormLastingGap {
+				l.broken("LOST", job.id, "lasting", "%s has not run for %.1f s", name, without.Seconds())
 			}
 		}
 	}
