--- a/review/_kit/stormfaults.go
+++ b/review/_kit/stormfaults.go
@@ -13,39 +13,148 @@
 
 // stormFault plays one disruption to its end.
 type stormFault struct {
-	name   string
+	name string
+	// weight is in proportion to how often the fault is played.
 	weight int
 	play   func(s *storm, rng *rand.Rand)
 }
 
 var stormFaults = []stormFault{
-	{"kill one", 6, (*storm).killOne},
-	{"kill all", 3, (*storm).killAll},
-	{"terminate", 6, (*storm).terminate},
-	{"freeze", 6, (*storm).freeze},
-	{"throttle", 3, (*storm).throttle},
-	{"store cut", 6, (*storm).cutFromStore},
-	{"peers cut", 4, (*storm).cutFromPeers},
-	{"workers cut", 5, (*storm).cutFromWorkers},
-	{"store down", 6, (*storm).storeDown},
-	{"partitions down", 5, (*storm).partitionsDown},
-	{"store slow", 3, (*storm).storeSlow},
-	{"appends late", 6, (*storm).appendsLate},
-	{"answers lost", 5, (*storm).answersLost},
-	{"memberships expired", 5, (*storm).expireMembers},
-	{"partitions re-dealt", 6, (*storm).redeal},
-	{"history forgotten", 4, (*storm).forget},
-	{"workers silent", 5, (*storm).silenceWorkers},
-	{"orders late", 6, (*storm).lateWorkers},
-	{"worker answers lost", 4, (*storm).loseWorkerAnswers},
-	{"workers grey", 3, (*storm).greyWorkers},
-	{"workers crash", 5, (*storm).crashWorkers},
-	{"workers reborn", 6, (*storm).rebirth},
-	{"power lost", 2, (*storm).losePower},
-	{"entries replaced", 3, (*storm).replaceEntries},
-	{"configuration changed", 3, (*storm).changeConfig},
-	{"workers drain", 4, (*storm).drainWorkers},
-	{"entries of the directory lapse", 4, (*storm).lapse},
+	{
+		name:   "kill one",
+		weight: 6,
+		play:   (*storm).killOne,
+	},
+	{
+		name:   "kill all",
+		weight: 3,
+		play:   (*storm).killAll,
+	},
+	{
+		name:   "terminate",
+		weight: 6,
+		play:   (*storm).terminate,
+	},
+	{
+		name:   "freeze",
+		weight: 6,
+		play:   (*storm).freeze,
+	},
+	{
+		name:   "throttle",
+		weight: 3,
+		play:   (*storm).throttle,
+	},
+	{
+		name:   "store cut",
+		weight: 6,
+		play:   (*storm).cutFromStore,
+	},
+	{
+		name:   "peers cut",
+		weight: 4,
+		play:   (*storm).cutFromPeers,
+	},
+	{
+		name:   "workers cut",
+		weight: 5,
+		play:   (*storm).cutFromWorkers,
+	},
+	{
+		name:   "store down",
+		weight: 6,
+		play:   (*storm).storeDown,
+	},
+	{
+		name:   "partitions down",
+		weight: 5,
+		play:   (*storm).partitionsDown,
+	},
+	{
+		name:   "store slow",
+		weight: 3,
+		play:   (*storm).storeSlow,
+	},
+	{
+		name:   "appends late",
+		weight: 6,
+		play:   (*storm).appendsLate,
+	},
+	{
+		name:   "answers lost",
+		weight: 5,
+		play:   (*storm).answersLost,
+	},
+	{
+		name:   "memberships expired",
+		weight: 5,
+		play:   (*storm).expireMembers,
+	},
+	{
+		name:   "partitions re-dealt",
+		weight: 6,
+		play:   (*storm).redeal,
+	},
+	{
+		name:   "history forgotten",
+		weight: 4,
+		play:   (*storm).forget,
+	},
+	{
+		name:   "workers silent",
+		weight: 5,
+		play:   (*storm).silenceWorkers,
+	},
+	{
+		name:   "orders late",
+		weight: 6,
+		play:   (*storm).lateWorkers,
+	},
+	{
+		name:   "worker answers lost",
+		weight: 4,
+		play:   (*storm).loseWorkerAnswers,
+	},
+	{
+		name:   "workers grey",
+		weight: 3,
+		play:   (*storm).greyWorkers,
+	},
+	{
+		name:   "workers crash",
+		weight: 5,
+		play:   (*storm).crashWorkers,
+	},
+	{
+		name:   "workers reborn",
+		weight: 6,
+		play:   (*storm).rebirth,
+	},
+	{
+		name:   "power lost",
+		weight: 2,
+		play:   (*storm).losePower,
+	},
+	{
+		name:   "entries replaced",
+		weight: 3,
+		play:   (*storm).replaceEntries,
+	},
+	{
+		name:   "configuration changed",
+		weight: 3,
+		play:   (*storm).changeConfig,
+	},
+	{
+		name:   "workers drain",
+		weight: 4,
+		play:   (*storm).drainWorkers,
+	},
+	{
+		name:   "entries of the directory lapse",
+		weight: 4,
+		play:   (*storm).lapse,
+	},
 }
 
 // playFaults plays random faults until the storm is over, and waits for their ends.
