--- a/review/_kit/stormnetwork.go
+++ b/review/_kit/stormnetwork.go
@@ -159,6 +159,14 @@
 	return p
 }
 
+// proxyIP returns the IP on which the proxies of an entry listen. On the entry's own IP, its
+// connections could take the port of a proxy that does not listen for a time.
+func proxyIP(entry string) string {
+	ip := net.ParseIP(entry).To4()
+	ip[3] += 100
+	return ip.String()
+}
+
 func (p *proxy) listen() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -167,7 +175,7 @@
 	}
 	address := p.address
 	if address == "" {
-		address = p.from + ":0"
+		address = proxyIP(p.from) + ":0"
 	}
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
