scheduler: a test of a start without an answer that counts as several crashes (red)

All the tasks given up name one worker twice.

A start that has no answer stays on the worker as uncertain when that starts again under its identity, as the order may yet reach the next incarnation. When the next incarnation ends as well, suspectStarts and confirmCrash count the run once more, and two confirmed crashes at a start give the task up. Ruled out: two starts of the task, as the log shows one attempt.

The test fails: the task is given up at the second restart.

--- a/scheduler/restarts_test.go
+++ b/scheduler/restarts_test.go
@@ -354,3 +354,34 @@
 		qt.Assert(t, playModelWithRestarts(noFault, random.IntN), qt.Equals, "", qt.Commentf("seed %d", seed))
 	}
 }
+
+// TestUnansweredStartIsNoCrashOfEachNextIncarnation guards against jobs that are shown as
+// failed although none of their tasks has run: a start without an answer was counted as a
+// crash of the incarnation that it was sent to, and of the next one.
+func TestUnansweredStartIsNoCrashOfEachNextIncarnation(t *testing.T) {
+	r := newRestartRig(t, "w")
+	w := r.workersByID["w"]
+	w.silent = true
+	r.s.AddJob(r.job("j", newPhase(1, cores(1))), nil, false, r.now)
+	r.tick()
+	r.s.RenewalBroken("w", r.now)
+	for range 3 {
+		w.silent = false
+		w.restart()
+		r.renewLeases()
+		r.c.Assert(r.notesWith("task is given up"), qt.HasLen, 0)
+		w.silent = true
+		r.s.RenewalBroken("w", r.now)
+		r.advance(100 * time.Millisecond)
+	}
+	r.c.Assert(w.startCounts, qt.HasLen, 0)
+	w.silent = false
+	w.restart()
+	for range 100 {
+		r.s.ConfirmOwnership(r.now)
+		r.round()
+		r.write()
+	}
+	r.finishOn(w)
+	r.c.Assert(r.state("j"), qt.Equals, scheduler.Completed)
+}
