scheduler: a start without an answer is no crash of each later incarnation

A start without an answer that a restarted worker may still get stays on it as uncertain. It counted as a crash of the incarnation that it was sent to, and again of each later one.

It now counts against a later incarnation only if that is known to have had the run, as a report lists it. A task that does crash its workers is started there anew, and counts as before.

--- a/scheduler/crashes.go
+++ b/scheduler/crashes.go
@@ -100,6 +100,13 @@
 	return a
 }
 
+// mayHaveCrashed reports whether the run may have crashed the present incarnation of its
+// worker. A start that a former incarnation left unanswered counts against that one only,
+// unless the present one has the run.
+func (r *run) mayHaveCrashed() bool {
+	return r.state != runPlanned && (!r.sentBefore || !r.presentAt.IsZero())
+}
+
 // suspectStarts makes suspects of the tasks that a worker may have started just before it
 // ended. It makes none if that moment is not known well enough.
 func (s *Scheduler) suspectStarts(w *worker, endedBy time.Time) {
@@ -107,7 +114,7 @@
 		return
 	}
 	for _, r := range w.runs {
-		if r.state == runPlanned || s.outlived(r, crashDelay, w.aliveAt) {
+		if !r.mayHaveCrashed() || s.outlived(r, crashDelay, w.aliveAt) {
 			continue
 		}
 		if st, t := s.findTask(r.ref.Task); t != nil && !t.done && !st.job.state.Final() {
@@ -207,7 +214,7 @@
 	}
 	for _, r := range w.runs {
 		st, t := s.findTask(r.ref.Task)
-		counts := r.state != runPlanned && !s.outlived(r, settledAfter, w.aliveAt)
+		counts := r.mayHaveCrashed() && !s.outlived(r, settledAfter, w.aliveAt)
 		if t == nil || t.done || st.job.state.Final() || !counts {
 			continue
 		}
--- a/scheduler/incarnations.go
+++ b/scheduler/incarnations.go
@@ -50,6 +50,7 @@
 			// The order may reach the new incarnation, which has forgotten any stop. It
 			// refuses the order once it has been told to stop the run.
 			r.state = runUncertain
+			r.sentBefore = true
 			r.stopInFlight = false
 			s.stopRun(r, now, "worker started again")
 		default:
--- a/scheduler/tables.go
+++ b/scheduler/tables.go
@@ -218,6 +218,9 @@
 	// presentAt is the first time at which the worker certainly had the run, zero until
 	// then.
 	presentAt time.Time
+	// sentBefore is set if the start was sent to a former incarnation of the worker, and
+	// had no answer.
+	sentBefore bool
 	// watched is set if workers have crashed with an earlier run of the task. trialGroup
 	// is the crash for which the task is tried, zero unless it was a suspect when it was
 	// started.
