--- a/coordinator/cluster_test.go
+++ b/coordinator/cluster_test.go
@@ -128,6 +128,22 @@
 	return cl
 }
 
+// awaitShared waits until each entry has partitions, after which no owner changes any more.
+func (cl *cluster) awaitShared() {
+	for {
+		owners, err := cl.store.Owners(context.Background(), "entries")
+		cl.c.Assert(err, qt.IsNil)
+		members := make(map[string]bool)
+		for _, owner := range owners {
+			members[owner.Member] = true
+		}
+		if len(members) == len(cl.entries) {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
 func (e *entry) end() error {
 	e.stop()
 	return e.group.Wait()
@@ -362,6 +378,7 @@
 // leave the appends to the owner, which combines them.
 func TestSlowStoreGetsTheAppendsOfOneEntry(t *testing.T) {
 	cl := newCluster(t, 3)
+	cl.awaitShared()
 	for i, e := range cl.entries {
 		cl.submit(e, fmt.Sprintf("well%d", i), 1)
 		e.store.delay.Store(int64(100 * time.Millisecond))
