coordinator: the model of the store reads whether it is silent without a race

The test sets the flag of an entry that it has just added and that may have started. Only the test's store has the flag; it is atomic now, as cutOff beside it. No check has changed. go test -race ./coordinator of these tests passes.

--- a/coordinator/manyentries_test.go
+++ b/coordinator/manyentries_test.go
@@ -184,8 +184,8 @@
 	store := &entryStore{
 		storeModel:     s.store,
 		bytesPerSecond: []float64{10e6, 20e6, 50e6, 200e6}[i%4] / 8,
-		silent:         i%2 > 0,
 	}
+	store.silent.Store(i%2 > 0)
 	listener := modelListener{
 		address: address,
 	}
--- a/coordinator/outages_test.go
+++ b/coordinator/outages_test.go
@@ -281,7 +281,7 @@
 		}
 	}
 	for i, entry := range s.entries {
-		entry.store.silent = o.silent
+		entry.store.silent.Store(o.silent)
 		entry.store.cutOff.Store(i < o.cut)
 	}
 	s.store.setDown(o.all)
@@ -295,7 +295,7 @@
 	lasts := time.Duration(random.Int64N(int64(7*time.Second))) + time.Second
 	if o.joins {
 		s.addEntry(entries, time.Duration(random.Int64N(int64(lasts))), ShardSize(10), Clock(timekeeper.System()))
-		s.entries[entries].store.silent = o.silent
+		s.entries[entries].store.silent.Store(o.silent)
 	}
 	time.Sleep(lasts)
 	s.store.setDown(false)
--- a/coordinator/silence_test.go
+++ b/coordinator/silence_test.go
@@ -154,7 +154,7 @@
 		s.configure(1)
 		s.start(12)
 		for _, entry := range s.entries {
-			entry.store.silent = true
+			entry.store.silent.Store(true)
 		}
 		s.awaitService("start", 1)
 		s.store.setDown(true)
@@ -207,7 +207,7 @@
 		s.start(12)
 		s.awaitService("start", 1)
 		for _, entry := range s.entries[2:] {
-			entry.store.silent = true
+			entry.store.silent.Store(true)
 			entry.store.cutOff.Store(true)
 		}
 		time.Sleep(2500 * time.Millisecond)
--- a/coordinator/storemodel_test.go
+++ b/coordinator/storemodel_test.go
@@ -126,7 +126,7 @@
 	bytesPerSecond float64
 	// silent is set if the entry gets no answer while the store is down. Other entries
 	// are refused.
-	silent bool
+	silent atomic.Bool
 
 	linkMu   sync.Mutex
 	linkFree time.Time
@@ -167,7 +167,7 @@
 	switch {
 	case down:
 		queued = 0
-		if s.silent {
+		if s.silent.Load() {
 			queued = limit
 		}
 	case refused:
