--- a/review/_kit/odd.go
+++ b/review/_kit/odd.go
@@ -8,6 +8,8 @@
 	"strings"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/galenacove/galenacove/storer"
 )
 
@@ -110,8 +112,16 @@
 	if troubled() {
 		rec.say("%d odd records were left in all topics", putOdd(st, minions[0], minions[1].addr))
 		ctx, stop := context.WithCancel(context.Background())
-		defer stop()
-		go shiftEntries(ctx, st, minions)
+		var background errgroup.Group
+		background.Go(func() error {
+			shiftEntries(ctx, st, minions)
+			return nil
+		})
+		defer func() {
+			stop()
+			// The function returns no error.
+			_ = background.Wait()
+		}()
 	}
 	var entries []*entry
 	for i, zone := range []string{"zone-a", "zone-b", "zone-c"} {
