scheduler, conductor, coordinator: tasks of a step wider than its shard run in another one

Cause: a job belongs to one shard, and its owner places tasks on the workers of that shard only. A step that needs more of them than the shard has waits for good; so does one whose label no worker of the shard has. Ruled out: advice (the case has none), workers that no owner knows (jobs of the other shard start there), a stalled store.

Now the owner of such a job, once its workers have lacked places for 1 s, leaves tasks to the owner of another shard of the service: it stores the grant, then sends it; the other one stores it under a key of its own, then starts. Both restore it at a takeover. A delegate starts only within 1.2 s of an answer to one of its own marks, so a message that comes late cannot have a cancelled job run. No grant is made while an entry of an older release is known.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -148,6 +148,10 @@
 	// askAllotment calls the owner of another partition. It is nil if the allotments
 	// are not exchanged.
 	askAllotment AskAllotment
+	// delegate calls the owner of another partition about jobs of this one, nil if no tasks
+	// are left to others, and grantsAllowed reports whether they may be.
+	delegate      Delegate
+	grantsAllowed func() bool
 	// jobPart returns an upper bound of the fraction of an organisation's jobs that the
 	// partition gets.
 	jobPart func() float64
@@ -209,6 +213,10 @@
 	overage       float64
 
 	organisationsPending bool
+	// delegates holds, by service, the partitions whose owners may run tasks of this one,
+	// and delegateCalls the calls to them, by partition.
+	delegates     map[string][]int
+	delegateCalls map[int]*delegateCalls
 	// exchange is the state of the exchange of allotments.
 	exchange exchange
 	// admissionLines limits the log lines on refused jobs, and unknownCancelLines those on
@@ -294,6 +302,7 @@
 		limits:            storer.NewLimits(0, 0),
 		placementsAllowed: func() bool { return true },
 		rangesAllowed:     func() bool { return true },
+		grantsAllowed:     func() bool { return true },
 		jobPart:           func() float64 { return 1 },
 		knowledge:         func() Knowledge { return Knowledge{} },
 		admissionLines:    make(lineLimiter),
@@ -303,6 +312,7 @@
 		exchangeRequests:  make(chan struct{}, 1),
 		exchange:          newExchange(),
 		progressed:        make(chan struct{}),
+		delegateCalls:     make(map[int]*delegateCalls),
 		leaseKeepers:      make(map[string]*leaseKeeper),
 		renewalLines:      make(map[string]*limitedLines),
 	}
@@ -331,6 +341,7 @@
 		group.Go(func() error { return c.deleteCancellations(ctx) })
 		group.Go(func() error { return c.deleteJobs(ctx) })
 		group.Go(func() error { return c.exchangeAllotments(ctx, group) })
+		group.Go(func() error { return c.callDelegates(ctx, group) })
 		return c.runScheduler(ctx, group)
 	})
 	return group.Wait()
@@ -461,11 +472,12 @@
 	var metricsSetAt time.Time
 	for {
 		quick, long := c.adviser.AdviceLimits()
-		placementsAllowed, rangesAllowed := c.placementsAllowed(), c.rangesAllowed()
+		placementsAllowed, rangesAllowed, grantsAllowed := c.placementsAllowed(), c.rangesAllowed(), c.grantsAllowed()
 		jobPart := c.jobPart()
 		c.mu.Lock()
 		c.scheduler.AllowPlacements(placementsAllowed)
 		c.scheduler.AllowOccurrenceRanges(rangesAllowed)
+		c.scheduler.AllowGrants(grantsAllowed)
 		c.scheduler.SetAdviceLimits(quick, long)
 		c.scheduler.SetJobPart(jobPart)
 		c.updateLeaseKeepers(ctx, group)
@@ -478,6 +490,7 @@
 			c.metrics.setLasting(c.partition, c.scheduler.LastingLoad(now))
 			c.metrics.setPlanned(c.partition, c.scheduler.OldestPlanned(now))
 			c.metrics.setJobsRead(c.partition, c.jobsReadAt)
+			c.metrics.setDelegations(c.partition, c.scheduler.GrantedTasks(), c.scheduler.GuestTasks())
 			c.metrics.organisations.set(c.partition, c.scheduler.OrganisationLoads(), c.scheduler.ShareLoads())
 		}
 		unwritten, _ := c.scheduler.Unwritten()
--- a/conductor/metrics.go
+++ b/conductor/metrics.go
@@ -36,6 +36,9 @@
 	deletionsFailed     prometheus.Counter
 	repeatedWrites      prometheus.Counter
 	jobsReadAt          *prometheus.GaugeVec
+	delegationCalls     *prometheus.CounterVec
+	grantedTasks        *prometheus.GaugeVec
+	guestTasks          *prometheus.GaugeVec
 	organisations       *organisationMetrics
 }
 
@@ -43,6 +46,18 @@
 func NewMetrics() *Metrics {
 	return &Metrics{
 		organisations: newOrganisationMetrics(),
+		delegationCalls: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "galenacove_conductor_delegation_calls_total",
+			Help: "Calls to owners of other partitions about tasks that they run or could run for this one, by outcome.",
+		}, []string{"outcome"}),
+		grantedTasks: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "galenacove_conductor_granted_tasks",
+			Help: "Tasks of the partition's jobs that belong to owners of other partitions.",
+		}, []string{"partition"}),
+		guestTasks: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "galenacove_conductor_guest_tasks",
+			Help: "Tasks of other partitions' jobs that belong to the owner of the partition.",
+		}, []string{"partition"}),
 		starts: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "galenacove_conductor_starts_total",
 			Help: "Orders to start a run, by their outcome.",
@@ -158,6 +173,7 @@
 		m.lastingWaiting, m.lastingWaitSeconds, m.allotmentCalls, m.workersLost, m.runsLost, m.tasksGivenUp,
 		m.writeSeconds, m.writeRecords, m.plannedSeconds, m.plannedDropped,
 		m.cancellations, m.withoutProgress, m.deletionsFailed, m.repeatedWrites, m.jobsReadAt,
+		m.delegationCalls, m.grantedTasks, m.guestTasks,
 	}, m.organisations.collectors()...)
 }
 
@@ -201,6 +217,14 @@
 	m.jobsReadAt.WithLabelValues(strconv.Itoa(partition)).Set(float64(at.UnixMilli()) / 1000)
 }
 
+// setDelegations sets the numbers of tasks that other owners run for the owner of a partition,
+// and that it runs for others.
+func (m *Metrics) setDelegations(partition, granted, guests int) {
+	label := strconv.Itoa(partition)
+	m.grantedTasks.WithLabelValues(label).Set(float64(granted))
+	m.guestTasks.WithLabelValues(label).Set(float64(guests))
+}
+
 // deleteLoad removes the gauges of the owner of a partition. It is called once the ownership
 // has ended.
 func (m *Metrics) deleteLoad(partition int) {
@@ -208,7 +232,7 @@
 	label := prometheus.Labels{
 		"partition": strconv.Itoa(partition),
 	}
-	for _, gauge := range []*prometheus.GaugeVec{m.adviceInFlight, m.adviceLimit, m.adviceDenied, m.adviceDeniedSeconds, m.lastingWaiting, m.lastingWaitSeconds, m.plannedSeconds, m.jobsReadAt} {
+	for _, gauge := range []*prometheus.GaugeVec{m.adviceInFlight, m.adviceLimit, m.adviceDenied, m.adviceDeniedSeconds, m.lastingWaiting, m.lastingWaitSeconds, m.plannedSeconds, m.jobsReadAt, m.grantedTasks, m.guestTasks} {
 		gauge.DeletePartialMatch(label)
 	}
 }
--- a/conductor/parts.go
+++ b/conductor/parts.go
@@ -43,7 +43,7 @@
 func (c *Conductor) encodeWrite(write scheduler.Write) ([]writePart, error) {
 	parts := make([]writePart, 0, len(write.Jobs)+len(write.Deletions)+3)
 	for i, job := range write.Jobs {
-		record, err := encodeRecord(job.ID, job.Progress)
+		record, err := encodeJobProgress(job)
 		if err != nil {
 			return nil, err
 		}
@@ -62,6 +62,13 @@
 			},
 		})
 	}
+	for _, id := range write.GuestDeletions {
+		parts = append(parts, writePart{
+			record: storer.Record{
+				Key: guestKey(id),
+			},
+		})
+	}
 	workerParts, err := c.encodeWorkers(write.Workers)
 	if err != nil {
 		return nil, err
@@ -94,6 +101,13 @@
 	return parts, nil
 }
 
+func encodeJobProgress(job scheduler.JobProgress) (storer.Record, error) {
+	if job.Guest != nil {
+		return encodeRecord(guestKey(job.ID), job.Guest)
+	}
+	return encodeRecord(job.ID, job.Progress)
+}
+
 func encodeRecord(key string, value any) (storer.Record, error) {
 	data, err := json.Marshal(value)
 	if err != nil {
--- a/conductor/recovery.go
+++ b/conductor/recovery.go
@@ -78,6 +78,7 @@
 		s.SetOrganisations(c.organisations, c.overage)
 	}
 	c.restoreAllotments(s, stored.allotments)
+	s.SetDelegates(c.delegates)
 	s.AddFormerWorkers(stored.workersInUse)
 	if stored.silenceUnknown {
 		s.ReplaceFormerSilence()
@@ -88,6 +89,7 @@
 	c.scheduler = s
 	c.logStoredJobs(jobs, stored, now)
 	c.applyRecords(jobs, stored.byJob, now)
+	c.restoreGuests(s, stored, now)
 	s.DropProgress(orphans(progress, jobs))
 	c.next = next
 	c.jobsReadAt = now
@@ -166,6 +168,9 @@
 	silent        []scheduler.SilentWorker
 	// silenceUnknown is set if the list of silent workers cannot be decoded.
 	silenceUnknown bool
+	// guests holds the jobs of other partitions, nil where what is stored of one cannot be
+	// decoded.
+	guests map[string]*scheduler.Guest
 	// allotments is the encoded ledger, nil if none is stored.
 	allotments []byte
 	// undecodable counts the records that could not be decoded.
@@ -177,11 +182,13 @@
 // new key must be a JSON object.
 func (c *Conductor) decodeProgress(records []storer.Record) formerProgress {
 	stored := formerProgress{
-		byJob: make(map[string]*scheduler.Progress, len(records)),
+		byJob:  make(map[string]*scheduler.Progress, len(records)),
+		guests: make(map[string]*scheduler.Guest),
 	}
 	for _, record := range records {
 		var err error
 		listIndex, listed := isWorkersKey(record.Key)
+		guestID, isGuest := guestOfKey(record.Key)
 		switch {
 		case record.Key == workersKey:
 			var workers []scheduler.WorkerEntry
@@ -202,6 +209,12 @@
 			}
 		case record.Key == allotmentsKey:
 			stored.allotments = record.Value
+		case isGuest:
+			guest := new(scheduler.Guest)
+			if err = json.Unmarshal(record.Value, guest); err != nil {
+				guest = nil
+			}
+			stored.guests[guestID] = guest
 		default:
 			stored.byJob[record.Key], err = decodeJobProgress(record.Value)
 		}
@@ -227,6 +240,13 @@
 			}
 		}
 	}
+	for _, guest := range p.guests {
+		if guest != nil {
+			for _, id := range guest.Progress.Workers {
+				named[id] = true
+			}
+		}
+	}
 	var entries []scheduler.WorkerEntry
 	for _, id := range slices.Sorted(maps.Keys(named)) {
 		entries = append(entries, scheduler.WorkerEntry{
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -178,6 +178,9 @@
 	// rangesAllowed is set once the records of the entries have been read, while every
 	// entry reads occurrences that are stored as ranges.
 	rangesAllowed atomic.Bool
+	// grantsAllowed is set once the records of the entries have been read, while every
+	// entry keeps grants of tasks to owners of other partitions.
+	grantsAllowed atomic.Bool
 }
 
 // ownership is the state of a partition that this process owns.
--- /dev/null
+++ b/coordinator/delegations.go
@@ -0,0 +1,69 @@
+package coordinator
+
+import (
+	"context"
+	"maps"
+	"slices"
+
+	"github.com/galenacove/galenacove/conductor"
+	"github.com/galenacove/galenacove/scheduler"
+)
+
+// partitionsByService returns the partitions of the shards of each service.
+func (s *shards) partitionsByService() map[string][]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	partitions := maps.Clone(s.servicePartitions)
+	for service, of := range partitions {
+		partitions[service] = slices.Clone(of)
+	}
+	return partitions
+}
+
+// updateOwnerServices passes the partitions of the services to each owner in this process.
+func (c *Coordinator) updateOwnerServices() {
+	partitions := c.shards.partitionsByService()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, own := range c.owned {
+		own.conductor.SetServicePartitions(partitions)
+	}
+}
+
+// DelegateArgs tells the owner of a partition about jobs of another one of which it runs, or
+// could run, tasks.
+type DelegateArgs struct {
+	Partition int
+	Request   scheduler.DelegationRequest
+}
+
+// DelegateReply answers DelegateArgs.
+type DelegateReply struct {
+	Reply scheduler.DelegationReply
+}
+
+// Delegate answers the home owner of jobs as the owner of a partition. Entries of older
+// releases have no such method.
+func (r *rpc) Delegate(args DelegateArgs, reply *DelegateReply) error {
+	own := r.coordinator.localOwner(args.Partition)
+	if own == nil {
+		return errNotOwner
+	}
+	var err error
+	reply.Reply, err = own.Serve(args.Request)
+	return err
+}
+
+// callDelegate calls the owner of another partition about jobs of a partition of this entry.
+func (c *Coordinator) callDelegate(ctx context.Context, partition int, request scheduler.DelegationRequest) (scheduler.DelegationReply, error) {
+	reply, err := askOwner(ctx, c, partition, "Delegate", DelegateArgs{
+		Partition: partition,
+		Request:   request,
+	}, func(own *conductor.Conductor) (DelegateReply, error) {
+		served, err := own.Serve(request)
+		return DelegateReply{
+			Reply: served,
+		}, err
+	})
+	return reply.Reply, err
+}
--- a/coordinator/feeds.go
+++ b/coordinator/feeds.go
@@ -249,6 +249,7 @@
 		Placements:    true,
 		OwnCancelKeys: true,
 		Ranges:        true,
+		Grants:        true,
 	})
 	if err != nil {
 		return err
@@ -310,6 +311,7 @@
 		c.placementsAllowed.Store(allKeepPlacements(c.peers))
 		c.ownCancelKeys.Store(allReadOwnCancelKeys(c.peers))
 		c.rangesAllowed.Store(allReadRanges(c.peers))
+		c.grantsAllowed.Store(allKeepGrants(c.peers))
 		c.preferred = preferredMembers(c.peers)
 	}
 	c.entryPool.setPeers(addresses)
--- a/coordinator/largerpeers.go
+++ b/coordinator/largerpeers.go
@@ -54,6 +54,20 @@
 	// Ranges is set if the entry, as an owner, reads occurrences that are stored as
 	// ranges. Older releases run them again.
 	Ranges bool `json:"ranges,omitempty"`
+	// Grants is set if the entry, as an owner, keeps the grants of tasks to owners of other
+	// partitions. Older releases drop them, and would run the tasks too.
+	Grants bool `json:"grants,omitempty"`
+}
+
+// allKeepGrants reports whether every one of the peers keeps grants of tasks to owners of
+// other partitions.
+func allKeepGrants(peers map[string]peer) bool {
+	for _, p := range peers {
+		if !p.Grants {
+			return false
+		}
+	}
+	return true
 }
 
 // allKeepPlacements reports whether every one of the peers keeps the stored
--- a/coordinator/membership.go
+++ b/coordinator/membership.go
@@ -301,6 +301,7 @@
 			conductor.PlacementsAllowed(c.placementsAllowed.Load),
 			conductor.OccurrenceRangesAllowed(c.rangesAllowed.Load),
 			conductor.ExchangeAllotments(c.askAllotment),
+			conductor.Delegations(c.callDelegate, c.grantsAllowed.Load),
 			conductor.JobPart(func() float64 { return c.shards.jobPart(partition) }),
 			conductor.WithKnowledge(c.knowledge),
 			conductor.StoreLimits(c.settings.storeLimits),
@@ -314,6 +315,7 @@
 		own.conductor.AwaitOrganisations()
 	}
 	own.conductor.SetAllotmentPartitions(c.shards.allotmentPartitions())
+	own.conductor.SetServicePartitions(c.shards.partitionsByService())
 	c.owned[partition] = own
 	// The new owner gets its workers from the next read of the directory, which begins
 	// now.
--- a/coordinator/shardfeeds.go
+++ b/coordinator/shardfeeds.go
@@ -76,6 +76,7 @@
 			c.requestJoin()
 			c.updateOwnerWorkers()
 			c.updateOwnerAllotments()
+			c.updateOwnerServices()
 		}
 	}
 	return f.run(ctx)
--- a/emulator/fleet.go
+++ b/emulator/fleet.go
@@ -164,6 +164,13 @@
 	return f.starts
 }
 
+// Running returns the number of tasks that have a run.
+func (f *Fleet) Running() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.running)
+}
+
 // Done returns the number of tasks that have ended successfully.
 func (f *Fleet) Done() int {
 	f.mu.Lock()
--- a/scheduler/advice_blocked.go
+++ b/scheduler/advice_blocked.go
@@ -41,7 +41,7 @@
 		return len(st.adviceState.askedWorkers) > 0
 	}
 	for i := range st.tasks {
-		if t := &st.tasks[i]; !t.done && t.run == nil {
+		if t := &st.tasks[i]; t.waits() {
 			return s.chooseWorker(st, t, p, now) != nil
 		}
 	}
--- a/scheduler/copying.go
+++ b/scheduler/copying.go
@@ -37,7 +37,7 @@
 	slices.SortFunc(steps, func(a, b *step) int { return compareSteps(a.ref, b.ref) })
 	for _, st := range steps {
 		p := pools[st.job.record.Queue.Service]
-		if p == nil || len(p.starvedSteps) > 0 || st.rank(now) > rankLate {
+		if p == nil || len(p.starvedSteps) > 0 || st.rank(now) > rankLate || !st.job.mayStartGuest(now) {
 			continue
 		}
 		s.copyStep(st, p, now)
--- a/scheduler/expiry.go
+++ b/scheduler/expiry.go
@@ -13,8 +13,13 @@
 // known until JobDeleted, as the store still has them.
 func (s *Scheduler) expireEndedJobs(now time.Time) {
 	for id, j := range s.jobs {
-		if !j.expired && j.state.Final() && j.stateStored && now.Sub(j.endedAt) > s.options.retention+retentionMargin {
-			j.expired = true
+		if j.expired || !j.state.Final() || !j.stateStored || j.awaitsDelegates() || now.Sub(j.endedAt) <= s.options.retention+retentionMargin {
+			continue
+		}
+		j.expired = true
+		if j.guest != nil {
+			s.forgetGuest(id)
+		} else {
 			s.expiredJobs = append(s.expiredJobs, id)
 		}
 	}
--- a/scheduler/explaining.go
+++ b/scheduler/explaining.go
@@ -203,7 +203,7 @@
 func (st *step) longestWait(now time.Time) time.Duration {
 	var longest time.Duration
 	for i := range st.tasks {
-		if t := &st.tasks[i]; !t.done && t.run == nil && !t.notRunningSince.IsZero() {
+		if t := &st.tasks[i]; t.waits() && !t.notRunningSince.IsZero() {
 			longest = max(longest, now.Sub(t.notRunningSince))
 		}
 	}
--- /dev/null
+++ b/scheduler/grants.go
@@ -0,0 +1,205 @@
+package scheduler
+
+import "slices"
+
+// Grant names tasks of one step of a job that its owner, the home owner, has left to the
+// owner of another partition, the delegate. Either stores the grant before it acts on it:
+// the home owner before it is sent, the delegate before it starts any of the tasks.
+type Grant struct {
+	// Number is unique within the job and rises.
+	Number     int64 `json:"number"`
+	Occurrence int   `json:"occurrence,omitempty"`
+	Phase      int   `json:"phase,omitempty"`
+	// Partition is that of the delegate.
+	Partition int `json:"partition"`
+	// Tasks lists the indexes of the tasks, less those that were returned.
+	Tasks []int `json:"tasks,omitempty"`
+	// Returned lists the indexes of the tasks that the delegate has returned. Only the
+	// delegate keeps it.
+	Returned []int `json:"returned,omitempty"`
+}
+
+func (g Grant) clone() Grant {
+	g.Tasks = slices.Clone(g.Tasks)
+	g.Returned = slices.Clone(g.Returned)
+	return g
+}
+
+// withdraw moves those of the tasks that the grant holds from Tasks to Returned.
+func (g *Grant) withdraw(tasks []int) {
+	for _, i := range tasks {
+		if at := slices.Index(g.Tasks, i); at >= 0 {
+			g.Tasks = slices.Delete(g.Tasks, at, at+1)
+			g.Returned = append(g.Returned, i)
+		}
+	}
+}
+
+func (g Grant) step(job string) StepRef {
+	return StepRef{
+		Job:        job,
+		Occurrence: g.Occurrence,
+		Phase:      g.Phase,
+	}
+}
+
+// grant is a grant in the tables of the home owner or of a delegate.
+type grant struct {
+	Grant
+	// stored is set once the store has the grant. Before that the home owner does not send
+	// it, and the delegate starts none of its tasks.
+	stored bool
+	// returning lists tasks in Returned of which this is not stored yet. The home owner
+	// starts them, and the delegate says that it has returned them, only after that.
+	returning []int
+	// acknowledged is set at the home owner once the delegate has stored the grant, and
+	// ended once it has stored that the job has ended.
+	acknowledged, ended bool
+}
+
+func cloneGrants(grants []*grant) []Grant {
+	clones := make([]Grant, 0, len(grants))
+	for _, g := range grants {
+		clones = append(clones, g.clone())
+	}
+	return clones
+}
+
+// returnTasks has the grant's tasks returned, subject to a write.
+func (g *grant) returnTasks(tasks []int) {
+	for _, i := range tasks {
+		if slices.Contains(g.Tasks, i) {
+			g.returning = append(g.returning, i)
+		}
+	}
+	g.withdraw(tasks)
+}
+
+// written records that the store has the grant as it stood in a write. It returns the
+// tasks of which the return is stored with it.
+func (g *grant) written(stored Grant) []int {
+	g.stored = true
+	var returned []int
+	g.returning = slices.DeleteFunc(g.returning, func(i int) bool {
+		if slices.Contains(stored.Tasks, i) {
+			return false
+		}
+		returned = append(returned, i)
+		return true
+	})
+	return returned
+}
+
+// Mark is a reading of a delegate's clock that the home owner repeats in its next call. It
+// shows the delegate that the call was made after that reading.
+type Mark struct {
+	// Token is the fencing token of the delegate, 0 if there is no mark.
+	Token int64
+	// Reading is the time in nanoseconds since the Unix epoch.
+	Reading int64
+}
+
+// DelegationRequest is what the home owner of some jobs tells the owner of another
+// partition.
+type DelegationRequest struct {
+	// Home is the partition of the home owner.
+	Home int
+	// Mark is that of the last reply.
+	Mark    Mark
+	Jobs    []DelegatedJob
+	Queries []PlacesQuery
+}
+
+// DelegatedJob is a job with its grants to one delegate.
+type DelegatedJob struct {
+	ID string
+	// Job is nil once the delegate has said that it knows the job.
+	Job    *Job
+	Grants []Grant
+	// Ended is set once the job has ended.
+	Ended bool
+}
+
+// PlacesQuery asks how many further tasks of a step the workers of a delegate could take.
+type PlacesQuery struct {
+	Step  StepRef
+	Queue Queue
+	Phase Phase
+}
+
+// DelegationReply answers DelegationRequest.
+type DelegationReply struct {
+	Mark Mark
+	Jobs []GuestState
+	// Places answers the queries in their order.
+	Places []Places
+}
+
+// Places is the number of further tasks of a step that the workers of a delegate could
+// take.
+type Places struct {
+	// Free counts those for which there is free capacity.
+	Free int
+	// Possible counts those for which there would be if all runs that end by themselves
+	// had ended.
+	Possible int
+}
+
+// GuestState is the state of a job at a delegate. It tells only what is stored.
+type GuestState struct {
+	ID string
+	// Unknown is set if the delegate needs the description of the job.
+	Unknown bool
+	Begun   bool
+	Failed  bool
+	// Ended is set if nothing of the job will ever be started at the delegate for this home
+	// owner.
+	Ended  bool
+	Grants []GrantState
+}
+
+// GrantState is the state of a grant at a delegate.
+type GrantState struct {
+	Number int64
+	// Returned and Done list the indexes of the tasks that were returned and that are
+	// done.
+	Returned, Done []int
+}
+
+// waits reports whether the task is to be started by this owner: it is not done, has no run,
+// and belongs to no other owner.
+func (t *task) waits() bool {
+	return !t.done && t.run == nil && !t.elsewhere
+}
+
+// leave gives a waiting task to another owner.
+func (st *step) leave(index int) {
+	t := &st.tasks[index]
+	t.elsewhere = true
+	// A run of the task by this owner has to be stored anew, together with the end of the
+	// grant.
+	t.storedWorkers = nil
+	st.waiting--
+}
+
+// take makes a task that belonged to another owner wait here.
+func (st *step) take(index int) {
+	st.tasks[index].elsewhere = false
+	st.waiting++
+}
+
+// tasksElsewhere counts the tasks that belong to other owners.
+func (st *step) tasksElsewhere() int {
+	n := 0
+	for i := range st.tasks {
+		if st.tasks[i].elsewhere {
+			n++
+		}
+	}
+	return n
+}
+
+// validIndexes returns those of the indexes that the step has.
+func (st *step) validIndexes(indexes []int) []int {
+	return slices.DeleteFunc(slices.Clone(indexes), func(i int) bool { return i < 0 || i >= len(st.tasks) })
+}
--- a/scheduler/interleaving_test.go
+++ b/scheduler/interleaving_test.go
@@ -58,6 +58,10 @@
 	readingConfirms fault = "reading the partition confirms the ownership"
 	// restartsUnsaid lets workers that start again under their identity not say so.
 	restartsUnsaid fault = "workers do not say that they have started again"
+	// grantsUnnamed hides from the next home owner which tasks other owners run.
+	grantsUnnamed fault = "stored jobs name no grants"
+	// guestsUnnamed hides from the next delegate which tasks it runs for others.
+	guestsUnnamed fault = "stored jobs of other partitions are lost"
 )
 
 // model simulates owners, workers and a store, which act in random order. Calls may
@@ -96,6 +100,8 @@
 	organisations []scheduler.Organisation
 	overage       float64
 	cancelled     []string
+	// wide is set if the model is one shard of several.
+	wide *wideModel
 	// violation describes the first violated invariant.
 	violation string
 }
@@ -151,6 +157,10 @@
 	// storeUnreachable is set if the owner cannot reach the store, and so does
 	// not learn of the next owner.
 	storeUnreachable bool
+	// marks holds the marks of the last replies of delegates, by their partition, and readAt
+	// the time at which the owner last read the jobs, if the model is wide.
+	marks  map[int]scheduler.Mark
+	readAt time.Time
 }
 
 func newModel(seeded fault, draw func(int) int, opts ...func(*model)) *model {
@@ -219,6 +229,9 @@
 		active:          make(map[scheduler.RunRef]sizer.Size),
 		stoppedAttempts: make(map[scheduler.TaskRef]int64),
 	})
+	if m.wide != nil {
+		m.wide.nameWorker(m, len(m.workers)-1)
+	}
 }
 
 func (m *model) directory() []scheduler.WorkerEntry {
@@ -266,6 +279,8 @@
 		s:            scheduler.New(token, m.now, scheduler.ConfirmedAt(confirmedAt)),
 		token:        token,
 		reportedEnds: make(map[string]int64),
+		marks:        make(map[int]scheduler.Mark),
+		readAt:       m.now,
 	}
 	o.s.AddFormerWorkers(m.workersInUse)
 	silent := slices.Clone(m.silent)
@@ -298,10 +313,16 @@
 			if m.fault == endingUnnamed {
 				stored.Ending = nil
 			}
+			if m.fault == grantsUnnamed {
+				stored.Grants = nil
+			}
 			progress = &stored
 		}
 		o.s.AddJob(job, progress, token > 1, m.now)
 	}
+	if m.wide != nil {
+		m.wide.restore(m, o)
+	}
 	for _, id := range m.cancelled {
 		o.s.Cancel(id, m.now)
 	}
@@ -585,6 +606,9 @@
 	}
 	size := m.sizeOf(run.Task)
 	used := size
+	if m.wide != nil {
+		m.wide.checkStart(m, order)
+	}
 	for _, other := range m.workers {
 		for active, taken := range other.active {
 			if other.up && active.Task == run.Task && !m.phaseOf(run.Task).Copies {
@@ -615,7 +639,11 @@
 }
 
 func (m *model) phaseOf(task scheduler.TaskRef) scheduler.Phase {
-	for _, job := range m.jobs {
+	jobs := m.jobs
+	if m.wide != nil {
+		jobs = m.wide.jobs()
+	}
+	for _, job := range jobs {
 		if job.ID == task.Step.Job {
 			return job.Phases[task.Step.Phase]
 		}
@@ -658,7 +686,7 @@
 		report.StartedAt = w.entry.StartedAt
 	}
 	for len(w.ended) > 0 && w.ended[0].Number <= acknowledged {
-		lasting := w.ended[0].Run.Task.Step.Job == lastingJob
+		lasting := m.phaseOf(w.ended[0].Run.Task).Lasting
 		if w.ended[0].End == scheduler.EndDone && w.ended[0].Number > w.lastStaleEnd && !lasting {
 			m.acknowledgedTasks[w.ended[0].Run.Task] = true
 		}
@@ -697,6 +725,10 @@
 			return
 		}
 		for _, stored := range o.pendingWrite.Jobs {
+			if stored.Guest != nil {
+				m.wide.store(m, stored)
+				continue
+			}
 			m.progress[stored.ID] = stored.Progress
 		}
 		if o.pendingWrite.Workers != nil {
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -302,6 +302,9 @@
 	// DoneOccurrences holds the occurrences of which all steps are done. Steps need not
 	// list them.
 	DoneOccurrences []OccurrenceRange `json:"doneOccurrences,omitempty"`
+	// Grants holds the grants of tasks to other owners, also once the job has ended. Owners
+	// of older releases do not know them.
+	Grants []Grant `json:"grants,omitempty"`
 	// Steps holds the steps with tasks that are done or have failed.
 	Steps []StepProgress `json:"steps,omitempty"`
 }
--- a/scheduler/occurrences.go
+++ b/scheduler/occurrences.go
@@ -135,7 +135,7 @@
 // dropOccurrenceIfDone drops the steps of an occurrence if all of them are done and no call for
 // advice is in flight. Only the number of the occurrence is kept.
 func (s *Scheduler) dropOccurrenceIfDone(j *job, occurrence int) {
-	if j.record.Repetitions == 0 || j.state.Final() {
+	if j.record.Repetitions == 0 || j.guest != nil || j.state.Final() {
 		return
 	}
 	ref := StepRef{
--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -142,6 +142,7 @@
 			s.explain(st, p, now)
 		}
 	}
+	s.findWideSteps(pools, now)
 	for _, p := range pools {
 		s.preemptForStarved(p, now)
 	}
@@ -161,7 +162,7 @@
 			break
 		}
 		t := &st.tasks[i]
-		if t.done || t.run != nil || s.taskAwaitsRecovery(t) {
+		if !t.waits() || s.taskAwaitsRecovery(t) {
 			continue
 		}
 		if st.leavesHeadroom(p, now) && p.spareMilliCores < taskSize(st.phase).MilliCores() {
--- a/scheduler/reports.go
+++ b/scheduler/reports.go
@@ -201,6 +201,10 @@
 	if t.done {
 		return
 	}
+	if t.elsewhere {
+		t.elsewhere = false
+		st.waiting++
+	}
 	for t.run != nil {
 		r := t.run
 		s.unassignRun(st, t, r, now)
@@ -307,7 +311,7 @@
 	}
 	r.watched = t != nil && len(t.crashes) > 0
 	s.addRun(r)
-	wanted := t != nil && !t.done && t.acceptsRun(st) && !st.job.state.Final()
+	wanted := t != nil && !t.done && !t.elsewhere && t.acceptsRun(st) && !st.job.state.Final()
 	if wanted && st.phase.Gang && st.gangAttempt != 0 && st.gangAttempt != row.Run.Attempt {
 		wanted = false
 	}
--- a/scheduler/rig_test.go
+++ b/scheduler/rig_test.go
@@ -20,8 +20,10 @@
 	s           *scheduler.Scheduler
 	now         time.Time
 	workersByID map[string]*fakeWorker
-	// stored is the progress that was written to the store, by job.
-	stored map[string]scheduler.Progress
+	// stored is the progress that was written to the store, by job, and storedGuests what was
+	// written of jobs of other partitions.
+	stored       map[string]scheduler.Progress
+	storedGuests map[string]scheduler.Guest
 	// storedWorkers holds the workers in use that were written to the store.
 	storedWorkers []scheduler.WorkerEntry
 	// storedSilent holds the silent workers that were written to the store.
@@ -59,6 +61,8 @@
 		s:           scheduler.New(1, time.Unix(1_700_000_000, 0), opts...),
 		workersByID: make(map[string]*fakeWorker),
 		stored:      make(map[string]scheduler.Progress),
+
+		storedGuests: make(map[string]scheduler.Guest),
 	}
 }
 
@@ -234,8 +238,15 @@
 func (r *rig) confirm(write scheduler.Write) {
 	r.s.Written(write)
 	for _, progress := range write.Jobs {
+		if progress.Guest != nil {
+			r.storedGuests[progress.ID] = *progress.Guest
+			continue
+		}
 		r.stored[progress.ID] = progress.Progress
 	}
+	for _, id := range write.GuestDeletions {
+		delete(r.storedGuests, id)
+	}
 	if len(write.Workers) > 0 {
 		r.storedWorkers = write.Workers
 	}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -102,8 +102,19 @@
 	// expiredJobs holds the identities of the jobs that have expired, in that order, until
 	// ExpiredJobs finds that they have been deleted.
 	expiredJobs []string
-	// droppedJobs holds the identities of the jobs whose progress the store can delete.
-	droppedJobs map[string]bool
+	// droppedJobs holds the identities of the jobs whose progress the store can delete, and
+	// droppedGuests those of the jobs of other partitions of which all that is stored can be.
+	droppedJobs, droppedGuests map[string]bool
+	// delegates holds, by service, the partitions whose owners may run tasks for this one,
+	// and grantsAllowed is set if tasks may be left to them.
+	delegates     map[string][]int
+	grantsAllowed bool
+	// wideSteps holds the steps for which places were missing in the last tick.
+	wideSteps []*step
+	// grantingJobs holds the identities of the jobs with grants to other owners, guests
+	// those of the jobs of other partitions, and heldGuests those of such jobs whose stored
+	// state cannot be decoded. Nothing of the latter runs.
+	grantingJobs, guests, heldGuests map[string]bool
 	// endsByWorker caches the results of expectedEnds during placeSteps. A worker's
 	// entry is dropped when a run is started there, and all entries are when runs
 	// may have been stopped.
@@ -198,6 +209,11 @@
 		storedSilent:       make(map[string]bool),
 		dirtyJobs:          make(map[string]bool),
 		droppedJobs:        make(map[string]bool),
+		droppedGuests:      make(map[string]bool),
+		grantsAllowed:      true,
+		grantingJobs:       make(map[string]bool),
+		guests:             make(map[string]bool),
+		heldGuests:         make(map[string]bool),
 		nextBatch:          1,
 		allotments:         newAllotments(),
 		losses:             newLosses(),
@@ -262,27 +278,10 @@
 	s.formerUses = nil
 	s.recordArrival(j)
 	if progress != nil {
-		j.state = progress.State
-		j.endedAt = progress.Ended
-		j.stateStored = progress.State.Final()
+		j.restoreProgress(*progress)
 		j.begun = progress.State != Pending
 		j.begunStored = j.begun
-		j.formerEnding = progress.Ending
-		j.doneOccurrences = newOccurrenceSet(progress.DoneOccurrences, record.occurrences())
-		for _, id := range progress.Workers {
-			j.workers[id] = true
-			j.storedWorkers[id] = true
-		}
-		for _, stepProgress := range progress.Steps {
-			if j.doneOccurrences.contains(stepProgress.Occurrence) {
-				continue
-			}
-			j.storedProgress[StepRef{
-				Job:        record.ID,
-				Occurrence: stepProgress.Occurrence,
-				Phase:      stepProgress.Phase,
-			}] = stepProgress
-		}
+		s.restoreGrants(j, progress.Grants)
 	}
 	if j.state.Final() {
 		return j
@@ -305,6 +304,29 @@
 	return j
 }
 
+// restoreProgress restores what a former owner has stored of a new job.
+func (j *job) restoreProgress(progress Progress) {
+	j.state = progress.State
+	j.endedAt = progress.Ended
+	j.stateStored = progress.State.Final()
+	j.formerEnding = progress.Ending
+	j.doneOccurrences = newOccurrenceSet(progress.DoneOccurrences, j.record.occurrences())
+	for _, id := range progress.Workers {
+		j.workers[id] = true
+		j.storedWorkers[id] = true
+	}
+	for _, stepProgress := range progress.Steps {
+		if j.doneOccurrences.contains(stepProgress.Occurrence) {
+			continue
+		}
+		j.storedProgress[StepRef{
+			Job:        j.record.ID,
+			Occurrence: stepProgress.Occurrence,
+			Phase:      stepProgress.Phase,
+		}] = stepProgress
+	}
+}
+
 // HoldJob adds a job from the store whose stored progress cannot be decoded. As it may have
 // ended, nothing of it starts, and what workers report of it is stopped. It is shown as running
 // until it is cancelled.
@@ -381,6 +403,7 @@
 	if st.phase.Gang {
 		st.gangFailures = stored.Failures[0]
 	}
+	j.leaveGranted(st)
 	j.steps[ref] = st
 }
 
@@ -399,6 +422,10 @@
 // dependenciesDone reports whether all steps that this one depends on are
 // done.
 func (st *step) dependenciesDone() bool {
+	if st.job.guest != nil {
+		// The home owner grants only tasks of steps that are ready.
+		return true
+	}
 	for _, index := range st.phase.DependsOn {
 		dependency := st.ref
 		dependency.Phase = index
@@ -452,6 +479,10 @@
 // markJobBegun records that a worker has begun a task of the job, if the job is known.
 func (s *Scheduler) markJobBegun(id string) {
 	j := s.jobs[id]
+	if j != nil && j.guest != nil && !j.guest.begun && !j.state.Final() {
+		j.guest.begun = true
+		s.dirtyJobs[id] = true
+	}
 	if j == nil || j.begun || j.state.Final() {
 		return
 	}
@@ -471,7 +502,7 @@
 // completeIfDone completes a job if the steps of all its occurrences are created
 // and done.
 func (s *Scheduler) completeIfDone(j *job, now time.Time) {
-	if j.state.Final() || j.nextOccurrence < j.record.occurrences() {
+	if j.state.Final() || j.guest != nil || j.nextOccurrence < j.record.occurrences() {
 		return
 	}
 	for _, st := range j.steps {
--- a/scheduler/starting.go
+++ b/scheduler/starting.go
@@ -117,6 +117,8 @@
 			s.markLost(r, "worker unavailable or ticket expired before the start", now)
 		case r.worker.freeCapacity().IsNegative():
 			s.markLost(r, "the worker's capacity has shrunk before the start", now)
+		case !st.job.mayStartGuest(now):
+			s.markLost(r, "no contact with the home owner before the start", now)
 		case !s.startAllowed(st, r):
 			s.markLost(r, "the maximum of the organisation was lowered before the start", now)
 		case !st.mayBeSent(r, t) && s.storeStalled && len(st.job.storedWorkers) > 0 && !st.tracksPlacements:
--- a/scheduler/tables.go
+++ b/scheduler/tables.go
@@ -54,6 +54,12 @@
 	// took over. Tasks that are done or cancelled since may still run on workers that
 	// have not reported.
 	formerUnfinished formerUse
+	// grants holds the grants of the job's tasks to other owners, and lastGrant the highest
+	// number of one.
+	grants    []*grant
+	lastGrant int64
+	// guest is set for a job of another partition, some tasks of which this owner runs.
+	guest *guest
 	// cancellations holds the stored cancellations that name the job and an organisation.
 	cancellations []Cancellation
 	// excess is set if the job is beyond the entitled rate of its organisation.
@@ -108,6 +114,14 @@
 	// and fitCount for how many. They are kept for organisations with a maximum.
 	fitSeenAt time.Time
 	fitCount  int
+	// missingPlaces is the number of waiting tasks that the workers could not take at
+	// placesCheckedAt, and placesMissingSince the time since which it has not been 0, zero
+	// if it is.
+	missingPlaces                       int
+	placesCheckedAt, placesMissingSince time.Time
+	// returnedBy holds the times at which other owners last returned tasks of the step, by
+	// partition.
+	returnedBy map[int]time.Time
 	// explainedAt is the time at which the log last explained why the step
 	// waits.
 	explainedAt time.Time
@@ -120,6 +134,10 @@
 // task is one task of a step.
 type task struct {
 	done bool
+	// elsewhere is set if the task belongs to another owner: at the home owner if it is
+	// granted, at a delegate if it is not. Such a task is not done, has no run and does
+	// not count as waiting.
+	elsewhere bool
 	// run is the run that is or may be active, nil if there is none, and copy a
 	// second one at the same time. copy is nil whenever run is.
 	run, copy *run
--- a/scheduler/tick.go
+++ b/scheduler/tick.go
@@ -181,7 +181,7 @@
 		return false
 	}
 	for i := range st.tasks {
-		if t := &st.tasks[i]; !t.done && t.run == nil && !s.taskAwaitsRecovery(t) {
+		if t := &st.tasks[i]; t.waits() && !s.taskAwaitsRecovery(t) {
 			return false
 		}
 	}
@@ -205,7 +205,7 @@
 	}
 	n := 0
 	for i := range st.tasks {
-		if t := &st.tasks[i]; !t.done && t.run == nil && !slices.ContainsFunc(t.formerWorkers, awaits) {
+		if t := &st.tasks[i]; t.waits() && !slices.ContainsFunc(t.formerWorkers, awaits) {
 			n++
 		}
 	}
@@ -228,7 +228,7 @@
 		}
 	}
 	for i := range st.tasks {
-		if t := &st.tasks[i]; !t.done && t.run == nil {
+		if t := &st.tasks[i]; t.waits() {
 			ids = append(ids, t.formerWorkers...)
 		}
 	}
@@ -240,7 +240,7 @@
 // startableSteps returns the steps that may start tasks now, most important
 // first.
 func (s *Scheduler) startableSteps(now time.Time) []*step {
-	return s.rankSteps(now, func(st *step) bool { return !s.awaitsRecovery(st) })
+	return s.rankSteps(now, func(st *step) bool { return !s.awaitsRecovery(st) && st.job.mayStartGuest(now) })
 }
 
 // rankSteps returns the open steps for which include returns true,
--- a/scheduler/trials.go
+++ b/scheduler/trials.go
@@ -104,7 +104,7 @@
 		return false
 	}
 	for i := range st.tasks {
-		if t := &st.tasks[i]; !t.done && t.run == nil && s.mayTry(st, t, p, now) {
+		if t := &st.tasks[i]; t.waits() && s.mayTry(st, t, p, now) {
 			return false
 		}
 	}
@@ -156,7 +156,7 @@
 func (st *step) waitingSuspects() int {
 	n := 0
 	for i := range st.tasks {
-		if t := &st.tasks[i]; !t.done && t.run == nil && t.suspected() {
+		if t := &st.tasks[i]; t.waits() && t.suspected() {
 			n++
 		}
 	}
--- a/scheduler/writes.go
+++ b/scheduler/writes.go
@@ -15,6 +15,9 @@
 	Jobs  []JobProgress
 	// Deletions lists the jobs whose progress can be deleted from the store.
 	Deletions []string
+	// GuestDeletions lists the jobs of other partitions of which all that is stored here can
+	// be deleted.
+	GuestDeletions []string
 	// Workers replaces the stored list of workers in use. It is nil if the list
 	// need not change.
 	Workers []WorkerEntry
@@ -28,13 +31,16 @@
 
 // Empty reports whether there is nothing to store.
 func (w Write) Empty() bool {
-	return len(w.Jobs) == 0 && len(w.Deletions) == 0 && len(w.Workers) == 0 && w.Silent == nil && w.Allotments == nil
+	return len(w.Jobs) == 0 && len(w.Deletions) == 0 && len(w.GuestDeletions) == 0 && len(w.Workers) == 0 && w.Silent == nil && w.Allotments == nil
 }
 
 // JobProgress is the progress of one job.
 type JobProgress struct {
 	ID       string
 	Progress Progress
+	// Guest is what is to be stored instead of Progress, which it contains, if the job is
+	// one of another partition, else nil.
+	Guest *Guest
 }
 
 // Unwritten reports whether there is something to store, and whether a start or
@@ -48,18 +54,20 @@
 			return true, true
 		}
 	}
-	return len(s.dirtyJobs) > 0 || len(s.droppedJobs) > 0 || s.rewriteWorkers || s.allotments.unwritten, false
+	return len(s.dirtyJobs) > 0 || len(s.droppedJobs) > 0 || len(s.droppedGuests) > 0 || s.rewriteWorkers || s.allotments.unwritten, false
 }
 
 // NextWrite returns the changes since the last call.
 func (s *Scheduler) NextWrite() Write {
 	write := Write{
-		Batch:      s.nextBatch,
-		Deletions:  slices.Sorted(maps.Keys(s.droppedJobs)),
-		Allotments: s.allotments.nextLedger(),
+		Batch:          s.nextBatch,
+		Deletions:      slices.Sorted(maps.Keys(s.droppedJobs)),
+		GuestDeletions: slices.Sorted(maps.Keys(s.droppedGuests)),
+		Allotments:     s.allotments.nextLedger(),
 	}
 	s.nextBatch++
 	clear(s.droppedJobs)
+	clear(s.droppedGuests)
 	if s.hasUnrecordedWorkers() || s.rewriteWorkers {
 		write.Workers = s.workersInUse()
 		s.workersOutdated, s.rewriteWorkers = false, false
@@ -84,6 +92,7 @@
 		write.Jobs = append(write.Jobs, JobProgress{
 			ID:       id,
 			Progress: progress,
+			Guest:    s.jobs[id].guestRecord(progress),
 		})
 	}
 	slices.SortFunc(write.Jobs, func(a, b JobProgress) int {
@@ -143,6 +152,10 @@
 		for _, id := range stored.Progress.Workers {
 			j.storedWorkers[id] = true
 		}
+		s.grantsWritten(j, stored.Progress.Grants)
+		if j.guest != nil && stored.Guest != nil {
+			s.guestWritten(j, stored.Guest)
+		}
 		for _, stepProgress := range stored.Progress.Steps {
 			j.updateStoredPlacements(stepProgress, func(_, written []string) []string { return written })
 		}
@@ -207,6 +220,9 @@
 		Ended:  j.endedAt,
 		Ending: s.ending(j),
 	}
+	if len(j.grants) > 0 {
+		p.Grants = cloneGrants(j.grants)
+	}
 	if j.state.Final() {
 		return p
 	}
