scheduler: a gang that no shard can hold starts on the workers of several

The home owner grants members to other owners as it does tasks, and drives each attempt: all owners hold workers for their members, in the order of their partitions, and only when all do are they told to start. A member that is lost, fails, or is not there after a takeover has all others stopped; a failed attempt counts once.

The model of several shards has such gangs now.

--- a/conductor/delegations.go
+++ b/conductor/delegations.go
@@ -81,7 +81,7 @@
 	defer c.mu.Unlock()
 	c.delegates = delegates
 	if c.scheduler != nil {
-		c.scheduler.SetDelegates(delegates)
+		c.scheduler.SetDelegates(c.partition, delegates)
 	}
 }
 
@@ -119,7 +119,7 @@
 	if now.Sub(c.jobsReadAt) > maxJobsAgeToDelegate {
 		return
 	}
-	requests, urgent := c.scheduler.DelegationRequests(c.partition, now)
+	requests, urgent := c.scheduler.DelegationRequests(now)
 	maps.DeleteFunc(c.delegateCalls, func(partition int, calls *delegateCalls) bool {
 		_, found := requests[partition]
 		return !found && !calls.inFlight
--- a/conductor/recovery.go
+++ b/conductor/recovery.go
@@ -78,7 +78,7 @@
 		s.SetOrganisations(c.organisations, c.overage)
 	}
 	c.restoreAllotments(s, stored.allotments)
-	s.SetDelegates(c.delegates)
+	s.SetDelegates(c.partition, c.delegates)
 	s.AddFormerWorkers(stored.workersInUse)
 	if stored.silenceUnknown {
 		s.ReplaceFormerSilence()
--- a/coordinator/delegations_test.go
+++ b/coordinator/delegations_test.go
@@ -70,3 +70,24 @@
 	cl.await(cl.entries[1], "wide", scheduler.Cancelled)
 	cl.c.Assert(cl.fleet.Violations(), qt.HasLen, 0)
 }
+
+// TestGangWiderThanAShardRuns guards against a gang that never runs, as the shard of its job has
+// too few of the service's workers.
+func TestGangWiderThanAShardRuns(t *testing.T) {
+	cl := newCluster(t, 0)
+	for _, name := range []string{"entry-0", "entry-1"} {
+		cl.start(name, coordinator.ShardSize(2))
+	}
+	cl.awaitShared()
+	for _, id := range []string{"gang-0", "gang-1", "gang-2"} {
+		cl.submitApart(cl.entries[0], id, scheduler.Phase{
+			Tasks:    6,
+			Estimate: 200 * time.Millisecond,
+			Gang:     true,
+		})
+	}
+	for _, id := range []string{"gang-0", "gang-1", "gang-2"} {
+		cl.await(cl.entries[1], id, scheduler.Completed)
+	}
+	cl.c.Assert(cl.fleet.Violations(), qt.HasLen, 0)
+}
--- a/scheduler/demands.go
+++ b/scheduler/demands.go
@@ -195,7 +195,7 @@
 // maximum allowed it.
 func (s *Scheduler) couldStart(organisation Organisation, st *step, p *pool, now time.Time) int {
 	switch {
-	case st.phase.Gang && (st.waiting < len(st.tasks) || !s.gangWithinOverage(organisation, st)):
+	case st.phase.Gang && (st.waiting < st.members() || !s.gangWithinOverage(organisation, st)):
 		return 0
 	case st.phase.Gang || st.reservesWorkers():
 		// Workers would be reserved for these tasks.
--- a/scheduler/formeruse.go
+++ b/scheduler/formeruse.go
@@ -83,7 +83,7 @@
 	created := make(map[int]bool)
 	for ref, st := range j.steps {
 		created[ref.Occurrence] = true
-		add(st.phase, len(st.tasks)-st.done-st.tasksElsewhere())
+		add(st.phase, len(st.tasks)-st.done-st.tasksElsewhere)
 	}
 	if j.guest != nil {
 		return use
--- a/scheduler/gangs.go
+++ b/scheduler/gangs.go
@@ -11,18 +11,28 @@
 // placeGang starts all tasks of a gang, or none. If it cannot start now, workers
 // are reserved for it and the adviser is asked.
 func (s *Scheduler) placeGang(st *step, p *pool, now time.Time) {
+	if st.isGangPart() {
+		s.placeGangPart(st, p, now)
+		return
+	}
 	if st.waiting < len(st.tasks) {
 		s.stopIncompleteGang(st, now)
 		return
 	}
 	st.incompleteSince = time.Time{}
+	s.startGang(st, p, s.newAttempt, now)
+}
+
+// startGang starts all members of a gang that belong to this owner, or reserves workers for
+// them. attempt returns the attempt if they are started.
+func (s *Scheduler) startGang(st *step, p *pool, attempt func() int64, now time.Time) {
 	if s.allowedStarts(st) == 0 || st.suspected() && !s.mayTry(st, &st.tasks[0], p, now) {
 		return
 	}
 	// Each worker on which the gang may start now is a candidate too.
 	if candidates := s.chooseGangWorkers(st, p, now, s.isCandidate); candidates != nil {
 		chosen := s.chooseGangWorkers(st, p, now, s.mayStartOn)
-		if chosen == nil && s.hold(st, len(st.tasks)) == 0 {
+		if chosen == nil && s.hold(st, st.members()) == 0 {
 			return
 		}
 		if chosen == nil {
@@ -31,18 +41,21 @@
 			s.reserve(st, p, distinctWorkers(candidates), now.Add(st.adviceCost(len(candidates))))
 			return
 		}
-		newAttempt := s.newAttempt()
-		st.gangAttempt = newAttempt
-		for i, w := range chosen {
-			s.startRun(st, i, w, newAttempt, now)
-			delete(s.endsByWorker, w)
+		st.gangAttempt = attempt()
+		for i := range st.tasks {
+			if st.tasks[i].elsewhere {
+				continue
+			}
+			s.startRun(st, i, chosen[0], st.gangAttempt, now)
+			delete(s.endsByWorker, chosen[0])
+			chosen = chosen[1:]
 		}
 		if st.suspected() {
 			p.trials[st.trialGroup(&st.tasks[0])] = true
 		}
 		return
 	}
-	if s.hold(st, len(st.tasks)) == 0 {
+	if s.hold(st, st.members()) == 0 {
 		return
 	}
 	s.reserveForGang(st, p, now)
@@ -92,12 +105,12 @@
 	})
 	if st.phase.RackLocal {
 		for _, c := range candidates {
-			if chosen := pickWorkers(candidates, c.worker.entry.Rack, len(st.tasks)); chosen != nil {
+			if chosen := pickWorkers(candidates, c.worker.entry.Rack, st.members()); chosen != nil {
 				return chosen
 			}
 		}
 	}
-	return pickWorkers(candidates, "", len(st.tasks))
+	return pickWorkers(candidates, "", st.members())
 }
 
 // workerCapacity is a worker with the number of tasks of a gang that fit it.
@@ -136,7 +149,7 @@
 	expected := s.predictVacancies(st, p, now)
 	var reserved []*worker
 	var completeAt time.Time
-	missing := len(st.tasks)
+	missing := st.members()
 	for _, v := range expected {
 		if missing <= 0 {
 			break
@@ -146,7 +159,7 @@
 		completeAt = v.freeAt
 	}
 	if inTime && (missing > 0 || completeAt.Sub(now) > minPreemptionGain) {
-		if preempted := s.preempt(st, len(st.tasks), p, now); preempted != nil {
+		if preempted := s.preempt(st, st.members(), p, now); preempted != nil {
 			s.reserve(st, p, preempted, now.Add(s.options.stopTimeout))
 			if !s.allHaveTickets(st, preempted, now.Add(s.options.stopTimeout)) {
 				s.callAdviser(st, preempted, now)
@@ -182,7 +195,7 @@
 	if st.phase.PerWorker > 0 {
 		maxTasksHere = min(maxTasksHere, st.phase.PerWorker-st.runsOn(w))
 	}
-	wanted := min(maxTasksHere, len(st.tasks))
+	wanted := min(maxTasksHere, st.members())
 	if wanted <= 0 {
 		return now, 0
 	}
--- a/scheduler/granting.go
+++ b/scheduler/granting.go
@@ -11,9 +11,10 @@
 // some.
 const returnPause = 10 * time.Second
 
-// SetDelegates sets the partitions whose owners may run tasks of a service's jobs for this
+// SetDelegates sets the partition of this owner, and the partitions whose owners may run tasks of a service's jobs for this
 // owner. Without any, or as long as they are not set, this owner keeps all tasks.
-func (s *Scheduler) SetDelegates(partitionsByService map[string][]int) {
+func (s *Scheduler) SetDelegates(partition int, partitionsByService map[string][]int) {
+	s.partition = partition
 	s.delegates = partitionsByService
 }
 
@@ -58,9 +59,8 @@
 }
 
 // DelegationRequests returns what is to be told to the owners of other partitions, by
-// partition, and the partitions for which that is urgent. home is the partition of this
-// owner. The caller sets the marks.
-func (s *Scheduler) DelegationRequests(home int, now time.Time) (map[int]DelegationRequest, map[int]bool) {
+// partition, and the partitions for which that is urgent. The caller sets the marks.
+func (s *Scheduler) DelegationRequests(now time.Time) (map[int]DelegationRequest, map[int]bool) {
 	requests := make(map[int]DelegationRequest)
 	urgent := make(map[int]bool)
 	for _, id := range slices.Sorted(maps.Keys(s.grantingJobs)) {
@@ -88,7 +88,7 @@
 		}
 	}
 	for partition, request := range requests {
-		request.Home = home
+		request.Home = s.partition
 		requests[partition] = request
 	}
 	return requests, urgent
@@ -121,13 +121,20 @@
 		if !g.acknowledged {
 			d.Job = &j.record
 		}
-		d.Grants = append(d.Grants, Grant{
-			Number:     g.Number,
-			Occurrence: g.Occurrence,
-			Phase:      g.Phase,
-			Partition:  g.Partition,
-			Tasks:      append(slices.Clone(g.Tasks), g.returning...),
-		})
+		of := GrantMessage{
+			Grant: Grant{
+				Number:     g.Number,
+				Occurrence: g.Occurrence,
+				Phase:      g.Phase,
+				Partition:  g.Partition,
+				Tasks:      append(slices.Clone(g.Tasks), g.returning...),
+			},
+		}
+		if st := j.steps[g.step(j.record.ID)]; st != nil && st.phase.Gang {
+			of.Gang = st.orderFor(g)
+			d.urgent = d.urgent || of.Gang.Stage != g.gang.Order.Stage || of.Gang.Stage == GangPrepare
+		}
+		d.Grants = append(d.Grants, of)
 		told[g.Partition] = d
 	}
 	return told
@@ -187,13 +194,24 @@
 		return
 	}
 	for _, i := range state.Done {
-		if slices.Contains(g.Tasks, i) && !st.tasks[i].done {
+		if slices.Contains(g.Tasks, i) && !st.tasks[i].done && !j.state.Final() {
 			s.markTaskDone(st, &st.tasks[i], now)
 			s.dirtyJobs[j.record.ID] = true
 		}
 	}
 	s.takeBack(j, g, state.Returned, now)
-	s.finishStepIfDone(st, now)
+	if st.phase.Gang {
+		if len(state.Done) > 0 {
+			// One such end stands for all members.
+			for i := range st.tasks {
+				s.markTaskDone(st, &st.tasks[i], now)
+			}
+		}
+		s.applyGangState(st, g, state.Gang, now)
+	}
+	if !j.state.Final() {
+		s.finishStepIfDone(st, now)
+	}
 }
 
 // takeBack has tasks that a delegate does not run belong to this owner again, once that is
@@ -300,6 +318,12 @@
 			}
 			st.take(index)
 			s.openIfReady(st, s.tickedAt)
+			if st.phase.Gang {
+				s.dropHeld(st, s.tickedAt)
+			}
+		}
+		if st != nil && !st.isGangPart() {
+			st.order = GangOrder{}
 		}
 	}
 }
--- a/scheduler/grants.go
+++ b/scheduler/grants.go
@@ -55,6 +55,10 @@
 	// acknowledged is set at the home owner once the delegate has stored the grant, and
 	// ended once it has stored that the job has ended.
 	acknowledged, ended bool
+	// gang is what the delegate last said of the members of a gang, and heard is set once it
+	// has said something to this owner.
+	gang  GangState
+	heard bool
 }
 
 func cloneGrants(grants []*grant) []Grant {
@@ -115,11 +119,17 @@
 	ID string
 	// Job is nil once the delegate has said that it knows the job.
 	Job    *Job
-	Grants []Grant
+	Grants []GrantMessage
 	// Ended is set once the job has ended.
 	Ended bool
 }
 
+// GrantMessage is a grant with what the home owner has decided for a gang.
+type GrantMessage struct {
+	Grant Grant
+	Gang  GangOrder
+}
+
 // PlacesQuery asks how many further tasks of a step the workers of a delegate could take.
 type PlacesQuery struct {
 	Step  StepRef
@@ -164,6 +174,8 @@
 	// Returned and Done list the indexes of the tasks that were returned and that are
 	// done.
 	Returned, Done []int
+	// Gang is the state of the members of a gang.
+	Gang GangState
 }
 
 // waits reports whether the task is to be started by this owner: it is not done, has no run,
@@ -176,6 +188,7 @@
 func (st *step) leave(index int) {
 	t := &st.tasks[index]
 	t.elsewhere = true
+	st.tasksElsewhere++
 	// A run of the task by this owner has to be stored anew, together with the end of the
 	// grant.
 	t.storedWorkers = nil
@@ -185,20 +198,10 @@
 // take makes a task that belonged to another owner wait here.
 func (st *step) take(index int) {
 	st.tasks[index].elsewhere = false
+	st.tasksElsewhere--
 	st.waiting++
 }
 
-// tasksElsewhere counts the tasks that belong to other owners.
-func (st *step) tasksElsewhere() int {
-	n := 0
-	for i := range st.tasks {
-		if st.tasks[i].elsewhere {
-			n++
-		}
-	}
-	return n
-}
-
 // validIndexes returns those of the indexes that the step has.
 func (st *step) validIndexes(indexes []int) []int {
 	return slices.DeleteFunc(slices.Clone(indexes), func(i int) bool { return i < 0 || i >= len(st.tasks) })
--- a/scheduler/guests.go
+++ b/scheduler/guests.go
@@ -33,7 +33,7 @@
 }
 
 // addGuest adds a job of another partition. progress is nil if none was stored.
-func (s *Scheduler) addGuest(stored Guest, progress *Progress, recovered bool, now time.Time) *job {
+func (s *Scheduler) addGuest(stored Guest, progress *Progress, recovered bool) *job {
 	j := newJob(stored.Job)
 	j.recovered = recovered
 	j.state = Running
@@ -65,7 +65,7 @@
 	if s.jobs[stored.Job.ID] != nil {
 		return
 	}
-	j := s.addGuest(stored, &stored.Progress, true, now)
+	j := s.addGuest(stored, &stored.Progress, true)
 	for _, g := range stored.Grants {
 		restored := &grant{
 			Grant:  g.clone(),
@@ -105,6 +105,10 @@
 			st.take(i)
 		}
 	}
+	if st.phase.Gang {
+		// All members are placed together.
+		s.dropHeld(st, now)
+	}
 	s.openIfReady(st, now)
 }
 
@@ -112,6 +116,7 @@
 // runs is kept.
 func (st *step) leaveUngranted(index int) {
 	st.tasks[index].elsewhere = true
+	st.tasksElsewhere++
 	st.waiting--
 }
 
@@ -161,7 +166,7 @@
 		j = s.addGuest(Guest{
 			Home: home,
 			Job:  *told.Job,
-		}, nil, false, now)
+		}, nil, false)
 	case j.guest == nil || j.guest.home != home:
 		// The identity is that of another job.
 		state.Ended = true
@@ -174,14 +179,19 @@
 		if contactAt.After(j.guest.contactAt) {
 			j.guest.contactAt = contactAt
 		}
-		s.addGrants(j, told.Grants)
+		s.addGrants(j, told.Grants, now)
 	}
 	return s.guestState(j, state)
 }
 
-// addGrants adds those of the grants that are new, subject to a write.
-func (s *Scheduler) addGrants(j *job, grants []Grant) {
-	for _, told := range grants {
+// addGrants adds those of the grants that are new, subject to a write, and applies what the home
+// owner has decided for gangs.
+func (s *Scheduler) addGrants(j *job, grants []GrantMessage, now time.Time) {
+	for _, message := range grants {
+		told := message.Grant
+		if st := j.steps[told.step(j.record.ID)]; st != nil && st.phase.Gang {
+			s.applyOrder(st, message.Gang, now)
+		}
 		if told.Phase < 0 || told.Phase >= len(j.record.Phases) || told.Occurrence < 0 || told.Occurrence >= j.record.occurrences() ||
 			slices.ContainsFunc(j.guest.grants, func(g *grant) bool { return g.Number == told.Number }) {
 			continue
@@ -212,7 +222,11 @@
 			Number:   g.Number,
 			Returned: slices.DeleteFunc(slices.Clone(g.Returned), func(i int) bool { return slices.Contains(g.returning, i) }),
 		}
-		if st := j.steps[g.step(j.record.ID)]; st != nil && stored {
+		st := j.steps[g.step(j.record.ID)]
+		if st != nil && st.phase.Gang {
+			of.Gang = s.gangState(st, stored)
+		}
+		if st != nil && stored {
 			for _, i := range st.validIndexes(g.Tasks) {
 				if st.tasks[i].done {
 					of.Done = append(of.Done, i)
@@ -307,7 +321,7 @@
 			continue
 		}
 		for _, st := range j.steps {
-			n += len(st.tasks) - st.done - st.tasksElsewhere()
+			n += len(st.tasks) - st.done - st.tasksElsewhere
 		}
 	}
 	return n
@@ -319,7 +333,7 @@
 	for id := range s.grantingJobs {
 		if j := s.jobs[id]; j != nil && !j.state.Final() {
 			for _, st := range j.steps {
-				n += st.tasksElsewhere()
+				n += st.tasksElsewhere
 			}
 		}
 	}
--- a/scheduler/interleaving_test.go
+++ b/scheduler/interleaving_test.go
@@ -100,6 +100,8 @@
 	organisations []scheduler.Organisation
 	overage       float64
 	cancelled     []string
+	// calm is set once no answer of a worker gets lost any more.
+	calm bool
 	// wide is set if the model is one shard of several.
 	wide *wideModel
 	// violation describes the first violated invariant.
@@ -530,6 +532,10 @@
 	if m.draw(8) == 0 {
 		how = scheduler.EndStopped
 	}
+	if m.wide != nil && m.phaseOf(run.Task).Gang {
+		m.wide.endGang(w, run, how)
+		return
+	}
 	w.end(run, how)
 }
 
@@ -547,6 +553,11 @@
 	return true
 }
 
+// losesAnswer reports whether the next answer of a worker gets lost.
+func (m *model) losesAnswer() bool {
+	return !m.calm && m.draw(8) == 0
+}
+
 // carryOut carries out one random effect of an owner, with or without an answer.
 func (m *model) carryOut(o *modelOwner) {
 	if len(o.effects) == 0 {
@@ -564,7 +575,7 @@
 			outcome = scheduler.StartRefused
 		case !w.up:
 			outcome = scheduler.StartWorkerGone
-		case w.isUnreachableBy(o) || m.draw(8) == 0:
+		case w.isUnreachableBy(o) || m.losesAnswer():
 			if m.draw(2) == 0 {
 				m.lateOrders = append(m.lateOrders, func() { m.start(w, o.token, effect) })
 			}
@@ -577,7 +588,7 @@
 		}
 	case scheduler.StopTask:
 		w := m.findWorker(effect.Worker.ID)
-		answered := w.up && !w.isUnreachableBy(o) && m.draw(8) > 0
+		answered := w.up && !w.isUnreachableBy(o) && !m.losesAnswer()
 		if answered && m.acceptsToken(w, o.token) {
 			m.stop(w, effect.Run)
 		}
@@ -697,7 +708,7 @@
 			Run: run,
 		})
 	}
-	if m.draw(8) == 0 {
+	if m.losesAnswer() {
 		o.s.RenewalFailed(w.entry.Ref.ID, m.now)
 		return
 	}
--- a/scheduler/limits.go
+++ b/scheduler/limits.go
@@ -178,7 +178,7 @@
 	case !st.phase.Gang:
 		return s.allowedTasks(organisation, st, used)
 	case s.gangAllowed(organisation, st, used):
-		return len(st.tasks)
+		return st.members()
 	default:
 		return 0
 	}
@@ -202,7 +202,7 @@
 
 // gangAllowed reports whether the whole gang may start.
 func (s *Scheduler) gangAllowed(organisation Organisation, st *step, used sizer.Size) bool {
-	total := st.phase.Size.Times(int64(len(st.tasks)))
+	total := st.phase.Size.Times(int64(st.members()))
 	limit := s.allotment(organisation.Name)
 	if s.nothingRuns(st.job) {
 		limit = s.firstTaskLimit(limit)
@@ -267,7 +267,7 @@
 	runs := 1
 	total := r.fullSize
 	if st.phase.Gang {
-		runs, total = len(st.tasks), total.Times(int64(len(st.tasks)))
+		runs, total = st.members(), total.Times(int64(st.members()))
 		if !s.gangWithinOverage(organisation, st) {
 			return false
 		}
--- a/scheduler/places.go
+++ b/scheduler/places.go
@@ -25,7 +25,7 @@
 		if s.mayEverRun(st, w) {
 			places += st.placesOn(w)
 		}
-		if places >= st.waiting || places > 0 && !st.phase.Lasting {
+		if places >= st.waiting || places > 0 && !st.phase.Lasting && !st.phase.Gang {
 			return 0
 		}
 	}
@@ -65,7 +65,10 @@
 // checkPlaces updates since when the step lacks places, and returns how many, 0 until they
 // have been missing for placesMissingFor.
 func (s *Scheduler) checkPlaces(st *step, p *pool, now time.Time) int {
-	if st.phase.Gang || !s.recoveryDone || st.waiting == 0 || now.Sub(st.readyAt) < placesMissingFor {
+	if !s.recoveryDone || st.waiting == 0 {
+		return 0
+	}
+	if st.phase.Gang && (st.waiting < st.members() || st.order.Stage == GangGo || st.job.guest == nil && !st.heldSince.IsZero() && st.order.Stage == GangPrepare) {
 		return 0
 	}
 	if now.Sub(st.placesCheckedAt) >= placesCheckInterval {
--- a/scheduler/reports.go
+++ b/scheduler/reports.go
@@ -203,6 +203,7 @@
 	}
 	if t.elsewhere {
 		t.elsewhere = false
+		st.tasksElsewhere--
 		st.waiting++
 	}
 	for t.run != nil {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -67,6 +67,8 @@
 	// plannedRuns holds the runs that are not sent to their worker until the
 	// store lists that worker for the job.
 	plannedRuns []*run
+	// heldRuns holds the planned runs of gangs that wait for members of other owners only.
+	heldRuns []*run
 	// plannedExplainedAt is the time of the last note on a planned run that waits for a
 	// write.
 	plannedExplainedAt time.Time
@@ -105,8 +107,9 @@
 	// droppedJobs holds the identities of the jobs whose progress the store can delete, and
 	// droppedGuests those of the jobs of other partitions of which all that is stored can be.
 	droppedJobs, droppedGuests map[string]bool
-	// delegates holds, by service, the partitions whose owners may run tasks for this one,
+	// partition is that of this owner. delegates holds, by service, the partitions whose owners may run tasks for this one,
 	// and grantsAllowed is set if tasks may be left to them.
+	partition     int
 	delegates     map[string][]int
 	grantsAllowed bool
 	// wideSteps holds the steps for which places were missing in the last tick.
--- a/scheduler/starting.go
+++ b/scheduler/starting.go
@@ -37,7 +37,7 @@
 	}
 	s.addRun(r)
 	s.assignRun(st, t, r)
-	if st.isStored(r, t) {
+	if st.isStored(r, t) && !st.holds(r) {
 		s.sendStart(r, st, now)
 		return
 	}
@@ -82,11 +82,15 @@
 	if st.phase.Lasting {
 		withoutRunSince = latest(st.tasks[r.ref.Task.Index].withoutRunSince, st.readyAt)
 	}
+	checkpoint := st.tasks[r.ref.Task.Index].checkpoint
+	if st.isGangPart() {
+		checkpoint = st.order.Checkpoint
+	}
 	s.emit(StartTask{
 		Run:             r.ref,
 		Worker:          w.entry.Ref,
 		Spec:            st.job.record.Spec,
-		Checkpoint:      st.tasks[r.ref.Task.Index].checkpoint,
+		Checkpoint:      checkpoint,
 		Ticket:          st.adviceState.tickets[w.entry.Ref.ID].value,
 		Lease:           s.extendLease(w, now),
 		NotAfter:        now.Add(startValidity),
@@ -99,8 +103,8 @@
 // The members of a gang are sent all at once.
 func (s *Scheduler) sendPlannedStarts(now time.Time) {
 	s.storeStalled = s.writesOverdue(now)
-	plannedRuns := s.plannedRuns
-	s.plannedRuns = nil
+	plannedRuns := slices.Concat(s.plannedRuns, s.heldRuns)
+	s.plannedRuns, s.heldRuns = nil, nil
 	var stillPlanned []*run
 	for _, r := range plannedRuns {
 		if r.state != runPlanned || r.worker.runs[r.ref] != r {
@@ -126,6 +130,8 @@
 			s.markLost(r, "worker cannot be stored as the store takes no writes", now)
 		case !st.mayBeSent(r, t):
 			stillPlanned = append(stillPlanned, r)
+		case st.holds(r):
+			s.heldRuns = append(s.heldRuns, r)
 		default:
 			s.sendStart(r, st, now)
 		}
--- a/scheduler/tables.go
+++ b/scheduler/tables.go
@@ -81,7 +81,9 @@
 	// waiting counts the tasks that are not done and have no run, and done
 	// those that are done.
 	waiting, done int
-	dueAt         time.Time
+	// tasksElsewhere counts the tasks that belong to other owners.
+	tasksElsewhere int
+	dueAt          time.Time
 	// objectiveAt is the time by which the occurrence should be done.
 	objectiveAt time.Time
 	adviceState adviceState
@@ -119,6 +121,14 @@
 	// if it is.
 	missingPlaces                       int
 	placesCheckedAt, placesMissingSince time.Time
+	// order is what the home owner has decided for a gang of which several owners have
+	// members. notReady is one more than the lowest partition whose owner holds no workers for
+	// its members, 0 if all do. heldSince is the time since which one does, zero if none does,
+	// and holdPause the pause after the last attempt in which not all did in time.
+	order     GangOrder
+	notReady  int
+	heldSince time.Time
+	holdPause time.Duration
 	// returnedBy holds the times at which other owners last returned tasks of the step, by
 	// partition.
 	returnedBy map[int]time.Time
--- a/scheduler/tick.go
+++ b/scheduler/tick.go
@@ -34,6 +34,7 @@
 	s.reapRuns(now)
 	s.finishRecovery(now)
 	s.stopStuckRuns(now)
+	s.driveGangs(now)
 	s.sendPlannedStarts(now)
 	s.demandsByName(now)
 	s.placeSteps(now)
--- a/scheduler/wide_model_test.go
+++ b/scheduler/wide_model_test.go
@@ -42,7 +42,7 @@
 // labelled is the label of the workers of the last shard.
 const labelled = "labelled"
 
-func newWideModel(seeded fault, shards int, draw func(int) int) *wideModel {
+func newWideModel(seeded fault, shards int, draw func(int) int, gangOptions ...func(*scheduler.Phase)) *wideModel {
 	w := &wideModel{
 		fault:       seeded,
 		draw:        draw,
@@ -68,7 +68,14 @@
 			for j := range m.jobs {
 				m.jobs[j].ID = fmt.Sprintf("s%djob%d", i, j)
 			}
+			gang := newPhase(5, cores(1))
+			gang.Gang = true
+			gang.PerWorker = 1
+			for _, option := range gangOptions {
+				option(&gang)
+			}
 			for id, phases := range map[string][]scheduler.Phase{
+				"gang":      {gang},
 				"lasting":   {lasting},
 				"elsewhere": {elsewhere, newPhase(1, cores(1))},
 			} {
@@ -86,7 +93,7 @@
 		})
 	}
 	for i, m := range w.shards {
-		m.current().s.SetDelegates(w.delegates(i))
+		m.current().s.SetDelegates(i, w.delegates(i))
 	}
 	return w
 }
@@ -122,7 +129,7 @@
 // restore passes a new owner what only wide models have.
 func (w *wideModel) restore(m *model, o *modelOwner) {
 	shard := slices.Index(w.shards, m)
-	o.s.SetDelegates(w.delegates(shard))
+	o.s.SetDelegates(shard, w.delegates(shard))
 	if w.fault == guestsUnnamed {
 		return
 	}
@@ -187,7 +194,7 @@
 	if o.superseded || m.now.Sub(o.readAt) > maxJobsAge {
 		return
 	}
-	requests, _ := o.s.DelegationRequests(home, m.now)
+	requests, _ := o.s.DelegationRequests(m.now)
 	request, found := requests[to]
 	if !found {
 		return
@@ -310,7 +317,11 @@
 func (w *wideModel) endRuns(m *model) {
 	for _, worker := range m.workers {
 		for _, run := range worker.runs() {
-			if worker.up && !m.phaseOf(run.Task).Lasting && w.draw(4) > 0 {
+			switch phase := m.phaseOf(run.Task); {
+			case !worker.up || phase.Lasting || w.draw(4) == 0:
+			case phase.Gang:
+				w.endGang(worker, run, scheduler.EndDone)
+			default:
 				worker.end(run, scheduler.EndDone)
 			}
 		}
@@ -318,6 +329,42 @@
 	}
 }
 
+// endGang ends a member of a gang. All members are done together, and only if all are there.
+func (w *wideModel) endGang(worker *modelWorker, run scheduler.RunRef, how scheduler.End) {
+	if _, there := worker.active[run]; !there {
+		return
+	}
+	if how != scheduler.EndDone {
+		worker.end(run, how)
+		return
+	}
+	type member struct {
+		run    scheduler.RunRef
+		worker *modelWorker
+	}
+	var members []member
+	tasks := 0
+	for _, m := range w.shards {
+		tasks = max(tasks, m.phaseOf(run.Task).Tasks)
+		for _, other := range m.workers {
+			for _, active := range other.runs() {
+				if other.up && active.Task.Step == run.Task.Step && active.Attempt == run.Attempt {
+					members = append(members, member{
+						run:    active,
+						worker: other,
+					})
+				}
+			}
+		}
+	}
+	if len(members) < tasks {
+		return
+	}
+	for _, m := range members {
+		m.worker.end(m.run, scheduler.EndDone)
+	}
+}
+
 func (m *model) carryOutAll() {
 	for o := m.current(); len(o.effects) > 0; {
 		m.carryOut(o)
@@ -328,6 +375,7 @@
 func (w *wideModel) settle() {
 	w.lateCalls = nil
 	for _, m := range w.shards {
+		m.calm = true
 		for _, worker := range m.workers {
 			worker.unreachableBy = 0
 			worker.unlisted = false
