scheduler: notes name the owners that have tasks of a waiting step, and one grant at a time

A second grant was decided before the delegate knew the first one, whose tasks its answer did not count: 4 of 6 tasks for 2 places, 2 of which came back (TestNoteNamesWhoHasTheTasks failed). A delegate is asked again once it has stored the last grant, and counts what it has not stored yet.

--- a/scheduler/granting.go
+++ b/scheduler/granting.go
@@ -31,7 +31,10 @@
 		return nil
 	}
 	return slices.DeleteFunc(slices.Clone(s.delegates[st.job.record.Queue.Service]), func(partition int) bool {
-		return now.Before(st.returnedBy[partition].Add(returnPause))
+		return now.Before(st.returnedBy[partition].Add(returnPause)) || slices.ContainsFunc(st.job.grants, func(g *grant) bool {
+			// Its answer would not count the tasks that it is about to get.
+			return g.Partition == partition && !g.acknowledged
+		})
 	})
 }
 
@@ -43,7 +46,7 @@
 	}
 	for _, st := range s.openSteps {
 		p := pools[st.job.record.Queue.Service]
-		if p == nil || st.job.guest == nil && len(s.delegatesOf(st, now)) == 0 {
+		if p == nil || st.job.guest == nil && len(s.delegates[st.job.record.Queue.Service]) == 0 {
 			continue
 		}
 		missing := s.checkPlaces(st, p, now)
@@ -51,7 +54,7 @@
 		case missing == 0:
 		case st.job.guest != nil:
 			s.returnTasks(st, missing, now)
-		default:
+		case len(s.delegatesOf(st, now)) > 0:
 			s.wideSteps = append(s.wideSteps, st)
 		}
 	}
--- a/scheduler/places.go
+++ b/scheduler/places.go
@@ -1,7 +1,9 @@
 package scheduler
 
 import (
+	"fmt"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -133,6 +135,13 @@
 		st.adviceState = known.steps[query.Step].adviceState
 		st.waiting = known.steps[query.Step].waiting
 	}
+	if known := s.jobs[query.Step.Job]; known != nil && known.guest != nil {
+		for _, g := range known.guest.grants {
+			if !g.stored && g.step(query.Step.Job) == query.Step {
+				st.waiting += len(g.Tasks)
+			}
+		}
+	}
 	var places Places
 	for _, w := range s.workers {
 		if w.entry.Service != query.Queue.Service || !w.available(now) || !s.mayEverRun(st, w) {
@@ -159,3 +168,30 @@
 	}
 	return max(1, int(float64(places)*s.stats(queue.Name).approvalRate)-waiting)
 }
+
+// describePlaces describes for a note which of the step's tasks belong to other owners, what it
+// lacks, and for whom a gang of several owners waits. It is empty for other steps.
+func (st *step) describePlaces(now time.Time) string {
+	var text strings.Builder
+	if st.job.guest != nil {
+		fmt.Fprintf(&text, "; runs for the owner of partition %d, last heard of %v ago", st.job.guest.home, now.Sub(st.job.guest.contactAt).Round(time.Millisecond))
+	}
+	if !st.placesMissingSince.IsZero() {
+		fmt.Fprintf(&text, "; the workers have lacked places for %d tasks for %v", st.missingPlaces, now.Sub(st.placesMissingSince).Round(time.Millisecond))
+	}
+	for _, g := range st.job.grants {
+		if g.step(st.job.record.ID) == st.ref && len(g.Tasks) > 0 {
+			fmt.Fprintf(&text, "; %d tasks belong to the owner of partition %d, stored %t, acknowledged %t", len(g.Tasks), g.Partition, g.stored, g.acknowledged)
+		}
+	}
+	for partition, at := range st.returnedBy {
+		fmt.Fprintf(&text, "; the owner of partition %d returned some %v ago", partition, now.Sub(at).Round(time.Millisecond))
+	}
+	if st.isGangPart() {
+		fmt.Fprintf(&text, "; attempt %d is in stage %d", st.order.Attempt, st.order.Stage)
+		if st.order.Stage == GangPrepare && st.notReady > 0 {
+			fmt.Fprintf(&text, " and waits for the owner of partition %d", st.notReady-1)
+		}
+	}
+	return text.String()
+}
--- a/scheduler/rig_test.go
+++ b/scheduler/rig_test.go
@@ -44,6 +44,8 @@
 	leaseEnd time.Duration
 	// silent is set while the worker answers nothing.
 	silent bool
+	// refuses is set while the worker refuses starts.
+	refuses bool
 	// startedAt is the start of each run, on the worker's clock, and runTime the
 	// time that runs take until their progress is complete.
 	startedAt map[scheduler.RunRef]time.Duration
@@ -158,6 +160,10 @@
 				r.s.StartAnswered(effect.Worker.ID, effect.Run, scheduler.StartUnknown, r.now)
 				continue
 			}
+			if w.refuses {
+				r.s.StartAnswered(effect.Worker.ID, effect.Run, scheduler.StartRefused, r.now)
+				continue
+			}
 			w.activeRuns[effect.Run] = scheduler.ActiveRun{
 				Run: effect.Run,
 			}
--- a/scheduler/wide_takeover_test.go
+++ b/scheduler/wide_takeover_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
@@ -322,3 +323,63 @@
 		qt.Assert(t, w.violation(), qt.Equals, "", qt.Commentf("seed %d", seed))
 	}
 }
+
+// TestGrantedJobHasNotBegunBeforeAWorkerHas guards against a job that is shown as running although
+// no worker of the delegate has begun a task.
+func TestGrantedJobHasNotBegunBeforeAWorkerHas(t *testing.T) {
+	w := newWideRig(t)
+	for _, worker := range w.delegate.workersByID {
+		worker.entry.Labels = []string{labelled}
+	}
+	w.delegate.updateDirectory()
+	phase := newPhase(1, cores(1))
+	phase.Requires = labelled
+	w.home.s.AddJob(w.home.job("elsewhere", phase), nil, false, w.home.now)
+	for _, worker := range w.delegate.workersByID {
+		worker.refuses = true
+	}
+	w.rounds(30, true)
+	w.home.c.Assert(w.delegate.s.GuestTasks(), qt.Equals, 1)
+	w.home.c.Assert(w.home.state("elsewhere"), qt.Equals, scheduler.Pending)
+	w.home.c.Assert(w.home.s.WaitingJobs("checks"), qt.Equals, 1)
+	for _, worker := range w.delegate.workersByID {
+		worker.refuses = false
+	}
+	w.rounds(3, true)
+	w.home.c.Assert(w.home.state("elsewhere"), qt.Equals, scheduler.Running)
+	w.home.c.Assert(w.home.s.WaitingJobs("checks"), qt.Equals, 0)
+}
+
+// TestUndecodableGuestDoesNotRun guards against tasks that run twice, as a delegate takes a job of
+// which it cannot decode what it has stored for a new one.
+func TestUndecodableGuestDoesNotRun(t *testing.T) {
+	w := newWideRig(t)
+	w.home.s.AddJob(w.lastingApart("wide", 4), nil, false, w.home.now)
+	w.delegate.s.HoldGuest("wide")
+	w.rounds(60, true)
+	w.home.c.Assert(w.home.activeRuns(), qt.Equals, 2)
+	w.home.c.Assert(w.delegate.activeRuns(), qt.Equals, 0)
+	w.home.s.Cancel("wide", w.home.now)
+	w.rounds(5, true)
+	w.home.advance(10 * time.Minute)
+	w.home.tick()
+	w.home.c.Assert(w.home.s.ExpiredJobs(10, w.home.now), qt.DeepEquals, []string{"wide"})
+}
+
+// TestNoteNamesWhoHasTheTasks guards against a step that waits without a note that tells for
+// what and for whom.
+func TestNoteNamesWhoHasTheTasks(t *testing.T) {
+	w := newWideRig(t)
+	w.home.s.AddJob(w.lastingApart("wide", 6), nil, false, w.home.now)
+	var notes []string
+	for range 120 {
+		w.rounds(1, true)
+		for _, note := range w.home.s.Notes() {
+			notes = append(notes, note.Text)
+		}
+	}
+	all := strings.Join(notes, "\n")
+	for _, text := range []string{"2 of 6 tasks are left to the owner of partition 1", "lacked places for 2 tasks", "2 tasks belong to the owner of partition 1, stored true, acknowledged true"} {
+		w.home.c.Check(all, qt.Contains, text)
+	}
+}
