--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -164,6 +164,9 @@
 	writeRequests chan struct{}
 	// checkRequests triggers a check whether there is a later owner.
 	checkRequests chan struct{}
+	// delegationRequests triggers a check whether other owners are to be called about tasks
+	// that they run.
+	delegationRequests chan struct{}
 	// exchangeRequests triggers a check whether parts are to be asked for.
 	exchangeRequests chan struct{}
 
@@ -310,11 +313,13 @@
 		writeRequests:     make(chan struct{}, 1),
 		checkRequests:     make(chan struct{}, 1),
 		exchangeRequests:  make(chan struct{}, 1),
-		exchange:          newExchange(),
-		progressed:        make(chan struct{}),
-		delegateCalls:     make(map[int]*delegateCalls),
-		leaseKeepers:      make(map[string]*leaseKeeper),
-		renewalLines:      make(map[string]*limitedLines),
+
+		delegationRequests: make(chan struct{}, 1),
+		exchange:           newExchange(),
+		progressed:         make(chan struct{}),
+		delegateCalls:      make(map[int]*delegateCalls),
+		leaseKeepers:       make(map[string]*leaseKeeper),
+		renewalLines:       make(map[string]*limitedLines),
 	}
 	for _, opt := range opts {
 		opt(c)
@@ -495,6 +500,7 @@
 		}
 		unwritten, _ := c.scheduler.Unwritten()
 		exchanges := len(c.exchange.base) > 0
+		delegates := c.scheduler.Delegates()
 		wait := idleTickInterval
 		if c.scheduler.Jobs() > 0 {
 			wait = busyTickInterval
@@ -506,6 +512,9 @@
 		if exchanges {
 			c.requestExchange()
 		}
+		if delegates {
+			c.requestDelegations()
+		}
 		c.logNotes(notes)
 		for _, effect := range effects {
 			group.Go(func() error { return c.carryOut(ctx, effect) })
--- a/conductor/delegations.go
+++ b/conductor/delegations.go
@@ -100,15 +100,31 @@
 	return reply, nil
 }
 
-// callDelegates tells the owners of other partitions what they run for this one, as long as
-// they run anything.
+// callDelegates tells the owners of other partitions what they run for this one. The scheduler's
+// ticks request it while they run anything, or are to.
 func (c *Conductor) callDelegates(ctx context.Context, group *errgroup.Group) error {
 	if c.delegate == nil {
 		return nil
 	}
-	return timekeeper.Every(ctx, c.clock, urgentDelegationInterval, func(ctx context.Context) {
+	for {
+		select {
+		case <-c.delegationRequests:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
 		c.callDueDelegates(ctx, group)
-	})
+		if err := timekeeper.Sleep(ctx, c.clock, urgentDelegationInterval); err != nil {
+			return err
+		}
+	}
+}
+
+// requestDelegations triggers a check whether calls to other owners are due.
+func (c *Conductor) requestDelegations() {
+	select {
+	case c.delegationRequests <- struct{}{}:
+	default:
+	}
 }
 
 // callDueDelegates makes the calls that are due.
@@ -130,7 +146,6 @@
 			calls = &delegateCalls{}
 			c.delegateCalls[partition] = calls
 		}
-		// A mark is repeated before it is too old for the delegate.
 		if !calls.due(urgent[partition] || calls.mark.Token == 0, now) {
 			continue
 		}
--- a/scheduler/granting.go
+++ b/scheduler/granting.go
@@ -61,6 +61,11 @@
 	slices.SortFunc(s.wideSteps, func(a, b *step) int { return compareSteps(a.ref, b.ref) })
 }
 
+// Delegates reports whether there may be something to tell the owners of other partitions.
+func (s *Scheduler) Delegates() bool {
+	return len(s.grantingJobs) > 0 || len(s.wideSteps) > 0
+}
+
 // DelegationRequests returns what is to be told to the owners of other partitions, by
 // partition, and the partitions for which that is urgent. The caller sets the marks.
 func (s *Scheduler) DelegationRequests(now time.Time) (map[int]DelegationRequest, map[int]bool) {
