scheduler: finished grants are dropped, and former home owners are not served

A grant stayed in the job's record and in each call for as long as the job, so a lasting job whose tasks come back now and then, or one with many wide occurrences, would have outgrown its record. A delegate now takes no number that is not above all it has seen, so a grant whose tasks were all returned or are done can go on both sides.

Calls carry the home owner's token, and delegates ignore lower ones.

--- a/scheduler/expiry.go
+++ b/scheduler/expiry.go
@@ -13,6 +13,9 @@
 // known until JobDeleted, as the store still has them.
 func (s *Scheduler) expireEndedJobs(now time.Time) {
 	for id, j := range s.jobs {
+		if j.isAbandoned(now.Add(-s.options.retention - retentionMargin)) {
+			s.endJob(j, Cancelled, now)
+		}
 		if j.expired || !j.state.Final() || !j.stateStored || j.awaitsDelegates() || now.Sub(j.endedAt) <= s.options.retention+retentionMargin {
 			continue
 		}
--- a/scheduler/gangparts.go
+++ b/scheduler/gangparts.go
@@ -132,8 +132,8 @@
 	return n, attempt
 }
 
-// anyMemberHasRun reports whether a member of this owner has a run, or one is planned.
-func (st *step) anyMemberHasRun() bool {
+// hasRuns reports whether a task of the step has a run, or one is planned.
+func (st *step) hasRuns() bool {
 	return slices.ContainsFunc(st.tasks, func(t task) bool { return t.run != nil })
 }
 
@@ -188,7 +188,7 @@
 		highest = max(highest, g.gang.RunAttempt, g.gang.Order.Attempt)
 	}
 	switch {
-	case running+others == 0 && !st.anyMemberHasRun():
+	case running+others == 0 && !st.hasRuns():
 		if now.Before(st.retryAt) || !st.dependenciesDone() || st.missingPlaces > 0 {
 			return
 		}
@@ -231,6 +231,12 @@
 		consider(s.partition, st.isReady())
 	}
 	for _, g := range grants {
+		if g.gang.Order.Attempt > st.order.Attempt {
+			// A former home owner has begun another one.
+			st.order.Attempt = g.gang.Order.Attempt
+			s.breakGang(st, "a delegate has a later attempt", now)
+			return
+		}
 		consider(g.Partition, g.gang.Ready && g.gang.Order.Attempt == st.order.Attempt)
 	}
 	st.notReady = notReady + 1
@@ -280,7 +286,7 @@
 
 // awaitStopped ends an attempt once no member runs.
 func (s *Scheduler) awaitStopped(st *step, grants []*grant, now time.Time) {
-	if st.anyMemberHasRun() {
+	if st.hasRuns() {
 		s.stopGang(st, "members are missing", now)
 		return
 	}
--- a/scheduler/granting.go
+++ b/scheduler/granting.go
@@ -77,7 +77,7 @@
 			delete(s.grantingJobs, id)
 			continue
 		}
-		for partition, delegated := range j.delegated() {
+		for partition, delegated := range s.delegated(j) {
 			request := requests[partition]
 			request.Jobs = append(request.Jobs, delegated.DelegatedJob)
 			requests[partition] = request
@@ -97,6 +97,7 @@
 	}
 	for partition, request := range requests {
 		request.Home = s.partition
+		request.Token = s.token
 		requests[partition] = request
 	}
 	return requests, urgent
@@ -110,7 +111,7 @@
 }
 
 // delegated returns what is to be told about the job, by the partition of the delegate.
-func (j *job) delegated() map[int]delegation {
+func (s *Scheduler) delegated(j *job) map[int]delegation {
 	told := make(map[int]delegation)
 	// A cancelling is stored with the jobs. Any other end may yet be lost, but nothing
 	// starts meanwhile.
@@ -118,14 +119,28 @@
 	if j.state.Final() && !ended {
 		return nil
 	}
+	for partition, endStored := range j.delegates {
+		if ended && !endStored {
+			told[partition] = delegation{
+				DelegatedJob: DelegatedJob{
+					ID:    j.record.ID,
+					Ended: true,
+				},
+				urgent: true,
+			}
+		}
+	}
+	if ended {
+		return told
+	}
+	stored := s.lastChangeOf(j.record.ID) <= s.storedBatch
 	for _, g := range j.grants {
-		if !g.stored || g.ended {
+		if !g.stored {
 			continue
 		}
 		d := told[g.Partition]
 		d.ID = j.record.ID
-		d.Ended = ended
-		d.urgent = d.urgent || !g.acknowledged || d.Ended
+		d.urgent = d.urgent || !g.acknowledged
 		if !g.acknowledged {
 			d.Job = &j.record
 		}
@@ -138,6 +153,9 @@
 				Tasks:      append(slices.Clone(g.Tasks), g.returning...),
 			},
 		}
+		if stored {
+			of.Grant.Tasks = slices.DeleteFunc(of.Grant.Tasks, func(i int) bool { return j.isDone(g.task(j.record.ID, i)) })
+		}
 		if st := j.steps[g.step(j.record.ID)]; st != nil && st.phase.Gang {
 			of.Gang = st.orderFor(g)
 			d.urgent = d.urgent || of.Gang.Stage != g.gang.Order.Stage || of.Gang.Stage == GangPrepare
@@ -150,9 +168,10 @@
 
 // DelegationAnswered records the reply of another partition's owner to a request.
 func (s *Scheduler) DelegationAnswered(partition int, request DelegationRequest, reply DelegationReply, now time.Time) {
-	for _, state := range reply.Jobs {
-		if j := s.jobs[state.ID]; j != nil && j.guest == nil {
+	for i, state := range reply.Jobs {
+		if j := s.jobs[state.ID]; j != nil && j.guest == nil && i < len(request.Jobs) {
 			s.applyGuestState(j, partition, state, now)
+			s.dropFinished(j, partition, request.Jobs[i], state)
 		}
 	}
 	for i, places := range reply.Places {
@@ -168,11 +187,13 @@
 		s.markJobBegun(j.record.ID)
 		s.keepBegun(j)
 	}
+	if state.Ended && j.state.Final() {
+		j.delegates[partition] = true
+	}
 	for _, g := range j.grants {
 		if g.Partition != partition {
 			continue
 		}
-		g.ended = g.ended || state.Ended && j.state.Final()
 		if state.Unknown {
 			g.acknowledged = false
 		}
@@ -196,6 +217,18 @@
 	}
 }
 
+// dropFinished drops the grants without tasks that a delegate has forgotten.
+func (s *Scheduler) dropFinished(j *job, partition int, told DelegatedJob, state GuestState) {
+	if told.ID != state.ID || state.Unknown || j.state.Final() {
+		return
+	}
+	j.grants = slices.DeleteFunc(j.grants, func(g *grant) bool {
+		empty := func(of GrantMessage) bool { return of.Grant.Number == g.Number && len(of.Grant.Tasks) == 0 }
+		listed := func(of GrantState) bool { return of.Number == g.Number }
+		return g.Partition == partition && slices.ContainsFunc(told.Grants, empty) && !slices.ContainsFunc(state.Grants, listed)
+	})
+}
+
 func (s *Scheduler) applyGrantState(j *job, g *grant, state GrantState, now time.Time) {
 	st := j.steps[g.step(j.record.ID)]
 	if st == nil {
@@ -260,6 +293,7 @@
 	}
 	j := st.job
 	j.lastGrant++
+	j.delegates[partition] = false
 	j.grants = append(j.grants, &grant{
 		Grant: Grant{
 			Number:     j.lastGrant,
@@ -285,15 +319,18 @@
 }
 
 // restoreGrants restores the grants that a former owner stored.
-func (s *Scheduler) restoreGrants(j *job, stored []Grant) {
-	for _, g := range stored {
+func (s *Scheduler) restoreGrants(j *job, stored Progress) {
+	j.lastGrant = stored.LastGrant
+	for _, partition := range stored.Delegates {
+		j.delegates[partition] = false
+	}
+	for _, g := range stored.Grants {
 		j.grants = append(j.grants, &grant{
 			Grant:  g.clone(),
 			stored: true,
 		})
-		j.lastGrant = max(j.lastGrant, g.Number)
 	}
-	if len(j.grants) > 0 {
+	if len(j.delegates) > 0 {
 		s.grantingJobs[j.record.ID] = true
 	}
 }
@@ -338,5 +375,10 @@
 
 // awaitsDelegates reports whether a delegate may not have stored that the job has ended.
 func (j *job) awaitsDelegates() bool {
-	return slices.ContainsFunc(j.grants, func(g *grant) bool { return !g.ended })
+	for _, endStored := range j.delegates {
+		if !endStored {
+			return true
+		}
+	}
+	return false
 }
--- a/scheduler/grants.go
+++ b/scheduler/grants.go
@@ -43,6 +43,13 @@
 	}
 }
 
+func (g Grant) task(job string, index int) TaskRef {
+	return TaskRef{
+		Step:  g.step(job),
+		Index: index,
+	}
+}
+
 // grant is a grant in the tables of the home owner or of a delegate.
 type grant struct {
 	Grant
@@ -52,9 +59,8 @@
 	// returning lists tasks in Returned of which this is not stored yet. The home owner
 	// starts them, and the delegate says that it has returned them, only after that.
 	returning []int
-	// acknowledged is set at the home owner once the delegate has stored the grant, and
-	// ended once it has stored that the job has ended.
-	acknowledged, ended bool
+	// acknowledged is set at the home owner once the delegate has stored the grant.
+	acknowledged bool
 	// gang is what the delegate last said of the members of a gang, and heard is set once it
 	// has said something to this owner.
 	gang  GangState
@@ -106,8 +112,9 @@
 // DelegationRequest is what the home owner of some jobs tells the owner of another
 // partition.
 type DelegationRequest struct {
-	// Home is the partition of the home owner.
-	Home int
+	// Home is the partition of the home owner, and Token its fencing token.
+	Home  int
+	Token int64
 	// Mark is that of the last reply.
 	Mark    Mark
 	Jobs    []DelegatedJob
@@ -118,7 +125,10 @@
 type DelegatedJob struct {
 	ID string
 	// Job is nil once the delegate has said that it knows the job.
-	Job    *Job
+	Job *Job
+	// Grants lists all grants to the delegate, in the order of their numbers, without the
+	// tasks that were returned or are done, as far as that is stored. One without tasks may be
+	// forgotten; it is listed until the delegate has forgotten it.
 	Grants []GrantMessage
 	// Ended is set once the job has ended.
 	Ended bool
--- a/scheduler/guests.go
+++ b/scheduler/guests.go
@@ -14,22 +14,28 @@
 // Guest is what a delegate stores of a job of another partition.
 type Guest struct {
 	// Home is the partition of the home owner.
-	Home     int      `json:"home"`
-	Job      Job      `json:"job"`
-	Grants   []Grant  `json:"grants"`
-	Begun    bool     `json:"begun,omitempty"`
-	Progress Progress `json:"progress"`
+	Home   int     `json:"home"`
+	Job    Job     `json:"job"`
+	Grants []Grant `json:"grants"`
+	// LastGrant is the highest number of a grant. Lower ones that are missing in Grants are
+	// finished.
+	LastGrant int64    `json:"lastGrant"`
+	Begun     bool     `json:"begun,omitempty"`
+	Progress  Progress `json:"progress"`
 }
 
 // guest is the part of a job's tables that only a delegate has.
 type guest struct {
-	home   int
-	grants []*grant
+	home      int
+	grants    []*grant
+	lastGrant int64
 	// begun is set once a worker has begun a task here.
 	begun bool
 	// contactAt is the latest time after which the home owner certainly had the job and
 	// left the tasks to this owner.
 	contactAt time.Time
+	// addedAt is the time at which this owner learned of the job.
+	addedAt time.Time
 }
 
 // addGuest adds a job of another partition. progress is nil if none was stored.
@@ -40,8 +46,10 @@
 	j.begun, j.begunStored = true, true
 	j.nextOccurrence = stored.Job.occurrences()
 	j.guest = &guest{
-		home:  stored.Home,
-		begun: stored.Begun,
+		home:      stored.Home,
+		lastGrant: stored.LastGrant,
+		begun:     stored.Begun,
+		addedAt:   s.tickedAt,
 	}
 	s.jobs[stored.Job.ID] = j
 	s.guests[stored.Job.ID] = true
@@ -120,8 +128,13 @@
 	st.waiting--
 }
 
-// ServeHome answers the home owner of some jobs.
+// ServeHome answers the home owner of some jobs. A former one, as far as this owner knows, gets an
+// empty reply.
 func (s *Scheduler) ServeHome(request DelegationRequest, now time.Time) DelegationReply {
+	if request.Token < s.homeTokens[request.Home] {
+		return DelegationReply{}
+	}
+	s.homeTokens[request.Home] = request.Token
 	reply := DelegationReply{
 		Mark: Mark{
 			Token:   s.token,
@@ -192,8 +205,13 @@
 		if st := j.steps[told.step(j.record.ID)]; st != nil && st.phase.Gang {
 			s.applyOrder(st, message.Gang, now)
 		}
+		s.dropTold(j, told)
 		if told.Phase < 0 || told.Phase >= len(j.record.Phases) || told.Occurrence < 0 || told.Occurrence >= j.record.occurrences() ||
-			slices.ContainsFunc(j.guest.grants, func(g *grant) bool { return g.Number == told.Number }) {
+			told.Number <= j.guest.lastGrant {
+			continue
+		}
+		j.guest.lastGrant = told.Number
+		if len(told.Tasks) == 0 {
 			continue
 		}
 		g := &grant{
@@ -208,6 +226,22 @@
 	}
 }
 
+// dropTold drops the tasks of a known grant that the home owner does not list any more: it has
+// stored that they were returned or are done.
+func (s *Scheduler) dropTold(j *job, told Grant) {
+	i := slices.IndexFunc(j.guest.grants, func(g *grant) bool { return g.Number == told.Number })
+	if i < 0 || !j.guest.grants[i].stored {
+		return
+	}
+	g := j.guest.grants[i]
+	settled := func(task int) bool { return !slices.Contains(told.Tasks, task) && !slices.Contains(g.returning, task) }
+	g.Returned = slices.DeleteFunc(g.Returned, settled)
+	g.Tasks = slices.DeleteFunc(g.Tasks, func(task int) bool { return settled(task) && j.isDone(g.task(j.record.ID, task)) })
+	if len(g.Tasks)+len(g.Returned) == 0 && len(told.Tasks) == 0 {
+		j.guest.grants = slices.Delete(j.guest.grants, i, i+1)
+	}
+}
+
 // guestState completes the state of a job that is told to its home owner.
 func (s *Scheduler) guestState(j *job, state GuestState) GuestState {
 	state.Begun = j.guest.begun
@@ -273,17 +307,33 @@
 	}, "", 0)
 }
 
+// isAbandoned reports whether the job is a guest without a run that the home owner has not spoken
+// of since the given time. A late message can create one after the job has ended. If the job
+// has not, the home owner learns that nothing of it runs here and takes the tasks back.
+func (j *job) isAbandoned(since time.Time) bool {
+	if j.guest == nil || j.state.Final() || latest(j.guest.contactAt, j.guest.addedAt).After(since) {
+		return false
+	}
+	for _, st := range j.steps {
+		if st.hasRuns() {
+			return false
+		}
+	}
+	return true
+}
+
 // guestRecord returns what is stored of a guest, or nil if the job is none.
 func (j *job) guestRecord(progress Progress) *Guest {
 	if j.guest == nil {
 		return nil
 	}
 	return &Guest{
-		Home:     j.guest.home,
-		Job:      j.record,
-		Grants:   cloneGrants(j.guest.grants),
-		Begun:    j.guest.begun,
-		Progress: progress,
+		Home:      j.guest.home,
+		Job:       j.record,
+		Grants:    cloneGrants(j.guest.grants),
+		LastGrant: j.guest.lastGrant,
+		Begun:     j.guest.begun,
+		Progress:  progress,
 	}
 }
 
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -305,6 +305,10 @@
 	// Grants holds the grants of tasks to other owners, also once the job has ended. Owners
 	// of older releases do not know them.
 	Grants []Grant `json:"grants,omitempty"`
+	// Delegates lists the partitions whose owners have or had a grant, and LastGrant is the
+	// highest number of one.
+	Delegates []int `json:"delegates,omitempty"`
+	LastGrant int64 `json:"lastGrant,omitempty"`
 	// Steps holds the steps with tasks that are done or have failed.
 	Steps []StepProgress `json:"steps,omitempty"`
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -112,6 +112,8 @@
 	partition     int
 	delegates     map[string][]int
 	grantsAllowed bool
+	// homeTokens holds the highest fencing token of each home owner, by partition.
+	homeTokens map[int]int64
 	// wideSteps holds the steps for which places were missing in the last tick.
 	wideSteps []*step
 	// grantingJobs holds the identities of the jobs with grants to other owners, guests
@@ -213,6 +215,7 @@
 		dirtyJobs:          make(map[string]bool),
 		droppedJobs:        make(map[string]bool),
 		droppedGuests:      make(map[string]bool),
+		homeTokens:         make(map[int]int64),
 		grantsAllowed:      true,
 		grantingJobs:       make(map[string]bool),
 		guests:             make(map[string]bool),
@@ -284,7 +287,7 @@
 		j.restoreProgress(*progress)
 		j.begun = progress.State != Pending
 		j.begunStored = j.begun
-		s.restoreGrants(j, progress.Grants)
+		s.restoreGrants(j, *progress)
 	}
 	if j.state.Final() {
 		return j
@@ -356,6 +359,7 @@
 		storedProgress: make(map[StepRef]StepProgress),
 		workers:        make(map[string]bool),
 		storedWorkers:  make(map[string]bool),
+		delegates:      make(map[int]bool),
 		objective:      record.objective(),
 		criticalPaths:  record.criticalPaths(),
 	}
--- a/scheduler/tables.go
+++ b/scheduler/tables.go
@@ -58,6 +58,9 @@
 	// number of one.
 	grants    []*grant
 	lastGrant int64
+	// delegates holds the partitions whose owners have or had a grant. The value is true once
+	// the owner has stored that the job has ended.
+	delegates map[int]bool
 	// guest is set for a job of another partition, some tasks of which this owner runs.
 	guest *guest
 	// cancellations holds the stored cancellations that name the job and an organisation.
--- a/scheduler/wide_model_test.go
+++ b/scheduler/wide_model_test.go
@@ -450,7 +450,13 @@
 		if running := w.running(fmt.Sprintf("s%dlasting", i)); running > 0 {
 			m.violate("%d tasks of a cancelled job run", running)
 		}
-		if n := m.current().s.GuestTasks(); n > 0 && w.fault == noFault {
+	}
+	w.advance(10 * time.Minute)
+	for range 20 {
+		w.round()
+	}
+	for _, m := range w.shards {
+		if n := m.current().s.GuestTasks(); n > 0 {
 			m.violate("%d tasks of ended jobs belong to a delegate", n)
 		}
 	}
--- a/scheduler/writes.go
+++ b/scheduler/writes.go
@@ -220,8 +220,10 @@
 		Ended:  j.endedAt,
 		Ending: s.ending(j),
 	}
-	if len(j.grants) > 0 {
+	if len(j.delegates) > 0 {
 		p.Grants = cloneGrants(j.grants)
+		p.Delegates = slices.Sorted(maps.Keys(j.delegates))
+		p.LastGrant = j.lastGrant
 	}
 	if j.state.Final() {
 		return p
