scheduler: a guest that has begun is not given up for want of contact

A delegate that heard nothing for status_s and 10 s forgot a guest without runs, and with it which tasks were done, so that the home owner, once back, had them run again. TestGuestThatHasBegunIsNotAbandoned failed before: 2 runs after the end. Only a guest of which nothing has begun goes now, such as one that a late call has left.

--- a/coordinator/largerpeers_test.go
+++ b/coordinator/largerpeers_test.go
@@ -194,3 +194,20 @@
 	c.Assert(peers["b"].Address, qt.Equals, "10.0.0.2:7")
 	c.Assert(allReadRanges(peers), qt.IsFalse)
 }
+
+// TestTasksAreGrantedOnlyIfAllEntriesKeepGrants guards against tasks that run twice under an owner
+// of an older release, which drops the grants of a job.
+func TestTasksAreGrantedOnlyIfAllEntriesKeepGrants(t *testing.T) {
+	c := qt.New(t)
+	current := peer{
+		Address: "10.0.0.1:7",
+		Grants:  true,
+	}
+	peers := map[string]peer{
+		"a": current,
+		"b": current,
+	}
+	c.Assert(allKeepGrants(peers), qt.IsTrue)
+	peers["b"] = decodePeer([]byte(`{"address":"10.0.0.2:7","cores":0.8,"placements":true,"ranges":true}`))
+	c.Assert(allKeepGrants(peers), qt.IsFalse)
+}
--- a/scheduler/guests.go
+++ b/scheduler/guests.go
@@ -307,11 +307,12 @@
 	}, "", 0)
 }
 
-// isAbandoned reports whether the job is a guest without a run that the home owner has not spoken
-// of since the given time. A late message can create one after the job has ended. If the job
-// has not, the home owner learns that nothing of it runs here and takes the tasks back.
+// isAbandoned reports whether the job is a guest of which nothing has begun and that the home
+// owner has not spoken of since the given time. A late message can create one after the job has
+// ended. If the job has not, the home owner learns that nothing of it runs here and takes the
+// tasks back.
 func (j *job) isAbandoned(since time.Time) bool {
-	if j.guest == nil || j.state.Final() || latest(j.guest.contactAt, j.guest.addedAt).After(since) {
+	if j.guest == nil || j.guest.begun || j.state.Final() || latest(j.guest.contactAt, j.guest.addedAt).After(since) {
 		return false
 	}
 	for _, st := range j.steps {
--- a/scheduler/wide_takeover_test.go
+++ b/scheduler/wide_takeover_test.go
@@ -383,3 +383,30 @@
 		w.home.c.Check(all, qt.Contains, text)
 	}
 }
+
+// TestGuestThatHasBegunIsNotAbandoned guards against tasks that run again, as a delegate that was
+// cut off from the home owner for long has forgotten that they are done.
+func TestGuestThatHasBegunIsNotAbandoned(t *testing.T) {
+	w := newWideRig(t)
+	for _, worker := range w.delegate.workersByID {
+		worker.entry.Labels = []string{labelled}
+	}
+	w.delegate.updateDirectory()
+	first, second := newPhase(2, cores(1)), newPhase(1, cores(1))
+	first.Requires = labelled
+	second.Requires = "nowhere"
+	w.home.s.AddJob(w.home.job("elsewhere", first, second), nil, false, w.home.now)
+	for w.delegate.activeRuns() < 2 {
+		w.rounds(1, true)
+	}
+	w.delegate.endAll(0, scheduler.EndDone)
+	w.rounds(5, false)
+	for range 10 {
+		w.delegate.advance(time.Minute)
+		w.rounds(5, false)
+	}
+	w.rounds(20, true)
+	w.home.c.Assert(w.delegate.activeRuns(), qt.Equals, 0)
+	w.home.c.Assert(totalStarts(w.delegate, "elsewhere"), qt.Equals, 2)
+	w.home.c.Assert(w.home.state("elsewhere"), qt.Equals, scheduler.Running)
+}
