--- a/conductor/delegations.go
+++ b/conductor/delegations.go
@@ -85,8 +85,8 @@
 	}
 }
 
-// Serve answers the home owner of jobs of which this owner runs tasks.
-func (c *Conductor) Serve(request scheduler.DelegationRequest) (scheduler.DelegationReply, error) {
+// ServeHome answers the home owner of jobs of which this owner runs tasks.
+func (c *Conductor) ServeHome(request scheduler.DelegationRequest) (scheduler.DelegationReply, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.ready {
--- a/coordinator/delegations.go
+++ b/coordinator/delegations.go
@@ -50,7 +50,7 @@
 		return errNotOwner
 	}
 	var err error
-	reply.Reply, err = own.Serve(args.Request)
+	reply.Reply, err = own.ServeHome(args.Request)
 	return err
 }
 
@@ -60,7 +60,7 @@
 		Partition: partition,
 		Request:   request,
 	}, func(own *conductor.Conductor) (DelegateReply, error) {
-		served, err := own.Serve(request)
+		served, err := own.ServeHome(request)
 		return DelegateReply{
 			Reply: served,
 		}, err
--- a/scheduler/gangparts.go
+++ b/scheduler/gangparts.go
@@ -30,6 +30,15 @@
 	GangStop
 )
 
+// String implements fmt.Stringer.
+func (g GangStage) String() string {
+	names := []string{"none", "prepare", "go", "stop"}
+	if g >= 0 && int(g) < len(names) {
+		return names[g]
+	}
+	return "invalid"
+}
+
 // GangOrder is what the home owner of a gang has decided for all members.
 type GangOrder struct {
 	// Attempt is shared by all members, and rises.
--- a/scheduler/places.go
+++ b/scheduler/places.go
@@ -188,7 +188,7 @@
 		fmt.Fprintf(&text, "; the owner of partition %d returned some %v ago", partition, now.Sub(at).Round(time.Millisecond))
 	}
 	if st.isGangPart() {
-		fmt.Fprintf(&text, "; attempt %d is in stage %d", st.order.Attempt, st.order.Stage)
+		fmt.Fprintf(&text, "; attempt %d is in stage %v", st.order.Attempt, st.order.Stage)
 		if st.order.Stage == GangPrepare && st.notReady > 0 {
 			fmt.Fprintf(&text, " and waits for the owner of partition %d", st.notReady-1)
 		}
