conductor, coordinator: logs and metrics on the room of shards, old calls for advice, owners not reached

'step waits' names the workers of the step's own shard, nobody says what the service's other shards have at that time; a call for advice in flight has no age; and 'the owner of the job cannot be reached' does not name the partition.

Change: every 5 s and in gauges, what the workers of each owner's shard have for a service, and what waits; in 'step waits', the age of the oldest call, when its answer was due, and the last answer; one line a second on partitions of which no entry answered as the owner. No logic is changed.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -91,6 +91,9 @@
 	// metricsInterval is the interval at which the metrics are set that require a
 	// pass over all open steps: a few times between two scrapes.
 	metricsInterval = time.Second
+	// serviceLineInterval is the interval of the log lines on what the workers of the shard
+	// have. With those of the other owners, they show whether a service had room.
+	serviceLineInterval = 5 * time.Second
 	// renewalWait is how long a worker waits for the end of a run before it
 	// answers a renewal of its lease.
 	renewalWait = time.Second
@@ -474,7 +477,7 @@
 // intervals, and carries out its effects.
 func (c *Conductor) runScheduler(ctx context.Context, group *errgroup.Group) error {
 	defer c.metrics.deleteLoad(c.partition)
-	var metricsSetAt time.Time
+	var metricsSetAt, servicesLoggedAt time.Time
 	for {
 		quick, long := c.adviser.AdviceLimits()
 		placementsAllowed, rangesAllowed, grantsAllowed := c.placementsAllowed(), c.rangesAllowed(), c.grantsAllowed()
@@ -488,9 +491,12 @@
 		c.updateLeaseKeepers(ctx, group)
 		effects := c.scheduler.Tick(c.clock.Now())
 		notes := c.scheduler.Notes()
+		var services []scheduler.ServiceLoad
 		c.metrics.addLosses(c.scheduler.Losses())
 		if now := c.clock.Now(); now.Sub(metricsSetAt) >= metricsInterval {
 			metricsSetAt = now
+			services = c.scheduler.ServiceLoads(now)
+			c.metrics.setServices(c.partition, services)
 			c.metrics.setAdvice(c.partition, c.scheduler.AdviceLoad(now))
 			c.metrics.setLasting(c.partition, c.scheduler.LastingLoad(now))
 			c.metrics.setPlanned(c.partition, c.scheduler.OldestPlanned(now))
@@ -516,6 +522,10 @@
 			c.requestDelegations()
 		}
 		c.logNotes(notes)
+		if len(services) > 0 && metricsSetAt.Sub(servicesLoggedAt) >= serviceLineInterval {
+			servicesLoggedAt = metricsSetAt
+			c.logServices(services)
+		}
 		for _, effect := range effects {
 			group.Go(func() error { return c.carryOut(ctx, effect) })
 		}
@@ -535,6 +545,23 @@
 	}
 }
 
+// logServices logs what the workers of the shard have for each service.
+func (c *Conductor) logServices(loads []scheduler.ServiceLoad) {
+	for _, load := range loads {
+		c.logger.WithFields(log.Fields{
+			"partition":      c.partition,
+			"token":          c.token,
+			"service":        load.Service,
+			"workers":        load.Workers,
+			"available":      load.Available,
+			"milliCores":     load.Total.MilliCores(),
+			"freeMilliCores": load.Free.MilliCores(),
+			"waitingSteps":   load.WaitingSteps,
+			"longestWaitMs":  load.LongestWait.Milliseconds(),
+		}).Info("conductor: room of the shard")
+	}
+}
+
 func (c *Conductor) logNotes(notes []scheduler.Note) {
 	for _, note := range notes {
 		c.logger.WithFields(log.Fields{
--- a/conductor/metrics.go
+++ b/conductor/metrics.go
@@ -39,6 +39,10 @@
 	delegationCalls     *prometheus.CounterVec
 	grantedTasks        *prometheus.GaugeVec
 	guestTasks          *prometheus.GaugeVec
+	workers             *prometheus.GaugeVec
+	milliCores          *prometheus.GaugeVec
+	waitingSteps        *prometheus.GaugeVec
+	stepWaitSeconds     *prometheus.GaugeVec
 	organisations       *organisationMetrics
 }
 
@@ -58,6 +62,22 @@
 			Name: "galenacove_conductor_guest_tasks",
 			Help: "Tasks of other partitions' jobs that belong to the owner of the partition.",
 		}, []string{"partition"}),
+		workers: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "galenacove_conductor_workers",
+			Help: "Workers of a service in the shard of the partition, by whether new runs may be started there.",
+		}, []string{"partition", "service", "state"}),
+		milliCores: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "galenacove_conductor_milli_cores",
+			Help: "Thousandths of a core of the available workers of a service in the shard of the partition, in all and without runs.",
+		}, []string{"partition", "service", "kind"}),
+		waitingSteps: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "galenacove_conductor_waiting_steps",
+			Help: "Steps of the partition's jobs with tasks that wait for room, by service.",
+		}, []string{"partition", "service"}),
+		stepWaitSeconds: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "galenacove_conductor_step_wait_seconds",
+			Help: "For how long the first of these steps has waited.",
+		}, []string{"partition", "service"}),
 		starts: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "galenacove_conductor_starts_total",
 			Help: "Orders to start a run, by their outcome.",
@@ -174,6 +194,7 @@
 		m.writeSeconds, m.writeRecords, m.plannedSeconds, m.plannedDropped,
 		m.cancellations, m.withoutProgress, m.deletionsFailed, m.repeatedWrites, m.jobsReadAt,
 		m.delegationCalls, m.grantedTasks, m.guestTasks,
+		m.workers, m.milliCores, m.waitingSteps, m.stepWaitSeconds,
 	}, m.organisations.collectors()...)
 }
 
@@ -225,6 +246,19 @@
 	m.guestTasks.WithLabelValues(label).Set(float64(guests))
 }
 
+// setServices sets the metrics of the services that have workers in the shard of a partition.
+func (m *Metrics) setServices(partition int, loads []scheduler.ServiceLoad) {
+	label := strconv.Itoa(partition)
+	for _, load := range loads {
+		m.workers.WithLabelValues(label, load.Service, "available").Set(float64(load.Available))
+		m.workers.WithLabelValues(label, load.Service, "unavailable").Set(float64(load.Workers - load.Available))
+		m.milliCores.WithLabelValues(label, load.Service, "total").Set(float64(load.Total.MilliCores()))
+		m.milliCores.WithLabelValues(label, load.Service, "free").Set(float64(load.Free.MilliCores()))
+		m.waitingSteps.WithLabelValues(label, load.Service).Set(float64(load.WaitingSteps))
+		m.stepWaitSeconds.WithLabelValues(label, load.Service).Set(load.LongestWait.Seconds())
+	}
+}
+
 // deleteLoad removes the gauges of the owner of a partition. It is called once the ownership
 // has ended.
 func (m *Metrics) deleteLoad(partition int) {
@@ -232,7 +266,8 @@
 	label := prometheus.Labels{
 		"partition": strconv.Itoa(partition),
 	}
-	for _, gauge := range []*prometheus.GaugeVec{m.adviceInFlight, m.adviceLimit, m.adviceDenied, m.adviceDeniedSeconds, m.lastingWaiting, m.lastingWaitSeconds, m.plannedSeconds, m.jobsReadAt, m.grantedTasks, m.guestTasks} {
+	for _, gauge := range []*prometheus.GaugeVec{m.adviceInFlight, m.adviceLimit, m.adviceDenied, m.adviceDeniedSeconds, m.lastingWaiting, m.lastingWaitSeconds, m.plannedSeconds, m.jobsReadAt, m.grantedTasks, m.guestTasks,
+		m.workers, m.milliCores, m.waitingSteps, m.stepWaitSeconds} {
 		gauge.DeletePartialMatch(label)
 	}
 }
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -134,6 +134,8 @@
 	joinRequests chan struct{}
 	// oddLines limits the log lines on records that cannot be used.
 	oddLines lineLimiter
+	// unreachedLines limits the log lines on owners that were not reached.
+	unreachedLines lineLimiter
 	// startedAt is the time at which the Coordinator was created.
 	startedAt time.Time
 	// stopping is set once the process has begun to stop.
--- a/coordinator/jobs.go
+++ b/coordinator/jobs.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
@@ -249,6 +251,7 @@
 // to that of a failed one.
 func callOwner[Reply any](ctx context.Context, c *Coordinator, partition int, local func(context.Context, *conductor.Conductor) (Reply, error), method string, args any) (Reply, error) {
 	err := errNotOwner
+	var asked []string
 	for try := range 2 {
 		if own := c.localOwner(partition); own != nil {
 			return local(ctx, own)
@@ -257,6 +260,7 @@
 		if !found || address == c.settings.peerAddress {
 			continue
 		}
+		asked = append(asked, address)
 		reply := new(Reply)
 		callCtx, cancel := context.WithTimeout(ctx, peerTimeout)
 		err = c.pool.Call(callCtx, address, rpcName+"."+method, args, reply)
@@ -265,10 +269,29 @@
 			return *reply, nil
 		}
 	}
+	c.logUnreached(partition, asked, err)
 	var none Reply
 	return none, err
 }
 
+// unreachedLineInterval is the shortest time between two log lines on owners that were not
+// reached.
+const unreachedLineInterval = time.Second
+
+// logUnreached logs which entries were asked as the owner of a partition, at most once per
+// unreachedLineInterval.
+func (c *Coordinator) logUnreached(partition int, asked []string, err error) {
+	omitted, allowed := c.unreachedLines.allow(unreachedLineInterval, c.settings.clock.Now())
+	if !allowed {
+		return
+	}
+	c.settings.logger.WithError(err).WithFields(log.Fields{
+		"partition": partition,
+		"asked":     strings.Join(asked, " "),
+		"omitted":   omitted,
+	}).Warn("coordinator: no entry answered as the owner of a partition")
+}
+
 func (c *Coordinator) localOwner(partition int) *conductor.Conductor {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/scheduler/advice.go
+++ b/scheduler/advice.go
@@ -230,6 +230,7 @@
 		workers:     ids,
 		renewal:     purpose == AskRenewal,
 		quick:       cost <= MaxQuickCallDuration,
+		calledAt:    now,
 		answerDueAt: now.Add(cost + adviceDelivery),
 	}
 	st.adviceState.calls = append(st.adviceState.calls, call)
@@ -301,6 +302,7 @@
 		return
 	}
 	s.endAdviceCall(st, askedWorkers)
+	st.adviceState.answeredAt = now
 	for _, id := range askedWorkers {
 		st.adviceState.askedWorkers[id] = true
 	}
--- a/scheduler/explaining.go
+++ b/scheduler/explaining.go
@@ -68,12 +68,27 @@
 	s.addNote(fmt.Sprintf("step waits: %d of %d tasks, %s, %d workers available, %d suitable, %d approved, %d with a valid ticket, %d with free capacity, %d reserved, %d calls in flight, %d calls made, %d of %d long calls in flight, no free call for %v, no run for up to %v; of the approved %s",
 		st.waiting, len(st.tasks), rankName(st.rank(now)), len(p.workers), suitable, approved, ticketed, fitting, reserved,
 		len(st.adviceState.calls), st.adviceState.callCount, s.adviceInFlight[false], s.adviceLimits[false], st.adviceState.deniedDuration(now).Round(time.Millisecond),
-		st.longestWait(now).Round(time.Millisecond), describeObstacles(obstacles))+s.describeShare(st)+st.describeSuspects()+st.describePlaces(now),
+		st.longestWait(now).Round(time.Millisecond), describeObstacles(obstacles))+st.adviceState.describeCalls(now)+s.describeShare(st)+st.describeSuspects()+st.describePlaces(now),
 		TaskRef{
 			Step: st.ref,
 		}, "", now.Sub(st.dueAt))
 }
 
+// describeCalls describes for a note how old the calls in flight are, and when the last one was
+// answered. It is empty without calls.
+func (a *adviceState) describeCalls(now time.Time) string {
+	var text strings.Builder
+	if len(a.calls) > 0 {
+		oldest := a.calls[0]
+		fmt.Fprintf(&text, "; the oldest call was made %v ago about %d workers, its answer was due %v ago",
+			now.Sub(oldest.calledAt).Round(time.Millisecond), len(oldest.workers), now.Sub(oldest.answerDueAt).Round(time.Millisecond))
+	}
+	if !a.answeredAt.IsZero() {
+		fmt.Fprintf(&text, "; the last answer came %v ago", now.Sub(a.answeredAt).Round(time.Millisecond))
+	}
+	return text.String()
+}
+
 // maxMaximumNotes limits the notes about the maximum of one organisation within
 // explainInterval, as a flood can leave thousands of steps waiting for it.
 const maxMaximumNotes = 5
--- a/scheduler/tables.go
+++ b/scheduler/tables.go
@@ -197,8 +197,10 @@
 	// because the limit of calls in flight is reached, and deniedSeenAt the time
 	// at which it was last denied.
 	deniedSince, deniedSeenAt time.Time
-	// callCount is the number of calls that were made.
-	callCount int
+	// callCount is the number of calls that were made, and answeredAt the time of the last
+	// answer, zero without one.
+	callCount  int
+	answeredAt time.Time
 }
 
 // adviceCall is a call to the adviser that awaits its answer.
@@ -208,8 +210,8 @@
 	renewal bool
 	// quick is set if the call counts as quick.
 	quick bool
-	// answerDueAt is the time at which the answer is expected.
-	answerDueAt time.Time
+	// calledAt is the time of the call, and answerDueAt that at which the answer is expected.
+	calledAt, answerDueAt time.Time
 }
 
 type ticket struct {
