--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -154,6 +154,7 @@
 	// delegate calls the owner of another partition about jobs of this one, nil if no tasks
 	// are left to others, and grantsAllowed reports whether they may be.
 	delegate      Delegate
+	askRoom       AskRoom
 	grantsAllowed func() bool
 	// jobPart returns an upper bound of the fraction of an organisation's jobs that the
 	// partition gets.
--- a/conductor/delegations.go
+++ b/conductor/delegations.go
@@ -35,11 +35,15 @@
 // Delegate calls the owner of another partition about jobs of this one.
 type Delegate func(ctx context.Context, partition int, request scheduler.DelegationRequest) (scheduler.DelegationReply, error)
 
-// Delegations sets how the owners of other partitions are called to run tasks of this one, and
-// the function that reports whether tasks may be left to them, which is so unless an owner of
-// an older release can follow. By default no tasks are left to others.
-func Delegations(call Delegate, allowed func() bool) Option {
+// AskRoom asks the owner of another partition for the room of its workers.
+type AskRoom func(ctx context.Context, partition int, queries []scheduler.RoomQuery) ([]scheduler.Room, error)
+
+// Delegations sets how the owners of other partitions are asked for room and called to run tasks of
+// this one, and the function that reports whether tasks may be left to them, which is so unless an
+// owner of an older release can follow. By default no tasks are left to others.
+func Delegations(askRoom AskRoom, call Delegate, allowed func() bool) Option {
 	return func(c *Conductor) {
+		c.askRoom = askRoom
 		c.delegate = call
 		c.grantsAllowed = allowed
 	}
@@ -100,6 +104,21 @@
 	return reply, nil
 }
 
+// Room answers the owner of another partition that asks for the room of this one's workers.
+func (c *Conductor) Room(queries []scheduler.RoomQuery) ([]scheduler.Room, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.ready {
+		return nil, ErrNotReady
+	}
+	now := c.clock.Now()
+	rooms := make([]scheduler.Room, 0, len(queries))
+	for _, query := range queries {
+		rooms = append(rooms, c.scheduler.Room(query, now))
+	}
+	return rooms, nil
+}
+
 // callDelegates tells the owners of other partitions what they run for this one. The scheduler's
 // ticks request it while they run anything, or are to.
 func (c *Conductor) callDelegates(ctx context.Context, group *errgroup.Group) error {
@@ -135,6 +154,12 @@
 	if now.Sub(c.jobsReadAt) > maxJobsAgeToDelegate {
 		return
 	}
+	for partition, queries := range c.scheduler.RoomRequests(now) {
+		group.Go(func() error {
+			c.callForRoom(ctx, partition, queries)
+			return nil
+		})
+	}
 	requests, urgent := c.scheduler.DelegationRequests(now)
 	maps.DeleteFunc(c.delegateCalls, func(partition int, calls *delegateCalls) bool {
 		_, found := requests[partition]
@@ -159,6 +184,27 @@
 	}
 }
 
+// callForRoom asks the owner of another partition for its room.
+func (c *Conductor) callForRoom(ctx context.Context, partition int, queries []scheduler.RoomQuery) {
+	rooms, err := c.askRoom(ctx, partition, queries)
+	now := c.clock.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err != nil {
+		c.metrics.delegationCalls.WithLabelValues("room failed").Inc()
+		c.logger.WithError(err).WithFields(log.Fields{
+			"partition": c.partition,
+			"delegate":  partition,
+		}).Debug("conductor: the owner of another partition does not say what room it has")
+		return
+	}
+	c.metrics.delegationCalls.WithLabelValues("room answered").Inc()
+	c.scheduler.RoomAnswered(partition, queries, rooms, now)
+	if unwritten, _ := c.scheduler.Unwritten(); unwritten {
+		c.requestWrite()
+	}
+}
+
 // callDelegate makes one call to the owner of another partition.
 func (c *Conductor) callDelegate(ctx context.Context, partition int, request scheduler.DelegationRequest) {
 	reply, err := c.delegate(ctx, partition, request)
--- a/conductor/metrics.go
+++ b/conductor/metrics.go
@@ -266,8 +266,10 @@
 	label := prometheus.Labels{
 		"partition": strconv.Itoa(partition),
 	}
-	for _, gauge := range []*prometheus.GaugeVec{m.adviceInFlight, m.adviceLimit, m.adviceDenied, m.adviceDeniedSeconds, m.lastingWaiting, m.lastingWaitSeconds, m.plannedSeconds, m.jobsReadAt, m.grantedTasks, m.guestTasks,
-		m.workers, m.milliCores, m.waitingSteps, m.stepWaitSeconds} {
+	for _, gauge := range []*prometheus.GaugeVec{
+		m.adviceInFlight, m.adviceLimit, m.adviceDenied, m.adviceDeniedSeconds, m.lastingWaiting, m.lastingWaitSeconds, m.plannedSeconds, m.jobsReadAt, m.grantedTasks, m.guestTasks,
+		m.workers, m.milliCores, m.waitingSteps, m.stepWaitSeconds,
+	} {
 		gauge.DeletePartialMatch(label)
 	}
 }
--- a/coordinator/crowdedshard_test.go
+++ b/coordinator/crowdedshard_test.go
@@ -26,7 +26,7 @@
 func newCrowdedCluster(t *testing.T) *cluster {
 	cl := newCluster(t, 0)
 	cl.fleet = emulator.NewFleet(timekeeper.System(), emulator.RunTime(func(ref scheduler.TaskRef) time.Duration {
-		if ref.Step.Job == "long" {
+		if strings.HasPrefix(ref.Step.Job, "l") {
 			return longRunTime
 		}
 		return 200 * time.Millisecond
@@ -101,9 +101,12 @@
 			for i := range jobs {
 				cl.submitPhase(cl.entries[i%2], fmt.Sprintf("%s%d", strings.ReplaceAll(name, " ", ""), i), phase)
 			}
-			cl.awaitWhileCrowded(began, func() bool { return cl.fleet.Done() == jobs*phase.Tasks })
 			for i := range jobs {
-				cl.await(cl.entries[i%2], fmt.Sprintf("%s%d", strings.ReplaceAll(name, " ", ""), i), scheduler.Completed)
+				url := cl.entries[i%2].callers + "/checks/" + fmt.Sprintf("%s%d", strings.ReplaceAll(name, " ", ""), i)
+				cl.awaitWhileCrowded(began, func() bool {
+					_, state := cl.call(http.MethodGet, url, nil)
+					return strings.Contains(state, string(scheduler.Completed))
+				})
 			}
 			cl.c.Assert(cl.fleet.Violations(), qt.HasLen, 0)
 		})
--- a/coordinator/delegations.go
+++ b/coordinator/delegations.go
@@ -67,3 +67,40 @@
 	})
 	return reply.Reply, err
 }
+
+// RoomArgs asks the owner of a partition for the room of its workers.
+type RoomArgs struct {
+	Partition int
+	Queries   []scheduler.RoomQuery
+}
+
+// RoomReply answers RoomArgs, in the order of the queries.
+type RoomReply struct {
+	Rooms []scheduler.Room
+}
+
+// Room answers the owner of another partition that has waiting tasks. Entries of older releases
+// have no such method.
+func (r *rpc) Room(args RoomArgs, reply *RoomReply) error {
+	own := r.coordinator.localOwner(args.Partition)
+	if own == nil {
+		return errNotOwner
+	}
+	var err error
+	reply.Rooms, err = own.Room(args.Queries)
+	return err
+}
+
+// askRoom asks the owner of another partition for the room of its workers.
+func (c *Coordinator) askRoom(ctx context.Context, partition int, queries []scheduler.RoomQuery) ([]scheduler.Room, error) {
+	reply, err := askOwner(ctx, c, partition, "Room", RoomArgs{
+		Partition: partition,
+		Queries:   queries,
+	}, func(own *conductor.Conductor) (RoomReply, error) {
+		rooms, err := own.Room(queries)
+		return RoomReply{
+			Rooms: rooms,
+		}, err
+	})
+	return reply.Rooms, err
+}
--- a/coordinator/feeds.go
+++ b/coordinator/feeds.go
@@ -250,6 +250,7 @@
 		OwnCancelKeys: true,
 		Ranges:        true,
 		Grants:        true,
+		Room:          true,
 	})
 	if err != nil {
 		return err
@@ -311,7 +312,7 @@
 		c.placementsAllowed.Store(allKeepPlacements(c.peers))
 		c.ownCancelKeys.Store(allReadOwnCancelKeys(c.peers))
 		c.rangesAllowed.Store(allReadRanges(c.peers))
-		c.grantsAllowed.Store(allKeepGrants(c.peers))
+		c.grantsAllowed.Store(allShareRoom(c.peers))
 		c.preferred = preferredMembers(c.peers)
 	}
 	c.entryPool.setPeers(addresses)
--- a/coordinator/largerpeers.go
+++ b/coordinator/largerpeers.go
@@ -57,13 +57,16 @@
 	// Grants is set if the entry, as an owner, keeps the grants of tasks to owners of other
 	// partitions. Older releases drop them, and would run the tasks too.
 	Grants bool `json:"grants,omitempty"`
+	// Room is set if the entry, as an owner, says what room it has, keeps what grants say of
+	// earlier attempts, and returns tasks for which it has no room. Older releases do not.
+	Room bool `json:"room,omitempty"`
 }
 
-// allKeepGrants reports whether every one of the peers keeps grants of tasks to owners of
-// other partitions.
-func allKeepGrants(peers map[string]peer) bool {
+// allShareRoom reports whether tasks may be granted to owners of other partitions: every one of
+// the peers keeps such grants, with all that they say, and returns what finds no room.
+func allShareRoom(peers map[string]peer) bool {
 	for _, p := range peers {
-		if !p.Grants {
+		if !p.Grants || !p.Room {
 			return false
 		}
 	}
--- a/coordinator/largerpeers_test.go
+++ b/coordinator/largerpeers_test.go
@@ -195,19 +195,23 @@
 	c.Assert(allReadRanges(peers), qt.IsFalse)
 }
 
-// TestTasksAreGrantedOnlyIfAllEntriesKeepGrants guards against tasks that run twice under an owner
-// of an older release, which drops the grants of a job.
-func TestTasksAreGrantedOnlyIfAllEntriesKeepGrants(t *testing.T) {
+// TestTasksAreGrantedOnlyIfAllEntriesShareRoom guards against tasks that run twice under an owner
+// of an older release, which drops the grants of a job, or run more often than allowed, as it drops
+// how often they have failed.
+func TestTasksAreGrantedOnlyIfAllEntriesShareRoom(t *testing.T) {
 	c := qt.New(t)
 	current := peer{
 		Address: "10.0.0.1:7",
 		Grants:  true,
+		Room:    true,
 	}
 	peers := map[string]peer{
 		"a": current,
 		"b": current,
 	}
-	c.Assert(allKeepGrants(peers), qt.IsTrue)
+	c.Assert(allShareRoom(peers), qt.IsTrue)
 	peers["b"] = decodePeer([]byte(`{"address":"10.0.0.2:7","cores":0.8,"placements":true,"ranges":true}`))
-	c.Assert(allKeepGrants(peers), qt.IsFalse)
+	c.Assert(allShareRoom(peers), qt.IsFalse)
+	peers["b"] = decodePeer([]byte(`{"address":"10.0.0.2:7","cores":0.8,"placements":true,"ranges":true,"grants":true}`))
+	c.Assert(allShareRoom(peers), qt.IsFalse)
 }
--- a/scheduler/explaining.go
+++ b/scheduler/explaining.go
@@ -68,7 +68,7 @@
 	s.addNote(fmt.Sprintf("step waits: %d of %d tasks, %s, %d workers available, %d suitable, %d approved, %d with a valid ticket, %d with free capacity, %d reserved, %d calls in flight, %d calls made, %d of %d long calls in flight, no free call for %v, no run for up to %v; of the approved %s",
 		st.waiting, len(st.tasks), rankName(st.rank(now)), len(p.workers), suitable, approved, ticketed, fitting, reserved,
 		len(st.adviceState.calls), st.adviceState.callCount, s.adviceInFlight[false], s.adviceLimits[false], st.adviceState.deniedDuration(now).Round(time.Millisecond),
-		st.longestWait(now).Round(time.Millisecond), describeObstacles(obstacles))+st.adviceState.describeCalls(now)+s.describeShare(st)+st.describeSuspects()+st.describePlaces(now),
+		st.longestWait(now).Round(time.Millisecond), describeObstacles(obstacles))+st.adviceState.describeCalls(now)+s.describeShare(st)+st.describeSuspects()+s.describeShortage(st, now),
 		TaskRef{
 			Step: st.ref,
 		}, "", now.Sub(st.dueAt))
--- a/scheduler/gangparts.go
+++ b/scheduler/gangparts.go
@@ -198,7 +198,7 @@
 	}
 	switch {
 	case running+others == 0 && !st.hasRuns():
-		if now.Before(st.retryAt) || !st.dependenciesDone() || st.missingPlaces > 0 {
+		if now.Before(st.retryAt) || !st.dependenciesDone() || st.noPlaces.tasks > 0 {
 			return
 		}
 		s.lastAttempt = max(s.newAttempt(), highest+1)
@@ -253,7 +253,7 @@
 	case notReady < 0:
 		st.order.Stage = GangGo
 		st.holdPause = 0
-	case !held && st.missingPlaces > 0:
+	case !held && st.noPlaces.tasks > 0:
 		s.breakGang(st, "workers lack places for its members", now)
 	case !held:
 		st.heldSince = time.Time{}
--- a/scheduler/granting.go
+++ b/scheduler/granting.go
@@ -5,11 +5,40 @@
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/galenacove/galenacove/sizer"
+)
+
+const (
+	// returnPause is how long a step's tasks are not left again to an owner that has returned
+	// some. It doubles with each time, up to maxReturnPause.
+	returnPause    = time.Second
+	maxReturnPause = 10 * time.Second
+	// roomInterval is the interval at which other owners are asked for their room.
+	roomInterval = 250 * time.Millisecond
+	// minRoomAsked and maxRoomAsked limit the owners that are asked at once, and
+	// roomRounds is the number of rounds in which all are asked otherwise.
+	minRoomAsked, maxRoomAsked = 2, 16
+	roomRounds                 = 8
 )
 
-// returnPause is how long a step's tasks are not left again to an owner that has returned
-// some.
-const returnPause = 10 * time.Second
+// returned tells when an owner last returned tasks of a step, and how often it did.
+type returned struct {
+	at    time.Time
+	count int
+}
+
+// offerableAt returns the time from which tasks may be left to the owner again.
+func (r returned) offerableAt() time.Time {
+	pause := maxReturnPause
+	for n, next := 1, returnPause; next < maxReturnPause; n, next = n+1, 2*next {
+		if n >= r.count {
+			pause = next
+			break
+		}
+	}
+	return r.at.Add(pause)
+}
 
 // SetDelegates sets the partition of this owner, and the partitions whose owners may run tasks of a service's jobs for this
 // owner. Without any, or as long as they are not set, this owner keeps all tasks.
@@ -31,39 +60,34 @@
 		return nil
 	}
 	return slices.DeleteFunc(slices.Clone(s.delegates[st.job.record.Queue.Service]), func(partition int) bool {
-		return now.Before(st.returnedBy[partition].Add(returnPause)) || slices.ContainsFunc(st.job.grants, func(g *grant) bool {
+		r, found := st.returns[partition]
+		return found && now.Before(r.offerableAt()) || slices.ContainsFunc(st.job.grants, func(g *grant) bool {
 			// Its answer would not count the tasks that it is about to get.
 			return g.Partition == partition && !g.acknowledged
 		})
 	})
 }
 
-// findWideSteps finds the steps for which this owner's workers lack places.
-func (s *Scheduler) findWideSteps(pools map[string]*pool, now time.Time) {
-	s.wideSteps = s.wideSteps[:0]
-	if len(s.delegates) == 0 && len(s.guests) == 0 {
-		return
-	}
-	for _, st := range s.openSteps {
-		p := pools[st.job.record.Queue.Service]
-		if p == nil || st.job.guest == nil && len(s.delegates[st.job.record.Queue.Service]) == 0 {
-			continue
-		}
-		missing := s.checkPlaces(st, p, now)
-		switch {
-		case missing == 0:
-		case st.job.guest != nil:
-			s.returnTasks(st, missing, now)
-		case len(s.delegatesOf(st, now)) > 0:
-			s.wideSteps = append(s.wideSteps, st)
+// handleShortage has other owners asked if their workers can take the tasks of a step that waits
+// for room. Tasks of their jobs it returns. It is called when the step has been placed, before the
+// next one.
+func (s *Scheduler) handleShortage(st *step, p *pool, now time.Time) {
+	switch {
+	case len(s.delegates) == 0 && st.job.guest == nil, !s.checkShortage(st, p, now):
+	case st.job.guest != nil:
+		missing := st.noRoom.after(guestRoomMissingFor, now)
+		if st.job.guest.keeps(st.ref) {
+			missing = st.noPlaces.after(placesMissingFor, now)
 		}
+		s.returnTasks(st, missing, now)
+	case st.noRoom.after(roomMissingFor, now) > 0 && len(s.delegatesOf(st, now)) > 0:
+		s.crowdedSteps = append(s.crowdedSteps, st)
 	}
-	slices.SortFunc(s.wideSteps, func(a, b *step) int { return compareSteps(a.ref, b.ref) })
 }
 
 // Delegates reports whether there may be something to tell the owners of other partitions.
 func (s *Scheduler) Delegates() bool {
-	return len(s.grantingJobs) > 0 || len(s.wideSteps) > 0
+	return len(s.grantingJobs) > 0 || len(s.crowdedSteps) > 0
 }
 
 // DelegationRequests returns what is to be told to the owners of other partitions, by
@@ -73,28 +97,17 @@
 	urgent := make(map[int]bool)
 	for _, id := range slices.Sorted(maps.Keys(s.grantingJobs)) {
 		j := s.jobs[id]
-		if j == nil {
+		if j == nil || j.state.Final() && j.stateStored && !j.awaitsDelegates() {
 			delete(s.grantingJobs, id)
 			continue
 		}
-		for partition, delegated := range s.delegated(j) {
+		for partition, delegated := range s.delegated(j, now) {
 			request := requests[partition]
 			request.Jobs = append(request.Jobs, delegated.DelegatedJob)
 			requests[partition] = request
 			urgent[partition] = urgent[partition] || delegated.urgent
 		}
 	}
-	for _, st := range s.wideSteps {
-		for _, partition := range s.delegatesOf(st, now) {
-			request := requests[partition]
-			request.Queries = append(request.Queries, PlacesQuery{
-				Step:  st.ref,
-				Queue: st.job.record.Queue,
-				Phase: *st.phase,
-			})
-			requests[partition] = request
-		}
-	}
 	for partition, request := range requests {
 		request.Home = s.partition
 		request.Token = s.token
@@ -103,6 +116,190 @@
 	return requests, urgent
 }
 
+// RoomRequests returns what other owners are to be asked about their room, by partition. Those
+// that are asked take turns.
+func (s *Scheduler) RoomRequests(now time.Time) map[int][]RoomQuery {
+	if len(s.crowdedSteps) == 0 || now.Sub(s.roomAskedAt) < roomInterval {
+		return nil
+	}
+	s.roomAskedAt = now
+	s.roomRound++
+	requests := make(map[int][]RoomQuery)
+	queries := make(map[string]*RoomQuery)
+	for _, st := range s.crowdedSteps {
+		service := st.job.record.Queue.Service
+		size := taskSize(st.phase)
+		query := queries[service]
+		if query == nil {
+			query = &RoomQuery{
+				Service: service,
+				AtLeast: size,
+			}
+			queries[service] = query
+		}
+		query.AtLeast = sizer.New(min(query.AtLeast.MilliCores(), size.MilliCores()), min(query.AtLeast.Bytes(), size.Bytes()), min(query.AtLeast.Accelerators(), size.Accelerators()))
+		query.Ever = query.Ever || st.noPlaces.tasks > 0
+		if label := st.phase.Requires; label != "" && !slices.Contains(query.Labels, label) && len(query.Labels) < maxRoomLabels {
+			query.Labels = append(query.Labels, label)
+		}
+	}
+	for _, service := range slices.Sorted(maps.Keys(queries)) {
+		others := s.delegates[service]
+		asked := min(len(others), maxRoomAsked, max(minRoomAsked, len(others)/roomRounds))
+		for i := range asked {
+			// Owners begin at unlike ones.
+			partition := others[(s.partition+s.roomRound*asked+i)%len(others)]
+			requests[partition] = append(requests[partition], *queries[service])
+		}
+	}
+	return requests
+}
+
+// RoomAnswered records what another owner has said of its room, and leaves tasks to it.
+func (s *Scheduler) RoomAnswered(partition int, queries []RoomQuery, rooms []Room, now time.Time) {
+	for i, room := range rooms {
+		if i >= len(queries) {
+			break
+		}
+		service := queries[i].Service
+		if !slices.Contains(s.delegates[service], partition) {
+			continue
+		}
+		if !room.valid() {
+			if now.Sub(s.oddRoomAt) >= explainInterval {
+				s.oddRoomAt = now
+				s.addNote(fmt.Sprintf("what the owner of partition %d says of its room for %s cannot be, and is ignored", partition, service), TaskRef{}, "", 0)
+			}
+			continue
+		}
+		if s.rooms[service] == nil {
+			s.rooms[service] = make(map[int]*knownRoom)
+		}
+		s.rooms[service][partition] = &knownRoom{
+			room: room,
+			at:   now,
+		}
+	}
+	s.grantCrowded(now)
+}
+
+// grantCrowded leaves tasks of the steps that lack room to owners that have it, in the order in
+// which the steps were placed.
+func (s *Scheduler) grantCrowded(now time.Time) {
+	for _, st := range s.crowdedSteps {
+		if s.openSteps[st.ref] != st || st.job.state.Final() {
+			continue
+		}
+		missing := min(st.noRoom.tasks, st.waiting)
+		if st.noPlaces.after(placesMissingFor, now) == 0 {
+			missing = min(missing, s.allowedStarts(st))
+		}
+		switch {
+		case missing <= 0:
+		case st.phase.Gang:
+			s.grantGang(st, now)
+		default:
+			for missing > 0 {
+				partition, n := s.mostRoom(st, now)
+				if granted := s.grantTasks(st, partition, min(n, missing), now); granted > 0 {
+					missing -= granted
+					continue
+				}
+				break
+			}
+		}
+	}
+}
+
+// mostRoom returns the partition whose owner has room for the most tasks of the step, and for how
+// many. Without any, n is 0.
+func (s *Scheduler) mostRoom(st *step, now time.Time) (partition, n int) {
+	ever := st.noPlaces.after(busyPlacesAfter, now) > 0
+	for _, busy := range []bool{false, true} {
+		for _, other := range s.delegatesOf(st, now) {
+			if room := s.roomAt(other, st, busy, now); room > n {
+				partition, n = other, room
+			}
+		}
+		if n > 0 || !ever {
+			break
+		}
+	}
+	return partition, n
+}
+
+// roomAt returns for how many tasks of the step another owner has room, by what it last said, and as
+// far as the adviser will probably approve its workers.
+func (s *Scheduler) roomAt(partition int, st *step, ever bool, now time.Time) int {
+	known := s.rooms[st.job.record.Queue.Service][partition]
+	if known == nil || now.Sub(known.at) > maxRoomAge {
+		return 0
+	}
+	n := known.tasksFor(st, ever)
+	if st.phase.PerWorker > 0 {
+		// It does not say which workers run the step already.
+		n = max(0, n-st.grantedTo(partition))
+	}
+	if n == 0 || st.job.record.Queue.Advice == nil {
+		return n
+	}
+	return max(1, int(float64(n)*s.stats(st.job.record.Queue.Name).approvalRate))
+}
+
+// grantedTo counts the tasks of the step that belong to the owner of a partition.
+func (st *step) grantedTo(partition int) int {
+	n := 0
+	for _, g := range st.job.grants {
+		if g.Partition == partition && g.step(st.job.record.ID) == st.ref {
+			n += len(g.Tasks)
+		}
+	}
+	return n
+}
+
+// grantGang leaves members of a gang to other owners: all to one that has room for them, else
+// those for which this owner has none to several. If its workers lack places, it leaves those
+// that can never run here to any.
+func (s *Scheduler) grantGang(st *step, now time.Time) {
+	members := st.waiting
+	if partition, n := s.mostRoom(st, now); n >= members {
+		s.grantTasks(st, partition, members, now)
+		return
+	}
+	missing := min(st.noRoom.tasks, members)
+	others := 0
+	for _, other := range s.delegatesOf(st, now) {
+		others += s.roomAt(other, st, false, now)
+	}
+	if others < missing {
+		missing = min(st.noPlaces.after(placesMissingFor, now), members)
+	}
+	for missing > 0 {
+		partition, n := s.mostRoom(st, now)
+		granted := s.grantTasks(st, partition, min(n, missing), now)
+		if granted == 0 {
+			return
+		}
+		missing -= granted
+	}
+}
+
+// endingWindow is how long after the estimate the ends of a grant's tasks are expected.
+const endingWindow = 2 * time.Second
+
+// isEnding reports whether tasks of the grant probably end about now, so that callers and later
+// steps wait for the delegate's answer.
+func (g *grant) isEnding(st *step, now time.Time) bool {
+	if st == nil || st.phase.Lasting || len(g.Tasks) == 0 {
+		return false
+	}
+	if g.due.IsZero() {
+		// A former owner made the grant.
+		g.due = now
+	}
+	return !now.Before(g.due) && now.Sub(g.due) < endingWindow
+}
+
 // delegation is what a home owner has to tell a delegate about a job.
 type delegation struct {
 	DelegatedJob
@@ -111,7 +308,7 @@
 }
 
 // delegated returns what is to be told about the job, by the partition of the delegate.
-func (s *Scheduler) delegated(j *job) map[int]delegation {
+func (s *Scheduler) delegated(j *job, now time.Time) map[int]delegation {
 	told := make(map[int]delegation)
 	// A cancelling is stored with the jobs. Any other end may yet be lost, but nothing
 	// starts meanwhile.
@@ -140,7 +337,8 @@
 		}
 		d := told[g.Partition]
 		d.ID = j.record.ID
-		d.urgent = d.urgent || !g.acknowledged
+		st := j.steps[g.step(j.record.ID)]
+		d.urgent = d.urgent || !g.acknowledged || g.isEnding(st, now)
 		if !g.acknowledged {
 			d.Job = &j.record
 		}
@@ -151,12 +349,17 @@
 				Phase:      g.Phase,
 				Partition:  g.Partition,
 				Tasks:      append(slices.Clone(g.Tasks), g.returning...),
+				Keep:       g.Keep,
+				Failed:     g.Failed,
 			},
 		}
+		if st != nil && !g.acknowledged {
+			of.Checkpoints = st.checkpoints(g.Tasks)
+		}
 		if stored {
 			of.Grant.Tasks = slices.DeleteFunc(of.Grant.Tasks, func(i int) bool { return j.isDone(g.task(j.record.ID, i)) })
 		}
-		if st := j.steps[g.step(j.record.ID)]; st != nil && st.phase.Gang {
+		if st != nil && st.phase.Gang {
 			of.Gang = st.orderFor(g)
 			d.urgent = d.urgent || of.Gang.Stage != g.gang.Order.Stage || of.Gang.Stage == GangPrepare
 		}
@@ -174,11 +377,6 @@
 			s.dropFinished(j, partition, request.Jobs[i], state)
 		}
 	}
-	for i, places := range reply.Places {
-		if i < len(request.Queries) {
-			s.grantTo(partition, request.Queries[i].Step, places, now)
-		}
-	}
 }
 
 // applyGuestState records what a delegate says of a job.
@@ -240,6 +438,7 @@
 			s.dirtyJobs[j.record.ID] = true
 		}
 	}
+	st.addReturned(g, state)
 	s.takeBack(j, g, state.Returned, now)
 	if st.phase.Gang {
 		if len(state.Done) > 0 {
@@ -266,56 +465,61 @@
 	s.dirtyJobs[j.record.ID] = true
 	ref := g.step(j.record.ID)
 	if st := j.steps[ref]; st != nil {
-		if st.returnedBy == nil {
-			st.returnedBy = make(map[int]time.Time)
+		if st.returns == nil {
+			st.returns = make(map[int]returned)
+		}
+		st.returns[g.Partition] = returned{
+			at:    now,
+			count: st.returns[g.Partition].count + 1,
 		}
-		st.returnedBy[g.Partition] = now
 	}
 	s.addNote(fmt.Sprintf("%d tasks were returned by the owner of partition %d", before-len(g.Tasks), g.Partition), TaskRef{
 		Step: ref,
 	}, "", 0)
 }
 
-// grantTo leaves tasks of a step to the owner of a partition with that many places.
-func (s *Scheduler) grantTo(partition int, ref StepRef, places Places, now time.Time) {
-	i := slices.IndexFunc(s.wideSteps, func(st *step) bool { return st.ref == ref })
-	if i < 0 || s.openSteps[ref] != s.wideSteps[i] || !slices.Contains(s.delegatesOf(s.wideSteps[i], now), partition) {
-		return
-	}
-	st := s.wideSteps[i]
-	n := places.Free
-	if n == 0 && now.Sub(st.placesMissingSince) >= busyPlacesAfter {
-		n = places.Possible
-	}
-	indexes := s.waitingIndexes(st, min(n, st.missingPlaces, st.waiting))
+// grantTasks leaves n tasks of a step to the owner of a partition, or as many as there are that can
+// be. It returns their number.
+func (s *Scheduler) grantTasks(st *step, partition, n int, now time.Time) int {
+	indexes := s.waitingIndexes(st, n)
 	if len(indexes) == 0 {
-		return
+		return 0
 	}
 	j := st.job
 	j.lastGrant++
 	j.delegates[partition] = false
-	j.grants = append(j.grants, &grant{
+	g := &grant{
 		Grant: Grant{
 			Number:     j.lastGrant,
-			Occurrence: ref.Occurrence,
-			Phase:      ref.Phase,
+			Occurrence: st.ref.Occurrence,
+			Phase:      st.ref.Phase,
 			Partition:  partition,
 			Tasks:      indexes,
+			Keep:       st.noPlaces.after(placesMissingFor, now) > 0,
 		},
-	})
+		due: now.Add(st.phase.Estimate),
+	}
+	if !st.phase.Gang {
+		g.Failed = st.failureCounts(indexes)
+	}
+	j.grants = append(j.grants, g)
+	known := s.rooms[j.record.Queue.Service][partition]
+	s.addNote(fmt.Sprintf("%d of %d tasks are left to the owner of partition %d, which has room for %d as of %v ago, as the workers of this one have lacked it for %v",
+		len(indexes), len(st.tasks), partition, known.tasksFor(st, false), now.Sub(known.at).Round(time.Millisecond), now.Sub(st.noRoom.since).Round(time.Millisecond)), TaskRef{
+		Step: st.ref,
+	}, "", now.Sub(st.dueAt))
+	known.take(st, len(indexes))
 	for _, index := range indexes {
 		st.leave(index)
 	}
-	st.missingPlaces -= len(indexes)
+	st.noRoom.cover(len(indexes))
+	st.noPlaces.cover(len(indexes))
 	if st.waiting == 0 {
-		delete(s.openSteps, ref)
+		delete(s.openSteps, st.ref)
 	}
 	s.grantingJobs[j.record.ID] = true
 	s.dirtyJobs[j.record.ID] = true
-	s.addNote(fmt.Sprintf("%d of %d tasks are left to the owner of partition %d, which has %d free places, as the workers of this one lacked places for %v",
-		len(indexes), len(st.tasks), partition, places.Free, now.Sub(st.placesMissingSince).Round(time.Millisecond)), TaskRef{
-		Step: ref,
-	}, "", now.Sub(st.dueAt))
+	return len(indexes)
 }
 
 // restoreGrants restores the grants that a former owner stored.
--- a/scheduler/grants.go
+++ b/scheduler/grants.go
@@ -1,6 +1,10 @@
 package scheduler
 
-import "slices"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
 // Grant names tasks of one step of a job that its owner, the home owner, has left to the
 // owner of another partition, the delegate. Either stores the grant before it acts on it:
@@ -17,11 +21,17 @@
 	// Returned lists the indexes of the tasks that the delegate has returned. Only the
 	// delegate keeps it.
 	Returned []int `json:"returned,omitempty"`
+	// Keep is set if the home owner's workers could never take the tasks. The delegate then
+	// returns them only if neither could its own.
+	Keep bool `json:"keep,omitempty"`
+	// Failed counts, by index, the attempts of the tasks that failed before.
+	Failed map[int]int `json:"failed,omitempty"`
 }
 
 func (g Grant) clone() Grant {
 	g.Tasks = slices.Clone(g.Tasks)
 	g.Returned = slices.Clone(g.Returned)
+	g.Failed = maps.Clone(g.Failed)
 	return g
 }
 
@@ -65,6 +75,11 @@
 	// has said something to this owner.
 	gang  GangState
 	heard bool
+	// due is the time at which the home owner expects the first end of a task, zero if it does
+	// not know.
+	due time.Time
+	// checkpoints holds, at the delegate, the checkpoints that the tasks had, by index.
+	checkpoints map[int]string
 }
 
 func cloneGrants(grants []*grant) []Grant {
@@ -116,9 +131,8 @@
 	Home  int
 	Token int64
 	// Mark is that of the last reply.
-	Mark    Mark
-	Jobs    []DelegatedJob
-	Queries []PlacesQuery
+	Mark Mark
+	Jobs []DelegatedJob
 }
 
 // DelegatedJob is a job with its grants to one delegate.
@@ -138,31 +152,15 @@
 type GrantMessage struct {
 	Grant Grant
 	Gang  GangOrder
-}
-
-// PlacesQuery asks how many further tasks of a step the workers of a delegate could take.
-type PlacesQuery struct {
-	Step  StepRef
-	Queue Queue
-	Phase Phase
+	// Checkpoints holds the checkpoints of the tasks, by index, until the delegate has stored
+	// the grant. They are not stored themselves, as none is.
+	Checkpoints map[int]string
 }
 
 // DelegationReply answers DelegationRequest.
 type DelegationReply struct {
 	Mark Mark
 	Jobs []GuestState
-	// Places answers the queries in their order.
-	Places []Places
-}
-
-// Places is the number of further tasks of a step that the workers of a delegate could
-// take.
-type Places struct {
-	// Free counts those for which there is free capacity.
-	Free int
-	// Possible counts those for which there would be if all runs that end by themselves
-	// had ended.
-	Possible int
 }
 
 // GuestState is the state of a job at a delegate. It tells only what is stored.
@@ -184,6 +182,10 @@
 	// Returned and Done list the indexes of the tasks that were returned and that are
 	// done.
 	Returned, Done []int
+	// Failed counts, by index, the attempts of returned tasks that failed at the delegate, and
+	// Checkpoints holds the last checkpoints of these tasks.
+	Failed      map[int]int
+	Checkpoints map[int]string
 	// Gang is the state of the members of a gang.
 	Gang GangState
 }
@@ -216,3 +218,52 @@
 func (st *step) validIndexes(indexes []int) []int {
 	return slices.DeleteFunc(slices.Clone(indexes), func(i int) bool { return i < 0 || i >= len(st.tasks) })
 }
+
+// failureCounts returns the number of failed attempts of those of the tasks that have any.
+func (st *step) failureCounts(indexes []int) map[int]int {
+	var counts map[int]int
+	for _, i := range indexes {
+		if n := len(st.tasks[i].failedAttempts); n > 0 {
+			if counts == nil {
+				counts = make(map[int]int)
+			}
+			counts[i] = n
+		}
+	}
+	return counts
+}
+
+// checkpoints returns the checkpoints of those of the tasks that have one.
+func (st *step) checkpoints(indexes []int) map[int]string {
+	var values map[int]string
+	for _, i := range st.validIndexes(indexes) {
+		if value := st.tasks[i].checkpoint; value != "" {
+			if values == nil {
+				values = make(map[int]string)
+			}
+			values[i] = value
+		}
+	}
+	return values
+}
+
+// failureRange is the number of failures of a task that a grant can account for. Failures that
+// another owner reports count as negative attempts, which are unique by the grant's number.
+const failureRange = 1 << 10
+
+// addReturned adds to the tasks that the delegate returns what it says of their attempts, unless
+// they were returned before.
+func (st *step) addReturned(g *grant, state GrantState) {
+	for _, i := range st.validIndexes(state.Returned) {
+		if !slices.Contains(g.Tasks, i) {
+			continue
+		}
+		t := &st.tasks[i]
+		for n := range min(state.Failed[i], failureRange-1) {
+			t.failedAttempts = addAttempt(t.failedAttempts, -(g.Number*failureRange + int64(n) + 1))
+		}
+		if value := state.Checkpoints[i]; value != "" && !st.phase.Gang {
+			t.checkpoint = value
+		}
+	}
+}
--- a/scheduler/guests.go
+++ b/scheduler/guests.go
@@ -81,7 +81,7 @@
 		}
 		j.guest.grants = append(j.guest.grants, restored)
 		if !j.state.Final() {
-			s.takeGranted(j, restored, now)
+			s.takeGranted(j, restored, true, now)
 		}
 	}
 	if !j.state.Final() && stored.Job.Organisation != "" && !s.recoveryDone {
@@ -95,12 +95,13 @@
 	s.heldGuests[id] = true
 }
 
-// takeGranted has the tasks of a grant wait here, once it is stored.
-func (s *Scheduler) takeGranted(j *job, g *grant, now time.Time) {
+// takeGranted has the tasks of a grant wait here, once it is stored. What this owner knew of their
+// attempts before a new grant is in the grant.
+func (s *Scheduler) takeGranted(j *job, g *grant, restored bool, now time.Time) {
 	ref := g.step(j.record.ID)
 	st := j.steps[ref]
 	if st == nil {
-		s.createStep(j, ref.Occurrence, ref.Phase, now, now)
+		s.createStep(j, ref.Occurrence, ref.Phase, j.record.dueAt(ref.Occurrence), now)
 		st = j.steps[ref]
 		for i := range st.tasks {
 			if !st.tasks[i].done {
@@ -109,8 +110,18 @@
 		}
 	}
 	for _, i := range st.validIndexes(g.Tasks) {
-		if st.tasks[i].elsewhere {
-			st.take(i)
+		t := &st.tasks[i]
+		if !t.elsewhere {
+			continue
+		}
+		st.take(i)
+		if restored || st.phase.Gang {
+			continue
+		}
+		t.checkpoint = g.checkpoints[i]
+		t.failedAttempts = nil
+		for n := range min(g.Failed[i], failureRange-1) {
+			t.failedAttempts = append(t.failedAttempts, -int64(n)-1)
 		}
 	}
 	if st.phase.Gang {
@@ -148,9 +159,6 @@
 	for _, told := range request.Jobs {
 		reply.Jobs = append(reply.Jobs, s.serveJob(request.Home, told, contactAt, now))
 	}
-	for _, query := range request.Queries {
-		reply.Places = append(reply.Places, s.Places(query, now))
-	}
 	return reply
 }
 
@@ -215,7 +223,8 @@
 			continue
 		}
 		g := &grant{
-			Grant: told.clone(),
+			Grant:       told.clone(),
+			checkpoints: message.Checkpoints,
 		}
 		g.Returned = nil
 		j.guest.grants = append(j.guest.grants, g)
@@ -267,19 +276,53 @@
 				}
 			}
 		}
+		if st != nil {
+			of.Failed = st.ownFailureCounts(of.Returned)
+			of.Checkpoints = st.checkpoints(of.Returned)
+		}
 		state.Grants = append(state.Grants, of)
 	}
 	return state
 }
 
+// ownFailureCounts is failureCounts without the attempts that failed before the tasks were granted.
+func (st *step) ownFailureCounts(indexes []int) map[int]int {
+	counts := st.failureCounts(st.validIndexes(indexes))
+	for i := range counts {
+		counts[i] -= countNegative(st.tasks[i].failedAttempts)
+		if counts[i] == 0 {
+			delete(counts, i)
+		}
+	}
+	return counts
+}
+
+func countNegative(attempts []int64) int {
+	n := 0
+	for _, attempt := range attempts {
+		if attempt < 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// keeps reports whether tasks of the step were granted as the home owner's workers could never
+// take them.
+func (g *guest) keeps(ref StepRef) bool {
+	return slices.ContainsFunc(g.grants, func(of *grant) bool {
+		return of.Keep && len(of.Tasks) > 0 && of.step(ref.Job) == ref
+	})
+}
+
 // mayStartGuest reports whether tasks of the job may be started: it is no guest, or there was
 // contact with its home owner.
 func (j *job) mayStartGuest(now time.Time) bool {
 	return j.guest == nil || now.Sub(j.guest.contactAt) <= maxContactAge
 }
 
-// returnTasks returns tasks of a step to the home owner, for which this owner's workers lack
-// places.
+// returnTasks returns n tasks of a step to the home owner, for which this owner's workers lack
+// room.
 func (s *Scheduler) returnTasks(st *step, n int, now time.Time) {
 	if !st.job.mayStartGuest(now) {
 		return
@@ -296,13 +339,12 @@
 	if len(indexes) == 0 {
 		return
 	}
-	st.missingPlaces = 0
-	st.placesMissingSince = time.Time{}
+	st.noRoom, st.noPlaces = shortage{}, shortage{}
 	if st.waiting == 0 {
 		delete(s.openSteps, st.ref)
 	}
 	s.dirtyJobs[st.job.record.ID] = true
-	s.addNote(fmt.Sprintf("%d tasks are returned to the owner of partition %d, as the workers of this one lack places", len(indexes), st.job.guest.home), TaskRef{
+	s.addNote(fmt.Sprintf("%d tasks are returned to the owner of partition %d, as the workers of this one lack room", len(indexes), st.job.guest.home), TaskRef{
 		Step: st.ref,
 	}, "", 0)
 }
@@ -348,7 +390,7 @@
 			first := !g.stored
 			g.written(written)
 			if first && !j.state.Final() {
-				s.takeGranted(j, g, s.tickedAt)
+				s.takeGranted(j, g, false, s.tickedAt)
 			}
 		}
 	}
--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -121,9 +121,13 @@
 	clear(s.endsByWorker)
 	clear(s.waits)
 	s.blockedSteps = s.blockedSteps[:0]
+	s.crowdedSteps = s.crowdedSteps[:0]
 	for _, st := range s.startableSteps(now) {
 		p := pools[st.job.record.Queue.Service]
 		if p == nil {
+			// No worker of this owner is available.
+			s.explain(st, &pool{}, now)
+			s.handleShortage(st, &pool{}, now)
 			continue
 		}
 		effects := len(s.effects)
@@ -140,9 +144,10 @@
 		if st.waiting > 0 {
 			s.recordWait(st, p, now)
 			s.explain(st, p, now)
+			s.handleShortage(st, p, now)
 		}
 	}
-	s.findWideSteps(pools, now)
+	s.recordSpare(pools)
 	for _, p := range pools {
 		s.preemptForStarved(p, now)
 	}
@@ -154,6 +159,18 @@
 	s.askAhead(pools, now)
 }
 
+// recordSpare records what is left for other owners once all steps have been placed.
+func (s *Scheduler) recordSpare(pools map[string]*pool) {
+	clear(s.reserved)
+	clear(s.spare)
+	for service, p := range pools {
+		s.spare[service] = p.freeCapacity
+		for w := range p.reservedUntil {
+			s.reserved[w] = true
+		}
+	}
+}
+
 // placeTasks starts the waiting tasks of a step, independently of each other.
 func (s *Scheduler) placeTasks(st *step, p *pool, now time.Time) {
 	allowed := s.allowedStarts(st)
--- /dev/null
+++ b/scheduler/room_test.go
@@ -0,0 +1,336 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"math"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/galenacove/galenacove/scheduler"
+	"github.com/galenacove/galenacove/sizer"
+)
+
+// newCrowdedRig returns a home owner whose workers have long runs on three of four cores, and a
+// delegate whose workers are idle.
+func newCrowdedRig(t *testing.T) *wideRig {
+	w := newWideRig(t)
+	long := newPhase(2, cores(3))
+	long.Estimate = time.Minute
+	w.home.s.AddJob(w.home.job("long", long), nil, false, w.home.now)
+	w.rounds(3, true)
+	w.home.c.Assert(w.home.activeRuns(), qt.Equals, 2)
+	return w
+}
+
+// withinBound is the number of rounds in 3 s, within which a task has to run if its service has
+// room.
+const withinBound = 30
+
+// TestWaitingTaskReachesRoomOfAnotherShard guards against tasks that wait for the workers of their
+// shard, which have long runs, while those of another one are idle.
+func TestWaitingTaskReachesRoomOfAnotherShard(t *testing.T) {
+	tests := map[string]func(*scheduler.Phase){
+		"one task": func(*scheduler.Phase) {},
+		"tasks that keep apart": func(p *scheduler.Phase) {
+			p.Tasks = 2
+			p.PerWorker = 1
+		},
+		"a gang": func(p *scheduler.Phase) {
+			p.Tasks = 3
+			p.Gang = true
+		},
+		"tasks that last": func(p *scheduler.Phase) {
+			p.Tasks = 2
+			p.Lasting = true
+		},
+		"a whole worker": func(p *scheduler.Phase) { p.Size = cores(4) },
+		"more than the delegate has, of which some fit at home": func(p *scheduler.Phase) {
+			p.Tasks = 10
+			p.Size = cores(1)
+		},
+	}
+	for name, change := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := newCrowdedRig(t)
+			phase := newPhase(1, cores(2))
+			change(&phase)
+			w.home.s.AddJob(w.home.job("waiting", phase), nil, false, w.home.now)
+			for round := 0; w.home.activeRuns()+w.delegate.activeRuns() < 2+phase.Tasks; round++ {
+				w.home.c.Assert(round < withinBound, qt.IsTrue, qt.Commentf("%d run", w.home.activeRuns()+w.delegate.activeRuns()-2))
+				w.rounds(1, true)
+			}
+			if phase.Lasting {
+				return
+			}
+			w.home.endAll(0, scheduler.EndDone)
+			w.delegate.endAll(0, scheduler.EndDone)
+			w.rounds(10, true)
+			w.home.c.Assert(w.home.state("waiting"), qt.Equals, scheduler.Completed)
+		})
+	}
+}
+
+// TestGangUsesTheRoomOfTwoShards guards against a gang that never runs, as neither its own shard nor
+// another one has room for all of its members.
+func TestGangUsesTheRoomOfTwoShards(t *testing.T) {
+	w := newWideRig(t)
+	for _, r := range []*rig{w.home, w.delegate} {
+		r.s.AddJob(r.job("long"+fmt.Sprint(r == w.home), newPhase(1, cores(3))), nil, false, r.now)
+	}
+	w.rounds(3, true)
+	gang := newPhase(2, cores(4))
+	gang.Gang = true
+	w.home.s.AddJob(w.home.job("gang", gang), nil, false, w.home.now)
+	w.rounds(withinBound, true)
+	w.home.c.Assert(w.home.activeRuns(), qt.Equals, 2)
+	w.home.c.Assert(w.delegate.activeRuns(), qt.Equals, 2)
+}
+
+// TestDeniedWorkersAreNoRoom guards against tasks that wait as the adviser has denied all workers
+// of their shard with room, while it would approve those of another one.
+func TestDeniedWorkersAreNoRoom(t *testing.T) {
+	w := newWideRig(t)
+	job := w.home.job("advised", newPhase(2, cores(1)))
+	job.Queue = advisedQueue
+	w.home.s.AddJob(job, nil, false, w.home.now)
+	atDelegate := func(_ scheduler.StepRef, worker string) bool { return strings.HasPrefix(worker, "other") }
+	for range withinBound {
+		for _, r := range []*rig{w.home, w.delegate} {
+			r.advance(100 * time.Millisecond)
+			r.tick()
+			r.answerAdvice(atDelegate)
+			r.tick()
+			r.write()
+		}
+		w.askRoom()
+		w.call()
+	}
+	w.home.c.Assert(w.delegate.activeRuns(), qt.Equals, 2)
+}
+
+// TestJobThatFindsRoomAsksNobody guards against calls for jobs that find room at once, and for
+// those that wait for less than roomMissingFor.
+func TestJobThatFindsRoomAsksNobody(t *testing.T) {
+	w := newWideRig(t)
+	for i := range 50 {
+		w.home.s.AddJob(w.home.job(fmt.Sprintf("quick%d", i), newPhase(2, cores(2))), nil, false, w.home.now)
+		w.rounds(1, false)
+		w.home.c.Assert(w.home.s.RoomRequests(w.home.now), qt.HasLen, 0)
+		w.home.c.Assert(w.home.s.Delegates(), qt.IsFalse)
+		w.home.endAll(0, scheduler.EndDone)
+	}
+}
+
+// TestRoomThatIsGoneIsNotOfferedAgainAtOnce guards against tasks that wait at a delegate whose room was
+// taken meanwhile, and against tasks that go back and forth.
+func TestRoomThatIsGoneIsNotOfferedAgainAtOnce(t *testing.T) {
+	w := newCrowdedRig(t)
+	w.home.s.AddJob(w.home.job("waiting", newPhase(1, cores(2))), nil, false, w.home.now)
+	for !w.home.s.Delegates() {
+		w.rounds(1, false)
+	}
+	w.askRoom()
+	w.delegate.s.AddJob(w.delegate.job("taken", newPhase(2, cores(4))), nil, false, w.delegate.now)
+	arrivals := 0
+	for range withinBound {
+		before := w.delegate.s.GuestTasks()
+		w.rounds(1, true)
+		if w.delegate.s.GuestTasks() > before {
+			arrivals++
+		}
+	}
+	w.home.c.Assert(arrivals, qt.Equals, 1)
+	w.home.c.Assert(w.delegate.s.GuestTasks(), qt.Equals, 0)
+	w.home.endAll(0, scheduler.EndDone)
+	w.rounds(10, true)
+	w.home.c.Assert(totalStarts(w.home, "waiting"), qt.Equals, 1)
+}
+
+// TestFailuresCountOverAllOwners guards against more failed attempts of a task than are allowed, as
+// some were made by its owner and some by a delegate, before and after it was returned.
+func TestFailuresCountOverAllOwners(t *testing.T) {
+	w := newWideRig(t)
+	job := w.home.job("failing", newPhase(1, cores(2)))
+	job.Queue.MaxAttempts = 4
+	w.home.s.AddJob(job, nil, false, w.home.now)
+	fail := func(r *rig) {
+		for _, worker := range r.workersByID {
+			for run := range worker.activeRuns {
+				if run.Task.Step.Job == "failing" {
+					worker.end(run, scheduler.EndFailed)
+				}
+			}
+		}
+	}
+	w.rounds(3, true)
+	w.home.c.Assert(totalStarts(w.home, "failing"), qt.Equals, 1)
+	for _, worker := range w.home.workersByID {
+		worker.entry.Leaving = true
+	}
+	fail(w.home)
+	w.home.updateDirectory()
+	w.rounds(2, true)
+	for round := 0; totalStarts(w.delegate, "failing") < 1; round++ {
+		w.home.c.Assert(round < withinBound, qt.IsTrue)
+		w.rounds(1, true)
+	}
+	// It fails there too, and waits, as the delegate's workers leave. At home there is room again.
+	for _, worker := range w.delegate.workersByID {
+		worker.entry.Leaving = true
+	}
+	fail(w.delegate)
+	w.delegate.updateDirectory()
+	for _, worker := range w.home.workersByID {
+		worker.entry.Leaving = false
+	}
+	w.home.updateDirectory()
+	for round := 0; totalStarts(w.home, "failing") < 2; round++ {
+		w.home.c.Assert(round < withinBound, qt.IsTrue)
+		w.rounds(1, true)
+	}
+	fail(w.home)
+	for round := 0; w.home.activeRuns() == 0; round++ {
+		w.home.c.Assert(round < withinBound, qt.IsTrue)
+		w.rounds(1, true)
+	}
+	w.home.c.Assert(w.home.state("failing"), qt.Equals, scheduler.Running)
+	fail(w.home)
+	w.rounds(5, true)
+	w.home.c.Assert(w.home.state("failing"), qt.Equals, scheduler.Failed)
+	w.home.c.Assert(totalStarts(w.home, "failing")+totalStarts(w.delegate, "failing"), qt.Equals, 4)
+}
+
+// TestFailuresBeforeAGrantCount guards against a task that a delegate runs as often as is allowed in all,
+// although it failed at home before.
+func TestFailuresBeforeAGrantCount(t *testing.T) {
+	w := newWideRig(t)
+	job := w.home.job("failing", newPhase(1, cores(2)))
+	job.Queue.MaxAttempts = 2
+	w.home.s.AddJob(job, nil, false, w.home.now)
+	w.rounds(3, true)
+	w.home.endAll(0, scheduler.EndFailed)
+	for _, worker := range w.home.workersByID {
+		worker.entry.Leaving = true
+	}
+	w.home.updateDirectory()
+	for round := 0; w.delegate.activeRuns() == 0; round++ {
+		w.home.c.Assert(round < withinBound, qt.IsTrue)
+		w.rounds(1, true)
+	}
+	w.delegate.endAll(0, scheduler.EndFailed)
+	w.rounds(withinBound, true)
+	w.home.c.Assert(w.home.state("failing"), qt.Equals, scheduler.Failed)
+	w.home.c.Assert(totalStarts(w.home, "failing")+totalStarts(w.delegate, "failing"), qt.Equals, 2)
+}
+
+// TestGrantedTaskKeepsItsAge guards against a task that is overtaken by all later ones of the
+// delegate, as it counts as new there.
+func TestGrantedTaskKeepsItsAge(t *testing.T) {
+	w := newWideRig(t)
+	for _, worker := range w.delegate.workersByID {
+		worker.entry.Labels = []string{labelled}
+	}
+	w.delegate.updateDirectory()
+	w.delegate.s.AddJob(w.delegate.job("long", newPhase(2, cores(4))), nil, false, w.delegate.now)
+	w.rounds(3, true)
+	phase := newPhase(1, cores(4))
+	phase.Requires = labelled
+	old := w.home.job("old", phase)
+	old.Queue.Target = time.Minute
+	w.home.s.AddJob(old, nil, false, w.home.now)
+	later := w.delegate.job("new", newPhase(1, cores(4)))
+	later.Queue.Target = time.Minute
+	later.Accepted = w.delegate.now.Add(100 * time.Millisecond)
+	w.delegate.s.AddJob(later, nil, false, w.delegate.now)
+	for w.delegate.s.GuestTasks() == 0 {
+		w.rounds(1, true)
+	}
+	w.rounds(10, true)
+	for _, worker := range w.delegate.workersByID {
+		for run := range worker.activeRuns {
+			worker.end(run, scheduler.EndDone)
+		}
+		break
+	}
+	w.rounds(2, true)
+	w.home.c.Assert(totalStarts(w.delegate, "old"), qt.Equals, 1)
+	w.home.c.Assert(totalStarts(w.delegate, "new"), qt.Equals, 0)
+}
+
+// TestOddRoomIsIgnored guards against tasks that are left to an owner as its summary cannot be, and
+// against a panic.
+func TestOddRoomIsIgnored(t *testing.T) {
+	groups := func(n int) []scheduler.RoomGroup {
+		all := make([]scheduler.RoomGroup, n)
+		for i := range all {
+			all[i] = scheduler.RoomGroup{
+				Workers: 1,
+				Free:    cores(4),
+				Ever:    cores(4),
+			}
+		}
+		return all
+	}
+	spare := cores(1000)
+	tests := map[string]scheduler.Room{
+		"negative workers": {
+			Spare: spare,
+			Groups: []scheduler.RoomGroup{
+				{
+					Workers: -1,
+					Free:    cores(4),
+				},
+			},
+		},
+		"too many workers": {
+			Spare: spare,
+			Groups: []scheduler.RoomGroup{
+				{
+					Workers: math.MaxInt,
+					Free:    cores(4),
+				},
+			},
+		},
+		"negative capacity": {
+			Spare: spare,
+			Groups: []scheduler.RoomGroup{
+				{
+					Workers: 1,
+					Free:    sizer.New(-4000, 1<<40, 1),
+				},
+			},
+		},
+		"negative spare capacity": {
+			Spare:  sizer.New(-1, 0, 0),
+			Groups: groups(1),
+		},
+		"too many groups": {
+			Spare:  spare,
+			Groups: groups(1000),
+		},
+	}
+	for name, room := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := newCrowdedRig(t)
+			w.home.s.AddJob(w.home.job("waiting", newPhase(1, cores(2))), nil, false, w.home.now)
+			notes := 0
+			for range withinBound {
+				w.rounds(1, false)
+				if queries := w.home.s.RoomRequests(w.home.now)[1]; len(queries) > 0 {
+					w.home.s.RoomAnswered(1, queries, []scheduler.Room{room, room}, w.home.now)
+					w.home.s.RoomAnswered(7, queries, []scheduler.Room{room}, w.home.now)
+				}
+				for _, note := range w.home.s.Notes() {
+					if strings.Contains(note.Text, "cannot be") {
+						notes++
+					}
+				}
+			}
+			w.home.c.Assert(w.home.stored["waiting"].Grants, qt.HasLen, 0)
+			w.home.c.Assert(notes, qt.Equals, 1)
+		})
+	}
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -114,8 +114,20 @@
 	grantsAllowed bool
 	// homeTokens holds the highest fencing token of each home owner, by partition.
 	homeTokens map[int]int64
-	// wideSteps holds the steps for which places were missing in the last tick.
-	wideSteps []*step
+	// crowdedSteps holds the steps of the last tick that have lacked room for roomMissingFor, in
+	// the order in which they were placed.
+	crowdedSteps []*step
+	// rooms holds what other owners last said of their room, by service and partition.
+	// roomAskedAt is the time at which some were last asked, and roomRound counts these times.
+	// oddRoomAt is the time of the last note on an answer that cannot be.
+	rooms       map[string]map[int]*knownRoom
+	roomAskedAt time.Time
+	roomRound   int
+	oddRoomAt   time.Time
+	// reserved holds the workers that were reserved in the last tick, and spare, by service, the
+	// free capacity that was left then for others.
+	reserved map[*worker]bool
+	spare    map[string]sizer.Size
 	// grantingJobs holds the identities of the jobs with grants to other owners, guests
 	// those of the jobs of other partitions, and heldGuests those of such jobs whose stored
 	// state cannot be decoded. Nothing of the latter runs.
@@ -220,6 +232,9 @@
 		grantingJobs:       make(map[string]bool),
 		guests:             make(map[string]bool),
 		heldGuests:         make(map[string]bool),
+		rooms:              make(map[string]map[int]*knownRoom),
+		reserved:           make(map[*worker]bool),
+		spare:              make(map[string]sizer.Size),
 		nextBatch:          1,
 		allotments:         newAllotments(),
 		losses:             newLosses(),
--- a/scheduler/tables.go
+++ b/scheduler/tables.go
@@ -119,11 +119,11 @@
 	// and fitCount for how many. They are kept for organisations with a maximum.
 	fitSeenAt time.Time
 	fitCount  int
-	// missingPlaces is the number of waiting tasks that the workers could not take at
-	// placesCheckedAt, and placesMissingSince the time since which it has not been 0, zero
-	// if it is.
-	missingPlaces                       int
-	placesCheckedAt, placesMissingSince time.Time
+	// noRoom is how many of the waiting tasks the workers could not take at
+	// shortageCheckedAt, and noPlaces how many they could not even if all runs had ended that
+	// end by themselves.
+	noRoom, noPlaces  shortage
+	shortageCheckedAt time.Time
 	// order is what the home owner has decided for a gang of which several owners have
 	// members. notReady is one more than the lowest partition whose owner holds no workers for
 	// its members, 0 if all do. heldSince is the time since which one does, zero if none does,
@@ -132,9 +132,8 @@
 	notReady  int
 	heldSince time.Time
 	holdPause time.Duration
-	// returnedBy holds the times at which other owners last returned tasks of the step, by
-	// partition.
-	returnedBy map[int]time.Time
+	// returns holds the other owners that have returned tasks of the step, by partition.
+	returns map[int]returned
 	// explainedAt is the time at which the log last explained why the step
 	// waits.
 	explainedAt time.Time
--- a/scheduler/wide_model_test.go
+++ b/scheduler/wide_model_test.go
@@ -220,6 +220,35 @@
 	}
 }
 
+// askRoom lets an owner of a shard ask others for their room, any of which may not answer.
+func (w *wideModel) askRoom(home int, lossless bool) {
+	if w.callsLost {
+		return
+	}
+	m := w.shards[home]
+	o := m.anyOwner()
+	if lossless {
+		o = m.current()
+	}
+	if o.superseded {
+		return
+	}
+	requests := o.s.RoomRequests(m.now)
+	for to := range w.shards {
+		queries := requests[to]
+		if len(queries) == 0 || !lossless && w.draw(4) == 0 {
+			continue
+		}
+		delegate := w.shards[to].current()
+		if !lossless && w.draw(4) == 0 {
+			delegate = w.shards[to].anyOwner()
+		}
+		if !delegate.superseded {
+			o.s.RoomAnswered(to, queries, roomsOf(delegate.s, queries, m.now), m.now)
+		}
+	}
+}
+
 func (w *wideModel) serve(m *model, delegate *modelOwner, request scheduler.DelegationRequest) scheduler.DelegationReply {
 	return delegate.s.ServeHome(request, m.now)
 }
@@ -229,6 +258,7 @@
 	m := w.shards[home]
 	switch w.draw(8) {
 	case 0, 1, 2:
+		w.askRoom(home, false)
 		for range 1 + w.draw(3) {
 			w.call(home, (home+1+w.draw(len(w.shards)-1))%len(w.shards), false)
 		}
@@ -296,6 +326,7 @@
 			steps = append(steps, func() { m.write(m.current()) })
 		}
 		steps = append(steps, func() { m.tick(m.current()) }, func() { m.carryOutAll() })
+		steps = append(steps, func() { w.askRoom(i, true) })
 		for to := range w.shards {
 			if to != i {
 				steps = append(steps, func() { w.call(i, to, true) })
--- a/scheduler/wide_rig_test.go
+++ b/scheduler/wide_rig_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/galenacove/galenacove/scheduler"
 )
@@ -49,6 +50,22 @@
 	return request, found
 }
 
+// askRoom lets the home owner ask the delegate for its room, if that is due.
+func (w *wideRig) askRoom() {
+	if queries := w.home.s.RoomRequests(w.home.now)[1]; len(queries) > 0 {
+		w.home.s.RoomAnswered(1, queries, roomsOf(w.delegate.s, queries, w.delegate.now), w.home.now)
+	}
+}
+
+// roomsOf returns what an owner answers to another one's queries.
+func roomsOf(s *scheduler.Scheduler, queries []scheduler.RoomQuery, now time.Time) []scheduler.Room {
+	var rooms []scheduler.Room
+	for _, query := range queries {
+		rooms = append(rooms, s.Room(query, now))
+	}
+	return rooms
+}
+
 func (w *wideRig) call() {
 	if request, found := w.request(); found {
 		reply := w.delegate.s.ServeHome(request, w.delegate.now)
@@ -63,6 +80,7 @@
 		w.home.round()
 		w.delegate.round()
 		if calls {
+			w.askRoom()
 			w.call()
 		}
 		w.home.write()
