--- a/scheduler/room.go
+++ b/scheduler/room.go
@@ -75,18 +75,18 @@
 		}
 		group := RoomGroup{
 			Workers: 1,
-			Ever:    w.capacityWithoutLasting(),
 			Fills:   w.fillingRuns > 0,
 			Serves:  w.servingRuns > 0,
 		}
 		if !s.reserved[w] && w.failureStreak < setAsideAfter && !s.hasTrial(w, now) {
 			group.Free = w.freeCapacity().Max(sizer.Size{})
 		}
-		if !query.AtLeast.Fits(group.Free) && (!query.Ever || !query.AtLeast.Fits(group.Ever)) {
-			continue
+		group.Ever = group.Free
+		if query.Ever {
+			group.Ever = w.capacityWithoutLasting()
 		}
-		if !query.Ever {
-			group.Ever = group.Free
+		if !query.AtLeast.Fits(group.Free) && !query.AtLeast.Fits(group.Ever) {
+			continue
 		}
 		for _, label := range query.Labels[:min(len(query.Labels), maxRoomLabels)] {
 			if slices.Contains(w.entry.Labels, label) {
