scheduler: what the review of the room of shards found

- failed attempts of a granted task were applied after the grant was stored, so a takeover of the delegate forgot them (a third start with two attempts allowed) or reported them twice (a job given up early).
They are stored with the grant.
- the pause after a return doubled up to 10 s: after three returns a task waited 4 s beside an idle shard.
It is 1 s; 10 s only if the delegate's workers could never take the task.
- the same room was granted again with each summary while grants were under way, 14 tasks into room for 2.
What is not acknowledged is taken off a summary, and what waits at a delegate off its own.
- headroom that a shard leaves to urgent queues counted as room: a task waited 19 s beside an idle shard.
It does not, here and in summaries.
- a crowded owner without parts of an organisation's maximum neither asked for some nor granted.
Only an owner of all parts limits grants by them.

Also: steps are granted once a tick, those that no summary can hold are skipped, summaries count from the time of the question, and a shortage that was last seen over 1 s ago begins anew.

--- a/conductor/delegations.go
+++ b/conductor/delegations.go
@@ -186,6 +186,7 @@
 
 // callForRoom asks the owner of another partition for its room.
 func (c *Conductor) callForRoom(ctx context.Context, partition int, queries []scheduler.RoomQuery) {
+	asked := c.clock.Now()
 	rooms, err := c.askRoom(ctx, partition, queries)
 	now := c.clock.Now()
 	c.mu.Lock()
@@ -199,10 +200,8 @@
 		return
 	}
 	c.metrics.delegationCalls.WithLabelValues("room answered").Inc()
-	c.scheduler.RoomAnswered(partition, queries, rooms, now)
-	if unwritten, _ := c.scheduler.Unwritten(); unwritten {
-		c.requestWrite()
-	}
+	c.scheduler.RoomAnswered(partition, queries, rooms, asked, now)
+	c.requestTick()
 }
 
 // callDelegate makes one call to the owner of another partition.
--- a/scheduler/granting.go
+++ b/scheduler/granting.go
@@ -11,9 +11,9 @@
 
 const (
 	// returnPause is how long a step's tasks are not left again to an owner that has returned
-	// some. It doubles with each time, up to maxReturnPause.
-	returnPause    = time.Second
-	maxReturnPause = 10 * time.Second
+	// some, and neverPause the same if its workers could never take them.
+	returnPause = time.Second
+	neverPause  = 10 * time.Second
 	// roomInterval is the interval at which other owners are asked for their room.
 	roomInterval = 250 * time.Millisecond
 	// minRoomAsked and maxRoomAsked limit the owners that are asked at once, and
@@ -22,22 +22,9 @@
 	roomRounds                 = 8
 )
 
-// returned tells when an owner last returned tasks of a step, and how often it did.
+// returned tells when an owner last returned tasks of a step, and when it may be left some again.
 type returned struct {
-	at    time.Time
-	count int
-}
-
-// offerableAt returns the time from which tasks may be left to the owner again.
-func (r returned) offerableAt() time.Time {
-	pause := maxReturnPause
-	for n, next := 1, returnPause; next < maxReturnPause; n, next = n+1, 2*next {
-		if n >= r.count {
-			pause = next
-			break
-		}
-	}
-	return r.at.Add(pause)
+	at, offerableAt time.Time
 }
 
 // SetDelegates sets the partition of this owner, and the partitions whose owners may run tasks of a service's jobs for this
@@ -60,8 +47,7 @@
 		return nil
 	}
 	return slices.DeleteFunc(slices.Clone(s.delegates[st.job.record.Queue.Service]), func(partition int) bool {
-		r, found := st.returns[partition]
-		return found && now.Before(r.offerableAt()) || slices.ContainsFunc(st.job.grants, func(g *grant) bool {
+		return now.Before(st.returns[partition].offerableAt) || slices.ContainsFunc(st.job.grants, func(g *grant) bool {
 			// Its answer would not count the tasks that it is about to get.
 			return g.Partition == partition && !g.acknowledged
 		})
@@ -155,8 +141,9 @@
 	return requests
 }
 
-// RoomAnswered records what another owner has said of its room, and leaves tasks to it.
-func (s *Scheduler) RoomAnswered(partition int, queries []RoomQuery, rooms []Room, now time.Time) {
+// RoomAnswered records what another owner has said of its room, which it was asked at the given
+// time. The next tick leaves tasks to it.
+func (s *Scheduler) RoomAnswered(partition int, queries []RoomQuery, rooms []Room, asked, now time.Time) {
 	for i, room := range rooms {
 		if i >= len(queries) {
 			break
@@ -175,45 +162,90 @@
 		if s.rooms[service] == nil {
 			s.rooms[service] = make(map[int]*knownRoom)
 		}
-		s.rooms[service][partition] = &knownRoom{
+		if before := s.rooms[service][partition]; before != nil && before.at.After(asked) {
+			continue
+		}
+		known := &knownRoom{
 			room: room,
-			at:   now,
+			at:   asked,
 		}
+		known.takeGranted(s, service, partition)
+		s.rooms[service][partition] = known
+		s.roomsChanged = true
 	}
-	s.grantCrowded(now)
 }
 
+// takeGranted takes off the room what was granted to the owner and may not be counted in its answer.
+func (k *knownRoom) takeGranted(s *Scheduler, service string, partition int) {
+	for id := range s.grantingJobs {
+		j := s.jobs[id]
+		if j == nil || j.state.Final() || j.record.Queue.Service != service {
+			continue
+		}
+		for _, g := range j.grants {
+			if st := j.steps[g.step(id)]; st != nil && g.Partition == partition && !g.acknowledged {
+				k.take(st, len(g.Tasks))
+			}
+		}
+	}
+}
+
+// maxGrantTries limits the steps for which one tick looks for room at other owners.
+const maxGrantTries = 200
+
 // grantCrowded leaves tasks of the steps that lack room to owners that have it, in the order in
 // which the steps were placed.
 func (s *Scheduler) grantCrowded(now time.Time) {
+	if !s.roomsChanged {
+		return
+	}
+	s.roomsChanged = false
+	largest := make(map[string]sizer.Size)
+	for service, rooms := range s.rooms {
+		for _, known := range rooms {
+			if now.Sub(known.at) <= maxRoomAge {
+				largest[service] = largest[service].Max(known.largest())
+			}
+		}
+	}
+	tries := 0
 	for _, st := range s.crowdedSteps {
-		if s.openSteps[st.ref] != st || st.job.state.Final() {
+		if s.openSteps[st.ref] != st || st.job.state.Final() || !taskSize(st.phase).Fits(largest[st.job.record.Queue.Service]) {
 			continue
 		}
+		if tries++; tries > maxGrantTries {
+			return
+		}
 		missing := min(st.noRoom.tasks, st.waiting)
-		if st.noPlaces.after(placesMissingFor, now) == 0 {
+		if organisation, limited := s.limitOf(st.job); limited && s.holdsAll(organisation.Name) {
+			// Otherwise the delegate may hold, or get, parts of the maximum that this owner lacks.
 			missing = min(missing, s.allowedStarts(st))
 		}
 		switch {
-		case missing <= 0:
+		case missing <= 0 || s.awaitsOrganisations(st.job):
 		case st.phase.Gang:
 			s.grantGang(st, now)
 		default:
-			for missing > 0 {
-				partition, n := s.mostRoom(st, now)
-				if granted := s.grantTasks(st, partition, min(n, missing), now); granted > 0 {
-					missing -= granted
-					continue
-				}
-				break
-			}
+			s.spread(st, missing, now)
 		}
 	}
 }
 
-// mostRoom returns the partition whose owner has room for the most tasks of the step, and for how
-// many. Without any, n is 0.
-func (s *Scheduler) mostRoom(st *step, now time.Time) (partition, n int) {
+// spread leaves up to n tasks of a step to the owners with the most room for them.
+func (s *Scheduler) spread(st *step, n int, now time.Time) {
+	for n > 0 {
+		partition, room, free := s.mostRoom(st, now)
+		granted := s.grantTasks(st, partition, min(room, n), free, now)
+		if granted == 0 {
+			return
+		}
+		n -= granted
+	}
+}
+
+// mostRoom returns the partition whose owner has room for the most tasks of the step, for how
+// many, and whether that is free now. Without any, n is 0.
+func (s *Scheduler) mostRoom(st *step, now time.Time) (partition, n int, free bool) {
 	ever := st.noPlaces.after(busyPlacesAfter, now) > 0
 	for _, busy := range []bool{false, true} {
 		for _, other := range s.delegatesOf(st, now) {
@@ -222,10 +254,10 @@
 			}
 		}
 		if n > 0 || !ever {
-			break
+			return partition, n, !busy
 		}
 	}
-	return partition, n
+	return partition, n, false
 }
 
 // roomAt returns for how many tasks of the step another owner has room, by what it last said, and as
@@ -262,8 +294,8 @@
 // that can never run here to any.
 func (s *Scheduler) grantGang(st *step, now time.Time) {
 	members := st.waiting
-	if partition, n := s.mostRoom(st, now); n >= members {
-		s.grantTasks(st, partition, members, now)
+	if partition, n, free := s.mostRoom(st, now); n >= members {
+		s.grantTasks(st, partition, members, free, now)
 		return
 	}
 	missing := min(st.noRoom.tasks, members)
@@ -274,14 +306,7 @@
 	if others < missing {
 		missing = min(st.noPlaces.after(placesMissingFor, now), members)
 	}
-	for missing > 0 {
-		partition, n := s.mostRoom(st, now)
-		granted := s.grantTasks(st, partition, min(n, missing), now)
-		if granted == 0 {
-			return
-		}
-		missing -= granted
-	}
+	s.spread(st, missing, now)
 }
 
 // endingWindow is how long after the estimate the ends of a grant's tasks are expected.
@@ -349,7 +374,7 @@
 				Phase:      g.Phase,
 				Partition:  g.Partition,
 				Tasks:      append(slices.Clone(g.Tasks), g.returning...),
-				Keep:       g.Keep,
+				Returnable: g.Returnable,
 				Failed:     g.Failed,
 			},
 		}
@@ -396,7 +421,7 @@
 			g.acknowledged = false
 		}
 		if !j.state.Final() && state.Ended && !state.Failed {
-			s.takeBack(j, g, slices.Clone(g.Tasks), now)
+			s.takeBack(j, g, slices.Clone(g.Tasks), neverPause, now)
 		}
 	}
 	if j.state.Final() {
@@ -439,7 +464,11 @@
 		}
 	}
 	st.addReturned(g, state)
-	s.takeBack(j, g, state.Returned, now)
+	pause := returnPause
+	if state.Never {
+		pause = neverPause
+	}
+	s.takeBack(j, g, state.Returned, pause, now)
 	if st.phase.Gang {
 		if len(state.Done) > 0 {
 			// One such end stands for all members.
@@ -452,11 +481,14 @@
 	if !j.state.Final() {
 		s.finishStepIfDone(st, now)
 	}
+	if !j.state.Final() && !st.phase.Lasting && slices.ContainsFunc(state.Returned, func(i int) bool { return st.isExhausted(i) }) {
+		s.endJob(j, Failed, now)
+	}
 }
 
 // takeBack has tasks that a delegate does not run belong to this owner again, once that is
-// stored.
-func (s *Scheduler) takeBack(j *job, g *grant, tasks []int, now time.Time) {
+// stored. They are not left to it again before the pause is over.
+func (s *Scheduler) takeBack(j *job, g *grant, tasks []int, pause time.Duration, now time.Time) {
 	before := len(g.Tasks)
 	g.returnTasks(tasks)
 	if len(g.Tasks) == before {
@@ -469,8 +501,8 @@
 			st.returns = make(map[int]returned)
 		}
 		st.returns[g.Partition] = returned{
-			at:    now,
-			count: st.returns[g.Partition].count + 1,
+			at:          now,
+			offerableAt: now.Add(pause),
 		}
 	}
 	s.addNote(fmt.Sprintf("%d tasks were returned by the owner of partition %d", before-len(g.Tasks), g.Partition), TaskRef{
@@ -479,8 +511,8 @@
 }
 
 // grantTasks leaves n tasks of a step to the owner of a partition, or as many as there are that can
-// be. It returns their number.
-func (s *Scheduler) grantTasks(st *step, partition, n int, now time.Time) int {
+// be. free is set if the owner has room for them now. It returns their number.
+func (s *Scheduler) grantTasks(st *step, partition, n int, free bool, now time.Time) int {
 	indexes := s.waitingIndexes(st, n)
 	if len(indexes) == 0 {
 		return 0
@@ -495,7 +527,7 @@
 			Phase:      st.ref.Phase,
 			Partition:  partition,
 			Tasks:      indexes,
-			Keep:       st.noPlaces.after(placesMissingFor, now) > 0,
+			Returnable: free,
 		},
 		due: now.Add(st.phase.Estimate),
 	}
--- a/scheduler/grants.go
+++ b/scheduler/grants.go
@@ -21,9 +21,9 @@
 	// Returned lists the indexes of the tasks that the delegate has returned. Only the
 	// delegate keeps it.
 	Returned []int `json:"returned,omitempty"`
-	// Keep is set if the home owner's workers could never take the tasks. The delegate then
-	// returns them only if neither could its own.
-	Keep bool `json:"keep,omitempty"`
+	// Returnable is set if the delegate is to return tasks for which it has no room. Otherwise no
+	// owner had any, and the delegate returns only what its workers could never take.
+	Returnable bool `json:"returnable,omitempty"`
 	// Failed counts, by index, the attempts of the tasks that failed before.
 	Failed map[int]int `json:"failed,omitempty"`
 }
@@ -78,8 +78,6 @@
 	// due is the time at which the home owner expects the first end of a task, zero if it does
 	// not know.
 	due time.Time
-	// checkpoints holds, at the delegate, the checkpoints that the tasks had, by index.
-	checkpoints map[int]string
 }
 
 func cloneGrants(grants []*grant) []Grant {
@@ -186,6 +184,8 @@
 	// Checkpoints holds the last checkpoints of these tasks.
 	Failed      map[int]int
 	Checkpoints map[int]string
+	// Never is set if the delegate's workers could never take the returned tasks.
+	Never bool
 	// Gang is the state of the members of a gang.
 	Gang GangState
 }
@@ -267,3 +267,9 @@
 		}
 	}
 }
+
+// isExhausted reports whether a task has failed as often as it may.
+func (st *step) isExhausted(index int) bool {
+	return index >= 0 && index < len(st.tasks) && !st.tasks[index].done && !st.phase.Gang &&
+		len(st.tasks[index].failedAttempts) >= max(1, st.job.record.Queue.MaxAttempts)
+}
--- a/scheduler/guests.go
+++ b/scheduler/guests.go
@@ -81,7 +81,7 @@
 		}
 		j.guest.grants = append(j.guest.grants, restored)
 		if !j.state.Final() {
-			s.takeGranted(j, restored, true, now)
+			s.takeGranted(j, restored, now)
 		}
 	}
 	if !j.state.Final() && stored.Job.Organisation != "" && !s.recoveryDone {
@@ -95,40 +95,54 @@
 	s.heldGuests[id] = true
 }
 
-// takeGranted has the tasks of a grant wait here, once it is stored. What this owner knew of their
-// attempts before a new grant is in the grant.
-func (s *Scheduler) takeGranted(j *job, g *grant, restored bool, now time.Time) {
+// grantedStep returns the step of a grant. A new one belongs to the home owner as a whole.
+func (s *Scheduler) grantedStep(j *job, g *grant, now time.Time) *step {
 	ref := g.step(j.record.ID)
+	if st := j.steps[ref]; st != nil {
+		return st
+	}
+	s.createStep(j, ref.Occurrence, ref.Phase, j.record.dueAt(ref.Occurrence), now)
 	st := j.steps[ref]
-	if st == nil {
-		s.createStep(j, ref.Occurrence, ref.Phase, j.record.dueAt(ref.Occurrence), now)
-		st = j.steps[ref]
-		for i := range st.tasks {
-			if !st.tasks[i].done {
-				st.leaveUngranted(i)
-			}
+	for i := range st.tasks {
+		if !st.tasks[i].done {
+			st.leaveUngranted(i)
+		}
+	}
+	return st
+}
+
+// takeGranted has the tasks of a grant wait here, once it is stored.
+func (s *Scheduler) takeGranted(j *job, g *grant, now time.Time) {
+	st := s.grantedStep(j, g, now)
+	for _, i := range st.validIndexes(g.Tasks) {
+		if st.tasks[i].elsewhere {
+			st.take(i)
 		}
 	}
+	if st.phase.Gang {
+		// All members are placed together.
+		s.dropHeld(st, now)
+	}
+	s.openIfReady(st, now)
+}
+
+// learnAttempts replaces what this owner knew of the attempts of a new grant's tasks by what the home
+// owner says. It is stored with the grant.
+func (st *step) learnAttempts(g *grant, checkpoints map[int]string) {
+	if st.phase.Gang {
+		return
+	}
 	for _, i := range st.validIndexes(g.Tasks) {
 		t := &st.tasks[i]
 		if !t.elsewhere {
 			continue
 		}
-		st.take(i)
-		if restored || st.phase.Gang {
-			continue
-		}
-		t.checkpoint = g.checkpoints[i]
+		t.checkpoint = checkpoints[i]
 		t.failedAttempts = nil
 		for n := range min(g.Failed[i], failureRange-1) {
 			t.failedAttempts = append(t.failedAttempts, -int64(n)-1)
 		}
 	}
-	if st.phase.Gang {
-		// All members are placed together.
-		s.dropHeld(st, now)
-	}
-	s.openIfReady(st, now)
 }
 
 // leaveUngranted has a task of a new step belong to the home owner. What is stored of its
@@ -223,10 +237,10 @@
 			continue
 		}
 		g := &grant{
-			Grant:       told.clone(),
-			checkpoints: message.Checkpoints,
+			Grant: told.clone(),
 		}
 		g.Returned = nil
+		s.grantedStep(j, g, now).learnAttempts(g, message.Checkpoints)
 		j.guest.grants = append(j.guest.grants, g)
 		s.dirtyJobs[j.record.ID] = true
 		s.addNote(fmt.Sprintf("%d tasks are run for the owner of partition %d", len(g.Tasks), j.guest.home), TaskRef{
@@ -279,6 +293,7 @@
 		if st != nil {
 			of.Failed = st.ownFailureCounts(of.Returned)
 			of.Checkpoints = st.checkpoints(of.Returned)
+			of.Never = st.neverHere
 		}
 		state.Grants = append(state.Grants, of)
 	}
@@ -307,11 +322,10 @@
 	return n
 }
 
-// keeps reports whether tasks of the step were granted as the home owner's workers could never
-// take them.
+// keeps reports whether tasks of the step were granted although no owner had room for them.
 func (g *guest) keeps(ref StepRef) bool {
 	return slices.ContainsFunc(g.grants, func(of *grant) bool {
-		return of.Keep && len(of.Tasks) > 0 && of.step(ref.Job) == ref
+		return !of.Returnable && len(of.Tasks) > 0 && of.step(ref.Job) == ref
 	})
 }
 
@@ -339,6 +353,7 @@
 	if len(indexes) == 0 {
 		return
 	}
+	st.neverHere = st.noPlaces.tasks > 0
 	st.noRoom, st.noPlaces = shortage{}, shortage{}
 	if st.waiting == 0 {
 		delete(s.openSteps, st.ref)
@@ -390,7 +405,7 @@
 			first := !g.stored
 			g.written(written)
 			if first && !j.state.Final() {
-				s.takeGranted(j, g, false, s.tickedAt)
+				s.takeGranted(j, g, s.tickedAt)
 			}
 		}
 	}
--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -148,6 +148,7 @@
 		}
 	}
 	s.recordSpare(pools)
+	s.grantCrowded(now)
 	for _, p := range pools {
 		s.preemptForStarved(p, now)
 	}
@@ -163,8 +164,10 @@
 func (s *Scheduler) recordSpare(pools map[string]*pool) {
 	clear(s.reserved)
 	clear(s.spare)
+	clear(s.spareLong)
 	for service, p := range pools {
 		s.spare[service] = p.freeCapacity
+		s.spareLong[service] = p.spareMilliCores
 		for w := range p.reservedUntil {
 			s.reserved[w] = true
 		}
--- a/scheduler/room.go
+++ b/scheduler/room.go
@@ -46,13 +46,16 @@
 type Room struct {
 	// Spare is the free capacity of all workers, less what the owner's own steps are about to
 	// take.
-	Spare  sizer.Size
-	Groups []RoomGroup
+	Spare sizer.Size
+	// LongMilliCores is how many thousandths of a core of it are left for steps that leave
+	// headroom to more urgent queues.
+	LongMilliCores int64
+	Groups         []RoomGroup
 }
 
 // valid reports whether the room can be that of a shard.
 func (r Room) valid() bool {
-	if len(r.Groups) > maxRoomGroups || r.Spare.IsNegative() {
+	if len(r.Groups) > maxRoomGroups || r.Spare.IsNegative() || r.LongMilliCores < 0 {
 		return false
 	}
 	return !slices.ContainsFunc(r.Groups, func(g RoomGroup) bool {
@@ -67,7 +70,8 @@
 		return Room{}
 	}
 	room := Room{
-		Spare: s.spare[query.Service].Max(sizer.Size{}),
+		Spare:          s.spare[query.Service].Max(sizer.Size{}),
+		LongMilliCores: max(0, s.spareLong[query.Service]),
 	}
 	for _, w := range s.workers {
 		if w.entry.Service != query.Service || !w.available(now) || s.storedAsSilent(w.entry.Ref.ID) {
@@ -103,9 +107,38 @@
 		return cmp.Or(compareSizes(b.Free, a.Free), compareSizes(b.Ever, a.Ever), slices.Compare(a.Labels, b.Labels), cmp.Compare(b.Workers, a.Workers))
 	})
 	room.Groups = room.Groups[:min(len(room.Groups), maxRoomGroups)]
+	return s.withoutGuests(query.Service, room)
+}
+
+// withoutGuests takes off the room what tasks of other owners' jobs are about to take, which have no
+// run yet.
+func (s *Scheduler) withoutGuests(service string, room Room) Room {
+	for id := range s.guests {
+		j := s.jobs[id]
+		if j == nil || j.state.Final() || j.record.Queue.Service != service {
+			continue
+		}
+		for _, st := range j.steps {
+			if st.waiting > 0 {
+				room.shrink(st, st.waiting)
+			}
+		}
+		for _, g := range j.guest.grants {
+			if st := j.steps[g.step(id)]; st != nil && !g.stored {
+				room.shrink(st, len(g.Tasks))
+			}
+		}
+	}
 	return room
 }
 
+// shrink takes what n tasks of the step need off the sums of the room.
+func (r *Room) shrink(st *step, n int) {
+	size := taskSize(st.phase)
+	r.Spare = r.Spare.Sub(size.Times(int64(n))).Max(sizer.Size{})
+	r.LongMilliCores = max(0, r.LongMilliCores-size.MilliCores()*int64(n))
+}
+
 // compareSizes orders sizes by their cores, then by what else they have.
 func compareSizes(a, b sizer.Size) int {
 	return cmp.Or(cmp.Compare(a.MilliCores(), b.MilliCores()), cmp.Compare(a.Accelerators(), b.Accelerators()), cmp.Compare(a.Bytes(), b.Bytes()))
@@ -162,13 +195,25 @@
 	if !ever {
 		n = min(n, countFitting(taskSize(st.phase), k.room.Spare))
 	}
+	if milliCores := taskSize(st.phase).MilliCores(); !ever && st.yields && milliCores > 0 {
+		n = min(n, int(k.room.LongMilliCores/milliCores))
+	}
 	return n
 }
 
+// largest returns the maximum of each resource that a worker of the room has.
+func (k *knownRoom) largest() sizer.Size {
+	var largest sizer.Size
+	for _, g := range k.room.Groups {
+		largest = largest.Max(g.Free).Max(g.Ever)
+	}
+	return largest
+}
+
 // take takes n tasks of the step off the room, from the groups that they fill best. A worker that
 // gets any counts as full.
 func (k *knownRoom) take(st *step, n int) {
-	k.room.Spare = k.room.Spare.Sub(taskSize(st.phase).Times(int64(n))).Max(sizer.Size{})
+	k.room.shrink(st, n)
 	for i := len(k.room.Groups) - 1; i >= 0 && n > 0; i-- {
 		g := &k.room.Groups[i]
 		each := g.takes(st, false)
--- a/scheduler/room_fuzz_test.go
+++ b/scheduler/room_fuzz_test.go
@@ -47,7 +47,7 @@
 		for range 15 {
 			w.rounds(1, false)
 			if queries := w.home.s.RoomRequests(w.home.now)[1]; len(queries) > 0 {
-				w.home.s.RoomAnswered(1, queries, rooms, w.home.now)
+				w.home.s.RoomAnswered(1, queries, rooms, w.home.now, w.home.now)
 			}
 		}
 		qt.Assert(t, w.home.s.GrantedTasks() <= 6, qt.IsTrue)
--- a/scheduler/room_test.go
+++ b/scheduler/room_test.go
@@ -320,8 +320,8 @@
 			for range withinBound {
 				w.rounds(1, false)
 				if queries := w.home.s.RoomRequests(w.home.now)[1]; len(queries) > 0 {
-					w.home.s.RoomAnswered(1, queries, []scheduler.Room{room, room}, w.home.now)
-					w.home.s.RoomAnswered(7, queries, []scheduler.Room{room}, w.home.now)
+					w.home.s.RoomAnswered(1, queries, []scheduler.Room{room, room}, w.home.now, w.home.now)
+					w.home.s.RoomAnswered(7, queries, []scheduler.Room{room}, w.home.now, w.home.now)
 				}
 				for _, note := range w.home.s.Notes() {
 					if strings.Contains(note.Text, "cannot be") {
@@ -334,3 +334,153 @@
 		})
 	}
 }
+
+// takeOverDelegate replaces the owner of the delegate's partition.
+func (w *wideRig) takeOverDelegate(token int64) {
+	d := w.delegate
+	d.s = scheduler.New(token, d.now)
+	var entries []scheduler.WorkerEntry
+	for _, worker := range d.workersByID {
+		entries = append(entries, worker.entry)
+	}
+	d.s.AddFormerWorkers(d.storedWorkers)
+	for _, guest := range d.storedGuests {
+		d.s.RestoreGuest(guest, d.now)
+	}
+	d.s.SetWorkers(entries)
+}
+
+// leave has all workers of an owner leave, or stay.
+func leave(r *rig, leaving bool) {
+	for _, worker := range r.workersByID {
+		worker.entry.Leaving = leaving
+	}
+	r.updateDirectory()
+}
+
+// awaitRounds plays rounds until the condition holds, at most a minute.
+func (w *wideRig) awaitRounds(condition func() bool) {
+	for round := 0; !condition(); round++ {
+		w.home.c.Assert(round < 600, qt.IsTrue)
+		w.rounds(1, true)
+	}
+}
+
+// TestFailuresBeforeAGrantOutliveATakeover guards against more failed attempts than are allowed,
+// as the delegate was replaced before the granted task started.
+func TestFailuresBeforeAGrantOutliveATakeover(t *testing.T) {
+	w := newWideRig(t)
+	job := w.home.job("failing", newPhase(1, cores(2)))
+	job.Queue.MaxAttempts = 2
+	w.home.s.AddJob(job, nil, false, w.home.now)
+	w.rounds(3, true)
+	w.home.endAll(0, scheduler.EndFailed)
+	leave(w.home, true)
+	w.awaitRounds(func() bool { return len(w.delegate.storedGuests) > 0 })
+	w.takeOverDelegate(2)
+	w.awaitRounds(func() bool { return w.delegate.activeRuns() > 0 })
+	w.delegate.endAll(0, scheduler.EndFailed)
+	w.rounds(withinBound, true)
+	w.home.c.Assert(w.home.state("failing"), qt.Equals, scheduler.Failed)
+	w.home.c.Assert(totalStarts(w.home, "failing")+totalStarts(w.delegate, "failing"), qt.Equals, 2)
+}
+
+// TestFailuresAreCountedOnceAfterATakeover guards against a job that is given up early, as a delegate
+// reports a failure for two grants.
+func TestFailuresAreCountedOnceAfterATakeover(t *testing.T) {
+	w := newWideRig(t)
+	job := w.home.job("failing", newPhase(1, cores(2)))
+	job.Queue.MaxAttempts = 3
+	leave(w.home, true)
+	w.home.s.AddJob(job, nil, false, w.home.now)
+	w.awaitRounds(func() bool { return w.delegate.activeRuns() > 0 })
+	leave(w.delegate, true)
+	w.delegate.endAll(0, scheduler.EndFailed)
+	w.awaitRounds(func() bool { return w.home.s.GrantedTasks() == 0 })
+	leave(w.delegate, false)
+	w.awaitRounds(func() bool { return w.delegate.storedGuests["failing"].LastGrant >= 2 })
+	w.takeOverDelegate(2)
+	leave(w.delegate, true)
+	w.awaitRounds(func() bool { return w.home.s.GrantedTasks() == 0 })
+	leave(w.home, false)
+	w.awaitRounds(func() bool { return w.home.activeRuns() > 0 })
+	w.home.endAll(0, scheduler.EndFailed)
+	w.rounds(3, true)
+	w.home.c.Assert(w.home.state("failing"), qt.Equals, scheduler.Running)
+}
+
+// TestRoomIsUsedAlthoughTasksWereReturned guards against tasks that wait beside an idle shard, as it
+// had to return them several times before.
+func TestRoomIsUsedAlthoughTasksWereReturned(t *testing.T) {
+	for times := 1; times <= 5; times++ {
+		w := newCrowdedRig(t)
+		for _, worker := range w.home.workersByID {
+			worker.runTime = 100 * time.Second
+		}
+		w.home.s.AddJob(w.home.job("waiting", newPhase(1, cores(2))), nil, false, w.home.now)
+		for n := range times {
+			w.awaitRounds(func() bool { return w.home.s.GrantedTasks() > 0 })
+			w.delegate.s.AddJob(w.delegate.job(fmt.Sprint("taken", n), newPhase(2, cores(4))), nil, false, w.delegate.now)
+			w.delegate.tick()
+			w.awaitRounds(func() bool { return w.home.s.GrantedTasks() == 0 })
+			w.delegate.endAll(0, scheduler.EndDone)
+		}
+		w.rounds(withinBound, true)
+		w.home.c.Assert(totalStarts(w.home, "waiting")+totalStarts(w.delegate, "waiting"), qt.Equals, 1, qt.Commentf("returned %d times", times))
+	}
+}
+
+// TestRoomIsOfferedOnceWhileGrantsAreUnstored guards against many tasks that are left to an owner with
+// room for two, as its answers do not count those under way.
+func TestRoomIsOfferedOnceWhileGrantsAreUnstored(t *testing.T) {
+	w := newCrowdedRig(t)
+	for i := range 40 {
+		w.home.s.AddJob(w.home.job(fmt.Sprintf("waiting%02d", i), newPhase(1, cores(4))), nil, false, w.home.now)
+	}
+	for range withinBound {
+		w.home.advance(100 * time.Millisecond)
+		w.home.renewLeases()
+		w.home.carryOut(w.home.s.Tick(w.home.now))
+		w.delegate.round()
+		w.delegate.write()
+		w.askRoom()
+	}
+	w.home.c.Assert(w.home.s.GrantedTasks(), qt.Equals, 2)
+}
+
+// TestHeadroomOfAShardIsNoRoom guards against tasks that wait until the last moment for their shard, as
+// they leave its last cores to more urgent queues, while another shard is idle.
+func TestHeadroomOfAShardIsNoRoom(t *testing.T) {
+	w := newCrowdedRig(t)
+	phase := newPhase(1, cores(1))
+	phase.Checkpoints = true
+	job := w.home.job("waiting", phase)
+	job.Queue = scheduler.Queue{
+		Name:        "background",
+		Service:     "desk",
+		Priority:    1,
+		MaxAttempts: 2,
+		SlackFactor: 2,
+		Target:      20 * time.Second,
+	}
+	w.home.s.AddJob(job, nil, false, w.home.now)
+	w.rounds(withinBound, true)
+	w.home.c.Assert(totalStarts(w.home, "waiting")+totalStarts(w.delegate, "waiting"), qt.Equals, 1)
+}
+
+// TestCrowdedOwnerWithoutPartsGrants guards against tasks that wait for parts of their organisation's
+// maximum that their owner does not ask for, as its workers have no room for them.
+func TestCrowdedOwnerWithoutPartsGrants(t *testing.T) {
+	w := newWideRig(t)
+	full := newPhase(2, cores(4))
+	full.Estimate = time.Minute
+	w.home.s.AddJob(w.home.job("full", full), nil, false, w.home.now)
+	w.rounds(3, true)
+	w.home.limitTo(cores(8))
+	w.home.s.SetHeldParts("a", 0)
+	job := w.home.job("waiting", newPhase(1, sizer.New(200, gibibyte, 0)))
+	job.Organisation = "a"
+	w.home.s.AddJob(job, nil, false, w.home.now)
+	w.rounds(withinBound, true)
+	w.home.c.Assert(w.home.s.GrantedTasks(), qt.Equals, 1)
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -120,14 +120,18 @@
 	// rooms holds what other owners last said of their room, by service and partition.
 	// roomAskedAt is the time at which some were last asked, and roomRound counts these times.
 	// oddRoomAt is the time of the last note on an answer that cannot be.
-	rooms       map[string]map[int]*knownRoom
-	roomAskedAt time.Time
-	roomRound   int
-	oddRoomAt   time.Time
+	// roomsChanged is set if an answer came since tasks were last granted.
+	rooms        map[string]map[int]*knownRoom
+	roomAskedAt  time.Time
+	roomRound    int
+	oddRoomAt    time.Time
+	roomsChanged bool
 	// reserved holds the workers that were reserved in the last tick, and spare, by service, the
-	// free capacity that was left then for others.
-	reserved map[*worker]bool
-	spare    map[string]sizer.Size
+	// free capacity that was left then for others. spareLong holds how many thousandths of a
+	// core of it were left for steps that leave headroom.
+	reserved  map[*worker]bool
+	spare     map[string]sizer.Size
+	spareLong map[string]int64
 	// grantingJobs holds the identities of the jobs with grants to other owners, guests
 	// those of the jobs of other partitions, and heldGuests those of such jobs whose stored
 	// state cannot be decoded. Nothing of the latter runs.
@@ -235,6 +239,7 @@
 		rooms:              make(map[string]map[int]*knownRoom),
 		reserved:           make(map[*worker]bool),
 		spare:              make(map[string]sizer.Size),
+		spareLong:          make(map[string]int64),
 		nextBatch:          1,
 		allotments:         newAllotments(),
 		losses:             newLosses(),
--- a/scheduler/shortage.go
+++ b/scheduler/shortage.go
@@ -11,6 +11,8 @@
 const (
 	// shortageCheckInterval is the interval at which it is checked what a waiting step lacks.
 	shortageCheckInterval = 200 * time.Millisecond
+	// shortageExpiry is the age from which on an earlier check says nothing about now.
+	shortageExpiry = 5 * shortageCheckInterval
 	// roomMissingFor is how long a step must have lacked room before other owners are asked.
 	// Most steps that wait find room by then, as runs end all the time.
 	roomMissingFor = 250 * time.Millisecond
@@ -66,7 +68,12 @@
 		return false
 	}
 	if now.Sub(st.shortageCheckedAt) >= shortageCheckInterval {
+		if now.Sub(st.shortageCheckedAt) > shortageExpiry {
+			// It did not wait meanwhile.
+			st.noRoom, st.noPlaces = shortage{}, shortage{}
+		}
 		st.shortageCheckedAt = now
+		st.yields = st.leavesHeadroom(p, now)
 		room, places := s.roomAndPlaces(st, p, now)
 		st.noRoom.update(st.waiting-room, now)
 		st.noPlaces.update(st.waiting-places, now)
@@ -81,6 +88,9 @@
 	size := taskSize(st.phase)
 	// Steps that were placed before are about to take what is free beyond this.
 	spare := countFitting(size, p.freeCapacity)
+	if st.yields && size.MilliCores() > 0 {
+		spare = min(spare, int(max(0, p.spareMilliCores)/size.MilliCores()))
+	}
 	if st.barringCall(false, now) != nil {
 		spare += st.adviceState.expectedTasks
 	}
--- a/scheduler/tables.go
+++ b/scheduler/tables.go
@@ -124,6 +124,9 @@
 	// end by themselves.
 	noRoom, noPlaces  shortage
 	shortageCheckedAt time.Time
+	// yields is set if the step left headroom to more urgent queues then. neverHere is set at a
+	// delegate that has returned tasks which its workers could never take.
+	yields, neverHere bool
 	// order is what the home owner has decided for a gang of which several owners have
 	// members. notReady is one more than the lowest partition whose owner holds no workers for
 	// its members, 0 if all do. heldSince is the time since which one does, zero if none does,
--- a/scheduler/wide_model_test.go
+++ b/scheduler/wide_model_test.go
@@ -244,7 +244,7 @@
 			delegate = w.shards[to].anyOwner()
 		}
 		if !delegate.superseded {
-			o.s.RoomAnswered(to, queries, roomsOf(delegate.s, queries, m.now), m.now)
+			o.s.RoomAnswered(to, queries, roomsOf(delegate.s, queries, m.now), m.now, m.now)
 		}
 	}
 }
--- a/scheduler/wide_rig_test.go
+++ b/scheduler/wide_rig_test.go
@@ -53,7 +53,7 @@
 // askRoom lets the home owner ask the delegate for its room, if that is due.
 func (w *wideRig) askRoom() {
 	if queries := w.home.s.RoomRequests(w.home.now)[1]; len(queries) > 0 {
-		w.home.s.RoomAnswered(1, queries, roomsOf(w.delegate.s, queries, w.delegate.now), w.home.now)
+		w.home.s.RoomAnswered(1, queries, roomsOf(w.delegate.s, queries, w.delegate.now), w.home.now, w.home.now)
 	}
 }
 
