scheduler: a call for advice that hangs no longer keeps tasks that end by themselves waiting

Cause: barringCall let a second call pass an overdue one for lasting tasks only. For all other steps one call barred every further one until it was answered or had failed at three entries, up to 4 s each.

Change: the rule for overdue calls holds for all steps, at most three calls each. Those of tasks that end by themselves pass an overdue call only while the next one is within half of the owner's calls of that kind. What asks whether a step still awaits capacity looks at the calls in flight, as before.

TestOverdueCallsOfTasksThatEnd- LeaveCallsToOthers bounds the calls while none is answered.

--- a/scheduler/advice.go
+++ b/scheduler/advice.go
@@ -32,7 +32,7 @@
 	// adviceOverdueAfter is the time after which an expected answer counts as overdue. It
 	// allows for a short wait behind the calls of other owners.
 	adviceOverdueAfter = 500 * time.Millisecond
-	// maxCallsPerStep limits the calls in flight of one step of lasting tasks.
+	// maxCallsPerStep limits the calls in flight of one step.
 	maxCallsPerStep = 3
 	// adviceDelivery is the time to deliver a call and its answer. It is added to
 	// the cost of a call.
@@ -55,16 +55,16 @@
 }
 
 // requestAdvice calls the adviser about workers that could run the step's
-// waiting tasks, unless a call is in flight or has just failed.
+// waiting tasks, unless a call that bars it is in flight or one has just failed.
 func (s *Scheduler) requestAdvice(st *step, p *pool, now time.Time) {
-	if !st.mayCall(false, now) {
+	if !s.mayCall(st, false, now) {
 		return
 	}
 	tasks := min(st.waiting, s.allowedToAsk(st))
 	if tasks == 0 && st.waiting > 0 {
 		// The maximum of the organisation allows no start. Tasks may start once others
 		// have ended, but no other step may wait for this call.
-		if !s.hasSpareCalls() {
+		if !s.hasSpareCalls(true) || !s.hasSpareCalls(false) {
 			return
 		}
 		tasks = min(st.waiting, s.blockedTasksAhead(st))
@@ -175,26 +175,35 @@
 }
 
 // barringCall returns a call in flight that must be answered before another one is made for
-// the step, or nil if there is none. Only steps of lasting tasks have more than one: callers
-// depend on these all the time, and there are few of them.
-func (st *step) barringCall(renewal bool, now time.Time) *adviceCall {
+// the step, or nil if there is none.
+func (s *Scheduler) barringCall(st *step, renewal bool, now time.Time) *adviceCall {
 	for i := range st.adviceState.calls {
 		call := &st.adviceState.calls[i]
-		// The entry that makes an overdue call may have lost touch with the adviser, and the
-		// next call is made through another one. A call about further workers may take
-		// several times as long as the renewal of the tickets for approved ones.
-		passable := now.Sub(call.answerDueAt) > adviceOverdueAfter || renewal && !call.renewal
-		if !st.phase.Lasting || !passable {
+		if !s.mayPass(st, call, renewal, now) {
 			return call
 		}
 	}
 	return nil
 }
 
+// mayPass reports whether another call may be made for the step before this one is answered.
+// Callers depend on lasting tasks all the time, and there are few of them. Other steps only
+// use calls that are spare, as they are many and the adviser may be overloaded.
+func (s *Scheduler) mayPass(st *step, call *adviceCall, renewal bool, now time.Time) bool {
+	// The entry that makes an overdue call may have lost touch with the adviser, and the
+	// next call is made through another one. A call about further workers may take
+	// several times as long as the renewal of the tickets for approved ones.
+	overdue := now.Sub(call.answerDueAt) > adviceOverdueAfter
+	if st.phase.Lasting {
+		return overdue || renewal && !call.renewal
+	}
+	return overdue && s.hasSpareCalls(call.quick)
+}
+
 // mayCall reports whether a call to the adviser may be made for the step: none that bars it
 // is in flight, and none has just failed.
-func (st *step) mayCall(renewal bool, now time.Time) bool {
-	return st.barringCall(renewal, now) == nil && len(st.adviceState.calls) < maxCallsPerStep && !now.Before(st.adviceState.retryAt)
+func (s *Scheduler) mayCall(st *step, renewal bool, now time.Time) bool {
+	return s.barringCall(st, renewal, now) == nil && len(st.adviceState.calls) < maxCallsPerStep && !now.Before(st.adviceState.retryAt)
 }
 
 // callAdviser calls the adviser about these workers, unless a call that bars it is in flight
@@ -205,7 +214,7 @@
 		return
 	}
 	purpose := st.callPurpose(workers)
-	if !st.mayCall(purpose == AskRenewal, now) || s.reportsAwaited && (st.phase.Gang || st.reservesWorkers()) {
+	if !s.mayCall(st, purpose == AskRenewal, now) || s.reportsAwaited && (st.phase.Gang || st.reservesWorkers()) {
 		return
 	}
 	workers = workers[:min(len(workers), maxAskedWorkers)]
--- a/scheduler/advice_blocked.go
+++ b/scheduler/advice_blocked.go
@@ -48,10 +48,10 @@
 	return false
 }
 
-// hasSpareCalls reports whether at most half of the calls to the adviser would be in flight
-// with one more of either kind. Which kind a call is follows from the workers that it names.
-func (s *Scheduler) hasSpareCalls() bool {
-	return 2*(s.adviceInFlight[true]+1) <= s.adviceLimits[true] && 2*(s.adviceInFlight[false]+1) <= s.adviceLimits[false]
+// hasSpareCalls reports whether at most half of the quick or of the long calls to the adviser
+// would be in flight with one more.
+func (s *Scheduler) hasSpareCalls(quick bool) bool {
+	return 2*(s.adviceInFlight[quick]+1) <= s.adviceLimits[quick]
 }
 
 // blockedTasksAhead returns for how many tasks of a blocked step to ask: the share
--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -219,10 +219,10 @@
 	if st.waiting > 0 && st.job.record.Queue.Advice != nil {
 		s.requestAdvice(st, p, now)
 	}
-	if st.waiting > 0 && st.barringCall(false, now) == nil && !st.reservesWorkers() && st.rank(now) == rankInTime && !s.fitsSomewhere(st, p, now) && s.holdStarved(st) {
+	if st.waiting > 0 && len(st.adviceState.calls) == 0 && !st.reservesWorkers() && st.rank(now) == rankInTime && !s.fitsSomewhere(st, p, now) && s.holdStarved(st) {
 		p.starvedSteps = append(p.starvedSteps, st)
 	}
-	if st.barringCall(false, now) != nil {
+	if len(st.adviceState.calls) > 0 {
 		// The step will soon take this capacity. For a step that waits for
 		// particular workers, expectedTasks is 0, so nothing is subtracted and
 		// lower-ranked steps can use the capacity.
--- a/scheduler/preempting.go
+++ b/scheduler/preempting.go
@@ -300,7 +300,7 @@
 	named := slices.IndexFunc(st.adviceState.calls, func(call adviceCall) bool {
 		return slices.Contains(call.workers, v.worker.entry.Ref.ID)
 	})
-	switch barring := st.barringCall(true, now); {
+	switch barring := s.barringCall(st, true, now); {
 	case s.hasValidTicket(st, v.worker, v.freeAt):
 	case named >= 0:
 		ticketAt = st.adviceState.calls[named].answerDueAt
--- a/scheduler/shortage.go
+++ b/scheduler/shortage.go
@@ -81,7 +81,7 @@
 	size := taskSize(st.phase)
 	// Steps that were placed before are about to take what is free beyond this.
 	spare := countFitting(size, p.freeCapacity)
-	if st.barringCall(false, now) != nil {
+	if len(st.adviceState.calls) > 0 {
 		spare += st.adviceState.expectedTasks
 	}
 	reserved, others := 0, 0
--- a/scheduler/unanswered_advice_test.go
+++ b/scheduler/unanswered_advice_test.go
@@ -95,3 +95,22 @@
 		})
 	}
 }
+
+// TestOverdueCallsOfTasksThatEndLeaveCallsToOthers guards against a flood of calls for steps whose
+// tasks end by themselves while the adviser answers none.
+func TestOverdueCallsOfTasksThatEndLeaveCallsToOthers(t *testing.T) {
+	for _, kind := range endingSteps {
+		for _, limit := range []int{1, 3, 4, 10} {
+			l := newLastingRig(t, 90)
+			l.s.SetAdviceLimits(limit, limit)
+			l.addEndingJob(profileQueue, 8, kind.size, kind.gang)
+			for range 8 * time.Second / (20 * time.Millisecond) {
+				l.hang(12 * time.Second)
+				l.steps(20 * time.Millisecond)
+			}
+			// At most half of the calls, and three for each step.
+			l.c.Assert(l.pendingCalls, qt.HasLen, max(1, min(limit/2, 3)))
+			l.c.Assert(l.callsInFlight(), qt.Equals, len(l.pendingCalls))
+		}
+	}
+}
