scheduler: red test of gangs that wait for a call about further workers

26 tasks of whole workers, as a gang or not, have 30 approved workers with room that lack only a new ticket. A call about 94 workers that have joined, behind another one of the same length, keeps the tickets from being renewed: nothing runs 3 s later.

--- a/scheduler/unanswered_advice_test.go
+++ b/scheduler/unanswered_advice_test.go
@@ -114,3 +114,26 @@
 		}
 	}
 }
+
+// TestTicketsOfGangsAreRenewedBesideACallAboutFurtherWorkers guards against LOST: a gang or tasks
+// that need whole workers wait for a long call about workers that have joined, while approved
+// workers with room lack only a new ticket.
+func TestTicketsOfGangsAreRenewedBesideACallAboutFurtherWorkers(t *testing.T) {
+	for _, kind := range endingSteps[:2] {
+		t.Run(kind.name, func(t *testing.T) {
+			l := newBusyRig(t, 100)
+			l.addEndingJob(lastingQueue, 26, kind.size, kind.gang)
+			l.steps(5 * time.Second)
+			l.c.Assert(l.pendingCalls, qt.HasLen, 0)
+			l.addWorkers(94)
+			l.updateDirectory()
+			l.awaitCall()
+			l.c.Assert(l.pendingCalls[0].ask.Purpose, qt.Equals, scheduler.AskMore)
+			// The call waits behind another one of the same length.
+			l.hang(2 * l.pendingCalls[0].ask.Cost)
+			l.endAll(0, scheduler.EndDone)
+			l.steps(maxIdleWithRoom)
+			l.c.Assert(l.runsOf("waiting"), qt.Equals, 26)
+		})
+	}
+}
