scheduler: tickets of all steps are renewed beside a call about further workers

Cause: a call about workers that have joined, or about those beyond the first 100, takes up to 1.8 s and as long again behind another one, and tickets are valid for 2 s. Only lasting tasks renewed tickets beside it.

Change: the exception for lasting tasks is gone. A renewal passes a call about further workers for all steps, while it is within half of the owner's calls if the tasks end by themselves.

--- a/scheduler/advice.go
+++ b/scheduler/advice.go
@@ -193,11 +193,8 @@
 	// The entry that makes an overdue call may have lost touch with the adviser, and the
 	// next call is made through another one. A call about further workers may take
 	// several times as long as the renewal of the tickets for approved ones.
-	overdue := now.Sub(call.answerDueAt) > adviceOverdueAfter
-	if st.phase.Lasting {
-		return overdue || renewal && !call.renewal
-	}
-	return overdue && s.hasSpareCalls(call.quick)
+	passable := now.Sub(call.answerDueAt) > adviceOverdueAfter || renewal && !call.renewal
+	return passable && (st.phase.Lasting || s.hasSpareCalls(call.quick))
 }
 
 // mayCall reports whether a call to the adviser may be made for the step: none that bars it
