--- a/scheduler/unanswered_advice_test.go
+++ b/scheduler/unanswered_advice_test.go
@@ -137,3 +137,16 @@
 		})
 	}
 }
+
+// TestGangOfMoreWorkersThanOneCallNamesStarts guards against LOST: the tickets for the first 100
+// workers of a gang are renewed again and again, and those for the others never.
+func TestGangOfMoreWorkersThanOneCallNamesStarts(t *testing.T) {
+	l := newBusyRig(t, 194)
+	l.approves = approveAll
+	l.addEndingJob(profileQueue, 120, cores(16), true)
+	l.steps(6 * time.Second)
+	l.c.Assert(l.pendingCalls, qt.HasLen, 0)
+	l.endAll(0, scheduler.EndDone)
+	l.steps(maxIdleWithRoom)
+	l.c.Assert(l.runsOf("waiting"), qt.Equals, 120, qt.Commentf("%d calls", l.callCounts["waiting"]))
+}
