scheduler: calls for advice about more than 100 workers take turns

What callers saw: a gang that needs more than 100 approved workers of its owner does not start once their tickets have expired, beside free ones.

Cause: a call names 100 workers at most, and a renewal named the first 100 in the order of the placement each time, so the others never had a valid ticket.

Change: a call that cannot name all workers names those whose tickets expire first, and those without one before them.

Calls that take more than about 0.9 s for 100 workers still need more than 3 s for two in a row.

--- a/scheduler/advice.go
+++ b/scheduler/advice.go
@@ -214,7 +214,9 @@
 	if !s.mayCall(st, purpose == AskRenewal, now) || s.reportsAwaited && (st.phase.Gang || st.reservesWorkers()) {
 		return
 	}
-	workers = workers[:min(len(workers), maxAskedWorkers)]
+	if len(workers) > maxAskedWorkers {
+		workers = st.sortByTicket(workers)[:maxAskedWorkers]
+	}
 	cost := st.job.record.Queue.Advice.Cost(len(workers))
 	if s.adviceInFlight[cost <= MaxQuickCallDuration] >= s.adviceLimits[cost <= MaxQuickCallDuration] {
 		// The call is made once another one has ended, about the workers that
@@ -249,6 +251,14 @@
 	})
 }
 
+// sortByTicket returns the workers in the order in which the step's tickets for them expire,
+// first those without one. Calls that cannot name all of them thus take turns.
+func (st *step) sortByTicket(workers []*worker) []*worker {
+	return slices.SortedStableFunc(slices.Values(workers), func(a, b *worker) int {
+		return st.adviceState.tickets[a.entry.Ref.ID].expiresAt.Compare(st.adviceState.tickets[b.entry.Ref.ID].expiresAt)
+	})
+}
+
 // callPurpose returns the purpose of a call about these workers.
 func (st *step) callPurpose(workers []*worker) AskPurpose {
 	if len(st.adviceState.askedWorkers) == 0 {
