--- a/scheduler/shortage.go
+++ b/scheduler/shortage.go
@@ -91,7 +91,7 @@
 	if st.yields && size.MilliCores() > 0 {
 		spare = min(spare, int(max(0, p.spareMilliCores)/size.MilliCores()))
 	}
-	if st.barringCall(false, now) != nil {
+	if len(st.adviceState.calls) > 0 {
 		spare += st.adviceState.expectedTasks
 	}
 	reserved, others := 0, 0
