scheduler: tasks kept by a crowded delegate go back once their owner has places

Callers saw tasks, also ones that last, wait without end for the long runs of a delegate while the workers of their own shard and of others were idle.

A grant made while the home owner's workers lacked places for 1 s, such as while all but one are unlisted or set aside, has Keep set for good. The delegate returns its tasks only if its own workers could never take them, so they waited there as long as its runs took.

TestKeptTasksReturnOnceTheirOwnerHasPlaces fails before it.

The home owner repeats each grant in its calls. It now sets Keep there only while its workers have no places for the tasks, and the delegate takes that over, so that the tasks are returned as any others that lack room. A step that is wider than its shard has no places at home and stays in the queue.

--- a/scheduler/granting.go
+++ b/scheduler/granting.go
@@ -349,7 +349,7 @@
 				Phase:      g.Phase,
 				Partition:  g.Partition,
 				Tasks:      append(slices.Clone(g.Tasks), g.returning...),
-				Keep:       g.Keep,
+				Keep:       s.stillKept(g, st, now),
 				Failed:     g.Failed,
 			},
 		}
@@ -369,6 +369,31 @@
 	return told
 }
 
+// stillKept reports whether the delegate of a grant is to keep its tasks although it lacks room: those
+// of a grant with Keep, unless this owner's workers have places for some of them by now.
+func (s *Scheduler) stillKept(g *grant, st *step, now time.Time) bool {
+	if !g.Keep || st == nil || !s.recoveryDone || now.Sub(s.ownerSince) < settlingTime {
+		return g.Keep
+	}
+	if now.Sub(g.placesCheckedAt) < shortageCheckInterval {
+		return !g.hasPlaces
+	}
+	g.placesCheckedAt = now
+	needed := st.waiting + 1
+	if st.phase.Gang {
+		needed = st.members() + len(g.Tasks)
+	} else if !st.phase.Lasting {
+		needed = 1
+	}
+	for _, w := range s.workers {
+		if needed > 0 && w.entry.Service == st.job.record.Queue.Service && w.available(now) && s.mayEverRun(st, w) {
+			needed -= st.placesOn(w)
+		}
+	}
+	g.hasPlaces = needed <= 0
+	return !g.hasPlaces
+}
+
 // DelegationAnswered records the reply of another partition's owner to a request.
 func (s *Scheduler) DelegationAnswered(partition int, request DelegationRequest, reply DelegationReply, now time.Time) {
 	for i, state := range reply.Jobs {
--- a/scheduler/grants.go
+++ b/scheduler/grants.go
@@ -21,7 +21,7 @@
 	// Returned lists the indexes of the tasks that the delegate has returned. Only the
 	// delegate keeps it.
 	Returned []int `json:"returned,omitempty"`
-	// Keep is set if the home owner's workers could never take the tasks. The delegate then
+	// Keep is set while the home owner's workers could never take the tasks. The delegate then
 	// returns them only if neither could its own.
 	Keep bool `json:"keep,omitempty"`
 	// Failed counts, by index, the attempts of the tasks that failed before.
@@ -78,6 +78,10 @@
 	// due is the time at which the home owner expects the first end of a task, zero if it does
 	// not know.
 	due time.Time
+	// hasPlaces is set if the home owner's workers had places for tasks of a grant with Keep at
+	// placesCheckedAt.
+	hasPlaces       bool
+	placesCheckedAt time.Time
 	// checkpoints holds, at the delegate, the checkpoints that the tasks had, by index.
 	checkpoints map[int]string
 }
--- a/scheduler/guests.go
+++ b/scheduler/guests.go
@@ -236,13 +236,14 @@
 }
 
 // dropTold drops the tasks of a known grant that the home owner does not list any more: it has
-// stored that they were returned or are done.
+// stored that they were returned or are done. It also takes over whether they are kept.
 func (s *Scheduler) dropTold(j *job, told Grant) {
 	i := slices.IndexFunc(j.guest.grants, func(g *grant) bool { return g.Number == told.Number })
 	if i < 0 || !j.guest.grants[i].stored {
 		return
 	}
 	g := j.guest.grants[i]
+	g.Keep = told.Keep
 	settled := func(task int) bool { return !slices.Contains(told.Tasks, task) && !slices.Contains(g.returning, task) }
 	g.Returned = slices.DeleteFunc(g.Returned, settled)
 	g.Tasks = slices.DeleteFunc(g.Tasks, func(task int) bool { return settled(task) && j.isDone(g.task(j.record.ID, task)) })
--- a/scheduler/room_test.go
+++ b/scheduler/room_test.go
@@ -334,3 +334,39 @@
 		})
 	}
 }
+
+// TestKeptTasksReturnOnceTheirOwnerHasPlaces guards against tasks that wait for the long runs of a delegate
+// while the workers of their own shard are idle, as these lacked places when the tasks were granted.
+func TestKeptTasksReturnOnceTheirOwnerHasPlaces(t *testing.T) {
+	tests := map[string]func(*scheduler.Phase){
+		"tasks that end":  func(*scheduler.Phase) {},
+		"tasks that last": func(p *scheduler.Phase) { p.Lasting = true },
+		"a gang":          func(p *scheduler.Phase) { p.Gang = true },
+	}
+	for name, change := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := newWideRig(t)
+			long := newPhase(2, cores(3))
+			long.Estimate = time.Hour
+			w.delegate.s.AddJob(w.delegate.job("long", long), nil, false, w.delegate.now)
+			for _, worker := range w.home.workersByID {
+				worker.entry.Leaving = true
+			}
+			w.home.updateDirectory()
+			phase := newPhase(2, cores(2))
+			change(&phase)
+			w.home.s.AddJob(w.home.job("waiting", phase), nil, false, w.home.now)
+			for round := 0; w.delegate.s.GuestTasks() == 0; round++ {
+				w.home.c.Assert(round < 2*withinBound, qt.IsTrue)
+				w.rounds(1, true)
+			}
+			for _, worker := range w.home.workersByID {
+				worker.entry.Leaving = false
+			}
+			w.home.updateDirectory()
+			w.rounds(withinBound, true)
+			w.home.c.Assert(totalStarts(w.home, "waiting"), qt.Equals, 2)
+			w.home.c.Assert(w.delegate.s.GuestTasks(), qt.Equals, 0)
+		})
+	}
+}
