scheduler: idle workers on which runs failed count as room for other owners

Callers saw tasks of a crowded shard wait while another one was idle, until that shard had some work of its own.

A summary of room left out workers whose last three runs failed. Their owner starts one run at a time there, and the first that succeeds ends it, but an idle shard has none to start, so its workers never counted again.

TestWorkerOnWhichRunsFailedIsRoom fails before it.

Such workers now count for one task each while they are idle, as their owner would use them.

--- a/scheduler/room.go
+++ b/scheduler/room.go
@@ -40,6 +40,8 @@
 	// Fills and Serves are set if best-effort tasks, or lasting ones with a response time
 	// target, run there.
 	Fills, Serves bool
+	// Single is set if each takes one task at a time for now, as the last runs there failed.
+	Single bool
 }
 
 // Room is the answer to a RoomQuery.
@@ -79,7 +81,8 @@
 			Fills:   w.fillingRuns > 0,
 			Serves:  w.servingRuns > 0,
 		}
-		if !s.reserved[w] && w.failureStreak < setAsideAfter && !s.hasTrial(w, now) {
+		group.Single = w.failureStreak >= setAsideAfter
+		if !s.reserved[w] && (!group.Single || len(w.runs) == 0) && !s.hasTrial(w, now) {
 			group.Free = w.freeCapacity().Max(sizer.Size{})
 		}
 		if !query.AtLeast.Fits(group.Free) && (!query.Ever || !query.AtLeast.Fits(group.Ever)) {
@@ -112,7 +115,7 @@
 }
 
 func (g RoomGroup) isLike(other RoomGroup) bool {
-	return g.Free == other.Free && g.Ever == other.Ever && g.Fills == other.Fills && g.Serves == other.Serves && slices.Equal(g.Labels, other.Labels)
+	return g.Free == other.Free && g.Ever == other.Ever && g.Fills == other.Fills && g.Serves == other.Serves && g.Single == other.Single && slices.Equal(g.Labels, other.Labels)
 }
 
 // capacityWithoutLasting returns the capacity that the worker would have if all runs had ended
@@ -144,6 +147,9 @@
 	if st.phase.PerWorker > 0 {
 		n = min(n, st.phase.PerWorker)
 	}
+	if g.Single && !ever {
+		n = min(n, 1)
+	}
 	return n
 }
 
--- a/scheduler/room_test.go
+++ b/scheduler/room_test.go
@@ -370,3 +370,32 @@
 		})
 	}
 }
+
+// TestWorkerOnWhichRunsFailedIsRoom guards against tasks that wait beside an idle shard, as runs failed on
+// its workers long ago: none of them would ever run something that shows that they work.
+func TestWorkerOnWhichRunsFailedIsRoom(t *testing.T) {
+	w := newCrowdedRig(t)
+	for i := range 6 {
+		job := w.delegate.job(fmt.Sprintf("failing%d", i), newPhase(2, cores(3)))
+		job.Queue.MaxAttempts = 1
+		w.delegate.s.AddJob(job, nil, false, w.delegate.now)
+		for w.delegate.activeRuns() < 2 {
+			w.rounds(1, true)
+		}
+		w.delegate.endAll(0, scheduler.EndFailed)
+		w.rounds(2, true)
+	}
+	w.rounds(50, true)
+	w.home.s.AddJob(w.home.job("waiting", newPhase(4, cores(2))), nil, false, w.home.now)
+	for round := 0; w.delegate.activeRuns() == 0; round++ {
+		w.home.c.Assert(round < withinBound, qt.IsTrue)
+		w.rounds(1, true)
+	}
+	w.home.c.Assert(w.delegate.activeRuns(), qt.Equals, 2, qt.Commentf("one on each worker"))
+	w.home.c.Assert(w.delegate.s.GuestTasks(), qt.Equals, 2, qt.Commentf("no more than can run"))
+	for range 10 {
+		w.delegate.endAll(0, scheduler.EndDone)
+		w.rounds(5, true)
+	}
+	w.home.c.Assert(w.home.state("waiting"), qt.Equals, scheduler.Completed)
+}
