scheduler: workers with lasting runs are tried again after failures

Callers saw gangs and tasks wait for workers with free capacity that took nothing, for as long as a run that lasts was there.

On a worker whose last three runs failed, one run at a time is tried. A run that lasts counted as the one that is tried, but has no end that shows whether the worker works, so such a worker took nothing else.

TestWorkerWithALastingRunIsTriedAgain fails before it.

A run that lasts now counts only until the worker has had it for settledAfter, the time after which it is taken not to crash its worker.

--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -350,7 +350,7 @@
 	if st.phase.PerWorker > 0 {
 		n = min(n, st.phase.PerWorker-st.runsOn(w))
 	}
-	if w.failureStreak >= setAsideAfter && len(w.runs) > 0 {
+	if w.failureStreak >= setAsideAfter && s.hasTriedRun(w, now) {
 		// A worker on which all recent runs failed is tried with one run at a time.
 		return 0
 	}
@@ -360,6 +360,17 @@
 	return n
 }
 
+// hasTriedRun reports whether the worker has a run by whose end it is seen whether it works. One that
+// lasts has no such end, so it counts only until the worker has had it for settledAfter.
+func (s *Scheduler) hasTriedRun(w *worker, now time.Time) bool {
+	for _, r := range w.runs {
+		if !r.lasting || !s.outlived(r, settledAfter, now) {
+			return true
+		}
+	}
+	return false
+}
+
 // runsOn returns the number of runs of the step on the worker.
 func (st *step) runsOn(w *worker) int {
 	n := 0
--- a/scheduler/room.go
+++ b/scheduler/room.go
@@ -82,7 +82,7 @@
 			Serves:  w.servingRuns > 0,
 		}
 		group.Single = w.failureStreak >= setAsideAfter
-		if !s.reserved[w] && (!group.Single || len(w.runs) == 0) && !s.hasTrial(w, now) {
+		if !s.reserved[w] && (!group.Single || !s.hasTriedRun(w, now)) && !s.hasTrial(w, now) {
 			group.Free = w.freeCapacity().Max(sizer.Size{})
 		}
 		if !query.AtLeast.Fits(group.Free) && (!query.Ever || !query.AtLeast.Fits(group.Ever)) {
--- a/scheduler/room_test.go
+++ b/scheduler/room_test.go
@@ -399,3 +399,44 @@
 	}
 	w.home.c.Assert(w.home.state("waiting"), qt.Equals, scheduler.Completed)
 }
+
+// TestWorkerWithALastingRunIsTriedAgain guards against workers that take nothing until the end of a run that
+// lasts, as runs beside it failed.
+func TestWorkerWithALastingRunIsTriedAgain(t *testing.T) {
+	r := newRig(t)
+	worker := r.addWorker("w", cores(4))
+	r.updateDirectory()
+	lasting := newPhase(1, cores(1))
+	lasting.Lasting = true
+	r.s.AddJob(r.job("lasting", lasting), nil, false, r.now)
+	for i := range 5 {
+		job := r.job(fmt.Sprintf("failing%d", i), newPhase(1, cores(1)))
+		job.Queue.MaxAttempts = 1
+		r.s.AddJob(job, nil, false, r.now)
+	}
+	for range 200 {
+		r.round()
+		r.write()
+		for run := range worker.activeRuns {
+			if run.Task.Step.Job != "lasting" {
+				worker.end(run, scheduler.EndFailed)
+			}
+		}
+	}
+	r.s.AddJob(r.job("waiting", newPhase(2, cores(1))), nil, false, r.now)
+	for range 60 {
+		r.round()
+		r.write()
+	}
+	r.c.Assert(totalStarts(r, "lasting"), qt.Equals, 1)
+	r.c.Assert(totalStarts(r, "waiting"), qt.Equals, 1, qt.Commentf("one at a time until it succeeds"))
+	for run := range worker.activeRuns {
+		if run.Task.Step.Job == "waiting" {
+			worker.end(run, scheduler.EndDone)
+		}
+	}
+	r.round()
+	r.write()
+	r.round()
+	r.c.Assert(totalStarts(r, "waiting"), qt.Equals, 2)
+}
