scheduler: members of a gang go back once their owner has a place for one

Callers saw a gang of tasks that keep apart wait while its own shard and a third one had room for all members, three of which a crowded delegate kept.

Kept members went back only if the home owner's workers had places for its own members and for all of the grant's. The delegate lacked room for one of three, and the home owner had two places.

Only the members that lack room are returned, so a place for one is enough.

--- a/scheduler/granting.go
+++ b/scheduler/granting.go
@@ -379,11 +379,12 @@
 		return !g.hasPlaces
 	}
 	g.placesCheckedAt = now
-	needed := st.waiting + 1
-	if st.phase.Gang {
-		needed = st.members() + len(g.Tasks)
-	} else if !st.phase.Lasting {
-		needed = 1
+	needed := 1
+	switch {
+	case st.phase.Gang:
+		needed += st.members()
+	case st.phase.Lasting:
+		needed += st.waiting
 	}
 	for _, w := range s.workers {
 		if needed > 0 && w.entry.Service == st.job.record.Queue.Service && w.available(now) && s.mayEverRun(st, w) {
