scheduler: the next delegate knows the failed attempts before a grant

Callers saw a task run once more than its attempts allow, after a delegate had been replaced.

A delegate stores a grant with the number of failed attempts, and counts them for the task once that is stored. That count was stored only with the next change of the job. An owner that followed before read the older count, here 0, and ignored the grant's number.

TestNextDelegateKnowsFailuresBeforeAGrant fails before it.

A stored count that is as new as the grant has as many failures from before it as the grant says. If a recovered one has not, it is replaced.

--- a/scheduler/guests.go
+++ b/scheduler/guests.go
@@ -115,12 +115,16 @@
 			continue
 		}
 		st.take(i)
-		if restored || st.phase.Gang {
+		failed := min(g.Failed[i], failureRange-1)
+		if st.phase.Gang || restored && countNegative(t.failedAttempts) == failed {
 			continue
 		}
-		t.checkpoint = g.checkpoints[i]
+		if !restored {
+			t.checkpoint = g.checkpoints[i]
+		}
+		// What is stored of the task may be older than the grant.
 		t.failedAttempts = nil
-		for n := range min(g.Failed[i], failureRange-1) {
+		for n := range failed {
 			t.failedAttempts = append(t.failedAttempts, -int64(n)-1)
 		}
 	}
--- a/scheduler/room_test.go
+++ b/scheduler/room_test.go
@@ -440,3 +440,30 @@
 	r.round()
 	r.c.Assert(totalStarts(r, "waiting"), qt.Equals, 2)
 }
+
+// TestNextDelegateKnowsFailuresBeforeAGrant guards against a task that runs more often than is allowed, as a
+// delegate was replaced just after it had stored the grant.
+func TestNextDelegateKnowsFailuresBeforeAGrant(t *testing.T) {
+	w := newWideRig(t)
+	job := w.home.job("failing", newPhase(1, cores(2)))
+	w.home.s.AddJob(job, nil, false, w.home.now)
+	w.rounds(3, true)
+	w.home.endAll(0, scheduler.EndFailed)
+	for _, worker := range w.home.workersByID {
+		worker.entry.Leaving = true
+	}
+	w.home.updateDirectory()
+	for round := 0; len(w.delegate.storedGuests["failing"].Grants) == 0; round++ {
+		w.home.c.Assert(round < withinBound, qt.IsTrue)
+		w.rounds(1, true)
+	}
+	w.home.c.Assert(w.delegate.activeRuns(), qt.Equals, 0)
+	w.delegate.takeOver()
+	w.delegate.s.RestoreGuest(w.delegate.storedGuests["failing"], w.delegate.now)
+	for range 2 * withinBound {
+		w.rounds(1, true)
+		w.delegate.endAll(0, scheduler.EndFailed)
+	}
+	w.home.c.Assert(w.home.state("failing"), qt.Equals, scheduler.Failed)
+	w.home.c.Assert(totalStarts(w.home, "failing")+totalStarts(w.delegate, "failing"), qt.Equals, deskQueue.MaxAttempts)
+}
