scheduler: a failure that a worker reports again counts once for a granted task

Callers saw a job fail for good one attempt before its limit, after a delegate had been replaced.

With a new grant a delegate dropped the numbers of a task's failed attempts, as the grant has their count. A worker that was cut off before such a failure was acknowledged reports it to the next owner, which counted it once more.

A delegate now keeps the numbers, and adds failures without one up to the grant's count. What failed there since is the difference to that count.

--- a/scheduler/guests.go
+++ b/scheduler/guests.go
@@ -96,7 +96,7 @@
 }
 
 // takeGranted has the tasks of a grant wait here, once it is stored. What this owner knew of their
-// attempts before a new grant is in the grant.
+// attempts before a new grant counts in the grant.
 func (s *Scheduler) takeGranted(j *job, g *grant, restored bool, now time.Time) {
 	ref := g.step(j.record.ID)
 	st := j.steps[ref]
@@ -115,16 +115,14 @@
 			continue
 		}
 		st.take(i)
-		failed := min(g.Failed[i], failureRange-1)
-		if st.phase.Gang || restored && countNegative(t.failedAttempts) == failed {
+		if st.phase.Gang {
 			continue
 		}
 		if !restored {
 			t.checkpoint = g.checkpoints[i]
 		}
-		// What is stored of the task may be older than the grant.
-		t.failedAttempts = nil
-		for n := range failed {
+		// The attempts that failed here keep their numbers, as a worker may report them again.
+		for n := len(t.failedAttempts); n < min(g.Failed[i], failureRange-1); n++ {
 			t.failedAttempts = append(t.failedAttempts, -int64(n)-1)
 		}
 	}
@@ -282,7 +280,7 @@
 			}
 		}
 		if st != nil {
-			of.Failed = st.ownFailureCounts(of.Returned)
+			of.Failed = st.ownFailureCounts(g, of.Returned)
 			of.Checkpoints = st.checkpoints(of.Returned)
 		}
 		state.Grants = append(state.Grants, of)
@@ -291,27 +289,17 @@
 }
 
 // ownFailureCounts is failureCounts without the attempts that failed before the tasks were granted.
-func (st *step) ownFailureCounts(indexes []int) map[int]int {
+func (st *step) ownFailureCounts(g *grant, indexes []int) map[int]int {
 	counts := st.failureCounts(st.validIndexes(indexes))
 	for i := range counts {
-		counts[i] -= countNegative(st.tasks[i].failedAttempts)
-		if counts[i] == 0 {
+		counts[i] -= g.Failed[i]
+		if counts[i] <= 0 {
 			delete(counts, i)
 		}
 	}
 	return counts
 }
 
-func countNegative(attempts []int64) int {
-	n := 0
-	for _, attempt := range attempts {
-		if attempt < 0 {
-			n++
-		}
-	}
-	return n
-}
-
 // keeps reports whether tasks of the step were granted as the home owner's workers could never
 // take them.
 func (g *guest) keeps(ref StepRef) bool {
--- a/scheduler/room_test.go
+++ b/scheduler/room_test.go
@@ -467,3 +467,64 @@
 	w.home.c.Assert(w.home.state("failing"), qt.Equals, scheduler.Failed)
 	w.home.c.Assert(totalStarts(w.home, "failing")+totalStarts(w.delegate, "failing"), qt.Equals, deskQueue.MaxAttempts)
 }
+
+// TestUnacknowledgedFailureCountsOnce guards against a task that fails for good one attempt early: a delegate has
+// counted a failure and returned the task, and its successor hears of that failure again.
+func TestUnacknowledgedFailureCountsOnce(t *testing.T) {
+	w := newWideRig(t)
+	job := w.home.job("failing", newPhase(1, cores(2)))
+	job.Queue.MaxAttempts = 3
+	w.home.s.AddJob(job, nil, false, w.home.now)
+	for _, worker := range w.home.workersByID {
+		worker.entry.Leaving = true
+	}
+	w.home.updateDirectory()
+	for round := 0; w.delegate.activeRuns() == 0; round++ {
+		w.home.c.Assert(round < 2*withinBound, qt.IsTrue)
+		w.rounds(1, true)
+	}
+	// Its worker reports the failure, and is cut off before that is acknowledged.
+	var failed *fakeWorker
+	for _, worker := range w.delegate.workersByID {
+		if len(worker.activeRuns) > 0 {
+			failed = worker
+		} else {
+			worker.entry.Leaving = true
+		}
+	}
+	w.delegate.updateDirectory()
+	w.delegate.endAll(0, scheduler.EndFailed)
+	w.delegate.renewLeases()
+	failed.silent = true
+	for _, worker := range w.home.workersByID {
+		worker.entry.Leaving = false
+		worker.refuses = true
+	}
+	w.home.updateDirectory()
+	for round := 0; w.home.stored["failing"].Grants == nil || len(w.home.stored["failing"].Grants[0].Tasks) > 0; round++ {
+		w.home.c.Assert(round < 2*withinBound, qt.IsTrue, qt.Commentf("%+v", w.home.stored["failing"]))
+		w.rounds(1, true)
+	}
+	for _, worker := range w.home.workersByID {
+		worker.entry.Leaving = true
+	}
+	w.home.updateDirectory()
+	for _, worker := range w.delegate.workersByID {
+		worker.entry.Leaving = false
+	}
+	w.delegate.updateDirectory()
+	last := w.delegate.storedGuests["failing"].LastGrant
+	for round := 0; w.delegate.storedGuests["failing"].LastGrant == last; round++ {
+		w.home.c.Assert(round < 4*withinBound, qt.IsTrue)
+		w.rounds(1, true)
+	}
+	w.delegate.takeOver()
+	w.delegate.s.RestoreGuest(w.delegate.storedGuests["failing"], w.delegate.now)
+	failed.silent = false
+	for range 3 * withinBound {
+		w.rounds(1, true)
+		w.delegate.endAll(0, scheduler.EndFailed)
+	}
+	w.home.c.Assert(w.home.state("failing"), qt.Equals, scheduler.Failed)
+	w.home.c.Assert(totalStarts(w.home, "failing")+totalStarts(w.delegate, "failing"), qt.Equals, 3)
+}
