--- a/scheduler/rig_test.go
+++ b/scheduler/rig_test.go
@@ -57,6 +57,11 @@
 }
 
 func newRig(t *testing.T, opts ...scheduler.Option) *rig {
+	return newRigOf(t, opts...)
+}
+
+// newRigOf is newRig for tests and benchmarks.
+func newRigOf(t testing.TB, opts ...scheduler.Option) *rig {
 	return &rig{
 		c:           qt.New(t),
 		now:         time.Unix(1_700_000_000, 0),
