--- a/coordinator/manyentries_test.go
+++ b/coordinator/manyentries_test.go
@@ -70,6 +70,10 @@
 		err = target.Evidence(args.(EvidenceArgs), reply.(*EvidenceReply))
 	case rpcName + ".Append":
 		err = target.Append(args.(AppendArgs), reply.(*AppendReply))
+	case rpcName + ".Room":
+		err = target.Room(args.(RoomArgs), reply.(*RoomReply))
+	case rpcName + ".Delegate":
+		err = target.Delegate(args.(DelegateArgs), reply.(*DelegateReply))
 	default:
 		panic(method)
 	}
--- a/scheduler/granting.go
+++ b/scheduler/granting.go
@@ -374,7 +374,7 @@
 				Phase:      g.Phase,
 				Partition:  g.Partition,
 				Tasks:      append(slices.Clone(g.Tasks), g.returning...),
-				Returnable: g.Returnable,
+				Returnable: !s.isKept(g, st, now),
 				Failed:     g.Failed,
 			},
 		}
@@ -394,6 +394,32 @@
 	return told
 }
 
+// isKept reports whether the delegate of a grant is to keep its tasks although it lacks room: if no
+// owner had any when they were granted, unless this owner's workers have places for some of them by now.
+func (s *Scheduler) isKept(g *grant, st *step, now time.Time) bool {
+	if g.Returnable || st == nil || !s.recoveryDone || now.Sub(s.ownerSince) < settlingTime {
+		return !g.Returnable
+	}
+	if now.Sub(g.placesCheckedAt) < shortageCheckInterval {
+		return !g.hasPlaces
+	}
+	g.placesCheckedAt = now
+	needed := 1
+	switch {
+	case st.phase.Gang:
+		needed += st.members()
+	case st.phase.Lasting:
+		needed += st.waiting
+	}
+	for _, w := range s.workers {
+		if needed > 0 && w.entry.Service == st.job.record.Queue.Service && w.available(now) && s.mayEverRun(st, w) {
+			needed -= st.placesOn(w)
+		}
+	}
+	g.hasPlaces = needed <= 0
+	return !g.hasPlaces
+}
+
 // DelegationAnswered records the reply of another partition's owner to a request.
 func (s *Scheduler) DelegationAnswered(partition int, request DelegationRequest, reply DelegationReply, now time.Time) {
 	for i, state := range reply.Jobs {
--- a/scheduler/grants.go
+++ b/scheduler/grants.go
@@ -78,6 +78,12 @@
 	// due is the time at which the home owner expects the first end of a task, zero if it does
 	// not know.
 	due time.Time
+	// hasPlaces is set if the home owner's workers had places for tasks of a grant that is not returnable at
+	// placesCheckedAt.
+	hasPlaces       bool
+	placesCheckedAt time.Time
+	// checkpoints holds, at the delegate, the checkpoints that the tasks had, by index.
+	checkpoints map[int]string
 }
 
 func cloneGrants(grants []*grant) []Grant {
--- a/scheduler/guests.go
+++ b/scheduler/guests.go
@@ -81,7 +81,7 @@
 		}
 		j.guest.grants = append(j.guest.grants, restored)
 		if !j.state.Final() {
-			s.takeGranted(j, restored, now)
+			s.takeGranted(j, restored, true, now)
 		}
 	}
 	if !j.state.Final() && stored.Job.Organisation != "" && !s.recoveryDone {
@@ -95,54 +95,42 @@
 	s.heldGuests[id] = true
 }
 
-// grantedStep returns the step of a grant. A new one belongs to the home owner as a whole.
-func (s *Scheduler) grantedStep(j *job, g *grant, now time.Time) *step {
+// takeGranted has the tasks of a grant wait here, once it is stored. What this owner knew of their
+// attempts before a new grant counts in the grant.
+func (s *Scheduler) takeGranted(j *job, g *grant, restored bool, now time.Time) {
 	ref := g.step(j.record.ID)
-	if st := j.steps[ref]; st != nil {
-		return st
-	}
-	s.createStep(j, ref.Occurrence, ref.Phase, j.record.dueAt(ref.Occurrence), now)
 	st := j.steps[ref]
-	for i := range st.tasks {
-		if !st.tasks[i].done {
-			st.leaveUngranted(i)
+	if st == nil {
+		s.createStep(j, ref.Occurrence, ref.Phase, j.record.dueAt(ref.Occurrence), now)
+		st = j.steps[ref]
+		for i := range st.tasks {
+			if !st.tasks[i].done {
+				st.leaveUngranted(i)
+			}
 		}
 	}
-	return st
-}
-
-// takeGranted has the tasks of a grant wait here, once it is stored.
-func (s *Scheduler) takeGranted(j *job, g *grant, now time.Time) {
-	st := s.grantedStep(j, g, now)
-	for _, i := range st.validIndexes(g.Tasks) {
-		if st.tasks[i].elsewhere {
-			st.take(i)
-		}
-	}
-	if st.phase.Gang {
-		// All members are placed together.
-		s.dropHeld(st, now)
-	}
-	s.openIfReady(st, now)
-}
-
-// learnAttempts replaces what this owner knew of the attempts of a new grant's tasks by what the home
-// owner says. It is stored with the grant.
-func (st *step) learnAttempts(g *grant, checkpoints map[int]string) {
-	if st.phase.Gang {
-		return
-	}
 	for _, i := range st.validIndexes(g.Tasks) {
 		t := &st.tasks[i]
 		if !t.elsewhere {
 			continue
 		}
-		t.checkpoint = checkpoints[i]
-		t.failedAttempts = nil
-		for n := range min(g.Failed[i], failureRange-1) {
+		st.take(i)
+		if st.phase.Gang {
+			continue
+		}
+		if !restored {
+			t.checkpoint = g.checkpoints[i]
+		}
+		// The attempts that failed here keep their numbers, as a worker may report them again.
+		for n := len(t.failedAttempts); n < min(g.Failed[i], failureRange-1); n++ {
 			t.failedAttempts = append(t.failedAttempts, -int64(n)-1)
 		}
 	}
+	if st.phase.Gang {
+		// All members are placed together.
+		s.dropHeld(st, now)
+	}
+	s.openIfReady(st, now)
 }
 
 // leaveUngranted has a task of a new step belong to the home owner. What is stored of its
@@ -237,10 +225,10 @@
 			continue
 		}
 		g := &grant{
-			Grant: told.clone(),
+			Grant:       told.clone(),
+			checkpoints: message.Checkpoints,
 		}
 		g.Returned = nil
-		s.grantedStep(j, g, now).learnAttempts(g, message.Checkpoints)
 		j.guest.grants = append(j.guest.grants, g)
 		s.dirtyJobs[j.record.ID] = true
 		s.addNote(fmt.Sprintf("%d tasks are run for the owner of partition %d", len(g.Tasks), j.guest.home), TaskRef{
@@ -250,13 +238,14 @@
 }
 
 // dropTold drops the tasks of a known grant that the home owner does not list any more: it has
-// stored that they were returned or are done.
+// stored that they were returned or are done. It also takes over whether they are kept.
 func (s *Scheduler) dropTold(j *job, told Grant) {
 	i := slices.IndexFunc(j.guest.grants, func(g *grant) bool { return g.Number == told.Number })
 	if i < 0 || !j.guest.grants[i].stored {
 		return
 	}
 	g := j.guest.grants[i]
+	g.Returnable = told.Returnable
 	settled := func(task int) bool { return !slices.Contains(told.Tasks, task) && !slices.Contains(g.returning, task) }
 	g.Returned = slices.DeleteFunc(g.Returned, settled)
 	g.Tasks = slices.DeleteFunc(g.Tasks, func(task int) bool { return settled(task) && j.isDone(g.task(j.record.ID, task)) })
@@ -291,7 +280,7 @@
 			}
 		}
 		if st != nil {
-			of.Failed = st.ownFailureCounts(of.Returned)
+			of.Failed = st.ownFailureCounts(g, of.Returned)
 			of.Checkpoints = st.checkpoints(of.Returned)
 			of.Never = st.neverHere
 		}
@@ -301,28 +290,18 @@
 }
 
 // ownFailureCounts is failureCounts without the attempts that failed before the tasks were granted.
-func (st *step) ownFailureCounts(indexes []int) map[int]int {
+func (st *step) ownFailureCounts(g *grant, indexes []int) map[int]int {
 	counts := st.failureCounts(st.validIndexes(indexes))
 	for i := range counts {
-		counts[i] -= countNegative(st.tasks[i].failedAttempts)
-		if counts[i] == 0 {
+		counts[i] -= g.Failed[i]
+		if counts[i] <= 0 {
 			delete(counts, i)
 		}
 	}
 	return counts
 }
 
-func countNegative(attempts []int64) int {
-	n := 0
-	for _, attempt := range attempts {
-		if attempt < 0 {
-			n++
-		}
-	}
-	return n
-}
-
-// keeps reports whether tasks of the step were granted although no owner had room for them.
+// keeps reports whether tasks of the step are to be kept although there is no room for them.
 func (g *guest) keeps(ref StepRef) bool {
 	return slices.ContainsFunc(g.grants, func(of *grant) bool {
 		return !of.Returnable && len(of.Tasks) > 0 && of.step(ref.Job) == ref
@@ -405,7 +384,7 @@
 			first := !g.stored
 			g.written(written)
 			if first && !j.state.Final() {
-				s.takeGranted(j, g, s.tickedAt)
+				s.takeGranted(j, g, false, s.tickedAt)
 			}
 		}
 	}
--- a/scheduler/room.go
+++ b/scheduler/room.go
@@ -40,6 +40,8 @@
 	// Fills and Serves are set if best-effort tasks, or lasting ones with a response time
 	// target, run there.
 	Fills, Serves bool
+	// Single is set if each takes one task at a time for now, as the last runs there failed.
+	Single bool
 }
 
 // Room is the answer to a RoomQuery.
@@ -82,7 +84,8 @@
 			Fills:   w.fillingRuns > 0,
 			Serves:  w.servingRuns > 0,
 		}
-		if !s.reserved[w] && w.failureStreak < setAsideAfter && !s.hasTrial(w, now) {
+		group.Single = w.failureStreak >= setAsideAfter
+		if !s.reserved[w] && (!group.Single || !s.hasTriedRun(w, now)) && !s.hasTrial(w, now) {
 			group.Free = w.freeCapacity().Max(sizer.Size{})
 		}
 		group.Ever = group.Free
@@ -120,21 +123,20 @@
 		}
 		for _, st := range j.steps {
 			if st.waiting > 0 {
-				room.shrink(st, st.waiting)
+				room.shrink(taskSize(st.phase), st.waiting)
 			}
 		}
 		for _, g := range j.guest.grants {
-			if st := j.steps[g.step(id)]; st != nil && !g.stored {
-				room.shrink(st, len(g.Tasks))
+			if !g.stored && g.Phase < len(j.record.Phases) {
+				room.shrink(taskSize(&j.record.Phases[g.Phase]), len(g.Tasks))
 			}
 		}
 	}
 	return room
 }
 
-// shrink takes what n tasks of the step need off the sums of the room.
-func (r *Room) shrink(st *step, n int) {
-	size := taskSize(st.phase)
+// shrink takes what n tasks need off the sums of the room.
+func (r *Room) shrink(size sizer.Size, n int) {
 	r.Spare = r.Spare.Sub(size.Times(int64(n))).Max(sizer.Size{})
 	r.LongMilliCores = max(0, r.LongMilliCores-size.MilliCores()*int64(n))
 }
@@ -145,7 +147,7 @@
 }
 
 func (g RoomGroup) isLike(other RoomGroup) bool {
-	return g.Free == other.Free && g.Ever == other.Ever && g.Fills == other.Fills && g.Serves == other.Serves && slices.Equal(g.Labels, other.Labels)
+	return g.Free == other.Free && g.Ever == other.Ever && g.Fills == other.Fills && g.Serves == other.Serves && g.Single == other.Single && slices.Equal(g.Labels, other.Labels)
 }
 
 // capacityWithoutLasting returns the capacity that the worker would have if all runs had ended
@@ -177,6 +179,9 @@
 	if st.phase.PerWorker > 0 {
 		n = min(n, st.phase.PerWorker)
 	}
+	if g.Single && !ever {
+		n = min(n, 1)
+	}
 	return n
 }
 
@@ -213,7 +218,7 @@
 // take takes n tasks of the step off the room, from the groups that they fill best. A worker that
 // gets any counts as full.
 func (k *knownRoom) take(st *step, n int) {
-	k.room.shrink(st, n)
+	k.room.shrink(taskSize(st.phase), n)
 	for i := len(k.room.Groups) - 1; i >= 0 && n > 0; i-- {
 		g := &k.room.Groups[i]
 		each := g.takes(st, false)
--- a/scheduler/room_test.go
+++ b/scheduler/room_test.go
@@ -484,3 +484,197 @@
 	w.rounds(withinBound, true)
 	w.home.c.Assert(w.home.s.GrantedTasks(), qt.Equals, 1)
 }
+
+// TestKeptTasksReturnOnceTheirOwnerHasPlaces guards against tasks that wait for the long runs of a delegate
+// while the workers of their own shard are idle, as these lacked places when the tasks were granted.
+func TestKeptTasksReturnOnceTheirOwnerHasPlaces(t *testing.T) {
+	tests := map[string]func(*scheduler.Phase){
+		"tasks that end":  func(*scheduler.Phase) {},
+		"tasks that last": func(p *scheduler.Phase) { p.Lasting = true },
+		"a gang":          func(p *scheduler.Phase) { p.Gang = true },
+	}
+	for name, change := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := newWideRig(t)
+			long := newPhase(2, cores(3))
+			long.Estimate = time.Hour
+			w.delegate.s.AddJob(w.delegate.job("long", long), nil, false, w.delegate.now)
+			for _, worker := range w.home.workersByID {
+				worker.entry.Leaving = true
+			}
+			w.home.updateDirectory()
+			phase := newPhase(2, cores(2))
+			change(&phase)
+			w.home.s.AddJob(w.home.job("waiting", phase), nil, false, w.home.now)
+			for round := 0; w.delegate.s.GuestTasks() == 0; round++ {
+				w.home.c.Assert(round < 2*withinBound, qt.IsTrue)
+				w.rounds(1, true)
+			}
+			for _, worker := range w.home.workersByID {
+				worker.entry.Leaving = false
+			}
+			w.home.updateDirectory()
+			w.rounds(withinBound, true)
+			w.home.c.Assert(totalStarts(w.home, "waiting"), qt.Equals, 2)
+			w.home.c.Assert(w.delegate.s.GuestTasks(), qt.Equals, 0)
+		})
+	}
+}
+
+// TestWorkerOnWhichRunsFailedIsRoom guards against tasks that wait beside an idle shard, as runs failed on
+// its workers long ago: none of them would ever run something that shows that they work.
+func TestWorkerOnWhichRunsFailedIsRoom(t *testing.T) {
+	w := newCrowdedRig(t)
+	for i := range 6 {
+		job := w.delegate.job(fmt.Sprintf("failing%d", i), newPhase(2, cores(3)))
+		job.Queue.MaxAttempts = 1
+		w.delegate.s.AddJob(job, nil, false, w.delegate.now)
+		for w.delegate.activeRuns() < 2 {
+			w.rounds(1, true)
+		}
+		w.delegate.endAll(0, scheduler.EndFailed)
+		w.rounds(2, true)
+	}
+	w.rounds(50, true)
+	w.home.s.AddJob(w.home.job("waiting", newPhase(4, cores(2))), nil, false, w.home.now)
+	for round := 0; w.delegate.activeRuns() == 0; round++ {
+		w.home.c.Assert(round < withinBound, qt.IsTrue)
+		w.rounds(1, true)
+	}
+	w.home.c.Assert(w.delegate.activeRuns(), qt.Equals, 2, qt.Commentf("one on each worker"))
+	w.home.c.Assert(w.delegate.s.GuestTasks(), qt.Equals, 2, qt.Commentf("no more than can run"))
+	for range 10 {
+		w.delegate.endAll(0, scheduler.EndDone)
+		w.rounds(5, true)
+	}
+	w.home.c.Assert(w.home.state("waiting"), qt.Equals, scheduler.Completed)
+}
+
+// TestWorkerWithALastingRunIsTriedAgain guards against workers that take nothing until the end of a run that
+// lasts, as runs beside it failed.
+func TestWorkerWithALastingRunIsTriedAgain(t *testing.T) {
+	r := newRig(t)
+	worker := r.addWorker("w", cores(4))
+	r.updateDirectory()
+	lasting := newPhase(1, cores(1))
+	lasting.Lasting = true
+	r.s.AddJob(r.job("lasting", lasting), nil, false, r.now)
+	for i := range 5 {
+		job := r.job(fmt.Sprintf("failing%d", i), newPhase(1, cores(1)))
+		job.Queue.MaxAttempts = 1
+		r.s.AddJob(job, nil, false, r.now)
+	}
+	for range 200 {
+		r.round()
+		r.write()
+		for run := range worker.activeRuns {
+			if run.Task.Step.Job != "lasting" {
+				worker.end(run, scheduler.EndFailed)
+			}
+		}
+	}
+	r.s.AddJob(r.job("waiting", newPhase(2, cores(1))), nil, false, r.now)
+	for range 60 {
+		r.round()
+		r.write()
+	}
+	r.c.Assert(totalStarts(r, "lasting"), qt.Equals, 1)
+	r.c.Assert(totalStarts(r, "waiting"), qt.Equals, 1, qt.Commentf("one at a time until it succeeds"))
+	for run := range worker.activeRuns {
+		if run.Task.Step.Job == "waiting" {
+			worker.end(run, scheduler.EndDone)
+		}
+	}
+	r.round()
+	r.write()
+	r.round()
+	r.c.Assert(totalStarts(r, "waiting"), qt.Equals, 2)
+}
+
+// TestNextDelegateKnowsFailuresBeforeAGrant guards against a task that runs more often than is allowed, as a
+// delegate was replaced just after it had stored the grant.
+func TestNextDelegateKnowsFailuresBeforeAGrant(t *testing.T) {
+	w := newWideRig(t)
+	job := w.home.job("failing", newPhase(1, cores(2)))
+	w.home.s.AddJob(job, nil, false, w.home.now)
+	w.rounds(3, true)
+	w.home.endAll(0, scheduler.EndFailed)
+	for _, worker := range w.home.workersByID {
+		worker.entry.Leaving = true
+	}
+	w.home.updateDirectory()
+	for round := 0; len(w.delegate.storedGuests["failing"].Grants) == 0; round++ {
+		w.home.c.Assert(round < withinBound, qt.IsTrue)
+		w.rounds(1, true)
+	}
+	w.home.c.Assert(w.delegate.activeRuns(), qt.Equals, 0)
+	w.delegate.takeOver()
+	w.delegate.s.RestoreGuest(w.delegate.storedGuests["failing"], w.delegate.now)
+	for range 2 * withinBound {
+		w.rounds(1, true)
+		w.delegate.endAll(0, scheduler.EndFailed)
+	}
+	w.home.c.Assert(w.home.state("failing"), qt.Equals, scheduler.Failed)
+	w.home.c.Assert(totalStarts(w.home, "failing")+totalStarts(w.delegate, "failing"), qt.Equals, deskQueue.MaxAttempts)
+}
+
+// TestUnacknowledgedFailureCountsOnce guards against a task that fails for good one attempt early: a delegate has
+// counted a failure and returned the task, and its successor hears of that failure again.
+func TestUnacknowledgedFailureCountsOnce(t *testing.T) {
+	w := newWideRig(t)
+	job := w.home.job("failing", newPhase(1, cores(2)))
+	job.Queue.MaxAttempts = 3
+	w.home.s.AddJob(job, nil, false, w.home.now)
+	for _, worker := range w.home.workersByID {
+		worker.entry.Leaving = true
+	}
+	w.home.updateDirectory()
+	for round := 0; w.delegate.activeRuns() == 0; round++ {
+		w.home.c.Assert(round < 2*withinBound, qt.IsTrue)
+		w.rounds(1, true)
+	}
+	// Its worker reports the failure, and is cut off before that is acknowledged.
+	var failed *fakeWorker
+	for _, worker := range w.delegate.workersByID {
+		if len(worker.activeRuns) > 0 {
+			failed = worker
+		} else {
+			worker.entry.Leaving = true
+		}
+	}
+	w.delegate.updateDirectory()
+	w.delegate.endAll(0, scheduler.EndFailed)
+	w.delegate.renewLeases()
+	failed.silent = true
+	for _, worker := range w.home.workersByID {
+		worker.entry.Leaving = false
+		worker.refuses = true
+	}
+	w.home.updateDirectory()
+	for round := 0; w.home.stored["failing"].Grants == nil || len(w.home.stored["failing"].Grants[0].Tasks) > 0; round++ {
+		w.home.c.Assert(round < 2*withinBound, qt.IsTrue, qt.Commentf("%+v", w.home.stored["failing"]))
+		w.rounds(1, true)
+	}
+	for _, worker := range w.home.workersByID {
+		worker.entry.Leaving = true
+	}
+	w.home.updateDirectory()
+	for _, worker := range w.delegate.workersByID {
+		worker.entry.Leaving = false
+	}
+	w.delegate.updateDirectory()
+	last := w.delegate.storedGuests["failing"].LastGrant
+	for round := 0; w.delegate.storedGuests["failing"].LastGrant == last; round++ {
+		w.home.c.Assert(round < 4*withinBound, qt.IsTrue)
+		w.rounds(1, true)
+	}
+	w.delegate.takeOver()
+	w.delegate.s.RestoreGuest(w.delegate.storedGuests["failing"], w.delegate.now)
+	failed.silent = false
+	for range 3 * withinBound {
+		w.rounds(1, true)
+		w.delegate.endAll(0, scheduler.EndFailed)
+	}
+	w.home.c.Assert(w.home.state("failing"), qt.Equals, scheduler.Failed)
+	w.home.c.Assert(totalStarts(w.home, "failing")+totalStarts(w.delegate, "failing"), qt.Equals, 3)
+}
