--- a/scheduler/wide_crowds_test.go
+++ b/scheduler/wide_crowds_test.go
@@ -382,7 +382,7 @@
 }
 
 // crowdedSeeds is the number of interleavings for each number of shards.
-const crowdedSeeds = 50
+const crowdedSeeds = 120
 
 // withoutFailures returns the request without the failures of the tasks that it grants.
 func withoutFailures(request scheduler.DelegationRequest) scheduler.DelegationRequest {
