scheduler: a gang of several owners starts only with all of its members

Cause: a delegate that returns members has none waiting, so it said that it held workers for all of its own. Its owner took that for all that it had granted and gave the order to start.

Change: a delegate says how many members it has, and its owner goes on only if these are all that were granted there, and nothing returned waits for a write.

TestGangStartsWithAllMembers (one and both of a delegate's workers taken) fails before: two members run without the others.

--- a/scheduler/gangparts.go
+++ b/scheduler/gangparts.go
@@ -53,8 +53,10 @@
 	Order GangOrder
 	// Settled is set once the delegate knows all of its runs.
 	Settled bool
-	// Ready is set while workers are held for all members.
-	Ready bool
+	// Ready is set while workers are held for all members that the delegate has, and Members
+	// is their number. It may have returned others that the home owner does not know of yet.
+	Ready   bool
+	Members int
 	// Running counts the members that run, and RunAttempt is their attempt.
 	Running    int
 	RunAttempt int64
@@ -239,6 +241,10 @@
 	if st.members() > 0 {
 		consider(s.partition, st.isReady())
 	}
+	granted := make(map[int]int)
+	for _, g := range grants {
+		granted[g.Partition] += len(g.Tasks)
+	}
 	for _, g := range grants {
 		if g.gang.Order.Attempt > st.order.Attempt {
 			// A former home owner has begun another one.
@@ -246,7 +252,9 @@
 			s.breakGang(st, "a delegate has a later attempt", now)
 			return
 		}
-		consider(g.Partition, g.gang.Ready && g.gang.Order.Attempt == st.order.Attempt)
+		// What was returned belongs to this owner only once that is stored.
+		complete := len(g.returning) == 0 && g.gang.Members == granted[g.Partition]
+		consider(g.Partition, complete && g.gang.Ready && g.gang.Order.Attempt == st.order.Attempt)
 	}
 	st.notReady = notReady + 1
 	switch {
@@ -363,6 +371,7 @@
 		Order:      st.order,
 		Settled:    s.recoveryDone,
 		Ready:      st.order.Stage == GangPrepare && st.isReady(),
+		Members:    st.members(),
 		Running:    running,
 		RunAttempt: attempt,
 		Done:       slices.ContainsFunc(st.tasks, func(t task) bool { return t.done }),
--- a/scheduler/room_test.go
+++ b/scheduler/room_test.go
@@ -678,3 +678,44 @@
 	w.home.c.Assert(w.home.state("failing"), qt.Equals, scheduler.Failed)
 	w.home.c.Assert(totalStarts(w.home, "failing")+totalStarts(w.delegate, "failing"), qt.Equals, 3)
 }
+
+// TestGangStartsWithAllMembers guards against members of a gang that start without the others, as a delegate
+// returned some of its own after the gang had begun to be prepared.
+func TestGangStartsWithAllMembers(t *testing.T) {
+	for _, taken := range []int{1, 2} {
+		w := newWideRig(t)
+		gang := newPhase(4, cores(3))
+		gang.Gang = true
+		w.home.s.AddJob(w.home.job("gang", gang), nil, false, w.home.now)
+		w.awaitRounds(func() bool { return w.home.s.GrantedTasks() > 0 })
+		w.delegate.s.AddJob(w.delegate.job("taken", newPhase(taken, cores(4))), nil, false, w.delegate.now)
+		w.delegate.tick()
+		w.delegate.write()
+		partial := 0
+		running := func() int {
+			n := 0
+			for _, r := range []*rig{w.home, w.delegate} {
+				for _, worker := range r.workersByID {
+					for run := range worker.activeRuns {
+						if run.Task.Step.Job == "gang" {
+							n++
+						}
+					}
+				}
+			}
+			return n
+		}
+		for range 100 {
+			w.rounds(1, true)
+			if n := running(); n == 0 || n == 4 {
+				partial = 0
+			} else {
+				partial++
+			}
+			w.home.c.Assert(partial < 3, qt.IsTrue, qt.Commentf("%d members run, %d workers taken", running(), taken))
+		}
+		w.home.c.Assert(running(), qt.Equals, 0)
+		w.delegate.endAll(0, scheduler.EndDone)
+		w.awaitRounds(func() bool { return running() == 4 })
+	}
+}
