scheduler: a gang asks other owners for room also while a delegate holds workers

Its owner asked others only in the pauses between two attempts.

Cause: while any owner held workers, no lack of room counted at home, also if home itself was the one without room.

TestGangAsksOthersWhileADelegateHolds fails before: nobody is asked for over 1 s.

--- a/scheduler/room_test.go
+++ b/scheduler/room_test.go
@@ -719,3 +719,31 @@
 		w.awaitRounds(func() bool { return running() == 4 })
 	}
 }
+
+// TestGangAsksOthersWhileADelegateHolds guards against a gang that waits for room at home while another owner
+// has it, as a delegate holds workers for its members.
+func TestGangAsksOthersWhileADelegateHolds(t *testing.T) {
+	w := newWideRig(t)
+	// The delegate of the lower partition holds its workers first.
+	w.home.s.SetDelegates(2, map[string][]int{
+		"desk": {1},
+	})
+	gang := newPhase(3, cores(3))
+	gang.Gang = true
+	w.home.s.AddJob(w.home.job("gang", gang), nil, false, w.home.now)
+	w.awaitRounds(func() bool { return w.home.s.GrantedTasks() > 0 })
+	long := newPhase(2, cores(4))
+	long.Estimate = time.Hour
+	w.home.s.AddJob(w.home.job("long", long), nil, false, w.home.now)
+	w.home.tick()
+	w.home.write()
+	askedAt := w.home.now
+	for range 2 * withinBound {
+		w.rounds(1, false)
+		w.call()
+		if queries := w.home.s.RoomRequests(w.home.now)[1]; len(queries) > 0 {
+			askedAt = w.home.now
+		}
+		w.home.c.Assert(w.home.now.Sub(askedAt) <= time.Second, qt.IsTrue)
+	}
+}
--- a/scheduler/shortage.go
+++ b/scheduler/shortage.go
@@ -64,7 +64,7 @@
 	if !s.recoveryDone || st.waiting == 0 || now.Sub(s.ownerSince) < settlingTime {
 		return false
 	}
-	if st.phase.Gang && (st.waiting < st.members() || st.order.Stage == GangGo || st.job.guest == nil && !st.heldSince.IsZero() && st.order.Stage == GangPrepare) {
+	if st.phase.Gang && (st.waiting < st.members() || st.order.Stage == GangGo) {
 		return false
 	}
 	if now.Sub(st.shortageCheckedAt) >= shortageCheckInterval {
