conductor, scheduler: what owners tell each other costs no tick, and full shards take no tasks of others

Cause: each call between owners requested a tick, up to one in 3 ms, and owners call each other every 50 ms while tasks end; and 436 grants were made in a service whose shards were all loaded, 167 of which came back.

Change: such a call requests a tick only if there is something to store; the room of a shard counts for others from a quarter of its processors free on (a service that is less than half in use has one that is); workers without capacity for a step's task are passed over first.

--- a/conductor/delegations.go
+++ b/conductor/delegations.go
@@ -97,10 +97,7 @@
 		return scheduler.DelegationReply{}, ErrNotReady
 	}
 	reply := c.scheduler.ServeHome(request, c.clock.Now())
-	if unwritten, _ := c.scheduler.Unwritten(); unwritten {
-		c.requestWrite()
-	}
-	c.requestTick()
+	c.actOnChanges()
 	return reply, nil
 }
 
@@ -201,7 +198,6 @@
 	}
 	c.metrics.delegationCalls.WithLabelValues("room answered").Inc()
 	c.scheduler.RoomAnswered(partition, queries, rooms, asked, now)
-	c.requestTick()
 }
 
 // callDelegate makes one call to the owner of another partition.
@@ -229,10 +225,17 @@
 	calls.mark = reply.Mark
 	c.metrics.delegationCalls.WithLabelValues("answered").Inc()
 	c.scheduler.DelegationAnswered(partition, request, reply, now)
+	c.actOnChanges()
+}
+
+// actOnChanges requests a write and a tick if there is something to store. Most calls between owners
+// change nothing, and a tick for each would cost more than the calls; others wait for the next
+// regular one. The caller holds mu.
+func (c *Conductor) actOnChanges() {
 	if unwritten, _ := c.scheduler.Unwritten(); unwritten {
 		c.requestWrite()
+		c.requestTick()
 	}
-	c.requestTick()
 }
 
 // guestKey returns the key of what a delegate stores of a job.
--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -166,7 +166,9 @@
 	clear(s.spare)
 	clear(s.spareLong)
 	for service, p := range pools {
-		s.spare[service] = p.freeCapacity
+		if p.lends() {
+			s.spare[service] = p.freeCapacity
+		}
 		s.spareLong[service] = p.spareMilliCores
 		for w := range p.reservedUntil {
 			s.reserved[w] = true
@@ -174,6 +176,20 @@
 	}
 }
 
+// minLentShare is the share of a shard's processors that must be free before it takes tasks of others.
+// A shard that is fuller needs them for its own next arrivals, and a service that is under half in use
+// has one that is not.
+const minLentShare = 0.25
+
+// lends reports whether the workers of the pool take tasks of other owners' jobs.
+func (p *pool) lends() bool {
+	var total int64
+	for _, w := range p.workers {
+		total += w.entry.Total.MilliCores()
+	}
+	return float64(p.freeCapacity.MilliCores()) >= minLentShare*float64(total)
+}
+
 // placeTasks starts the waiting tasks of a step, independently of each other.
 func (s *Scheduler) placeTasks(st *step, p *pool, now time.Time) {
 	allowed := s.allowedStarts(st)
--- a/scheduler/shortage.go
+++ b/scheduler/shortage.go
@@ -95,12 +95,14 @@
 		spare += st.adviceState.expectedTasks
 	}
 	reserved, others := 0, 0
+	// Most workers of a crowded shard have too little free capacity, which is known at once.
 	for _, w := range p.workers {
-		if !s.mayEverRun(st, w) {
+		fits := size.Fits(w.freeCapacity())
+		if !fits && places >= st.waiting || !s.mayEverRun(st, w) {
 			continue
 		}
 		switch {
-		case !size.Fits(w.freeCapacity()):
+		case !fits:
 		case p.reservedFor[w] == st:
 			reserved += st.fittingOn(w)
 		default:
