--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -502,6 +502,7 @@
 			c.metrics.setLasting(c.partition, c.scheduler.LastingLoad(now))
 			c.metrics.setPlanned(c.partition, c.scheduler.OldestPlanned(now))
 			c.metrics.setJobsRead(c.partition, c.jobsReadAt)
+			c.metrics.setConfirmed(c.partition, c.scheduler.OwnershipConfirmedAt())
 			c.metrics.setDelegations(c.partition, c.scheduler.GrantedTasks(), c.scheduler.GuestTasks())
 			c.metrics.organisations.set(c.partition, c.scheduler.OrganisationLoads(), c.scheduler.ShareLoads())
 		}
--- a/conductor/metrics.go
+++ b/conductor/metrics.go
@@ -36,6 +36,7 @@
 	deletionsFailed     prometheus.Counter
 	repeatedWrites      prometheus.Counter
 	jobsReadAt          *prometheus.GaugeVec
+	confirmedAt         *prometheus.GaugeVec
 	delegationCalls     *prometheus.CounterVec
 	grantedTasks        *prometheus.GaugeVec
 	guestTasks          *prometheus.GaugeVec
@@ -182,6 +183,10 @@
 			Name: "galenacove_conductor_jobs_read_timestamp_seconds",
 			Help: "Time of the last answered read of the jobs partition, by partition.",
 		}, []string{"partition"}),
+		confirmedAt: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "galenacove_conductor_confirmed_timestamp_seconds",
+			Help: "Latest time at which the ownership is known to have held, by partition.",
+		}, []string{"partition"}),
 	}
 }
 
@@ -192,7 +197,7 @@
 		m.adviceCalls, m.adviceInFlight, m.adviceLimit, m.adviceDenied, m.adviceDeniedSeconds,
 		m.lastingWaiting, m.lastingWaitSeconds, m.allotmentCalls, m.workersLost, m.runsLost, m.tasksGivenUp,
 		m.writeSeconds, m.writeRecords, m.plannedSeconds, m.plannedDropped,
-		m.cancellations, m.withoutProgress, m.deletionsFailed, m.repeatedWrites, m.jobsReadAt,
+		m.cancellations, m.withoutProgress, m.deletionsFailed, m.repeatedWrites, m.jobsReadAt, m.confirmedAt,
 		m.delegationCalls, m.grantedTasks, m.guestTasks,
 		m.workers, m.milliCores, m.waitingSteps, m.stepWaitSeconds,
 	}, m.organisations.collectors()...)
@@ -238,6 +243,11 @@
 	m.jobsReadAt.WithLabelValues(strconv.Itoa(partition)).Set(float64(at.UnixMilli()) / 1000)
 }
 
+// setConfirmed sets the time at which the ownership of a partition was last confirmed.
+func (m *Metrics) setConfirmed(partition int, at time.Time) {
+	m.confirmedAt.WithLabelValues(strconv.Itoa(partition)).Set(float64(at.UnixMilli()) / 1000)
+}
+
 // setDelegations sets the numbers of tasks that other owners run for the owner of a partition,
 // and that it runs for others.
 func (m *Metrics) setDelegations(partition, granted, guests int) {
@@ -267,7 +277,7 @@
 		"partition": strconv.Itoa(partition),
 	}
 	for _, gauge := range []*prometheus.GaugeVec{
-		m.adviceInFlight, m.adviceLimit, m.adviceDenied, m.adviceDeniedSeconds, m.lastingWaiting, m.lastingWaitSeconds, m.plannedSeconds, m.jobsReadAt, m.grantedTasks, m.guestTasks,
+		m.adviceInFlight, m.adviceLimit, m.adviceDenied, m.adviceDeniedSeconds, m.lastingWaiting, m.lastingWaitSeconds, m.plannedSeconds, m.jobsReadAt, m.confirmedAt, m.grantedTasks, m.guestTasks,
 		m.workers, m.milliCores, m.waitingSteps, m.stepWaitSeconds,
 	} {
 		gauge.DeletePartialMatch(label)
--- a/scheduler/explaining.go
+++ b/scheduler/explaining.go
@@ -357,15 +357,16 @@
 }
 
 // describeLoss counts one more worker that was lost with a run of the run's task, and
-// returns the count for the log with the time from the order to start to the moment
-// since which the worker is silent.
-func (s *Scheduler) describeLoss(r *run) string {
+// returns the count for the log with the age of the last confirmation of the ownership and
+// the time from the order to start to the moment since which the worker is silent.
+func (s *Scheduler) describeLoss(r *run, now time.Time) string {
 	_, t := s.findTask(r.ref.Task)
 	if t == nil {
 		return ""
 	}
 	t.lostWorkers++
-	text := fmt.Sprintf(", %d workers lost with a run of the task", t.lostWorkers)
+	text := fmt.Sprintf(", %d workers lost with a run of the task, attempt %d, ownership confirmed %v ago",
+		t.lostWorkers, r.ref.Attempt, now.Sub(s.ownershipConfirmedAt).Round(time.Millisecond))
 	if !r.worker.silentSince.IsZero() && r.state != runPlanned {
 		text += fmt.Sprintf(", silent %v and last known to be up %v after the start",
 			r.worker.silentSince.Sub(r.startedAt).Round(time.Millisecond), r.worker.aliveAt.Sub(r.startedAt).Round(time.Millisecond))
--- a/scheduler/incarnations.go
+++ b/scheduler/incarnations.go
@@ -55,7 +55,7 @@
 			s.stopRun(r, now, "worker started again")
 		default:
 			s.losses.Runs["worker started again"]++
-			s.markLost(r, "worker started again"+s.describeLoss(r), now)
+			s.markLost(r, "worker started again"+s.describeLoss(r, now), now)
 		}
 	}
 	s.giveUpCrashing(crashed, now)
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -127,7 +127,7 @@
 	refs := make([]TaskRef, 0, len(runs))
 	for _, r := range runs {
 		s.losses.Runs[reason]++
-		s.markLost(r, reason+s.describeLoss(r), now)
+		s.markLost(r, reason+s.describeLoss(r, now), now)
 		refs = append(refs, r.ref.Task)
 	}
 	s.giveUpCrashing(refs, now)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -280,6 +280,11 @@
 	}
 }
 
+// OwnershipConfirmedAt returns the latest time at which the ownership is known to have held.
+func (s *Scheduler) OwnershipConfirmedAt() time.Time {
+	return s.ownershipConfirmedAt
+}
+
 // AddJob adds a job from the store, and cancels it if it was cancelled before. It does
 // nothing for a job that is already known. progress is nil if none was stored. recovered
 // reports whether the job was stored before this owner took over.
