--- /dev/null
+++ b/scheduler/unconfirmed_test.go
@@ -0,0 +1,138 @@
+package scheduler_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/galenacove/galenacove/scheduler"
+)
+
+// Leases as the command that runs an entry sets them.
+const (
+	entryLease    = 3500 * time.Millisecond
+	entryMaxLease = 6 * time.Second
+)
+
+// unconfirmedRig is a rig with a job of two tasks, one of which runs on the worker "far". The store
+// lists the job's other worker, "near", which has room for both.
+type unconfirmedRig struct {
+	*rig
+	near, far *fakeWorker
+	job       scheduler.Job
+	// farTask is the task that runs on far.
+	farTask scheduler.TaskRef
+}
+
+func newUnconfirmedRig(t *testing.T, gang bool) *unconfirmedRig {
+	u := &unconfirmedRig{
+		rig: newRig(t, scheduler.Lease(entryLease, entryMaxLease)),
+	}
+	u.near, u.far = u.addWorker("near", cores(2)), u.addWorker("far", cores(1))
+	for _, w := range u.workersByID {
+		w.entry.StartedAt = u.now
+	}
+	u.updateDirectory()
+	u.renewLeases()
+	phase := newPhase(3, cores(1))
+	phase.Gang = gang
+	u.job = u.rig.job("j", phase)
+	if gang {
+		// Another task makes the second member of the gang go to far.
+		u.job.Phases[0].Tasks = 2
+		u.far.silent = true
+		u.s.AddJob(u.rig.job("other", newPhase(1, cores(1))), nil, false, u.now)
+		u.renewLeases()
+		u.tick()
+		u.far.silent = false
+		u.renewLeases()
+	}
+	u.s.AddJob(u.job, nil, false, u.now)
+	u.tick()
+	u.c.Assert(u.near.activeRuns, qt.HasLen, 2)
+	u.c.Assert(u.far.activeRuns, qt.HasLen, 1)
+	u.farTask = firstRun(u.far).Task
+	for run := range u.near.activeRuns {
+		if !gang || run.Task.Step.Job == "other" {
+			u.near.end(run, scheduler.EndDone)
+		}
+	}
+	u.renewLeases()
+	u.write()
+	u.s.ConfirmOwnership(u.now)
+	return u
+}
+
+// rounds plays rounds for that long. The owner does not reach the store.
+func (u *unconfirmedRig) rounds(d time.Duration) {
+	for until := u.now.Add(d); u.now.Before(until); {
+		u.advance(100 * time.Millisecond)
+		u.renewLeases()
+		u.carryOut(u.s.Tick(u.now))
+	}
+}
+
+// takeOverAgain replaces the owner by one that finds far silent for a while already.
+func (u *unconfirmedRig) takeOverAgain() {
+	u.far.silent = true
+	u.s = scheduler.New(u.s.Token()+1, u.now, scheduler.Lease(entryLease, entryMaxLease))
+	u.s.AddFormerWorkers(u.storedWorkers)
+	u.s.SetFormerSilence([]scheduler.SilentWorker{
+		{
+			ID:  "far",
+			For: 3 * time.Second,
+		},
+	})
+	u.restoreJob(u.job)
+	u.s.SetWorkers([]scheduler.WorkerEntry{u.near.entry, u.far.entry})
+}
+
+// TestUnconfirmedOwnerStartsNoTaskAgain guards against an owner that is cut off from the store, and
+// that starts a task again whose run it has lost without the word of its worker. The next owner, of
+// which it does not know, had renewed the lease of the run or taken note of its end, and the task ran
+// twice.
+func TestUnconfirmedOwnerStartsNoTaskAgain(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		gang bool
+		lose func(*unconfirmedRig)
+	}{
+		{
+			name: "lease that the owner granted has expired",
+			lose: func(u *unconfirmedRig) { u.far.silent = true },
+		},
+		{
+			name: "lease of a member of a gang has expired",
+			gang: true,
+			lose: func(u *unconfirmedRig) { u.far.silent = true },
+		},
+		{
+			name: "another worker answers at the address",
+			lose: func(u *unconfirmedRig) {
+				u.far.silent = true
+				u.s.WorkerGone("far", u.now)
+			},
+		},
+		{
+			name: "worker has started again under its identity",
+			lose: func(u *unconfirmedRig) { u.far.restart() },
+		},
+		{
+			name: "leases of former owners have expired",
+			lose: (*unconfirmedRig).takeOverAgain,
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			u := newUnconfirmedRig(t, test.gang)
+			starts := func() int { return u.near.startCounts[u.farTask] + u.far.startCounts[u.farTask] }
+			test.lose(u)
+			u.rounds(5 * time.Second)
+			u.c.Assert(starts(), qt.Equals, 1, qt.Commentf("the owner may have a successor"))
+
+			u.s.ConfirmOwnership(u.now)
+			u.rounds(2 * time.Second)
+			u.c.Assert(starts(), qt.Equals, 2, qt.Commentf("the owner has no successor"))
+		})
+	}
+}
