--- a/scheduler/rig_test.go
+++ b/scheduler/rig_test.go
@@ -143,9 +143,10 @@
 	}
 }
 
-// tick runs one tick and carries out its effects. If starts wait for a write,
-// it writes and runs a second tick.
+// tick confirms the ownership, runs one tick and carries out its effects. If starts wait for a
+// write, it writes and runs a second tick.
 func (r *rig) tick() {
+	r.s.ConfirmOwnership(r.now)
 	r.carryOut(r.s.Tick(r.now))
 	if r.s.PlannedRuns() > 0 {
 		r.write()
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -55,8 +55,9 @@
 	adviceInFlight, adviceLimits map[bool]int
 	// queues holds the statistics of each queue, by name.
 	queues map[string]*queueStats
-	// ownershipConfirmedAt is the last time at which the ownership was known to hold.
-	ownershipConfirmedAt time.Time
+	// ownershipConfirmedAt is the last time at which the ownership was known to hold, and
+	// confirmationDue the latest time for which tasks wait until it is known to have held.
+	ownershipConfirmedAt, confirmationDue time.Time
 
 	// reportsAwaited is set at the beginning of the ownership, while workers of the former
 	// owner may be about to report, as of this tick.
@@ -271,20 +272,6 @@
 	}
 }
 
-// ConfirmOwnership records that the ownership held at the given time. Leases are
-// limited relative to the latest such time, so that none outlives the wait of
-// the next owner after its takeover.
-func (s *Scheduler) ConfirmOwnership(at time.Time) {
-	if at.After(s.ownershipConfirmedAt) {
-		s.ownershipConfirmedAt = at
-	}
-}
-
-// OwnershipConfirmedAt returns the latest time at which the ownership is known to have held.
-func (s *Scheduler) OwnershipConfirmedAt() time.Time {
-	return s.ownershipConfirmedAt
-}
-
 // AddJob adds a job from the store, and cancels it if it was cancelled before. It does
 // nothing for a job that is already known. progress is nil if none was stored. recovered
 // reports whether the job was stored before this owner took over.
--- a/scheduler/tick.go
+++ b/scheduler/tick.go
@@ -94,12 +94,12 @@
 	}
 	pending := false
 	for _, w := range s.workers {
-		w.leasesOver = now.After(s.leasesEnd(w))
+		w.leasesOver = s.passed(s.leasesEnd(w), now)
 		pending = pending || !w.reported && !w.leasesOver
 		s.reportsAwaited = s.reportsAwaited || w.former && !w.reported && w.silentSince.IsZero()
 	}
 	s.reportsAwaited = s.reportsAwaited && now.Sub(s.ownerSince) < firstReportTime
-	s.recoveryDone = len(s.workers) > 0 && !pending || now.After(s.recoveryEnd())
+	s.recoveryDone = len(s.workers) > 0 && !pending || s.passed(s.recoveryEnd(), now)
 	if s.recoveryDone && s.placementsAllowed {
 		s.trackAllPlacements()
 	}
