--- a/scheduler/confirming.go
+++ b/scheduler/confirming.go
@@ -1,6 +1,9 @@
 package scheduler
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 // An owner that the store has not confirmed for a while may have a successor. That one may reach a
 // worker which this one does not reach, and renew the leases of its runs or acknowledge their ends.
@@ -35,3 +38,36 @@
 	s.confirmationDue = latest(s.confirmationDue, at.Add(1))
 	return s.ownershipConfirmedAt.After(at)
 }
+
+// doubtTasksOf has the task of a run wait until the ownership is confirmed, as it is lost without a
+// report of its end. The tasks of its step wait too.
+func (s *Scheduler) doubtTasksOf(r *run, now time.Time) {
+	if st, t := s.findTask(r.ref.Task); t != nil && r.state != runPlanned {
+		st.doubtedAt = now
+		s.confirmationDue = latest(s.confirmationDue, now)
+	}
+}
+
+// isDoubted reports whether a successor of this owner may run tasks of the step, or know that they
+// are done.
+func (s *Scheduler) isDoubted(st *step) bool {
+	return st.doubtedAt.After(s.ownershipConfirmedAt)
+}
+
+// explainDoubt adds a note on each step that waits for the ownership to be confirmed, once per
+// interval.
+func (s *Scheduler) explainDoubt(now time.Time) {
+	if _, due := s.ConfirmationDue(); !due {
+		return
+	}
+	for _, st := range s.rankSteps(now, s.isDoubted) {
+		if !st.explainDue(now) {
+			continue
+		}
+		s.addNote(fmt.Sprintf("step waits until the ownership is confirmed, as a later owner may have its runs: %d of %d tasks, %s, lost %v ago, confirmed %v ago",
+			st.waiting, len(st.tasks), rankName(st.rank(now)), now.Sub(st.doubtedAt).Round(time.Millisecond), now.Sub(s.ownershipConfirmedAt).Round(time.Millisecond)),
+			TaskRef{
+				Step: st.ref,
+			}, "", now.Sub(st.readyAt))
+	}
+}
--- a/scheduler/recovery_test.go
+++ b/scheduler/recovery_test.go
@@ -224,7 +224,9 @@
 	r.s.ConfirmOwnership(r.now)
 	confirmed := w.clock
 	for range 100 {
-		r.round()
+		r.advance(100 * time.Millisecond)
+		r.renewLeases()
+		r.carryOut(r.s.Tick(r.now))
 		order, _ := r.s.LeaseRenewal("w", r.now)
 		r.c.Assert(order.Lease <= confirmed+6*time.Second, qt.IsTrue,
 			qt.Commentf("lease until %v after the last confirmation", order.Lease-confirmed))
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -118,7 +118,8 @@
 	}
 }
 
-// markAllLost removes all runs of a worker that has ended or whose leases have expired.
+// markAllLost removes all runs of a worker that has ended or whose leases have expired. Their
+// tasks wait until the ownership is confirmed.
 func (s *Scheduler) markAllLost(w *worker, reason string, now time.Time) {
 	if len(w.runs) > 0 {
 		s.losses.Workers[reason]++
@@ -127,6 +128,7 @@
 	refs := make([]TaskRef, 0, len(runs))
 	for _, r := range runs {
 		s.losses.Runs[reason]++
+		s.doubtTasksOf(r, now)
 		s.markLost(r, reason+s.describeLoss(r, now), now)
 		refs = append(refs, r.ref.Task)
 	}
--- a/scheduler/tables.go
+++ b/scheduler/tables.go
@@ -137,6 +137,9 @@
 	holdPause time.Duration
 	// returns holds the other owners that have returned tasks of the step, by partition.
 	returns map[int]returned
+	// doubtedAt is the last time at which a run of the step was lost without a report of its end.
+	// None of its tasks starts until the ownership is known to have held at that time.
+	doubtedAt time.Time
 	// explainedAt is the time at which the log last explained why the step
 	// waits.
 	explainedAt time.Time
--- a/scheduler/tick.go
+++ b/scheduler/tick.go
@@ -40,6 +40,7 @@
 	s.placeSteps(now)
 	s.allotments.demands = nil
 	s.explainRecovery(now)
+	s.explainDoubt(now)
 	s.scheduleWorkersWrite(now)
 	s.scheduleSilenceWrite(now)
 	s.expireEndedJobs(now)
@@ -241,7 +242,9 @@
 // startableSteps returns the steps that may start tasks now, most important
 // first.
 func (s *Scheduler) startableSteps(now time.Time) []*step {
-	return s.rankSteps(now, func(st *step) bool { return !s.awaitsRecovery(st) && st.job.mayStartGuest(now) })
+	return s.rankSteps(now, func(st *step) bool {
+		return !s.isDoubted(st) && !s.awaitsRecovery(st) && st.job.mayStartGuest(now)
+	})
 }
 
 // rankSteps returns the open steps for which include returns true,
--- a/scheduler/unconfirmed_test.go
+++ b/scheduler/unconfirmed_test.go
@@ -61,6 +61,8 @@
 	u.renewLeases()
 	u.write()
 	u.s.ConfirmOwnership(u.now)
+	u.advance(100 * time.Millisecond)
+	u.renewLeases()
 	return u
 }
 
