--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -161,6 +161,8 @@
 	jobPart func() float64
 	// knowledge returns how recent the sources of the workers are.
 	knowledge func() Knowledge
+	// confirmSoon requests that the store confirm the ownership.
+	confirmSoon func()
 
 	// tickRequests triggers a tick of the scheduler, and writeRequests a write of
 	// the progress.
@@ -281,6 +283,14 @@
 	}
 }
 
+// ConfirmSoon sets the function that is called when tasks wait for ConfirmOwnership. It must not
+// block. By default they wait for the next regular call.
+func ConfirmSoon(request func()) Option {
+	return func(c *Conductor) {
+		c.confirmSoon = request
+	}
+}
+
 // OccurrenceRangesAllowed sets the function that reports whether the occurrences of a job
 // that are done may be stored as ranges, which is so unless an owner of an older release can
 // follow. By default they always may.
@@ -312,6 +322,7 @@
 		grantsAllowed:     func() bool { return true },
 		jobPart:           func() float64 { return 1 },
 		knowledge:         func() Knowledge { return Knowledge{} },
+		confirmSoon:       func() {},
 		admissionLines:    make(lineLimiter),
 		tickRequests:      make(chan struct{}, 1),
 		writeRequests:     make(chan struct{}, 1),
@@ -408,8 +419,13 @@
 // confirm records that the ownership held at the given time. The caller holds mu.
 func (c *Conductor) confirm(at time.Time) {
 	c.confirmedAt = at
-	if c.scheduler != nil {
-		c.scheduler.ConfirmOwnership(at)
+	if c.scheduler == nil {
+		return
+	}
+	_, awaited := c.scheduler.ConfirmationDue()
+	c.scheduler.ConfirmOwnership(at)
+	if awaited {
+		c.requestTick()
 	}
 }
 
@@ -478,7 +494,7 @@
 // intervals, and carries out its effects.
 func (c *Conductor) runScheduler(ctx context.Context, group *errgroup.Group) error {
 	defer c.metrics.deleteLoad(c.partition)
-	var metricsSetAt, servicesLoggedAt time.Time
+	var metricsSetAt, servicesLoggedAt, requestedFor time.Time
 	for {
 		quick, long := c.adviser.AdviceLimits()
 		placementsAllowed, rangesAllowed, grantsAllowed := c.placementsAllowed(), c.rangesAllowed(), c.grantsAllowed()
@@ -509,6 +525,7 @@
 		unwritten, _ := c.scheduler.Unwritten()
 		exchanges := len(c.exchange.base) > 0
 		delegates := c.scheduler.Delegates()
+		confirmationDue, awaited := c.scheduler.ConfirmationDue()
 		wait := idleTickInterval
 		if c.scheduler.Jobs() > 0 {
 			wait = busyTickInterval
@@ -520,6 +537,10 @@
 		if exchanges {
 			c.requestExchange()
 		}
+		if awaited && confirmationDue.After(requestedFor) {
+			requestedFor = confirmationDue
+			c.confirmSoon()
+		}
 		if delegates {
 			c.requestDelegations()
 		}
