--- a/scheduler/confirming.go
+++ b/scheduler/confirming.go
@@ -39,11 +39,27 @@
 	return s.ownershipConfirmedAt.After(at)
 }
 
-// doubtTasksOf has the task of a run wait until the ownership is confirmed, as it is lost without a
-// report of its end. The tasks of its step wait too.
-func (s *Scheduler) doubtTasksOf(r *run, now time.Time) {
-	if st, t := s.findTask(r.ref.Task); t != nil && r.state != runPlanned {
-		st.doubtedAt = now
+// doubtJobOf has the tasks of a run's job wait until the ownership is confirmed, as the run is lost
+// without a report of its end.
+func (s *Scheduler) doubtJobOf(r *run, now time.Time) {
+	if j := s.jobs[r.ref.Task.Step.Job]; j != nil && r.state != runPlanned {
+		s.doubt(j, now)
+	}
+}
+
+// doubtJobsOn does the same for all jobs that a former owner may have run on a worker, as the
+// worker's incarnation has ended without a report to this owner.
+func (s *Scheduler) doubtJobsOn(w *worker, now time.Time) {
+	for _, j := range s.jobs {
+		if j.recovered && j.workers[w.entry.Ref.ID] {
+			s.doubt(j, now)
+		}
+	}
+}
+
+func (s *Scheduler) doubt(j *job, now time.Time) {
+	if !j.state.Final() {
+		j.doubtedAt = now
 		s.confirmationDue = latest(s.confirmationDue, now)
 	}
 }
@@ -51,7 +67,7 @@
 // isDoubted reports whether a successor of this owner may run tasks of the step, or know that they
 // are done.
 func (s *Scheduler) isDoubted(st *step) bool {
-	return st.doubtedAt.After(s.ownershipConfirmedAt)
+	return st.job.doubtedAt.After(s.ownershipConfirmedAt)
 }
 
 // explainDoubt adds a note on each step that waits for the ownership to be confirmed, once per
@@ -65,7 +81,7 @@
 			continue
 		}
 		s.addNote(fmt.Sprintf("step waits until the ownership is confirmed, as a later owner may have its runs: %d of %d tasks, %s, lost %v ago, confirmed %v ago",
-			st.waiting, len(st.tasks), rankName(st.rank(now)), now.Sub(st.doubtedAt).Round(time.Millisecond), now.Sub(s.ownershipConfirmedAt).Round(time.Millisecond)),
+			st.waiting, len(st.tasks), rankName(st.rank(now)), now.Sub(st.job.doubtedAt).Round(time.Millisecond), now.Sub(s.ownershipConfirmedAt).Round(time.Millisecond)),
 			TaskRef{
 				Step: st.ref,
 			}, "", now.Sub(st.readyAt))
--- a/scheduler/incarnations.go
+++ b/scheduler/incarnations.go
@@ -44,7 +44,7 @@
 		s.losses.Workers["worker started again"]++
 	}
 	for _, r := range sortedRuns(w) {
-		s.doubtTasksOf(r, now)
+		s.doubtJobOf(r, now)
 		switch {
 		case r.state == runPlanned:
 		case r.state == runUncertain || r.state == runStarting && r.confirmedAt.IsZero():
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -128,7 +128,7 @@
 	refs := make([]TaskRef, 0, len(runs))
 	for _, r := range runs {
 		s.losses.Runs[reason]++
-		s.doubtTasksOf(r, now)
+		s.doubtJobOf(r, now)
 		s.markLost(r, reason+s.describeLoss(r, now), now)
 		refs = append(refs, r.ref.Task)
 	}
--- a/scheduler/tables.go
+++ b/scheduler/tables.go
@@ -45,6 +45,9 @@
 	// begun is set once a worker has begun a task of the job, as the answer to a start or a
 	// report says, and begunStored once that is stored.
 	begun, begunStored bool
+	// doubtedAt is the last time at which a run of the job was or may have been lost without a
+	// report of its end. None of its tasks starts until the ownership is known to have held then.
+	doubtedAt time.Time
 	// runCount counts the runs of the job on all workers, in any state. It is kept
 	// only for jobs of an organisation.
 	runCount int
@@ -137,9 +140,6 @@
 	holdPause time.Duration
 	// returns holds the other owners that have returned tasks of the step, by partition.
 	returns map[int]returned
-	// doubtedAt is the last time at which a run of the step was lost without a report of its end.
-	// None of its tasks starts until the ownership is known to have held at that time.
-	doubtedAt time.Time
 	// explainedAt is the time at which the log last explained why the step
 	// waits.
 	explainedAt time.Time
