--- a/scheduler/incarnations.go
+++ b/scheduler/incarnations.go
@@ -39,6 +39,9 @@
 func (s *Scheduler) endIncarnation(w *worker, startedAt, now time.Time) {
 	s.addNote(fmt.Sprintf("worker has started again under its identity: ends up to %d were processed, %d are acknowledged, its clock was above %v",
 		w.lastEndNumber, w.ackedNumber, w.clockReading), TaskRef{}, w.entry.Ref.ID, startedAt.Sub(w.startedAt))
+	if !w.reported {
+		s.doubtJobsOn(w, now)
+	}
 	crashed := s.confirmCrash(w, startedAt, now)
 	if len(w.runs) > 0 {
 		s.losses.Workers["worker started again"]++
--- a/scheduler/interleaving_test.go
+++ b/scheduler/interleaving_test.go
@@ -76,6 +76,8 @@
 	now     time.Time
 	workers []*modelWorker
 	owners  []*modelOwner
+	// options are those of each owner's scheduler.
+	options []scheduler.Option
 	// epoch is the highest token that was announced to the store, and reading holds the owners
 	// that have announced theirs and not read their partition yet.
 	epoch   int64
@@ -282,7 +284,7 @@
 		confirmedAt = m.now
 	}
 	o := &modelOwner{
-		s:            scheduler.New(token, m.now, scheduler.ConfirmedAt(confirmedAt)),
+		s:            scheduler.New(token, m.now, append(slices.Clone(m.options), scheduler.ConfirmedAt(confirmedAt))...),
 		token:        token,
 		reportedEnds: make(map[string]int64),
 		marks:        make(map[int]scheduler.Mark),
--- a/scheduler/unconfirmed_test.go
+++ b/scheduler/unconfirmed_test.go
@@ -124,6 +124,23 @@
 			name: "leases of former owners have expired",
 			lose: (*unconfirmedRig).takeOverAgain,
 		},
+		{
+			name: "another worker answers at the address of one that has not reported",
+			lose: func(u *unconfirmedRig) {
+				u.takeOverAgain()
+				u.rounds(100 * time.Millisecond)
+				u.s.WorkerGone("far", u.now)
+			},
+		},
+		{
+			name: "worker that has not reported has started again under its identity",
+			lose: func(u *unconfirmedRig) {
+				u.takeOverAgain()
+				u.rounds(100 * time.Millisecond)
+				u.far.restart()
+				u.far.silent = false
+			},
+		},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			u := newUnconfirmedRig(t, test.gang)
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -299,6 +299,9 @@
 	crashed := s.confirmCrash(w, time.Time{}, now)
 	s.markAllLost(w, "worker ended", now)
 	s.giveUpCrashing(crashed, now)
+	if !w.reported {
+		s.doubtJobsOn(w, now)
+	}
 	w.reported = true
 	s.formerUses = nil
 	if !w.listed {
