--- a/scheduler/copying.go
+++ b/scheduler/copying.go
@@ -27,7 +27,7 @@
 // or is on a worker that does not answer, if the phase allows copies and
 // capacity is left. The run that is done first counts.
 func (s *Scheduler) copySlowRuns(pools map[string]*pool, now time.Time) {
-	if len(s.copyableSteps) == 0 {
+	if len(s.copyableSteps) == 0 || s.longestSafeLease(now) <= 0 {
 		return
 	}
 	steps := make([]*step, 0, len(s.copyableSteps))
--- a/scheduler/tick.go
+++ b/scheduler/tick.go
@@ -242,6 +242,10 @@
 // startableSteps returns the steps that may start tasks now, most important
 // first.
 func (s *Scheduler) startableSteps(now time.Time) []*step {
+	if s.longestSafeLease(now) <= 0 {
+		// Workers would refuse the starts.
+		return nil
+	}
 	return s.rankSteps(now, func(st *step) bool {
 		return !s.isDoubted(st) && !s.awaitsRecovery(st) && st.job.mayStartGuest(now)
 	})
--- a/scheduler/unconfirmed_test.go
+++ b/scheduler/unconfirmed_test.go
@@ -155,3 +155,21 @@
 		})
 	}
 }
+
+// TestOwnerWithoutLeasesStartsNothing guards against starts by an owner that may grant no lease any
+// more: each was refused as late and sent again at once, hundreds in a second.
+func TestOwnerWithoutLeasesStartsNothing(t *testing.T) {
+	u := newUnconfirmedRig(t, false)
+	u.s.AddJob(u.rig.job("k", newPhase(1, cores(1))), nil, false, u.now)
+	u.tick()
+	u.c.Assert(u.near.activeRuns, qt.HasLen, 1)
+	lapsing := firstRun(u.near)
+	u.rounds(entryMaxLease)
+	u.near.end(lapsing, scheduler.EndLapsed)
+	u.rounds(time.Second)
+	u.c.Assert(u.near.startCounts[lapsing.Task], qt.Equals, 1)
+
+	u.s.ConfirmOwnership(u.now)
+	u.rounds(100 * time.Millisecond)
+	u.c.Assert(u.near.startCounts[lapsing.Task], qt.Equals, 2)
+}
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -259,12 +259,16 @@
 // takeover until the longest possible lease has expired. So a lease must expire
 // within that time after ownershipConfirmedAt.
 func (s *Scheduler) extendLease(w *worker, now time.Time) time.Duration {
-	clock := w.clockAt(now)
-	longestSafe := time.Duration(float64(s.options.maxLease)*minClockRate) - recoveryMargin - now.Sub(s.ownershipConfirmedAt)
-	w.leaseEnd = max(w.leaseEnd, clock+min(s.options.leaseDuration, longestSafe))
+	w.leaseEnd = max(w.leaseEnd, w.clockAt(now)+min(s.options.leaseDuration, s.longestSafeLease(now)))
 	return w.leaseEnd
 }
 
+// longestSafeLease returns the duration of the longest lease that may be granted now. It is
+// negative if the leases that may have been granted are over.
+func (s *Scheduler) longestSafeLease(now time.Time) time.Duration {
+	return time.Duration(float64(s.options.maxLease)*minClockRate) - recoveryMargin - now.Sub(s.ownershipConfirmedAt)
+}
+
 // RenewalFailed records that a lease renewal had no answer.
 func (s *Scheduler) RenewalFailed(id string, now time.Time) {
 	if w := s.workers[id]; w != nil && w.silentSince.IsZero() {
