--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -161,8 +161,6 @@
 	jobPart func() float64
 	// knowledge returns how recent the sources of the workers are.
 	knowledge func() Knowledge
-	// confirmSoon requests that the store confirm the ownership.
-	confirmSoon func()
 
 	// tickRequests triggers a tick of the scheduler, and writeRequests a write of
 	// the progress.
@@ -283,14 +281,6 @@
 	}
 }
 
-// ConfirmSoon sets the function that is called when tasks wait for ConfirmOwnership. It must not
-// block. By default they wait for the next regular call.
-func ConfirmSoon(request func()) Option {
-	return func(c *Conductor) {
-		c.confirmSoon = request
-	}
-}
-
 // OccurrenceRangesAllowed sets the function that reports whether the occurrences of a job
 // that are done may be stored as ranges, which is so unless an owner of an older release can
 // follow. By default they always may.
@@ -322,7 +312,6 @@
 		grantsAllowed:     func() bool { return true },
 		jobPart:           func() float64 { return 1 },
 		knowledge:         func() Knowledge { return Knowledge{} },
-		confirmSoon:       func() {},
 		admissionLines:    make(lineLimiter),
 		tickRequests:      make(chan struct{}, 1),
 		writeRequests:     make(chan struct{}, 1),
@@ -389,12 +378,37 @@
 	c.mu.Lock()
 	c.doubtedAt = c.clock.Now()
 	c.mu.Unlock()
+	c.requestCheck()
+}
+
+// requestCheck triggers a check whether there is a later owner.
+func (c *Conductor) requestCheck() {
 	select {
 	case c.checkRequests <- struct{}{}:
 	default:
 	}
 }
 
+// checkDue reports whether a check whether there is a later owner is still due.
+func (c *Conductor) checkDue() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, awaited := c.scheduler.ConfirmationDue()
+	return awaited || !c.doubtedAt.IsZero()
+}
+
+// confirmWriter records that the store has taken a write of this owner that began at the given
+// time, so that no later epoch had been announced by then.
+func (c *Conductor) confirmWriter(began time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, awaited := c.scheduler.ConfirmationDue()
+	c.scheduler.ConfirmOwnership(began)
+	if awaited {
+		c.requestTick()
+	}
+}
+
 // checkOwnership ends the doubt of the ownership. It returns ErrSuperseded if there was a later
 // owner.
 func (c *Conductor) checkOwnership(ctx context.Context) error {
@@ -419,13 +433,8 @@
 // confirm records that the ownership held at the given time. The caller holds mu.
 func (c *Conductor) confirm(at time.Time) {
 	c.confirmedAt = at
-	if c.scheduler == nil {
-		return
-	}
-	_, awaited := c.scheduler.ConfirmationDue()
-	c.scheduler.ConfirmOwnership(at)
-	if awaited {
-		c.requestTick()
+	if c.scheduler != nil {
+		c.scheduler.ConfirmAssignment(at)
 	}
 }
 
@@ -518,7 +527,7 @@
 			c.metrics.setLasting(c.partition, c.scheduler.LastingLoad(now))
 			c.metrics.setPlanned(c.partition, c.scheduler.OldestPlanned(now))
 			c.metrics.setJobsRead(c.partition, c.jobsReadAt)
-			c.metrics.setConfirmed(c.partition, c.scheduler.OwnershipConfirmedAt())
+			c.metrics.setConfirmed(c.partition, c.scheduler.ConfirmedAt())
 			c.metrics.setDelegations(c.partition, c.scheduler.GrantedTasks(), c.scheduler.GuestTasks())
 			c.metrics.organisations.set(c.partition, c.scheduler.OrganisationLoads(), c.scheduler.ShareLoads())
 		}
@@ -539,7 +548,7 @@
 		}
 		if awaited && confirmationDue.After(requestedFor) {
 			requestedFor = confirmationDue
-			c.confirmSoon()
+			c.requestCheck()
 		}
 		if delegates {
 			c.requestDelegations()
--- a/conductor/orders.go
+++ b/conductor/orders.go
@@ -79,7 +79,7 @@
 	switch {
 	case err != nil && outcome != scheduler.StartDone:
 		c.mu.Lock()
-		fields["confirmedAgoMs"] = now.Sub(c.scheduler.OwnershipConfirmedAt()).Milliseconds()
+		fields["confirmedAgoMs"] = now.Sub(c.scheduler.ConfirmedAt()).Milliseconds()
 		c.mu.Unlock()
 		c.logger.WithFields(fields).WithError(err).Warn("conductor: a start failed or its outcome is unknown")
 	case lasting:
--- a/conductor/recovery.go
+++ b/conductor/recovery.go
@@ -71,7 +71,7 @@
 	c.workerRecords = stored.workerRecords
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	s.ConfirmOwnership(c.confirmedAt)
+	s.ConfirmAssignment(c.confirmedAt)
 	if c.organisationsPending {
 		s.AwaitOrganisations()
 	} else {
--- a/conductor/writing.go
+++ b/conductor/writing.go
@@ -20,6 +20,9 @@
 		select {
 		case <-c.writeRequests:
 		case <-c.checkRequests:
+			if !c.checkDue() {
+				continue
+			}
 			if err := c.checkOwnership(ctx); err != nil {
 				return err
 			}
@@ -86,6 +89,9 @@
 		began:   c.clock.Now(),
 	}
 	err := c.tryAppend(ctx, writer, &w)
+	if err == nil {
+		c.confirmWriter(w.began)
+	}
 	c.logWrite(w, err == nil)
 	c.metrics.writeSeconds.Observe(c.clock.Now().Sub(w.began).Seconds())
 	c.metrics.writeRecords.Observe(float64(len(records)))
--- a/scheduler/confirming.go
+++ b/scheduler/confirming.go
@@ -5,23 +5,30 @@
 	"time"
 )
 
-// An owner that the store has not confirmed for a while may have a successor. That one may reach a
-// worker which this one does not reach, and renew the leases of its runs or acknowledge their ends.
+// An owner whose writes the store has not taken for a while may have a successor. That one may reach
+// a worker which this one does not reach, and renew the leases of its runs or acknowledge their ends.
 // So the time at which a lease ends shows nothing by itself: a run has ended with its lease only if
-// this owner had no successor until then.
+// no later epoch had been announced until then. That the group still assigns the partition to this
+// owner does not show it, as a former assignee may announce its epoch late.
 
-// ConfirmOwnership records that the ownership held at the given time. Leases are
-// limited relative to the latest such time, so that none outlives the wait of
-// the next owner after its takeover.
+// ConfirmAssignment records that the partition was assigned to this owner at the given time. Leases
+// are limited relative to the latest such time, so that none outlives the wait of the next owner after
+// its takeover. A former assignee may still announce its epoch, if that is higher than this owner's.
+func (s *Scheduler) ConfirmAssignment(at time.Time) {
+	s.assignmentConfirmedAt = latest(s.assignmentConfirmedAt, at)
+}
+
+// ConfirmOwnership records that no later epoch than this owner's had been announced to the store by
+// the given time, so that nobody can have acted as its successor.
 func (s *Scheduler) ConfirmOwnership(at time.Time) {
-	if at.After(s.ownershipConfirmedAt) {
-		s.ownershipConfirmedAt = at
-	}
+	s.ownershipConfirmedAt = latest(s.ownershipConfirmedAt, at)
+	s.ConfirmAssignment(at)
 }
 
-// OwnershipConfirmedAt returns the latest time at which the ownership is known to have held.
-func (s *Scheduler) OwnershipConfirmedAt() time.Time {
-	return s.ownershipConfirmedAt
+// ConfirmedAt returns the latest time at which the partition is known to have been assigned to this
+// owner.
+func (s *Scheduler) ConfirmedAt() time.Time {
+	return s.assignmentConfirmedAt
 }
 
 // ConfirmationDue returns the latest time for which tasks wait for the ownership to be
@@ -59,7 +66,7 @@
 
 func (s *Scheduler) doubt(j *job, now time.Time) {
 	if !j.state.Final() {
-		j.doubtedAt = now
+		j.doubtedAt = latest(j.doubtedAt, now)
 		s.confirmationDue = latest(s.confirmationDue, now)
 	}
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -55,9 +55,11 @@
 	adviceInFlight, adviceLimits map[bool]int
 	// queues holds the statistics of each queue, by name.
 	queues map[string]*queueStats
-	// ownershipConfirmedAt is the last time at which the ownership was known to hold, and
-	// confirmationDue the latest time for which tasks wait until it is known to have held.
-	ownershipConfirmedAt, confirmationDue time.Time
+	// assignmentConfirmedAt is the last time at which the partition is known to have been
+	// assigned to this owner, and ownershipConfirmedAt the last one by which no later epoch had
+	// been announced, which is not after it. confirmationDue is the latest time for which tasks
+	// wait until it is known that none had.
+	assignmentConfirmedAt, ownershipConfirmedAt, confirmationDue time.Time
 
 	// reportsAwaited is set at the beginning of the ownership, while workers of the former
 	// owner may be about to report, as of this tick.
@@ -204,6 +206,7 @@
 		token:                  token,
 		lastAttempt:            token * attemptsPerToken,
 		ownerSince:             now,
+		assignmentConfirmedAt:  now,
 		ownershipConfirmedAt:   now,
 		silenceWrittenAt:       now,
 		tickedAt:               now,
@@ -250,7 +253,7 @@
 		opt(&s.options)
 	}
 	if !s.options.confirmedAt.IsZero() {
-		s.ownershipConfirmedAt = s.options.confirmedAt
+		s.assignmentConfirmedAt, s.ownershipConfirmedAt = s.options.confirmedAt, s.options.confirmedAt
 	}
 	return s
 }
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -257,16 +257,16 @@
 // extendLease returns the expiry, on the worker's clock, of a lease that may be
 // granted now, and records it as leaseEnd. The next owner waits after its
 // takeover until the longest possible lease has expired. So a lease must expire
-// within that time after ownershipConfirmedAt.
+// within that time after assignmentConfirmedAt.
 func (s *Scheduler) extendLease(w *worker, now time.Time) time.Duration {
 	w.leaseEnd = max(w.leaseEnd, w.clockAt(now)+min(s.options.leaseDuration, s.longestSafeLease(now)))
 	return w.leaseEnd
 }
 
-// longestSafeLease returns the duration of the longest lease that may be granted now. It is
-// negative if the leases that may have been granted are over.
+// longestSafeLease returns the duration of the longest lease that may be granted now. None may
+// be if it is not positive.
 func (s *Scheduler) longestSafeLease(now time.Time) time.Duration {
-	return time.Duration(float64(s.options.maxLease)*minClockRate) - recoveryMargin - now.Sub(s.ownershipConfirmedAt)
+	return time.Duration(float64(s.options.maxLease)*minClockRate) - recoveryMargin - now.Sub(s.assignmentConfirmedAt)
 }
 
 // RenewalFailed records that a lease renewal had no answer.
