--- a/scheduler/confirming.go
+++ b/scheduler/confirming.go
@@ -58,13 +58,19 @@
 // worker's incarnation has ended without a report to this owner.
 func (s *Scheduler) doubtJobsOn(w *worker, now time.Time) {
 	for _, j := range s.jobs {
-		if j.recovered && j.workers[w.entry.Ref.ID] {
+		_, ending := j.formerEnding[w.entry.Ref.ID]
+		if j.recovered && (ending || j.workers[w.entry.Ref.ID]) {
 			s.doubt(j, now)
 		}
 	}
 }
 
 func (s *Scheduler) doubt(j *job, now time.Time) {
+	if name := j.record.Organisation; name != "" {
+		// Runs of ended jobs count too.
+		s.doubtedUses[name] = latest(s.doubtedUses[name], now)
+		s.confirmationDue = latest(s.confirmationDue, now)
+	}
 	if !j.state.Final() {
 		j.doubtedAt = latest(j.doubtedAt, now)
 		s.confirmationDue = latest(s.confirmationDue, now)
--- a/scheduler/limits.go
+++ b/scheduler/limits.go
@@ -251,7 +251,7 @@
 // startAllowed reports whether the start of a planned run may still be sent. The run
 // counts as used already, so that only a lowered maximum or allotment prevents it.
 func (s *Scheduler) startAllowed(st *step, r *run) bool {
-	if s.awaitsOrganisations(st.job) {
+	if s.organisationsPending && st.job.record.Organisation != "" {
 		return false
 	}
 	organisation, limited := s.limitOf(st.job)
--- a/scheduler/organisations.go
+++ b/scheduler/organisations.go
@@ -36,9 +36,13 @@
 }
 
 // awaitsOrganisations reports whether no task of the job may start since the maximum of
-// its organisation is not known.
+// its organisation is not known, or whether runs that were lost still use it.
 func (s *Scheduler) awaitsOrganisations(j *job) bool {
-	return s.organisationsPending && j.record.Organisation != ""
+	if s.organisationsPending {
+		return j.record.Organisation != ""
+	}
+	organisation, limited := s.limitOf(j)
+	return limited && s.doubtedUses[organisation.Name].After(s.ownershipConfirmedAt)
 }
 
 // Organisations returns the organisations by name.
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -159,6 +159,9 @@
 	// uses holds, by organisation, what has a run on a worker. unknownRuns holds the
 	// runs of unknown jobs by the identity of the job.
 	uses        map[string]*organisationUse
+	// doubtedUses holds, by organisation, the last time at which a run of one of its jobs was or
+	// may have been lost without a report of its end.
+	doubtedUses map[string]time.Time
 	unknownRuns map[string][]*run
 	// formerUses holds, by organisation, what former owners may have running on
 	// workers that have not reported. It is nil if it has to be computed again.
@@ -224,6 +227,7 @@
 		},
 		organisations:      make(map[string]Organisation),
 		uses:               make(map[string]*organisationUse),
+		doubtedUses:        make(map[string]time.Time),
 		unknownRuns:        make(map[string][]*run),
 		waits:              make(map[string]*organisationWait),
 		maximumNotes:       make(map[string]*maximumNotes),
--- a/scheduler/unconfirmed_test.go
+++ b/scheduler/unconfirmed_test.go
@@ -173,3 +173,59 @@
 	u.rounds(100 * time.Millisecond)
 	u.c.Assert(u.near.startCounts[lapsing.Task], qt.Equals, 2)
 }
+
+// TestUnconfirmedOwnerFreesNoMaximum guards against an owner that may have a successor and starts
+// tasks in the part of an organisation's maximum that lost runs had: the successor's runs go on there.
+func TestUnconfirmedOwnerFreesNoMaximum(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		lose func(r *rig, far *fakeWorker)
+	}{
+		{
+			name: "lease has expired",
+			lose: func(_ *rig, far *fakeWorker) { far.silent = true },
+		},
+		{
+			name: "worker has ended",
+			lose: func(r *rig, far *fakeWorker) {
+				far.silent = true
+				r.s.WorkerGone("far", r.now)
+			},
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			r := newRig(t, scheduler.Lease(entryLease, entryMaxLease))
+			near, far := r.addWorker("near", cores(4)), r.addWorker("far", cores(2))
+			near.entry.StartedAt, far.entry.StartedAt = r.now, r.now
+			r.limitTo(cores(3))
+			r.updateDirectory()
+			near.silent = true
+			r.renewLeases()
+			r.s.AddJob(r.limitedJob("j", newPhase(2, cores(1))), nil, false, r.now)
+			r.tick()
+			r.c.Assert(far.activeRuns, qt.HasLen, 2)
+			near.silent = false
+			r.renewLeases()
+			r.s.AddJob(r.limitedJob("k", newPhase(4, cores(1))), nil, false, r.now)
+			r.tick()
+			r.c.Assert(near.activeRuns, qt.HasLen, 1)
+			r.write()
+			r.s.ConfirmOwnership(r.now)
+			r.advance(100 * time.Millisecond)
+			r.renewLeases()
+			test.lose(r, far)
+			rounds := func(n int) {
+				for range n {
+					r.advance(100 * time.Millisecond)
+					r.renewLeases()
+					r.carryOut(r.s.Tick(r.now))
+				}
+			}
+			rounds(50)
+			r.c.Assert(near.activeRuns, qt.HasLen, 1)
+			r.s.ConfirmOwnership(r.now)
+			rounds(10)
+			r.c.Assert(near.activeRuns, qt.HasLen, 3)
+		})
+	}
+}
