--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -158,7 +158,7 @@
 	organisationsPending bool
 	// uses holds, by organisation, what has a run on a worker. unknownRuns holds the
 	// runs of unknown jobs by the identity of the job.
-	uses        map[string]*organisationUse
+	uses map[string]*organisationUse
 	// doubtedUses holds, by organisation, the last time at which a run of one of its jobs was or
 	// may have been lost without a report of its end.
 	doubtedUses map[string]time.Time
