--- a/conductor/writing_test.go
+++ b/conductor/writing_test.go
@@ -115,6 +115,7 @@
 					Handler: logs,
 					Level:   log.InfoLevel,
 				}))
+				owner.scheduler = scheduler.New(1, time.Now())
 				for range test.writes {
 					c.Assert(owner.appendProgress(context.Background(), []storer.Record{
 						{
