--- a/conductor/allotments_test.go
+++ b/conductor/allotments_test.go
@@ -357,7 +357,7 @@
 }
 
 func (f *allotmentFixture) cancelLarge(partition int) {
-	record, err := conductor.CancelRecord("large", "")
+	record, err := conductor.CancelRecord("large", acme)
 	f.c.Assert(err, qt.IsNil)
 	_, err = f.store.Memory.Append(context.Background(), storer.Partition{
 		Topic:  conductor.JobsTopic,
