--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -138,6 +138,7 @@
 	workers   Workers
 	adviser   Adviser
 	clock     timekeeper.Clock
+	bootClock timekeeper.BootClock
 	logger    log.Interface
 	partition int
 	token     int64
@@ -176,6 +177,8 @@
 
 	mu        sync.Mutex
 	scheduler *scheduler.Scheduler
+	// suspensions measures those that the scheduler is told of.
+	suspensions *timekeeper.SuspensionMeter
 	// ready is set once all stored jobs were read.
 	ready bool
 	// next is the offset of the next job to read.
@@ -242,6 +245,14 @@
 	}
 }
 
+// BootClock sets the clock that shows for how long the host was suspended. By default it is taken to
+// have never been.
+func BootClock(clock timekeeper.BootClock) Option {
+	return func(c *Conductor) {
+		c.bootClock = clock
+	}
+}
+
 // Logger sets where decisions are logged. By default they are not logged.
 func Logger(logger log.Interface) Option {
 	return func(c *Conductor) {
@@ -328,6 +339,7 @@
 	for _, opt := range opts {
 		opt(c)
 	}
+	c.suspensions = timekeeper.NewSuspensionMeter(c.clock, c.bootClock)
 	c.assignedAt = c.clock.Now()
 	return c
 }
@@ -430,6 +442,21 @@
 	return nil
 }
 
+// readClock returns the time, and has the scheduler know of a suspension of the host before it. The
+// caller holds mu.
+func (c *Conductor) readClock() time.Time {
+	now, suspended := c.suspensions.Read()
+	if suspended > 0 {
+		c.scheduler.AddSuspension(suspended, now)
+		c.logger.WithFields(log.Fields{
+			"partition":   c.partition,
+			"token":       c.token,
+			"suspendedMs": suspended.Milliseconds(),
+		}).Warn("conductor: the host was suspended")
+	}
+	return now
+}
+
 // confirm records that the ownership held at the given time. The caller holds mu.
 func (c *Conductor) confirm(at time.Time) {
 	c.confirmedAt = at
@@ -515,7 +542,7 @@
 		c.scheduler.SetAdviceLimits(quick, long)
 		c.scheduler.SetJobPart(jobPart)
 		c.updateLeaseKeepers(ctx, group)
-		effects := c.scheduler.Tick(c.clock.Now())
+		effects := c.scheduler.Tick(c.readClock())
 		notes := c.scheduler.Notes()
 		var services []scheduler.ServiceLoad
 		c.metrics.addLosses(c.scheduler.Losses())
--- a/conductor/metrics.go
+++ b/conductor/metrics.go
@@ -185,7 +185,7 @@
 		}, []string{"partition"}),
 		confirmedAt: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "galenacove_conductor_confirmed_timestamp_seconds",
-			Help: "Latest time at which the ownership is known to have held, by partition.",
+			Help: "Latest time at which the partition is known to have been assigned to its owner here, by partition.",
 		}, []string{"partition"}),
 	}
 }
--- a/conductor/orders.go
+++ b/conductor/orders.go
@@ -218,7 +218,7 @@
 	failures := 0
 	for ctx.Err() == nil {
 		c.mu.Lock()
-		sentAt := c.clock.Now()
+		sentAt := c.readClock()
 		order, known := c.scheduler.LeaseRenewal(id, sentAt)
 		c.mu.Unlock()
 		if !known {
@@ -275,7 +275,7 @@
 // jobs.
 func (c *Conductor) applyReport(id string, report scheduler.Report, sentAt time.Time) (unstored bool, progressed <-chan struct{}) {
 	c.mu.Lock()
-	now := c.clock.Now()
+	now := c.readClock()
 	c.scheduler.Report(id, report, sentAt, now)
 	order, _ := c.scheduler.LeaseRenewal(id, now)
 	unwritten, _ := c.scheduler.Unwritten()
--- a/conductor/recovery.go
+++ b/conductor/recovery.go
@@ -33,7 +33,9 @@
 }
 
 func (c *Conductor) loadPartition(ctx context.Context) error {
-	announcedAt := c.clock.Now()
+	c.mu.Lock()
+	announcedAt, _ := c.suspensions.Read()
+	c.mu.Unlock()
 	end, err := c.store.Append(ctx, c.progressPartition(), &storer.Writer{
 		Name:     writerName,
 		Epoch:    c.token,
@@ -71,6 +73,9 @@
 	c.workerRecords = stored.workerRecords
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.scheduler = s
+	// Nothing has been told of suspensions since the epoch was announced.
+	c.readClock()
 	s.ConfirmAssignment(c.confirmedAt)
 	if c.organisationsPending {
 		s.AwaitOrganisations()
@@ -86,7 +91,6 @@
 		s.SetFormerSilence(stored.silent)
 	}
 	s.SetWorkers(c.directoryWorkers)
-	c.scheduler = s
 	c.logStoredJobs(jobs, stored, now)
 	c.applyRecords(jobs, stored.byJob, now)
 	c.restoreGuests(s, stored, now)
--- a/coordinator/membership.go
+++ b/coordinator/membership.go
@@ -296,6 +296,7 @@
 	own := &ownership{
 		conductor: conductor.New(c.store, c.settings.workers, c.entryPool.adviserFor(partition), partition, token,
 			conductor.Clock(c.settings.clock),
+			conductor.BootClock(c.settings.bootClock),
 			conductor.Logger(c.settings.logger),
 			conductor.WithMetrics(c.metrics),
 			conductor.PlacementsAllowed(c.placementsAllowed.Load),
--- a/coordinator/options.go
+++ b/coordinator/options.go
@@ -156,8 +156,8 @@
 	}
 }
 
-// BootClock sets the clock on which the age of evidence is measured. The default is the
-// host's boot-time clock.
+// BootClock sets the clock on which the age of evidence is measured, and that shows for how long the
+// host was suspended. The default is the host's boot-time clock.
 func BootClock(clock timekeeper.BootClock) Option {
 	return func(s *settings) {
 		s.bootClock = clock
--- a/scheduler/explaining.go
+++ b/scheduler/explaining.go
@@ -366,7 +366,7 @@
 	}
 	t.lostWorkers++
 	text := fmt.Sprintf(", %d workers lost with a run of the task, attempt %d, ownership confirmed %v ago",
-		t.lostWorkers, r.ref.Attempt, now.Sub(s.assignmentConfirmedAt).Round(time.Millisecond))
+		t.lostWorkers, r.ref.Attempt, s.age(s.assignmentConfirmedAt, now).Round(time.Millisecond))
 	if !r.worker.silentSince.IsZero() && r.state != runPlanned {
 		text += fmt.Sprintf(", silent %v and last known to be up %v after the start",
 			r.worker.silentSince.Sub(r.startedAt).Round(time.Millisecond), r.worker.aliveAt.Sub(r.startedAt).Round(time.Millisecond))
--- a/scheduler/reports.go
+++ b/scheduler/reports.go
@@ -83,7 +83,7 @@
 		s.formerUses = nil
 	}
 	w.reported = true
-	w.lastReportAt = now
+	w.lastReportAt = s.answeredAt(sent, now)
 	w.aliveAt = now
 	w.silentSince = time.Time{}
 	s.clearSuspects(w, now)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -60,6 +60,8 @@
 	// been announced, which is not after it. confirmationDue is the latest time for which tasks
 	// wait until it is known that none had.
 	assignmentConfirmedAt, ownershipConfirmedAt, confirmationDue time.Time
+	// suspensions holds for how long the host was suspended, ordered by time.
+	suspensions []suspension
 
 	// reportsAwaited is set at the beginning of the ownership, while workers of the former
 	// owner may be about to report, as of this tick.
--- a/scheduler/tables.go
+++ b/scheduler/tables.go
@@ -334,7 +334,8 @@
 	// are from the report that gives the highest bound for later times.
 	clockReading time.Duration
 	clockReadAt  time.Time
-	// lastReportAt is the time at which the last report arrived.
+	// lastReportAt is the time at which the last report arrived, or was asked for if the host was
+	// suspended since.
 	lastReportAt time.Time
 	// aliveAt is the latest time at which the worker was certainly up, as far as this
 	// owner knows.
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -244,7 +244,7 @@
 		Unstored: len(w.pendingAcks) > 0,
 		Unseen:   !w.reported && !w.former,
 	}
-	if w.silentSince.IsZero() && now.Sub(w.lastReportAt) < maxReportAge {
+	if w.silentSince.IsZero() && s.age(w.lastReportAt, now) < maxReportAge {
 		// Otherwise the worker may have started again, and its ends be others.
 		order.Acknowledge = w.ackedNumber
 	}
@@ -266,7 +266,7 @@
 // longestSafeLease returns the duration of the longest lease that may be granted now. None may
 // be if it is not positive.
 func (s *Scheduler) longestSafeLease(now time.Time) time.Duration {
-	return time.Duration(float64(s.options.maxLease)*minClockRate) - recoveryMargin - now.Sub(s.assignmentConfirmedAt)
+	return time.Duration(float64(s.options.maxLease)*minClockRate) - recoveryMargin - s.age(s.assignmentConfirmedAt, now)
 }
 
 // RenewalFailed records that a lease renewal had no answer.
