timekeeper: a pause between two readings hides nothing of the next suspension

Cause: the meter took its reading of the Clock from before that of the BootClock as the base of the next measurement. A pause of the process between the two counted as a suspension once, and was taken off the next one. Evidence: TestPauseHidesNoSuspension: after a pause of 3 s, a suspension of 5 s is measured as 2 s (fails before, passes after). Change: the base is a reading of the Clock just after that of the BootClock. A pause there is counted too much, never too little. Not shown in a run of processes: it needs a freeze between two lines, followed by a suspension.

--- a/timekeeper/suspension.go
+++ b/timekeeper/suspension.go
@@ -13,7 +13,8 @@
 type SuspensionMeter struct {
 	clock Clock
 	boot  BootClock
-	// lastNow and lastBoot are the readings of the last call.
+	// lastBoot is the reading of the last call, and lastNow one of the Clock just after it, so that
+	// a pause between the two hides nothing of the next suspension.
 	lastNow  time.Time
 	lastBoot time.Duration
 }
@@ -37,7 +38,7 @@
 	}
 	boot := m.boot.SinceBoot()
 	suspended = boot - m.lastBoot - now.Sub(m.lastNow)
-	m.lastNow, m.lastBoot = now, boot
+	m.lastNow, m.lastBoot = m.clock.Now(), boot
 	if suspended < minSuspension {
 		return now, 0
 	}
--- a/timekeeper/suspension_test.go
+++ b/timekeeper/suspension_test.go
@@ -48,3 +48,36 @@
 	_, suspended := timekeeper.NewSuspensionMeter(clock, nil).Read()
 	c.Assert(suspended, qt.Equals, time.Duration(0))
 }
+
+// pausingBoot is a BootClock before whose readings the process pauses.
+type pausingBoot struct {
+	*timekeeper.FakeBoot
+	clock *timekeeper.Fake
+	pause time.Duration
+}
+
+// SinceBoot implements timekeeper.BootClock.
+func (b *pausingBoot) SinceBoot() time.Duration {
+	b.clock.Advance(b.pause)
+	b.Advance(b.pause)
+	return b.FakeBoot.SinceBoot()
+}
+
+// TestPauseHidesNoSuspension guards against a suspension of which less is measured, as the process had
+// paused between the readings of the two clocks before it.
+func TestPauseHidesNoSuspension(t *testing.T) {
+	c := qt.New(t)
+	clock := timekeeper.NewFake(time.Unix(0, 0))
+	boot := &pausingBoot{
+		FakeBoot: timekeeper.NewFakeBoot(time.Hour),
+		clock:    clock,
+	}
+	meter := timekeeper.NewSuspensionMeter(clock, boot)
+	boot.pause = 3 * time.Second
+	meter.Read()
+	boot.pause = 0
+	clock.Advance(time.Second)
+	boot.Advance(6 * time.Second)
+	_, suspended := meter.Read()
+	c.Assert(suspended, qt.Equals, 5*time.Second)
+}
