conductor: lost runs cost at most ten checks of the ownership in a second

Cause: since the tasks of lost runs wait for a write, the owner made a write of its own for each tick in which a worker was lost. Workers of a data centre that is cut off lapse one after the other within the second of their renewals, so each cost a write, from all owners at once and against the limit of the store. Change: two checks are at least 100 ms apart.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -82,6 +82,9 @@
 	// the end of a run again until it is acknowledged, which may take up to a few
 	// seconds.
 	normalWriteDelay = 25 * time.Millisecond
+	// minCheckInterval is the shortest time between two checks for which lost runs wait. The
+	// workers of a data centre that is cut off are lost one after the other within a second.
+	minCheckInterval = 100 * time.Millisecond
 	// minTickInterval is the shortest time between two ticks of the scheduler.
 	minTickInterval = 3 * time.Millisecond
 	// busyTickInterval and idleTickInterval are the longest time between two ticks,
@@ -530,7 +533,7 @@
 // intervals, and carries out its effects.
 func (c *Conductor) runScheduler(ctx context.Context, group *errgroup.Group) error {
 	defer c.metrics.deleteLoad(c.partition)
-	var metricsSetAt, servicesLoggedAt, requestedFor time.Time
+	var metricsSetAt, servicesLoggedAt, requestedFor, checkRequestedAt time.Time
 	for {
 		quick, long := c.adviser.AdviceLimits()
 		placementsAllowed, rangesAllowed, grantsAllowed := c.placementsAllowed(), c.rangesAllowed(), c.grantsAllowed()
@@ -573,8 +576,8 @@
 		if exchanges {
 			c.requestExchange()
 		}
-		if awaited && confirmationDue.After(requestedFor) {
-			requestedFor = confirmationDue
+		if now := c.clock.Now(); awaited && confirmationDue.After(requestedFor) && now.Sub(checkRequestedAt) >= minCheckInterval {
+			requestedFor, checkRequestedAt = confirmationDue, now
 			c.requestCheck()
 		}
 		if delegates {
