scheduler: no lasting task is moved while it would wait for the ownership to be confirmed

Cause: a lasting task on a worker that will leave is stopped as soon as another worker has room. Since tasks of a doubted job wait, and an owner without leases starts nothing, the task then had no run until the store answered again, although its worker had yet to leave. Evidence: TestUnconfirmedOwnerMovesNoLastingRun, both cases fail before: the run is stopped with a minute left, and nothing is started. Change: the move waits for the same conditions as the start.

--- a/scheduler/moving.go
+++ b/scheduler/moving.go
@@ -56,9 +56,10 @@
 
 // moveLasting stops a lasting task once another worker has capacity for it, and
 // reserves that worker. If there is none, it asks the adviser for more workers. It does
-// nothing if the maximum of the organisation would not let the task start again.
+// nothing if the maximum of the organisation would not let the task start again, or if it has to
+// wait until the ownership is confirmed.
 func (s *Scheduler) moveLasting(st *step, t *task, r *run, p *pool, now time.Time) {
-	if p == nil || st.waiting > 0 || !st.mayInterrupt(t) || !s.restartAllowed(st, r) {
+	if p == nil || st.waiting > 0 || !st.mayInterrupt(t) || !s.restartAllowed(st, r) || s.isDoubted(st) || s.longestSafeLease(now) <= 0 {
 		return
 	}
 	if w := s.chooseWorker(st, t, p, now); w != nil {
--- a/scheduler/unconfirmed_test.go
+++ b/scheduler/unconfirmed_test.go
@@ -229,3 +229,65 @@
 		})
 	}
 }
+
+// TestUnconfirmedOwnerMovesNoLastingRun guards against an owner that takes a lasting task out of service
+// on a worker that will leave, while the task would have to wait until the ownership is confirmed: a run
+// of another step of the job was lost, or no lease may be granted.
+func TestUnconfirmedOwnerMovesNoLastingRun(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// assigned is set if the group lists the partition for the owner.
+		assigned bool
+		lose     bool
+	}{
+		{
+			name:     "lost run",
+			assigned: true,
+			lose:     true,
+		},
+		{
+			name: "no leases",
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			r := newRig(t, scheduler.Lease(entryLease, entryMaxLease))
+			first, second, spare := r.addWorker("first", cores(1)), r.addWorker("second", cores(1)), r.addWorker("spare", cores(3))
+			spare.silent = true
+			r.updateDirectory()
+			phase := newPhase(1, cores(1))
+			phase.Lasting = true
+			job := r.job("j", phase, phase)
+			job.Phases[1].DependsOn = nil
+			r.s.AddJob(job, nil, false, r.now)
+			rounds := func(n int, confirmed bool) {
+				for range n {
+					r.advance(100 * time.Millisecond)
+					r.renewLeases()
+					if confirmed {
+						r.tick()
+						r.write()
+						continue
+					}
+					if test.assigned {
+						r.s.ConfirmAssignment(r.now)
+					}
+					r.carryOut(r.s.Tick(r.now))
+				}
+			}
+			rounds(5, true)
+			r.c.Assert(first.activeRuns, qt.HasLen, 1)
+			r.c.Assert(second.activeRuns, qt.HasLen, 1)
+			spare.silent = false
+			rounds(5, true)
+			first.silent = test.lose
+			rounds(58, false)
+			r.startLeaving(second, time.Minute)
+			rounds(5, false)
+			r.c.Assert(second.activeRuns, qt.HasLen, 1)
+			first.silent = false
+			rounds(10, true)
+			r.c.Assert(second.activeRuns, qt.HasLen, 0)
+			r.c.Assert(r.activeRuns(), qt.Equals, 2)
+		})
+	}
+}
