scheduler: a home owner ignores what a former owner says as a delegate

Cause: an owner that does not know a job answers its home owner that it has ended there, and needs no write for it. A former owner of that partition answers so too, of a job that was left to its successor. The home owner then told the successor no more, whose lasting tasks went on after the job was cancelled. Evidence: TestFormerDelegateEndsNothing: 2 runs go on (fails before, passes after). Change: each reply holds the token of its owner; one that is lower than that of an earlier reply is ignored, as delegates do with former home owners. Left: a next home owner has heard of no token yet, and may still ask the former delegate first.

--- a/scheduler/delegating.go
+++ b/scheduler/delegating.go
@@ -149,8 +149,13 @@
 	return !g.hasPlaces
 }
 
-// DelegationAnswered records the reply of another partition's owner to a request.
+// DelegationAnswered records the reply of another partition's owner to a request. That of a former
+// one, as far as this owner knows, is ignored: it may know nothing of what a later one runs.
 func (s *Scheduler) DelegationAnswered(partition int, request DelegationRequest, reply DelegationReply, now time.Time) {
+	if reply.Mark.Token < s.delegateTokens[partition] {
+		return
+	}
+	s.delegateTokens[partition] = reply.Mark.Token
 	for i, state := range reply.Jobs {
 		if j := s.jobs[state.ID]; j != nil && j.guest == nil && i < len(request.Jobs) {
 			s.applyGuestState(j, partition, state, now)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -119,6 +119,8 @@
 	grantsAllowed bool
 	// homeTokens holds the highest fencing token of each home owner, by partition.
 	homeTokens map[int]int64
+	// delegateTokens is the same for the owners that have answered as delegates.
+	delegateTokens map[int]int64
 	// crowdedSteps holds the steps of the last tick that have lacked room for roomMissingFor, in
 	// the order in which they were placed.
 	crowdedSteps []*step
@@ -242,6 +244,7 @@
 		droppedJobs:        make(map[string]bool),
 		droppedGuests:      make(map[string]bool),
 		homeTokens:         make(map[int]int64),
+		delegateTokens:     make(map[int]int64),
 		grantsAllowed:      true,
 		grantingJobs:       make(map[string]bool),
 		guests:             make(map[string]bool),
--- a/scheduler/wide_steps_test.go
+++ b/scheduler/wide_steps_test.go
@@ -213,3 +213,21 @@
 	w.home.c.Assert(totalStarts(w.delegate, "elsewhere"), qt.Equals, 2)
 	w.home.c.Assert(w.home.state("elsewhere"), qt.Equals, scheduler.Running)
 }
+
+// TestFormerDelegateEndsNothing guards against a home owner that tells the delegate no more of a cancelled
+// job, as a former owner of the delegate's partition has answered that it knows of no such job: the tasks
+// of the later one went on.
+func TestFormerDelegateEndsNothing(t *testing.T) {
+	w := newWideRig(t)
+	former := newRig(t)
+	w.delegate.takeOver()
+	w.home.s.AddJob(w.lastingApart("wide", 4), nil, false, w.home.now)
+	w.rounds(100, true)
+	w.home.c.Assert(w.delegate.activeRuns(), qt.Equals, 2)
+	w.home.s.Cancel("wide", w.home.now)
+	request, found := w.request()
+	w.home.c.Assert(found, qt.IsTrue)
+	w.home.s.DelegationAnswered(1, request, former.s.ServeHome(request, former.now), w.home.now)
+	w.rounds(20, true)
+	w.home.c.Assert(w.home.activeRuns()+w.delegate.activeRuns(), qt.Equals, 0)
+}
