scheduler: nothing is started on a worker that was not heard since a suspension of the host

Cause: a worker counted as available for 2.5 s after its last report by a clock that does not count a suspension. Its own clock went on, so that the lease of a start was over when it arrived: refused as late, and sent again with the next tick, until the worker reported. Change: the age of a report includes suspensions, as that for acknowledgements does.

--- a/scheduler/delegating.go
+++ b/scheduler/delegating.go
@@ -141,7 +141,7 @@
 		needed += st.waiting
 	}
 	for _, w := range s.workers {
-		if needed > 0 && w.entry.Service == st.job.record.Queue.Service && w.available(now) && s.mayEverRun(st, w) {
+		if needed > 0 && w.entry.Service == st.job.record.Queue.Service && s.available(w, now) && s.mayEverRun(st, w) {
 			needed -= st.placesOn(w)
 		}
 	}
--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -67,7 +67,7 @@
 func (s *Scheduler) pools(now time.Time) map[string]*pool {
 	pools := make(map[string]*pool)
 	for _, w := range s.workers {
-		if !w.available(now) || s.storedAsSilent(w.entry.Ref.ID) {
+		if !s.available(w, now) || s.storedAsSilent(w.entry.Ref.ID) {
 			continue
 		}
 		p := pools[w.entry.Service]
@@ -108,9 +108,9 @@
 }
 
 // available reports whether new runs may be started on the worker.
-func (w *worker) available(now time.Time) bool {
+func (s *Scheduler) available(w *worker, now time.Time) bool {
 	return w.listed && w.reported && w.recorded && !w.entry.Leaving && w.silentSince.IsZero() &&
-		now.Sub(w.lastReportAt) < maxReportAge && !now.Before(w.setAsideUntil)
+		s.age(w.lastReportAt, now) < maxReportAge && !now.Before(w.setAsideUntil)
 }
 
 // placeSteps starts the waiting tasks that can start, in the order of their
--- a/scheduler/room.go
+++ b/scheduler/room.go
@@ -76,7 +76,7 @@
 		LongMilliCores: max(0, s.spareLong[query.Service]),
 	}
 	for _, w := range s.workers {
-		if w.entry.Service != query.Service || !w.available(now) || s.storedAsSilent(w.entry.Ref.ID) {
+		if w.entry.Service != query.Service || !s.available(w, now) || s.storedAsSilent(w.entry.Ref.ID) {
 			continue
 		}
 		group := RoomGroup{
--- a/scheduler/serviceloads.go
+++ b/scheduler/serviceloads.go
@@ -37,7 +37,7 @@
 	for _, w := range s.workers {
 		load := loadOf(w.entry.Service)
 		load.Workers++
-		if w.available(now) {
+		if s.available(w, now) {
 			load.Available++
 			load.Total = load.Total.Add(w.entry.Total)
 			load.Free = load.Free.Add(w.freeCapacity().Max(sizer.Size{}))
--- a/scheduler/starting.go
+++ b/scheduler/starting.go
@@ -117,7 +117,7 @@
 			continue
 		}
 		switch {
-		case !r.worker.available(now) || !s.hasValidTicket(st, r.worker, now):
+		case !s.available(r.worker, now) || !s.hasValidTicket(st, r.worker, now):
 			s.markLost(r, "worker unavailable or ticket expired before the start", now)
 		case r.worker.freeCapacity().IsNegative():
 			s.markLost(r, "the worker's capacity has shrunk before the start", now)
--- a/scheduler/suspending_test.go
+++ b/scheduler/suspending_test.go
@@ -66,3 +66,42 @@
 	r.tick()
 	r.c.Assert(w.activeRuns, qt.HasLen, 1)
 }
+
+// TestSuspendedOwnerAwaitsReports guards against an owner whose host was suspended, and that starts tasks
+// on workers of which it has not heard since. The leases that it granted were over by their clocks: each
+// start was refused as late and sent again at once.
+func TestSuspendedOwnerAwaitsReports(t *testing.T) {
+	r := newRig(t, scheduler.Lease(entryLease, entryMaxLease))
+	w := r.addWorker("w", cores(1))
+	r.updateDirectory()
+	r.renewLeases()
+	r.s.AddJob(r.job("j", newPhase(1, cores(1))), nil, false, r.now)
+	r.tick()
+	w.end(firstRun(w), scheduler.EndDone)
+	r.renewLeases()
+	r.write()
+	r.s.ConfirmOwnership(r.now)
+	const suspended = 4 * time.Second
+	w.clock += suspended
+	r.advance(time.Millisecond)
+	r.s.AddSuspension(suspended, r.now)
+	r.s.AddJob(r.job("k", newPhase(1, cores(1))), nil, false, r.now)
+	late := 0
+	for range 50 {
+		r.advance(10 * time.Millisecond)
+		for _, effect := range r.s.Tick(r.now) {
+			start, isStart := effect.(scheduler.StartTask)
+			if !isStart {
+				continue
+			}
+			r.c.Assert(start.Lease < w.clock, qt.IsTrue)
+			late++
+			r.s.StartAnswered("w", start.Run, scheduler.StartRefused, r.now)
+		}
+		r.write()
+	}
+	r.c.Assert(late, qt.Equals, 0)
+	r.renewLeases()
+	r.tick()
+	r.c.Assert(w.activeRuns, qt.HasLen, 1)
+}
