--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -163,6 +163,8 @@
 	// jobPart returns an upper bound of the fraction of an organisation's jobs that the
 	// partition gets.
 	jobPart func() float64
+	// requestJoin has the group asked for the assignment, nil if an owner acts without that.
+	requestJoin func()
 	// knowledge returns how recent the sources of the workers are.
 	knowledge func() Knowledge
 
@@ -182,6 +184,10 @@
 	scheduler *scheduler.Scheduler
 	// suspensions measures those that the scheduler is told of.
 	suspensions *timekeeper.SuspensionMeter
+	// listedAt is the time at which the last join was sent whose answer lists the partition for this
+	// owner. listed is closed and replaced with each.
+	listedAt time.Time
+	listed   chan struct{}
 	// ready is set once all stored jobs were read.
 	ready bool
 	// next is the offset of the next job to read.
@@ -256,6 +262,15 @@
 	}
 }
 
+// AwaitAssignment has an owner act only once a join that was sent after the announcement of its epoch
+// has found that the partition is still assigned to it, and sets how a join is requested. By default
+// it acts at once.
+func AwaitAssignment(requestJoin func()) Option {
+	return func(c *Conductor) {
+		c.requestJoin = requestJoin
+	}
+}
+
 // Logger sets where decisions are logged. By default they are not logged.
 func Logger(logger log.Interface) Option {
 	return func(c *Conductor) {
@@ -336,6 +351,7 @@
 		exchange:           newExchange(),
 		progressed:         make(chan struct{}),
 		delegateCalls:      make(map[int]*delegateCalls),
+		listed:             make(chan struct{}),
 		leaseKeepers:       make(map[string]*leaseKeeper),
 		renewalLines:       make(map[string]*limitedLines),
 	}
@@ -381,6 +397,9 @@
 func (c *Conductor) ConfirmOwnership(at time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.listedAt = at
+	close(c.listed)
+	c.listed = make(chan struct{})
 	if c.doubtedAt.IsZero() {
 		c.confirm(at)
 	}
--- a/conductor/recovery.go
+++ b/conductor/recovery.go
@@ -48,6 +48,10 @@
 		return err
 	}
 	c.progressEnd = end
+	announced := c.clock.Now()
+	if c.requestJoin != nil {
+		c.requestJoin()
+	}
 	var jobs, progress []storer.Record
 	var next int64
 	var group errgroup.Group
@@ -64,6 +68,9 @@
 	if err := group.Wait(); err != nil {
 		return err
 	}
+	if err := c.awaitAssignment(ctx, announced); err != nil {
+		return err
+	}
 	now := c.clock.Now()
 	// There may be a later owner since the epoch was announced.
 	s := scheduler.New(c.token, now, append(slices.Clone(c.options), scheduler.RecordLimit(c.limits.Record()), scheduler.ConfirmedAt(announcedAt))...)
@@ -102,6 +109,43 @@
 	return nil
 }
 
+// assignmentLineInterval is the interval of the log lines on an owner that awaits its assignment.
+const assignmentLineInterval = time.Second
+
+// awaitAssignment waits until a join that was sent after the announcement of the epoch has found that
+// the partition is still assigned to this owner. Otherwise a former owner, to which it may be assigned
+// again, would go on granting leases that this one does not wait for: it learns of the epoch only when
+// it writes.
+func (c *Conductor) awaitAssignment(ctx context.Context, announced time.Time) error {
+	if c.requestJoin == nil {
+		return nil
+	}
+	for {
+		c.mu.Lock()
+		found, listed := c.listedAt.After(announced), c.listed
+		c.mu.Unlock()
+		if found {
+			return nil
+		}
+		c.requestJoin()
+		timer := c.clock.NewTimer(assignmentLineInterval)
+		select {
+		case <-listed:
+		case <-timer.C():
+			c.logger.WithFields(log.Fields{
+				"partition": c.partition,
+				"token":     c.token,
+				"waitMs":    c.clock.Now().Sub(announced).Milliseconds(),
+			}).Warn("conductor: no join has confirmed the assignment since the epoch was announced")
+		case <-ctx.Done():
+		}
+		timer.Stop()
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+	}
+}
+
 // logStoredJobs logs what the takeover has read. A job without stored progress is new, or its
 // progress is gone: the older the oldest of them, the less likely is it new.
 func (c *Conductor) logStoredJobs(records []storer.Record, stored formerProgress, now time.Time) {
