--- a/scheduler/interleaving_limits_test.go
+++ b/scheduler/interleaving_limits_test.go
@@ -62,7 +62,7 @@
 	if !slices.Contains(m.cancelled, id) {
 		m.cancelled = append(m.cancelled, id)
 	}
-	m.current().s.Cancel(id, m.now)
+	m.current().s.Cancel(id, m.timeOf(m.current()))
 }
 
 // checkMaximum checks what the organisation of a task that has just started has running.
--- a/scheduler/interleaving_test.go
+++ b/scheduler/interleaving_test.go
@@ -64,6 +64,8 @@
 	guestsUnnamed fault = "stored jobs of other partitions are lost"
 	// failuresUnsaid hides from delegates which attempts of granted tasks have failed.
 	failuresUnsaid fault = "grants carry no failures"
+	// suspensionsUntold hides from owners that their host was suspended.
+	suspensionsUntold fault = "owners are not told of suspensions"
 )
 
 // model simulates owners, workers and a store, which act in random order. Calls may
@@ -169,6 +171,12 @@
 	// the time at which the owner last read the jobs, if the model is wide.
 	marks  map[int]scheduler.Mark
 	readAt time.Time
+	// suspended is set while the owner's host is suspended, and heldAnswers holds the answers that it
+	// gets afterwards. behind is how far its clock is behind the common one, and untold the part of
+	// that which its scheduler has not been told of. All are zero in most plays.
+	suspended      bool
+	heldAnswers    []func()
+	behind, untold time.Duration
 }
 
 func newModel(seeded fault, draw func(int) int, opts ...func(*model)) *model {
@@ -256,6 +264,31 @@
 	return entries
 }
 
+// timeOf returns the time by an owner's clock.
+func (m *model) timeOf(o *modelOwner) time.Time {
+	return m.now.Add(-o.behind)
+}
+
+// readClock returns the time by an owner's clock, and tells its scheduler of a suspension before it, as
+// a conductor does.
+func (m *model) readClock(o *modelOwner) time.Time {
+	now := m.timeOf(o)
+	if o.untold > 0 && m.fault != suspensionsUntold {
+		o.s.AddSuspension(o.untold, now)
+	}
+	o.untold = 0
+	return now
+}
+
+// answer passes an answer on to an owner, once its host is no longer suspended.
+func (m *model) answer(o *modelOwner, pass func()) {
+	if o.suspended {
+		o.heldAnswers = append(o.heldAnswers, pass)
+		return
+	}
+	pass()
+}
+
 // takeOver adds a new owner, which starts from what is stored. The former owner is
 // not notified.
 func (m *model) takeOver() {
@@ -420,6 +453,12 @@
 
 func (m *model) advance(d time.Duration) {
 	m.now = m.now.Add(d)
+	for _, o := range m.owners {
+		if o.suspended {
+			o.behind += d
+			o.untold += d
+		}
+	}
 	for _, w := range m.workers {
 		w.clock += d
 		if w.up && w.clock > w.leaseEnd && m.fault != leasesIgnored {
@@ -499,12 +538,12 @@
 		return
 	}
 	if o.token == m.epoch || m.fault == leasesUnlimited {
-		o.s.ConfirmOwnership(m.now)
+		o.s.ConfirmOwnership(m.timeOf(o))
 	}
 	if m.fault == stoppingUncounted {
 		o.s.UncountStoppingRuns()
 	}
-	o.effects = append(o.effects, o.s.Tick(m.now)...)
+	o.effects = append(o.effects, o.s.Tick(m.readClock(o))...)
 }
 
 // runs returns the active runs in the order of their tasks.
@@ -579,7 +618,11 @@
 	if len(o.effects) == 0 {
 		return
 	}
-	i := m.draw(len(o.effects))
+	m.carryOutEffect(o, m.draw(len(o.effects)))
+}
+
+// carryOutEffect does so with the effect of that index.
+func (m *model) carryOutEffect(o *modelOwner, i int) {
 	effect := o.effects[i]
 	o.effects = slices.Delete(o.effects, i, i+1)
 	switch effect := effect.(type) {
@@ -587,7 +630,7 @@
 		w := m.findWorker(effect.Worker.ID)
 		outcome := scheduler.StartUnknown
 		switch {
-		case m.now.After(effect.NotAfter):
+		case m.timeOf(o).After(effect.NotAfter):
 			outcome = scheduler.StartRefused
 		case !w.up:
 			outcome = scheduler.StartWorkerGone
@@ -598,17 +641,19 @@
 		default:
 			outcome = m.start(w, o.token, effect)
 		}
-		o.s.StartAnswered(effect.Worker.ID, effect.Run, outcome, m.now)
-		if outcome == scheduler.StartSuperseded {
-			o.superseded = true
-		}
+		m.answer(o, func() {
+			o.s.StartAnswered(effect.Worker.ID, effect.Run, outcome, m.timeOf(o))
+			if outcome == scheduler.StartSuperseded {
+				o.superseded = true
+			}
+		})
 	case scheduler.StopTask:
 		w := m.findWorker(effect.Worker.ID)
 		answered := w.up && !w.isUnreachableBy(o) && !m.losesAnswer()
 		if answered && m.acceptsToken(w, o.token) {
 			m.stop(w, effect.Run)
 		}
-		o.s.StopAnswered(effect.Worker.ID, effect.Run, answered, m.now)
+		m.answer(o, func() { o.s.StopAnswered(effect.Worker.ID, effect.Run, answered, m.timeOf(o)) })
 	case scheduler.AskAdvice, scheduler.PaceTask:
 	}
 }
@@ -681,19 +726,26 @@
 // renewLease renews the lease of a worker and passes on its report. The answer may
 // be lost although the worker has renewed the lease.
 func (m *model) renewLease(o *modelOwner, w *modelWorker) {
-	order, known := o.s.LeaseRenewal(w.entry.Ref.ID, m.now)
+	sent := m.readClock(o)
+	order, known := o.s.LeaseRenewal(w.entry.Ref.ID, sent)
 	if o.superseded || !known {
 		return
 	}
+	m.carryOutRenewal(o, w, order, sent)
+}
+
+// carryOutRenewal has a worker carry out the renewal of its lease.
+func (m *model) carryOutRenewal(o *modelOwner, w *modelWorker, order scheduler.LeaseRenewal, sent time.Time) {
+	id := w.entry.Ref.ID
 	switch {
 	case !w.up:
-		o.s.WorkerGone(w.entry.Ref.ID, m.now)
+		m.answer(o, func() { o.s.WorkerGone(id, m.timeOf(o)) })
 		return
 	case w.isUnreachableBy(o):
-		o.s.RenewalFailed(w.entry.Ref.ID, m.now)
+		m.answer(o, func() { o.s.RenewalFailed(id, m.timeOf(o)) })
 		return
 	case !m.acceptsToken(w, o.token):
-		o.superseded = true
+		m.answer(o, func() { o.superseded = true })
 		return
 	}
 	w.leaseEnd = max(w.leaseEnd, min(order.Lease, w.clock+maxLease))
@@ -702,9 +754,9 @@
 		acknowledged = w.lastEndNumber
 	}
 	if m.fault == acknowledgedAgain {
-		acknowledged = max(acknowledged, o.reportedEnds[w.entry.Ref.ID])
+		acknowledged = max(acknowledged, o.reportedEnds[id])
 	}
-	o.reportedEnds[w.entry.Ref.ID] = w.lastEndNumber
+	o.reportedEnds[id] = w.lastEndNumber
 	report := scheduler.Report{
 		Clock: w.clock,
 		Ended: slices.Clone(w.ended),
@@ -728,10 +780,10 @@
 		})
 	}
 	if m.losesAnswer() {
-		o.s.RenewalFailed(w.entry.Ref.ID, m.now)
+		m.answer(o, func() { o.s.RenewalFailed(id, m.timeOf(o)) })
 		return
 	}
-	o.s.Report(w.entry.Ref.ID, report, m.now, m.now)
+	m.answer(o, func() { o.s.Report(id, report, sent, m.readClock(o)) })
 }
 
 // write takes one of the steps of a write: it begins the write, stores it, or
@@ -788,7 +840,7 @@
 	o := m.current()
 	o.superseded = false
 	o.s.SetWorkers(m.directory())
-	o.s.Cancel(lastingJob, m.now)
+	o.s.Cancel(lastingJob, m.timeOf(o))
 	for range 300 {
 		m.advance(100 * time.Millisecond)
 		for _, w := range m.workers {
@@ -1035,6 +1087,10 @@
 			fault: restartsUnsaid,
 			play:  playModelWithRestarts,
 		},
+		{
+			fault: suspensionsUntold,
+			play:  func(seeded fault, draw func(int) int) string { return playModelWithSuspendedOwners(seeded, draw) },
+		},
 	} {
 		t.Run(string(test.fault), func(t *testing.T) {
 			for seed := range uint64(2000) {
