--- a/conductor/orders.go
+++ b/conductor/orders.go
@@ -31,13 +31,20 @@
 // process.
 var errOrderOutdated = errors.New("conductor: the order was not sent in time")
 
+// maySend reports whether a start may still be sent.
+func (c *Conductor) maySend(order scheduler.StartTask) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.scheduler.MaySend(order, c.readClock())
+}
+
 func (c *Conductor) start(ctx context.Context, order scheduler.StartTask) error {
 	began := c.clock.Now()
 	var outcome scheduler.StartOutcome
 	var err error
 	uncertain := false
 	for range startTries {
-		if c.clock.Now().After(order.NotAfter) {
+		if !c.maySend(order) {
 			outcome, err = scheduler.StartRefused, errOrderOutdated
 			break
 		}
--- a/conductor/suspended_test.go
+++ b/conductor/suspended_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -141,3 +142,49 @@
 		})
 	}
 }
+
+// wakingFleet is a fleet to which the first start is lost as the owner's host is suspended.
+type wakingFleet struct {
+	*emulator.Fleet
+	host *suspendedHost
+	// sent counts the starts of each attempt.
+	mu   sync.Mutex
+	sent map[scheduler.RunRef]int
+}
+
+// Start implements conductor.Workers.
+func (f *wakingFleet) Start(ctx context.Context, token int64, order scheduler.StartTask) (scheduler.StartOutcome, error) {
+	f.mu.Lock()
+	f.sent[order.Run]++
+	f.mu.Unlock()
+	if f.host.suspended.CompareAndSwap(0, int64(3*time.Second)) {
+		return scheduler.StartUnknown, conductor.ErrUnreachable
+	}
+	return f.Fleet.Start(ctx, token, order)
+}
+
+// TestSuspendedOwnerSendsNoOlderStart guards against an order to start a run from before a suspension of
+// the host that is sent after it. A worker that had started again meanwhile carried it out, although the
+// next owner took its leases for over.
+func TestSuspendedOwnerSendsNoOlderStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 1)
+		fleet := &wakingFleet{
+			Fleet: f.fleet,
+			host: &suspendedHost{
+				start: time.Now(),
+			},
+			sent: make(map[scheduler.RunRef]int),
+		}
+		owner := conductor.New(f.store, fleet, approveAll{}, partition, 1, conductor.BootClock(fleet.host))
+		owner.SetWorkers(f.fleet.Entries())
+		ctx, stop := context.WithTimeout(context.Background(), 5*time.Second)
+		defer stop()
+		f.submit("j", tasks(1))
+		f.c.Check(owner.Run(ctx), qt.ErrorIs, context.DeadlineExceeded)
+		for run, sent := range fleet.sent {
+			f.c.Check(sent, qt.Equals, 1, qt.Commentf("%v", run))
+		}
+		f.c.Check(fleet.host.suspended.Load() > 0, qt.IsTrue)
+	})
+}
--- a/scheduler/effects.go
+++ b/scheduler/effects.go
@@ -21,8 +21,9 @@
 	// Lease is the expiry of the lease, on the worker's clock. The worker ends
 	// the run then unless the lease was renewed.
 	Lease time.Duration
-	// NotAfter is the time after which the order must not be sent any more. A worker that
-	// has started again meanwhile cannot tell that it is outdated.
+	// NotAfter is the time after which the order must not be sent any more, by a clock that does not
+	// count suspensions of the host, as Scheduler.MaySend does. A worker that has started again
+	// meanwhile cannot tell that it is outdated.
 	NotAfter time.Time
 	// WithoutRunSince is the time since which a lasting task has had no run, as far as
 	// this owner knows. It is zero for other tasks.
--- a/scheduler/interleaving_test.go
+++ b/scheduler/interleaving_test.go
@@ -629,8 +629,13 @@
 	case scheduler.StartTask:
 		w := m.findWorker(effect.Worker.ID)
 		outcome := scheduler.StartUnknown
+		mayBeSent := !m.timeOf(o).After(effect.NotAfter)
+		if !o.suspended {
+			// Otherwise it was sent before.
+			mayBeSent = o.s.MaySend(effect, m.readClock(o))
+		}
 		switch {
-		case m.timeOf(o).After(effect.NotAfter):
+		case !mayBeSent:
 			outcome = scheduler.StartRefused
 		case !w.up:
 			outcome = scheduler.StartWorkerGone
--- a/scheduler/starting.go
+++ b/scheduler/starting.go
@@ -69,6 +69,12 @@
 // slow host, and is shorter than a worker takes to start again.
 const startValidity = 700 * time.Millisecond
 
+// MaySend reports whether the order to start a run may still be sent. The time for which the host was
+// suspended counts: the worker may have started again meanwhile.
+func (s *Scheduler) MaySend(order StartTask, now time.Time) bool {
+	return s.age(order.NotAfter.Add(-startValidity), now) <= startValidity
+}
+
 // sendStart emits the start of a run.
 func (s *Scheduler) sendStart(r *run, st *step, now time.Time) {
 	if st.startedAt.IsZero() {
