--- a/scheduler/interleaving_test.go
+++ b/scheduler/interleaving_test.go
@@ -629,13 +629,13 @@
 	case scheduler.StartTask:
 		w := m.findWorker(effect.Worker.ID)
 		outcome := scheduler.StartUnknown
-		mayBeSent := !m.timeOf(o).After(effect.NotAfter)
+		sentAt := m.timeOf(o)
 		if !o.suspended {
-			// Otherwise it was sent before.
-			mayBeSent = o.s.MaySend(effect, m.readClock(o))
+			// Otherwise it was sent as the host was suspended, at the latest.
+			sentAt = m.readClock(o)
 		}
 		switch {
-		case !mayBeSent:
+		case !o.s.MaySend(effect, sentAt):
 			outcome = scheduler.StartRefused
 		case !w.up:
 			outcome = scheduler.StartWorkerGone
