--- a/conductor/metrics.go
+++ b/conductor/metrics.go
@@ -31,6 +31,8 @@
 	writeRecords        prometheus.Histogram
 	plannedSeconds      *prometheus.GaugeVec
 	plannedDropped      prometheus.Counter
+	runsOutlived        prometheus.Counter
+	endsUnread          prometheus.Counter
 	cancellations       *prometheus.CounterVec
 	withoutProgress     prometheus.Counter
 	deletionsFailed     prometheus.Counter
@@ -178,6 +180,14 @@
 			Name: "galenacove_conductor_planned_runs_dropped_total",
 			Help: "Runs that were dropped before their start as the store took no writes.",
 		}),
+		runsOutlived: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "galenacove_conductor_runs_outlived_total",
+			Help: "Runs that workers reported after their leases had counted as over.",
+		}),
+		endsUnread: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "galenacove_conductor_ends_unread_total",
+			Help: "Ends of runs that were acknowledged before the owner had read them.",
+		}),
 		cancellations: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "galenacove_conductor_cancellations_total",
 			Help: "Cancellations that owners have read, by what they found.",
@@ -211,7 +221,7 @@
 		m.starts, m.adviceSeconds, m.silentRenewals, m.storeErrors, m.takeoverSeconds,
 		m.adviceCalls, m.adviceInFlight, m.adviceLimit, m.adviceDenied, m.adviceDeniedSeconds,
 		m.lastingWaiting, m.lastingWaitSeconds, m.allotmentCalls, m.workersLost, m.runsLost, m.tasksGivenUp,
-		m.writeSeconds, m.writeRecords, m.plannedSeconds, m.plannedDropped,
+		m.writeSeconds, m.writeRecords, m.plannedSeconds, m.plannedDropped, m.runsOutlived, m.endsUnread,
 		m.cancellations, m.withoutProgress, m.deletionsFailed, m.repeatedWrites, m.jobsReadAt, m.confirmedAt,
 		m.delegationCalls, m.grantedTasks, m.guestTasks,
 		m.workers, m.milliCores, m.waitingSteps, m.stepWaitSeconds,
@@ -268,6 +278,8 @@
 	}
 	m.tasksGivenUp.Add(float64(losses.GivenUp))
 	m.plannedDropped.Add(float64(losses.Unstored))
+	m.runsOutlived.Add(float64(losses.Outlived))
+	m.endsUnread.Add(float64(losses.Unread))
 }
 
 // setJobsRead sets the time of the last answered read of the jobs partition.
--- a/conductor/orders.go
+++ b/conductor/orders.go
@@ -31,23 +31,26 @@
 // process.
 var errOrderOutdated = errors.New("conductor: the order was not sent in time")
 
-// maySend reports whether a start may still be sent.
-func (c *Conductor) maySend(order scheduler.StartTask) bool {
+// maySend reports whether a start may still be sent, and whether the worker has started again since
+// the order was made.
+func (c *Conductor) maySend(order scheduler.StartTask) (may, formerIncarnation bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.scheduler.MaySend(order, c.readClock())
+	return c.scheduler.MaySend(order, c.readClock()), c.scheduler.IsForFormerIncarnation(order)
 }
 
 func (c *Conductor) start(ctx context.Context, order scheduler.StartTask) error {
 	began := c.clock.Now()
 	var outcome scheduler.StartOutcome
 	var err error
-	uncertain := false
+	uncertain, toFormer := false, false
 	for range startTries {
-		if !c.maySend(order) {
+		may, formerIncarnation := c.maySend(order)
+		if !may {
 			outcome, err = scheduler.StartRefused, errOrderOutdated
 			break
 		}
+		toFormer = toFormer || formerIncarnation
 		// Sending the same order again is safe: the worker starts the run at most
 		// once.
 		outcome, err = c.workers.Start(ctx, c.token, order)
@@ -72,6 +75,9 @@
 		"outcome": outcome.String(),
 		"tookMs":  now.Sub(began).Milliseconds(),
 	}
+	if toFormer {
+		fields["madeForFormerIncarnation"] = true
+	}
 	lasting := !order.WithoutRunSince.IsZero()
 	if lasting {
 		fields["withoutRunMs"] = now.Sub(order.WithoutRunSince).Milliseconds()
@@ -91,6 +97,8 @@
 		c.logger.WithFields(fields).WithError(err).Warn("conductor: a start failed or its outcome is unknown")
 	case lasting:
 		c.logger.WithFields(fields).Info("conductor: start of a lasting run answered")
+	case toFormer:
+		c.logger.WithFields(fields).Warn("conductor: a start was sent to a worker that had started again since the order was made")
 	default:
 		c.logger.WithFields(fields).Debug("conductor: start answered")
 	}
--- a/scheduler/effects.go
+++ b/scheduler/effects.go
@@ -12,7 +12,10 @@
 type StartTask struct {
 	Run    RunRef
 	Worker WorkerRef
-	Spec   string
+	// WorkerStartedAt is the start of the incarnation of the worker for which the order was made, as
+	// in WorkerEntry. Lease is on the clock of that incarnation.
+	WorkerStartedAt time.Time
+	Spec            string
 	// Checkpoint is what the run resumes from, or empty if there is none.
 	Checkpoint string
 	// Ticket is the adviser's permission to run on the worker, or empty if the
--- a/scheduler/explaining.go
+++ b/scheduler/explaining.go
@@ -340,6 +340,9 @@
 	// Unstored is the number of planned runs that were dropped as the store takes no
 	// writes.
 	Unstored int
+	// Outlived is the number of runs that were reported after their leases had counted as over,
+	// and Unread that of ends which were acknowledged before this owner had read them.
+	Outlived, Unread int
 }
 
 func newLosses() Losses {
--- a/scheduler/incarnations.go
+++ b/scheduler/incarnations.go
@@ -58,7 +58,7 @@
 			}
 			r.state = runUncertain
 			r.sentBefore = true
-			r.stopInFlight = false
+			r.stopInFlight, r.listed = false, false
 			r.confirmedAt, r.presentAt, r.stopAnsweredAt = time.Time{}, time.Time{}, time.Time{}
 			s.stopRun(r, now, "worker started again")
 		case !r.listed:
@@ -77,6 +77,8 @@
 	// longest lease.
 	w.formerOrdersEnd = now.Add(startValidity + time.Duration(float64(s.options.maxLease)/minClockRate))
 	w.lastReportAt = time.Time{}
+	w.lifeKnownSince = now
+	w.lapses = nil
 	// The new incarnation has seen no fencing token. Only the owner that the store knows can
 	// have it stored, and start anything there.
 	w.recorded = false
--- a/scheduler/reports.go
+++ b/scheduler/reports.go
@@ -64,6 +64,10 @@
 	Ended     []EndedRun
 }
 
+// missingAfterListed is the reason for which a run counts as lost if neither it nor its end is
+// reported any more.
+const missingAfterListed = "missing from the worker's report, though an earlier one listed it"
+
 // Report processes the answer of a worker to a lease renewal that was sent at
 // the given time.
 func (s *Scheduler) Report(id string, report Report, sent, now time.Time) {
@@ -75,6 +79,8 @@
 		// A late answer of an incarnation that has ended.
 		return
 	}
+	s.explainOutlived(w, report, now)
+	s.explainGap(w, report, now)
 	if !w.reported || report.Clock > w.clockAt(now) {
 		w.clockReading = report.Clock
 		w.clockReadAt = now
@@ -118,6 +124,11 @@
 		}
 		switch {
 		case !r.confirmedAt.IsZero() && r.confirmedAt.Before(sent):
+			if r.listed {
+				s.losses.Runs[missingAfterListed]++
+				s.markLost(r, missingAfterListed+", "+w.describeLife(now), now)
+				continue
+			}
 			s.markLost(r, "missing from the worker's report", now)
 		case r.stopPending() && w.leaseWithheld && report.Clock > w.leaseEnd && !now.Before(w.formerOrdersEnd):
 			// A worker refuses a start whose lease is over.
--- a/scheduler/starting.go
+++ b/scheduler/starting.go
@@ -75,6 +75,13 @@
 	return s.age(order.NotAfter.Add(-startValidity), now) <= startValidity
 }
 
+// IsForFormerIncarnation reports whether the worker is known to have started again since the order
+// was made.
+func (s *Scheduler) IsForFormerIncarnation(order StartTask) bool {
+	w := s.workers[order.Worker.ID]
+	return w != nil && !order.WorkerStartedAt.IsZero() && !order.WorkerStartedAt.Equal(w.startedAt)
+}
+
 // sendStart emits the start of a run.
 func (s *Scheduler) sendStart(r *run, st *step, now time.Time) {
 	if st.startedAt.IsZero() {
@@ -96,6 +103,7 @@
 	s.emit(StartTask{
 		Run:             r.ref,
 		Worker:          w.entry.Ref,
+		WorkerStartedAt: w.startedAt,
 		Spec:            st.job.record.Spec,
 		Checkpoint:      checkpoint,
 		Ticket:          st.adviceState.tickets[w.entry.Ref.ID].value,
--- a/scheduler/tables.go
+++ b/scheduler/tables.go
@@ -318,8 +318,12 @@
 	// owner knows of, zero if the worker does not say it. All that follows is of that
 	// incarnation.
 	startedAt time.Time
-	// formerStarts holds the starts of the last incarnations that have ended.
-	formerStarts []time.Time
+	// formerStarts holds the starts of the last incarnations that have ended, and lifeKnownSince is
+	// the time at which this owner learned that the present one had replaced another, zero if none.
+	formerStarts   []time.Time
+	lifeKnownSince time.Time
+	// lapses holds the runs of the present incarnation that were given up with its lease.
+	lapses map[RunRef]lapse
 	// listed is set while the directory lists the worker.
 	listed bool
 	runs   map[RunRef]*run
--- a/scheduler/tick.go
+++ b/scheduler/tick.go
@@ -62,6 +62,7 @@
 	for id, w := range s.workers {
 		formerLease := w.former && !now.After(s.leasesEnd(w)) || now.Before(w.formerOrdersEnd)
 		if !w.silentSince.IsZero() && w.reported && w.leaseExpired(now) && !formerLease {
+			s.rememberLapses(w, now)
 			s.markAllLost(w, "lease lapsed", now)
 			if !w.listed {
 				s.dropWorker(id)
