--- a/cmd/galenacove/host.go
+++ b/cmd/galenacove/host.go
@@ -37,9 +37,9 @@
 	// A longer one would delay the tasks of a lost worker, since they are not
 	// started elsewhere before the lease expires.
 	preferredLease = 3500 * time.Millisecond
-	// preferredLeaseLimit bounds how long a new owner waits for workers that it
-	// cannot reach, and therefore also how long an owner continues without the
-	// store. Most outages of the store are shorter.
+	// preferredLeaseLimit bounds how long an owner continues without the store. Most outages of the
+	// store are shorter. A new owner waits for workers that it cannot reach for as long as they accept
+	// leases, which may be longer.
 	preferredLeaseLimit = 6 * time.Second
 )
 
@@ -152,6 +152,7 @@
 	leaseLimit := min(preferredLeaseLimit, settings.MaxLease())
 	return []scheduler.Option{
 		scheduler.Lease(min(preferredLease, leaseLimit), leaseLimit),
+		scheduler.AcceptedLease(settings.MaxLease()),
 		scheduler.StopTimeout(settings.StopTimeout()),
 		scheduler.Retention(settings.StateRetention()),
 		scheduler.RemoteFactor(settings.RemoteFactor()),
--- a/scheduler/incarnations.go
+++ b/scheduler/incarnations.go
@@ -73,9 +73,8 @@
 	// A clock that starts anew is above zero.
 	w.clockReading, w.clockReadAt = 0, now
 	w.leaseEnd = 0
-	// A start that arrives yet names a time of the former clock, so that its run gets the
-	// longest lease.
-	w.formerOrdersEnd = now.Add(startValidity + time.Duration(float64(s.options.maxLease)/minClockRate))
+	// A call that arrives yet names a time of the former clock, so that it gives the longest lease.
+	w.formerOrdersEnd = now.Add(startValidity + s.options.longestLease())
 	w.lastReportAt = time.Time{}
 	w.lifeKnownSince = now
 	w.lapses = nil
--- a/scheduler/options.go
+++ b/scheduler/options.go
@@ -8,6 +8,8 @@
 type options struct {
 	leaseDuration time.Duration
 	maxLease      time.Duration
+	// acceptedLease is the longest lease that a worker accepts, 0 if that is maxLease.
+	acceptedLease time.Duration
 	stopTimeout   time.Duration
 	retention     time.Duration
 	remoteFactor  float64
@@ -19,8 +21,8 @@
 // Option changes a setting of a Scheduler.
 type Option func(*options)
 
-// Lease sets the duration of each lease, and the longest lease that a worker
-// accepts. The defaults are 5 s and 6 s.
+// Lease sets the duration of each lease, and the longest time after the last
+// confirmation of the ownership at which a lease may end. The defaults are 5 s and 6 s.
 func Lease(leaseDuration, limit time.Duration) Option {
 	return func(o *options) {
 		o.leaseDuration = leaseDuration
@@ -28,6 +30,21 @@
 	}
 }
 
+// AcceptedLease sets the longest lease that a worker accepts. A call that names a time on the
+// clock of a former incarnation of the worker may give it a lease of that length, whatever owners
+// grant. The default is the limit set with Lease.
+func AcceptedLease(d time.Duration) Option {
+	return func(o *options) {
+		o.acceptedLease = d
+	}
+}
+
+// longestLease returns the longest time for which a worker may hold a lease after the last call that
+// it has carried out.
+func (o *options) longestLease() time.Duration {
+	return time.Duration(float64(max(o.maxLease, o.acceptedLease)) / minClockRate)
+}
+
 // StopTimeout sets the time that a worker may take to stop a run. The default
 // is 900 ms.
 func StopTimeout(d time.Duration) Option {
--- a/scheduler/tick.go
+++ b/scheduler/tick.go
@@ -112,9 +112,9 @@
 }
 
 // recoveryEnd returns the time by which the former owner's leases have certainly
-// expired.
+// expired. Each worker may have started again without having reported it.
 func (s *Scheduler) recoveryEnd() time.Time {
-	return s.ownerSince.Add(time.Duration(float64(s.options.maxLease)/minClockRate) + recoveryMargin)
+	return s.ownerSince.Add(s.options.longestLease() + recoveryMargin)
 }
 
 // leasesEnd returns the time by which the leases that former owners granted to a
