--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -113,7 +113,8 @@
 	catchUpTimeout = 400 * time.Millisecond
 )
 
-// Workers makes calls to workers. Each call carries the owner's fencing token.
+// Workers makes calls to workers. Each call carries a fencing token, that of the owner or, for a worker
+// that has started again under its identity, a higher one.
 // Errors are marked with ErrSuperseded, ErrWorkerGone or ErrUnreachable.
 type Workers interface {
 	// Start orders a run. The error gives the reason for an outcome other than
--- a/conductor/orders.go
+++ b/conductor/orders.go
@@ -31,6 +31,9 @@
 // process.
 var errOrderOutdated = errors.New("conductor: the order was not sent in time")
 
+// errCallOutdated is logged for a call that the worker refused as its token was raised meanwhile.
+var errCallOutdated = errors.New("conductor: the token of the worker was raised after the call was made")
+
 // maySend reports whether a start may still be sent, and whether the worker has started again since
 // the order was made.
 func (c *Conductor) maySend(order scheduler.StartTask) (may, formerIncarnation bool) {
@@ -39,6 +42,14 @@
 	return c.scheduler.MaySend(order, c.readClock()), c.scheduler.IsForFormerIncarnation(order)
 }
 
+// tokenRaised reports whether calls to the worker carry a higher token by now, so that its refusal of this
+// one does not mean that there is a later owner.
+func (c *Conductor) tokenRaised(worker string, token int64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.scheduler.WorkerToken(worker) > token
+}
+
 func (c *Conductor) start(ctx context.Context, order scheduler.StartTask) error {
 	began := c.clock.Now()
 	var outcome scheduler.StartOutcome
@@ -53,11 +64,15 @@
 		toFormer = toFormer || formerIncarnation
 		// Sending the same order again is safe: the worker starts the run at most
 		// once.
-		outcome, err = c.workers.Start(ctx, c.token, order)
+		outcome, err = c.workers.Start(ctx, order.Token, order)
 		if outcome == scheduler.StartUnknown {
 			uncertain = true
 			continue
 		}
+		if outcome == scheduler.StartSuperseded && c.tokenRaised(order.Worker.ID, order.Token) {
+			// The worker may have carried out an earlier one of these calls, also of an older incarnation.
+			outcome, uncertain = scheduler.StartUnknown, true
+		}
 		break
 	}
 	if uncertain && outcome != scheduler.StartDone && outcome != scheduler.StartWorkerGone {
@@ -119,7 +134,10 @@
 }
 
 func (c *Conductor) stop(ctx context.Context, order scheduler.StopTask) error {
-	err := c.workers.Stop(ctx, c.token, order)
+	err := c.workers.Stop(ctx, order.Token, order)
+	if errors.Is(err, ErrSuperseded) && c.tokenRaised(order.Worker.ID, order.Token) {
+		err = errCallOutdated
+	}
 	logEntry := c.logger.WithFields(log.Fields{
 		"id":      order.Run.Task.Step.Job,
 		"task":    order.Run.Task.String(),
@@ -157,8 +175,11 @@
 }
 
 func (c *Conductor) pace(ctx context.Context, order scheduler.PaceTask) error {
-	err := c.workers.Pace(ctx, c.token, order)
-	if errors.Is(err, ErrSuperseded) {
+	c.mu.Lock()
+	token := c.scheduler.WorkerToken(order.Worker.ID)
+	c.mu.Unlock()
+	err := c.workers.Pace(ctx, token, order)
+	if errors.Is(err, ErrSuperseded) && !c.tokenRaised(order.Worker.ID, token) {
 		return ErrSuperseded
 	}
 	if err != nil {
@@ -266,10 +287,10 @@
 		callCtx, interrupt := context.WithCancel(ctx)
 		keeper.sentAt, keeper.interrupt = sentAt, interrupt
 		c.mu.Unlock()
-		report, err := c.workers.RenewLease(callCtx, c.token, order, wait)
+		report, err := c.workers.RenewLease(callCtx, order.Token, order, wait)
 		interrupted := errors.Is(err, ErrUnreachable) && callCtx.Err() != nil && ctx.Err() == nil
 		interrupt()
-		if interrupted {
+		if interrupted || errors.Is(err, ErrSuperseded) && c.tokenRaised(id, order.Token) {
 			continue
 		}
 		if err == nil || !order.Unseen {
--- a/scheduler/effects.go
+++ b/scheduler/effects.go
@@ -15,7 +15,9 @@
 	// WorkerStartedAt is the start of the incarnation of the worker for which the order was made, as
 	// in WorkerEntry. Lease is on the clock of that incarnation.
 	WorkerStartedAt time.Time
-	Spec            string
+	// Token is the fencing token of the call.
+	Token int64
+	Spec  string
 	// Checkpoint is what the run resumes from, or empty if there is none.
 	Checkpoint string
 	// Ticket is the adviser's permission to run on the worker, or empty if the
@@ -38,6 +40,8 @@
 type StopTask struct {
 	Run    RunRef
 	Worker WorkerRef
+	// Token is the fencing token of the call.
+	Token int64
 	// Reason is for the log.
 	Reason string
 	// Number counts the stops of the run by this owner, from 1.
--- a/scheduler/incarnations.go
+++ b/scheduler/incarnations.go
@@ -77,6 +77,7 @@
 	w.formerOrdersEnd = now.Add(startValidity + s.options.longestLease())
 	w.lastReportAt = time.Time{}
 	w.lifeKnownSince = now
+	w.nextToken, w.raisedAt, w.raised = w.token+1, time.Time{}, false
 	w.lapses = nil
 	// The new incarnation has seen no fencing token. Only the owner that the store knows can
 	// have it stored, and start anything there.
--- a/scheduler/interleaving_reports_test.go
+++ b/scheduler/interleaving_reports_test.go
@@ -16,6 +16,9 @@
 	// renewals holds at most one of each owner to each worker.
 	renewals []*renewalUnderWay
 	starts   []lateStart
+	// lateRenewals holds renewals that had no answer and are carried out later, also by the worker's
+	// next incarnation.
+	lateRenewals []*renewalUnderWay
 }
 
 // renewalUnderWay is a renewal of a lease that an owner waits for.
@@ -49,7 +52,7 @@
 // startLate lets a worker carry out a start later.
 func (m *model) startLate(w *modelWorker, o *modelOwner, order scheduler.StartTask) {
 	if m.calls == nil {
-		m.lateOrders = append(m.lateOrders, func() { m.start(w, o.token, order) })
+		m.lateOrders = append(m.lateOrders, func() { m.start(w, order.Token, order) })
 		return
 	}
 	m.calls.starts = append(m.calls.starts, lateStart{
@@ -81,11 +84,6 @@
 	if i < 0 {
 		at := m.readClock(o)
 		if order, known := o.s.LeaseRenewal(w.entry.Ref.ID, at); known && !o.superseded {
-			if !o.heardOf[w].Equal(w.entry.StartedAt) {
-				// Numbers of a former incarnation are acknowledged for 2.5 s after its last report. That
-				// an end of the next one may be lost by that is known (omuti-visits-second1.md).
-				order.Acknowledge = 0
-			}
 			calls.renewals = append(calls.renewals, &renewalUnderWay{
 				sentRenewal: sentRenewal{
 					worker: w,
@@ -107,7 +105,10 @@
 			m.dropGivenUp(w)
 		}
 	case !r.incarnation.Equal(w.entry.StartedAt):
-		// The connection ended with the process.
+		// The connection ended with the process, but what it had not taken in may reach the next one.
+		if !r.arrived && m.draw(2) == 0 {
+			m.renewLate(r)
+		}
 		r.answer = func() { o.s.RenewalBroken(w.entry.Ref.ID, m.timeOf(o)) }
 	case r.arrived || w.isUnreachableBy(o):
 		if w.isUnreachableBy(o) && m.draw(2) == 0 {
@@ -164,11 +165,7 @@
 
 // renewLate lets the worker carry out a renewal after later ones.
 func (m *model) renewLate(r *renewalUnderWay) {
-	m.lateOrders = append(m.lateOrders, func() {
-		if r.worker.up && r.incarnation.Equal(r.worker.entry.StartedAt) {
-			m.replyTo(r)
-		}
-	})
+	m.calls.lateRenewals = append(m.calls.lateRenewals, r)
 }
 
 // restartWithOrders lets a worker start again under its identity. Starts that the former process would
@@ -176,7 +173,7 @@
 // one. Owners that are cut off notice nothing, and the worker takes longer than they may take it to be up.
 func (m *model) restartWithOrders(w *modelWorker) {
 	m.calls.starts = slices.DeleteFunc(m.calls.starts, func(late lateStart) bool {
-		return late.worker == w && (late.owner.token < w.token || late.order.Lease <= w.clock)
+		return late.worker == w && (late.order.Token < w.token || late.order.Lease <= w.clock)
 	})
 	down := downTime
 	if w.unreachableBy == 0 {
@@ -184,12 +181,43 @@
 		m.breakRenewals(w)
 	}
 	m.dropGivenUp(w)
+	m.sendLastRenewal(w)
 	m.restartWorkerAfter(w, down)
 	m.calls.starts = slices.DeleteFunc(m.calls.starts, func(late lateStart) bool {
 		return late.worker == w && m.now.Sub(late.sentAt) > lateStartLife
 	})
 }
 
+// hasRunOfUnheardLife reports whether the worker has carried out a start that was made for its former
+// life. Until the first report of the next one and a write, nothing on the wire keeps late calls from it.
+func (m *model) hasRunOfUnheardLife(w *modelWorker) bool {
+	for run := range w.active {
+		if w.unheardStarts[run] {
+			return true
+		}
+	}
+	return slices.ContainsFunc(w.ended, func(end scheduler.EndedRun) bool { return w.unheardStarts[end.Run] })
+}
+
+// sendLastRenewal has an owner send a renewal that the worker's process does not take in any more.
+func (m *model) sendLastRenewal(w *modelWorker) {
+	o := m.anyOwner()
+	at := m.timeOf(o)
+	order, known := o.s.LeaseRenewal(w.entry.Ref.ID, at)
+	if !known || o.superseded || m.draw(2) == 0 {
+		return
+	}
+	m.renewLate(&renewalUnderWay{
+		sentRenewal: sentRenewal{
+			worker: w,
+			order:  order,
+			at:     at,
+		},
+		owner:       o,
+		incarnation: w.entry.StartedAt,
+	})
+}
+
 // dropGivenUp drops the late starts to a worker of runs that their owner has given up on the word of
 // its former incarnation. Nothing on the wire tells the next one to refuse them.
 func (m *model) dropGivenUp(w *modelWorker) {
@@ -216,7 +244,21 @@
 		if m.draw(8) > 0 {
 			m.calls.starts = append(m.calls.starts, late)
 		} else if late.worker.entry.StartedAt.Equal(late.incarnation) || m.now.Sub(late.sentAt) <= lateStartLife {
-			m.start(late.worker, late.owner.token, late.order)
+			m.start(late.worker, late.order.Token, late.order)
+		}
+	}
+	if late, found := take(m, &m.calls.lateRenewals); found {
+		w := late.worker
+		// It is more likely to arrive while there are ends that it acknowledges.
+		wait := 24
+		if len(w.ended) > 0 && w.ended[0].Number <= late.order.Acknowledge {
+			wait = 2
+		}
+		switch {
+		case m.draw(wait) > 0 || m.hasRunOfUnheardLife(w):
+			m.calls.lateRenewals = append(m.calls.lateRenewals, late)
+		case w.up && !w.isUnreachableBy(late.owner):
+			m.replyTo(late)
 		}
 	}
 	for range m.draw(3) {
--- a/scheduler/interleaving_test.go
+++ b/scheduler/interleaving_test.go
@@ -135,6 +135,8 @@
 	// stoppedAttempts holds the highest attempt of each task that was stopped or
 	// has ended.
 	stoppedAttempts map[scheduler.TaskRef]int64
+	// unheardStarts holds the runs whose start was made for a former life of the worker.
+	unheardStarts map[scheduler.RunRef]bool
 	// failureStreak counts the runs that have failed there since one was done.
 	failureStreak int
 	// unreachableBy is the token of the owner that cannot reach the worker, 0
@@ -166,8 +168,6 @@
 	superseded   bool
 	// reportedEnds holds the number of the last end that each worker has reported.
 	reportedEnds map[string]int64
-	// heardOf holds when each worker's incarnation began whose report was read last.
-	heardOf map[*modelWorker]time.Time
 	// storeUnreachable is set if the owner cannot reach the store, and so does
 	// not learn of the next owner.
 	storeUnreachable bool
@@ -248,6 +248,7 @@
 		clock:           time.Hour,
 		active:          make(map[scheduler.RunRef]sizer.Size),
 		stoppedAttempts: make(map[scheduler.TaskRef]int64),
+		unheardStarts:   make(map[scheduler.RunRef]bool),
 	})
 	if m.wide != nil {
 		m.wide.nameWorker(m, len(m.workers)-1)
@@ -324,7 +325,6 @@
 		s:            scheduler.New(token, m.now, append(slices.Clone(m.options), scheduler.ConfirmedAt(confirmedAt))...),
 		token:        token,
 		reportedEnds: make(map[string]int64),
-		heardOf:      make(map[*modelWorker]time.Time),
 		marks:        make(map[int]scheduler.Mark),
 		readAt:       m.now,
 	}
@@ -657,9 +657,12 @@
 				m.startLate(w, o, effect)
 			}
 		default:
-			outcome = m.start(w, o.token, effect)
+			outcome = m.start(w, effect.Token, effect)
 		}
 		m.answer(o, func() {
+			if outcome == scheduler.StartSuperseded && o.s.WorkerToken(effect.Worker.ID) > effect.Token {
+				outcome = scheduler.StartUnknown
+			}
 			o.s.StartAnswered(effect.Worker.ID, effect.Run, outcome, m.timeOf(o))
 			if outcome == scheduler.StartSuperseded {
 				o.superseded = true
@@ -669,10 +672,12 @@
 		w := m.findWorker(effect.Worker.ID)
 		answered := w.up && !w.isUnreachableBy(o) && !m.losesAnswer()
 		switch {
-		case answered && m.acceptsToken(w, o.token):
+		case answered && m.acceptsToken(w, effect.Token):
 			m.stop(w, effect.Run)
-		case !answered && m.calls != nil:
-			m.stopLate(w, o.token, effect.Run)
+		case answered:
+			answered = o.s.WorkerToken(effect.Worker.ID) <= effect.Token
+		case m.calls != nil:
+			m.stopLate(w, effect.Token, effect.Run)
 		}
 		m.answer(o, func() { o.s.StopAnswered(effect, answered, m.timeOf(o)) })
 	case scheduler.AskAdvice, scheduler.PaceTask:
@@ -694,6 +699,9 @@
 	if _, there := w.active[run]; there {
 		return scheduler.StartDone
 	}
+	if !order.WorkerStartedAt.Equal(w.entry.StartedAt) {
+		w.unheardStarts[run] = true
+	}
 	if m.acknowledgedTasks[run.Task] {
 		m.violate("%v starts after its end was acknowledged", run.Task)
 	}
@@ -769,8 +777,8 @@
 	case w.isUnreachableBy(o):
 		m.answer(o, func() { o.s.RenewalFailed(id, m.timeOf(o)) })
 		return
-	case !m.acceptsToken(w, o.token):
-		m.answer(o, func() { o.superseded = true })
+	case !m.acceptsToken(w, order.Token):
+		m.answer(o, func() { o.superseded = o.superseded || o.s.WorkerToken(id) <= order.Token })
 		return
 	}
 	w.leaseEnd = max(w.leaseEnd, min(order.Lease, w.clock+maxLease))
@@ -808,10 +816,7 @@
 		m.answer(o, func() { o.s.RenewalFailed(id, m.timeOf(o)) })
 		return
 	}
-	m.answer(o, func() {
-		o.s.Report(id, report, sent, m.readClock(o))
-		o.heardOf[w] = report.StartedAt
-	})
+	m.answer(o, func() { o.s.Report(id, report, sent, m.readClock(o)) })
 }
 
 // write takes one of the steps of a write: it begins the write, stores it, or
--- a/scheduler/reports.go
+++ b/scheduler/reports.go
@@ -79,6 +79,7 @@
 		// A late answer of an incarnation that has ended.
 		return
 	}
+	s.noteRaisedToken(w, sent, now)
 	s.explainOutlived(w, report, now)
 	s.explainGap(w, report, now)
 	if !w.reported || report.Clock > w.clockAt(now) {
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -193,6 +193,7 @@
 	s.emit(StopTask{
 		Run:    r.ref,
 		Worker: r.worker.entry.Ref,
+		Token:  r.worker.token,
 		Reason: reason,
 		Number: r.stopsSent,
 	})
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -39,6 +39,8 @@
 
 	jobs    map[string]*job
 	workers map[string]*worker
+	// formerLives holds workers that are not in use any more and may be again, by identity.
+	formerLives map[string]formerLife
 	// earlyCancellations holds the cancellations that were read before their job.
 	earlyCancellations earlyCancellations
 	// openSteps holds the steps that have waiting tasks and whose dependencies
@@ -222,6 +224,7 @@
 		tickedAt:               now,
 		jobs:                   make(map[string]*job),
 		workers:                make(map[string]*worker),
+		formerLives:            make(map[string]formerLife),
 		openSteps:              make(map[StepRef]*step),
 		copyableSteps:          make(map[StepRef]*step),
 		jobsWithUncreatedSteps: make(map[string]*job),
--- a/scheduler/starting.go
+++ b/scheduler/starting.go
@@ -104,6 +104,7 @@
 		Run:             r.ref,
 		Worker:          w.entry.Ref,
 		WorkerStartedAt: w.startedAt,
+		Token:           w.token,
 		Spec:            st.job.record.Spec,
 		Checkpoint:      checkpoint,
 		Ticket:          st.adviceState.tickets[w.entry.Ref.ID].value,
--- a/scheduler/tables.go
+++ b/scheduler/tables.go
@@ -322,6 +322,14 @@
 	// the time at which this owner learned that the present one had replaced another, zero if none.
 	formerStarts   []time.Time
 	lifeKnownSince time.Time
+	// token is the fencing token of the calls to the worker, never below that of the owner. nextToken is
+	// the one that takes its place once it is stored, 0 if none does.
+	token, nextToken int64
+	// raisedAt is the time at which a renewal was first sent with a token that the former incarnation
+	// has not seen, and raised is set once one was answered. From then on the worker refuses all calls
+	// that were meant for the former one.
+	raisedAt time.Time
+	raised   bool
 	// lapses holds the runs of the present incarnation that were given up with its lease.
 	lapses map[RunRef]lapse
 	// listed is set while the directory lists the worker.
@@ -417,6 +425,9 @@
 	// says. It is zero if the worker does not say it; then each incarnation has an identity
 	// of its own.
 	StartedAt time.Time `json:",omitzero"`
+	// Token is the highest fencing token of calls to the worker, 0 if that is the owner's. Only the
+	// store lists it.
+	Token int64 `json:",omitzero"`
 	// Total is the whole capacity of the worker.
 	Total  sizer.Size
 	Labels []string
--- /dev/null
+++ b/scheduler/tokens.go
@@ -0,0 +1,80 @@
+package scheduler
+
+import (
+	"maps"
+	"time"
+)
+
+// A worker that starts again under its identity takes calls that were meant for its former life: it has
+// forgotten the fencing token, and such a call can arrive seconds later. A renewal then acknowledges ends
+// that nobody has read, as they are numbered anew, and a start runs a task that was given up. So each life
+// that an owner learns of gets a higher token than the one before. The store lists it before the first
+// call with it, so that the next owner's calls are not refused, and nothing starts there before.
+
+// raiseToken puts a token in force that is stored now.
+func (w *worker) raiseToken(stored int64) {
+	if stored <= w.token || stored != w.nextToken {
+		return
+	}
+	w.token, w.nextToken = stored, 0
+}
+
+// noteRaisedToken records that the worker has answered a renewal, and so refuses all calls to its former
+// life from now on if that has not seen the token. Until then one may have extended the lease.
+func (s *Scheduler) noteRaisedToken(w *worker, sent, now time.Time) {
+	if w.raised || w.raisedAt.IsZero() || sent.Before(w.raisedAt) {
+		return
+	}
+	w.raised = true
+	if !w.lifeKnownSince.IsZero() {
+		w.formerOrdersEnd = latest(w.formerOrdersEnd, now.Add(s.options.longestLease()))
+	}
+}
+
+// WorkerToken returns the fencing token of the calls to a worker. A worker's refusal of a lower one does
+// not mean that there is a later owner.
+func (s *Scheduler) WorkerToken(id string) int64 {
+	if w := s.workers[id]; w != nil {
+		return w.token
+	}
+	return max(s.token, s.formerLives[id].token)
+}
+
+// maxFormerLifeAge is the time after which no call arrives that was meant for a worker which is not in
+// use any more.
+const maxFormerLifeAge = time.Minute
+
+// formerLife is what is kept of a worker that is not in use any more.
+type formerLife struct {
+	startedAt time.Time
+	// token and nextToken are as in worker.
+	token, nextToken int64
+	endedAt          time.Time
+}
+
+// rememberLife keeps the life of a worker that is dropped. It may be listed again in another one.
+func (s *Scheduler) rememberLife(w *worker) {
+	maps.DeleteFunc(s.formerLives, func(_ string, former formerLife) bool {
+		return former.token == s.token && s.tickedAt.Sub(former.endedAt) > maxFormerLifeAge
+	})
+	if w.startedAt.IsZero() {
+		return
+	}
+	s.formerLives[w.entry.Ref.ID] = formerLife{
+		startedAt: w.startedAt,
+		token:     w.token,
+		nextToken: w.nextToken,
+		endedAt:   s.tickedAt,
+	}
+}
+
+// recallLife has a worker that was dropped begin in the life that is remembered, so that its first report
+// begins the next one.
+func (s *Scheduler) recallLife(w *worker) {
+	former, found := s.formerLives[w.entry.Ref.ID]
+	if !found {
+		return
+	}
+	delete(s.formerLives, w.entry.Ref.ID)
+	w.startedAt, w.token, w.nextToken = former.startedAt, former.token, former.nextToken
+}
--- /dev/null
+++ b/scheduler/tokens_test.go
@@ -0,0 +1,119 @@
+package scheduler_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/galenacove/galenacove/scheduler"
+)
+
+// tokenOf returns the token of the next renewal for the worker "w".
+func (r *rig) tokenOf(s *scheduler.Scheduler) int64 {
+	order, known := s.LeaseRenewal("w", r.now)
+	r.c.Assert(known, qt.IsTrue)
+	return order.Token
+}
+
+// TestTokenOfTheNextLifeIsStoredBeforeItsUse guards against a next owner whose calls a worker refuses, as
+// it has seen a token there that the store does not list, and against starts that the former life's
+// late calls may precede.
+func TestTokenOfTheNextLifeIsStoredBeforeItsUse(t *testing.T) {
+	r := newRestartRig(t, "w")
+	w := r.workersByID["w"]
+	r.c.Assert(r.tokenOf(r.s), qt.Equals, int64(1))
+	for restarts := range int64(3) {
+		w.restart()
+		r.s.AddJob(r.job(workerName(int(restarts)), newPhase(1, cores(1))), nil, false, r.now)
+		r.advance(100 * time.Millisecond)
+		r.renewLeases()
+		r.c.Assert(r.tokenOf(r.s), qt.Equals, 1+restarts)
+		r.s.ConfirmOwnership(r.now)
+		r.carryOut(r.s.Tick(r.now))
+		r.c.Assert(w.activeRuns, qt.HasLen, 0, qt.Commentf("started before the token was stored"))
+		r.write()
+		r.c.Assert(r.tokenOf(r.s), qt.Equals, 2+restarts)
+		r.c.Assert(r.storedWorkers[0].Token, qt.Equals, 2+restarts)
+		r.tick()
+		r.c.Assert(w.activeRuns, qt.Not(qt.HasLen), 0)
+		for _, effect := range r.effects {
+			if start, is := effect.(scheduler.StartTask); is {
+				r.c.Check(start.Token, qt.Equals, 2+restarts)
+			}
+		}
+		r.c.Check(r.s.WorkerToken("w"), qt.Equals, 2+restarts)
+	}
+}
+
+// TestNextOwnersTokenIsHigherThanTheFormerOnes guards against a next owner whose calls a restarted worker
+// refuses, or that does not fence off the former owner's.
+func TestNextOwnersTokenIsHigherThanTheFormerOnes(t *testing.T) {
+	for _, test := range []struct {
+		name         string
+		owner        int64
+		stored, want int64
+	}{
+		{
+			name:  "not raised",
+			owner: 7,
+			want:  7,
+		},
+		{
+			name:   "raised below the owner's",
+			owner:  7,
+			stored: 6,
+			want:   7,
+		},
+		{
+			name:   "raised to the owner's",
+			owner:  7,
+			stored: 7,
+			want:   8,
+		},
+		{
+			name:   "raised beyond the owner's",
+			owner:  7,
+			stored: 9,
+			want:   10,
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			r := newRestartRig(t, "w")
+			entry := r.workersByID["w"].entry
+			entry.Token = test.stored
+			next := scheduler.New(test.owner, r.now)
+			next.AddFormerWorkers([]scheduler.WorkerEntry{entry})
+			// The directory lists no token.
+			next.SetWorkers([]scheduler.WorkerEntry{r.workersByID["w"].entry})
+			r.c.Assert(r.tokenOf(next), qt.Equals, test.want)
+			if write := next.NextWrite(); test.want > test.owner {
+				r.c.Assert(write.Workers[0].Token, qt.Equals, test.want)
+			}
+		})
+	}
+}
+
+// TestTokenOfADroppedWorkerIsKept guards against an owner that takes a worker's refusal of its own lower
+// token for a later owner, as it has forgotten the worker in between, and against calls to the life before
+// that a worker obeys which was gone from the directory while it started again.
+func TestTokenOfADroppedWorkerIsKept(t *testing.T) {
+	r := newRestartRig(t, "w")
+	w := r.workersByID["w"]
+	w.restart()
+	r.round()
+	r.write()
+	r.c.Assert(r.tokenOf(r.s), qt.Equals, int64(2))
+	r.s.SetWorkers(nil)
+	_, known := r.s.LeaseRenewal("w", r.now)
+	r.c.Assert(known, qt.IsFalse)
+	r.c.Check(r.s.WorkerToken("w"), qt.Equals, int64(2))
+	r.updateDirectory()
+	r.c.Check(r.tokenOf(r.s), qt.Equals, int64(2))
+	r.s.SetWorkers(nil)
+	w.restart()
+	r.updateDirectory()
+	r.round()
+	r.write()
+	r.c.Check(r.tokenOf(r.s), qt.Equals, int64(3))
+}
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -35,6 +35,8 @@
 // LeaseRenewal is the content of the next lease renewal for a worker.
 type LeaseRenewal struct {
 	Worker WorkerRef
+	// Token is the fencing token of the call.
+	Token int64
 	// Lease is the expiry of the lease, on the worker's clock. 0 leaves the
 	// lease as it is.
 	Lease time.Duration
@@ -58,7 +60,7 @@
 	for _, entry := range entries {
 		w := s.workers[entry.Ref.ID]
 		if w == nil {
-			w = newWorker(entry)
+			w = s.newWorker(entry)
 			s.workers[entry.Ref.ID] = w
 		}
 		if w.keepsAddress(entry) {
@@ -92,9 +94,11 @@
 
 // dropWorker forgets a worker on which there are certainly no runs.
 func (s *Scheduler) dropWorker(id string) {
-	if s.workers[id].recorded {
+	w := s.workers[id]
+	if w.recorded {
 		s.workersOutdated = true
 	}
+	s.rememberLife(w)
 	delete(s.workers, id)
 }
 
@@ -122,9 +126,13 @@
 	s.formerUses = nil
 	for _, entry := range entries {
 		if s.workers[entry.Ref.ID] == nil {
-			w := newWorker(entry)
+			w := s.newWorker(entry)
 			w.recorded = true
 			w.former = true
+			if entry.Token >= s.token {
+				w.token = entry.Token + 1
+				w.recorded = false
+			}
 			s.workers[entry.Ref.ID] = w
 		}
 	}
@@ -206,6 +214,10 @@
 	for _, w := range s.workers {
 		entry := w.entry
 		entry.StartedAt = w.startedAt
+		entry.Token = 0
+		if token := max(w.token, w.nextToken); token > s.token {
+			entry.Token = token
+		}
 		entries = append(entries, entry)
 	}
 	slices.SortFunc(entries, func(a, b WorkerEntry) int {
@@ -214,14 +226,17 @@
 	return entries
 }
 
-func newWorker(entry WorkerEntry) *worker {
-	return &worker{
+func (s *Scheduler) newWorker(entry WorkerEntry) *worker {
+	w := &worker{
 		entry:      entry,
 		startedAt:  entry.StartedAt,
+		token:      s.token,
 		runs:       make(map[RunRef]*run),
 		failedJobs: make(map[string]bool),
 		slowness:   1,
 	}
+	s.recallLife(w)
+	return w
 }
 
 // Workers returns the workers whose leases are to be renewed, in no order.
@@ -244,8 +259,12 @@
 		w.ackedNumber = w.pendingAcks[0].endNumber
 		w.pendingAcks = w.pendingAcks[1:]
 	}
+	if w.token > s.token && w.raisedAt.IsZero() {
+		w.raisedAt = now
+	}
 	order := LeaseRenewal{
 		Worker:   w.entry.Ref,
+		Token:    w.token,
 		Unstored: len(w.pendingAcks) > 0,
 		Unseen:   !w.reported && !w.former,
 	}
--- a/scheduler/writes.go
+++ b/scheduler/writes.go
@@ -132,6 +132,7 @@
 	for _, entry := range write.Workers {
 		if w := s.workers[entry.Ref.ID]; w != nil && w.startedAt.Equal(entry.StartedAt) {
 			w.recorded = true
+			w.raiseToken(entry.Token)
 		}
 	}
 	if write.Silent != nil {
