--- a/cmd/galenacove/host_test.go
+++ b/cmd/galenacove/host_test.go
@@ -53,9 +53,14 @@
 	startedAt time.Time
 	clockZero time.Time
 	cutOff    bool
-	run       *scheduler.ActiveRun
-	spared    bool
-	stored    scheduler.Write
+	// losesAnswer is set if the worker carries out the next start and its answer is lost.
+	losesAnswer bool
+	// heardFormer is the last time at which the worker obeyed the token of the first owner, which calls
+	// to its former life carry.
+	heardFormer time.Time
+	run         *scheduler.ActiveRun
+	spared      bool
+	stored      scheduler.Write
 }
 
 func (l *leaseCell) entries() []scheduler.WorkerEntry {
@@ -91,10 +96,15 @@
 	l.now = l.now.Add(50 * time.Millisecond)
 	l.owner.ConfirmOwnership(l.now)
 	for _, ref := range l.owner.Workers() {
+		order, known := l.owner.LeaseRenewal(ref.ID, l.now)
+		l.c.Assert(known, qt.IsTrue)
 		if ref.ID == "w" && l.cutOff {
 			l.owner.RenewalFailed(ref.ID, l.now)
 			continue
 		}
+		if ref.ID == "w" && order.Token == 1 {
+			l.heardFormer = l.now
+		}
 		report := scheduler.Report{
 			Clock:     l.now.Sub(l.clockZero),
 			StartedAt: l.startedAt,
@@ -117,7 +127,11 @@
 				l.run = &scheduler.ActiveRun{
 					Run: effect.Run,
 				}
-				l.owner.StartAnswered("w", effect.Run, scheduler.StartDone, l.now)
+				outcome := scheduler.StartDone
+				if l.losesAnswer {
+					outcome = scheduler.StartUnknown
+				}
+				l.owner.StartAnswered("w", effect.Run, outcome, l.now)
 			}
 		case scheduler.StopTask:
 			l.owner.StopAnswered(effect, false, l.now)
@@ -144,8 +158,6 @@
 				l.owner = scheduler.New(1, l.now, l.options...)
 				l.owner.SetWorkers(l.entries()[:1])
 				l.step()
-				// The worker starts again, and its clock with it.
-				l.startedAt, l.clockZero = l.now, l.now
 				job := scheduler.Job{
 					ID: "j",
 					Queue: scheduler.Queue{
@@ -165,12 +177,25 @@
 					Accepted: l.now,
 				}
 				l.owner.AddJob(job, nil, false, l.now)
-				for range 6 {
-					l.step()
+				// Next, the worker starts again, and its clock with it.
+				if nextOwner {
+					// The next life carries out a start without an answer as the owner is replaced.
+					l.losesAnswer = true
+				} else {
+					l.startedAt, l.clockZero = l.now, l.now
+				}
+				for range 20 {
+					if l.run == nil {
+						l.step()
+					}
 				}
 				l.c.Assert(l.run, qt.IsNotNil)
-				// The late call arrives now. The worker's clock may be 2% slow.
-				leaseEnds := l.now.Add(time.Duration(float64(maxLease) / 0.98))
+				lateCallAt := l.now
+				if !nextOwner {
+					lateCallAt = l.heardFormer
+				}
+				// The worker's clock may be 2% slow.
+				leaseEnds := lateCallAt.Add(time.Duration(float64(maxLease) / 0.98))
 				l.cutOff = true
 				if nextOwner {
 					l.owner = scheduler.New(2, l.now, l.options...)
--- a/scheduler/incarnations.go
+++ b/scheduler/incarnations.go
@@ -74,7 +74,7 @@
 	w.clockReading, w.clockReadAt = 0, now
 	w.leaseEnd = 0
 	// A call that arrives yet names a time of the former clock, so that it gives the longest lease.
-	w.formerOrdersEnd = now.Add(startValidity + s.options.longestLease())
+	w.formerOrdersEnd = now.Add(lateArrival + s.options.longestLease())
 	w.lastReportAt = time.Time{}
 	w.lifeKnownSince = now
 	w.nextToken, w.raisedAt, w.raised = w.token+1, time.Time{}, false
--- a/scheduler/outlived.go
+++ b/scheduler/outlived.go
@@ -15,22 +15,22 @@
 	basis string
 }
 
-// rememberLapses keeps the runs of a worker that are about to be given up with its lease, so that a
+// rememberLapses keeps runs of a worker that are about to be given up with its lease, so that a
 // later report shows whether one of them went on.
-func (s *Scheduler) rememberLapses(w *worker, now time.Time) {
+func (s *Scheduler) rememberLapses(w *worker, lapsed []*run, now time.Time) {
 	for ref, former := range w.lapses {
 		if now.Sub(former.at) > maxLapseAge {
 			delete(w.lapses, ref)
 		}
 	}
-	for ref, r := range w.runs {
+	for _, r := range lapsed {
 		if r.state == runPlanned {
 			continue
 		}
 		if w.lapses == nil {
 			w.lapses = make(map[RunRef]lapse)
 		}
-		w.lapses[ref] = lapse{
+		w.lapses[r.ref] = lapse{
 			at: now,
 			basis: fmt.Sprintf("leases granted until %v, the clock at least %v, %s, start sent %v before, %s",
 				w.leaseEnd.Round(time.Millisecond), w.clockAt(now).Round(time.Millisecond),
--- a/scheduler/restarts_test.go
+++ b/scheduler/restarts_test.go
@@ -457,3 +457,39 @@
 		})
 	}
 }
+
+// TestUnansweredStartOutlastsASilentRestart guards against a task that runs twice: a worker that was cut
+// off started again, and its next life took a start without an answer with the longest lease that workers
+// accept. Its owner gave the run up with the lease that it had granted on the former life's clock.
+func TestUnansweredStartOutlastsASilentRestart(t *testing.T) {
+	const limit = 10 * time.Second
+	r := newRig(t, scheduler.Lease(3500*time.Millisecond, 6*time.Second), scheduler.AcceptedLease(limit))
+	w := r.addWorker("w", cores(8))
+	w.entry.StartedAt = r.now
+	r.updateDirectory()
+	r.round()
+	r.s.AddJob(r.job("answered", newPhase(1, cores(1))), nil, false, r.now)
+	r.round()
+	r.c.Assert(w.activeRuns, qt.HasLen, 1)
+	// The next start is not answered.
+	w.silent = true
+	r.s.AddJob(r.job("lost", newPhase(1, cores(1))), nil, false, r.now)
+	r.tick()
+	sentAt := r.now
+	spare := r.addWorker("spare", cores(8))
+	spare.entry.StartedAt = r.now
+	r.updateDirectory()
+	startedAfter := make(map[string]time.Duration)
+	for range 200 {
+		r.round()
+		for task := range spare.startCounts {
+			if startedAfter[task.Step.Job] == 0 {
+				startedAfter[task.Step.Job] = r.now.Sub(sentAt)
+			}
+		}
+	}
+	r.c.Assert(startedAfter, qt.HasLen, 2)
+	r.c.Check(startedAfter["answered"] < 5*time.Second, qt.IsTrue, qt.Commentf("started again after %v", startedAfter["answered"]))
+	// The start may take a second to arrive.
+	r.c.Check(startedAfter["lost"] >= time.Second+limit, qt.IsTrue, qt.Commentf("started again after %v", startedAfter["lost"]))
+}
--- a/scheduler/tick.go
+++ b/scheduler/tick.go
@@ -62,12 +62,15 @@
 	for id, w := range s.workers {
 		formerLease := w.former && !now.After(s.leasesEnd(w)) || now.Before(w.formerOrdersEnd)
 		if !w.silentSince.IsZero() && w.reported && w.leaseExpired(now) && !formerLease {
-			s.rememberLapses(w, now)
-			s.markAllLost(w, "lease lapsed", now)
-			if !w.listed {
-				s.dropWorker(id)
+			lapsed := s.lapsedRuns(w, now)
+			s.rememberLapses(w, lapsed, now)
+			s.markRunsLost(w, lapsed, "lease lapsed", now)
+			if len(w.runs) == 0 {
+				if !w.listed {
+					s.dropWorker(id)
+				}
+				continue
 			}
-			continue
 		}
 		s.withholdLease(w, now)
 		for _, r := range w.runs {
@@ -82,6 +85,17 @@
 	}
 }
 
+// lapsedRuns returns the runs of a silent worker that have ended with its leases, sorted by task. A
+// worker that started again unseen takes a start without an answer with the longest lease.
+func (s *Scheduler) lapsedRuns(w *worker, now time.Time) []*run {
+	if w.startedAt.IsZero() {
+		return sortedRuns(w)
+	}
+	return slices.DeleteFunc(sortedRuns(w), func(r *run) bool {
+		return r.mayArrive && now.Before(r.startedAt.Add(lateArrival+s.options.longestLease()))
+	})
+}
+
 // answeredStopWait returns the time that a stop which the worker has answered
 // may take until the run's end is reported. It is 0 if there was no answer.
 func (s *Scheduler) answeredStopWait(r *run) time.Duration {
--- a/scheduler/tokens.go
+++ b/scheduler/tokens.go
@@ -27,7 +27,7 @@
 	}
 	w.raised = true
 	if !w.lifeKnownSince.IsZero() {
-		w.formerOrdersEnd = latest(w.formerOrdersEnd, now.Add(s.options.longestLease()))
+		w.formerOrdersEnd = now.Add(s.options.longestLease())
 	}
 }
 
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -12,6 +12,8 @@
 	// leases have certainly expired. It covers the delivery of that owner's last
 	// order.
 	recoveryMargin = 200 * time.Millisecond
+	// lateArrival is the longest time for which a call without an answer counts as under way.
+	lateArrival = 2500 * time.Millisecond
 	// stopRepeatInterval is the time after which an unanswered stop is sent
 	// again. It is only a few round trips, as the run takes up capacity until
 	// its stop is answered.
