--- a/conductor/orders.go
+++ b/conductor/orders.go
@@ -29,17 +29,16 @@
 
 // errOrderOutdated is logged for an order that was not sent in time, as after a pause of the
 // process.
-var errOrderOutdated = errors.New("conductor: the order was not sent in time")
+var errOrderOutdated = errors.New("conductor: the order was not sent in time, or the worker has started again since")
 
 // errCallOutdated is logged for a call that the worker refused as its token was raised meanwhile.
 var errCallOutdated = errors.New("conductor: the token of the worker was raised after the call was made")
 
-// maySend reports whether a start may still be sent, and whether the worker has started again since
-// the order was made.
-func (c *Conductor) maySend(order scheduler.StartTask) (may, formerIncarnation bool) {
+// maySend reports whether a start may still be sent.
+func (c *Conductor) maySend(order scheduler.StartTask) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.scheduler.MaySend(order, c.readClock()), c.scheduler.IsForFormerIncarnation(order)
+	return c.scheduler.MaySend(order, c.readClock())
 }
 
 // tokenRaised reports whether calls to the worker carry a higher token by now, so that its refusal of this
@@ -54,14 +53,12 @@
 	began := c.clock.Now()
 	var outcome scheduler.StartOutcome
 	var err error
-	uncertain, toFormer := false, false
+	uncertain := false
 	for range startTries {
-		may, formerIncarnation := c.maySend(order)
-		if !may {
+		if !c.maySend(order) {
 			outcome, err = scheduler.StartRefused, errOrderOutdated
 			break
 		}
-		toFormer = toFormer || formerIncarnation
 		// Sending the same order again is safe: the worker starts the run at most
 		// once.
 		outcome, err = c.workers.Start(ctx, order.Token, order)
@@ -90,9 +87,6 @@
 		"outcome": outcome.String(),
 		"tookMs":  now.Sub(began).Milliseconds(),
 	}
-	if toFormer {
-		fields["madeForFormerIncarnation"] = true
-	}
 	lasting := !order.WithoutRunSince.IsZero()
 	if lasting {
 		fields["withoutRunMs"] = now.Sub(order.WithoutRunSince).Milliseconds()
@@ -112,8 +106,6 @@
 		c.logger.WithFields(fields).WithError(err).Warn("conductor: a start failed or its outcome is unknown")
 	case lasting:
 		c.logger.WithFields(fields).Info("conductor: start of a lasting run answered")
-	case toFormer:
-		c.logger.WithFields(fields).Warn("conductor: a start was sent to a worker that had started again since the order was made")
 	default:
 		c.logger.WithFields(fields).Debug("conductor: start answered")
 	}
--- a/scheduler/restarts_test.go
+++ b/scheduler/restarts_test.go
@@ -458,6 +458,26 @@
 	}
 }
 
+// TestOrderForAFormerLifeIsNotSent guards against a start that is sent, or sent once more, after the
+// worker's restart was reported: it names a lease on the former life's clock.
+func TestOrderForAFormerLifeIsNotSent(t *testing.T) {
+	r := newRestartRig(t, "w")
+	w := r.workersByID["w"]
+	r.s.AddJob(r.job("j", newPhase(1, cores(1))), nil, false, r.now)
+	r.s.ConfirmOwnership(r.now)
+	r.s.Tick(r.now)
+	r.write()
+	effects := r.s.Tick(r.now)
+	r.c.Assert(effects, qt.HasLen, 1)
+	order, is := effects[0].(scheduler.StartTask)
+	r.c.Assert(is, qt.IsTrue)
+	r.advance(100 * time.Millisecond)
+	r.c.Assert(r.s.MaySend(order, r.now), qt.IsTrue)
+	w.restart()
+	r.renewLeases()
+	r.c.Assert(r.s.MaySend(order, r.now), qt.IsFalse)
+}
+
 // TestUnansweredStartOutlastsASilentRestart guards against a task that runs twice: a worker that was cut
 // off started again, and its next life took a start without an answer with the longest lease that workers
 // accept. Its owner gave the run up with the lease that it had granted on the former life's clock.
--- a/scheduler/starting.go
+++ b/scheduler/starting.go
@@ -72,12 +72,12 @@
 // MaySend reports whether the order to start a run may still be sent. The time for which the host was
 // suspended counts: the worker may have started again meanwhile.
 func (s *Scheduler) MaySend(order StartTask, now time.Time) bool {
-	return s.age(order.NotAfter.Add(-startValidity), now) <= startValidity
+	return s.age(order.NotAfter.Add(-startValidity), now) <= startValidity && !s.isForFormerIncarnation(order)
 }
 
-// IsForFormerIncarnation reports whether the worker is known to have started again since the order
+// isForFormerIncarnation reports whether the worker is known to have started again since the order
 // was made.
-func (s *Scheduler) IsForFormerIncarnation(order StartTask) bool {
+func (s *Scheduler) isForFormerIncarnation(order StartTask) bool {
 	w := s.workers[order.Worker.ID]
 	return w != nil && !order.WorkerStartedAt.IsZero() && !order.WorkerStartedAt.Equal(w.startedAt)
 }
