--- a/scheduler/reports.go
+++ b/scheduler/reports.go
@@ -131,7 +131,7 @@
 				continue
 			}
 			s.markLost(r, "missing from the worker's report", now)
-		case r.stopPending() && w.leaseWithheld && report.Clock > w.leaseEnd && !now.Before(w.formerOrdersEnd):
+		case r.stopPending() && w.leaseWithheld && report.Clock > w.leaseEnd && w.refusesFormerCalls() && !now.Before(w.formerOrdersEnd):
 			// A worker refuses a start whose lease is over.
 			s.losses.Runs[stopIgnored]++
 			s.markLost(r, stopIgnored, now)
--- a/scheduler/tick.go
+++ b/scheduler/tick.go
@@ -60,7 +60,7 @@
 // have expired, and repeats stops that have had no effect.
 func (s *Scheduler) reapRuns(now time.Time) {
 	for id, w := range s.workers {
-		formerLease := w.former && !now.After(s.leasesEnd(w)) || now.Before(w.formerOrdersEnd)
+		formerLease := w.former && !now.After(s.leasesEnd(w)) || now.Before(s.formerCallsEnd(w))
 		if !w.silentSince.IsZero() && w.reported && w.leaseExpired(now) && !formerLease {
 			lapsed := s.lapsedRuns(w, now)
 			s.rememberLapses(w, lapsed, now)
--- a/scheduler/tokens.go
+++ b/scheduler/tokens.go
@@ -31,6 +31,20 @@
 	}
 }
 
+// formerCallsEnd returns the time by which the leases of a silent worker have ended that calls to its
+// former life may have given it. Without a proof a call may still arrive after the worker fell silent.
+func (s *Scheduler) formerCallsEnd(w *worker) time.Time {
+	if w.refusesFormerCalls() {
+		return w.formerOrdersEnd
+	}
+	return latest(w.formerOrdersEnd, w.silentSince.Add(lateArrival+s.options.longestLease()))
+}
+
+// refusesFormerCalls reports whether no call to a former life of the worker is carried out any more.
+func (w *worker) refusesFormerCalls() bool {
+	return w.raised || w.lifeKnownSince.IsZero()
+}
+
 // WorkerToken returns the fencing token of the calls to a worker. A worker's refusal of a lower one does
 // not mean that there is a later owner.
 func (s *Scheduler) WorkerToken(id string) int64 {
--- a/scheduler/tokens_test.go
+++ b/scheduler/tokens_test.go
@@ -117,3 +117,45 @@
 	r.write()
 	r.c.Check(r.tokenOf(r.s), qt.Equals, int64(3))
 }
+
+// TestTokenOfASecondRestartIsProvedByItself guards against an owner that takes the answer to a call with the
+// token that a worker's former life has seen, itself raised after an earlier restart, for the proof that no
+// call to that life is carried out any more.
+func TestTokenOfASecondRestartIsProvedByItself(t *testing.T) {
+	r := newRestartRig(t, "w")
+	w := r.workersByID["w"]
+	for range 2 {
+		w.restart()
+		r.round()
+	}
+	// The second token is not stored. The worker answers calls with the first one.
+	for range 10 {
+		r.round()
+	}
+	r.c.Assert(r.tokenOf(r.s), qt.Equals, int64(1))
+	r.write()
+	r.round()
+	w.restart()
+	r.round()
+	r.c.Assert(r.tokenOf(r.s), qt.Equals, int64(2))
+	r.s.AddJob(r.job("j", newPhase(1, cores(1))), nil, false, r.now)
+	heardFormer := r.now
+	for range 30 {
+		r.advance(100 * time.Millisecond)
+		r.renewLeases()
+		heardFormer = r.now
+	}
+	r.write()
+	r.tick()
+	r.c.Assert(w.activeRuns, qt.HasLen, 1)
+	w.silent = true
+	spare := r.addWorker("spare", cores(8))
+	spare.entry.StartedAt = r.now
+	r.updateDirectory()
+	for len(spare.activeRuns) == 0 {
+		r.c.Assert(r.now.Sub(heardFormer) < 20*time.Second, qt.IsTrue, qt.Commentf("not started again"))
+		r.round()
+	}
+	// A late call may have given the longest lease until then.
+	r.c.Assert(r.now.Sub(heardFormer) >= 6*time.Second, qt.IsTrue, qt.Commentf("started again after %v", r.now.Sub(heardFormer)))
+}
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -261,7 +261,7 @@
 		w.ackedNumber = w.pendingAcks[0].endNumber
 		w.pendingAcks = w.pendingAcks[1:]
 	}
-	if w.token > s.token && w.raisedAt.IsZero() {
+	if w.token > s.token && w.nextToken == 0 && w.raisedAt.IsZero() {
 		w.raisedAt = now
 	}
 	order := LeaseRenewal{
