--- a/scheduler/incarnations.go
+++ b/scheduler/incarnations.go
@@ -76,7 +76,7 @@
 	// A call that arrives yet names a time of the former clock, so that it gives the longest lease.
 	w.formerOrdersEnd = now.Add(lateArrival + s.options.longestLease())
 	w.lastReportAt = time.Time{}
-	w.lifeKnownSince = now
+	w.restartKnownSince = now
 	w.nextToken, w.raisedAt, w.raised = w.token+1, time.Time{}, false
 	w.lapses = nil
 	// The new incarnation has seen no fencing token. Only the owner that the store knows can
--- a/scheduler/outlived.go
+++ b/scheduler/outlived.go
@@ -34,17 +34,17 @@
 			at: now,
 			basis: fmt.Sprintf("leases granted until %v, the clock at least %v, %s, start sent %v before, %s",
 				w.leaseEnd.Round(time.Millisecond), w.clockAt(now).Round(time.Millisecond),
-				w.describeLife(now), now.Sub(r.startedAt).Round(time.Millisecond), r.describeStart()),
+				w.describeRestart(now), now.Sub(r.startedAt).Round(time.Millisecond), r.describeStart()),
 		}
 	}
 }
 
-// describeLife tells since when the worker's incarnation is known to have replaced a former one.
-func (w *worker) describeLife(now time.Time) string {
-	if w.lifeKnownSince.IsZero() {
+// describeRestart tells since when the worker's incarnation is known to have replaced a former one.
+func (w *worker) describeRestart(now time.Time) string {
+	if w.restartKnownSince.IsZero() {
 		return "no restart known"
 	}
-	return fmt.Sprintf("restart known for %v", now.Sub(w.lifeKnownSince).Round(time.Millisecond))
+	return fmt.Sprintf("restart known for %v", now.Sub(w.restartKnownSince).Round(time.Millisecond))
 }
 
 // describeStart tells which incarnation of the worker has shown that it has the run.
@@ -94,7 +94,7 @@
 // acknowledged by somebody else.
 func (s *Scheduler) explainGap(w *worker, report Report, now time.Time) {
 	// The ends before the first that this owner reads of an incarnation may have been read by others.
-	if len(report.Ended) == 0 || w.lastEndNumber == 0 && w.lifeKnownSince.IsZero() {
+	if len(report.Ended) == 0 || w.lastEndNumber == 0 && w.restartKnownSince.IsZero() {
 		return
 	}
 	first := report.Ended[0].Number
@@ -106,5 +106,5 @@
 	}
 	s.losses.Unread += int(first - w.lastEndNumber - 1)
 	s.addNote(fmt.Sprintf("ends %d to %d were acknowledged before this owner had read them, %s",
-		w.lastEndNumber+1, first-1, w.describeLife(now)), TaskRef{}, w.entry.Ref.ID, 0)
+		w.lastEndNumber+1, first-1, w.describeRestart(now)), TaskRef{}, w.entry.Ref.ID, 0)
 }
--- a/scheduler/reports.go
+++ b/scheduler/reports.go
@@ -127,7 +127,7 @@
 		case !r.confirmedAt.IsZero() && r.confirmedAt.Before(sent):
 			if r.listed {
 				s.losses.Runs[missingAfterListed]++
-				s.markLost(r, missingAfterListed+", "+w.describeLife(now), now)
+				s.markLost(r, missingAfterListed+", "+w.describeRestart(now), now)
 				continue
 			}
 			s.markLost(r, "missing from the worker's report", now)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -39,8 +39,8 @@
 
 	jobs    map[string]*job
 	workers map[string]*worker
-	// formerLives holds workers that are not in use any more and may be again, by identity.
-	formerLives map[string]formerLife
+	// formerIncarnations holds workers that are not in use any more and may be again, by identity.
+	formerIncarnations map[string]formerIncarnation
 	// earlyCancellations holds the cancellations that were read before their job.
 	earlyCancellations earlyCancellations
 	// openSteps holds the steps that have waiting tasks and whose dependencies
@@ -224,7 +224,7 @@
 		tickedAt:               now,
 		jobs:                   make(map[string]*job),
 		workers:                make(map[string]*worker),
-		formerLives:            make(map[string]formerLife),
+		formerIncarnations:     make(map[string]formerIncarnation),
 		openSteps:              make(map[StepRef]*step),
 		copyableSteps:          make(map[StepRef]*step),
 		jobsWithUncreatedSteps: make(map[string]*job),
--- a/scheduler/tables.go
+++ b/scheduler/tables.go
@@ -318,10 +318,10 @@
 	// owner knows of, zero if the worker does not say it. All that follows is of that
 	// incarnation.
 	startedAt time.Time
-	// formerStarts holds the starts of the last incarnations that have ended, and lifeKnownSince is
+	// formerStarts holds the starts of the last incarnations that have ended, and restartKnownSince is
 	// the time at which this owner learned that the present one had replaced another, zero if none.
-	formerStarts   []time.Time
-	lifeKnownSince time.Time
+	formerStarts      []time.Time
+	restartKnownSince time.Time
 	// token is the fencing token of the calls to the worker, never below that of the owner. nextToken is
 	// the one that takes its place once it is stored, 0 if none does.
 	token, nextToken int64
--- a/scheduler/tokens.go
+++ b/scheduler/tokens.go
@@ -5,11 +5,12 @@
 	"time"
 )
 
-// A worker that starts again under its identity takes calls that were meant for its former life: it has
-// forgotten the fencing token, and such a call can arrive seconds later. A renewal then acknowledges ends
-// that nobody has read, as they are numbered anew, and a start runs a task that was given up. So each life
-// that an owner learns of gets a higher token than the one before. The store lists it before the first
-// call with it, so that the next owner's calls are not refused, and nothing starts there before.
+// A worker that starts again under its identity carries out calls that were meant for its former
+// incarnation: it has forgotten the fencing token, and such a call can arrive seconds later. A renewal
+// then acknowledges ends that nobody has read, as they are numbered anew, and a start runs a task that was
+// given up. So each incarnation that an owner learns of gets a higher token than the one before. The store
+// lists it before the first call with it, so that the next owner's calls are not refused, and nothing
+// starts there before.
 
 // raiseToken puts a token in force that is stored now.
 func (w *worker) raiseToken(stored int64) {
@@ -20,19 +21,19 @@
 }
 
 // noteRaisedToken records that the worker has answered a renewal, and so refuses all calls to its former
-// life from now on if that has not seen the token. Until then one may have extended the lease.
+// incarnation from now on if that has not seen the token. Until then one may have extended the lease.
 func (s *Scheduler) noteRaisedToken(w *worker, sent, now time.Time) {
 	if w.raised || w.raisedAt.IsZero() || sent.Before(w.raisedAt) {
 		return
 	}
 	w.raised = true
-	if !w.lifeKnownSince.IsZero() {
+	if !w.restartKnownSince.IsZero() {
 		w.formerOrdersEnd = now.Add(s.options.longestLease())
 	}
 }
 
 // formerCallsEnd returns the time by which the leases of a silent worker have ended that calls to its
-// former life may have given it. Without a proof a call may still arrive after the worker fell silent.
+// former incarnation may have given it. Without a proof a call may still arrive after the worker fell silent.
 func (s *Scheduler) formerCallsEnd(w *worker) time.Time {
 	if w.refusesFormerCalls() {
 		return w.formerOrdersEnd
@@ -40,9 +41,9 @@
 	return latest(w.formerOrdersEnd, w.silentSince.Add(lateArrival+s.options.longestLease()))
 }
 
-// refusesFormerCalls reports whether no call to a former life of the worker is carried out any more.
+// refusesFormerCalls reports whether no call to a former incarnation of the worker is carried out any more.
 func (w *worker) refusesFormerCalls() bool {
-	return w.raised || w.lifeKnownSince.IsZero()
+	return w.raised || w.restartKnownSince.IsZero()
 }
 
 // WorkerToken returns the fencing token of the calls to a worker. A worker's refusal of a lower one does
@@ -51,30 +52,30 @@
 	if w := s.workers[id]; w != nil {
 		return w.token
 	}
-	return max(s.token, s.formerLives[id].token)
+	return max(s.token, s.formerIncarnations[id].token)
 }
 
-// maxFormerLifeAge is the time after which no call arrives that was meant for a worker which is not in
+// maxFormerIncarnationAge is the time after which no call arrives that was meant for a worker which is not in
 // use any more.
-const maxFormerLifeAge = time.Minute
+const maxFormerIncarnationAge = time.Minute
 
-// formerLife is what is kept of a worker that is not in use any more.
-type formerLife struct {
+// formerIncarnation is what is kept of a worker that is not in use any more.
+type formerIncarnation struct {
 	startedAt time.Time
 	// token and nextToken are as in worker.
 	token, nextToken int64
 	endedAt          time.Time
 }
 
-// rememberLife keeps the life of a worker that is dropped. It may be listed again in another one.
-func (s *Scheduler) rememberLife(w *worker) {
-	maps.DeleteFunc(s.formerLives, func(_ string, former formerLife) bool {
-		return former.token == s.token && s.tickedAt.Sub(former.endedAt) > maxFormerLifeAge
+// rememberIncarnation keeps what is known of a worker that is dropped. It may be listed again after a restart.
+func (s *Scheduler) rememberIncarnation(w *worker) {
+	maps.DeleteFunc(s.formerIncarnations, func(_ string, former formerIncarnation) bool {
+		return former.token == s.token && s.tickedAt.Sub(former.endedAt) > maxFormerIncarnationAge
 	})
 	if w.startedAt.IsZero() {
 		return
 	}
-	s.formerLives[w.entry.Ref.ID] = formerLife{
+	s.formerIncarnations[w.entry.Ref.ID] = formerIncarnation{
 		startedAt: w.startedAt,
 		token:     w.token,
 		nextToken: w.nextToken,
@@ -82,13 +83,13 @@
 	}
 }
 
-// recallLife has a worker that was dropped begin in the life that is remembered, so that its first report
-// begins the next one.
-func (s *Scheduler) recallLife(w *worker) {
-	former, found := s.formerLives[w.entry.Ref.ID]
+// recallIncarnation has a worker that was dropped continue the incarnation that is remembered, so that its first
+// report shows whether it has started again.
+func (s *Scheduler) recallIncarnation(w *worker) {
+	former, found := s.formerIncarnations[w.entry.Ref.ID]
 	if !found {
 		return
 	}
-	delete(s.formerLives, w.entry.Ref.ID)
+	delete(s.formerIncarnations, w.entry.Ref.ID)
 	w.startedAt, w.token, w.nextToken = former.startedAt, former.token, former.nextToken
 }
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -100,7 +100,7 @@
 	if w.recorded {
 		s.workersOutdated = true
 	}
-	s.rememberLife(w)
+	s.rememberIncarnation(w)
 	delete(s.workers, id)
 }
 
@@ -237,7 +237,7 @@
 		failedJobs: make(map[string]bool),
 		slowness:   1,
 	}
-	s.recallLife(w)
+	s.recallIncarnation(w)
 	return w
 }
 
