--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -121,11 +121,11 @@
 // markAllLost removes all runs of a worker that has ended or whose leases have expired. Their
 // tasks wait until the ownership is confirmed.
 func (s *Scheduler) markAllLost(w *worker, reason string, now time.Time) {
-	s.markRunsLost(w, sortedRuns(w), reason, now)
+	s.markRunsLost(sortedRuns(w), reason, now)
 }
 
 // markRunsLost does the same with some of the runs.
-func (s *Scheduler) markRunsLost(w *worker, runs []*run, reason string, now time.Time) {
+func (s *Scheduler) markRunsLost(runs []*run, reason string, now time.Time) {
 	if len(runs) > 0 {
 		s.losses.Workers[reason]++
 	}
--- a/scheduler/tick.go
+++ b/scheduler/tick.go
@@ -64,7 +64,7 @@
 		if !w.silentSince.IsZero() && w.reported && w.leaseExpired(now) && !formerLease {
 			lapsed := s.lapsedRuns(w, now)
 			s.rememberLapses(w, lapsed, now)
-			s.markRunsLost(w, lapsed, "lease lapsed", now)
+			s.markRunsLost(lapsed, "lease lapsed", now)
 			if len(w.runs) == 0 {
 				if !w.listed {
 					s.dropWorker(id)
