--- a/scheduler/tokens_test.go
+++ b/scheduler/tokens_test.go
@@ -159,3 +159,23 @@
 	// A late call may have given the longest lease until then.
 	r.c.Assert(r.now.Sub(heardFormer) >= 6*time.Second, qt.IsTrue, qt.Commentf("started again after %v", r.now.Sub(heardFormer)))
 }
+
+// TestFormerWorkerWithARaisedTokenLeavesTheStore guards against next owners that wait for a worker which is
+// gone, as the store went on listing it.
+func TestFormerWorkerWithARaisedTokenLeavesTheStore(t *testing.T) {
+	r := newRestartRig(t, "w", "gone")
+	gone := r.workersByID["gone"].entry
+	gone.Token = 9
+	delete(r.workersByID, "gone")
+	r.s = scheduler.New(7, r.now)
+	r.s.AddFormerWorkers([]scheduler.WorkerEntry{gone, r.workersByID["w"].entry})
+	r.storedWorkers = []scheduler.WorkerEntry{gone}
+	r.s.SetWorkers([]scheduler.WorkerEntry{r.workersByID["w"].entry})
+	r.s.WorkerGone("gone", r.now)
+	for range 30 {
+		r.round()
+		r.write()
+	}
+	r.c.Assert(r.storedWorkers, qt.HasLen, 1)
+	r.c.Assert(r.storedWorkers[0].Ref.ID, qt.Equals, "w")
+}
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -97,7 +97,7 @@
 // dropWorker forgets a worker on which there are certainly no runs.
 func (s *Scheduler) dropWorker(id string) {
 	w := s.workers[id]
-	if w.recorded {
+	if w.recorded || w.former {
 		s.workersOutdated = true
 	}
 	s.rememberIncarnation(w)
