--- a/cmd/galenacove/host_test.go
+++ b/cmd/galenacove/host_test.go
@@ -58,9 +58,12 @@
 	// heardFormer is the last time at which the worker obeyed the token of the first owner, which calls
 	// to its former life carry.
 	heardFormer time.Time
-	run         *scheduler.ActiveRun
-	spared      bool
-	stored      scheduler.Write
+	// run is what the worker reports as active, and spared is set once the spare one is told to start
+	// the task.
+	run    *scheduler.ActiveRun
+	spared bool
+	// stored holds the last stored workers and jobs.
+	stored scheduler.Write
 }
 
 func (l *leaseCell) entries() []scheduler.WorkerEntry {
--- a/conductor/formerlives_test.go
+++ b/conductor/formerlives_test.go
@@ -23,10 +23,11 @@
 	startedAt time.Time
 	clockZero time.Time
 	// token is the highest fencing token that this life has seen.
-	token     int64
-	ended     []scheduler.EndedRun
-	lastEnd   int64
-	starts    map[scheduler.TaskRef]int
+	token   int64
+	ended   []scheduler.EndedRun
+	lastEnd int64
+	starts  map[scheduler.TaskRef]int
+	// refused counts the calls with a lower token. lastToken and lastOrder are those of the last renewal.
 	refused   int
 	lastToken int64
 	lastOrder scheduler.LeaseRenewal
