--- a/conductor/metrics.go
+++ b/conductor/metrics.go
@@ -33,6 +33,7 @@
 	plannedDropped      prometheus.Counter
 	runsOutlived        prometheus.Counter
 	endsUnread          prometheus.Counter
+	unfencedSeconds     prometheus.Histogram
 	cancellations       *prometheus.CounterVec
 	withoutProgress     prometheus.Counter
 	deletionsFailed     prometheus.Counter
@@ -188,6 +189,11 @@
 			Name: "galenacove_conductor_ends_unread_total",
 			Help: "Ends of runs that were acknowledged before the owner had read them.",
 		}),
+		unfencedSeconds: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name:    "galenacove_conductor_unfenced_seconds",
+			Help:    "Time from the last sign of a worker's former incarnation to the first answer of the next one to its own token.",
+			Buckets: prometheus.ExponentialBuckets(0.05, 2, 10),
+		}),
 		cancellations: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "galenacove_conductor_cancellations_total",
 			Help: "Cancellations that owners have read, by what they found.",
@@ -221,7 +227,7 @@
 		m.starts, m.adviceSeconds, m.silentRenewals, m.storeErrors, m.takeoverSeconds,
 		m.adviceCalls, m.adviceInFlight, m.adviceLimit, m.adviceDenied, m.adviceDeniedSeconds,
 		m.lastingWaiting, m.lastingWaitSeconds, m.allotmentCalls, m.workersLost, m.runsLost, m.tasksGivenUp,
-		m.writeSeconds, m.writeRecords, m.plannedSeconds, m.plannedDropped, m.runsOutlived, m.endsUnread,
+		m.writeSeconds, m.writeRecords, m.plannedSeconds, m.plannedDropped, m.runsOutlived, m.endsUnread, m.unfencedSeconds,
 		m.cancellations, m.withoutProgress, m.deletionsFailed, m.repeatedWrites, m.jobsReadAt, m.confirmedAt,
 		m.delegationCalls, m.grantedTasks, m.guestTasks,
 		m.workers, m.milliCores, m.waitingSteps, m.stepWaitSeconds,
@@ -280,6 +286,9 @@
 	m.plannedDropped.Add(float64(losses.Unstored))
 	m.runsOutlived.Add(float64(losses.Outlived))
 	m.endsUnread.Add(float64(losses.Unread))
+	for _, unfenced := range losses.Unfenced {
+		m.unfencedSeconds.Observe(unfenced.Seconds())
+	}
 }
 
 // setJobsRead sets the time of the last answered read of the jobs partition.
--- a/conductor/orders.go
+++ b/conductor/orders.go
@@ -54,6 +54,7 @@
 	var outcome scheduler.StartOutcome
 	var err error
 	uncertain := false
+	var unanswered error
 	for range startTries {
 		if !c.maySend(order) {
 			outcome, err = scheduler.StartRefused, errOrderOutdated
@@ -64,6 +65,7 @@
 		outcome, err = c.workers.Start(ctx, order.Token, order)
 		if outcome == scheduler.StartUnknown {
 			uncertain = true
+			unanswered = errors.CombineErrors(unanswered, err)
 			continue
 		}
 		if outcome == scheduler.StartSuperseded && c.tokenRaised(order.Worker.ID, order.Token) {
@@ -100,6 +102,9 @@
 	}
 	switch {
 	case err != nil && outcome != scheduler.StartDone:
+		if unanswered != nil {
+			fields["unanswered"] = unanswered.Error()
+		}
 		c.mu.Lock()
 		fields["confirmedAgoMs"] = now.Sub(c.scheduler.ConfirmedAt()).Milliseconds()
 		c.mu.Unlock()
@@ -290,7 +295,7 @@
 		} else {
 			failures++
 		}
-		if wait = c.handleRenewal(ctx, id, report, err, sentAt, renewalPause(failures)); errors.Is(err, ErrSuperseded) {
+		if wait = c.handleRenewal(ctx, order, report, err, sentAt, renewalPause(failures)); errors.Is(err, ErrSuperseded) {
 			return ErrSuperseded
 		}
 	}
@@ -312,16 +317,16 @@
 // handleRenewal handles the outcome of a renewal. It waits for pause if the renewal failed, and for
 // a write if progress must be stored first. It returns how long the worker may wait for the end of a
 // run at the next renewal.
-func (c *Conductor) handleRenewal(ctx context.Context, id string, report scheduler.Report, err error, sentAt time.Time, pause time.Duration) time.Duration {
+func (c *Conductor) handleRenewal(ctx context.Context, order scheduler.LeaseRenewal, report scheduler.Report, err error, sentAt time.Time, pause time.Duration) time.Duration {
 	if ctx.Err() != nil || errors.Is(err, ErrSuperseded) {
 		return 0
 	}
 	if err != nil {
-		c.recordRenewalFailure(id, err)
+		c.recordRenewalFailure(order, err)
 		c.pauseRenewal(ctx, pause)
 		return 0
 	}
-	if unstored, progressed := c.applyReport(id, report, sentAt); unstored {
+	if unstored, progressed := c.applyReport(order.Worker.ID, report, sentAt); unstored {
 		// A worker answers the next renewal without waiting while it reports ends
 		// of runs that are not acknowledged.
 		c.awaitWrite(ctx, progressed)
@@ -372,7 +377,8 @@
 
 // recordRenewalFailure records that a worker gave no usable answer to a renewal,
 // or that it has ended.
-func (c *Conductor) recordRenewalFailure(id string, err error) {
+func (c *Conductor) recordRenewalFailure(order scheduler.LeaseRenewal, err error) {
+	id := order.Worker.ID
 	now := c.clock.Now()
 	c.mu.Lock()
 	omitted, allowed := c.allowRenewalLine(id, now)
@@ -393,8 +399,9 @@
 	}
 	if allowed {
 		logEntry := c.logger.WithError(err).WithFields(log.Fields{
-			"worker":  id,
-			"omitted": omitted,
+			"worker":      id,
+			"omitted":     omitted,
+			"acknowledge": order.Acknowledge,
 		})
 		if gone {
 			logEntry.Info("conductor: worker has ended")
--- a/scheduler/explaining.go
+++ b/scheduler/explaining.go
@@ -343,6 +343,10 @@
 	// Outlived is the number of runs that were reported after their leases had counted as over,
 	// and Unread that of ends which were acknowledged before this owner had read them.
 	Outlived, Unread int
+	// Unfenced holds, of each worker that started again, the time from the last sign of its former
+	// incarnation to the first answer of the next one to its own token. Until then the next one
+	// carries out calls that were meant for the former one.
+	Unfenced []time.Duration
 }
 
 func newLosses() Losses {
--- a/scheduler/incarnations.go
+++ b/scheduler/incarnations.go
@@ -37,8 +37,9 @@
 // endIncarnation ends the runs of a worker that has started again at the given time, and
 // forgets what is known of its former incarnation.
 func (s *Scheduler) endIncarnation(w *worker, startedAt, now time.Time) {
-	s.addNote(fmt.Sprintf("worker has started again under its identity: ends up to %d were processed, %d are acknowledged, its clock was above %v",
-		w.lastEndNumber, w.ackedNumber, w.clockReading), TaskRef{}, w.entry.Ref.ID, startedAt.Sub(w.startedAt))
+	s.addNote(fmt.Sprintf("worker has started again under its identity: ends up to %d were processed, %d are acknowledged, its clock was above %v, %s",
+		w.lastEndNumber, w.ackedNumber, w.clockReading, w.describeUnheard(now)), TaskRef{}, w.entry.Ref.ID, startedAt.Sub(w.startedAt))
+	w.unfencedSince = w.aliveAt
 	if !w.reported {
 		s.doubtJobsOn(w, now)
 	}
--- a/scheduler/outlived.go
+++ b/scheduler/outlived.go
@@ -54,6 +54,8 @@
 		return "sent to a former incarnation"
 	case r.presentAt.IsZero():
 		return "not answered"
+	case !r.listed:
+		return "answered, in no report"
 	default:
 		return "answered"
 	}
@@ -108,3 +110,30 @@
 	s.addNote(fmt.Sprintf("ends %d to %d were acknowledged before this owner had read them, %s",
 		w.lastEndNumber+1, first-1, w.describeRestart(now)), TaskRef{}, w.entry.Ref.ID, 0)
 }
+
+// describeUnheard tells what may have reached a new incarnation before this owner heard of it.
+func (w *worker) describeUnheard(now time.Time) string {
+	starts := 0
+	for _, r := range w.runs {
+		if r.state != runPlanned && r.mayArrive {
+			starts++
+		}
+	}
+	since := "the former one never reported"
+	if !w.aliveAt.IsZero() {
+		since = fmt.Sprintf("the former one was last known to be up %v before", now.Sub(w.aliveAt).Round(time.Millisecond))
+	}
+	return fmt.Sprintf("%s, %d starts there have no answer", since, starts)
+}
+
+// explainFence records that a worker which started again has answered a call with its own token.
+func (s *Scheduler) explainFence(w *worker, now time.Time) {
+	if w.unfencedSince.IsZero() {
+		return
+	}
+	unfenced := now.Sub(w.unfencedSince)
+	w.unfencedSince = time.Time{}
+	s.losses.Unfenced = append(s.losses.Unfenced, unfenced)
+	s.addNote(fmt.Sprintf("worker refuses calls to its former incarnation from now on, %s", w.describeRestart(now)),
+		TaskRef{}, w.entry.Ref.ID, unfenced)
+}
--- a/scheduler/tables.go
+++ b/scheduler/tables.go
@@ -330,6 +330,9 @@
 	// that were meant for the former one.
 	raisedAt time.Time
 	raised   bool
+	// unfencedSince is the last sign of the former incarnation until the present one has answered
+	// a call with its own token, else zero.
+	unfencedSince time.Time
 	// lapses holds the runs of the present incarnation that were given up with its lease.
 	lapses map[RunRef]lapse
 	// listed is set while the directory lists the worker.
--- a/scheduler/tokens.go
+++ b/scheduler/tokens.go
@@ -28,6 +28,7 @@
 	}
 	w.raised = true
 	if !w.restartKnownSince.IsZero() {
+		s.explainFence(w, now)
 		w.formerOrdersEnd = now.Add(s.options.longestLease())
 	}
 }
