--- /dev/null
+++ b/scheduler/acknowledging_test.go
@@ -0,0 +1,146 @@
+package scheduler_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/galenacove/galenacove/scheduler"
+)
+
+// lateCalls are calls to a worker that had no answer, and that its next incarnation carries out.
+type lateCalls struct {
+	r        *rig
+	starts   []scheduler.StartTask
+	renewals []scheduler.LeaseRenewal
+}
+
+// collect ticks, and leaves the starts without an answer.
+func (l *lateCalls) collect() {
+	l.r.s.ConfirmOwnership(l.r.now)
+	for _, effect := range l.r.s.Tick(l.r.now) {
+		if start, is := effect.(scheduler.StartTask); is {
+			l.starts = append(l.starts, start)
+		}
+	}
+}
+
+// renew sends a renewal and leaves it without an answer.
+func (l *lateCalls) renew() {
+	order, known := l.r.s.LeaseRenewal("w", l.r.now)
+	l.r.c.Assert(known, qt.IsTrue)
+	l.renewals = append(l.renewals, order)
+}
+
+// arrive has the worker carry out the starts, end their runs, and then carry out the renewals.
+func (l *lateCalls) arrive() {
+	w := l.r.workersByID["w"]
+	token := int64(0)
+	for _, start := range l.starts {
+		token = max(token, start.Token)
+		w.startCounts[start.Run.Task]++
+		w.end(start.Run, scheduler.EndDone)
+	}
+	for _, renewal := range l.renewals {
+		for renewal.Token >= token && len(w.ended) > 0 && w.ended[0].Number <= renewal.Acknowledge {
+			w.ended = w.ended[1:]
+		}
+	}
+}
+
+// TestLateAcknowledgementForgetsNoEndOfALateStart guards against tasks that run twice: the next incarnation
+// of a worker that was cut off carried out a late start, and a late acknowledgement forgot its end unread.
+func TestLateAcknowledgementForgetsNoEndOfALateStart(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// call makes the calls that are under way when the worker starts again.
+		call func(*lateCalls)
+	}{
+		{
+			name: "a start before the acknowledgement",
+			call: func(l *lateCalls) {
+				l.collect()
+				l.r.c.Assert(l.starts, qt.HasLen, 1)
+				l.renew()
+			},
+		},
+		{
+			name: "an acknowledgement before the start",
+			call: func(l *lateCalls) {
+				l.renew()
+				l.collect()
+			},
+		},
+		{
+			name: "an acknowledgement that was lost before the start",
+			call: func(l *lateCalls) {
+				l.renew()
+				l.r.s.RenewalFailed("w", l.r.now)
+				l.r.advance(time.Second)
+				l.r.renewLeases()
+				for range 3 {
+					l.collect()
+					l.r.write()
+				}
+				l.r.c.Assert(l.starts, qt.HasLen, 1)
+			},
+		},
+		{
+			name: "an acknowledgement that was abandoned before the start",
+			call: func(l *lateCalls) {
+				l.renew()
+				l.r.advance(time.Second)
+				l.r.renewLeases()
+				for range 3 {
+					l.collect()
+					l.r.write()
+				}
+				l.r.c.Assert(l.starts, qt.HasLen, 1)
+			},
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			r := newRestartRig(t, "w")
+			w := r.workersByID["w"]
+			r.s.AddJob(r.job("first", newPhase(4, cores(1))), nil, false, r.now)
+			r.round()
+			r.write()
+			r.round()
+			r.c.Assert(w.activeRuns, qt.HasLen, 4)
+			for run := range w.activeRuns {
+				w.end(run, scheduler.EndDone)
+			}
+			r.round()
+			r.write()
+			// The ends are stored, and not acknowledged yet.
+			r.c.Assert(w.ended, qt.HasLen, 4)
+			r.s.AddJob(r.job("second", newPhase(1, cores(1))), nil, false, r.now)
+			r.s.ConfirmOwnership(r.now)
+			// The start waits for a write, with which the ends are stored too.
+			r.carryOut(r.s.Tick(r.now))
+			r.write()
+			calls := &lateCalls{
+				r: r,
+			}
+			test.call(calls)
+			w.restart()
+			calls.arrive()
+			for _, start := range calls.starts {
+				r.s.StartAnswered("w", start.Run, scheduler.StartUnknown, r.now)
+			}
+			r.s.RenewalFailed("w", r.now)
+			for range 100 {
+				r.round()
+				r.write()
+				for run := range w.activeRuns {
+					w.end(run, scheduler.EndDone)
+				}
+			}
+			r.c.Assert(r.state("second"), qt.Equals, scheduler.Completed)
+			for task, n := range w.startCounts {
+				r.c.Check(n, qt.Equals, 1, qt.Commentf("starts of %s", task))
+			}
+		})
+	}
+}
