--- a/conductor/orders.go
+++ b/conductor/orders.go
@@ -122,6 +122,9 @@
 	if uncertain {
 		c.scheduler.StartUnanswered(order.Worker.ID, order.Run)
 	}
+	if keeper := c.leaseKeepers[order.Worker.ID]; keeper != nil {
+		keeper.wakeUp()
+	}
 	c.mu.Unlock()
 	c.requestTick()
 	if outcome == scheduler.StartSuperseded {
@@ -216,16 +219,31 @@
 type leaseKeeper struct {
 	cancel context.CancelFunc
 	// sentAt is the time at which the last renewal was sent, and interrupt ends it if it still
-	// waits for its answer. interrupt is nil before the first renewal.
+	// waits for its answer. interrupt is nil before the first renewal, and for one that acknowledges
+	// ends.
 	sentAt    time.Time
 	interrupt context.CancelFunc
+	// wake has an element if what an acknowledgement waits for may have changed.
+	wake chan struct{}
+}
+
+// wakeUp has the keeper look again at what an acknowledgement waits for.
+func (k *leaseKeeper) wakeUp() {
+	select {
+	case k.wake <- struct{}{}:
+	default:
+	}
 }
 
 // renewAtOnce renews the lease of a worker now if a report that is requested later than the one
 // under way tells whether a run exists. The caller holds mu.
 func (c *Conductor) renewAtOnce(id string) {
 	keeper := c.leaseKeepers[id]
-	if keeper != nil && keeper.interrupt != nil && c.scheduler.AwaitsReport(id, keeper.sentAt) {
+	if keeper == nil {
+		return
+	}
+	keeper.wakeUp()
+	if keeper.interrupt != nil && c.scheduler.AwaitsReport(id, keeper.sentAt) {
 		keeper.interrupt()
 	}
 }
@@ -242,6 +260,7 @@
 		renewCtx, cancel := context.WithCancel(ctx)
 		keeper := &leaseKeeper{
 			cancel: cancel,
+			wake:   make(chan struct{}, 1),
 		}
 		c.leaseKeepers[ref.ID] = keeper
 		group.Go(func() error {
@@ -278,11 +297,15 @@
 			c.mu.Unlock()
 			break
 		}
-		if c.scheduler.AwaitsReport(id, keeper.sentAt) {
+		// Starts wait for the answer to an acknowledgement.
+		if order.Acknowledge > 0 || c.scheduler.AwaitsReport(id, keeper.sentAt) {
 			wait = 0
 		}
 		callCtx, interrupt := context.WithCancel(ctx)
 		keeper.sentAt, keeper.interrupt = sentAt, interrupt
+		if order.Acknowledge > 0 {
+			keeper.interrupt = nil
+		}
 		c.mu.Unlock()
 		report, err := c.workers.RenewLease(callCtx, order.Token, order, wait)
 		interrupted := errors.Is(err, ErrUnreachable) && callCtx.Err() != nil && ctx.Err() == nil
@@ -295,7 +318,7 @@
 		} else {
 			failures++
 		}
-		if wait = c.handleRenewal(ctx, order, report, err, sentAt, renewalPause(failures)); errors.Is(err, ErrSuperseded) {
+		if wait = c.handleRenewal(ctx, keeper, order, report, err, sentAt, renewalPause(failures)); errors.Is(err, ErrSuperseded) {
 			return ErrSuperseded
 		}
 	}
@@ -314,10 +337,10 @@
 	return min(renewalRetryPause<<min(max(0, failures-1), maxDoublings), maxUnseenPause)
 }
 
-// handleRenewal handles the outcome of a renewal. It waits for pause if the renewal failed, and for
-// a write if progress must be stored first. It returns how long the worker may wait for the end of a
+// handleRenewal handles the outcome of a renewal. It waits for pause if the renewal failed, and until
+// reported ends can be acknowledged. It returns how long the worker may wait for the end of a
 // run at the next renewal.
-func (c *Conductor) handleRenewal(ctx context.Context, order scheduler.LeaseRenewal, report scheduler.Report, err error, sentAt time.Time, pause time.Duration) time.Duration {
+func (c *Conductor) handleRenewal(ctx context.Context, keeper *leaseKeeper, order scheduler.LeaseRenewal, report scheduler.Report, err error, sentAt time.Time, pause time.Duration) time.Duration {
 	if ctx.Err() != nil || errors.Is(err, ErrSuperseded) {
 		return 0
 	}
@@ -326,31 +349,21 @@
 		c.pauseRenewal(ctx, pause)
 		return 0
 	}
-	if unstored, progressed := c.applyReport(order.Worker.ID, report, sentAt); unstored {
-		// A worker answers the next renewal without waiting while it reports ends
-		// of runs that are not acknowledged.
-		c.awaitWrite(ctx, progressed)
-	}
+	c.applyReport(order.Worker.ID, report, sentAt)
+	c.awaitAcknowledgement(ctx, order.Worker.ID, keeper)
 	return renewalWait
 }
 
-// applyReport passes the report of a worker to the scheduler. It returns whether
-// the report contains ends of runs that are not stored yet, and a channel that is
-// closed after the next write, which may store these ends, or the next read of
-// jobs.
-func (c *Conductor) applyReport(id string, report scheduler.Report, sentAt time.Time) (unstored bool, progressed <-chan struct{}) {
+// applyReport passes the report of a worker to the scheduler.
+func (c *Conductor) applyReport(id string, report scheduler.Report, sentAt time.Time) {
 	c.mu.Lock()
-	now := c.readClock()
-	c.scheduler.Report(id, report, sentAt, now)
-	order, _ := c.scheduler.LeaseRenewal(id, now)
+	c.scheduler.Report(id, report, sentAt, c.readClock())
 	unwritten, _ := c.scheduler.Unwritten()
-	progressed = c.progressed
 	c.mu.Unlock()
 	if unwritten {
 		c.requestWrite()
 	}
 	c.requestTick()
-	return order.Unstored, progressed
 }
 
 const (
@@ -422,14 +435,28 @@
 	}
 }
 
-// awaitWrite waits until progressed is closed, but no longer than
-// renewalRetryPause, so that the lease does not expire.
-func (c *Conductor) awaitWrite(ctx context.Context, progressed <-chan struct{}) {
+// awaitAcknowledgement waits until the ends that a worker has reported can be acknowledged, but no longer
+// than renewalRetryPause, so that the lease does not expire. While there are such ends, the worker answers
+// renewals without waiting.
+func (c *Conductor) awaitAcknowledgement(ctx context.Context, id string, keeper *leaseKeeper) {
 	timer := c.clock.NewTimer(renewalRetryPause)
 	defer timer.Stop()
-	select {
-	case <-progressed:
-	case <-timer.C():
-	case <-ctx.Done():
+	for {
+		c.mu.Lock()
+		state := c.scheduler.AckState(id, c.readClock())
+		reportAwaited := c.scheduler.AwaitsReport(id, keeper.sentAt)
+		progressed := c.progressed
+		c.mu.Unlock()
+		if state == scheduler.AckNone || state == scheduler.AckDue || reportAwaited {
+			return
+		}
+		select {
+		case <-progressed:
+		case <-keeper.wake:
+		case <-timer.C():
+			return
+		case <-ctx.Done():
+			return
+		}
 	}
 }
--- a/scheduler/acknowledging_test.go
+++ b/scheduler/acknowledging_test.go
@@ -144,3 +144,61 @@
 		})
 	}
 }
+
+// TestStartsDoNotHoldAcknowledgementsUp guards against a worker whose ends are never acknowledged, as there
+// is always a start under way, and so answers all renewals at once.
+func TestStartsDoNotHoldAcknowledgementsUp(t *testing.T) {
+	r := newRestartRig(t, "w")
+	w := r.workersByID["w"]
+	var unanswered []scheduler.StartTask
+	for i := range 40 {
+		r.s.AddJob(r.job(workerName(i), newPhase(1, cores(1))), nil, false, r.now)
+		r.advance(10 * time.Millisecond)
+		r.renewLeases()
+		r.write()
+		r.s.ConfirmOwnership(r.now)
+		effects := r.s.Tick(r.now)
+		// Each start is answered after the next ones were decided on.
+		for _, start := range unanswered {
+			r.carryOut([]scheduler.Effect{start})
+		}
+		unanswered = nil
+		for _, effect := range effects {
+			if start, is := effect.(scheduler.StartTask); is {
+				unanswered = append(unanswered, start)
+			}
+		}
+		for run := range w.activeRuns {
+			w.end(run, scheduler.EndDone)
+		}
+		r.c.Assert(len(w.ended) <= 8, qt.IsTrue, qt.Commentf("%d ends are not acknowledged", len(w.ended)))
+	}
+	r.c.Assert(len(w.startCounts) > 10, qt.IsTrue)
+}
+
+// TestLostAnswerOfAStartHoldsAcknowledgementsUpForSeconds guards against a worker whose ends are never
+// acknowledged, as it has a lasting run of which the start's answer was lost.
+func TestLostAnswerOfAStartHoldsAcknowledgementsUpForSeconds(t *testing.T) {
+	r := newRestartRig(t, "w")
+	w := r.workersByID["w"]
+	lasting := newPhase(1, cores(1))
+	lasting.Lasting = true
+	r.s.AddJob(r.job("lasting", lasting), nil, false, r.now)
+	r.s.AddJob(r.job("short", newPhase(1, cores(1))), nil, false, r.now)
+	r.tick()
+	r.c.Assert(w.activeRuns, qt.HasLen, 2)
+	for run := range w.activeRuns {
+		if run.Task.Step.Job == "lasting" {
+			r.s.StartUnanswered("w", run)
+			continue
+		}
+		w.end(run, scheduler.EndDone)
+	}
+	for range 40 {
+		r.round()
+		r.write()
+	}
+	r.c.Assert(r.state("short"), qt.Equals, scheduler.Completed)
+	r.c.Assert(w.ended, qt.HasLen, 0)
+	r.c.Assert(w.activeRuns, qt.HasLen, 1)
+}
--- a/scheduler/incarnations.go
+++ b/scheduler/incarnations.go
@@ -71,6 +71,7 @@
 	}
 	s.giveUpCrashing(crashed, now)
 	w.lastEndNumber, w.ackedNumber, w.pendingAcks = 0, 0, nil
+	w.forgottenEnds, w.sentAck = 0, sentAcknowledgement{}
 	// A clock that starts anew is above zero.
 	w.clockReading, w.clockReadAt = 0, now
 	w.leaseEnd = 0
--- a/scheduler/recovery_test.go
+++ b/scheduler/recovery_test.go
@@ -476,11 +476,14 @@
 					r.s.Written(write)
 				}
 				r.write()
-				r.renewLeases()
 				for id := range r.workersByID {
 					order, _ := r.s.LeaseRenewal(id, r.now)
 					r.c.Assert(order.Acknowledge, qt.Equals, int64(1), qt.Commentf("worker %s", id))
 				}
+				r.renewLeases()
+				for id, w := range r.workersByID {
+					r.c.Assert(w.ended, qt.HasLen, 0, qt.Commentf("worker %s", id))
+				}
 			})
 		}
 	}
--- a/scheduler/reports.go
+++ b/scheduler/reports.go
@@ -79,6 +79,7 @@
 		// A late answer of an incarnation that has ended.
 		return
 	}
+	w.noteAnswer(sent)
 	s.noteRaisedToken(w, sent, now)
 	s.explainOutlived(w, report, now)
 	s.explainGap(w, report, now)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -77,7 +77,8 @@
 	// plannedRuns holds the runs that are not sent to their worker until the
 	// store lists that worker for the job.
 	plannedRuns []*run
-	// heldRuns holds the planned runs of gangs that wait for members of other owners only.
+	// heldRuns holds the planned runs that wait for no write: of gangs, for members of other owners, and
+	// on workers, for the answer to an acknowledgement.
 	heldRuns []*run
 	// plannedExplainedAt is the time of the last note on a planned run that waits for a
 	// write.
--- a/scheduler/starting.go
+++ b/scheduler/starting.go
@@ -38,7 +38,7 @@
 	s.addRun(r)
 	s.assignRun(st, t, r)
 	if st.isStored(r, t) && !st.holds(r) {
-		s.sendStart(r, st, now)
+		s.sendOrHold(r, st, now)
 		return
 	}
 	st.job.workers[w.entry.Ref.ID] = true
@@ -82,6 +82,15 @@
 	return w != nil && !order.WorkerStartedAt.IsZero() && !order.WorkerStartedAt.Equal(w.startedAt)
 }
 
+// sendOrHold sends the start of a run unless an acknowledgement goes before it.
+func (s *Scheduler) sendOrHold(r *run, st *step, now time.Time) {
+	if s.awaitsAcknowledgement(r.worker, now) {
+		s.heldRuns = append(s.heldRuns, r)
+		return
+	}
+	s.sendStart(r, st, now)
+}
+
 // sendStart emits the start of a run.
 func (s *Scheduler) sendStart(r *run, st *step, now time.Time) {
 	if st.startedAt.IsZero() {
@@ -149,7 +158,7 @@
 		case st.holds(r):
 			s.heldRuns = append(s.heldRuns, r)
 		default:
-			s.sendStart(r, st, now)
+			s.sendOrHold(r, st, now)
 		}
 	}
 	s.plannedRuns = append(s.plannedRuns, stillPlanned...)
--- a/scheduler/tables.go
+++ b/scheduler/tables.go
@@ -392,6 +392,10 @@
 	// order, and ackedNumber the number of the last one that is.
 	pendingAcks []pendingAck
 	ackedNumber int64
+	// forgottenEnds is the number up to which the worker has answered an acknowledgement, and sentAck
+	// the one that is under way.
+	forgottenEnds int64
+	sentAck       sentAcknowledgement
 	// failedJobs holds the jobs whose runs failed on the worker since a run
 	// last succeeded there, and failureStreak the number of those failures.
 	failedJobs    map[string]bool
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -45,8 +45,6 @@
 	// Acknowledge is the number up to which the worker's ends are stored and
 	// need not be reported again.
 	Acknowledge int64
-	// Unstored reports whether there are reported ends that are not stored yet.
-	Unstored bool
 	// Unseen is set if the worker has reported to no owner, as far as this one knows, so that it
 	// has no runs.
 	Unseen bool
@@ -257,22 +255,14 @@
 	if w == nil {
 		return LeaseRenewal{}, false
 	}
-	for len(w.pendingAcks) > 0 && w.pendingAcks[0].batch <= s.storedBatch {
-		w.ackedNumber = w.pendingAcks[0].endNumber
-		w.pendingAcks = w.pendingAcks[1:]
-	}
 	if w.token > s.token && w.nextToken == 0 && w.raisedAt.IsZero() {
 		w.raisedAt = now
 	}
 	order := LeaseRenewal{
-		Worker:   w.entry.Ref,
-		Token:    w.token,
-		Unstored: len(w.pendingAcks) > 0,
-		Unseen:   !w.reported && !w.former,
-	}
-	if w.silentSince.IsZero() && s.age(w.lastReportAt, now) < maxReportAge {
-		// Otherwise the worker may have started again, and its ends be others.
-		order.Acknowledge = w.ackedNumber
+		Worker:      w.entry.Ref,
+		Token:       w.token,
+		Acknowledge: s.nextAcknowledgement(w, now),
+		Unseen:      !w.reported && !w.former,
 	}
 	if w.reported && w.silentSince.IsZero() && !s.storedAsSilent(id) && !w.leaseWithheld {
 		order.Lease = s.extendLease(w, now)
@@ -297,7 +287,12 @@
 
 // RenewalFailed records that a lease renewal had no answer.
 func (s *Scheduler) RenewalFailed(id string, now time.Time) {
-	if w := s.workers[id]; w != nil && w.silentSince.IsZero() {
+	w := s.workers[id]
+	if w == nil {
+		return
+	}
+	s.noteLostAcknowledgement(w)
+	if w.silentSince.IsZero() {
 		w.silentSince = now
 	}
 }
