--- a/scheduler/restarts_test.go
+++ b/scheduler/restarts_test.go
@@ -513,3 +513,94 @@
 	// The start may take a second to arrive.
 	r.c.Check(startedAfter["lost"] >= time.Second+limit, qt.IsTrue, qt.Commentf("started again after %v", startedAfter["lost"]))
 }
+
+// TestRunOutlastsTheLeaseOfALaterUnansweredCall guards against a task that runs twice: the next life of a
+// worker that was cut off carried out a start without an answer, and then a later call, whose lease holds for
+// all runs there. The run was given up with the longest lease from its own start on.
+func TestRunOutlastsTheLeaseOfALaterUnansweredCall(t *testing.T) {
+	const limit = 10 * time.Second
+	for _, test := range []struct {
+		name string
+		// call has the owner make a call to the worker that has no answer.
+		call func(*rig)
+	}{
+		{
+			name: "a start",
+			call: func(r *rig) {
+				r.s.AddJob(r.job("later", newPhase(1, cores(1))), nil, false, r.now)
+				r.tick()
+			},
+		},
+		{
+			name: "the same start again",
+			call: func(r *rig) {
+				for _, effect := range r.effects {
+					if start, is := effect.(scheduler.StartTask); is {
+						r.s.StartAnswered("w", start.Run, scheduler.StartUnknown, r.now)
+					}
+				}
+			},
+		},
+		{
+			name: "a renewal",
+			call: func(r *rig) { r.renewLeases() },
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			r := newRig(t, scheduler.Lease(3500*time.Millisecond, 6*time.Second), scheduler.AcceptedLease(limit))
+			w := r.addWorker("w", cores(8))
+			w.entry.StartedAt = r.now
+			r.updateDirectory()
+			r.round()
+			w.silent = true
+			r.s.AddJob(r.job("lost", newPhase(1, cores(1))), nil, false, r.now)
+			r.tick()
+			r.advance(600 * time.Millisecond)
+			test.call(r)
+			calledAt := r.now
+			spare := r.addWorker("spare", cores(8))
+			spare.entry.StartedAt = r.now
+			r.updateDirectory()
+			lost := scheduler.TaskRef{
+				Step: scheduler.StepRef{
+					Job: "lost",
+				},
+			}
+			for spare.startCounts[lost] == 0 {
+				r.c.Assert(r.now.Sub(calledAt) < 20*time.Second, qt.IsTrue, qt.Commentf("not started again"))
+				r.round()
+			}
+			// The later call may take more than two seconds to arrive.
+			r.c.Assert(r.now.Sub(calledAt) >= 2400*time.Millisecond+limit, qt.IsTrue, qt.Commentf("started again after %v", r.now.Sub(calledAt)))
+		})
+	}
+}
+
+// TestStartThatCannotArriveKeepsItsLease guards against a task that waits for the longest lease that workers
+// accept, although its worker answered after its start could still arrive, so that no next life has the run.
+func TestStartThatCannotArriveKeepsItsLease(t *testing.T) {
+	r := newRig(t, scheduler.Lease(3500*time.Millisecond, 6*time.Second), scheduler.AcceptedLease(10*time.Second))
+	w := r.addWorker("w", cores(8))
+	w.entry.StartedAt = r.now
+	r.updateDirectory()
+	r.round()
+	r.s.AddJob(r.job("j", newPhase(1, cores(1))), nil, false, r.now)
+	r.round()
+	r.c.Assert(w.activeRuns, qt.HasLen, 1)
+	for run := range w.activeRuns {
+		// One try of the order had no answer.
+		r.s.StartUnanswered("w", run)
+	}
+	for range 40 {
+		r.round()
+	}
+	w.silent = true
+	silentAt := r.now
+	spare := r.addWorker("spare", cores(8))
+	spare.entry.StartedAt = r.now
+	r.updateDirectory()
+	for len(spare.activeRuns) == 0 {
+		r.c.Assert(r.now.Sub(silentAt) < 5*time.Second, qt.IsTrue, qt.Commentf("not started again"))
+		r.round()
+	}
+}
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -250,6 +250,8 @@
 		return
 	}
 	r := w.runs[ref]
+	// The order may have been repeated meanwhile.
+	w.leaseSentAt = latest(w.leaseSentAt, earlier(now, r.startedAt.Add(startValidity)))
 	switch outcome {
 	case StartDone:
 		r.mayArrive = false
--- a/scheduler/tables.go
+++ b/scheduler/tables.go
@@ -380,6 +380,8 @@
 	// leaseEnd is the latest expiry of a lease that was granted, on the
 	// worker's clock.
 	leaseEnd time.Duration
+	// leaseSentAt is the latest time at which a call was sent that names a lease.
+	leaseSentAt time.Time
 	// formerOrdersEnd is the time by which runs have certainly ended that the worker may
 	// start on orders to its former incarnation.
 	formerOrdersEnd time.Time
--- a/scheduler/tick.go
+++ b/scheduler/tick.go
@@ -86,14 +86,19 @@
 }
 
 // lapsedRuns returns the runs of a silent worker that have ended with its leases, sorted by task. A
-// worker that started again unseen takes a start without an answer with the longest lease.
+// worker that started again unseen takes a start without an answer with the longest lease, and each
+// later call extends that for all runs there.
 func (s *Scheduler) lapsedRuns(w *worker, now time.Time) []*run {
-	if w.startedAt.IsZero() {
+	if w.startedAt.IsZero() || !now.Before(w.leaseSentAt.Add(lateArrival+s.options.longestLease())) {
 		return sortedRuns(w)
 	}
-	return slices.DeleteFunc(sortedRuns(w), func(r *run) bool {
-		return r.mayArrive && now.Before(r.startedAt.Add(lateArrival+s.options.longestLease()))
-	})
+	return slices.DeleteFunc(sortedRuns(w), (*run).mayReachNextIncarnation)
+}
+
+// mayReachNextIncarnation reports whether an order to start the run may arrive, or have arrived, after the
+// incarnation of the worker that was last heard of has ended.
+func (r *run) mayReachNextIncarnation() bool {
+	return r.mayArrive && r.worker.lastReportSent.Before(r.startedAt.Add(startValidity+lateArrival))
 }
 
 // answeredStopWait returns the time that a stop which the worker has answered
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -276,6 +276,7 @@
 // within that time after assignmentConfirmedAt.
 func (s *Scheduler) extendLease(w *worker, now time.Time) time.Duration {
 	w.leaseEnd = max(w.leaseEnd, w.clockAt(now)+min(s.options.leaseDuration, s.longestSafeLease(now)))
+	w.leaseSentAt = latest(w.leaseSentAt, now)
 	return w.leaseEnd
 }
 
