--- a/scheduler/odd_test.go
+++ b/scheduler/odd_test.go
@@ -90,6 +90,44 @@
 	r.c.Assert(order.Worker.Address, qt.Equals, "v:1")
 }
 
+// TestFormerWorkerIsNotCalledWhereAnOlderIncarnationWas guards against a task that runs twice: a next owner
+// whose directory lags behind the stored list called a worker where its former incarnation had been. The
+// worker that is there now answers that it is another one, which counted as the end of the runs.
+func TestFormerWorkerIsNotCalledWhereAnOlderIncarnationWas(t *testing.T) {
+	r := newRestartRig(t, "w")
+	stale := r.workersByID["w"].entry
+	stored := stale
+	stored.StartedAt = stale.StartedAt.Add(time.Minute)
+	stored.Ref.Address = "w:2"
+	r.s = scheduler.New(2, r.now)
+	r.s.AddFormerWorkers([]scheduler.WorkerEntry{stored})
+	for _, test := range []struct {
+		listed scheduler.WorkerEntry
+		want   string
+	}{
+		{
+			listed: stale,
+			want:   "w:2",
+		},
+		{
+			listed: stored,
+			want:   "w:2",
+		},
+	} {
+		r.s.SetWorkers([]scheduler.WorkerEntry{test.listed})
+		order, known := r.s.LeaseRenewal("w", r.now)
+		r.c.Assert(known, qt.IsTrue)
+		r.c.Check(order.Worker.Address, qt.Equals, test.want)
+	}
+	next := stored
+	next.StartedAt = stored.StartedAt.Add(time.Minute)
+	next.Ref.Address = "w:3"
+	r.s.SetWorkers([]scheduler.WorkerEntry{next})
+	order, known := r.s.LeaseRenewal("w", r.now)
+	r.c.Assert(known, qt.IsTrue)
+	r.c.Check(order.Worker.Address, qt.Equals, "w:3")
+}
+
 // TestWorkerThatHasMovedIsReached guards against a worker that keeps the address of its former
 // incarnation, at which nobody answers.
 func TestWorkerThatHasMovedIsReached(t *testing.T) {
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -82,12 +82,12 @@
 
 // keepsAddress reports whether the worker is still called at the address at which it was called
 // so far: it answers there, or may have runs there that have not ended. At another address, the
-// answer that it is not there would be taken as proof that it has ended. Another incarnation may
-// have another address.
+// answer that it is not there would be taken as proof that it has ended. A later incarnation may
+// have another address. An entry of an earlier one is stale, or of a clock that was set back.
 func (w *worker) keepsAddress(entry WorkerEntry) bool {
 	answers := w.reported && w.silentSince.IsZero()
 	mayHaveRuns := len(w.runs) > 0 || w.former && !w.reported && !w.leasesOver
-	restarted := !entry.StartedAt.IsZero() && !entry.StartedAt.Equal(w.startedAt)
+	restarted := entry.StartedAt.After(w.startedAt)
 	// A former worker has no address if only its name is known.
 	return w.entry.Ref.Address != "" && (answers || mayHaveRuns && !restarted)
 }
