--- a/scheduler/tokens.go
+++ b/scheduler/tokens.go
@@ -65,7 +65,12 @@
 	startedAt time.Time
 	// token and nextToken are as in worker.
 	token, nextToken int64
-	endedAt          time.Time
+	// The others that are kept of worker tell which calls to a former incarnation may still be carried out.
+	formerStarts                                 []time.Time
+	restartKnownSince, raisedAt, formerOrdersEnd time.Time
+	raised                                       bool
+	// endedAt is the time at which the worker was dropped.
+	endedAt time.Time
 }
 
 // rememberIncarnation keeps what is known of a worker that is dropped. It may be listed again after a restart.
@@ -81,6 +86,12 @@
 		token:     w.token,
 		nextToken: w.nextToken,
 		endedAt:   s.tickedAt,
+
+		formerStarts:      w.formerStarts,
+		restartKnownSince: w.restartKnownSince,
+		raisedAt:          w.raisedAt,
+		formerOrdersEnd:   w.formerOrdersEnd,
+		raised:            w.raised,
 	}
 }
 
@@ -93,4 +104,6 @@
 	}
 	delete(s.formerIncarnations, w.entry.Ref.ID)
 	w.startedAt, w.token, w.nextToken = former.startedAt, former.token, former.nextToken
+	w.formerStarts, w.restartKnownSince = former.formerStarts, former.restartKnownSince
+	w.raisedAt, w.raised, w.formerOrdersEnd = former.raisedAt, former.raised, former.formerOrdersEnd
 }
--- a/scheduler/tokens_test.go
+++ b/scheduler/tokens_test.go
@@ -179,3 +179,38 @@
 	r.c.Assert(r.storedWorkers, qt.HasLen, 1)
 	r.c.Assert(r.storedWorkers[0].Ref.ID, qt.Equals, "w")
 }
+
+// TestLateCallsToADroppedWorkerAreWaitedFor guards against a task that runs twice: a worker had started again
+// and was gone from the directory for a moment, after which it counted as one that refuses calls to its former
+// incarnation. A late one had given it the longest lease.
+func TestLateCallsToADroppedWorkerAreWaitedFor(t *testing.T) {
+	const limit = 10 * time.Second
+	r := newRig(t, scheduler.Lease(3500*time.Millisecond, 6*time.Second), scheduler.AcceptedLease(limit))
+	w := r.addWorker("w", cores(8))
+	w.entry.StartedAt = r.now
+	r.updateDirectory()
+	r.round()
+	w.restart()
+	r.round()
+	r.s.SetWorkers(nil)
+	r.s.SetWorkers([]scheduler.WorkerEntry{w.entry})
+	r.c.Assert(r.tokenOf(r.s), qt.Equals, int64(1))
+	r.advance(100 * time.Millisecond)
+	r.renewLeases()
+	// A late call with the former token arrives now.
+	lateCallAt := r.now
+	r.write()
+	r.c.Assert(r.tokenOf(r.s), qt.Equals, int64(2))
+	r.s.AddJob(r.job("j", newPhase(1, cores(1))), nil, false, r.now)
+	r.round()
+	r.c.Assert(w.activeRuns, qt.HasLen, 1)
+	w.silent = true
+	spare := r.addWorker("spare", cores(8))
+	spare.entry.StartedAt = r.now
+	r.updateDirectory()
+	for len(spare.activeRuns) == 0 {
+		r.c.Assert(r.now.Sub(lateCallAt) < 20*time.Second, qt.IsTrue, qt.Commentf("not started again"))
+		r.round()
+	}
+	r.c.Assert(r.now.Sub(lateCallAt) >= limit, qt.IsTrue, qt.Commentf("started again after %v", r.now.Sub(lateCallAt)))
+}
