--- a/conductor/recovery.go
+++ b/conductor/recovery.go
@@ -188,6 +188,7 @@
 // directory no longer lists, and how old that knowledge is. The caller holds mu.
 func (c *Conductor) logFormerWorkers(former []scheduler.WorkerEntry) {
 	unlisted := 0
+	former = slices.DeleteFunc(slices.Clone(former), func(w scheduler.WorkerEntry) bool { return w.Dropped })
 	for _, entry := range former {
 		if !slices.ContainsFunc(c.directoryWorkers, func(w scheduler.WorkerEntry) bool { return w.Ref == entry.Ref }) {
 			unlisted++
--- a/scheduler/reports.go
+++ b/scheduler/reports.go
@@ -90,7 +90,7 @@
 	if !w.reported {
 		s.formerUses = nil
 	}
-	w.reported = true
+	w.reported, w.gone = true, false
 	w.lastReportAt = s.answeredAt(sent, now)
 	w.lastReportSent, w.lastReportEnds = sent, len(report.Ended)
 	w.aliveAt = now
--- a/scheduler/tables.go
+++ b/scheduler/tables.go
@@ -348,6 +348,8 @@
 	// reported is set once the worker has reported its runs to this owner, or
 	// is known to have ended.
 	reported bool
+	// gone is set once the present incarnation is known to have ended.
+	gone bool
 	// leasesOver is set for a worker that has not reported once every lease of former
 	// owners has certainly expired. It then has no runs.
 	leasesOver bool
@@ -437,6 +439,9 @@
 	// Token is the highest fencing token of calls to the worker, 0 if that is the owner's. Only the
 	// store lists it.
 	Token int64 `json:",omitzero"`
+	// Dropped is set if the worker is not in use, and only its token counts: it may be listed again, and
+	// refuses lower ones. Only the store lists it.
+	Dropped bool `json:",omitzero"`
 	// Total is the whole capacity of the worker.
 	Total  sizer.Size
 	Labels []string
--- a/scheduler/tokens.go
+++ b/scheduler/tokens.go
@@ -71,6 +71,8 @@
 	raised                                       bool
 	// endedAt is the time at which the worker was dropped.
 	endedAt time.Time
+	// gone is set if the incarnation is known to have ended, so that its token does not matter any more.
+	gone bool
 }
 
 // rememberIncarnation keeps what is known of a worker that is dropped. It may be listed again after a restart.
@@ -86,6 +88,7 @@
 		token:     w.token,
 		nextToken: w.nextToken,
 		endedAt:   s.tickedAt,
+		gone:      w.gone,
 
 		formerStarts:      w.formerStarts,
 		restartKnownSince: w.restartKnownSince,
@@ -95,6 +98,38 @@
 	}
 }
 
+// droppedEntries returns what the store lists of workers that are not in use any more. Without it a next
+// owner would take the refusal of its own lower token for a later owner.
+func (s *Scheduler) droppedEntries() []WorkerEntry {
+	var entries []WorkerEntry
+	for id, former := range s.formerIncarnations {
+		if former.token <= s.token || former.gone {
+			continue
+		}
+		entries = append(entries, WorkerEntry{
+			Ref: WorkerRef{
+				ID: id,
+			},
+			StartedAt: former.startedAt,
+			Token:     former.token,
+			Dropped:   true,
+		})
+	}
+	return entries
+}
+
+// addDropped remembers a worker that a former owner had dropped.
+func (s *Scheduler) addDropped(entry WorkerEntry) {
+	if entry.Token < s.token {
+		return
+	}
+	s.formerIncarnations[entry.Ref.ID] = formerIncarnation{
+		startedAt: entry.StartedAt,
+		token:     entry.Token + 1,
+		endedAt:   s.tickedAt,
+	}
+}
+
 // recallIncarnation has a worker that was dropped continue the incarnation that is remembered, so that its first
 // report shows whether it has started again.
 func (s *Scheduler) recallIncarnation(w *worker) {
--- a/scheduler/tokens_test.go
+++ b/scheduler/tokens_test.go
@@ -118,6 +118,78 @@
 	r.c.Check(r.tokenOf(r.s), qt.Equals, int64(3))
 }
 
+// TestNextOwnerKnowsTheTokenOfADroppedWorker guards against a next owner that gives its partition up, as a worker
+// refuses its token that had started again twice under the former owner and was gone from the directory since.
+func TestNextOwnerKnowsTheTokenOfADroppedWorker(t *testing.T) {
+	r := newRestartRig(t, "w", "other")
+	w := r.workersByID["w"]
+	for range 2 {
+		w.restart()
+		r.round()
+		r.write()
+	}
+	r.c.Assert(r.tokenOf(r.s), qt.Equals, int64(3))
+	listed := w.entry
+	delete(r.workersByID, "w")
+	r.updateDirectory()
+	for range 30 {
+		r.round()
+		r.write()
+	}
+	_, known := r.s.LeaseRenewal("w", r.now)
+	r.c.Assert(known, qt.IsFalse)
+	for owner := range int64(3) {
+		r.s = scheduler.New(2+owner, r.now)
+		r.s.AddFormerWorkers(r.storedWorkers)
+		_, known := r.s.LeaseRenewal("w", r.now)
+		r.c.Assert(known, qt.IsFalse, qt.Commentf("waits for a worker without runs"))
+		r.s.SetWorkers([]scheduler.WorkerEntry{listed})
+		// A call may precede the next write.
+		r.c.Assert(r.tokenOf(r.s), qt.Equals, int64(4))
+		r.c.Assert(r.s.WorkerToken("w"), qt.Equals, int64(4))
+	}
+	// The worker is stored as in use before anything starts there.
+	r.workersByID["w"] = w
+	before := r.s.NextWrite()
+	r.c.Assert(before.Workers, qt.HasLen, 2)
+	r.confirm(before)
+	for _, entry := range r.storedWorkers {
+		r.c.Check(entry.Dropped, qt.IsFalse)
+	}
+}
+
+// TestDroppedWorkerIsNotTakenForStored guards against a next owner that does not wait for a worker with runs: a
+// write that lists it as dropped ended when it was in use again.
+func TestDroppedWorkerIsNotTakenForStored(t *testing.T) {
+	r := newRestartRig(t, "w", "other")
+	w := r.workersByID["w"]
+	for range 2 {
+		w.restart()
+		r.round()
+		r.write()
+	}
+	listed := w.entry
+	delete(r.workersByID, "w")
+	r.updateDirectory()
+	var write scheduler.Write
+	for len(write.Workers) == 0 {
+		r.round()
+		write = r.s.NextWrite()
+	}
+	r.workersByID["w"] = w
+	r.s.SetWorkers([]scheduler.WorkerEntry{listed, r.workersByID["other"].entry})
+	r.confirm(write)
+	r.s.AddJob(r.job("j", newPhase(16, cores(1))), nil, false, r.now)
+	for range 3 {
+		r.round()
+		r.write()
+	}
+	r.c.Assert(w.activeRuns, qt.Not(qt.HasLen), 0)
+	for _, entry := range r.storedWorkers {
+		r.c.Check(entry.Dropped, qt.IsFalse)
+	}
+}
+
 // TestTokenOfASecondRestartIsProvedByItself guards against an owner that takes the answer to a call with the
 // token that a worker's former life has seen, itself raised after an earlier restart, for the proof that no
 // call to that life is carried out any more.
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -125,6 +125,10 @@
 func (s *Scheduler) AddFormerWorkers(entries []WorkerEntry) {
 	s.formerUses = nil
 	for _, entry := range entries {
+		if entry.Dropped {
+			s.addDropped(entry)
+			continue
+		}
 		if s.workers[entry.Ref.ID] == nil {
 			w := s.newWorker(entry)
 			w.recorded = true
@@ -207,8 +211,8 @@
 	return false
 }
 
-// workersInUse returns all workers on which there may be runs, sorted by
-// identity.
+// workersInUse returns all workers on which there may be runs, and those of which only the token counts,
+// sorted by identity.
 func (s *Scheduler) workersInUse() []WorkerEntry {
 	entries := make([]WorkerEntry, 0, len(s.workers))
 	for _, w := range s.workers {
@@ -220,6 +224,7 @@
 		}
 		entries = append(entries, entry)
 	}
+	entries = append(entries, s.droppedEntries()...)
 	slices.SortFunc(entries, func(a, b WorkerEntry) int {
 		return strings.Compare(a.Ref.ID, b.Ref.ID)
 	})
@@ -329,7 +334,7 @@
 		s.doubtJobsOn(w, now)
 	}
 	s.endedWorkers[id] = w.startedAt
-	w.reported = true
+	w.reported, w.gone = true, true
 	s.formerUses = nil
 	if !w.listed {
 		s.dropWorker(id)
--- a/scheduler/writes.go
+++ b/scheduler/writes.go
@@ -130,7 +130,7 @@
 // contains are acknowledged only after Written.
 func (s *Scheduler) PartWritten(write Write) {
 	for _, entry := range write.Workers {
-		if w := s.workers[entry.Ref.ID]; w != nil && w.startedAt.Equal(entry.StartedAt) {
+		if w := s.workers[entry.Ref.ID]; w != nil && w.startedAt.Equal(entry.StartedAt) && !entry.Dropped {
 			w.recorded = true
 			w.raiseToken(entry.Token)
 		}
