--- a/scheduler/interleaving_reports_test.go
+++ b/scheduler/interleaving_reports_test.go
@@ -297,8 +297,14 @@
 	return m.violation
 }
 
+// withFlakyDirectory lets workers leave the directory and come back.
+func withFlakyDirectory(m *model) {
+	m.flakyDirectory = true
+}
+
 // TestCallsUnderWayKeepInvariants guards against a run that is given up, or a stop that counts as
-// proof, on an answer that is older than what it is taken to show.
+// proof, on an answer that is older than what it is taken to show, and against next owners that a
+// worker refuses for good.
 func TestCallsUnderWayKeepInvariants(t *testing.T) {
 	for _, test := range []struct {
 		name string
@@ -315,6 +321,10 @@
 			name: "organisations with a maximum",
 			opts: []func(*model){withOrganisations},
 		},
+		{
+			name: "workers that leave the directory for a time",
+			opts: []func(*model){withFlakyDirectory},
+		},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			for seed := range uint64(300) {
