--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -330,7 +330,7 @@
 // meetsRequirements reports whether the worker could run tasks of the step if it
 // were empty.
 func meetsRequirements(st *step, w *worker) bool {
-	if st.phase.Requires != "" && !slices.Contains(w.entry.Labels, st.phase.Requires) {
+	if !hasRequiredLabel(st, w) {
 		return false
 	}
 	if !taskSize(st.phase).Fits(w.entry.Total) {
@@ -344,6 +344,11 @@
 	return !st.servesRequests() || w.fillingRuns == 0
 }
 
+// hasRequiredLabel reports whether the worker has the label that the step's tasks require, if any.
+func hasRequiredLabel(st *step, w *worker) bool {
+	return st.phase.Requires == "" || slices.Contains(w.entry.Labels, st.phase.Requires)
+}
+
 func (st *step) servesRequests() bool {
 	return st.phase.Lasting && st.phase.TailTarget > 0
 }
--- a/scheduler/restarts_test.go
+++ b/scheduler/restarts_test.go
@@ -604,3 +604,34 @@
 		r.round()
 	}
 }
+
+// TestPlannedRunIsNotSentToAWorkerOfAnotherKind guards against a task on a worker without the label that it
+// requires: the worker started again as one of another kind while the start waited for a write.
+func TestPlannedRunIsNotSentToAWorkerOfAnotherKind(t *testing.T) {
+	r := newRig(t)
+	w := r.addWorker("w", cores(8))
+	w.entry.StartedAt = r.now
+	w.entry.Labels = []string{"big"}
+	r.updateDirectory()
+	r.renewLeases()
+	phase := newPhase(1, cores(1))
+	phase.Requires = "big"
+	r.s.AddJob(r.job("j", phase), nil, false, r.now)
+	r.s.ConfirmOwnership(r.now)
+	r.carryOut(r.s.Tick(r.now))
+	r.c.Assert(r.s.PlannedRuns(), qt.Equals, 1)
+	w.restart()
+	w.entry.Labels = []string{"small"}
+	r.advance(100 * time.Millisecond)
+	r.renewLeases()
+	r.updateDirectory()
+	for range 5 {
+		r.round()
+		r.write()
+	}
+	r.c.Assert(w.activeRuns, qt.HasLen, 0)
+	w.entry.Labels = []string{"big"}
+	r.updateDirectory()
+	r.round()
+	r.c.Assert(w.activeRuns, qt.HasLen, 1)
+}
--- a/scheduler/starting.go
+++ b/scheduler/starting.go
@@ -146,6 +146,8 @@
 			s.markLost(r, "worker unavailable or ticket expired before the start", now)
 		case r.worker.freeCapacity().IsNegative():
 			s.markLost(r, "the worker's capacity has shrunk before the start", now)
+		case !hasRequiredLabel(st, r.worker):
+			s.markLost(r, "the worker is of another kind before the start", now)
 		case !st.job.mayStartGuest(now):
 			s.markLost(r, "no contact with the home owner before the start", now)
 		case !s.startAllowed(st, r):
