--- a/cmd/galenacove/host_test.go
+++ b/cmd/galenacove/host_test.go
@@ -130,7 +130,7 @@
 				l.run = &scheduler.ActiveRun{
 					Run: effect.Run,
 				}
-				outcome := scheduler.StartDone
+				outcome := effect.DoneAt(l.now.Sub(l.clockZero))
 				if l.losesAnswer {
 					outcome = scheduler.StartUnknown
 				}
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -117,8 +117,8 @@
 // that has started again under its identity, a higher one.
 // Errors are marked with ErrSuperseded, ErrWorkerGone or ErrUnreachable.
 type Workers interface {
-	// Start orders a run. The error gives the reason for an outcome other than
-	// StartDone.
+	// Start orders a run. An answer that the worker has it is passed through StartTask.DoneAt. The error
+	// gives the reason for any other outcome.
 	Start(ctx context.Context, token int64, order scheduler.StartTask) (scheduler.StartOutcome, error)
 	Stop(ctx context.Context, token int64, order scheduler.StopTask) error
 	Pace(ctx context.Context, token int64, order scheduler.PaceTask) error
--- a/conductor/formerlives_test.go
+++ b/conductor/formerlives_test.go
@@ -73,6 +73,11 @@
 	}
 }
 
+// clock returns the reading of the worker's clock.
+func (w *restartingWorker) clock() time.Duration {
+	return time.Hour + time.Since(w.clockZero)
+}
+
 func (w *restartingWorker) acknowledge(number int64) {
 	w.ended = slices.DeleteFunc(w.ended, func(end scheduler.EndedRun) bool { return end.Number <= number })
 }
@@ -95,7 +100,7 @@
 		w.late()
 		w.late = nil
 	}
-	return scheduler.StartDone, nil
+	return order.DoneAt(w.clock()), nil
 }
 
 // Stop implements conductor.Workers.
@@ -124,7 +129,7 @@
 	w.lastToken, w.lastOrder = token, order
 	w.acknowledge(order.Acknowledge)
 	return scheduler.Report{
-		Clock:     time.Hour + time.Since(w.clockZero),
+		Clock:     w.clock(),
 		StartedAt: w.startedAt,
 		Ended:     slices.Clone(w.ended),
 	}, nil
--- a/conductor/orders.go
+++ b/conductor/orders.go
@@ -74,7 +74,7 @@
 		}
 		break
 	}
-	if uncertain && outcome != scheduler.StartDone && outcome != scheduler.StartWorkerGone {
+	if uncertain && !outcome.Done() && outcome != scheduler.StartWorkerGone {
 		// An earlier order without an answer may still be carried out.
 		outcome = scheduler.StartUnknown
 	}
@@ -93,7 +93,7 @@
 	if lasting {
 		fields["withoutRunMs"] = now.Sub(order.WithoutRunSince).Milliseconds()
 	}
-	if outcome == scheduler.StartDone && c.startedRun.CompareAndSwap(false, true) {
+	if outcome.Done() && c.startedRun.CompareAndSwap(false, true) {
 		c.metrics.takeoverSeconds.Observe(now.Sub(c.assignedAt).Seconds())
 		c.logger.WithFields(fields).WithFields(log.Fields{
 			"partition":    c.partition,
@@ -101,7 +101,7 @@
 		}).Info("conductor: first start of the ownership")
 	}
 	switch {
-	case err != nil && outcome != scheduler.StartDone:
+	case err != nil && !outcome.Done():
 		if unanswered != nil {
 			fields["unanswered"] = unanswered.Error()
 		}
--- a/scheduler/acknowledging.go
+++ b/scheduler/acknowledging.go
@@ -48,14 +48,15 @@
 	return w.storedEnds(storedBatch) > w.forgottenEnds
 }
 
-// awaitsStarts reports whether a start to the worker may be under way whose run is not given up.
+// awaitsStarts reports whether a start to the worker may be under way whose run is not given up, or was answered by
+// an incarnation that has not reported. That one would take acknowledged ends for its own.
 func (w *worker) awaitsStarts(now time.Time) bool {
 	if w.startedAt.IsZero() {
 		// Its next incarnation has another identity.
 		return false
 	}
 	for _, r := range w.runs {
-		if r.startMayArrive(now) {
+		if r.startMayArrive(now) || !r.unheardAt.IsZero() {
 			return true
 		}
 	}
--- a/scheduler/acknowledging_test.go
+++ b/scheduler/acknowledging_test.go
@@ -202,3 +202,41 @@
 	r.c.Assert(w.ended, qt.HasLen, 0)
 	r.c.Assert(w.activeRuns, qt.HasLen, 1)
 }
+
+// TestAcknowledgementForgetsNoEndOfAStartThatTheNextLifeAnswers guards against a task that runs again after it
+// was done: a start was answered by the worker's next life, of which the owner had not heard, and the next
+// renewal acknowledged the ends of the former one.
+func TestAcknowledgementForgetsNoEndOfAStartThatTheNextLifeAnswers(t *testing.T) {
+	r := newRestartRig(t, "w")
+	w := r.workersByID["w"]
+	r.s.AddJob(r.job("first", newPhase(4, cores(1))), nil, false, r.now)
+	r.round()
+	r.write()
+	r.round()
+	r.c.Assert(w.activeRuns, qt.HasLen, 4)
+	for run := range w.activeRuns {
+		w.end(run, scheduler.EndDone)
+	}
+	r.round()
+	r.write()
+	// The ends are stored, and not acknowledged yet.
+	r.c.Assert(w.ended, qt.HasLen, 4)
+	r.s.AddJob(r.job("second", newPhase(1, cores(1))), nil, false, r.now)
+	r.s.ConfirmOwnership(r.now)
+	r.carryOut(r.s.Tick(r.now))
+	r.write()
+	effects := r.s.Tick(r.now)
+	r.c.Assert(effects, qt.HasLen, 1)
+	w.restart()
+	r.carryOut(effects)
+	for range 10 {
+		for run := range w.activeRuns {
+			w.end(run, scheduler.EndDone)
+		}
+		r.round()
+		r.write()
+	}
+	r.c.Assert(r.state("second"), qt.Equals, scheduler.Completed)
+	r.c.Check(w.startCounts[effects[0].(scheduler.StartTask).Run.Task], qt.Equals, 1)
+	r.c.Check(w.ended, qt.HasLen, 0, qt.Commentf("never acknowledged"))
+}
--- a/scheduler/effects.go
+++ b/scheduler/effects.go
@@ -26,6 +26,8 @@
 	// Lease is the expiry of the lease, on the worker's clock. The worker ends
 	// the run then unless the lease was renewed.
 	Lease time.Duration
+	// MinClock is a lower bound of that clock when the order was made.
+	MinClock time.Duration
 	// NotAfter is the time after which the order must not be sent any more, by a clock that does not
 	// count suspensions of the host, as Scheduler.MaySend does. A worker that has started again
 	// meanwhile cannot tell that it is outdated.
@@ -106,6 +108,9 @@
 const (
 	// StartDone means that the worker has the run, or had it.
 	StartDone StartOutcome = iota
+	// StartDoneByAnother is like StartDone, by another incarnation of the worker than the one for which
+	// the order was made.
+	StartDoneByAnother
 	// StartRefused means that the worker does not have the run and never will.
 	StartRefused
 	// StartUnhealthy is like StartRefused, by a worker that accepts no runs at
@@ -123,11 +128,30 @@
 	StartWorkerGone
 )
 
+// Done reports whether the worker has the run, or had it.
+func (o StartOutcome) Done() bool {
+	return o == StartDone || o == StartDoneByAnother
+}
+
+// clockResolution is that of the readings of workers' clocks, which may be cut to whole milliseconds.
+const clockResolution = time.Millisecond
+
+// DoneAt returns the outcome if a worker answers with that reading of its clock that it has the run. Each
+// incarnation has a clock of its own. One whose clock is ahead holds the run no longer than the lease says.
+func (o *StartTask) DoneAt(clock time.Duration) StartOutcome {
+	if !o.WorkerStartedAt.IsZero() && clock < o.MinClock-clockResolution {
+		return StartDoneByAnother
+	}
+	return StartDone
+}
+
 // String implements fmt.Stringer.
 func (o StartOutcome) String() string {
 	switch o {
 	case StartDone:
 		return "done"
+	case StartDoneByAnother:
+		return "done by another incarnation"
 	case StartRefused:
 		return "refused"
 	case StartUnhealthy:
--- a/scheduler/interleaving_test.go
+++ b/scheduler/interleaving_test.go
@@ -697,7 +697,7 @@
 	}
 	w.leaseEnd = max(w.leaseEnd, min(order.Lease, w.clock+maxLease))
 	if _, there := w.active[run]; there {
-		return scheduler.StartDone
+		return order.DoneAt(w.clock)
 	}
 	if !order.WorkerStartedAt.Equal(w.entry.StartedAt) {
 		w.unheardStarts[run] = true
@@ -725,7 +725,7 @@
 	}
 	w.active[run] = size
 	m.checkMaximum(run.Task)
-	return scheduler.StartDone
+	return order.DoneAt(w.clock)
 }
 
 func (m *model) stop(w *modelWorker, run scheduler.RunRef) {
--- a/scheduler/outlived.go
+++ b/scheduler/outlived.go
@@ -54,6 +54,8 @@
 		return "sent to a former incarnation"
 	case r.presentAt.IsZero():
 		return "not answered"
+	case !r.unheardAt.IsZero():
+		return "answered by an incarnation that has not reported"
 	case !r.listed:
 		return "answered, in no report"
 	default:
--- a/scheduler/reports.go
+++ b/scheduler/reports.go
@@ -295,6 +295,7 @@
 	}
 	r.confirm(now)
 	r.listed = true
+	r.unheardAt = time.Time{}
 	if r.presentAt.IsZero() {
 		r.presentAt = now
 	}
--- a/scheduler/restarts_test.go
+++ b/scheduler/restarts_test.go
@@ -635,3 +635,60 @@
 	r.round()
 	r.c.Assert(w.activeRuns, qt.HasLen, 1)
 }
+
+// TestStartThatTheNextLifeAnswersOutlastsItsLease guards against a task that runs twice: a start that was made
+// for a worker's former life was answered by the next one, which took it with the longest lease that workers
+// accept, and was cut off before its first report. Its owner reckoned with the lease on the former clock.
+func TestStartThatTheNextLifeAnswersOutlastsItsLease(t *testing.T) {
+	const limit = 10 * time.Second
+	for _, test := range []struct {
+		name string
+		// renewal is the time for which a renewal that the next life carries out waits in vain for its answer.
+		renewal time.Duration
+	}{
+		{
+			name: "no renewal",
+		},
+		{
+			name:    "a renewal without an answer",
+			renewal: 2 * time.Second,
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			r := newRig(t, scheduler.Lease(3500*time.Millisecond, 6*time.Second), scheduler.AcceptedLease(limit))
+			w := r.addWorker("w", cores(8))
+			w.entry.StartedAt = r.now
+			r.updateDirectory()
+			r.round()
+			r.s.AddJob(r.job("j", newPhase(1, cores(1))), nil, false, r.now)
+			r.s.ConfirmOwnership(r.now)
+			r.s.Tick(r.now)
+			r.write()
+			effects := r.s.Tick(r.now)
+			r.c.Assert(effects, qt.HasLen, 1)
+			w.restart()
+			r.advance(10 * time.Millisecond)
+			r.carryOut(effects)
+			r.c.Assert(w.activeRuns, qt.HasLen, 1)
+			if test.renewal > 0 {
+				order, _ := r.s.LeaseRenewal("w", r.now)
+				r.c.Assert(order.Lease > w.clock+limit, qt.IsTrue)
+				r.advance(test.renewal)
+				r.s.ConfirmOwnership(r.now)
+			}
+			leaseEnds := r.now.Add(limit)
+			w.silent = true
+			spare := r.addWorker("spare", cores(8))
+			spare.entry.StartedAt = r.now
+			r.updateDirectory()
+			for range 200 {
+				r.round()
+				if len(spare.activeRuns) > 0 {
+					break
+				}
+			}
+			r.c.Assert(spare.activeRuns, qt.HasLen, 1)
+			r.c.Assert(r.now.Before(leaseEnds), qt.IsFalse, qt.Commentf("started again %v before the lease ended", leaseEnds.Sub(r.now)))
+		})
+	}
+}
--- a/scheduler/rig_test.go
+++ b/scheduler/rig_test.go
@@ -176,7 +176,7 @@
 			w.leaseEnd = max(w.leaseEnd, effect.Lease)
 			w.startCounts[effect.Run.Task]++
 			w.startedAt[effect.Run] = w.clock
-			r.s.StartAnswered(effect.Worker.ID, effect.Run, scheduler.StartDone, r.now)
+			r.s.StartAnswered(effect.Worker.ID, effect.Run, effect.DoneAt(w.clock), r.now)
 		case scheduler.StopTask:
 			w := r.workersByID[effect.Worker.ID]
 			if w.silent {
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -242,7 +242,7 @@
 
 // StartAnswered records the outcome of a start.
 func (s *Scheduler) StartAnswered(workerID string, ref RunRef, outcome StartOutcome, now time.Time) {
-	if outcome == StartDone {
+	if outcome.Done() {
 		s.markJobBegun(ref.Task.Step.Job)
 	}
 	w := s.workers[workerID]
@@ -253,13 +253,19 @@
 	// The order may have been repeated meanwhile.
 	w.leaseSentAt = latest(w.leaseSentAt, earlier(now, r.startedAt.Add(startValidity)))
 	switch outcome {
-	case StartDone:
+	case StartDone, StartDoneByAnother:
 		r.mayArrive = false
-		w.aliveAt = latest(w.aliveAt, now)
+		if outcome == StartDone {
+			w.aliveAt = latest(w.aliveAt, now)
+		}
 		if r.sentBefore {
 			// The former incarnation may have answered. The stop that this one is told decides.
 			return
 		}
+		if outcome == StartDoneByAnother {
+			r.unheardAt = now
+			s.addNote("start was answered by an incarnation of the worker that has not reported yet", ref.Task, workerID, now.Sub(r.startedAt))
+		}
 		if r.state == runStarting {
 			r.state = runWorking
 			r.progressAt = now
--- a/scheduler/starting.go
+++ b/scheduler/starting.go
@@ -118,6 +118,7 @@
 		Checkpoint:      checkpoint,
 		Ticket:          st.adviceState.tickets[w.entry.Ref.ID].value,
 		Lease:           s.extendLease(w, now),
+		MinClock:        w.clockAt(now),
 		NotAfter:        now.Add(startValidity),
 		WithoutRunSince: withoutRunSince,
 	})
--- a/scheduler/tables.go
+++ b/scheduler/tables.go
@@ -275,6 +275,9 @@
 	// mayArrive is set while an order to start the run may be on its way: until each of its orders
 	// has an answer.
 	mayArrive bool
+	// unheardAt is the time at which another incarnation than the known one had answered the start, zero
+	// if none has, or once a report lists the run. That one holds it with the longest lease.
+	unheardAt time.Time
 	// listed is set once a report has listed the run as active.
 	listed bool
 	// sentBefore is set if the start was sent to a former incarnation of the worker, and
