--- a/conductor/orders.go
+++ b/conductor/orders.go
@@ -161,11 +161,10 @@
 	// earlier.
 	now := c.clock.Now()
 	if errors.Is(err, ErrWorkerGone) {
-		c.scheduler.WorkerGone(order.Worker.ID, now)
-	} else {
-		c.scheduler.StopAnswered(order, err == nil, now)
-		c.renewAtOnce(order.Worker.ID)
+		c.scheduler.WorkerGone(order.Worker.ID, order.WorkerStartedAt, now)
 	}
+	c.scheduler.StopAnswered(order, err == nil, now)
+	c.renewAtOnce(order.Worker.ID)
 	c.mu.Unlock()
 	c.requestTick()
 	if errors.Is(err, ErrSuperseded) {
@@ -397,7 +396,7 @@
 	omitted, allowed := c.allowRenewalLine(id, now)
 	switch {
 	case errors.Is(err, ErrWorkerGone):
-		c.scheduler.WorkerGone(id, now)
+		c.scheduler.WorkerGone(id, order.WorkerStartedAt, now)
 	case errors.Is(err, ErrDisconnected):
 		c.scheduler.RenewalBroken(id, now)
 	case errors.Is(err, ErrNotListening):
--- a/scheduler/begun_test.go
+++ b/scheduler/begun_test.go
@@ -99,7 +99,7 @@
 func TestJobHasBegunOverATakeover(t *testing.T) {
 	for name, end := range map[string]func(*rig, *fakeWorker, scheduler.RunRef){
 		"worker gone": func(r *rig, _ *fakeWorker, _ scheduler.RunRef) {
-			r.s.WorkerGone("w", r.now)
+			r.s.EndWorker("w", r.now)
 			delete(r.workersByID, "w")
 		},
 		"stopped": func(r *rig, w *fakeWorker, run scheduler.RunRef) {
--- a/scheduler/confirming_test.go
+++ b/scheduler/confirming_test.go
@@ -41,7 +41,7 @@
 	restarts := 0
 	for i := range losses {
 		r.workersByID[busy[i]].silent = true
-		r.s.WorkerGone(busy[i], r.now)
+		r.s.EndWorker(busy[i], r.now)
 		for until := r.now.Add(lossInterval); r.now.Before(until); {
 			r.advance(25 * time.Millisecond)
 			r.s.ConfirmOwnership(r.now.Add(-confirmationTime))
--- a/scheduler/crashes_test.go
+++ b/scheduler/crashes_test.go
@@ -123,7 +123,7 @@
 		}
 		delete(r.workersByID, id)
 		if !r.movesAway {
-			r.s.WorkerGone(id, r.now)
+			r.s.EndWorker(id, r.now)
 		}
 		r.updateDirectory()
 	}
@@ -413,7 +413,7 @@
 	r.play(time.Second)
 	for id := range r.downSince {
 		r.advance(131 * time.Second)
-		r.s.WorkerGone(id, r.now)
+		r.s.EndWorker(id, r.now)
 	}
 	r.s.Tick(r.now)
 	r.c.Assert(r.s.ExpiredJobs(1, r.now), qt.DeepEquals, []string{"deadly"})
--- a/scheduler/doubt_repeated_test.go
+++ b/scheduler/doubt_repeated_test.go
@@ -42,7 +42,7 @@
 					renewalAt = r.now
 				}
 				if !r.now.Before(renewalAt) {
-					r.s.WorkerGone("ended", r.now)
+					r.s.EndWorker("ended", r.now)
 					renewalAt = r.now.Add(renewalPause)
 				}
 				r.renewLeasesOf(func(id string) bool { return id == "w" })
--- a/scheduler/effects.go
+++ b/scheduler/effects.go
@@ -42,6 +42,8 @@
 type StopTask struct {
 	Run    RunRef
 	Worker WorkerRef
+	// WorkerStartedAt is as in StartTask.
+	WorkerStartedAt time.Time
 	// Token is the fencing token of the call.
 	Token int64
 	// Reason is for the log.
--- a/scheduler/export_test.go
+++ b/scheduler/export_test.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"time"
+
 	"github.com/galenacove/galenacove/allotter"
 	"github.com/galenacove/galenacove/sizer"
 )
@@ -47,3 +49,10 @@
 	w := s.workers[worker]
 	return w != nil && w.runs[ref] != nil
 }
+
+// EndWorker calls WorkerGone for the incarnation of the worker that is known.
+func (s *Scheduler) EndWorker(id string, now time.Time) {
+	if w := s.workers[id]; w != nil {
+		s.WorkerGone(id, w.startedAt, now)
+	}
+}
--- a/scheduler/interleaving_test.go
+++ b/scheduler/interleaving_test.go
@@ -772,7 +772,7 @@
 	id := w.entry.Ref.ID
 	switch {
 	case !w.up:
-		m.answer(o, func() { o.s.WorkerGone(id, m.timeOf(o)) })
+		m.answer(o, func() { o.s.WorkerGone(id, order.WorkerStartedAt, m.timeOf(o)) })
 		return
 	case w.isUnreachableBy(o):
 		m.answer(o, func() { o.s.RenewalFailed(id, m.timeOf(o)) })
--- a/scheduler/odd_test.go
+++ b/scheduler/odd_test.go
@@ -51,7 +51,7 @@
 			order, known := r.s.LeaseRenewal("w", r.now)
 			r.c.Assert(known, qt.IsTrue)
 			if order.Worker.Address != valid.Ref.Address {
-				r.s.WorkerGone("w", r.now)
+				r.s.EndWorker("w", r.now)
 			}
 			r.renewLeasesOf(func(id string) bool { return id != "w" })
 			r.tick()
--- a/scheduler/restarts_test.go
+++ b/scheduler/restarts_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -692,3 +693,81 @@
 		})
 	}
 }
+
+// TestAnswerAtAFormerAddressIsNotOfTheNextLife guards against a task that runs twice: another instance, at the
+// former address of a worker that had started again, answered a call that was made for its former life. The
+// answer was read after the first report of the next life, whose runs then counted as ended.
+func TestAnswerAtAFormerAddressIsNotOfTheNextLife(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// call makes a call for the former life, and returns what passes on the answer by another instance.
+		call func(*rig) func()
+	}{
+		{
+			name: "a stop",
+			call: func(r *rig) func() {
+				r.tick()
+				r.s.Cancel("first", r.now)
+				effects := r.s.Tick(r.now)
+				r.c.Assert(effects, qt.HasLen, 1)
+				stop := effects[0].(scheduler.StopTask)
+				return func() {
+					r.s.WorkerGone("w", stop.WorkerStartedAt, r.now)
+					r.s.StopAnswered(stop, false, r.now)
+				}
+			},
+		},
+		{
+			name: "a start",
+			call: func(r *rig) func() {
+				r.s.ConfirmOwnership(r.now)
+				r.s.Tick(r.now)
+				r.write()
+				effects := r.s.Tick(r.now)
+				r.c.Assert(effects, qt.HasLen, 1)
+				r.s.Cancel("first", r.now)
+				start := effects[0].(scheduler.StartTask)
+				return func() { r.s.StartAnswered("w", start.Run, scheduler.StartWorkerGone, r.now) }
+			},
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			r := newRestartRig(t, "w")
+			w := r.workersByID["w"]
+			r.s.AddJob(r.job("first", newPhase(1, cores(1))), nil, false, r.now)
+			answer := test.call(r)
+			w.restart()
+			w.entry.Ref.Address = "w:2"
+			r.s.RenewalBroken("w", r.now)
+			r.updateDirectory()
+			r.s.AddJob(r.job("second", newPhase(1, cores(4))), nil, false, r.now)
+			for range 3 {
+				r.renewLeases()
+				r.write()
+				r.s.ConfirmOwnership(r.now)
+				// The answers to stops take longer.
+				r.carryOut(slices.DeleteFunc(r.s.Tick(r.now), func(effect scheduler.Effect) bool {
+					_, isStop := effect.(scheduler.StopTask)
+					return isStop
+				}))
+				r.advance(10 * time.Millisecond)
+			}
+			r.c.Assert(r.s.Workers(), qt.DeepEquals, []scheduler.WorkerRef{w.entry.Ref})
+			r.c.Assert(w.activeRuns, qt.HasLen, 1)
+			spare := r.addWorker("spare", cores(8))
+			spare.entry.StartedAt = r.now
+			r.updateDirectory()
+			r.renewLeases()
+			answer()
+			// The worker is cut off, and its runs go on.
+			w.silent = true
+			for range 20 {
+				r.round()
+				r.write()
+			}
+			for task := range spare.startCounts {
+				r.c.Check(w.startCounts[task], qt.Equals, 0, qt.Commentf("%s is started twice", task))
+			}
+		})
+	}
+}
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -195,11 +195,12 @@
 	}
 	r.stopsSent++
 	s.emit(StopTask{
-		Run:    r.ref,
-		Worker: r.worker.entry.Ref,
-		Token:  r.worker.token,
-		Reason: reason,
-		Number: r.stopsSent,
+		Run:             r.ref,
+		Worker:          r.worker.entry.Ref,
+		WorkerStartedAt: r.worker.startedAt,
+		Token:           r.worker.token,
+		Reason:          reason,
+		Number:          r.stopsSent,
 	})
 }
 
@@ -252,6 +253,10 @@
 	r := w.runs[ref]
 	// The order may have been repeated meanwhile.
 	w.leaseSentAt = latest(w.leaseSentAt, earlier(now, r.startedAt.Add(startValidity)))
+	if outcome == StartWorkerGone && r.sentBefore {
+		// The call was made for a former incarnation. The stop that this one is told decides.
+		outcome = StartUnknown
+	}
 	switch outcome {
 	case StartDone, StartDoneByAnother:
 		r.mayArrive = false
@@ -298,6 +303,6 @@
 	case StartSuperseded:
 		s.markLost(r, "the worker obeys a later owner", now)
 	case StartWorkerGone:
-		s.WorkerGone(workerID, now)
+		s.WorkerGone(workerID, w.startedAt, now)
 	}
 }
--- a/scheduler/tokens_test.go
+++ b/scheduler/tokens_test.go
@@ -243,7 +243,7 @@
 	r.s.AddFormerWorkers([]scheduler.WorkerEntry{gone, r.workersByID["w"].entry})
 	r.storedWorkers = []scheduler.WorkerEntry{gone}
 	r.s.SetWorkers([]scheduler.WorkerEntry{r.workersByID["w"].entry})
-	r.s.WorkerGone("gone", r.now)
+	r.s.EndWorker("gone", r.now)
 	for range 30 {
 		r.round()
 		r.write()
--- a/scheduler/trial_wait_test.go
+++ b/scheduler/trial_wait_test.go
@@ -136,7 +136,7 @@
 			if run.Task.Step.Job == "suspect" {
 				clear(w.activeRuns)
 				delete(b.workersByID, id)
-				b.s.WorkerGone(id, b.now)
+				b.s.EndWorker(id, b.now)
 				b.addWorker(id+"b", cores(8)).entry.Labels = w.entry.Labels
 				b.updateDirectory()
 			}
--- a/scheduler/unconfirmed_test.go
+++ b/scheduler/unconfirmed_test.go
@@ -113,7 +113,7 @@
 			name: "another worker answers at the address",
 			lose: func(u *unconfirmedRig) {
 				u.far.silent = true
-				u.s.WorkerGone("far", u.now)
+				u.s.EndWorker("far", u.now)
 			},
 		},
 		{
@@ -129,7 +129,7 @@
 			lose: func(u *unconfirmedRig) {
 				u.takeOverAgain()
 				u.rounds(100 * time.Millisecond)
-				u.s.WorkerGone("far", u.now)
+				u.s.EndWorker("far", u.now)
 			},
 		},
 		{
@@ -189,7 +189,7 @@
 			name: "worker has ended",
 			lose: func(r *rig, far *fakeWorker) {
 				far.silent = true
-				r.s.WorkerGone("far", r.now)
+				r.s.EndWorker("far", r.now)
 			},
 		},
 	} {
--- a/scheduler/wide_steps_test.go
+++ b/scheduler/wide_steps_test.go
@@ -71,7 +71,7 @@
 	for run := range gone.activeRuns {
 		delete(gone.activeRuns, run)
 	}
-	w.delegate.s.WorkerGone("other0", w.delegate.now)
+	w.delegate.s.EndWorker("other0", w.delegate.now)
 	w.rounds(30, true)
 	w.home.c.Assert(w.delegate.s.GuestTasks(), qt.Equals, 1)
 	w.home.addWorker("home2", cores(4))
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -37,6 +37,8 @@
 // LeaseRenewal is the content of the next lease renewal for a worker.
 type LeaseRenewal struct {
 	Worker WorkerRef
+	// WorkerStartedAt is the start of the worker's incarnation that is known, as in WorkerEntry.
+	WorkerStartedAt time.Time
 	// Token is the fencing token of the call.
 	Token int64
 	// Lease is the expiry of the lease, on the worker's clock. 0 leaves the
@@ -264,10 +266,11 @@
 		w.raisedAt = now
 	}
 	order := LeaseRenewal{
-		Worker:      w.entry.Ref,
-		Token:       w.token,
-		Acknowledge: s.nextAcknowledgement(w, now),
-		Unseen:      !w.reported && !w.former,
+		Worker:          w.entry.Ref,
+		WorkerStartedAt: w.startedAt,
+		Token:           w.token,
+		Acknowledge:     s.nextAcknowledgement(w, now),
+		Unseen:          !w.reported && !w.former,
 	}
 	if w.reported && w.silentSince.IsZero() && !s.storedAsSilent(id) && !w.leaseWithheld {
 		order.Lease = s.extendLease(w, now)
@@ -321,10 +324,12 @@
 	s.RenewalFailed(id, now)
 }
 
-// WorkerGone records that this incarnation of a worker has certainly ended.
-func (s *Scheduler) WorkerGone(id string, now time.Time) {
+// WorkerGone records that another instance has answered a call for the incarnation of a worker that began at
+// startedAt, so that this one has certainly ended. It tells nothing of another incarnation, which may have
+// another address.
+func (s *Scheduler) WorkerGone(id string, startedAt, now time.Time) {
 	w := s.workers[id]
-	if w == nil {
+	if w == nil || !w.startedAt.Equal(startedAt) {
 		return
 	}
 	crashed := s.confirmCrash(w, time.Time{}, now)
