--- a/scheduler/restarts_test.go
+++ b/scheduler/restarts_test.go
@@ -771,3 +771,31 @@
 		})
 	}
 }
+
+// TestOldEntryOfARestartedWorkerDoesNotMoveIt guards against a task that runs twice: a write of the directory that
+// was carried out late named the former address of a worker that had started again at another one. Another
+// instance there would have proved that the worker had ended, though it was cut off only.
+func TestOldEntryOfARestartedWorkerDoesNotMoveIt(t *testing.T) {
+	r := newRestartRig(t, "w")
+	w := r.workersByID["w"]
+	former := w.entry
+	w.restart()
+	w.entry.Ref.Address = "w:2"
+	r.s.RenewalBroken("w", r.now)
+	r.updateDirectory()
+	r.round()
+	r.write()
+	r.s.AddJob(r.job("j", newPhase(1, cores(1))), nil, false, r.now)
+	r.round()
+	r.c.Assert(w.activeRuns, qt.HasLen, 1)
+	w.silent = true
+	r.round()
+	r.s.SetWorkers([]scheduler.WorkerEntry{former})
+	r.c.Assert(r.s.Workers(), qt.DeepEquals, []scheduler.WorkerRef{w.entry.Ref})
+	// A further restart is followed.
+	next := w.entry
+	next.StartedAt = next.StartedAt.Add(time.Second)
+	next.Ref.Address = "w:3"
+	r.s.SetWorkers([]scheduler.WorkerEntry{next})
+	r.c.Assert(r.s.Workers(), qt.DeepEquals, []scheduler.WorkerRef{next.Ref})
+}
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -89,7 +89,8 @@
 func (w *worker) keepsAddress(entry WorkerEntry) bool {
 	answers := w.reported && w.silentSince.IsZero()
 	mayHaveRuns := len(w.runs) > 0 || w.former && !w.reported && !w.leasesOver
-	restarted := entry.StartedAt.After(w.startedAt)
+	// An entry of a former incarnation was written late.
+	restarted := entry.StartedAt.After(w.startedAt) && !slices.ContainsFunc(w.formerStarts, entry.StartedAt.Equal)
 	// A former worker has no address if only its name is known.
 	return w.entry.Ref.Address != "" && (answers || mayHaveRuns && !restarted)
 }
