--- a/scheduler/crashes.go
+++ b/scheduler/crashes.go
@@ -12,6 +12,9 @@
 // crash it by being started. The tasks of the other runs are suspects. A suspect is started
 // alone: on a worker on which no other run has just started, and on which none starts until
 // the worker has outlived the start. If that worker crashes too, the task did it.
+//
+// That holds for a run that the worker has certainly had. A start without an answer may have reached
+// nobody: its task is a suspect too, but it takes more such crashes until it is given up.
 
 const (
 	// crashDelay is the time after its start within which a run may crash its worker.
@@ -34,6 +37,9 @@
 	StartedAt time.Time `json:"startedAt,omitzero"`
 	// AtStart is set if the run may have crashed the worker by being started.
 	AtStart bool `json:"atStart,omitempty"`
+	// Unanswered is the attempt of the run if nothing has shown that the worker had it, as its start
+	// had no answer, otherwise 0.
+	Unanswered int64 `json:"unanswered,omitempty"`
 	// Confirmed is set once the worker has certainly ended.
 	Confirmed bool `json:"confirmed,omitempty"`
 }
@@ -56,19 +62,25 @@
 // givenUp reports whether the task may not be started any more. A worker that is not known
 // to have ended may only have been cut off, so such workers count as one less.
 func (t *task) givenUp() bool {
-	atStart, confirmedAtStart, confirmed := 0, 0, 0
+	atStart, confirmedAtStart, counted := 0, 0, 0
 	for _, c := range t.crashes {
-		if c.AtStart {
-			atStart++
+		if c.AtStart || c.Confirmed {
+			counted++
 		}
-		if c.Confirmed {
-			confirmed++
+		if !c.provesStart() {
+			continue
 		}
-		if c.AtStart && c.Confirmed {
+		atStart++
+		if c.Confirmed {
 			confirmedAtStart++
 		}
 	}
-	return confirmedAtStart >= maxStartCrashes || atStart > maxStartCrashes || confirmed >= maxCrashes
+	return confirmedAtStart >= maxStartCrashes || atStart > maxStartCrashes || counted >= maxCrashes
+}
+
+// provesStart reports whether the worker certainly had just started the run.
+func (c Crash) provesStart() bool {
+	return c.AtStart && c.Unanswered == 0
 }
 
 // outlived reports whether the worker certainly had the run for that long by the given
@@ -107,6 +119,15 @@
 	return r.state != runPlanned && (!r.sentBefore || !r.presentAt.IsZero())
 }
 
+// unansweredAttempt returns the attempt of the run if nothing has shown that the incarnation of its worker
+// to which it was sent has had it, otherwise 0. A repeated order may have been answered by the next one.
+func (r *run) unansweredAttempt() int64 {
+	if r.listed || !r.presentAt.IsZero() && !r.unanswered {
+		return 0
+	}
+	return r.ref.Attempt
+}
+
 // suspectStarts makes suspects of the tasks that a worker may have started just before it
 // ended. It makes none if that moment is not known well enough.
 func (s *Scheduler) suspectStarts(w *worker, endedBy time.Time) {
@@ -119,9 +140,10 @@
 		}
 		if st, t := s.findTask(r.ref.Task); t != nil && !t.done && !st.job.state.Final() {
 			s.addCrash(st, t, r.ref.Task, Crash{
-				Worker:    w.entry.Ref.ID,
-				StartedAt: w.startedAt,
-				AtStart:   true,
+				Worker:     w.entry.Ref.ID,
+				StartedAt:  w.startedAt,
+				AtStart:    true,
+				Unanswered: r.unansweredAttempt(),
 			})
 		}
 	}
@@ -134,6 +156,9 @@
 		if known := &t.crashes[i]; known.Worker == crash.Worker && known.StartedAt.Equal(crash.StartedAt) {
 			known.AtStart = known.AtStart || crash.AtStart
 			known.Confirmed = known.Confirmed || crash.Confirmed
+			if crash.provesStart() {
+				known.Unanswered = 0
+			}
 			return
 		}
 	}
@@ -219,9 +244,10 @@
 			continue
 		}
 		s.addCrash(st, t, r.ref.Task, Crash{
-			Worker:    w.entry.Ref.ID,
-			StartedAt: w.startedAt,
-			Confirmed: true,
+			Worker:     w.entry.Ref.ID,
+			StartedAt:  w.startedAt,
+			Unanswered: r.unansweredAttempt(),
+			Confirmed:  true,
 		})
 		refs = append(refs, r.ref.Task)
 	}
--- a/scheduler/crashes_test.go
+++ b/scheduler/crashes_test.go
@@ -251,34 +251,39 @@
 			arrange: func(r *crashRig) { r.movesAway = true },
 		},
 	} {
-		t.Run(test.name, func(t *testing.T) {
-			r := newCrashRig(t, 8, firstTaskOf("deadly"))
-			if test.arrange != nil {
-				test.arrange(r)
-			}
-			for i := range 4 {
-				r.addJob(r.job(fmt.Sprintf("before%d", i), newPhase(4, cores(1))))
-			}
-			r.play(100 * time.Millisecond)
-			r.addJob(r.job("deadly", test.phase))
-			for i := range 4 {
-				r.addJob(r.job(fmt.Sprintf("beside%d", i), newPhase(4, cores(1))))
-			}
-			r.play(time.Second)
-			if test.meanwhile != nil {
-				test.meanwhile(r)
-			}
-			r.play(60 * time.Second)
-			r.c.Assert(r.state("deadly"), qt.Equals, scheduler.Failed)
-			for task, n := range r.crashes {
-				r.c.Check(n <= maxCrashesAllowed, qt.IsTrue, qt.Commentf("%d workers crashed under %s", n, task))
-			}
-			for _, job := range r.jobs {
-				if job.ID != "deadly" {
-					r.c.Check(r.state(job.ID), qt.Equals, scheduler.Completed, qt.Commentf("%s", job.ID))
+		for _, answered := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s, starts answered %t", test.name, answered), func(t *testing.T) {
+				r := newCrashRig(t, 8, firstTaskOf("deadly"))
+				if !answered {
+					r.losesAnswer = r.deadly
 				}
-			}
-		})
+				if test.arrange != nil {
+					test.arrange(r)
+				}
+				for i := range 4 {
+					r.addJob(r.job(fmt.Sprintf("before%d", i), newPhase(4, cores(1))))
+				}
+				r.play(100 * time.Millisecond)
+				r.addJob(r.job("deadly", test.phase))
+				for i := range 4 {
+					r.addJob(r.job(fmt.Sprintf("beside%d", i), newPhase(4, cores(1))))
+				}
+				r.play(time.Second)
+				if test.meanwhile != nil {
+					test.meanwhile(r)
+				}
+				r.play(60 * time.Second)
+				r.c.Assert(r.state("deadly"), qt.Equals, scheduler.Failed)
+				for task, n := range r.crashes {
+					r.c.Check(n <= maxCrashesAllowed, qt.IsTrue, qt.Commentf("%d workers crashed under %s", n, task))
+				}
+				for _, job := range r.jobs {
+					if job.ID != "deadly" {
+						r.c.Check(r.state(job.ID), qt.Equals, scheduler.Completed, qt.Commentf("%s", job.ID))
+					}
+				}
+			})
+		}
 	}
 }
 
--- a/scheduler/rig_test.go
+++ b/scheduler/rig_test.go
@@ -28,6 +28,8 @@
 	storedWorkers []scheduler.WorkerEntry
 	// storedSilent holds the silent workers that were written to the store.
 	storedSilent []scheduler.SilentWorker
+	// losesAnswer reports whether the answer to a start of the task is lost, if it is not nil.
+	losesAnswer func(scheduler.TaskRef) bool
 	// effects holds the effects of the last tick.
 	effects []scheduler.Effect
 }
@@ -176,10 +178,14 @@
 			w.leaseEnd = max(w.leaseEnd, effect.Lease)
 			w.startCounts[effect.Run.Task]++
 			w.startedAt[effect.Run] = w.clock
-			r.s.StartAnswered(effect.Worker.ID, effect.Run, effect.DoneAt(w.clock), r.now)
+			outcome := effect.DoneAt(w.clock)
+			if r.losesAnswer != nil && r.losesAnswer(effect.Run.Task) {
+				outcome = scheduler.StartUnknown
+			}
+			r.s.StartAnswered(effect.Worker.ID, effect.Run, outcome, r.now)
 		case scheduler.StopTask:
 			w := r.workersByID[effect.Worker.ID]
-			if w.silent {
+			if w == nil || w.silent {
 				r.s.StopAnswered(effect, false, r.now)
 				continue
 			}
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -238,6 +238,7 @@
 func (s *Scheduler) StartUnanswered(workerID string, ref RunRef) {
 	if w := s.workers[workerID]; w != nil && w.runs[ref] != nil {
 		w.runs[ref].mayArrive = true
+		w.runs[ref].unanswered = true
 	}
 }
 
@@ -246,6 +247,12 @@
 	if outcome.Done() {
 		s.markJobBegun(ref.Task.Step.Job)
 	}
+	switch outcome {
+	case StartRefused, StartUnhealthy, StartNoTicket:
+		// No incarnation of the worker has carried out the start.
+		s.dropCrashes(ref.Task, func(c Crash) bool { return c.Worker == workerID && c.Unanswered == ref.Attempt })
+	case StartDone, StartUnknown, StartSuperseded, StartWorkerGone:
+	}
 	w := s.workers[workerID]
 	if w == nil || w.runs[ref] == nil {
 		return
@@ -281,7 +288,6 @@
 			r.presentAt = now
 		}
 	case StartRefused:
-		s.dropCrashes(ref.Task, func(c Crash) bool { return c.Worker == workerID && !c.Confirmed })
 		s.markLost(r, "start refused", now)
 	case StartUnhealthy:
 		w.setAsideUntil = now.Add(unhealthyPause)
--- a/scheduler/tables.go
+++ b/scheduler/tables.go
@@ -278,6 +278,8 @@
 	// unheardAt is the time at which another incarnation than the known one had answered the start, zero
 	// if none has, or once a report lists the run. That one holds it with the longest lease.
 	unheardAt time.Time
+	// unanswered is set if an order to start the run had no answer, although a repeated one had.
+	unanswered bool
 	// listed is set once a report has listed the run as active.
 	listed bool
 	// sentBefore is set if the start was sent to a former incarnation of the worker, and
