--- a/scheduler/crash_evidence_test.go
+++ b/scheduler/crash_evidence_test.go
@@ -1,6 +1,7 @@
 package scheduler_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -45,6 +46,16 @@
 	r.renewLeasesOf(func(other string) bool { return other == id })
 }
 
+// storedCrashes returns what is stored of the crashes under the first task of the job.
+func (r *rig) storedCrashes(id string) []scheduler.Crash {
+	r.write()
+	steps := r.stored[id].Steps
+	if len(steps) == 0 {
+		return nil
+	}
+	return steps[0].Crashes[0]
+}
+
 // TestStartsThatReachedNobodyGiveUpNoTask guards against a job that is shown as failed although no run of
 // it ever was on a worker that crashed.
 func TestStartsThatReachedNobodyGiveUpNoTask(t *testing.T) {
@@ -107,3 +118,59 @@
 		})
 	}
 }
+
+// TestOneStartCountsForOneIncarnation guards against a task that is given up after one start: its answer
+// came before a report that was requested earlier, and both incarnations of the worker counted as crashed
+// by it.
+func TestOneStartCountsForOneIncarnation(t *testing.T) {
+	r := newRestartRig(t, "w0")
+	w := r.workersByID["w0"]
+	r.s.AddJob(r.job("j", newPhase(1, cores(1))), nil, false, r.now)
+	order := r.nextStart()
+	requestedAt := r.now
+	r.advance(20 * time.Millisecond)
+	r.s.StartAnswered("w0", order.Run, scheduler.StartDone, r.now)
+	r.advance(20 * time.Millisecond)
+	r.breakDown("w0")
+	r.advance(10 * time.Millisecond)
+	w.restart()
+	r.s.Report("w0", scheduler.Report{
+		Clock:     w.clock,
+		StartedAt: w.entry.StartedAt,
+	}, requestedAt, r.now)
+	r.advance(20 * time.Millisecond)
+	r.breakDown("w0")
+	r.advance(100 * time.Millisecond)
+	r.comeBack("w0")
+	r.c.Assert(r.notesWith("task is given up"), qt.HasLen, 0)
+	r.c.Assert(r.storedCrashes("j"), qt.HasLen, 1)
+}
+
+// TestStartOnTheNextIncarnationIsNoCrashOfTheFormer guards against a task that is given up for crashes of
+// workers that had no run of it: a start without an answer reached the worker's next incarnation, which
+// had the run and lived on.
+func TestStartOnTheNextIncarnationIsNoCrashOfTheFormer(t *testing.T) {
+	for _, stopped := range []bool{false, true} {
+		t.Run(fmt.Sprintf("stopped %t", stopped), func(t *testing.T) {
+			r := newRestartRig(t, "w0")
+			w := r.workersByID["w0"]
+			r.s.AddJob(r.job("j", newPhase(1, cores(1))), nil, false, r.now)
+			order := r.nextStart()
+			r.advance(20 * time.Millisecond)
+			r.breakDown("w0")
+			r.s.StartAnswered("w0", order.Run, scheduler.StartUnknown, r.now)
+			r.c.Assert(r.storedCrashes("j"), qt.HasLen, 1)
+			r.advance(100 * time.Millisecond)
+			r.comeBack("w0")
+			r.c.Assert(r.storedCrashes("j"), qt.HasLen, 1)
+			w.activeRuns[order.Run] = scheduler.ActiveRun{
+				Run: order.Run,
+			}
+			if stopped {
+				w.end(order.Run, scheduler.EndStopped)
+			}
+			r.renewLeases()
+			r.c.Assert(r.storedCrashes("j"), qt.HasLen, 0)
+		})
+	}
+}
--- a/scheduler/crashes.go
+++ b/scheduler/crashes.go
@@ -113,10 +113,10 @@
 }
 
 // mayHaveCrashed reports whether the run may have crashed the present incarnation of its
-// worker. A start that a former incarnation left unanswered counts against that one only,
-// unless the present one has the run.
+// worker. A start counts against one incarnation only: the first that ends after it, or a later one that
+// lists the run.
 func (r *run) mayHaveCrashed() bool {
-	return r.state != runPlanned && (!r.sentBefore || !r.presentAt.IsZero())
+	return r.state != runPlanned && r.formerStart.IsZero() && (!r.sentBefore || !r.presentAt.IsZero())
 }
 
 // unansweredAttempt returns the attempt of the run if nothing has shown that the incarnation of its worker
@@ -128,6 +128,18 @@
 	return r.ref.Attempt
 }
 
+// clearFormerCrash drops the crash of a former incarnation of the worker that counts against the run. The
+// present one has listed it or its end, so that it is the one that has started it.
+func (s *Scheduler) clearFormerCrash(r *run) {
+	if r.formerStart.IsZero() {
+		return
+	}
+	s.dropCrashes(r.ref.Task, func(c Crash) bool {
+		return c.Worker == r.worker.entry.Ref.ID && c.StartedAt.Equal(r.formerStart)
+	})
+	r.formerStart = time.Time{}
+}
+
 // suspectStarts makes suspects of the tasks that a worker may have started just before it
 // ended. It makes none if that moment is not known well enough.
 func (s *Scheduler) suspectStarts(w *worker, endedBy time.Time) {
--- a/scheduler/incarnations.go
+++ b/scheduler/incarnations.go
@@ -49,6 +49,9 @@
 	}
 	for _, r := range sortedRuns(w) {
 		s.doubtJobOf(r, now)
+		if r.state != runPlanned && !r.listed && r.formerStart.IsZero() {
+			r.formerStart = w.startedAt
+		}
 		switch {
 		case r.state == runPlanned:
 		case r.state == runUncertain || r.presentAt.IsZero() || r.mayArrive:
--- a/scheduler/reports.go
+++ b/scheduler/reports.go
@@ -146,6 +146,7 @@
 func (s *Scheduler) handleEnd(w *worker, row EndedRun, now time.Time) {
 	w.lastEndNumber = row.Number
 	if r := w.runs[row.Run]; r != nil {
+		s.clearFormerCrash(r)
 		s.updateWorkerHealth(r, row.End, now)
 		s.removeRun(r)
 	}
@@ -296,6 +297,7 @@
 	r.confirm(now)
 	r.listed = true
 	r.unheardAt = time.Time{}
+	s.clearFormerCrash(r)
 	if r.presentAt.IsZero() {
 		r.presentAt = now
 	}
--- a/scheduler/tables.go
+++ b/scheduler/tables.go
@@ -285,6 +285,9 @@
 	// sentBefore is set if the start was sent to a former incarnation of the worker, and
 	// had no answer.
 	sentBefore bool
+	// formerStart is the start of a former incarnation of the worker that has ended with the run but
+	// never listed it, zero if there is none or if a later one has listed the run.
+	formerStart time.Time
 	// watched is set if workers have crashed with an earlier run of the task. trialGroup
 	// is the crash for which the task is tried, zero unless it was a suspect when it was
 	// started.
