--- a/scheduler/crash_evidence_test.go
+++ b/scheduler/crash_evidence_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -174,3 +176,61 @@
 		})
 	}
 }
+
+// TestCrashesOfManyWorkersAtOnceGiveUpNoTask guards against a job that is shown as failed as its task had
+// twice just started on a worker that ended with many others, as after a loss of power.
+func TestCrashesOfManyWorkersAtOnceGiveUpNoTask(t *testing.T) {
+	var workers []string
+	for i := range 12 {
+		workers = append(workers, workerName(i))
+	}
+	r := newRestartRig(t, workers...)
+	r.s.AddJob(r.job("j", newPhase(1, cores(1))), nil, false, r.now)
+	for range 4 {
+		order := r.nextStart()
+		r.s.StartAnswered(order.Worker.ID, order.Run, scheduler.StartDone, r.now)
+		r.advance(20 * time.Millisecond)
+		ended := []string{order.Worker.ID}
+		for _, id := range workers {
+			if len(ended) < 6 && id != order.Worker.ID {
+				ended = append(ended, id)
+			}
+		}
+		for _, id := range ended {
+			r.breakDown(id)
+			r.advance(time.Millisecond)
+		}
+		r.advance(100 * time.Millisecond)
+		for _, id := range ended {
+			r.comeBack(id)
+		}
+		r.c.Assert(r.notesWith("task is given up"), qt.HasLen, 0)
+	}
+}
+
+// TestTaskThatCrashesWorkersAmongManyIsGivenUp guards against a task that crashes its workers without end, as
+// others end at the same moments each time.
+func TestTaskThatCrashesWorkersAmongManyIsGivenUp(t *testing.T) {
+	r := newCrashRig(t, 16, firstTaskOf("deadly"))
+	r.addJob(r.job("deadly", newPhase(1, cores(1))))
+	known := 0
+	for range 3000 {
+		r.play(20 * time.Millisecond)
+		crashes := 0
+		for _, n := range r.crashes {
+			crashes += n
+		}
+		if crashes == known {
+			continue
+		}
+		known = crashes
+		for _, id := range slices.Sorted(maps.Keys(r.workersByID)) {
+			if len(r.downSince) < 8 && r.downSince[id].IsZero() {
+				r.takeDown(id)
+			}
+		}
+	}
+	r.c.Assert(r.state("deadly"), qt.Equals, scheduler.Failed)
+	r.c.Assert(known <= maxCrashesAllowed, qt.IsTrue, qt.Commentf("%d workers crashed", known))
+	r.c.Assert(known > 2, qt.IsTrue, qt.Commentf("the other workers explain none of %d crashes", known))
+}
--- a/scheduler/crashes.go
+++ b/scheduler/crashes.go
@@ -14,7 +14,8 @@
 // the worker has outlived the start. If that worker crashes too, the task did it.
 //
 // That holds for a run that the worker has certainly had. A start without an answer may have reached
-// nobody: its task is a suspect too, but it takes more such crashes until it is given up.
+// nobody: its task is a suspect too, but it takes more such crashes until it is given up. So it is if
+// other workers end at the same moment without a start that explains it, as after a loss of power.
 
 const (
 	// crashDelay is the time after its start within which a run may crash its worker.
@@ -40,6 +41,8 @@
 	// Unanswered is the attempt of the run if nothing has shown that the worker had it, as its start
 	// had no answer, otherwise 0.
 	Unanswered int64 `json:"unanswered,omitempty"`
+	// AmongMany is set if workers on which nothing had just started ended at the same moment.
+	AmongMany bool `json:"amongMany,omitempty"`
 	// Confirmed is set once the worker has certainly ended.
 	Confirmed bool `json:"confirmed,omitempty"`
 }
@@ -78,9 +81,31 @@
 	return confirmedAtStart >= maxStartCrashes || atStart > maxStartCrashes || counted >= maxCrashes
 }
 
-// provesStart reports whether the worker certainly had just started the run.
+// provesStart reports whether the worker certainly had just started the run, and nothing else explains
+// its end.
 func (c Crash) provesStart() bool {
-	return c.AtStart && c.Unanswered == 0
+	return c.AtStart && c.Unanswered == 0 && !c.AmongMany
+}
+
+// describe tells why the crash proves little, for the log.
+func (c Crash) describe() string {
+	var doubts []string
+	if !c.Confirmed {
+		doubts = append(doubts, "not confirmed")
+	}
+	if !c.AtStart {
+		doubts = append(doubts, "not at the start")
+	}
+	if c.Unanswered != 0 {
+		doubts = append(doubts, "start not answered")
+	}
+	if c.AmongMany {
+		doubts = append(doubts, "among many")
+	}
+	if len(doubts) == 0 {
+		return ""
+	}
+	return " (" + strings.Join(doubts, ", ") + ")"
 }
 
 // outlived reports whether the worker certainly had the run for that long by the given
@@ -146,6 +171,11 @@
 	if w.entry.Leaving || endedBy.Sub(w.aliveAt) > crashDelay {
 		return
 	}
+	ended := ending{
+		at:        endedBy,
+		worker:    w.entry.Ref.ID,
+		startedAt: w.startedAt,
+	}
 	for _, r := range w.runs {
 		if !r.mayHaveCrashed() || s.outlived(r, crashDelay, w.aliveAt) {
 			continue
@@ -157,8 +187,10 @@
 				AtStart:    true,
 				Unanswered: r.unansweredAttempt(),
 			})
+			ended.suspects = append(ended.suspects, r.ref.Task)
 		}
 	}
+	s.noteEnding(ended)
 }
 
 // addCrash records a crash of a worker, or adds what is new to its record.
@@ -167,6 +199,7 @@
 	for i := range t.crashes {
 		if known := &t.crashes[i]; known.Worker == crash.Worker && known.StartedAt.Equal(crash.StartedAt) {
 			known.AtStart = known.AtStart || crash.AtStart
+			known.AmongMany = known.AmongMany || crash.AmongMany
 			known.Confirmed = known.Confirmed || crash.Confirmed
 			if crash.provesStart() {
 				known.Unanswered = 0
@@ -291,7 +324,7 @@
 		}
 		workers := make([]string, 0, len(t.crashes))
 		for _, c := range t.crashes {
-			workers = append(workers, c.Worker)
+			workers = append(workers, c.Worker+c.describe())
 		}
 		s.losses.GivenUp++
 		s.addNote(fmt.Sprintf("task is given up: %d workers crashed under it, %s", len(workers), strings.Join(workers, " ")),
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -155,9 +155,11 @@
 	endsByWorker map[*worker][]expectedEnd
 	// suspects holds, by worker, the tasks that have an unconfirmed crash of that worker.
 	suspects map[string][]TaskRef
-	effects  []Effect
-	notes    []Note
-	losses   Losses
+	// endings holds the workers that have ended within endingsInterval.
+	endings []ending
+	effects []Effect
+	notes   []Note
+	losses  Losses
 
 	// organisations holds the organisations by name, and overage the fraction of a
 	// maximum by which one may exceed it.
