--- a/scheduler/crash_evidence_test.go
+++ b/scheduler/crash_evidence_test.go
@@ -77,6 +77,19 @@
 				r.comeBack(order.Worker.ID)
 			},
 		},
+		{
+			name:   "only a repeated order answered, which may have reached the next incarnation",
+			rounds: 4,
+			end: func(r *rig, order scheduler.StartTask) {
+				id := order.Worker.ID
+				r.s.StartAnswered(id, order.Run, scheduler.StartDone, r.now)
+				r.s.StartUnanswered(id, order.Run)
+				r.advance(10 * time.Millisecond)
+				r.breakDown(id)
+				r.advance(10 * time.Millisecond)
+				r.comeBack(id)
+			},
+		},
 		{
 			name:   "not sent, as is known after the worker has started again",
 			rounds: 10,
