--- a/scheduler/effects.go
+++ b/scheduler/effects.go
@@ -135,6 +135,11 @@
 	return o == StartDone || o == StartDoneByAnother
 }
 
+// Refused reports whether no incarnation of the worker has carried out the start, or ever will.
+func (o StartOutcome) Refused() bool {
+	return o == StartRefused || o == StartUnhealthy || o == StartNoTicket
+}
+
 // clockResolution is that of the readings of workers' clocks, which may be cut to whole milliseconds.
 const clockResolution = time.Millisecond
 
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -242,16 +242,39 @@
 	}
 }
 
+// noteStarted records that a worker has answered that it has the run, or had it.
+func (s *Scheduler) noteStarted(r *run, outcome StartOutcome, now time.Time) {
+	w := r.worker
+	r.mayArrive = false
+	if outcome == StartDone {
+		w.aliveAt = latest(w.aliveAt, now)
+	}
+	if r.sentBefore {
+		// The former incarnation may have answered. The stop that this one is told decides.
+		return
+	}
+	if outcome == StartDoneByAnother {
+		r.unheardAt = now
+		s.addNote("start was answered by an incarnation of the worker that has not reported yet", r.ref.Task, w.entry.Ref.ID, now.Sub(r.startedAt))
+	}
+	if r.state == runStarting {
+		r.state = runWorking
+		r.progressAt = now
+	}
+	// A stop that was answered before may have met a former incarnation of the worker.
+	r.confirmedAt = now
+	if r.presentAt.IsZero() {
+		r.presentAt = now
+	}
+}
+
 // StartAnswered records the outcome of a start.
 func (s *Scheduler) StartAnswered(workerID string, ref RunRef, outcome StartOutcome, now time.Time) {
 	if outcome.Done() {
 		s.markJobBegun(ref.Task.Step.Job)
 	}
-	switch outcome {
-	case StartRefused, StartUnhealthy, StartNoTicket:
-		// No incarnation of the worker has carried out the start.
+	if outcome.Refused() {
 		s.dropCrashes(ref.Task, func(c Crash) bool { return c.Worker == workerID && c.Unanswered == ref.Attempt })
-	case StartDone, StartUnknown, StartSuperseded, StartWorkerGone:
 	}
 	w := s.workers[workerID]
 	if w == nil || w.runs[ref] == nil {
@@ -266,27 +289,7 @@
 	}
 	switch outcome {
 	case StartDone, StartDoneByAnother:
-		r.mayArrive = false
-		if outcome == StartDone {
-			w.aliveAt = latest(w.aliveAt, now)
-		}
-		if r.sentBefore {
-			// The former incarnation may have answered. The stop that this one is told decides.
-			return
-		}
-		if outcome == StartDoneByAnother {
-			r.unheardAt = now
-			s.addNote("start was answered by an incarnation of the worker that has not reported yet", ref.Task, workerID, now.Sub(r.startedAt))
-		}
-		if r.state == runStarting {
-			r.state = runWorking
-			r.progressAt = now
-		}
-		// A stop that was answered before may have met a former incarnation of the worker.
-		r.confirmedAt = now
-		if r.presentAt.IsZero() {
-			r.presentAt = now
-		}
+		s.noteStarted(r, outcome, now)
 	case StartRefused:
 		s.markLost(r, "start refused", now)
 	case StartUnhealthy:
