--- a/scheduler/incarnations.go
+++ b/scheduler/incarnations.go
@@ -63,6 +63,8 @@
 			r.state = runUncertain
 			r.sentBefore = true
 			r.stopInFlight, r.listed = false, false
+			// Only the stops that the new incarnation is told show that it ignores them.
+			r.stopPendingSince, r.nextStopNote = now, 0
 			r.confirmedAt, r.presentAt, r.stopAnsweredAt = time.Time{}, time.Time{}, time.Time{}
 			s.stopRun(r, now, "worker started again")
 		case !r.listed:
--- a/scheduler/stops_test.go
+++ b/scheduler/stops_test.go
@@ -435,3 +435,27 @@
 	})
 	r.c.Assert(large.activeRuns, qt.HasLen, 1)
 }
+
+// TestStopsOfAFormerIncarnationWithholdNoLease guards against a worker that gets no lease and no runs after it
+// has started again, as a stop that its former incarnation was told had been pending for long.
+func TestStopsOfAFormerIncarnationWithholdNoLease(t *testing.T) {
+	r := newRig(t, scheduler.Lease(3500*time.Millisecond, 6*time.Second), scheduler.AcceptedLease(10*time.Second))
+	w := r.addWorker("w", cores(8))
+	w.entry.StartedAt = r.now
+	r.updateDirectory()
+	r.round()
+	w.silent = true
+	r.s.AddJob(r.job("j", newPhase(1, cores(1))), nil, false, r.now)
+	r.tick()
+	for range 105 {
+		r.round()
+	}
+	w.restart()
+	w.silent = false
+	r.advance(100 * time.Millisecond)
+	r.renewLeases()
+	r.s.Tick(r.now)
+	order, known := r.s.LeaseRenewal("w", r.now)
+	r.c.Assert(known, qt.IsTrue)
+	r.c.Assert(order.Lease > 0, qt.IsTrue)
+}
