--- a/scheduler/acknowledging_test.go
+++ b/scheduler/acknowledging_test.go
@@ -99,6 +99,25 @@
 				l.r.c.Assert(l.starts, qt.HasLen, 1)
 			},
 		},
+		{
+			name: "an acknowledgement to a worker that leaves the directory for a while, before the start",
+			call: func(l *lateCalls) {
+				l.renew()
+				for range 2 {
+					l.r.s.SetWorkers(nil)
+					l.collect()
+				}
+				_, known := l.r.s.LeaseRenewal("w", l.r.now)
+				l.r.c.Assert(known, qt.IsFalse)
+				l.r.updateDirectory()
+				l.r.renewLeases()
+				for range 3 {
+					l.collect()
+					l.r.write()
+				}
+				l.r.c.Assert(l.starts, qt.HasLen, 1)
+			},
+		},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			r := newRestartRig(t, "w")
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -101,6 +101,8 @@
 	if w.recorded || w.former {
 		s.workersOutdated = true
 	}
+	// Its answer is not read any more.
+	s.noteLostAcknowledgement(w)
 	s.rememberIncarnation(w)
 	delete(s.workers, id)
 }
