--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -33,6 +33,8 @@
 	lastAttempt int64
 	// ownerSince is the time at which the ownership began.
 	ownerSince time.Time
+	// hasFormerOwner is set if there may have been one.
+	hasFormerOwner bool
 	// recoveryDone is set once no run of the former owner can be unknown any
 	// more.
 	recoveryDone bool
--- a/scheduler/tick.go
+++ b/scheduler/tick.go
@@ -60,7 +60,7 @@
 // have expired, and repeats stops that have had no effect.
 func (s *Scheduler) reapRuns(now time.Time) {
 	for id, w := range s.workers {
-		formerLease := w.former && !now.After(s.leasesEnd(w)) || now.Before(s.formerCallsEnd(w))
+		formerLease := s.mayHoldFormerLease(w, now) || now.Before(s.formerCallsEnd(w))
 		if !w.silentSince.IsZero() && w.reported && w.leaseExpired(now) && !formerLease {
 			lapsed := s.lapsedRuns(w, now)
 			s.rememberLapses(w, lapsed, now)
@@ -85,6 +85,13 @@
 	}
 }
 
+// mayHoldFormerLease reports whether a call of a former owner may have given the worker a lease that is not
+// over. That owner may have dropped it from the list of workers in use just before, and if it has started
+// again since, the call has given it the longest lease.
+func (s *Scheduler) mayHoldFormerLease(w *worker, now time.Time) bool {
+	return (w.former || s.hasFormerOwner && !w.startedAt.IsZero()) && !now.After(s.leasesEnd(w))
+}
+
 // lapsedRuns returns the runs of a silent worker that have ended with its leases, sorted by task. A
 // worker that started again unseen takes a start without an answer with the longest lease, and each
 // later call extends that for all runs there.
--- a/scheduler/tokens_test.go
+++ b/scheduler/tokens_test.go
@@ -286,3 +286,40 @@
 	}
 	r.c.Assert(r.now.Sub(lateCallAt) >= limit, qt.IsTrue, qt.Commentf("started again after %v", r.now.Sub(lateCallAt)))
 }
+
+// longHoldLimit is the longest lease that workers accept on some sites.
+const longHoldLimit = 10 * time.Second
+
+// TestNextOwnerWaitsForTheLeaseOfALateCall guards against a task that runs twice: a next owner used a worker
+// that was not listed as in use, though a call of the former owner to an earlier incarnation may have given
+// it the longest lease.
+func TestNextOwnerWaitsForTheLeaseOfALateCall(t *testing.T) {
+	r := newRig(t, scheduler.Lease(entryLease, entryMaxLease), scheduler.AcceptedLease(longHoldLimit))
+	w := r.addWorker("w", cores(8))
+	w.entry.StartedAt = r.now
+	r.updateDirectory()
+	r.renewLeases()
+	job := r.job("job", newPhase(1, cores(1)))
+	r.advance(time.Second)
+	r.s = scheduler.New(2, r.now, scheduler.Lease(entryLease, entryMaxLease), scheduler.AcceptedLease(longHoldLimit))
+	r.s.AddFormerWorkers(nil)
+	r.s.AddJob(job, nil, true, r.now)
+	// The worker was dropped just before, and has started again.
+	w.restart()
+	r.updateDirectory()
+	lateCall := r.now
+	for len(w.activeRuns) == 0 {
+		r.c.Assert(r.now.Sub(lateCall) < 2*time.Second, qt.IsTrue)
+		r.round()
+		r.write()
+	}
+	w.silent = true
+	spare := r.addWorker("spare", cores(8))
+	r.updateDirectory()
+	for len(spare.activeRuns) == 0 {
+		r.c.Assert(r.now.Sub(lateCall) < 20*time.Second, qt.IsTrue)
+		r.round()
+		r.write()
+	}
+	r.c.Check(r.now.Sub(lateCall) >= longHoldLimit, qt.IsTrue, qt.Commentf("started again after %v", r.now.Sub(lateCall)))
+}
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -129,6 +129,7 @@
 // whether or not the directory still lists them.
 func (s *Scheduler) AddFormerWorkers(entries []WorkerEntry) {
 	s.formerUses = nil
+	s.hasFormerOwner = true
 	for _, entry := range entries {
 		if entry.Dropped {
 			s.addDropped(entry)
