--- a/scheduler/interleaving_test.go
+++ b/scheduler/interleaving_test.go
@@ -1126,7 +1126,7 @@
 		},
 	} {
 		t.Run(string(test.fault), func(t *testing.T) {
-			for seed := range uint64(2000) {
+			for seed := range uint64(8000) {
 				random := rand.New(rand.NewPCG(seed, 7))
 				play := test.play
 				if play == nil {
