--- a/scheduler/export_test.go
+++ b/scheduler/export_test.go
@@ -56,3 +56,8 @@
 		s.WorkerGone(id, w.startedAt, now)
 	}
 }
+
+// MayHaveRun reports whether no run of the task starts elsewhere, as the worker may have this one.
+func (s *Scheduler) MayHaveRun(worker string, ref RunRef) bool {
+	return s.HasRun(worker, ref) || !s.recoveryDone && s.isUnreported(worker)
+}
