--- a/conductor/orders.go
+++ b/conductor/orders.go
@@ -442,7 +442,7 @@
 	defer timer.Stop()
 	for {
 		c.mu.Lock()
-		state := c.scheduler.AckState(id, c.readClock())
+		state := c.scheduler.AckState(id)
 		reportAwaited := c.scheduler.AwaitsReport(id, keeper.sentAt)
 		progressed := c.progressed
 		c.mu.Unlock()
--- a/scheduler/acknowledging.go
+++ b/scheduler/acknowledging.go
@@ -20,7 +20,7 @@
 	if !w.sentAck.sentAt.Equal(now) {
 		s.noteLostAcknowledgement(w)
 	}
-	if !w.acknowledgementDue(s.storedBatch) || w.awaitsStarts(now) {
+	if !w.acknowledgementDue(s.storedBatch) || w.awaitsStarts() {
 		return 0
 	}
 	// Otherwise the worker may have started again, and its ends be others.
@@ -50,31 +50,31 @@
 
 // awaitsStarts reports whether a start to the worker may be under way whose run is not given up, or was answered by
 // an incarnation that has not reported. That one would take acknowledged ends for its own.
-func (w *worker) awaitsStarts(now time.Time) bool {
+func (w *worker) awaitsStarts() bool {
 	if w.startedAt.IsZero() {
 		// Its next incarnation has another identity.
 		return false
 	}
 	for _, r := range w.runs {
-		if r.startMayArrive(now) || !r.unheardAt.IsZero() {
+		if r.startMayArrive() || !r.unheardAt.IsZero() {
 			return true
 		}
 	}
 	return false
 }
 
-// startMayArrive reports whether a start of the run may be under way. If a report has listed the run, that
-// is so only for a repetition of the start that was carried out.
-func (r *run) startMayArrive(now time.Time) bool {
+// startMayArrive reports whether a start of the run may be under way. If a report has listed the run, that is so only
+// for a repetition of the start, until a report was requested after the time by which that arrives.
+func (r *run) startMayArrive() bool {
 	if !r.mayArrive || r.state == runPlanned {
 		return false
 	}
-	return !r.listed || now.Before(r.startedAt.Add(startValidity+lateArrival))
+	return !r.listed || r.worker.lastReportSent.Before(r.startedAt.Add(startValidity+lateArrival))
 }
 
 // awaitsAcknowledgement reports whether starts on the worker wait for the answer to an acknowledgement, or
 // for one that waits for the answers to earlier starts.
-func (s *Scheduler) awaitsAcknowledgement(w *worker, now time.Time) bool {
+func (s *Scheduler) awaitsAcknowledgement(w *worker) bool {
 	if w.startedAt.IsZero() {
 		return false
 	}
@@ -86,7 +86,7 @@
 	}
 	inFlight := false
 	for _, r := range w.runs {
-		if !r.startMayArrive(now) {
+		if !r.startMayArrive() {
 			continue
 		}
 		if r.state != runStarting {
@@ -137,12 +137,12 @@
 )
 
 // AckState returns what the acknowledgement of the worker's ends waits for.
-func (s *Scheduler) AckState(id string, now time.Time) AckState {
+func (s *Scheduler) AckState(id string) AckState {
 	w := s.workers[id]
 	switch {
 	case w == nil:
 		return AckNone
-	case w.acknowledgementDue(s.storedBatch) && w.awaitsStarts(now):
+	case w.acknowledgementDue(s.storedBatch) && w.awaitsStarts():
 		return AckWaits
 	case w.acknowledgementDue(s.storedBatch):
 		return AckDue
--- a/scheduler/acknowledging_test.go
+++ b/scheduler/acknowledging_test.go
@@ -259,3 +259,38 @@
 	r.c.Check(w.startCounts[effects[0].(scheduler.StartTask).Run.Task], qt.Equals, 1)
 	r.c.Check(w.ended, qt.HasLen, 0, qt.Commentf("never acknowledged"))
 }
+
+// TestRepeatedStartIsOverOnceAReportWasRequestedLater guards against an end that is forgotten unread: the worker
+// had started again since its last report, and its next incarnation carried out the repetition of a start before
+// the time by which that arrives.
+func TestRepeatedStartIsOverOnceAReportWasRequestedLater(t *testing.T) {
+	const (
+		lastArrival = 3200 * time.Millisecond
+		end         = int64(1)
+	)
+	r := newRestartRig(t, "w")
+	w := r.workersByID["w"]
+	r.s.AddJob(r.job("short", newPhase(1, cores(1))), nil, false, r.now)
+	r.s.AddJob(r.job("long", newPhase(1, cores(1))), nil, false, r.now)
+	r.tick()
+	startedAt := r.now
+	r.c.Assert(w.activeRuns, qt.HasLen, 2)
+	for run := range w.activeRuns {
+		if run.Task.Step.Job == "long" {
+			r.s.StartUnanswered("w", run)
+			continue
+		}
+		w.end(run, scheduler.EndDone)
+	}
+	for r.now.Sub(startedAt) < lastArrival-100*time.Millisecond {
+		r.round()
+		r.write()
+	}
+	r.c.Assert(w.ended, qt.HasLen, 1)
+	r.advance(150 * time.Millisecond)
+	order, _ := r.s.LeaseRenewal("w", r.now)
+	r.c.Assert(order.Acknowledge, qt.Equals, int64(0))
+	r.renewLeases()
+	order, _ = r.s.LeaseRenewal("w", r.now)
+	r.c.Assert(order.Acknowledge, qt.Equals, end)
+}
--- a/scheduler/starting.go
+++ b/scheduler/starting.go
@@ -84,7 +84,7 @@
 
 // sendOrHold sends the start of a run unless an acknowledgement goes before it.
 func (s *Scheduler) sendOrHold(r *run, st *step, now time.Time) {
-	if s.awaitsAcknowledgement(r.worker, now) {
+	if s.awaitsAcknowledgement(r.worker) {
 		s.heldRuns = append(s.heldRuns, r)
 		return
 	}
