--- a/scheduler/acknowledging.go
+++ b/scheduler/acknowledging.go
@@ -56,20 +56,18 @@
 		return false
 	}
 	for _, r := range w.runs {
-		if r.startMayArrive() || !r.unheardAt.IsZero() {
+		if r.startMayArrive() || !w.lastReportSent.After(r.unheardAt) && !r.unheardAt.IsZero() {
 			return true
 		}
 	}
 	return false
 }
 
-// startMayArrive reports whether a start of the run may be under way. If a report has listed the run, that is so only
-// for a repetition of the start, until a report was requested after the time by which that arrives.
+// startMayArrive reports whether a start of the run may be under way, or have reached an incarnation that has not
+// reported. A report that lists the run is no proof of the opposite, as the start may have been repeated. Nor is
+// one needed that tells whether the run exists, as reports may leave its end out until ends are acknowledged.
 func (r *run) startMayArrive() bool {
-	if !r.mayArrive || r.state == runPlanned {
-		return false
-	}
-	return !r.listed || r.worker.lastReportSent.Before(r.startedAt.Add(startValidity+lateArrival))
+	return r.mayArrive && r.state != runPlanned && r.worker.lastReportSent.Before(r.startedAt.Add(startValidity+lateArrival))
 }
 
 // awaitsAcknowledgement reports whether starts on the worker wait for the answer to an acknowledgement, or
--- a/scheduler/acknowledging_test.go
+++ b/scheduler/acknowledging_test.go
@@ -260,6 +260,41 @@
 	r.c.Check(w.ended, qt.HasLen, 0, qt.Commentf("never acknowledged"))
 }
 
+// TestFullReportsAreAcknowledged guards against a worker whose ends are never acknowledged, nor any further ones
+// read: acknowledgements waited for a run that reports may leave out.
+func TestFullReportsAreAcknowledged(t *testing.T) {
+	// endsPerReport is the number of ends that a worker lists in one report.
+	const endsPerReport = 500
+	for _, outcome := range []scheduler.StartOutcome{scheduler.StartUnknown, scheduler.StartDoneByAnother} {
+		t.Run(outcome.String(), func(t *testing.T) {
+			r := newRestartRig(t, "w")
+			w := r.workersByID["w"]
+			w.entry.Total = cores(endsPerReport + 1)
+			r.updateDirectory()
+			r.s.AddJob(r.job("many", newPhase(endsPerReport, cores(1))), nil, false, r.now)
+			r.tick()
+			r.c.Assert(w.activeRuns, qt.HasLen, endsPerReport)
+			r.s.AddJob(r.job("lost", newPhase(1, cores(1))), nil, false, r.now)
+			r.s.ConfirmOwnership(r.now)
+			r.s.Tick(r.now)
+			r.write()
+			effects := r.s.Tick(r.now)
+			r.c.Assert(effects, qt.HasLen, 1)
+			r.s.StartAnswered("w", effects[0].(scheduler.StartTask).Run, outcome, r.now)
+			for run := range w.activeRuns {
+				w.end(run, scheduler.EndDone)
+			}
+			for range 100 {
+				r.round()
+				r.write()
+			}
+			r.c.Assert(r.state("many"), qt.Equals, scheduler.Completed)
+			r.c.Assert(w.ended, qt.HasLen, 0)
+			r.c.Assert(w.startCounts, qt.HasLen, endsPerReport+1)
+		})
+	}
+}
+
 // TestRepeatedStartIsOverOnceAReportWasRequestedLater guards against an end that is forgotten unread: the worker
 // had started again since its last report, and its next incarnation carried out the repetition of a start before
 // the time by which that arrives.
--- a/scheduler/tick.go
+++ b/scheduler/tick.go
@@ -105,7 +105,7 @@
 // mayReachNextIncarnation reports whether an order to start the run may arrive, or have arrived, after the
 // incarnation of the worker that was last heard of has ended.
 func (r *run) mayReachNextIncarnation() bool {
-	return !r.unheardAt.IsZero() || r.mayArrive && r.worker.lastReportSent.Before(r.startedAt.Add(startValidity+lateArrival))
+	return !r.unheardAt.IsZero() || r.startMayArrive()
 }
 
 // answeredStopWait returns the time that a stop which the worker has answered
