--- a/scheduler/tokens.go
+++ b/scheduler/tokens.go
@@ -73,6 +73,8 @@
 	endedAt time.Time
 	// gone is set if the incarnation is known to have ended, so that its token does not matter any more.
 	gone bool
+	// formerOwner is set if a former owner dropped the worker, and token is the one of its calls.
+	formerOwner bool
 }
 
 // rememberIncarnation keeps what is known of a worker that is dropped. It may be listed again after a restart.
@@ -124,9 +126,10 @@
 		return
 	}
 	s.formerIncarnations[entry.Ref.ID] = formerIncarnation{
-		startedAt: entry.StartedAt,
-		token:     entry.Token + 1,
-		endedAt:   s.tickedAt,
+		startedAt:   entry.StartedAt,
+		token:       entry.Token,
+		endedAt:     s.tickedAt,
+		formerOwner: true,
 	}
 }
 
@@ -139,6 +142,9 @@
 	}
 	delete(s.formerIncarnations, w.entry.Ref.ID)
 	w.startedAt, w.token, w.nextToken = former.startedAt, former.token, former.nextToken
+	if former.formerOwner {
+		w.token++
+	}
 	w.formerStarts, w.restartKnownSince = former.formerStarts, former.restartKnownSince
 	w.raisedAt, w.raised, w.formerOrdersEnd = former.raisedAt, former.raised, former.formerOrdersEnd
 }
--- a/scheduler/tokens_test.go
+++ b/scheduler/tokens_test.go
@@ -158,6 +158,40 @@
 	}
 }
 
+// TestDroppedWorkerLeavesTheStore guards against a stored list of workers that grows with each one that has gone for
+// good: each owner raised the tokens of those, though it never called them, so that no later one's was higher.
+func TestDroppedWorkerLeavesTheStore(t *testing.T) {
+	r := newRestartRig(t, "w", "other")
+	for range 2 {
+		r.workersByID["w"].restart()
+		r.round()
+		r.write()
+	}
+	delete(r.workersByID, "w")
+	r.updateDirectory()
+	for range 30 {
+		r.round()
+		r.write()
+	}
+	r.c.Assert(r.storedWorkers, qt.HasLen, 2)
+	raised := r.storedWorkers[1].Token
+	r.c.Assert(r.storedWorkers[1].Dropped, qt.IsTrue)
+	for owner := int64(2); owner <= raised+1; owner++ {
+		r.s = scheduler.New(owner, r.now)
+		r.s.AddFormerWorkers(r.storedWorkers)
+		// A worker that is new has the list written.
+		r.addWorker(workerName(int(owner)), cores(8)).entry.StartedAt = r.now
+		r.updateDirectory()
+		for range 30 {
+			r.round()
+			r.write()
+		}
+	}
+	for _, entry := range r.storedWorkers {
+		r.c.Check(entry.Ref.ID, qt.Not(qt.Equals), "w", qt.Commentf("token %d", entry.Token))
+	}
+}
+
 // TestDroppedWorkerIsNotTakenForStored guards against a next owner that does not wait for a worker with runs: a
 // write that lists it as dropped ended when it was in use again.
 func TestDroppedWorkerIsNotTakenForStored(t *testing.T) {
