--- a/scheduler/restarts_test.go
+++ b/scheduler/restarts_test.go
@@ -799,3 +799,34 @@
 	r.s.SetWorkers([]scheduler.WorkerEntry{next})
 	r.c.Assert(r.s.Workers(), qt.DeepEquals, []scheduler.WorkerRef{next.Ref})
 }
+
+// TestStoppedStartThatMayArriveIsNotGivenUp guards against a task that runs twice: its start had no answer, the worker
+// answered a stop, so that the run was given up, and the worker's next incarnation, which knows of no stop, carried
+// the start out.
+func TestStoppedStartThatMayArriveIsNotGivenUp(t *testing.T) {
+	r := newRestartRig(t, "w", "spare")
+	r.s.AddJob(r.job("j", newPhase(1, cores(1))), nil, false, r.now)
+	r.s.ConfirmOwnership(r.now)
+	r.s.Tick(r.now)
+	r.write()
+	effects := r.s.Tick(r.now)
+	r.c.Assert(effects, qt.HasLen, 1)
+	late := effects[0].(scheduler.StartTask)
+	r.s.StartAnswered(late.Worker.ID, late.Run, scheduler.StartUnknown, r.now)
+	sentAt := r.now
+	// The start may arrive for 2.5 s.
+	for r.now.Sub(sentAt) < 2*time.Second {
+		r.round()
+		r.write()
+	}
+	w := r.workersByID[late.Worker.ID]
+	w.restart()
+	w.activeRuns[late.Run] = scheduler.ActiveRun{
+		Run: late.Run,
+	}
+	runs := 0
+	for _, w := range r.workersByID {
+		runs += len(w.activeRuns)
+	}
+	r.c.Assert(runs, qt.Equals, 1)
+}
