--- /dev/null
+++ b/review/_cell/cases.go
@@ -0,0 +1,177 @@
+package main
+
+import (
+	"fmt"
+	"strings"
+	"time"
+)
+
+func route(name, prefix, service string, attempts int) map[string]any {
+	return map[string]any{
+		"name": name, "host": "jobs.example", "path_prefix": prefix, "type": "non_idempotent", "timeout_ms": 3000,
+		"target_latency_ms": 1000, "priority": 1, "service": service, "max_attempts": attempts, "slack_factor": 2.2,
+	}
+}
+
+func config(version int, services []string, routes ...map[string]any) map[string]any {
+	list := []map[string]any{}
+	for _, name := range services {
+		list = append(list, map[string]any{"name": name, "health_path": "/healthz", "max_connections": 64})
+	}
+	return map[string]any{
+		"version": version, "routes": routes, "services": list,
+		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 5000, "idle_timeout_ms": 60000},
+	}
+}
+
+// caseRoute changes the service of a queue while a job of the queue runs.
+func caseRoute(c *cell) error {
+	services := []string{"desk", "lab"}
+	for _, service := range services {
+		for i := range 4 {
+			m, err := newMinion(c, fmt.Sprintf("%s-%d", service, i+1), service, fmt.Sprintf("r1-%d", i/2+1), "a", 16000)
+			if err != nil {
+				return err
+			}
+			c.minions = append(c.minions, m)
+		}
+	}
+	if err := c.store.put("op", "config", config(3, services, route("r-a", "/alpha/", "desk", 3), route("r-b", "/beta/", "lab", 3))); err != nil {
+		return err
+	}
+	if err := c.addEntries(2); err != nil {
+		return err
+	}
+	for _, e := range c.entries {
+		if err := c.start(e); err != nil {
+			return err
+		}
+	}
+	if err := c.awaitReady(); err != nil {
+		return err
+	}
+	const path, job = "/alpha/5c0e7a21d94b36f8", "5c0e7a21d94b36f8"
+	body := map[string]any{"spec": "run 25s", "phases": []any{map[string]any{"task_count": 4, "cpu": 2000, "mem_mb": 1024, "estimate_ms": 25000}}}
+	if _, err := c.submit(c.entries[0], path, body); err != nil {
+		return err
+	}
+	time.Sleep(6 * time.Second)
+	for _, e := range c.entries {
+		if status, _ := c.call(e, "GET", path, nil); status != 200 {
+			return fmt.Errorf("before the change, the job is answered %d", status)
+		}
+	}
+	if c.trouble {
+		c.record("the operator sends the queue to another service")
+		if err := c.store.put("op", "config", config(7, services, route("r-a", "/alpha/", "lab", 3), route("r-b", "/beta/", "lab", 3))); err != nil {
+			return err
+		}
+	}
+	time.Sleep(6 * time.Second)
+	var broken []string
+	for _, e := range c.entries {
+		if status, _ := c.call(e, "GET", path, nil); status == 410 {
+			broken = append(broken, "LOST: a GET for an accepted job that nobody has cancelled is answered 410 by "+e.name)
+		}
+	}
+	// The request for the same job arrives again.
+	c.call(c.entries[1], "POST", path, body)
+	time.Sleep(5 * time.Second)
+	if text := twice(c.eventsOf(job)); text != "" {
+		broken = append(broken, text)
+	}
+	if len(broken) > 0 {
+		return errBroken{strings.Join(broken, "; ")}
+	}
+	return nil
+}
+
+// twice returns a text if two runs of one task were active at the same time, or one began after
+// another had ended done.
+func twice(events []event) string {
+	active := make(map[string]map[string]bool)
+	done := make(map[string]bool)
+	for _, e := range events {
+		run := fmt.Sprintf("%d on %s", e.attempt, e.minion)
+		if active[e.task] == nil {
+			active[e.task] = make(map[string]bool)
+		}
+		switch {
+		case strings.HasPrefix(e.what, "starts"):
+			if done[e.task] {
+				return "TWICE: " + e.task + " starts after it was done"
+			}
+			active[e.task][run] = true
+			if len(active[e.task]) > 1 {
+				return fmt.Sprintf("TWICE: two runs of %s at the same time: %v", e.task, active[e.task])
+			}
+		default:
+			delete(active[e.task], run)
+			if e.what == "done" {
+				done[e.task] = true
+			}
+		}
+	}
+	return ""
+}
+
+// flapPeriod and flapTime are gap_s and for_s of srv_flap.
+const (
+	flapPeriod = 1400 * time.Millisecond
+	flapTime   = 6500 * time.Millisecond
+)
+
+// caseCrashes has one minion go down and up by turns while a job of tasks that last runs.
+func caseCrashes(c *cell) error {
+	services := []string{"desk"}
+	for i := range 10 {
+		m, err := newMinion(c, fmt.Sprintf("desk-%d", i+1), "desk", fmt.Sprintf("r1-%d", i/5+1), "ab"[i/8:i/8+1], 16000)
+		if err != nil {
+			return err
+		}
+		c.minions = append(c.minions, m)
+	}
+	if err := c.store.put("op", "config", config(3, services, route("r-a", "/alpha/", "desk", 4))); err != nil {
+		return err
+	}
+	if err := c.addEntries(2); err != nil {
+		return err
+	}
+	for _, e := range c.entries {
+		if err := c.start(e); err != nil {
+			return err
+		}
+	}
+	if err := c.awaitReady(); err != nil {
+		return err
+	}
+	const path, job = "/alpha/5c0e7a21d94b36f8", "5c0e7a21d94b36f8"
+	body := map[string]any{"spec": specLasting, "phases": []any{map[string]any{
+		"task_count": 2, "cpu": 12000, "mem_mb": 1024, "estimate_ms": 600, "requirements": "b", "long_running": true,
+	}}}
+	if _, err := c.submit(c.entries[0], path, body); err != nil {
+		return err
+	}
+	time.Sleep(5 * time.Second)
+	if len(c.eventsOf(job)) != 2 {
+		return fmt.Errorf("the tasks do not run")
+	}
+	if c.trouble {
+		for until := time.Now().Add(flapTime); time.Now().Before(until); {
+			c.minions[9].crash(flapPeriod / 2)
+			time.Sleep(flapPeriod / 2)
+		}
+	}
+	time.Sleep(12 * time.Second)
+	for _, e := range c.entries {
+		if _, text := c.call(e, "GET", path, nil); strings.Contains(text, "failed") {
+			for _, ev := range c.eventsOf(job) {
+				if ev.what == "failed" {
+					return fmt.Errorf("a run ended failed")
+				}
+			}
+			return errBroken{"LOST: the job is shown as failed by " + e.name + ", no run of it has ended failed"}
+		}
+	}
+	return nil
+}
