--- a/review/_cell/cases.go
+++ b/review/_cell/cases.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strings"
+	"syscall"
 	"time"
 )
 
@@ -87,8 +88,14 @@
 }
 
 // twice returns a text if two runs of one task were active at the same time, or one began after
-// another had ended done.
+// another had ended done and that end is taken note of then or later.
 func twice(events []event) string {
+	taken := make(map[string]bool)
+	for _, e := range events {
+		if e.what == noted {
+			taken[fmt.Sprintf("%s %d on %s", e.task, e.attempt, e.minion)] = true
+		}
+	}
 	active := make(map[string]map[string]bool)
 	done := make(map[string]bool)
 	for _, e := range events {
@@ -97,6 +104,7 @@
 			active[e.task] = make(map[string]bool)
 		}
 		switch {
+		case e.what == noted:
 		case strings.HasPrefix(e.what, "starts"):
 			if done[e.task] {
 				return "TWICE: " + e.task + " starts after it was done"
@@ -107,7 +115,7 @@
 			}
 		default:
 			delete(active[e.task], run)
-			if e.what == "done" {
+			if e.what == "done" && taken[e.task+" "+run] {
 				done[e.task] = true
 			}
 		}
@@ -175,3 +183,79 @@
 	}
 	return nil
 }
+
+// caseAdviser moves the adviser: the settings files name another address, and all entries get
+// SIGHUP.
+func caseAdviser(c *cell) error {
+	for i := range 6 {
+		m, err := newMinion(c, fmt.Sprintf("desk-%d", i+1), "desk", fmt.Sprintf("r1-%d", i/3+1), "a", 16000)
+		if err != nil {
+			return err
+		}
+		c.minions = append(c.minions, m)
+	}
+	first, err := newAdviser(c)
+	if err != nil {
+		return err
+	}
+	c.recommendation = first.address
+	queue := route("r-a", "/alpha/", "desk", 3)
+	queue["recommendation"] = map[string]any{
+		"decision_ms": decisionTime.Milliseconds(), "period_ms": perWorker.Milliseconds(), "validity_ms": validityTime.Milliseconds(),
+	}
+	if err := c.store.put("op", "config", config(3, []string{"desk"}, queue)); err != nil {
+		return err
+	}
+	if err := c.addEntries(2); err != nil {
+		return err
+	}
+	for _, e := range c.entries {
+		if err := c.start(e); err != nil {
+			return err
+		}
+	}
+	if err := c.awaitReady(); err != nil {
+		return err
+	}
+	body := map[string]any{"spec": "run 1s " + specAdvised, "phases": []any{map[string]any{"task_count": 3, "cpu": 2000, "mem_mb": 1024, "estimate_ms": 1000}}}
+	if _, err := c.submit(c.entries[0], "/alpha/5c0e7a21d94b36f8", body); err != nil {
+		return err
+	}
+	time.Sleep(5 * time.Second)
+	if _, text := c.call(c.entries[1], "GET", "/alpha/5c0e7a21d94b36f8", nil); !strings.Contains(text, "completed") {
+		return fmt.Errorf("the job before the change is not completed")
+	}
+	if c.trouble {
+		second, err := newAdviser(c)
+		if err != nil {
+			return err
+		}
+		c.recommendation = second.address
+		for _, e := range c.entries {
+			if err := c.writeSettings(e); err != nil {
+				return err
+			}
+			if err := e.cmd.Process.Signal(syscall.SIGHUP); err != nil {
+				return err
+			}
+		}
+		c.record("the settings name the adviser at %s, all entries got SIGHUP", second.address)
+		// Both addresses are served for config_apply_ms and as long again.
+		time.Sleep(4 * time.Second)
+		first.server.Close()
+		c.record("the adviser at %s is gone", first.address)
+	}
+	if _, err := c.submit(c.entries[0], "/alpha/6c0e7a21d94b36f8", body); err != nil {
+		return err
+	}
+	// finish_s after the end of the traffic jobs are asked for.
+	time.Sleep(20 * time.Second)
+	_, text := c.call(c.entries[1], "GET", "/alpha/6c0e7a21d94b36f8", nil)
+	if len(c.eventsOf("6c0e7a21d94b36f8")) == 0 {
+		return errBroken{"LOST: a job that was accepted 20 s ago has never had anything running, all minions are idle, it is shown as " + text}
+	}
+	if !strings.Contains(text, "completed") {
+		return fmt.Errorf("the job after the change is answered %s", text)
+	}
+	return nil
+}
--- a/review/_cell/cell.go
+++ b/review/_cell/cell.go
@@ -24,9 +24,11 @@
 	trouble bool
 	began   time.Time
 	store   *store
-	minions []*minion
-	entries []*entry
-	client  *http.Client
+	// recommendation is the address of the adviser, empty if there is none.
+	recommendation string
+	minions        []*minion
+	entries        []*entry
+	client         *http.Client
 
 	mu  sync.Mutex
 	log *os.File
@@ -46,6 +48,7 @@
 type entry struct {
 	name, ip, settings string
 	frontend, ready    string
+	ports              []int
 	cmd                *exec.Cmd
 }
 
@@ -120,8 +123,8 @@
 		e.frontend = fmt.Sprintf("%s:%d", e.ip, ports[0])
 		e.ready = fmt.Sprintf("%s:%d", e.ip, ports[1])
 		e.settings = filepath.Join(temp, e.name+".toml")
-		text := fmt.Sprintf(settingsText, e.name, e.ip, ports[2], ports[2], e.frontend, e.ready, fmt.Sprintf("%s:%d", e.ip, ports[3]), c.statusSeconds(), c.store.address)
-		if err := os.WriteFile(e.settings, []byte(text), 0o600); err != nil {
+		e.ports = ports
+		if err := c.writeSettings(e); err != nil {
 			return err
 		}
 		c.entries = append(c.entries, e)
@@ -129,6 +132,13 @@
 	return nil
 }
 
+// writeSettings writes the settings file of an entry host.
+func (c *cell) writeSettings(e *entry) error {
+	text := fmt.Sprintf(settingsText, e.name, e.ip, e.ports[2], e.ports[2], c.recommendation, e.frontend, e.ready,
+		fmt.Sprintf("%s:%d", e.ip, e.ports[3]), cpuFraction(), c.statusSeconds(), c.store.address)
+	return os.WriteFile(e.settings, []byte(text), 0o600)
+}
+
 // settingsText has the fields and figures of DEPLOY.md.
 const settingsText = `node_name = %q
 role = "entry"
@@ -145,6 +155,7 @@
 heartbeat_ms = 1500
 policies = ["base","drain","config","cost","recover","sched","platform","advice","upkeep","sharing"]
 control_mode = "rpc"
+recommendation = %q
 [zones]
 z1 = "r1"
 [bind_addresses]
@@ -152,7 +163,7 @@
 readiness = %q
 control_plane = %q
 [limits]
-cpu_fraction = 0.4
+cpu_fraction = %s
 cpu_cores = 1
 memory_mb = 284
 max_fds = 4100
@@ -196,6 +207,14 @@
 ttl_min_ms = 1000
 `
 
+// cpuFraction is the share of a core of an entry host.
+func cpuFraction() string {
+	if text := os.Getenv("CPU"); text != "" {
+		return text
+	}
+	return "0.4"
+}
+
 // statusSeconds returns for how long the states of ended jobs are kept.
 func (c *cell) statusSeconds() int {
 	if s, err := strconv.Atoi(os.Getenv("STATUS")); err == nil {
--- a/review/_cell/main.go
+++ b/review/_cell/main.go
@@ -17,6 +17,7 @@
 var cases = map[string]func(*cell) error{
 	"route":   caseRoute,
 	"crashes": caseCrashes,
+	"adviser": caseAdviser,
 	"soak":    caseSoak,
 }
 
--- a/review/_cell/minion.go
+++ b/review/_cell/minion.go
@@ -16,6 +16,8 @@
 const (
 	specLasting = "lasting"
 	specTimed   = "run "
+	// specAdvised stands in the text if the queue has a recommendation: a start needs a ticket.
+	specAdvised = "advised"
 )
 
 // holdLimit is hold_limit_ms of the settings, and stopTime is how long a stop takes.
@@ -165,6 +167,7 @@
 	Attempt      int64  `json:"attempt"`
 	Spec         string `json:"spec"`
 	DeadlineMS   int64  `json:"deadline_ms"`
+	Ticket       string `json:"ticket"`
 	Token        int64  `json:"fencing_token"`
 	AckedThrough int64  `json:"acked_through"`
 	WaitMS       int64  `json:"wait_ms"`
@@ -272,10 +275,14 @@
 	case !time.Now().Before(m.born.Add(time.Duration(o.DeadlineMS) * time.Millisecond)):
 		m.answer(w, http.StatusConflict, "late")
 		return
+	case strings.Contains(o.Spec, specAdvised) && o.Ticket != ticketFor(m.id):
+		m.answer(w, http.StatusConflict, "ticket")
+		return
 	}
 	run := &taskRun{task: o.Task, attempt: o.Attempt, began: time.Now()}
 	how := "done"
 	if text, timed := strings.CutPrefix(o.Spec, specTimed); timed {
+		text = strings.TrimSuffix(text, " "+specAdvised)
 		text, share, _ := strings.Cut(text, " fail ")
 		run.length, _ = time.ParseDuration(text)
 		if p, err := strconv.ParseFloat(share, 64); err == nil && rand.Float64() < p {
@@ -315,6 +322,7 @@
 // hold answers a renewal. It waits for an end if there is none to list.
 func (m *minion) hold(w http.ResponseWriter, o order, life int) {
 	for len(m.ended) > 0 && m.ended[0].number <= o.AckedThrough {
+		m.cell.ran(m.ended[0].task, m.ended[0].attempt, m.id, noted)
 		m.ended = m.ended[1:]
 	}
 	if len(m.ended) == 0 && o.WaitMS > 0 {
@@ -347,6 +355,9 @@
 	w.Write(data)
 }
 
+// noted is recorded for an end that is taken note of.
+const noted = "the end is taken note of"
+
 // discard is where the answer to an order goes that is carried out late.
 type discard struct{}
 
--- a/review/_cell/soak.go
+++ b/review/_cell/soak.go
@@ -23,7 +23,11 @@
 	rnd := rand.New(rand.NewPCG(uint64(num("SEED", 1)), 7))
 	faults := os.Getenv("FAULTS")
 	for i := range num("MINIONS", 10) {
-		m, err := newMinion(c, fmt.Sprintf("desk-%d", i+1), "desk", fmt.Sprintf("r1-%d", i/5+1), "ab"[i%2:i%2+1], 16000)
+		kind := "ab"[i%2 : i%2+1]
+		if i < num("RARE", 0) {
+			kind = "c"
+		}
+		m, err := newMinion(c, fmt.Sprintf("desk-%d", i+1), "desk", fmt.Sprintf("r1-%d", i/5+1), kind, 16000)
 		if err != nil {
 			return err
 		}
@@ -151,6 +155,9 @@
 			body["copies"] = true
 		case 2:
 			phase["requirements"] = "b"
+			if os.Getenv("RARE") != "" {
+				phase["requirements"] = "c"
+			}
 		case 3:
 			phase["anti_affinity"] = 1
 		}
