review: after the adviser's address changes with SIGHUP, accepted jobs never start (case 8)

Cause: reload() in cmd/galenacove/host.go does not take over the address of the adviser (nor that of the store) from the settings file. Done: a script with three entries, an adviser that moves, and SIGHUP as the sites dose it; review/_cell has an adviser, minions that keep their ids, a soak.

--- a/review/_cell/cases.go
+++ b/review/_cell/cases.go
@@ -184,7 +184,10 @@
 	return nil
 }
 
-// caseAdviser moves the adviser: the settings files name another address, and all entries get
+// hupGap is gap_s of hup.
+const hupGap = 1670 * time.Millisecond
+
+// caseAdviser moves the adviser: the settings files name another address, and the entries get
 // SIGHUP.
 func caseAdviser(c *cell) error {
 	for i := range 6 {
@@ -206,7 +209,7 @@
 	if err := c.store.put("op", "config", config(3, []string{"desk"}, queue)); err != nil {
 		return err
 	}
-	if err := c.addEntries(2); err != nil {
+	if err := c.addEntries(3); err != nil {
 		return err
 	}
 	for _, e := range c.entries {
@@ -235,11 +238,16 @@
 			if err := c.writeSettings(e); err != nil {
 				return err
 			}
+		}
+		c.record("the settings files name the adviser at %s", second.address)
+		// Two of the three entries get SIGHUP, and the third one by a second entry of that kind.
+		for i, e := range c.entries {
 			if err := e.cmd.Process.Signal(syscall.SIGHUP); err != nil {
 				return err
 			}
+			c.record("%s gets SIGHUP", e.name)
+			time.Sleep([]time.Duration{hupGap, 4 * time.Second, 0}[i])
 		}
-		c.record("the settings name the adviser at %s, all entries got SIGHUP", second.address)
 		// Both addresses are served for config_apply_ms and as long again.
 		time.Sleep(4 * time.Second)
 		first.server.Close()
--- a/review/_cell/cell.go
+++ b/review/_cell/cell.go
@@ -22,8 +22,10 @@
 type cell struct {
 	dir     string
 	trouble bool
-	began   time.Time
-	store   *store
+	// reborn is set if minions start again under their ids, as demands/LATER.md says.
+	reborn bool
+	began  time.Time
+	store  *store
 	// recommendation is the address of the adviser, empty if there is none.
 	recommendation string
 	minions        []*minion
@@ -60,6 +62,7 @@
 	c := &cell{
 		dir:     dir,
 		trouble: os.Getenv("TROUBLE") != "0",
+		reborn:  os.Getenv("REBORN") != "",
 		began:   time.Now(),
 		log:     logFile,
 		client:  &http.Client{Timeout: 3 * time.Second},
@@ -229,7 +232,12 @@
 	if err != nil {
 		return err
 	}
-	e.cmd = exec.Command("target/galenacove", "host")
+	program := "target/galenacove"
+	if other := os.Getenv("HOST_PROGRAM"); other != "" {
+		// Such as one built with the race detector.
+		program = other
+	}
+	e.cmd = exec.Command(program, "host")
 	e.cmd.Env = []string{"GALENACOVE_SETTINGS=" + e.settings, "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME")}
 	e.cmd.Stdout, e.cmd.Stderr = out, out
 	// The process ends with this one.
@@ -275,7 +283,14 @@
 func (c *cell) call(e *entry, method, path string, body any) (int, string) {
 	var reader io.Reader
 	if body != nil {
-		data, _ := json.Marshal(body)
+		sent := make(map[string]any)
+		for key, value := range body.(map[string]any) {
+			switch key {
+			case "spec", "phases", "start_at_ms", "interval_ms", "repetitions":
+				sent[key] = value
+			}
+		}
+		data, _ := json.Marshal(sent)
 		reader = bytes.NewReader(data)
 	}
 	req, err := http.NewRequest(method, "http://"+e.frontend+path, reader)
--- a/review/_cell/minion.go
+++ b/review/_cell/minion.go
@@ -71,6 +71,8 @@
 	task    string
 	attempt int64
 	how     string
+	// lapsed is set if the minion's lease was over at a time since the end.
+	lapsed bool
 }
 
 func newMinion(c *cell, name, service, rack, kind string, cpu int) (*minion, error) {
@@ -90,7 +92,9 @@
 	m.mu.Lock()
 	m.life++
 	m.alive = true
-	m.id = fmt.Sprintf("i-%08x", rand.Uint32())
+	if m.id == "" || !m.cell.reborn {
+		m.id = fmt.Sprintf("i-%08x", rand.Uint32())
+	}
 	m.born = time.Now()
 	m.seq, m.token, m.number = 0, 0, 0
 	m.runs = make(map[string]*taskRun)
@@ -124,6 +128,9 @@
 	time.Sleep(pause)
 	// An entry is removed after three heartbeat intervals of silence.
 	go func() {
+		if m.cell.reborn {
+			return
+		}
 		time.Sleep(3*heartbeat - pause)
 		m.cell.store.put("servers", id, nil)
 	}()
@@ -156,6 +163,9 @@
 		"free_capacity": map[string]any{"cpu": m.cpu, "mem_mb": 65536, "gpu": 0},
 		"labels":        []string{m.kind, m.rack},
 	}
+	if m.cell.reborn {
+		entry["born"] = m.born.UnixMilli()
+	}
 	m.mu.Unlock()
 	if alive {
 		m.cell.store.put("servers", id, entry)
@@ -187,12 +197,17 @@
 		m.mu.Lock()
 		panic(http.ErrAbortHandler)
 	}
-	if m.lateShare > 0 && rand.Float64() < m.lateShare && (r.URL.Path == "/-/run-start" || r.URL.Path == "/-/run-stop") {
+	if m.lateShare > 0 && rand.Float64() < m.lateShare && (r.URL.Path == "/-/run-start" || r.URL.Path == "/-/run-stop" || m.cell.reborn && r.URL.Path == "/-/hold") {
 		m.mu.Unlock()
 		late := 2*time.Second + rand.N(8*time.Second)
+		o.WaitMS = 0
 		time.Sleep(late)
 		m.mu.Lock()
 		w = discard{}
+		if m.cell.reborn && m.life != life {
+			m.cell.record("the next life of %s gets the order", m.id)
+			life = m.life
+		}
 		m.cell.record("late by %v: %s %s/%d token %d", late, r.URL.Path, o.Task, o.Attempt, o.Token)
 	}
 	if !m.alive || m.life != life {
@@ -258,6 +273,9 @@
 	if time.Now().Before(m.lease) {
 		return
 	}
+	for i := range m.ended {
+		m.ended[i].lapsed = true
+	}
 	for _, run := range m.runs {
 		m.endLocked(run, "lapsed")
 	}
@@ -313,7 +331,7 @@
 	delete(m.runs, run.task)
 	m.highest[run.task] = max(m.highest[run.task], run.attempt)
 	m.number++
-	m.ended = append(m.ended, endedRun{m.number, run.task, run.attempt, how})
+	m.ended = append(m.ended, endedRun{number: m.number, task: run.task, attempt: run.attempt, how: how})
 	m.cell.ran(run.task, run.attempt, m.id, how)
 	close(m.changed)
 	m.changed = make(chan struct{})
@@ -322,7 +340,9 @@
 // hold answers a renewal. It waits for an end if there is none to list.
 func (m *minion) hold(w http.ResponseWriter, o order, life int) {
 	for len(m.ended) > 0 && m.ended[0].number <= o.AckedThrough {
-		m.cell.ran(m.ended[0].task, m.ended[0].attempt, m.id, noted)
+		if !m.ended[0].lapsed {
+			m.cell.ran(m.ended[0].task, m.ended[0].attempt, m.id, noted)
+		}
 		m.ended = m.ended[1:]
 	}
 	if len(m.ended) == 0 && o.WaitMS > 0 {
@@ -351,11 +371,15 @@
 	for _, e := range m.ended[:min(len(m.ended), 500)] {
 		finished = append(finished, []any{e.number, e.task, e.attempt, e.how, ""})
 	}
-	data, _ := json.Marshal(map[string]any{"time_ms": time.Since(m.born).Milliseconds(), "active": active, "finished": finished})
+	body := map[string]any{"time_ms": time.Since(m.born).Milliseconds(), "active": active, "finished": finished}
+	if m.cell.reborn {
+		body["born"] = m.born.UnixMilli()
+	}
+	data, _ := json.Marshal(body)
 	w.Write(data)
 }
 
-// noted is recorded for an end that is taken note of.
+// noted is recorded for an end that is taken note of: the minion's lease has not lapsed meanwhile.
 const noted = "the end is taken note of"
 
 // discard is where the answer to an order goes that is carried out late.
--- a/review/_cell/soak.go
+++ b/review/_cell/soak.go
@@ -63,8 +63,9 @@
 			id := fmt.Sprintf("%016x", rnd.Uint64())
 			body := randomJob(rnd)
 			group.Add(1)
-			e := c.entries[rnd.IntN(len(c.entries))]
+			first := c.entries[rnd.IntN(len(c.entries))]
 			go func() {
+				e := first
 				defer group.Done()
 				for try := range 8 {
 					status, _ := c.call(e, "POST", "/alpha/"+id, body)
@@ -73,6 +74,19 @@
 						jobs[id] = body
 						order = append(order, id)
 						mu.Unlock()
+						if wait, cancels := body["cancel"].(time.Duration); cancels {
+							time.Sleep(wait)
+							for range 8 {
+								e = c.entries[rand.IntN(len(c.entries))]
+								if status, _ := c.call(e, "DELETE", "/alpha/"+id, nil); status/100 == 2 {
+									mu.Lock()
+									body["cancelled"] = time.Now()
+									mu.Unlock()
+									break
+								}
+								time.Sleep(500 * time.Millisecond)
+							}
+						}
 						return
 					}
 					time.Sleep(time.Second)
@@ -86,7 +100,7 @@
 		group.Add(1)
 		go func() {
 			defer group.Done()
-			c.disturb(rnd, faults, end)
+			c.disturb(rand.New(rand.NewPCG(uint64(num("SEED", 1)), 8)), faults, end)
 		}()
 	}
 	group.Wait()
@@ -114,6 +128,11 @@
 			case strings.Contains(text, "failed"):
 				broken = append(broken, "failed? "+id)
 				jobs[id]["ended"] = true
+			case strings.Contains(text, "canceled"):
+				if jobs[id]["cancelled"] == nil {
+					broken = append(broken, "LOST canceled "+id)
+				}
+				jobs[id]["ended"] = true
 			case strings.Contains(text, "completed"):
 				if missing := c.missing(id, jobs[id]); missing != "" {
 					broken = append(broken, "MIXED "+missing)
@@ -131,6 +150,13 @@
 		if text := twice(c.eventsOf(id)); text != "" && jobs[id]["copies"] == nil {
 			broken = append(broken, text)
 		}
+		if at, cancelled := jobs[id]["cancelled"].(time.Time); cancelled {
+			for _, e := range c.eventsOf(id) {
+				if strings.HasPrefix(e.what, "starts") && e.at.Sub(at) > 6*time.Second {
+					broken = append(broken, fmt.Sprintf("UNASKED %s starts %v after its cancelling", e.task, e.at.Sub(at)))
+				}
+			}
+		}
 		if text := c.early(id, jobs[id]); text != "" {
 			broken = append(broken, text)
 		}
@@ -164,6 +190,18 @@
 		phases = append(phases, phase)
 	}
 	body["phases"] = phases
+	if os.Getenv("CANCEL") != "" && rnd.IntN(3) == 0 {
+		body["cancel"] = time.Duration(rnd.IntN(4000)) * time.Millisecond
+		if rnd.IntN(2) == 0 {
+			body["spec"] = specLasting
+			phase := phases[0].(map[string]any)
+			phase["long_running"] = true
+			delete(phase, "speculative")
+			delete(body, "copies")
+			body["phases"] = phases[:1]
+			return body
+		}
+	}
 	if rnd.IntN(10) < 7 {
 		body["start_at_ms"] = time.Now().Add(time.Duration(rnd.IntN(5000)-1000) * time.Millisecond).UnixMilli()
 		body["interval_ms"] = 100 + rnd.IntN(1500)
