review: tasks that are done start again when a new owner's first report lists 500 ends (case 6)

Cause: Scheduler.Report takes the first report of a worker as complete for the recovery, also if it lists the maximum of 500 ends and leaves out more. Done: a script that kills one of three entries while two minions of 64 cores end 640 small tasks each; stand-in minions take 64 connections as the sheets say.

--- a/review/_cell/cases.go
+++ b/review/_cell/cases.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"os"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -267,3 +269,93 @@
 	}
 	return nil
 }
+
+// caseEnds kills the entry that owns the jobs while many small tasks end, so that a minion has
+// more ends to list than it returns at a time.
+func caseEnds(c *cell) error {
+	for i := range 2 {
+		m, err := newMinion(c, fmt.Sprintf("desk-%d", i+1), "desk", "r1-1", "a", 64000)
+		if err != nil {
+			return err
+		}
+		c.minions = append(c.minions, m)
+	}
+	if err := c.store.put("op", "config", config(3, []string{"desk"}, route("r-a", "/alpha/", "desk", 3))); err != nil {
+		return err
+	}
+	if err := c.addEntries(3); err != nil {
+		return err
+	}
+	for _, e := range c.entries {
+		if err := c.start(e); err != nil {
+			return err
+		}
+	}
+	if err := c.awaitReady(); err != nil {
+		return err
+	}
+	time.Sleep(2 * time.Second)
+	const jobs, tasks, runTime = 40, 32, 3 * time.Second
+	began := time.Now()
+	var group sync.WaitGroup
+	for i := range jobs {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			body := map[string]any{"spec": specTimed + runTime.String(), "phases": []any{map[string]any{"task_count": tasks, "cpu": 100, "mem_mb": 32, "estimate_ms": runTime.Milliseconds()}}}
+			c.submit(c.entries[i%len(c.entries)], jobPath(i), body)
+		}()
+		time.Sleep(25 * time.Millisecond)
+	}
+	group.Wait()
+	before := 200 * time.Millisecond
+	if d, err := time.ParseDuration(os.Getenv("KILL_BEFORE")); err == nil {
+		before = d
+	}
+	time.Sleep(time.Until(began.Add(runTime - before)))
+	if c.trouble {
+		owner := c.owner()
+		if owner == nil {
+			return fmt.Errorf("no entry owns the jobs")
+		}
+		c.record("%s, which gives the orders, is killed", owner.name)
+		owner.cmd.Process.Kill()
+		owner.cmd.Wait()
+		time.Sleep(500 * time.Millisecond)
+		if err := c.start(owner); err != nil {
+			return err
+		}
+	}
+	time.Sleep(15 * time.Second)
+	var broken []string
+	count := 0
+	for i := range jobs {
+		id := strings.TrimPrefix(jobPath(i), "/alpha/")
+		status, text := c.call(c.entries[i%len(c.entries)], "GET", jobPath(i), nil)
+		if status != 200 || !strings.Contains(text, "completed") {
+			return fmt.Errorf("the job %s is answered %d %s", id, status, text)
+		}
+		for task, events := range byTask(c.eventsOf(id)) {
+			if text := twice(events); text != "" {
+				count++
+				broken = append(broken, text)
+				c.record("%s: %s", task, text)
+			}
+		}
+	}
+	if count > 0 {
+		return errBroken{fmt.Sprintf("%d of %d tasks, such as %s", count, jobs*tasks, broken[0])}
+	}
+	return nil
+}
+
+func jobPath(i int) string { return fmt.Sprintf("/alpha/5c0e7a21d94b%04x", i) }
+
+// byTask divides events by their tasks.
+func byTask(events []event) map[string][]event {
+	of := make(map[string][]event)
+	for _, e := range events {
+		of[e.task] = append(of[e.task], e)
+	}
+	return of
+}
--- a/review/_cell/cell.go
+++ b/review/_cell/cell.go
@@ -323,3 +323,25 @@
 	}
 	return time.Time{}, fmt.Errorf("the job %s was not accepted", path)
 }
+
+// owner returns the entry that has taken over a partition last, by the entries' logs.
+func (c *cell) owner() *entry {
+	var owner *entry
+	latest := ""
+	for _, e := range c.entries {
+		data, err := os.ReadFile(strings.TrimSuffix(e.settings, ".toml") + ".log")
+		if err != nil {
+			continue
+		}
+		for line := range strings.Lines(string(data)) {
+			var entry struct{ Message, Time string }
+			if !strings.Contains(line, "took over the partition") || json.Unmarshal([]byte(line), &entry) != nil {
+				continue
+			}
+			if entry.Time >= latest {
+				owner, latest = e, entry.Time
+			}
+		}
+	}
+	return owner
+}
--- a/review/_cell/main.go
+++ b/review/_cell/main.go
@@ -18,6 +18,7 @@
 	"route":   caseRoute,
 	"crashes": caseCrashes,
 	"adviser": caseAdviser,
+	"ends":    caseEnds,
 	"soak":    caseSoak,
 }
 
--- a/review/_cell/minion.go
+++ b/review/_cell/minion.go
@@ -102,7 +102,10 @@
 	m.ended = nil
 	m.changed = make(chan struct{})
 	id, life := m.id, m.life
-	m.server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { m.serve(w, r, life) })}
+	m.server = &http.Server{
+		Handler:   http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { m.serve(w, r, life) }),
+		ConnState: limitConnections(),
+	}
 	server := m.server
 	m.mu.Unlock()
 	m.cell.record("minion %s of %s starts as %s", m.name, m.service, id)
@@ -144,6 +147,29 @@
 	}
 }
 
+// maxConnections is how many connections a minion takes, by the sheets of the sites.
+const maxConnections = 64
+
+// limitConnections closes the connections beyond maxConnections.
+func limitConnections() func(net.Conn, http.ConnState) {
+	var mu sync.Mutex
+	open := make(map[net.Conn]bool)
+	return func(conn net.Conn, state http.ConnState) {
+		mu.Lock()
+		defer mu.Unlock()
+		switch state {
+		case http.StateNew:
+			if len(open) >= maxConnections {
+				conn.Close()
+				return
+			}
+			open[conn] = true
+		case http.StateClosed, http.StateHijacked:
+			delete(open, conn)
+		}
+	}
+}
+
 const heartbeat = 1500 * time.Millisecond
 
 func (m *minion) beat() {
