--- a/review/_cell/main.go
+++ b/review/_cell/main.go
@@ -16,7 +16,7 @@
 
 var cases = map[string]func(*cell) error{
 	"route":   caseRoute,
-	"crashes": caseCrashes,
+	"former":  caseFormerLife,
 	"adviser": caseAdviser,
 	"ends":    caseEnds,
 	"soak":    caseSoak,
--- a/review/_cell/minion.go
+++ b/review/_cell/minion.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -40,6 +41,10 @@
 	cutUntil time.Time
 	// lateShare is the share of the orders that get no answer and are carried out late.
 	lateShare float64
+	// choose tells of an order whether it is left without an answer and carried out late. The orders
+	// wait in late until their time comes, or until the next life begins.
+	choose func(o order, path string) bool
+	late   []lateOrder
 	// life counts the lives. alive is false between a crash and the next start.
 	life  int
 	alive bool
@@ -58,6 +63,28 @@
 	changed chan struct{}
 }
 
+// lateOrder is an order that got no answer.
+type lateOrder struct {
+	order
+	path string
+	at   time.Time
+}
+
+// minLate is the shortest time by which an order is carried out late (fleetbench kinds).
+const minLate = 2 * time.Second
+
+// carryOutLate carries out the orders that are late enough. The caller holds mu.
+func (m *minion) carryOutLate() {
+	m.late = slices.DeleteFunc(m.late, func(l lateOrder) bool {
+		if time.Since(l.at) < minLate {
+			return false
+		}
+		m.cell.record("%s carries out %v late: %s %s/%d token %d", m.id, time.Since(l.at), l.path, l.Task, l.Attempt, l.Token)
+		m.obey(discard{}, l.order, l.path, m.life)
+		return true
+	})
+}
+
 type taskRun struct {
 	task    string
 	attempt int64
@@ -109,6 +136,9 @@
 	server := m.server
 	m.mu.Unlock()
 	m.cell.record("minion %s of %s starts as %s", m.name, m.service, id)
+	m.mu.Lock()
+	m.carryOutLate()
+	m.mu.Unlock()
 	go server.Serve(listener)
 	m.register()
 }
@@ -117,6 +147,10 @@
 // begins after the pause at the same address.
 func (m *minion) crash(pause time.Duration) {
 	m.mu.Lock()
+	if !m.alive {
+		m.mu.Unlock()
+		return
+	}
 	server, id := m.server, m.id
 	m.alive = false
 	var lost []string
@@ -128,15 +162,15 @@
 	m.mu.Unlock()
 	server.Close()
 	m.cell.record("minion %s (%s) crashes with %s", m.name, id, strings.Join(lost, " "))
-	time.Sleep(pause)
 	// An entry is removed after three heartbeat intervals of silence.
 	go func() {
 		if m.cell.reborn {
 			return
 		}
-		time.Sleep(3*heartbeat - pause)
+		time.Sleep(3 * heartbeat)
 		m.cell.store.put("servers", id, nil)
 	}()
+	time.Sleep(pause)
 	for {
 		listener, err := net.Listen("tcp", m.address)
 		if err == nil {
@@ -223,6 +257,14 @@
 		m.mu.Lock()
 		panic(http.ErrAbortHandler)
 	}
+	if m.choose != nil && m.choose(o, r.URL.Path) {
+		m.late = append(m.late, lateOrder{order: o, path: r.URL.Path, at: time.Now()})
+		m.cell.record("%s leaves an order without an answer: %s %s/%d", m.id, r.URL.Path, o.Task, o.Attempt)
+		m.mu.Unlock()
+		<-r.Context().Done()
+		m.mu.Lock()
+		panic(http.ErrAbortHandler)
+	}
 	if m.lateShare > 0 && rand.Float64() < m.lateShare && (r.URL.Path == "/-/run-start" || r.URL.Path == "/-/run-stop" || m.cell.reborn && r.URL.Path == "/-/hold") {
 		m.mu.Unlock()
 		late := 2*time.Second + rand.N(8*time.Second)
@@ -243,6 +285,11 @@
 		m.answer(w, http.StatusMisdirectedRequest, "")
 		return
 	}
+	m.obey(w, o, r.URL.Path, life)
+}
+
+// obey carries out an order. The caller holds mu.
+func (m *minion) obey(w http.ResponseWriter, o order, path string, life int) {
 	if o.Token < m.token {
 		m.answer(w, http.StatusConflict, "fence")
 		return
@@ -250,7 +297,7 @@
 	m.token = o.Token
 	m.lapse()
 	m.extend(o.DeadlineMS)
-	switch r.URL.Path {
+	switch path {
 	case "/-/run-start":
 		m.startRun(w, o)
 	case "/-/run-stop":
