--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -118,6 +118,7 @@
 	configRead, peersRead         chan struct{}
 	configAnswered, peersAnswered sync.Once
 	feedMetrics                   *feedMetrics
+	ownerMetrics                  *ownerMetrics
 	// restoration ends the pauses of the feeds when the store answers again.
 	restoration restoration
 	// storeSilent is whether the last probe found the store silent. It is used by
@@ -163,9 +164,10 @@
 	assigned      map[int]bool
 	assignedUntil time.Time
 	// owners holds the addresses of the owners of all partitions, as they were read
-	// at ownersReadAt.
+	// at ownersReadAt. ownersError is the error of the last read, which may be a later one.
 	owners       map[int]string
 	ownersReadAt time.Time
+	ownersError  error
 	// peers holds what the entries, including this one, have published about
 	// themselves, by name.
 	peers map[string]peer
@@ -211,6 +213,7 @@
 		configRead:          make(chan struct{}),
 		peersRead:           make(chan struct{}),
 		feedMetrics:         newFeedMetrics(),
+		ownerMetrics:        newOwnerMetrics(),
 	}
 	c.startedAt = c.settings.clock.Now()
 	c.settings.workers = workers
@@ -240,6 +243,7 @@
 	c.registry.MustRegister(c.store.collectors()...)
 	c.registry.MustRegister(c.evidenceKeeper.collectors()...)
 	c.registry.MustRegister(c.feedMetrics.collectors()...)
+	c.registry.MustRegister(c.ownerMetrics.collectors()...)
 	return c
 }
 
--- a/coordinator/jobs.go
+++ b/coordinator/jobs.go
@@ -272,7 +272,7 @@
 // to that of a failed one.
 func callOwner[Reply any](ctx context.Context, c *Coordinator, partition int, local func(context.Context, *conductor.Conductor) (Reply, error), method string, args any) (Reply, error) {
 	err := errNotOwner
-	var asked []string
+	var tries []ownerTry
 	for try := range 2 {
 		if own := c.localOwner(partition); own != nil {
 			return local(ctx, own)
@@ -281,16 +281,22 @@
 		if !found || address == c.settings.peerAddress {
 			continue
 		}
-		asked = append(asked, address)
+		began := c.settings.clock.Now()
 		reply := new(Reply)
 		callCtx, cancel := context.WithTimeout(ctx, peerTimeout)
 		err = c.pool.Call(callCtx, address, rpcName+"."+method, args, reply)
 		cancel()
+		c.ownerMetrics.recordCall(method, err)
 		if err == nil {
 			return *reply, nil
 		}
+		tries = append(tries, ownerTry{
+			address: address,
+			took:    c.settings.clock.Now().Sub(began),
+			err:     err,
+		})
 	}
-	c.logUnreached(partition, asked, err)
+	c.logUnreached(ctx, partition, tries, err)
 	var none Reply
 	return none, err
 }
@@ -301,16 +307,33 @@
 
 // logUnreached logs which entries were asked as the owner of a partition, at most once per
 // unreachedLineInterval.
-func (c *Coordinator) logUnreached(partition int, asked []string, err error) {
-	omitted, allowed := c.unreachedLines.allow(unreachedLineInterval, c.settings.clock.Now())
+func (c *Coordinator) logUnreached(ctx context.Context, partition int, tries []ownerTry, err error) {
+	now := c.settings.clock.Now()
+	omitted, allowed := c.unreachedLines.allow(unreachedLineInterval, now)
 	if !allowed {
 		return
 	}
-	c.settings.logger.WithError(err).WithFields(log.Fields{
-		"partition": partition,
-		"asked":     strings.Join(asked, " "),
-		"omitted":   omitted,
-	}).Warn("coordinator: no entry answered as the owner of a partition")
+	asked, tried := make([]string, len(tries)), make([]string, len(tries))
+	for i, try := range tries {
+		asked[i], tried[i] = try.address, try.String()
+	}
+	c.mu.Lock()
+	age, readErr := now.Sub(c.ownersReadAt), c.ownersError
+	c.mu.Unlock()
+	entry := c.settings.logger.WithError(err).WithFields(log.Fields{
+		"partition":   partition,
+		"asked":       strings.Join(asked, " "),
+		"tried":       strings.Join(tried, "; "),
+		"ownersAgeMs": age.Milliseconds(),
+		"omitted":     omitted,
+	})
+	if readErr != nil {
+		entry = entry.WithField("ownersError", readErr.Error())
+	}
+	if deadline, limited := ctx.Deadline(); limited {
+		entry = entry.WithField("leftMs", deadline.Sub(now).Milliseconds())
+	}
+	entry.Warn("coordinator: no entry answered as the owner of a partition")
 }
 
 func (c *Coordinator) localOwner(partition int) *conductor.Conductor {
--- a/coordinator/membership.go
+++ b/coordinator/membership.go
@@ -366,11 +366,12 @@
 		return address, found
 	}
 	owners, err := c.store.Owners(ctx, groupName)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ownersError = err
 	if err != nil {
 		return address, found
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.ownersReadAt = c.settings.clock.Now()
 	c.setOwners(owners)
 	address, found = c.owners[partition]
