--- /dev/null
+++ b/coordinator/formerowner_test.go
@@ -0,0 +1,120 @@
+package coordinator
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/galenacove/galenacove/receiver"
+	"github.com/galenacove/galenacove/scheduler"
+	"github.com/galenacove/galenacove/sizer"
+)
+
+// modelQueryTimeout is how long the receiver lets a caller wait for a state.
+const modelQueryTimeout = 1200 * time.Millisecond
+
+// ownedSite is a model of four entries that all know the owner of a job's partition.
+type ownedSite struct {
+	*site
+	job receiver.JobRef
+	// owner is the entry that owned the partition at first.
+	owner *siteEntry
+}
+
+func newOwnedSite(c *qt.C) *ownedSite {
+	s := &ownedSite{
+		site: newSite(c, 5),
+		job: receiver.JobRef{
+			ID: "00000000000000aa",
+			Queue: scheduler.Queue{
+				Name:    "checks",
+				Service: modelService,
+			},
+		},
+	}
+	s.configure(1)
+	ctx, cancel := context.WithCancel(context.Background())
+	var reports errgroup.Group
+	reports.Go(func() error { return s.report(ctx) })
+	for i := range 4 {
+		s.addEntry(i, time.Millisecond)
+	}
+	c.Cleanup(func() {
+		cancel()
+		s.stop()
+		c.Assert(reports.Wait(), qt.IsNil)
+	})
+	time.Sleep(5 * time.Second)
+	c.Assert(s.entries[0].coordinator.Submit(ctx, scheduler.Job{
+		ID:       s.job.ID,
+		Queue:    s.job.Queue,
+		Accepted: time.Now(),
+		Phases: []scheduler.Phase{{
+			Tasks:    1,
+			Size:     sizer.New(1000, 1<<30, 0),
+			Estimate: time.Second,
+		}},
+	}), qt.IsNil)
+	for _, e := range s.entries {
+		c.Assert(s.askState(e), qt.IsNil)
+	}
+	s.owner = s.ownerNow()
+	c.Assert(s.owner, qt.IsNotNil)
+	return s
+}
+
+// askState asks an entry for the state of the job, as the receiver does.
+func (s *ownedSite) askState(e *siteEntry) error {
+	ctx, cancel := context.WithTimeout(context.Background(), modelQueryTimeout)
+	defer cancel()
+	_, err := e.coordinator.State(ctx, s.job)
+	return err
+}
+
+// ownerNow returns the entry that owns the job's partition and is not cut off, or nil.
+func (s *ownedSite) ownerNow() *siteEntry {
+	for _, e := range s.entries {
+		partition, known := e.coordinator.shards.partitionOfJob(s.job.Queue.Service, s.job.ID)
+		if known && e.coordinator.localOwner(partition) != nil && !e.store.cutOff.Load() {
+			return e
+		}
+	}
+	return nil
+}
+
+// losesOwner has the owner of the job vanish: its peers, the store and it do not reach each other any
+// more, and calls to it have no answer. It returns once another entry knows the job as its owner.
+func (s *ownedSite) losesOwner() {
+	s.owner.store.silent.Store(true)
+	s.cutOff([]*siteEntry{s.owner}, true)
+	for next := s.ownerNow(); next == nil || s.askState(next) != nil; next = s.ownerNow() {
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// TestStateIsAskedOfTheNextOwner guards against an accepted job of which an entry shows no state for good, as it goes
+// on asking an owner that is gone without a reset (issue 78).
+func TestStateIsAskedOfTheNextOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := newOwnedSite(c)
+		s.losesOwner()
+		for _, e := range s.entries {
+			if e == s.owner {
+				continue
+			}
+			err := s.askState(e)
+			for range 2 {
+				if err != nil {
+					time.Sleep(time.Second)
+					err = s.askState(e)
+				}
+			}
+			c.Check(err, qt.IsNil, qt.Commentf("%s, asked three times", e.coordinator.settings.name))
+		}
+	})
+}
--- a/coordinator/manyentries_test.go
+++ b/coordinator/manyentries_test.go
@@ -70,6 +70,8 @@
 		err = target.Evidence(args.(EvidenceArgs), reply.(*EvidenceReply))
 	case rpcName + ".QueueHistory":
 		err = target.QueueHistory(struct{}{}, reply.(*QueueHistoryReply))
+	case rpcName + ".State":
+		err = target.State(args.(StateArgs), reply.(*StateReply))
 	case rpcName + ".Append":
 		err = target.Append(args.(AppendArgs), reply.(*AppendReply))
 	case rpcName + ".Room":
