--- a/coordinator/admission.go
+++ b/coordinator/admission.go
@@ -69,7 +69,15 @@
 		SpecBytes: len(job.Spec),
 	}
 	args.Job.Spec = ""
-	reply, err := c.askOwner(ctx, args)
+	reply, err := callOwner(ctx, c, ownerCall[AdmitReply]{
+		partition: partition,
+		method:    "Admit",
+		args:      args,
+		local: func(ctx context.Context, own *conductor.Conductor) (AdmitReply, error) {
+			return askAdmission(ctx, own, args), nil
+		},
+		once: true,
+	})
 	if err != nil {
 		// An owner of an older release does not know the call.
 		c.settings.logger.WithError(err).WithField("id", job.ID).Debug("coordinator: job accepted without an answer of its owner")
@@ -84,30 +92,6 @@
 	}
 }
 
-// askOwner asks the owner of the partition, in this process or another entry. If that
-// entry fails within the time of the context, it asks once more, after reading the
-// owners again.
-func (c *Coordinator) askOwner(ctx context.Context, args AdmitArgs) (AdmitReply, error) {
-	err := errNotOwner
-	for try := range 2 {
-		if own := c.localOwner(args.Partition); own != nil {
-			return askAdmission(ctx, own, args), nil
-		}
-		address, found := c.ownerOf(ctx, args.Partition, try > 0)
-		if !found || address == c.settings.peerAddress {
-			continue
-		}
-		var reply AdmitReply
-		if err = c.pool.Call(ctx, address, rpcName+".Admit", args, &reply); err == nil {
-			return reply, nil
-		}
-		if ctx.Err() != nil {
-			break
-		}
-	}
-	return AdmitReply{}, err
-}
-
 // jobPart returns an upper bound of the fraction of an organisation's jobs that the
 // partition gets. The jobs of a service are spread over its partitions by their
 // identities. A partition that holds shards of several services gets at most the
--- a/coordinator/admitting_test.go
+++ b/coordinator/admitting_test.go
@@ -24,15 +24,17 @@
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, gone.Close(), qt.IsNil)
 	c := &Coordinator{
-		settings: newSettings([]Option{Clock(timekeeper.System())}),
-		pool:     messenger.NewPool(),
-		store:    newWatchedStore(storer.NewMemory(timekeeper.System()), timekeeper.System()),
-		owners: map[int]string{
-			0: silent.Addr().String(),
-			1: gone.Addr().String(),
-		},
-		ownersReadAt: time.Now().Add(time.Hour),
+		settings:     newSettings([]Option{Clock(timekeeper.System())}),
+		pool:         messenger.NewPool(),
+		store:        newWatchedStore(storer.NewMemory(timekeeper.System()), timekeeper.System()),
+		ownerMetrics: newOwnerMetrics(),
 	}
+	c.owners = newOwnerTable(c.store, c.settings.clock)
+	c.owners.addresses = map[int]string{
+		0: silent.Addr().String(),
+		1: gone.Addr().String(),
+	}
+	c.owners.readAt = time.Now().Add(time.Hour)
 	defer c.pool.Close()
 	for partition := range 2 {
 		qt.Check(t, c.admit(context.Background(), partition, scheduler.Job{
--- a/coordinator/allotments.go
+++ b/coordinator/allotments.go
@@ -5,11 +5,8 @@
 	"encoding/json"
 	"slices"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/galenacove/galenacove/allotter"
 	"github.com/galenacove/galenacove/conductor"
-	"github.com/galenacove/galenacove/messenger"
 	"github.com/galenacove/galenacove/storer"
 )
 
@@ -114,44 +111,18 @@
 
 // askAllotment asks the owner of a partition for parts of allotments.
 func (c *Coordinator) askAllotment(ctx context.Context, partition int, request allotter.Request) (allotter.Reply, error) {
-	reply, err := askOwner(ctx, c, partition, "Allot", AllotArgs{
-		Partition: partition,
-		Request:   request,
-	}, func(own *conductor.Conductor) (AllotReply, error) {
-		reply, err := own.Allot(ctx, request)
-		return AllotReply{
-			Reply: reply,
-		}, err
+	reply, err := callOwner(ctx, c, ownerCall[AllotReply]{
+		partition: partition,
+		method:    "Allot",
+		args: AllotArgs{
+			Partition: partition,
+			Request:   request,
+		},
+		local: func(ctx context.Context, own *conductor.Conductor) (reply AllotReply, err error) {
+			reply.Reply, err = own.Allot(ctx, request)
+			return reply, err
+		},
+		once: true,
 	})
 	return reply.Reply, err
 }
-
-// askOwner calls a method of the owner of a partition, which is local if this process is the
-// owner. Each call has a reply of its own, as one that is not waited for any more may still be
-// written to.
-func askOwner[Reply any](ctx context.Context, c *Coordinator, partition int, method string, args any, local func(*conductor.Conductor) (Reply, error)) (Reply, error) {
-	err := errNotOwner
-	for try := range 2 {
-		if own := c.localOwner(partition); own != nil {
-			return local(own)
-		}
-		address, found := c.ownerOf(ctx, partition, try > 0)
-		if !found || address == c.settings.peerAddress {
-			continue
-		}
-		var reply Reply
-		callCtx, cancel := context.WithTimeout(ctx, peerTimeout)
-		err = c.pool.Call(callCtx, address, rpcName+"."+method, args, &reply)
-		cancel()
-		if err == nil {
-			return reply, nil
-		}
-		if errors.Is(err, messenger.ErrUnknown) {
-			// The owner may be gone. The next call is made to the owner of then.
-			c.ownerOf(ctx, partition, true)
-			break
-		}
-	}
-	var none Reply
-	return none, err
-}
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -103,6 +103,7 @@
 	// evidenceKeeper knows how recently the configuration is known to have been the
 	// newest.
 	evidenceKeeper *evidenceKeeper
+	owners         *ownerTable
 	shards         *shards
 	queueHistory   *queueHistory
 	registry       *prometheus.Registry
@@ -163,11 +164,6 @@
 	// which there was one.
 	assigned      map[int]bool
 	assignedUntil time.Time
-	// owners holds the addresses of the owners of all partitions, as they were read
-	// at ownersReadAt. ownersError is the error of the last read, which may be a later one.
-	owners       map[int]string
-	ownersReadAt time.Time
-	ownersError  error
 	// peers holds what the entries, including this one, have published about
 	// themselves, by name.
 	peers map[string]peer
@@ -203,7 +199,6 @@
 		registry:     prometheus.NewRegistry(),
 		metrics:      conductor.NewMetrics(),
 		owned:        make(map[int]*ownership),
-		owners:       make(map[int]string),
 		peers:        make(map[string]peer),
 		joinRequests: make(chan struct{}, 1),
 
@@ -218,6 +213,7 @@
 	c.startedAt = c.settings.clock.Now()
 	c.settings.workers = workers
 	c.store = newWatchedStore(store, c.settings.clock)
+	c.owners = newOwnerTable(c.store, c.settings.clock)
 	c.shards = newShards(c.settings.shardSize, c.settings.partitions)
 	c.queueHistory = newQueueHistory()
 	c.submitBatcher = newSubmitBatcher(c.store)
--- a/coordinator/delegations.go
+++ b/coordinator/delegations.go
@@ -56,14 +56,18 @@
 
 // callDelegate calls the owner of another partition about jobs of a partition of this entry.
 func (c *Coordinator) callDelegate(ctx context.Context, partition int, request scheduler.DelegationRequest) (scheduler.DelegationReply, error) {
-	reply, err := askOwner(ctx, c, partition, "Delegate", DelegateArgs{
-		Partition: partition,
-		Request:   request,
-	}, func(own *conductor.Conductor) (DelegateReply, error) {
-		served, err := own.ServeHome(request)
-		return DelegateReply{
-			Reply: served,
-		}, err
+	reply, err := callOwner(ctx, c, ownerCall[DelegateReply]{
+		partition: partition,
+		method:    "Delegate",
+		args: DelegateArgs{
+			Partition: partition,
+			Request:   request,
+		},
+		local: func(_ context.Context, own *conductor.Conductor) (reply DelegateReply, err error) {
+			reply.Reply, err = own.ServeHome(request)
+			return reply, err
+		},
+		once: true,
 	})
 	return reply.Reply, err
 }
@@ -93,14 +97,18 @@
 
 // askRoom asks the owner of another partition for the room of its workers.
 func (c *Coordinator) askRoom(ctx context.Context, partition int, queries []scheduler.RoomQuery) ([]scheduler.Room, error) {
-	reply, err := askOwner(ctx, c, partition, "Room", RoomArgs{
-		Partition: partition,
-		Queries:   queries,
-	}, func(own *conductor.Conductor) (RoomReply, error) {
-		rooms, err := own.Room(queries)
-		return RoomReply{
-			Rooms: rooms,
-		}, err
+	reply, err := callOwner(ctx, c, ownerCall[RoomReply]{
+		partition: partition,
+		method:    "Room",
+		args: RoomArgs{
+			Partition: partition,
+			Queries:   queries,
+		},
+		local: func(_ context.Context, own *conductor.Conductor) (reply RoomReply, err error) {
+			reply.Rooms, err = own.Room(queries)
+			return reply, err
+		},
+		once: true,
 	})
 	return reply.Rooms, err
 }
--- a/coordinator/jobs.go
+++ b/coordinator/jobs.go
@@ -3,10 +3,8 @@
 import (
 	"context"
 	"fmt"
-	"strings"
 	"time"
 
-	"github.com/apex/log"
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
@@ -157,7 +155,7 @@
 // can take, while the owner combines them into one. done is false if this entry
 // has to store the record itself.
 func (c *Coordinator) appendAtOwner(ctx context.Context, partition int, record storer.Record) (done bool, err error) {
-	address, found := c.ownerOf(ctx, partition, false)
+	address, found := c.owners.find(ctx, partition)
 	if !found || address == c.settings.peerAddress {
 		return false, nil
 	}
@@ -169,6 +167,7 @@
 		Partition: partition,
 		Record:    record,
 	}, &reply)
+	c.owners.recordCall(ctx, address, err)
 	switch {
 	case err == nil && reply.Unknown, errors.Is(err, messenger.ErrUnknown):
 		return true, fmt.Errorf("%w: %w", storer.ErrUnknown, errors.New("coordinator: the owner does not know whether the store took the job"))
@@ -225,9 +224,14 @@
 		ID:           job.ID,
 		Organisation: job.Organisation,
 	}
-	return callOwner(ctx, c, partition, func(ctx context.Context, own *conductor.Conductor) (StateReply, error) {
-		return stateAt(ctx, own, args)
-	}, "State", args)
+	return callOwner(ctx, c, ownerCall[StateReply]{
+		partition: partition,
+		method:    "State",
+		args:      args,
+		local: func(ctx context.Context, own *conductor.Conductor) (StateReply, error) {
+			return stateAt(ctx, own, args)
+		},
+	})
 }
 
 // WaitingJobs implements receiver.Jobs.
@@ -237,10 +241,15 @@
 	group, ctx := errgroup.WithContext(ctx)
 	for i, args := range queries {
 		group.Go(func() error {
-			reply, err := callOwner(ctx, c, args.Partition, func(_ context.Context, own *conductor.Conductor) (reply WaitingReply, err error) {
-				reply.Jobs, err = own.WaitingJobs(args.Queue)
-				return reply, err
-			}, "Waiting", args)
+			reply, err := callOwner(ctx, c, ownerCall[WaitingReply]{
+				partition: args.Partition,
+				method:    "Waiting",
+				args:      args,
+				local: func(_ context.Context, own *conductor.Conductor) (reply WaitingReply, err error) {
+					reply.Jobs, err = own.WaitingJobs(args.Queue)
+					return reply, err
+				},
+			})
 			counts[i] = reply.Jobs
 			return err
 		})
@@ -262,80 +271,6 @@
 // answered this entry lately.
 var errStoreSilent = errors.New("coordinator: the store has not answered lately")
 
-// errNotOwner is returned by an entry that does not own the partition.
-var errNotOwner = errors.New("coordinator: the partition is owned by another entry")
-
-// callOwner asks the owner of a partition: it calls local if the owner is in this
-// process, else the method of the entry that owns the partition. If the call to
-// that entry fails or the owner is unknown, it tries once more, after reading the
-// owners again. Each try has a reply of its own, as a late answer may still be written
-// to that of a failed one.
-func callOwner[Reply any](ctx context.Context, c *Coordinator, partition int, local func(context.Context, *conductor.Conductor) (Reply, error), method string, args any) (Reply, error) {
-	err := errNotOwner
-	var tries []ownerTry
-	for try := range 2 {
-		if own := c.localOwner(partition); own != nil {
-			return local(ctx, own)
-		}
-		address, found := c.ownerOf(ctx, partition, try > 0)
-		if !found || address == c.settings.peerAddress {
-			continue
-		}
-		began := c.settings.clock.Now()
-		reply := new(Reply)
-		callCtx, cancel := context.WithTimeout(ctx, peerTimeout)
-		err = c.pool.Call(callCtx, address, rpcName+"."+method, args, reply)
-		cancel()
-		c.ownerMetrics.recordCall(method, err)
-		if err == nil {
-			return *reply, nil
-		}
-		tries = append(tries, ownerTry{
-			address: address,
-			took:    c.settings.clock.Now().Sub(began),
-			err:     err,
-		})
-	}
-	c.logUnreached(ctx, partition, tries, err)
-	var none Reply
-	return none, err
-}
-
-// unreachedLineInterval is the shortest time between two log lines on owners that were not
-// reached.
-const unreachedLineInterval = time.Second
-
-// logUnreached logs which entries were asked as the owner of a partition, at most once per
-// unreachedLineInterval.
-func (c *Coordinator) logUnreached(ctx context.Context, partition int, tries []ownerTry, err error) {
-	now := c.settings.clock.Now()
-	omitted, allowed := c.unreachedLines.allow(unreachedLineInterval, now)
-	if !allowed {
-		return
-	}
-	asked, tried := make([]string, len(tries)), make([]string, len(tries))
-	for i, try := range tries {
-		asked[i], tried[i] = try.address, try.String()
-	}
-	c.mu.Lock()
-	age, readErr := now.Sub(c.ownersReadAt), c.ownersError
-	c.mu.Unlock()
-	entry := c.settings.logger.WithError(err).WithFields(log.Fields{
-		"partition":   partition,
-		"asked":       strings.Join(asked, " "),
-		"tried":       strings.Join(tried, "; "),
-		"ownersAgeMs": age.Milliseconds(),
-		"omitted":     omitted,
-	})
-	if readErr != nil {
-		entry = entry.WithField("ownersError", readErr.Error())
-	}
-	if deadline, limited := ctx.Deadline(); limited {
-		entry = entry.WithField("leftMs", deadline.Sub(now).Milliseconds())
-	}
-	entry.Warn("coordinator: no entry answered as the owner of a partition")
-}
-
 func (c *Coordinator) localOwner(partition int) *conductor.Conductor {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/coordinator/locating.go
+++ b/coordinator/locating.go
@@ -13,6 +13,9 @@
 	"github.com/galenacove/galenacove/scheduler"
 )
 
+// locateTimeout bounds the search for a job: the calls to an owner that is gone and to the next one.
+const locateTimeout = ownerTries * peerTimeout
+
 // location tells what the owners of the partitions that may hold a job know of it.
 type location struct {
 	// partition is that of the job if it is found. Otherwise it is the one in which jobs of the queue are stored
@@ -30,27 +33,39 @@
 	found := location{
 		partition: partition,
 	}
-	askCtx, cancel := context.WithTimeout(ctx, peerTimeout)
-	found.reply, found.err = c.askState(askCtx, partition, job)
-	cancel()
+	ctx, cancel := context.WithTimeout(ctx, locateTimeout)
+	defer cancel()
+	former := c.formerPartitions(job, time.Time{})
+	found.reply, found.err = c.askPresent(ctx, partition, job, len(former) > 0)
 	others := c.shards.partitionsOfID(job.ID)
 	switch {
 	case found.err == nil && (found.reply.Found || found.reply.Foreign):
 		return found
 	case found.err != nil:
 		found.unanswered = []int{partition}
-		others = c.formerPartitions(job, time.Time{})
+		others = former
 	}
 	c.locateIn(ctx, slices.DeleteFunc(others, func(other int) bool { return other == partition }), job, &found)
 	return found
 }
 
+// askPresent asks the owner of the partition in which jobs of the queue are stored now. If others may have to be asked
+// after it, it leaves them half of the context's time.
+func (c *Coordinator) askPresent(ctx context.Context, partition int, job receiver.JobRef, hasFormer bool) (StateReply, error) {
+	if deadline, limited := ctx.Deadline(); limited && hasFormer {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, deadline.Sub(c.settings.clock.Now())/2)
+		defer cancel()
+	}
+	return c.askState(ctx, partition, job)
+}
+
 // locateIn asks the owners of the partitions for the job at once.
 func (c *Coordinator) locateIn(ctx context.Context, partitions []int, job receiver.JobRef, found *location) {
 	if len(partitions) == 0 {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	ctx, cancel := context.WithTimeout(ctx, locateTimeout)
 	defer cancel()
 	var mu sync.Mutex
 	var group errgroup.Group
--- a/coordinator/membership.go
+++ b/coordinator/membership.go
@@ -14,9 +14,6 @@
 	"github.com/galenacove/galenacove/storer"
 )
 
-// minOwnersAge is the minimum time between two reads of the owners.
-const minOwnersAge = 150 * time.Millisecond
-
 const (
 	// maxNotifiedPeers bounds the number of entries that are notified of a change:
 	// about as many as there are partitions.
@@ -353,38 +350,3 @@
 		c.renewMember()
 	}
 }
-
-// ownerOf returns the address of the entry that owns a partition. If the owner is
-// unknown, or fresh is set, it reads the owners first, unless they were read less
-// than minOwnersAge ago.
-func (c *Coordinator) ownerOf(ctx context.Context, partition int, fresh bool) (string, bool) {
-	c.mu.Lock()
-	address, found := c.owners[partition]
-	age := c.settings.clock.Now().Sub(c.ownersReadAt)
-	c.mu.Unlock()
-	if found && !fresh || age < minOwnersAge {
-		return address, found
-	}
-	owners, err := c.store.Owners(ctx, groupName)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.ownersError = err
-	if err != nil {
-		return address, found
-	}
-	c.ownersReadAt = c.settings.clock.Now()
-	c.setOwners(owners)
-	address, found = c.owners[partition]
-	return address, found
-}
-
-// setOwners replaces the known owners. The caller holds mu.
-func (c *Coordinator) setOwners(owners []storer.Ownership) {
-	clear(c.owners)
-	for _, owner := range owners {
-		address, _, found := strings.Cut(owner.Member, "/")
-		if found && owner.Partition.Topic == conductor.JobsTopic {
-			c.owners[owner.Partition.Number] = address
-		}
-	}
-}
--- a/coordinator/usage.go
+++ b/coordinator/usage.go
@@ -87,15 +87,18 @@
 	ctx, cancel := context.WithTimeout(ctx, useTimeout)
 	defer cancel()
 	askedAt := c.settings.clock.Now()
-	var reply UseReply
-	err := errNotOwner
-	if own := c.localOwner(partition); own != nil {
-		reply.Services, err = own.Use()
-	} else if address, found := c.ownerOf(ctx, partition, false); found && address != c.settings.peerAddress {
-		err = c.pool.Call(ctx, address, rpcName+".Use", UseArgs{
+	reply, err := callOwner(ctx, c, ownerCall[UseReply]{
+		partition: partition,
+		method:    "Use",
+		args: UseArgs{
 			Partition: partition,
-		}, &reply)
-	}
+		},
+		local: func(_ context.Context, own *conductor.Conductor) (reply UseReply, err error) {
+			reply.Services, err = own.Use()
+			return reply, err
+		},
+		once: true,
+	})
 	if err != nil {
 		c.settings.logger.WithError(err).WithField("partition", partition).Debug("coordinator: the use of organisations at another owner is not known")
 		return
