--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -238,3 +238,30 @@
 	c.Assert(pool.Call(ctx, address, "Test.Echo", "anew", &reply), qt.IsNil)
 	c.Assert(reply, qt.Equals, "anew")
 }
+
+// TestCallWithoutTimeIsNotMade guards against a call that is sent after its time is over, whose outcome is reported as
+// unknown, and that counts as a timeout of a sound connection (issue 78).
+func TestCallWithoutTimeIsNotMade(t *testing.T) {
+	c := qt.New(t)
+	server := serve(c, "127.0.0.1:0", "s")
+	pool := newPool(c, "s")
+	_, err := call(pool, server.address, "Echo", "hello")
+	c.Assert(err, qt.IsNil)
+	var group errgroup.Group
+	group.Go(func() error {
+		_, err := call(pool, server.address, "Hang", "x")
+		return err
+	})
+	<-server.echoer.entered
+	for range 20 {
+		ctx, cancel := context.WithTimeout(context.Background(), 0)
+		var reply string
+		err := pool.Call(ctx, server.address, "Test.Echo", "late", &reply)
+		cancel()
+		c.Check(err, qt.ErrorIs, messenger.ErrUnreachable)
+		c.Check(reply, qt.Equals, "")
+	}
+	server.echoer.release <- struct{}{}
+	// The connection of the call that was under way is still there.
+	c.Assert(group.Wait(), qt.IsNil)
+}
--- a/messenger/pool.go
+++ b/messenger/pool.go
@@ -62,6 +62,9 @@
 	if err != nil {
 		return err
 	}
+	if err := ctx.Err(); err != nil {
+		return errors.WithStack(fmt.Errorf("%w: %s at %s: %w", ErrUnreachable, method, address, err))
+	}
 	call := target.client.Go(method, args, reply, make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
