--- a/coordinator/formerowner_test.go
+++ b/coordinator/formerowner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -118,3 +119,30 @@
 		}
 	})
 }
+
+// TestSlowStoreTakesJobsBesideAGoneOwner guards against jobs whose outcome is unknown for as long as the store is slow, as
+// each one is handed to an owner that is gone (issue 78).
+func TestSlowStoreTakesJobsBesideAGoneOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := newOwnedSite(c)
+		owners, err := s.store.Owners(context.Background(), groupName)
+		c.Assert(err, qt.IsNil)
+		// The store has not noticed.
+		s.store.mu.Lock()
+		s.store.staleOwners = owners
+		s.store.mu.Unlock()
+		s.owner.store.silent.Store(true)
+		s.cutOff([]*siteEntry{s.owner}, true)
+		for i, e := range s.entries {
+			if e == s.owner {
+				continue
+			}
+			for n := range 3 {
+				e.coordinator.store.recordPeerReport(true)
+				got := s.submitTo(e, fmt.Sprintf("job-%d-%d", i, n))
+				c.Check(n > 0 && got.err != nil, qt.IsFalse, qt.Commentf("entry %d, job %d: %v after %v", i, n, got.err, got.took))
+			}
+		}
+	})
+}
--- a/coordinator/jobs.go
+++ b/coordinator/jobs.go
@@ -156,7 +156,7 @@
 // has to store the record itself.
 func (c *Coordinator) appendAtOwner(ctx context.Context, partition int, record storer.Record) (done bool, err error) {
 	address, found := c.owners.find(ctx, partition)
-	if !found || address == c.settings.peerAddress {
+	if !found || address == c.settings.peerAddress || c.owners.isDoubtful(address) {
 		return false, nil
 	}
 	began := c.settings.clock.Now()
@@ -167,7 +167,10 @@
 		Partition: partition,
 		Record:    record,
 	}, &reply)
-	c.owners.recordCall(ctx, address, err)
+	if !errors.Is(err, messenger.ErrRefused) {
+		// An owner whose append failed is there.
+		c.owners.recordCall(ctx, address, err)
+	}
 	switch {
 	case err == nil && reply.Unknown, errors.Is(err, messenger.ErrUnknown):
 		return true, fmt.Errorf("%w: %w", storer.ErrUnknown, errors.New("coordinator: the owner does not know whether the store took the job"))
--- a/coordinator/owners.go
+++ b/coordinator/owners.go
@@ -83,6 +83,14 @@
 	return address, address != "" && !t.doubtful[address]
 }
 
+// isDoubtful reports whether the owner with the address did not answer its last call.
+func (t *ownerTable) isDoubtful(address string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.doubtful[address]
+}
+
+// read reads the owners, unless they were read less than minOwnersAge ago.
 func (t *ownerTable) read(ctx context.Context) error {
 	t.mu.Lock()
 	age := t.clock.Now().Sub(t.readAt)
