--- a/coordinator/formerowner_test.go
+++ b/coordinator/formerowner_test.go
@@ -146,3 +146,52 @@
 		}
 	})
 }
+
+// TestFormerOwnerDoesNotAnswerForTheNext guards against states and numbers of waiting jobs that an entry takes, for good,
+// from a former owner that the store does not answer any more (issue 78).
+func TestFormerOwnerDoesNotAnswerForTheNext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := newOwnedSite(c)
+		s.owner.store.silent.Store(true)
+		s.owner.store.cutOff.Store(true)
+		for next := s.ownerNow(); next == nil || s.askState(next) != nil; next = s.ownerNow() {
+			time.Sleep(10 * time.Millisecond)
+		}
+		// Only the next owner reads of the cancellation.
+		c.Assert(s.ownerNow().coordinator.Cancel(context.Background(), s.job), qt.IsNil)
+		time.Sleep(time.Second)
+		for _, e := range s.entries {
+			if e == s.owner {
+				continue
+			}
+			ctx, cancel := context.WithTimeout(context.Background(), modelQueryTimeout)
+			state, err := e.coordinator.State(ctx, s.job)
+			c.Check(err, qt.IsNil)
+			c.Check(state, qt.Equals, scheduler.Cancelled, qt.Commentf(e.coordinator.settings.name))
+			waiting, err := e.coordinator.WaitingJobs(ctx, s.job.Queue)
+			c.Check(err, qt.IsNil)
+			c.Check(waiting, qt.Equals, 0, qt.Commentf(e.coordinator.settings.name))
+			cancel()
+		}
+	})
+}
+
+// TestFormerOwnerAnswersWithoutAStore guards against states that are not shown, or shown late, while the store answers
+// nobody, as all owners may have a successor (issue 78).
+func TestFormerOwnerAnswersWithoutAStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := newOwnedSite(c)
+		for _, e := range s.entries {
+			e.store.silent.Store(true)
+		}
+		s.store.setDown(true)
+		time.Sleep(3 * time.Second)
+		for _, e := range s.entries {
+			began := time.Now()
+			c.Check(s.askState(e), qt.IsNil, qt.Commentf(e.coordinator.settings.name))
+			c.Check(time.Since(began) < 100*time.Millisecond, qt.IsTrue, qt.Commentf("shown after %v", time.Since(began)))
+		}
+	})
+}
--- a/coordinator/jobs.go
+++ b/coordinator/jobs.go
@@ -234,6 +234,7 @@
 		local: func(ctx context.Context, own *conductor.Conductor) (StateReply, error) {
 			return stateAt(ctx, own, args)
 		},
+		unconfirmed: func(reply StateReply) bool { return reply.Unconfirmed },
 	})
 }
 
@@ -252,6 +253,7 @@
 					reply.Jobs, err = own.WaitingJobs(args.Queue)
 					return reply, err
 				},
+				unconfirmed: func(reply WaitingReply) bool { return reply.Unconfirmed },
 			})
 			counts[i] = reply.Jobs
 			return err
--- a/coordinator/manyentries_test.go
+++ b/coordinator/manyentries_test.go
@@ -72,6 +72,8 @@
 		err = target.QueueHistory(struct{}{}, reply.(*QueueHistoryReply))
 	case rpcName + ".State":
 		err = target.State(args.(StateArgs), reply.(*StateReply))
+	case rpcName + ".Waiting":
+		err = target.Waiting(args.(WaitingArgs), reply.(*WaitingReply))
 	case rpcName + ".Append":
 		err = target.Append(args.(AppendArgs), reply.(*AppendReply))
 	case rpcName + ".Room":
--- a/coordinator/owners.go
+++ b/coordinator/owners.go
@@ -121,6 +121,13 @@
 	return nil
 }
 
+// doubt marks an owner as doubtful.
+func (t *ownerTable) doubt(address string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.doubtful[address] = true
+}
+
 // recordCall records the outcome of a call to an owner. A call that the caller cancelled tells nothing.
 func (t *ownerTable) recordCall(ctx context.Context, address string, err error) {
 	t.mu.Lock()
@@ -142,6 +149,9 @@
 	local func(context.Context, *conductor.Conductor) (Reply, error)
 	// once is set if a call whose outcome is unknown is not repeated.
 	once bool
+	// unconfirmed reports whether a reply is of an entry that may have a successor, which is asked instead if the
+	// store names one. It may be nil.
+	unconfirmed func(Reply) bool
 }
 
 // callOwner makes a call to the owner of a partition, in this process or another entry. If the owner is unknown
@@ -151,6 +161,9 @@
 func callOwner[Reply any](ctx context.Context, c *Coordinator, call ownerCall[Reply]) (Reply, error) {
 	err := errNotOwner
 	var tries []ownerTry
+	// unconfirmed is the reply of an owner that may have a successor, and unconfirmedBy its address.
+	var unconfirmed *Reply
+	var unconfirmedBy string
 	for try := range ownerTries {
 		if own := c.localOwner(call.partition); own != nil {
 			return call.local(ctx, own)
@@ -162,6 +175,9 @@
 		if !found || address == c.settings.peerAddress {
 			continue
 		}
+		if address == unconfirmedBy {
+			break
+		}
 		limit := peerTimeout
 		if deadline, limited := ctx.Deadline(); limited && !call.once {
 			limit = min(limit, deadline.Sub(c.settings.clock.Now())/time.Duration(ownerTries-try))
@@ -173,7 +189,12 @@
 		cancel()
 		c.ownerMetrics.recordCall(call.method, err)
 		c.owners.recordCall(ctx, address, err)
-		if err == nil {
+		switch {
+		case err == nil && call.unconfirmed != nil && call.unconfirmed(*reply) && c.store.serves():
+			c.owners.doubt(address)
+			unconfirmed, unconfirmedBy = reply, address
+			continue
+		case err == nil:
 			return *reply, nil
 		}
 		tries = append(tries, ownerTry{
@@ -185,6 +206,9 @@
 			break
 		}
 	}
+	if unconfirmed != nil {
+		return *unconfirmed, nil
+	}
 	c.logUnreached(ctx, call.partition, call.method, tries, err)
 	var none Reply
 	return none, err
--- a/coordinator/rpc.go
+++ b/coordinator/rpc.go
@@ -41,6 +41,9 @@
 	// Queue is the name of the queue for which the job was accepted, if it is found. Owners of older
 	// releases do not set it.
 	Queue string
+	// Unconfirmed reports that the store has not lately confirmed that the entry is the owner. Owners of older
+	// releases do not set it.
+	Unconfirmed bool
 }
 
 // State returns the state of a job in a partition that this entry owns.
@@ -53,6 +56,7 @@
 	defer cancel()
 	var err error
 	*reply, err = stateAt(ctx, own, args)
+	reply.Unconfirmed = !r.coordinator.isMember()
 	return err
 }
 
@@ -87,6 +91,8 @@
 // WaitingReply answers WaitingArgs.
 type WaitingReply struct {
 	Jobs int
+	// Unconfirmed is as in StateReply.
+	Unconfirmed bool
 }
 
 // Waiting counts the jobs of a queue that have not begun.
@@ -97,6 +103,7 @@
 	}
 	var err error
 	reply.Jobs, err = own.WaitingJobs(args.Queue)
+	reply.Unconfirmed = !r.coordinator.isMember()
 	return err
 }
 
