--- a/coordinator/formerowner_test.go
+++ b/coordinator/formerowner_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -195,3 +196,63 @@
 		}
 	})
 }
+
+// contactTime is how long a machine is undisturbed before the platform expects it to answer.
+const contactTime = 4 * time.Second
+
+// TestStatesAreShownAfterAnyLosses guards against an entry that shows no state of an accepted job although it and the
+// store have been undisturbed for contactTime, whatever was lost before: owners in series, for good or for a time, with
+// or without their links to peers, and the store (issue 78). Callers ask for states only.
+func TestStatesAreShownAfterAnyLosses(t *testing.T) {
+	for seed := range uint64(40) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				rng := rand.New(rand.NewPCG(seed, 78))
+				s := newOwnedSite(c)
+				gone := make(map[*siteEntry]bool)
+				for range 1 + rng.IntN(4) {
+					s.disturb(rng, gone)
+				}
+				time.Sleep(contactTime)
+				for _, e := range s.entries {
+					if !gone[e] {
+						c.Check(s.askState(e), qt.IsNil, qt.Commentf(e.coordinator.settings.name))
+					}
+				}
+			})
+		})
+	}
+}
+
+// disturb has the present owner or the store fail for some time, while random entries are asked for the state.
+// Up to two owners are gone for good.
+func (s *ownedSite) disturb(rng *rand.Rand, gone map[*siteEntry]bool) {
+	owner := s.ownerNow()
+	lasts := time.Duration(rng.IntN(5000)) * time.Millisecond
+	for _, e := range s.entries {
+		e.store.silent.Store(rng.IntN(2) == 0)
+	}
+	var end func()
+	switch kind := rng.IntN(4); {
+	case owner == nil || kind == 0:
+		s.store.setDown(true)
+		end = func() { s.store.setDown(false) }
+	case kind == 1:
+		owner.store.cutOff.Store(true)
+		end = func() { owner.store.cutOff.Store(false) }
+	case kind == 2 && len(gone) < 2:
+		gone[owner] = true
+		s.cutOff([]*siteEntry{owner}, true)
+		end = func() {}
+	default:
+		s.cutOff([]*siteEntry{owner}, true)
+		end = func() { s.cutOff([]*siteEntry{owner}, false) }
+	}
+	for until := time.Now().Add(lasts); time.Now().Before(until); time.Sleep(time.Duration(rng.IntN(900)) * time.Millisecond) {
+		// Refusals are allowed meanwhile.
+		_ = s.askState(s.entries[rng.IntN(len(s.entries))])
+	}
+	end()
+	time.Sleep(time.Duration(rng.IntN(2000)) * time.Millisecond)
+}
--- a/coordinator/owners.go
+++ b/coordinator/owners.go
@@ -172,7 +172,12 @@
 		if try > 0 && ctx.Err() != nil {
 			break
 		}
-		if !found || address == c.settings.peerAddress {
+		if address == c.settings.peerAddress {
+			// This process has lost the partition since the owners were read.
+			c.owners.doubt(address)
+			continue
+		}
+		if !found {
 			continue
 		}
 		if address == unconfirmedBy {
