--- a/storer/memory.go
+++ b/storer/memory.go
@@ -101,10 +101,10 @@
 	m.failure = err
 }
 
-// refusal returns the error of a call, nil if it is served. A call whose time is over is not served. The caller
-// holds mu.
+// refusal returns the error of a call, nil if it is served. A call whose time is over is not served. The
+// context may be nil. The caller holds mu.
 func (m *Memory) refusal(ctx context.Context) error {
-	if ctx.Err() != nil {
+	if ctx != nil && ctx.Err() != nil {
 		return ErrUnavailable
 	}
 	return m.failure
