--- a/coordinator/queuehistory_test.go
+++ b/coordinator/queuehistory_test.go
@@ -99,3 +99,45 @@
 	}
 	c.Assert(servicesOf(h, fmt.Sprintf("queue%d", 10*maxFormerQueues-1), testStart), qt.HasLen, maxFormerQueues)
 }
+
+// TestFormerServiceWithoutShardsIsNotAsked guards against a number of waiting jobs that is not answered, as the former
+// service of the queue never had shards and its base partition has no owner (issue 75).
+func TestFormerServiceWithoutShardsIsNotAsked(t *testing.T) {
+	c := qt.New(t)
+	coordinator := &Coordinator{
+		shards:       newShards(defaultShardSize, 12),
+		queueHistory: newQueueHistory(),
+	}
+	coordinator.shards.servicePartitions["desk"] = []int{3, 5}
+	queue := scheduler.Queue{
+		Name:    "alpha",
+		Service: "ghost",
+	}
+	config := receiver.Config{
+		Version: 1,
+		Routes: []receiver.Route{{
+			Prefix: "/alpha/",
+			Queue:  queue,
+		}},
+	}
+	now := time.Now()
+	coordinator.queueHistory.observe(config, now)
+	queue.Service = "desk"
+	config.Version = 2
+	config.Routes = []receiver.Route{{
+		Prefix: "/alpha/",
+		Queue:  queue,
+	}}
+	coordinator.queueHistory.observe(config, now)
+	c.Assert(coordinator.queueHistory.formerOf(queue, now), qt.HasLen, 1)
+	c.Assert(coordinator.waitingQueries(queue), qt.DeepEquals, []WaitingArgs{
+		{
+			Partition: 3,
+			Queue:     "alpha",
+		},
+		{
+			Partition: 5,
+			Queue:     "alpha",
+		},
+	})
+}
