--- a/coordinator/hanging_test.go
+++ b/coordinator/hanging_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/galenacove/galenacove/scheduler"
 )
 
 // hangingListener accepts the calls of other entries. While it hangs, its connections stay open and carry nothing,
@@ -111,3 +113,24 @@
 		cl.c.Check(status, qt.Equals, http.StatusOK, qt.Commentf("entry %d of the others, asked four times", i))
 	}
 }
+
+// TestStatesAreShownBesideAGoneOwner guards against accepted jobs that entries answer with 503 for good, as the owner is
+// gone without a reset and callers ask for states only (issue 78).
+func TestStatesAreShownBesideAGoneOwner(t *testing.T) {
+	cl := newCluster(t, 4)
+	cl.awaitShared()
+	cl.submit(cl.entries[0], "job", 1)
+	for _, e := range cl.entries {
+		cl.await(e, "job", scheduler.Completed)
+	}
+	for i, e := range cl.losesOwner(service, "/checks/job") {
+		status, _ := cl.call(http.MethodGet, e.callers+"/checks/job", nil)
+		for range 3 {
+			if status != http.StatusOK {
+				time.Sleep(time.Second)
+				status, _ = cl.call(http.MethodGet, e.callers+"/checks/job", nil)
+			}
+		}
+		cl.c.Check(status, qt.Equals, http.StatusOK, qt.Commentf("entry %d of the others, asked four times", i))
+	}
+}
