--- a/cmd/galenacove/host.go
+++ b/cmd/galenacove/host.go
@@ -131,7 +131,7 @@
 		}
 	}
 	client := platform.NewClient()
-	workersClient := platform.NewClient(platform.IdlePerAddress(platform.WorkerConnections))
+	workersClient := platform.NewClient(platform.ConnectionsPerAddress(platform.WorkerConnections))
 	adviser := platform.NewAdviser(client, settings.AdviserAddress())
 	store := platform.NewStore(client, settings.StoreAddress())
 	process := coordinator.New(store, platform.NewWorkers(workersClient), adviser.Advise, platform.Bodies{}, options...)
