--- a/coordinator/formerowner_test.go
+++ b/coordinator/formerowner_test.go
@@ -121,6 +121,34 @@
 	})
 }
 
+// TestImpatientCallersLearnOfTheNextOwner guards against states that callers which give up after 500 ms are never shown,
+// as each of them waits for the owner that is gone and its end shows nothing (issue 78).
+func TestImpatientCallersLearnOfTheNextOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := newOwnedSite(c)
+		s.losesOwner()
+		for _, e := range s.entries {
+			if e == s.owner {
+				continue
+			}
+			var err error
+			for range 20 {
+				ctx, cancel := context.WithCancel(context.Background())
+				timer := time.AfterFunc(500*time.Millisecond, cancel)
+				_, err = e.coordinator.State(ctx, s.job)
+				timer.Stop()
+				cancel()
+				if err == nil {
+					break
+				}
+				time.Sleep(300 * time.Millisecond)
+			}
+			c.Check(err, qt.IsNil, qt.Commentf("%s, asked 20 times", e.coordinator.settings.name))
+		}
+	})
+}
+
 // TestSlowStoreTakesJobsBesideAGoneOwner guards against jobs whose outcome is unknown for as long as the store is slow, as
 // each one is handed to an owner that is gone (issue 78).
 func TestSlowStoreTakesJobsBesideAGoneOwner(t *testing.T) {
--- a/coordinator/jobs.go
+++ b/coordinator/jobs.go
@@ -169,7 +169,7 @@
 	}, &reply)
 	if !errors.Is(err, messenger.ErrRefused) {
 		// An owner whose append failed is there.
-		c.owners.recordCall(ctx, address, err)
+		c.owners.recordCall(ctx, address, began, err)
 	}
 	switch {
 	case err == nil && reply.Unknown, errors.Is(err, messenger.ErrUnknown):
--- a/coordinator/owners.go
+++ b/coordinator/owners.go
@@ -22,6 +22,9 @@
 	minOwnersAge = 150 * time.Millisecond
 	// ownersTimeout bounds one read of the owners.
 	ownersTimeout = joinTimeout
+	// silentCallTime is how long a call that its caller cancelled must have gone without an answer to show that the
+	// owner does not answer. Owners answer most calls from memory.
+	silentCallTime = 150 * time.Millisecond
 	// ownerTries is how many calls are made to the owner of a partition until one is answered.
 	ownerTries = 2
 )
@@ -128,14 +131,15 @@
 	t.doubtful[address] = true
 }
 
-// recordCall records the outcome of a call to an owner. A call that the caller cancelled tells nothing.
-func (t *ownerTable) recordCall(ctx context.Context, address string, err error) {
+// recordCall records the outcome of a call to an owner that began at that time. A call that the caller cancelled
+// within silentCallTime tells nothing.
+func (t *ownerTable) recordCall(ctx context.Context, address string, began time.Time, err error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	switch {
 	case err == nil:
 		delete(t.doubtful, address)
-	case !errors.Is(ctx.Err(), context.Canceled):
+	case !errors.Is(ctx.Err(), context.Canceled), t.clock.Now().Sub(began) >= silentCallTime:
 		t.doubtful[address] = true
 	}
 }
@@ -193,7 +197,7 @@
 		err = c.pool.Call(callCtx, address, rpcName+"."+call.method, call.args, reply)
 		cancel()
 		c.ownerMetrics.recordCall(call.method, err)
-		c.owners.recordCall(ctx, address, err)
+		c.owners.recordCall(ctx, address, began, err)
 		switch {
 		case err == nil && call.unconfirmed != nil && call.unconfirmed(*reply) && c.store.serves():
 			c.owners.doubt(address)
