--- a/coordinator/owners.go
+++ b/coordinator/owners.go
@@ -42,6 +42,8 @@
 	// addresses holds the addresses of the owners as of readAt. It is never modified, only replaced.
 	addresses map[int]string
 	readAt    time.Time
+	// triedAt is the time at which the last read ended, answered or not.
+	triedAt time.Time
 	// readError is the error of the last read, nil if it was answered.
 	readError error
 	// doubtful holds the owners that did not answer their last call.
@@ -93,13 +95,20 @@
 	return t.doubtful[address]
 }
 
-// read reads the owners, unless they were read less than minOwnersAge ago.
+// read reads the owners, unless they were read less than minOwnersAge ago. If the store did not name them then, read
+// waits for the rest of that time.
 func (t *ownerTable) read(ctx context.Context) error {
 	t.mu.Lock()
-	age := t.clock.Now().Sub(t.readAt)
+	pause := minOwnersAge - t.clock.Now().Sub(t.triedAt)
+	failed := t.readError != nil
 	t.mu.Unlock()
-	if age < minOwnersAge {
-		return nil
+	if pause > 0 {
+		if !failed {
+			return nil
+		}
+		if err := timekeeper.Sleep(ctx, t.clock, pause); err != nil {
+			return err
+		}
 	}
 	ctx, cancel := context.WithTimeout(ctx, ownersTimeout)
 	defer cancel()
@@ -107,10 +116,11 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.readError = err
+	t.triedAt = t.clock.Now()
 	if err != nil {
 		return err
 	}
-	t.readAt = t.clock.Now()
+	t.readAt = t.triedAt
 	t.addresses = make(map[int]string)
 	named := make(map[string]bool)
 	for _, owner := range owners {
