--- a/coordinator/jobs.go
+++ b/coordinator/jobs.go
@@ -155,6 +155,9 @@
 // can take, while the owner combines them into one. done is false if this entry
 // has to store the record itself.
 func (c *Coordinator) appendAtOwner(ctx context.Context, partition int, record storer.Record) (done bool, err error) {
+	if c.localOwner(partition) != nil {
+		return false, nil
+	}
 	address, found := c.owners.find(ctx, partition)
 	if !found || address == c.settings.peerAddress || c.owners.isDoubtful(address) {
 		return false, nil
