--- a/coordinator/jobs.go
+++ b/coordinator/jobs.go
@@ -159,7 +159,7 @@
 		return false, nil
 	}
 	address, found := c.owners.find(ctx, partition)
-	if !found || address == c.settings.peerAddress || c.owners.isDoubtful(address) {
+	if !found || address == c.settings.peerAddress || c.owners.isSilent(address) {
 		return false, nil
 	}
 	began := c.settings.clock.Now()
--- a/coordinator/manyentries_test.go
+++ b/coordinator/manyentries_test.go
@@ -32,6 +32,37 @@
 	calls   int
 	// cutOff holds the addresses of the entries that only reach each other.
 	cutOff map[string]bool
+	// callsOf holds the calls of a method that each entry made, by its address.
+	callsOf map[modelMethod]modelCalls
+	// slowAppends is set while appends at other entries take longer than the calls last.
+	slowAppends bool
+}
+
+// modelMethod is a method that the entry with the address calls.
+type modelMethod struct {
+	caller, method string
+}
+
+// modelCalls counts calls. last is the address to which the last one was made.
+type modelCalls struct {
+	count int
+	last  string
+}
+
+// callsBy returns the calls that an entry has made.
+func (n *modelNetwork) callsBy(e *siteEntry, method string) modelCalls {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.callsOf[modelMethod{
+		caller: e.coordinator.settings.peerAddress,
+		method: rpcName + "." + method,
+	}]
+}
+
+func (n *modelNetwork) setSlowAppends(slow bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.slowAppends = slow
 }
 
 // modelCaller makes the calls of one entry.
@@ -45,8 +76,16 @@
 func (m modelCaller) Call(ctx context.Context, address, method string, args, reply any) error {
 	m.network.mu.Lock()
 	m.network.calls++
+	key := modelMethod{
+		caller: m.address,
+		method: method,
+	}
+	m.network.callsOf[key] = modelCalls{
+		count: m.network.callsOf[key].count + 1,
+		last:  address,
+	}
 	target := m.network.entries[address]
-	cut := m.network.cutOff[m.address] != m.network.cutOff[address]
+	cut := m.network.cutOff[m.address] != m.network.cutOff[address] || m.network.slowAppends && method == rpcName+".Append"
 	m.network.mu.Unlock()
 	if cut {
 		<-ctx.Done()
@@ -141,6 +180,7 @@
 		network: &modelNetwork{
 			entries: make(map[string]*rpc),
 			cutOff:  make(map[string]bool),
+			callsOf: make(map[modelMethod]modelCalls),
 		},
 		workers: workers,
 		fleet:   modelWorkers{},
--- a/coordinator/ownerappend_test.go
+++ b/coordinator/ownerappend_test.go
@@ -1,11 +1,15 @@
 package coordinator
 
 import (
+	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/galenacove/galenacove/messenger"
 )
 
 // TestSlowStoreTakesJobsOfTheNextOwner guards against a job of which the next owner does not know the outcome, as it hands
@@ -55,3 +59,29 @@
 		c.Check(reads <= 1, qt.IsTrue, qt.Commentf("%d reads of the owners for 5 jobs", reads))
 	})
 }
+
+// TestSlowStoreGetsAppendsOfAnUnconfirmedOwner guards against a slow store that gets the appends of all entries, one by
+// one, as its owner cannot confirm in time that it is the owner, or refuses another call (issue 78).
+func TestSlowStoreGetsAppendsOfAnUnconfirmedOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := newOwnedSite(c)
+		address := s.owner.coordinator.settings.peerAddress
+		for _, e := range s.entries {
+			if e == s.owner {
+				continue
+			}
+			for i, doubt := range []func(){
+				func() { e.coordinator.owners.doubt(address) },
+				func() {
+					e.coordinator.owners.recordCall(context.Background(), address, time.Now(), messenger.ErrRefused)
+				},
+			} {
+				doubt()
+				e.coordinator.store.recordPeerReport(true)
+				c.Check(s.submitTo(e, fmt.Sprintf("%s-%d", e.coordinator.settings.name, i)).err, qt.IsNil)
+				c.Check(s.network.callsBy(e, "Append").count, qt.Equals, i+1, qt.Commentf(e.coordinator.settings.name))
+			}
+		}
+	})
+}
--- a/coordinator/owners.go
+++ b/coordinator/owners.go
@@ -46,7 +46,8 @@
 	triedAt time.Time
 	// readError is the error of the last read, nil if it was answered.
 	readError error
-	// doubtful holds the owners that did not answer their last call.
+	// doubtful holds the owners that may have a successor, as they did not answer their last call, refused it or could
+	// not confirm that they are the owner. The value is whether they did not answer.
 	doubtful map[string]bool
 }
 
@@ -85,11 +86,12 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	address = t.addresses[partition]
-	return address, address != "" && !t.doubtful[address]
+	_, doubtful := t.doubtful[address]
+	return address, address != "" && !doubtful
 }
 
-// isDoubtful reports whether the owner with the address did not answer its last call.
-func (t *ownerTable) isDoubtful(address string) bool {
+// isSilent reports whether the owner with the address did not answer its last call.
+func (t *ownerTable) isSilent(address string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.doubtful[address]
@@ -134,11 +136,11 @@
 	return nil
 }
 
-// doubt marks an owner as doubtful.
+// doubt marks an owner that answered as doubtful.
 func (t *ownerTable) doubt(address string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.doubtful[address] = true
+	t.doubtful[address] = false
 }
 
 // recordCall records the outcome of a call to an owner that began at that time. A call that the caller cancelled
@@ -149,6 +151,8 @@
 	switch {
 	case err == nil:
 		delete(t.doubtful, address)
+	case errors.Is(err, messenger.ErrRefused):
+		t.doubtful[address] = false
 	case !errors.Is(ctx.Err(), context.Canceled), t.clock.Now().Sub(began) >= silentCallTime:
 		t.doubtful[address] = true
 	}
