--- a/coordinator/jobs.go
+++ b/coordinator/jobs.go
@@ -159,9 +159,16 @@
 		return false, nil
 	}
 	address, found := c.owners.find(ctx, partition)
-	if !found || address == c.settings.peerAddress || c.owners.isSilent(address) {
+	if !found || address == c.settings.peerAddress {
 		return false, nil
 	}
+	if c.owners.isSilent(address) {
+		// It may be gone, or only its append may have taken too long.
+		if !c.askAlive(ctx, address).Member {
+			return false, nil
+		}
+		c.owners.doubt(address)
+	}
 	began := c.settings.clock.Now()
 	callCtx, cancel := context.WithTimeout(ctx, ownerAppendTimeout)
 	defer cancel()
--- a/coordinator/ownerappend_test.go
+++ b/coordinator/ownerappend_test.go
@@ -85,3 +85,30 @@
 		}
 	})
 }
+
+// TestSlowOwnerGetsAppendsAgain guards against a slow store that gets the appends of all entries, one by one, for as long
+// as callers only hand in jobs, since an append at the owner once took too long (issue 78).
+func TestSlowOwnerGetsAppendsAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := newOwnedSite(c)
+		for _, e := range s.entries {
+			if e == s.owner {
+				continue
+			}
+			s.network.setSlowAppends(true)
+			e.coordinator.store.recordPeerReport(true)
+			got := s.submitTo(e, "first-"+e.coordinator.settings.name)
+			c.Check(got.err, qt.IsNotNil)
+			s.network.setSlowAppends(false)
+			before := s.network.callsBy(e, "Append").count
+			c.Check(before, qt.Equals, 1)
+			for range 20 {
+				time.Sleep(500 * time.Millisecond)
+				e.coordinator.store.recordPeerReport(true)
+				c.Check(s.submitTo(e, "later-"+e.coordinator.settings.name+time.Now().Format("150405.000")).err, qt.IsNil)
+			}
+			c.Check(s.network.callsBy(e, "Append").count > before, qt.IsTrue, qt.Commentf("%s: none of 20 jobs in 10 s handed to the owner", e.coordinator.settings.name))
+		}
+	})
+}
