--- a/coordinator/admission.go
+++ b/coordinator/admission.go
@@ -29,6 +29,8 @@
 	Refused scheduler.RefusalCause
 	// RetryAfter is the time after which a refused caller should try again.
 	RetryAfter time.Duration
+	// Unconfirmed is as in StateReply.
+	Unconfirmed bool
 }
 
 // Admit decides whether a job of a partition that this entry owns is accepted.
@@ -43,6 +45,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), admitTimeout)
 	defer cancel()
 	*reply = askAdmission(ctx, own, args)
+	reply.Unconfirmed = !r.coordinator.isMember()
 	return nil
 }
 
@@ -76,7 +79,8 @@
 		local: func(ctx context.Context, own *conductor.Conductor) (AdmitReply, error) {
 			return askAdmission(ctx, own, args), nil
 		},
-		once: true,
+		once:        true,
+		unconfirmed: func(reply AdmitReply) bool { return reply.Unconfirmed },
 	})
 	if err != nil {
 		// An owner of an older release does not know the call.
--- a/coordinator/delegations.go
+++ b/coordinator/delegations.go
@@ -40,6 +40,8 @@
 // DelegateReply answers DelegateArgs.
 type DelegateReply struct {
 	Reply scheduler.DelegationReply
+	// Unconfirmed is as in StateReply.
+	Unconfirmed bool
 }
 
 // Delegate answers the home owner of jobs as the owner of a partition. Entries of older
@@ -51,6 +53,7 @@
 	}
 	var err error
 	reply.Reply, err = own.ServeHome(args.Request)
+	reply.Unconfirmed = !r.coordinator.isMember()
 	return err
 }
 
@@ -67,7 +70,8 @@
 			reply.Reply, err = own.ServeHome(request)
 			return reply, err
 		},
-		once: true,
+		once:        true,
+		unconfirmed: func(reply DelegateReply) bool { return reply.Unconfirmed },
 	})
 	return reply.Reply, err
 }
@@ -81,6 +85,8 @@
 // RoomReply answers RoomArgs, in the order of the queries.
 type RoomReply struct {
 	Rooms []scheduler.Room
+	// Unconfirmed is as in StateReply.
+	Unconfirmed bool
 }
 
 // Room answers the owner of another partition that has waiting tasks. Entries of older releases
@@ -92,6 +98,7 @@
 	}
 	var err error
 	reply.Rooms, err = own.Room(args.Queries)
+	reply.Unconfirmed = !r.coordinator.isMember()
 	return err
 }
 
@@ -108,7 +115,8 @@
 			reply.Rooms, err = own.Room(queries)
 			return reply, err
 		},
-		once: true,
+		once:        true,
+		unconfirmed: func(reply RoomReply) bool { return reply.Unconfirmed },
 	})
 	return reply.Rooms, err
 }
--- a/coordinator/formerowner_test.go
+++ b/coordinator/formerowner_test.go
@@ -206,6 +206,34 @@
 	})
 }
 
+// TestRoomIsAskedOfTheNextOwner guards against an owner that asks a former one for room, for good, as the store does not
+// answer that one any more (issue 78).
+func TestRoomIsAskedOfTheNextOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := newOwnedSite(c)
+		partition, _ := s.owner.coordinator.shards.partitionOfJob(s.job.Queue.Service, s.job.ID)
+		s.owner.store.silent.Store(true)
+		s.owner.store.cutOff.Store(true)
+		for s.ownerNow() == nil {
+			time.Sleep(10 * time.Millisecond)
+		}
+		time.Sleep(3 * time.Second)
+		next := s.ownerNow()
+		for _, e := range s.entries {
+			if e == s.owner || e == next {
+				continue
+			}
+			for range 10 {
+				_, err := e.coordinator.askRoom(context.Background(), partition, nil)
+				c.Check(err, qt.IsNil)
+				time.Sleep(time.Second)
+			}
+			c.Check(s.network.callsBy(e, "Room").last, qt.Equals, next.coordinator.settings.peerAddress, qt.Commentf("%s, asked 10 times", e.coordinator.settings.name))
+		}
+	})
+}
+
 // TestFormerOwnerAnswersWithoutAStore guards against states that are not shown, or shown late, while the store answers
 // nobody, as all owners may have a successor (issue 78).
 func TestFormerOwnerAnswersWithoutAStore(t *testing.T) {
--- a/coordinator/owners.go
+++ b/coordinator/owners.go
@@ -226,6 +226,8 @@
 			err:     err,
 		})
 		if call.once && errors.Is(err, messenger.ErrUnknown) {
+			// The answer of the former owner must not stand for that of the next one, which may have acted.
+			unconfirmed = nil
 			break
 		}
 	}
--- a/coordinator/usage.go
+++ b/coordinator/usage.go
@@ -29,6 +29,8 @@
 // UseReply answers UseArgs.
 type UseReply struct {
 	Services []scheduler.ServiceUse
+	// Unconfirmed is as in StateReply.
+	Unconfirmed bool
 }
 
 // Use returns what organisations use of the workers of a partition that this entry
@@ -40,6 +42,7 @@
 	}
 	var err error
 	reply.Services, err = own.Use()
+	reply.Unconfirmed = !r.coordinator.isMember()
 	return err
 }
 
@@ -97,7 +100,8 @@
 			reply.Services, err = own.Use()
 			return reply, err
 		},
-		once: true,
+		once:        true,
+		unconfirmed: func(reply UseReply) bool { return reply.Unconfirmed },
 	})
 	if err != nil {
 		c.settings.logger.WithError(err).WithField("partition", partition).Debug("coordinator: the use of organisations at another owner is not known")
