--- a/coordinator/ownerappend_test.go
+++ b/coordinator/ownerappend_test.go
@@ -112,3 +112,20 @@
 		}
 	})
 }
+
+// TestRelayWithoutTimeShowsNothingOfItsPeers guards against sound entries that get no calls until their next probe, as the
+// time of a caller was over before its job was relayed to them (issue 78).
+func TestRelayWithoutTimeShowsNothingOfItsPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := newOwnedSite(c)
+		e := s.entries[0].coordinator
+		peers := e.entryPool.reachablePeers(len(s.entries))
+		c.Assert(peers, qt.HasLen, len(s.entries)-1)
+		ctx, cancel := context.WithTimeout(context.Background(), 0)
+		defer cancel()
+		err := e.callAny(ctx, peers, "Append", AppendArgs{}, &AppendReply{})
+		c.Check(err, qt.ErrorIs, messenger.ErrUnreachable)
+		c.Check(e.entryPool.reachablePeers(len(s.entries)), qt.HasLen, len(peers))
+	})
+}
--- a/coordinator/rpc.go
+++ b/coordinator/rpc.go
@@ -203,6 +203,10 @@
 func (c *Coordinator) callAny(ctx context.Context, addresses []string, method string, args, reply any) error {
 	err := fmt.Errorf("%w: %w", messenger.ErrUnreachable, errors.New("coordinator: no peer can serve the call"))
 	for _, address := range addresses {
+		if ctx.Err() != nil {
+			// A call without time would show nothing of the entry.
+			break
+		}
 		callCtx, cancel := context.WithTimeout(ctx, relayTimeout)
 		err = c.pool.Call(callCtx, address, rpcName+"."+method, args, reply)
 		cancel()
