--- a/coordinator/jobs.go
+++ b/coordinator/jobs.go
@@ -155,10 +155,20 @@
 // can take, while the owner combines them into one. done is false if this entry
 // has to store the record itself.
 func (c *Coordinator) appendAtOwner(ctx context.Context, partition int, record storer.Record) (done bool, err error) {
+	if c.localOwner(partition) != nil {
+		return false, nil
+	}
 	address, found := c.owners.find(ctx, partition)
-	if !found || address == c.settings.peerAddress || c.owners.isDoubtful(address) {
+	if !found || address == c.settings.peerAddress {
 		return false, nil
 	}
+	if c.owners.isSilent(address) {
+		// It may be gone, or only its append may have taken too long.
+		if !c.askAlive(ctx, address).Member {
+			return false, nil
+		}
+		c.owners.doubt(address)
+	}
 	began := c.settings.clock.Now()
 	callCtx, cancel := context.WithTimeout(ctx, ownerAppendTimeout)
 	defer cancel()
@@ -169,7 +179,7 @@
 	}, &reply)
 	if !errors.Is(err, messenger.ErrRefused) {
 		// An owner whose append failed is there.
-		c.owners.recordCall(ctx, address, err)
+		c.owners.recordCall(ctx, address, began, err)
 	}
 	switch {
 	case err == nil && reply.Unknown, errors.Is(err, messenger.ErrUnknown):
--- a/coordinator/owners.go
+++ b/coordinator/owners.go
@@ -22,6 +22,9 @@
 	minOwnersAge = 150 * time.Millisecond
 	// ownersTimeout bounds one read of the owners.
 	ownersTimeout = joinTimeout
+	// silentCallTime is how long a call that its caller cancelled must have gone without an answer to show that the
+	// owner does not answer. Owners answer most calls from memory.
+	silentCallTime = 150 * time.Millisecond
 	// ownerTries is how many calls are made to the owner of a partition until one is answered.
 	ownerTries = 2
 )
@@ -39,9 +42,12 @@
 	// addresses holds the addresses of the owners as of readAt. It is never modified, only replaced.
 	addresses map[int]string
 	readAt    time.Time
+	// triedAt is the time at which the last read ended, answered or not.
+	triedAt time.Time
 	// readError is the error of the last read, nil if it was answered.
 	readError error
-	// doubtful holds the owners that did not answer their last call.
+	// doubtful holds the owners that may have a successor, as they did not answer their last call, refused it or could
+	// not confirm that they are the owner. The value is whether they did not answer.
 	doubtful map[string]bool
 }
 
@@ -80,23 +86,31 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	address = t.addresses[partition]
-	return address, address != "" && !t.doubtful[address]
+	_, doubtful := t.doubtful[address]
+	return address, address != "" && !doubtful
 }
 
-// isDoubtful reports whether the owner with the address did not answer its last call.
-func (t *ownerTable) isDoubtful(address string) bool {
+// isSilent reports whether the owner with the address did not answer its last call.
+func (t *ownerTable) isSilent(address string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.doubtful[address]
 }
 
-// read reads the owners, unless they were read less than minOwnersAge ago.
+// read reads the owners, unless they were read less than minOwnersAge ago. If the store did not name them then, read
+// waits for the rest of that time.
 func (t *ownerTable) read(ctx context.Context) error {
 	t.mu.Lock()
-	age := t.clock.Now().Sub(t.readAt)
+	pause := minOwnersAge - t.clock.Now().Sub(t.triedAt)
+	failed := t.readError != nil
 	t.mu.Unlock()
-	if age < minOwnersAge {
-		return nil
+	if pause > 0 {
+		if !failed {
+			return nil
+		}
+		if err := timekeeper.Sleep(ctx, t.clock, pause); err != nil {
+			return err
+		}
 	}
 	ctx, cancel := context.WithTimeout(ctx, ownersTimeout)
 	defer cancel()
@@ -104,10 +118,11 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.readError = err
+	t.triedAt = t.clock.Now()
 	if err != nil {
 		return err
 	}
-	t.readAt = t.clock.Now()
+	t.readAt = t.triedAt
 	t.addresses = make(map[int]string)
 	named := make(map[string]bool)
 	for _, owner := range owners {
@@ -121,21 +136,24 @@
 	return nil
 }
 
-// doubt marks an owner as doubtful.
+// doubt marks an owner that answered as doubtful.
 func (t *ownerTable) doubt(address string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.doubtful[address] = true
+	t.doubtful[address] = false
 }
 
-// recordCall records the outcome of a call to an owner. A call that the caller cancelled tells nothing.
-func (t *ownerTable) recordCall(ctx context.Context, address string, err error) {
+// recordCall records the outcome of a call to an owner that began at that time. A call that the caller cancelled
+// within silentCallTime tells nothing.
+func (t *ownerTable) recordCall(ctx context.Context, address string, began time.Time, err error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	switch {
 	case err == nil:
 		delete(t.doubtful, address)
-	case !errors.Is(ctx.Err(), context.Canceled):
+	case errors.Is(err, messenger.ErrRefused):
+		t.doubtful[address] = false
+	case !errors.Is(ctx.Err(), context.Canceled), t.clock.Now().Sub(began) >= silentCallTime:
 		t.doubtful[address] = true
 	}
 }
@@ -193,7 +211,7 @@
 		err = c.pool.Call(callCtx, address, rpcName+"."+call.method, call.args, reply)
 		cancel()
 		c.ownerMetrics.recordCall(call.method, err)
-		c.owners.recordCall(ctx, address, err)
+		c.owners.recordCall(ctx, address, began, err)
 		switch {
 		case err == nil && call.unconfirmed != nil && call.unconfirmed(*reply) && c.store.serves():
 			c.owners.doubt(address)
@@ -208,6 +226,8 @@
 			err:     err,
 		})
 		if call.once && errors.Is(err, messenger.ErrUnknown) {
+			// The answer of the former owner must not stand for that of the next one, which may have acted.
+			unconfirmed = nil
 			break
 		}
 	}
