--- a/coordinator/locating.go
+++ b/coordinator/locating.go
@@ -60,7 +60,7 @@
 	return c.askState(ctx, partition, job)
 }
 
-// locateIn asks the owners of the partitions for the job at once.
+// locateIn asks the owners of the partitions for the job at once, until one of them has it.
 func (c *Coordinator) locateIn(ctx context.Context, partitions []int, job receiver.JobRef, found *location) {
 	if len(partitions) == 0 {
 		return
@@ -79,6 +79,7 @@
 				found.unanswered, found.err = append(found.unanswered, partition), err
 			case reply.Found && c.queueHistory.mayHaveBeen(job.Queue, reply.Queue):
 				found.partition, found.reply = partition, reply
+				cancel()
 				c.settings.logger.WithFields(log.Fields{
 					"id":        job.ID,
 					"queue":     job.Queue.Name,
--- /dev/null
+++ b/coordinator/locating_test.go
@@ -0,0 +1,74 @@
+package coordinator
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/galenacove/galenacove/messenger"
+	"github.com/galenacove/galenacove/receiver"
+	"github.com/galenacove/galenacove/scheduler"
+)
+
+// ownersCaller answers for the owners of partitions: one of them has the job, and calls to another have no answer.
+type ownersCaller struct {
+	holder, gone int
+}
+
+func (ownersCaller) Close() {}
+
+func (o ownersCaller) Call(ctx context.Context, _, _ string, args, reply any) error {
+	switch args.(StateArgs).Partition {
+	case o.gone:
+		<-ctx.Done()
+		return messenger.ErrUnknown
+	case o.holder:
+		*reply.(*StateReply) = StateReply{
+			State: scheduler.Running,
+			Found: true,
+			Queue: "former",
+		}
+	}
+	return nil
+}
+
+// TestJobOfAMovedQueueIsShownBesideAGoneOwner guards against the state of a job of a moved queue that is shown late, as the
+// owner of a service that has nothing to do with it is gone (issue 75).
+func TestJobOfAMovedQueueIsShownBesideAGoneOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := newSite(c, 0)
+		s.addEntry(0, time.Hour)
+		coordinator := s.entries[0].coordinator
+		coordinator.pool = ownersCaller{
+			holder: 2,
+			gone:   3,
+		}
+		coordinator.shards.servicePartitions = map[string][]int{
+			"desk": {1},
+			"lab":  {2},
+			"hall": {3},
+		}
+		coordinator.owners.addresses = map[int]string{
+			1: "10.1.0.1:7",
+			2: "10.1.0.2:7",
+			3: "10.1.0.3:7",
+		}
+		began := time.Now()
+		state, err := coordinator.State(context.Background(), receiver.JobRef{
+			ID: "00000000000000aa",
+			Queue: scheduler.Queue{
+				Name:    "alpha",
+				Service: "desk",
+			},
+		})
+		c.Check(err, qt.IsNil)
+		c.Check(state, qt.Equals, scheduler.Running)
+		c.Check(time.Since(began) < peerTimeout, qt.IsTrue, qt.Commentf("shown after %v", time.Since(began)))
+		c.Check(coordinator.owners.isDoubtful("10.1.0.3:7"), qt.IsFalse)
+		s.stop()
+	})
+}
--- a/coordinator/owners.go
+++ b/coordinator/owners.go
@@ -214,7 +214,9 @@
 	if unconfirmed != nil {
 		return *unconfirmed, nil
 	}
-	c.logUnreached(ctx, call.partition, call.method, tries, err)
+	if !errors.Is(ctx.Err(), context.Canceled) {
+		c.logUnreached(ctx, call.partition, call.method, tries, err)
+	}
 	var none Reply
 	return none, err
 }
