--- a/coordinator/queuehistory.go
+++ b/coordinator/queuehistory.go
@@ -34,8 +34,7 @@
 type FormerQueue struct {
 	Host, Prefix  string
 	Name, Service string
-	// Age is the time since another queue took its place, as far as the entry knows. It is negative if none has:
-	// the route was removed.
+	// Age is the time since another queue took its place, as far as the entry knows. It is negative if none has.
 	Age time.Duration
 }
 
@@ -191,6 +190,12 @@
 	for _, key := range h.removed {
 		add(key, h.last[key], -1)
 	}
+	// For an entry with a later configuration, the present queues are former ones too.
+	for _, keys := range h.routes {
+		for _, key := range keys {
+			add(key, h.last[key], -1)
+		}
+	}
 	for key, former := range h.former {
 		for _, queue := range former {
 			add(key, queue, max(0, now.Sub(queue.until)))
--- a/coordinator/queuehistory_test.go
+++ b/coordinator/queuehistory_test.go
@@ -84,6 +84,34 @@
 	}
 }
 
+// TestStartedEntryInheritsFromPeersWithTheFormerConfiguration guards against a job that runs twice, as the entry that takes
+// its request again has started with a configuration that the peers which it asks have not read yet (issue 75).
+func TestStartedEntryInheritsFromPeersWithTheFormerConfiguration(t *testing.T) {
+	c := qt.New(t)
+	former, present := routed(1, "/a/", "a", "desk"), routed(2, "/a/", "a2", "lab")
+	peer, started := newQueueHistory(), newQueueHistory()
+	peer.observe(former, testStart)
+	started.observe(present, testStart)
+	started.merge(peer.export(testStart), testStart)
+	c.Assert(servicesOf(started, "a2", testStart), qt.DeepEquals, []string{"desk"})
+	// What a peer with a later configuration knows is former here only until that one is read.
+	peer, started = newQueueHistory(), newQueueHistory()
+	peer.observe(former, testStart)
+	peer.observe(present, testStart)
+	started.observe(former, testStart)
+	started.merge(peer.export(testStart), testStart)
+	started.observe(present, testStart)
+	c.Assert(servicesOf(started, "a2", testStart), qt.DeepEquals, []string{"desk"})
+	// A peer with the same configuration adds nothing.
+	started = newQueueHistory()
+	started.observe(present, testStart)
+	peer = newQueueHistory()
+	peer.observe(present, testStart)
+	started.merge(peer.export(testStart), testStart)
+	c.Assert(started.former, qt.HasLen, 0)
+	c.Assert(started.removed, qt.HasLen, 0)
+}
+
 // TestQueueHistoryIsBounded guards against memory that grows with each route that comes and goes.
 func TestQueueHistoryIsBounded(t *testing.T) {
 	c := qt.New(t)
