--- a/coordinator/movedqueue_test.go
+++ b/coordinator/movedqueue_test.go
@@ -194,6 +194,39 @@
 	}
 }
 
+// TestJobIsKnownAfterRoutesHaveExchangedQueues guards against an accepted job that is answered 410, runs twice or runs on
+// after its cancelling, as the route under which it was accepted has exchanged its queue with another one (issue 75).
+func TestJobIsKnownAfterRoutesHaveExchangedQueues(t *testing.T) {
+	cl := newTwoServiceCluster(t, 2)
+	cl.awaitState("/beta/first", scheduler.Completed)
+	cl.submitTo("/alpha/job", longBody)
+	cl.awaitRunning(4)
+	cl.configureRoutes(30,
+		queueRoute{prefix: "/alpha/", queue: betaAtLab.queue, service: betaAtLab.service},
+		queueRoute{prefix: "/beta/", queue: alphaAtDesk.queue, service: alphaAtDesk.service})
+	starts := cl.fleet.Starts()
+	for _, e := range cl.entries {
+		for _, path := range []string{"/alpha/job", "/beta/first"} {
+			status, _ := cl.call(http.MethodGet, e.callers+path, nil)
+			cl.c.Check(status, qt.Equals, http.StatusOK, qt.Commentf("%s", path))
+		}
+		status, _ := cl.call(http.MethodPost, e.callers+"/alpha/job", longBody)
+		cl.c.Check(status, qt.Equals, http.StatusOK)
+	}
+	time.Sleep(500 * time.Millisecond)
+	cl.c.Check(cl.fleet.Starts(), qt.Equals, starts)
+	status, _ := cl.call(http.MethodDelete, cl.entries[1].callers+"/alpha/job", nil)
+	cl.c.Assert(status, qt.Equals, http.StatusOK)
+	for range 300 {
+		if cl.fleet.Running() == 0 {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	cl.c.Assert(cl.fleet.Running(), qt.Equals, 0)
+	cl.c.Assert(cl.fleet.Violations(), qt.HasLen, 0)
+}
+
 // awaitState waits until a job has the given state.
 func (cl *cluster) awaitState(path string, state scheduler.JobState) {
 	for {
--- a/coordinator/queuehistory.go
+++ b/coordinator/queuehistory.go
@@ -156,15 +156,16 @@
 	if name == queue.Name {
 		return true
 	}
-	if len(h.routes[name]) > 0 {
-		return false
-	}
 	named := func(q formerQueue) bool { return q.name == name }
 	for _, key := range h.routes[queue.Name] {
 		if slices.ContainsFunc(h.former[key], named) {
+			// Also if another route leads to that queue now.
 			return true
 		}
 	}
+	if len(h.routes[name]) > 0 {
+		return false
+	}
 	for key, last := range h.last {
 		if named(last) || slices.ContainsFunc(h.former[key], named) {
 			return false
