--- a/coordinator/jobs.go
+++ b/coordinator/jobs.go
@@ -50,13 +50,13 @@
 	if !job.Storable(limits.Record()) {
 		return errors.Wrapf(receiver.ErrTooLarge, "coordinator: the progress of %d phases may need a record of more than %d bytes", len(job.Phases), limits.Record())
 	}
+	if repeated, err := c.isRepeated(ctx, job); repeated || err != nil {
+		return err
+	}
 	partition, known := c.shards.partitionOfJob(job.Queue.Service, job.ID)
 	if !known {
 		return fmt.Errorf("%w: %w", receiver.ErrNotStored, errNoShards)
 	}
-	if repeated, err := c.isRepeated(ctx, job); repeated || err != nil {
-		return err
-	}
 	if err := c.admit(ctx, partition, job); err != nil {
 		return err
 	}
@@ -81,11 +81,10 @@
 
 // Cancel implements receiver.Jobs.
 func (c *Coordinator) Cancel(ctx context.Context, job receiver.JobRef) error {
-	partition, known := c.shards.partitionOfJob(job.Queue.Service, job.ID)
+	found, known := c.locate(ctx, job)
 	if !known {
 		return fmt.Errorf("%w: %w", receiver.ErrNotStored, errNoShards)
 	}
-	found := c.locate(ctx, partition, job)
 	if found.reply.Foreign {
 		return receiver.ErrNoJob
 	}
@@ -205,12 +204,10 @@
 
 // State implements receiver.Jobs.
 func (c *Coordinator) State(ctx context.Context, job receiver.JobRef) (scheduler.JobState, error) {
-	partition, known := c.shards.partitionOfJob(job.Queue.Service, job.ID)
-	if !known {
-		return "", fmt.Errorf("%w: %w", receiver.ErrOwnerUnreachable, errNoShards)
-	}
-	found := c.locate(ctx, partition, job)
+	found, known := c.locate(ctx, job)
 	switch {
+	case !known:
+		return "", fmt.Errorf("%w: %w", receiver.ErrOwnerUnreachable, errNoShards)
 	case found.reply.Found:
 		return found.reply.State, nil
 	case found.err != nil:
--- a/coordinator/locating.go
+++ b/coordinator/locating.go
@@ -28,25 +28,29 @@
 }
 
 // locate finds the partition of a job. Only if the queue's present one does not hold the job, or its owner does not
-// answer, others are asked: the queue may have had another service when the job was accepted.
-func (c *Coordinator) locate(ctx context.Context, partition int, job receiver.JobRef) location {
-	found := location{
-		partition: partition,
-	}
+// answer, others are asked: the queue may have had another service when the job was accepted. known is false if the job
+// is in none of these and the present service has no shards yet.
+func (c *Coordinator) locate(ctx context.Context, job receiver.JobRef) (found location, known bool) {
 	ctx, cancel := context.WithTimeout(ctx, locateTimeout)
 	defer cancel()
+	others := c.shards.partitionsOfID(job.ID)
+	partition, known := c.shards.partitionOfJob(job.Queue.Service, job.ID)
+	if !known {
+		c.locateIn(ctx, others, job, &found)
+		return found, found.reply.Found
+	}
+	found.partition = partition
 	former := c.formerPartitions(job, time.Time{})
 	found.reply, found.err = c.askPresent(ctx, partition, job, len(former) > 0)
-	others := c.shards.partitionsOfID(job.ID)
 	switch {
 	case found.err == nil && (found.reply.Found || found.reply.Foreign):
-		return found
+		return found, true
 	case found.err != nil:
 		found.unanswered = []int{partition}
 		others = former
 	}
 	c.locateIn(ctx, slices.DeleteFunc(others, func(other int) bool { return other == partition }), job, &found)
-	return found
+	return found, true
 }
 
 // askPresent asks the owner of the partition in which jobs of the queue are stored now. If others may have to be asked
@@ -128,10 +132,10 @@
 // one has taken since the given time, without the present one.
 func (c *Coordinator) formerPartitions(job receiver.JobRef, since time.Time) []int {
 	var partitions []int
-	present, _ := c.shards.partitionOfJob(job.Queue.Service, job.ID)
+	present, hasPresent := c.shards.partitionOfJob(job.Queue.Service, job.ID)
 	for _, queue := range c.queueHistory.formerOf(job.Queue, since) {
 		partition, known := c.shards.partitionOfJob(queue.service, job.ID)
-		if known && partition != present && !slices.Contains(partitions, partition) {
+		if known && (!hasPresent || partition != present) && !slices.Contains(partitions, partition) {
 			partitions = append(partitions, partition)
 		}
 	}
