--- a/coordinator/queuehistory.go
+++ b/coordinator/queuehistory.go
@@ -34,8 +34,7 @@
 type FormerQueue struct {
 	Host, Prefix  string
 	Name, Service string
-	// Age is the time since another queue took its place, as far as the entry knows. It is negative if none has:
-	// the route was removed.
+	// Age is the time since another queue took its place, as far as the entry knows. It is negative if none has.
 	Age time.Duration
 }
 
@@ -157,15 +156,16 @@
 	if name == queue.Name {
 		return true
 	}
-	if len(h.routes[name]) > 0 {
-		return false
-	}
 	named := func(q formerQueue) bool { return q.name == name }
 	for _, key := range h.routes[queue.Name] {
 		if slices.ContainsFunc(h.former[key], named) {
+			// Also if another route leads to that queue now.
 			return true
 		}
 	}
+	if len(h.routes[name]) > 0 {
+		return false
+	}
 	for key, last := range h.last {
 		if named(last) || slices.ContainsFunc(h.former[key], named) {
 			return false
@@ -191,6 +191,12 @@
 	for _, key := range h.removed {
 		add(key, h.last[key], -1)
 	}
+	// For an entry with a later configuration, the present queues are former ones too.
+	for _, keys := range h.routes {
+		for _, key := range keys {
+			add(key, h.last[key], -1)
+		}
+	}
 	for key, former := range h.former {
 		for _, queue := range former {
 			add(key, queue, max(0, now.Sub(queue.until)))
