--- a/coordinator/delegations.go
+++ b/coordinator/delegations.go
@@ -40,8 +40,6 @@
 // DelegateReply answers DelegateArgs.
 type DelegateReply struct {
 	Reply scheduler.DelegationReply
-	// Unconfirmed is as in StateReply.
-	Unconfirmed bool
 }
 
 // Delegate answers the home owner of jobs as the owner of a partition. Entries of older
@@ -53,7 +51,6 @@
 	}
 	var err error
 	reply.Reply, err = own.ServeHome(args.Request)
-	reply.Unconfirmed = !r.coordinator.isMember()
 	return err
 }
 
@@ -70,8 +67,7 @@
 			reply.Reply, err = own.ServeHome(request)
 			return reply, err
 		},
-		once:        true,
-		unconfirmed: func(reply DelegateReply) bool { return reply.Unconfirmed },
+		once: true,
 	})
 	return reply.Reply, err
 }
