--- a/coordinator/locating_test.go
+++ b/coordinator/locating_test.go
@@ -69,7 +69,8 @@
 		c.Check(err, qt.IsNil)
 		c.Check(state, qt.Equals, scheduler.Running)
 		c.Check(time.Since(began) < peerTimeout, qt.IsTrue, qt.Commentf("shown after %v", time.Since(began)))
-		c.Check(coordinator.owners.isDoubtful("10.1.0.3:7"), qt.IsFalse)
+		_, reliable := coordinator.owners.known(3)
+		c.Check(reliable, qt.IsTrue)
 		s.stop()
 	})
 }
