--- a/coordinator/entrypool_test.go
+++ b/coordinator/entrypool_test.go
@@ -1,13 +1,16 @@
 package coordinator
 
 import (
+	"context"
 	"fmt"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/galenacove/galenacove/messenger"
 	"github.com/galenacove/galenacove/storer"
 	"github.com/galenacove/galenacove/timekeeper"
 )
@@ -230,3 +233,58 @@
 	const busy = 72 * 2.3 * 0.031
 	c.Assert(busy/float64(len(quick)) < 0.8, qt.IsTrue, qt.Commentf("%d entries", len(quick)))
 }
+
+// silentCaller calls peers that do not answer.
+type silentCaller struct{}
+
+func (silentCaller) Close() {}
+
+func (silentCaller) Call(ctx context.Context, _, _ string, _, _ any) error {
+	if ctx.Err() != nil {
+		return messenger.ErrUnreachable
+	}
+	<-ctx.Done()
+	return fmt.Errorf("%w: %w", messenger.ErrUnknown, ctx.Err())
+}
+
+// TestRelayWithoutTimeShowsNothingOfThePeer guards against peers that could store jobs and get none, and whose calls for
+// advice are cancelled, as a caller had no time left when its job was to be relayed (issue 78).
+func TestRelayWithoutTimeShowsNothingOfThePeer(t *testing.T) {
+	for _, test := range []struct {
+		name        string
+		left        time.Duration
+		unreachable bool
+	}{
+		{
+			name: "none left",
+		},
+		{
+			name: "little left",
+			left: 10 * time.Millisecond,
+		},
+		{
+			name:        "enough for a call",
+			left:        time.Second,
+			unreachable: true,
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				pool := newTestEntryPool(timekeeper.System(), 2, "a-1", "b-1", "c-1")
+				coordinator := pool.coordinator
+				coordinator.entryPool, coordinator.pool = pool, silentCaller{}
+				peers := pool.reachablePeers(2)
+				for _, address := range peers {
+					pool.setStoreReachable(address, true)
+				}
+				ctx, cancel := context.WithTimeout(context.Background(), test.left)
+				defer cancel()
+				err := coordinator.callAny(ctx, peers, "Append", AppendArgs{}, &AppendReply{})
+				c.Assert(err, qt.IsNotNil)
+				c.Check(pool.byName["b-1"].unreachable, qt.Equals, test.unreachable)
+				c.Check(pool.byName["c-1"].unreachable, qt.IsFalse)
+			})
+		})
+	}
+}
--- a/coordinator/rpc.go
+++ b/coordinator/rpc.go
@@ -199,7 +199,7 @@
 }
 
 // callAny calls a method at the entries in turn, until one answers or the outcome
-// of a call is unknown.
+// of a call is unknown. A call that fails as the context is over shows nothing of the entry.
 func (c *Coordinator) callAny(ctx context.Context, addresses []string, method string, args, reply any) error {
 	err := fmt.Errorf("%w: %w", messenger.ErrUnreachable, errors.New("coordinator: no peer can serve the call"))
 	for _, address := range addresses {
@@ -210,14 +210,16 @@
 		callCtx, cancel := context.WithTimeout(ctx, relayTimeout)
 		err = c.pool.Call(callCtx, address, rpcName+"."+method, args, reply)
 		cancel()
-		c.entryPool.recordAnswer(address, err)
+		if err == nil || ctx.Err() == nil {
+			c.entryPool.recordAnswer(address, err)
+		}
 		if err == nil {
 			if appended, ok := reply.(*AppendReply); ok && appended.Unknown {
 				return fmt.Errorf("%w: %w", messenger.ErrUnknown, errors.New("coordinator: the store did not answer a peer"))
 			}
 			return nil
 		}
-		if errors.Is(err, messenger.ErrUnknown) {
+		if errors.Is(err, messenger.ErrUnknown) || ctx.Err() != nil {
 			return err
 		}
 	}
