--- a/coordinator/entrypool.go
+++ b/coordinator/entrypool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"strings"
 	"sync"
@@ -362,6 +363,8 @@
 		entry.othersIdleAt = now.Add(busy)
 	}
 	switch {
+	case errors.Is(err, errWithdrawn):
+		// It shows nothing of the entry.
 	case err == nil:
 		entry.markReachable()
 		entry.adviceFailures = 0
@@ -397,7 +400,8 @@
 }
 
 // adviseThrough makes a call for advice through the entry to which the call is
-// assigned. The call ends early when that entry becomes unreachable.
+// assigned. The call ends early when that entry becomes unreachable, with an error
+// marked with errWithdrawn.
 func (p *entryPool) adviseThrough(ctx context.Context, call adviceCall, order scheduler.AskAdvice) (AdviseReply, error) {
 	entry := call.entryState
 	p.mu.Lock()
@@ -434,5 +438,8 @@
 			Cost:    order.Cost,
 		}, &reply)
 	}
+	if err != nil && errors.Is(ctx.Err(), context.Canceled) {
+		err = fmt.Errorf("%w: %w", errWithdrawn, err)
+	}
 	return reply, err
 }
--- a/coordinator/entrypool_test.go
+++ b/coordinator/entrypool_test.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"strings"
@@ -9,8 +10,10 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/galenacove/galenacove/messenger"
+	"github.com/galenacove/galenacove/scheduler"
 	"github.com/galenacove/galenacove/storer"
 	"github.com/galenacove/galenacove/timekeeper"
 )
@@ -234,17 +237,20 @@
 	c.Assert(busy/float64(len(quick)) < 0.8, qt.IsTrue, qt.Commentf("%d entries", len(quick)))
 }
 
-// silentCaller calls peers that do not answer.
-type silentCaller struct{}
+// silentCaller calls peers that do not answer. Its errors are marked with err, or with messenger.ErrUnknown if that is
+// nil.
+type silentCaller struct {
+	err error
+}
 
 func (silentCaller) Close() {}
 
-func (silentCaller) Call(ctx context.Context, _, _ string, _, _ any) error {
+func (s silentCaller) Call(ctx context.Context, _, _ string, _, _ any) error {
 	if ctx.Err() != nil {
 		return messenger.ErrUnreachable
 	}
 	<-ctx.Done()
-	return fmt.Errorf("%w: %w", messenger.ErrUnknown, ctx.Err())
+	return fmt.Errorf("%w: %w", cmp.Or(s.err, messenger.ErrUnknown), ctx.Err())
 }
 
 // TestRelayWithoutTimeShowsNothingOfThePeer guards against peers that could store jobs and get none, and whose calls for
@@ -288,3 +294,62 @@
 		})
 	}
 }
+
+// TestWithdrawnAdviceShowsNothingOfTheEntry guards against entries that get no calls for advice, as an owner that lost its
+// partition, or a peer that missed a probe, ended the calls that were under way (issue 78).
+func TestWithdrawnAdviceShowsNothingOfTheEntry(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// withdraw ends the calls under way.
+		withdraw func(pool *entryPool, loseOwnership context.CancelFunc)
+		// failures is how many calls the entries have not answered then.
+		failures int
+	}{
+		{
+			name:     "lost ownership",
+			withdraw: func(_ *entryPool, loseOwnership context.CancelFunc) { loseOwnership() },
+		},
+		{
+			name: "missed probes",
+			withdraw: func(pool *entryPool, _ context.CancelFunc) {
+				for _, address := range pool.reachablePeers(2) {
+					pool.recordAnswer(address, messenger.ErrUnknown)
+				}
+			},
+			failures: 1,
+		},
+	} {
+		for _, callErr := range []error{messenger.ErrUnknown, messenger.ErrUnreachable} {
+			t.Run(fmt.Sprintf("%s, %v", test.name, callErr), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					c := qt.New(t)
+					pool := newTestEntryPool(timekeeper.System(), 2, "a-1", "b-1", "c-1")
+					pool.coordinator.pool = silentCaller{
+						err: callErr,
+					}
+					// This entry itself makes no calls.
+					pool.byName["a-1"].suspendedUntil = time.Now().Add(time.Minute)
+					ctx, loseOwnership := context.WithCancel(context.Background())
+					defer loseOwnership()
+					var calls errgroup.Group
+					for range 4 {
+						calls.Go(func() error {
+							_, _, err := pool.adviserFor(0).Advise(ctx, scheduler.AskAdvice{
+								Cost: 10 * time.Millisecond,
+							})
+							return err
+						})
+					}
+					synctest.Wait()
+					test.withdraw(pool, loseOwnership)
+					c.Assert(calls.Wait(), qt.IsNotNil)
+					for _, name := range []string{"b-1", "c-1"} {
+						entry := pool.byName[name]
+						c.Check(entry.failures, qt.Equals, test.failures, qt.Commentf("%s", name))
+						c.Check(entry.suspendedUntil, qt.Equals, time.Time{}, qt.Commentf("%s", name))
+					}
+				})
+			})
+		}
+	}
+}
--- a/coordinator/partitionadviser.go
+++ b/coordinator/partitionadviser.go
@@ -40,6 +40,10 @@
 // has too many calls under way.
 var errBusy = errors.New("coordinator: the entry has too many calls for advice under way")
 
+// errWithdrawn marks the error of a call that this process ended before its timeout, as the owner has
+// lost its partition or the entry has become unreachable.
+var errWithdrawn = errors.New("coordinator: the call for advice was withdrawn")
+
 // adviceCall is a call for advice that was assigned to an entry.
 type adviceCall struct {
 	entryState *entryState
