--- a/coordinator/queuehistory.go
+++ b/coordinator/queuehistory.go
@@ -1,7 +1,10 @@
 package coordinator
 
 import (
+	"cmp"
 	"context"
+	"math"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -253,11 +256,10 @@
 		}
 	}
 	asked := make(map[string]bool)
+	tries := make(map[string]int)
 	for range historyTries {
-		for _, address := range c.entryPool.reachablePeers(historyPeers) {
-			if asked[address] || len(asked) >= historyPeers {
-				continue
-			}
+		for _, address := range c.historySources(historyPeers-len(asked), asked, tries) {
+			tries[address]++
 			var reply QueueHistoryReply
 			callCtx, cancel := context.WithTimeout(ctx, peerTimeout)
 			err := c.pool.Call(callCtx, address, rpcName+".QueueHistory", struct{}{}, &reply)
@@ -278,3 +280,12 @@
 	}
 	return nil
 }
+
+// historySources returns the addresses of up to n peers that have not answered yet, those with the fewest tries first.
+// Among others they are in random order: more of them may be gone than are tried.
+func (c *Coordinator) historySources(n int, answered map[string]bool, tries map[string]int) []string {
+	addresses := slices.DeleteFunc(c.entryPool.reachablePeers(math.MaxInt), func(address string) bool { return answered[address] })
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	slices.SortStableFunc(addresses, func(a, b string) int { return cmp.Compare(tries[a], tries[b]) })
+	return addresses[:min(n, len(addresses))]
+}
