--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -128,10 +128,13 @@
 	storeSilent    bool
 	refusedSubmits atomic.Int64
 	// leavingSince is the time since which the store has listed entries as owners to which
-	// this one leaves the partitions and which it cannot reach. It and largerFinder are used
-	// by keepMembership only.
+	// this one leaves the partitions and which it cannot reach. It, largerFinder and deferral
+	// are used by keepMembership only.
 	leavingSince time.Time
 	largerFinder largerFinder
+	// deferral gets what largerFinder finds. It is nil unless largerFinder is in use, or has
+	// been since deferral was last received from.
+	deferral chan bool
 	// joinRequests triggers an immediate join, to learn which partitions are
 	// assigned to this entry.
 	joinRequests chan struct{}
--- a/coordinator/largerpeers.go
+++ b/coordinator/largerpeers.go
@@ -204,13 +204,45 @@
 }
 
 // defersToOthers reports whether an entry to which this one leaves the partitions was a
-// member of the group within largerMemberExpiry.
-func (c *Coordinator) defersToOthers(ctx context.Context) bool {
-	return c.largerFinder.found(ctx, c.preferredOwners())
+// member of the group within largerMemberExpiry. An entry that is a member does not wait
+// for the answers, but uses them at its next join: entries that are gone do not answer, and
+// its time to live must leave time for several joins.
+func (c *Coordinator) defersToOthers(ctx context.Context, group *errgroup.Group) bool {
+	defers := false
+	select {
+	case defers = <-c.deferral:
+		c.deferral = nil
+	default:
+	}
+	c.askPreferred(ctx, group)
+	if c.isMember() {
+		return defers
+	}
+	select {
+	case defers = <-c.deferral:
+		c.deferral = nil
+		return defers
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// askPreferred asks the entries to which this one leaves the partitions, unless this is
+// under way.
+func (c *Coordinator) askPreferred(ctx context.Context, group *errgroup.Group) {
+	if c.deferral != nil {
+		return
+	}
+	deferral := make(chan bool, 1)
+	c.deferral = deferral
+	group.Go(func() error {
+		deferral <- c.largerFinder.found(ctx, c.preferredOwners())
+		return nil
+	})
 }
 
 // largerFinder finds out whether one of the much larger entries is a member of the
-// group. It is used by one goroutine.
+// group. It is used by one goroutine at a time.
 type largerFinder struct {
 	clock timekeeper.Clock
 	// ask asks an entry for its state. It returns the zero reply if the entry does
--- a/coordinator/membership.go
+++ b/coordinator/membership.go
@@ -31,7 +31,7 @@
 func (c *Coordinator) keepMembership(ctx context.Context, group *errgroup.Group) error {
 	c.awaitPeers(ctx)
 	for {
-		if c.defersToOthers(ctx) {
+		if c.defersToOthers(ctx, group) {
 			c.leavingSince = time.Time{}
 			c.cedePartitions(ctx)
 		} else if !c.stopping.Load() && !c.leavesJoining(ctx) && c.join(ctx, group) {
