--- a/coordinator/feeds.go
+++ b/coordinator/feeds.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/galenacove/galenacove/authenticator"
 	"github.com/galenacove/galenacove/conductor"
@@ -256,24 +257,18 @@
 	if err != nil {
 		return err
 	}
-	f := c.newFeed("entries", partition)
-	for failures := 1; ; failures++ {
+	publish := func() error {
 		// An entry that starts joins the group soon after the store's first answer, so
 		// an append that gets none must not delay the read for long.
 		appendCtx, cancel := context.WithTimeout(ctx, joinTimeout)
+		defer cancel()
 		_, err := c.store.Append(appendCtx, partition, nil, storer.Record{
 			Key:   c.settings.name,
 			Value: ownRecord,
 		})
-		cancel()
-		if err == nil {
-			break
-		}
-		f.sleep(ctx, backoff(failures, maxFeedBackoff), f.restored)
-		if ctx.Err() != nil {
-			return ctx.Err()
-		}
+		return err
 	}
+	f := c.newFeed("entries", partition)
 	f.wait = peersReadWait
 	received := false
 	f.pause = func() time.Duration {
@@ -289,7 +284,21 @@
 		c.applyPeers(records)
 		c.peersAnswered.Do(func() { close(c.peersRead) })
 	}
-	return f.run(ctx)
+	var group errgroup.Group
+	if publish() != nil {
+		restored := c.restoration.subscribe()
+		group.Go(func() error {
+			for failures := 1; ctx.Err() == nil; failures++ {
+				f.sleep(ctx, backoff(failures, maxFeedBackoff), restored)
+				if publish() == nil {
+					break
+				}
+			}
+			return nil
+		})
+	}
+	group.Go(func() error { return f.run(ctx) })
+	return group.Wait()
 }
 
 // applyPeers applies the records of other entries.
