--- a/coordinator/historypeers_test.go
+++ b/coordinator/historypeers_test.go
@@ -6,6 +6,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	qt "github.com/frankban/quicktest"
 
 	"github.com/galenacove/galenacove/messenger"
@@ -35,7 +36,7 @@
 		}
 		return nil
 	}
-	if h.err == messenger.ErrUnknown {
+	if errors.Is(h.err, messenger.ErrUnknown) {
 		<-ctx.Done()
 	}
 	return h.err
