--- a/coordinator/silence_test.go
+++ b/coordinator/silence_test.go
@@ -122,6 +122,41 @@
 	}
 }
 
+// TestCallsWithoutTimeAreNoSilence guards against a store that counts as silent, so that records are refused, as callers
+// had no time left when calls to it were to be made (issue 78).
+func TestCallsWithoutTimeAreNoSilence(t *testing.T) {
+	for _, test := range []struct {
+		left time.Duration
+		want bool
+	}{
+		{},
+		{
+			left: 300 * time.Millisecond,
+			want: true,
+		},
+	} {
+		t.Run(test.left.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				model := &entryStore{
+					storeModel: newStoreModel(),
+				}
+				model.silent.Store(true)
+				model.cutOff.Store(true)
+				store := newWatchedStore(model, timekeeper.System())
+				for range 2 {
+					ctx, cancel := context.WithTimeout(context.Background(), test.left)
+					_, err := store.Owners(ctx, groupName)
+					cancel()
+					c.Assert(err, qt.ErrorIs, storer.ErrUnavailable)
+					time.Sleep(minSilence)
+				}
+				c.Check(store.silent(), qt.Equals, test.want)
+			})
+		})
+	}
+}
+
 // submission is the outcome of a submitted job.
 type submission struct {
 	err  error
--- a/coordinator/store.go
+++ b/coordinator/store.go
@@ -163,10 +163,12 @@
 }
 
 // recordSilence records whether a call was answered that was sent at that time. A call
-// that was cancelled shows nothing, one that reached its deadline had no answer.
+// that was cancelled shows nothing, nor does one whose deadline had passed before. One that
+// reached its deadline had no answer.
 func (s *watchedStore) recordSilence(ctx context.Context, sentAt time.Time, writes bool, err error) {
 	unanswered := errors.IsAny(err, storer.ErrUnavailable, storer.ErrUnknown)
-	if unanswered && errors.Is(ctx.Err(), context.Canceled) {
+	deadline, limited := ctx.Deadline()
+	if unanswered && (errors.Is(ctx.Err(), context.Canceled) || limited && !sentAt.Before(deadline)) {
 		return
 	}
 	s.silence.record(sentAt, s.clock.Now(), !unanswered)
