--- a/coordinator/storemodel_test.go
+++ b/coordinator/storemodel_test.go
@@ -135,6 +135,8 @@
 	directoryReads, jobAppends atomic.Int64
 	// cutOff is set while the store does not answer this entry.
 	cutOff atomic.Bool
+	// full is set while the store takes no records about entries from this one.
+	full atomic.Bool
 }
 
 // beginAt is begin for a call that names a partition.
@@ -224,6 +226,9 @@
 	if to.Topic == conductor.JobsTopic && len(records) > 0 {
 		s.jobAppends.Add(1)
 	}
+	if to.Topic == peersTopic && s.full.Load() {
+		return 0, storer.ErrFull
+	}
 	if err := s.beginAt(ctx, to, true, modelCallLimit); err != nil {
 		// The record may have been stored.
 		return 0, storer.ErrUnknown
