--- a/coordinator/admitting_test.go
+++ b/coordinator/admitting_test.go
@@ -34,7 +34,8 @@
 		0: silent.Addr().String(),
 		1: gone.Addr().String(),
 	}
-	c.owners.readAt = time.Now().Add(time.Hour)
+	// The owners are not read again.
+	c.owners.triedAt = time.Now().Add(time.Hour)
 	defer c.pool.Close()
 	for partition := range 2 {
 		qt.Check(t, c.admit(context.Background(), partition, scheduler.Job{
